Lay out the libraries, their contracts and the build

Cause: the project starts here. Every later part is built side by side, so the interfaces that cross libraries come first: HTTP server and client, the log, instance list and worker clients, the inner protocol's envelope and mesh, events, metrics, and the wire forms in docs/PROTOCOLS.md. Ruled out: C++20 (websocketpp 0.8.2's headers don't compile under it) and a precompiled header (it defeats ccache between build trees).

--- /dev/null
+++ b/src/libs/base/time.cc
@@ -0,0 +1,15 @@
+// Conversions between wall-clock time and its form in messages.
+#include "base/time.h"
+
+namespace thornplank {
+
+int64_t ToUnixMilliseconds(WallTime time) {
+  return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch())
+      .count();
+}
+
+WallTime FromUnixMilliseconds(int64_t milliseconds) {
+  return WallTime(Milliseconds(milliseconds));
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/logging/events/process_events.h
@@ -0,0 +1,19 @@
+// Events 100-199: the life of a process.
+#ifndef THORNPLANK_LOGGING_EVENTS_PROCESS_EVENTS_H_
+#define THORNPLANK_LOGGING_EVENTS_PROCESS_EVENTS_H_
+
+#include "logging/event_log.h"
+
+namespace thornplank::events {
+
+inline constexpr Event kProcessStarted{100, "process-started",
+                                       Severity::kInfo};
+inline constexpr Event kProcessReady{101, "process-ready", Severity::kInfo};
+inline constexpr Event kProcessNotReady{102, "process-not-ready",
+                                        Severity::kWarning};
+inline constexpr Event kShutdownBegun{103, "shutdown-begun", Severity::kInfo};
+inline constexpr Event kShutdownDone{104, "shutdown-done", Severity::kInfo};
+
+}  // namespace thornplank::events
+
+#endif  // THORNPLANK_LOGGING_EVENTS_PROCESS_EVENTS_H_
