Split the carriers into libraries of their own

Cause: one folder for all carriers would be edited for every matter at once. Ruled out: a single entry library with one CMakeLists.

--- a/src/libs/entry/api_router.h
+++ b/src/libs/api/api_router.h
@@ -1,7 +1,7 @@
 // Hands each HTTP request to the handler of its route, once the caller is
 // known and allowed.
-#ifndef THORNPLANK_ENTRY_API_ROUTER_H_
-#define THORNPLANK_ENTRY_API_ROUTER_H_
+#ifndef THORNPLANK_API_API_ROUTER_H_
+#define THORNPLANK_API_API_ROUTER_H_
 
 #include <map>
 #include <string>
@@ -83,4 +83,4 @@
 
 }  // namespace thornplank
 
-#endif  // THORNPLANK_ENTRY_API_ROUTER_H_
+#endif  // THORNPLANK_API_API_ROUTER_H_
