--- a/src/libs/api/api_router.h
+++ b/src/libs/api/api_router.h
@@ -3,7 +3,9 @@
 #ifndef THORNPLANK_API_API_ROUTER_H_
 #define THORNPLANK_API_API_ROUTER_H_
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,10 +46,9 @@
 
 class ApiRouter {
  public:
-  using Handler =
-      std::function<void(const HttpRequest& request, const Caller& caller,
-                         const PathParameters& parameters,
-                         HttpServer::Responder respond)>;
+  using Handler = std::function<void(
+      const HttpRequest& request, const Caller& caller,
+      const PathParameters& parameters, HttpServer::Responder respond)>;
 
   explicit ApiRouter(std::vector<AccessToken> tokens);
 
@@ -72,6 +73,9 @@
     Handler handler;
   };
 
+  // Who the bearer token belongs to; nullopt when missing or unknown.
+  std::optional<Caller> Authenticate(const HttpRequest& request) const;
+
   std::vector<AccessToken> tokens_;
   std::vector<RouteEntry> routes_;
 };
--- a/src/libs/metrics/metrics_registry.h
+++ b/src/libs/metrics/metrics_registry.h
@@ -34,6 +34,7 @@
   ~Summary();
   void Observe(Duration value);
   uint64_t count() const;
+  // The kept quantile next above `probability`; zero without observations.
   Duration quantile(double probability) const;
   Duration sum() const;
 
