Add the entry's settings file and the declarative checker

The daemon must not start half-configured: each mistake in its file has to give one line with file, key, what was found and what is allowed. Ruled out: a JSON schema library (none is packaged with usable messages) and one hand-written check per key (the wording drifts apart). SettingsReader declares a key with type, unit and range once, and other programs use it too. Conclusion: secrets are never echoed; a wrong unit names the key that is meant.

--- /dev/null
+++ b/src/libs/settings/entry_settings.h
@@ -0,0 +1,110 @@
+// The settings file of the entry daemon (JSON with comments).
+//
+// Everything that a process must know before it can talk to anyone: its
+// addresses and failure domain, its peers, the platform's addresses, access
+// tokens and bounds. What operators change while it runs is in the settings
+// tree instead. A sample is docs/operators/entry.sample.json.
+#ifndef THORNPLANK_SETTINGS_ENTRY_SETTINGS_H_
+#define THORNPLANK_SETTINGS_ENTRY_SETTINGS_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "logging/event_log.h"
+
+namespace thornplank {
+
+class SettingsReader;
+
+enum class TokenRole { kCaller, kViewer, kOperator };
+
+// One bearer token. Invariant: `account` is set exactly when role is kCaller.
+struct TokenSettings {
+  // Shown in history and logs; unique.
+  std::string name;
+  // The secret itself; unique, at least 8 bytes, never logged.
+  std::string token;
+  TokenRole role = TokenRole::kCaller;
+  std::string account;
+};
+
+// Bounds on what callers may cost. Invariant: body_bytes <= buffered_bytes.
+struct LimitSettings {
+  size_t body_bytes = 4 * 1024 * 1024;
+  size_t connections = 4096;
+  // Request bodies held in memory over all connections.
+  size_t buffered_bytes = 48 * 1024 * 1024;
+  Milliseconds header_timeout{10000};
+  Milliseconds body_timeout{30000};
+  Milliseconds idle_timeout{75000};
+};
+
+struct RequestSettings {
+  // How long a key of a non-idempotent request is remembered.
+  Milliseconds claim_window{600000};
+  // Between two exchanges of demand with the peers.
+  Milliseconds demand_interval{100};
+  // For requests that name no deadline, where the tree gives none.
+  Milliseconds default_deadline{10000};
+};
+
+// Invariant: renewal_interval <= lease_term / 2, so that one lost renewal
+// does not end a lease.
+struct JobSettings {
+  Milliseconds lease_term{15000};
+  Milliseconds renewal_interval{3000};
+};
+
+// Invariant: heartbeat_interval < suspect_after < dead_after.
+struct MembershipSettings {
+  Milliseconds heartbeat_interval{250};
+  Milliseconds suspect_after{1500};
+  Milliseconds dead_after{5000};
+};
+
+struct LogSettings {
+  Severity level = Severity::kInfo;
+  // Empty: standard error.
+  std::string file;
+};
+
+struct EntrySettings {
+  // Unique among the instances.
+  std::string name;
+  std::string region;
+  std::string failure_domain;
+  // "ip:port", numeric; port 0 takes a free one.
+  std::string listen_http;
+  std::string listen_peers;
+  // Inner addresses of other entries, own address left out; none twice.
+  std::vector<std::string> peers;
+  // Shared by all entries; at least 8 bytes, never logged.
+  std::string peer_secret;
+  std::string log_address;
+  std::string instance_list_address;
+  int threads = 2;
+  LogSettings log;
+  std::vector<TokenSettings> tokens;
+  LimitSettings limits;
+  RequestSettings requests;
+  JobSettings jobs;
+  MembershipSettings membership;
+  // The longest that a planned stop waits for requests in flight.
+  Milliseconds drain_timeout{30000};
+};
+
+// Declares every key of the file to `reader`.
+void ReadEntryKeys(SettingsReader& reader, EntrySettings* settings);
+
+// nullopt on the first mistake; SettingsErrorLine(*error) is then the line
+// "file: key: found X, allowed Y".
+std::optional<EntrySettings> ReadEntrySettings(const std::string& path,
+                                               Error* error);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_SETTINGS_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/libs/settings/settings_reader.cc
@@ -0,0 +1,359 @@
+// Checks of declared keys and the wording of the problems.
+#include "settings/settings_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace thornplank {
+namespace {
+
+constexpr size_t kMaxShownBytes = 60;
+constexpr size_t kMaxNameBytes = 64;
+constexpr int kMaxPort = 65535;
+
+// The units that end a key, for the hint at a wrong one.
+constexpr std::string_view kUnits[] = {
+    "ms",  "s",       "sec",   "secs", "seconds", "us", "ns",
+    "min", "minutes", "bytes", "kb",   "mb",      "gb", "milliseconds",
+    "h",   "hours"};
+
+std::string Shown(const Json& value) {
+  std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (text.size() > kMaxShownBytes) {
+    text = text.substr(0, kMaxShownBytes) + "...";
+  }
+  return text;
+}
+
+std::string WithType(const Json& value) {
+  return std::string(value.type_name()) + " " + Shown(value);
+}
+
+std::string ShownNumber(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
+
+bool IsPort(const std::string& text, int min_port) {
+  if (text.empty() || text.size() > 5) return false;
+  const bool digits = std::all_of(text.begin(), text.end(), [](char c) {
+    return std::isdigit(static_cast<unsigned char>(c)) != 0;
+  });
+  if (!digits) return false;
+  const int port = std::stoi(text);
+  return port >= min_port && port <= kMaxPort;
+}
+
+bool IsNumericAddress(const std::string& text, int min_port) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  if (!IsPort(text.substr(colon + 1), min_port)) return false;
+  std::string host = text.substr(0, colon);
+  in_addr v4;
+  if (inet_pton(AF_INET, host.c_str(), &v4) == 1) return true;
+  if (host.size() < 2 || host.front() != '[' || host.back() != ']') {
+    return false;
+  }
+  host = host.substr(1, host.size() - 2);
+  in6_addr v6;
+  return inet_pton(AF_INET6, host.c_str(), &v6) == 1;
+}
+
+bool IsName(const std::string& text) {
+  if (text.empty() || text.size() > kMaxNameBytes) return false;
+  if (std::isalnum(static_cast<unsigned char>(text[0])) == 0) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' ||
+           c == '_' || c == '-';
+  });
+}
+
+// The key without a unit at its end; the unit goes to `*unit`, "" if none.
+std::string Stem(const std::string& key, std::string* unit) {
+  unit->clear();
+  const size_t underscore = key.rfind('_');
+  if (underscore == std::string::npos) return key;
+  const std::string end = key.substr(underscore + 1);
+  for (const std::string_view known : kUnits) {
+    if (end != known) continue;
+    *unit = end;
+    return key.substr(0, underscore);
+  }
+  return key;
+}
+
+std::string Joined(const std::vector<std::string>& names,
+                   const std::string& separator) {
+  std::string text;
+  for (const std::string& name : names) {
+    if (!text.empty()) text += separator;
+    text += name;
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string SettingsProblem::ToString() const {
+  const std::string body = "found " + found + ", allowed " + allowed;
+  return key.empty() ? body : key + ": " + body;
+}
+
+TextRule NonEmptyText() {
+  return {"text that is not empty",
+          [](const std::string& text) { return !text.empty(); }};
+}
+
+TextRule NameText() {
+  return {"a name of letters, digits, '.', '_' and '-', at most 64 bytes",
+          IsName};
+}
+
+TextRule AddressText() {
+  return {"a numeric IP with a port, such as 127.0.0.1:8080",
+          [](const std::string& text) { return IsNumericAddress(text, 1); }};
+}
+
+TextRule ListenAddressText() {
+  return {"a numeric IP with a port (0 takes a free one)",
+          [](const std::string& text) { return IsNumericAddress(text, 0); }};
+}
+
+TextRule SecretText(size_t min_bytes) {
+  return {
+      "text of at least " + std::to_string(min_bytes) + " bytes",
+      [min_bytes](const std::string& text) { return text.size() >= min_bytes; },
+      /*secret=*/true};
+}
+
+SettingsReader::SettingsReader(const Json& value, std::string path)
+    : value_(value), path_(std::move(path)) {}
+
+std::string SettingsReader::PathOf(const std::string& key) const {
+  if (path_.empty()) return key;
+  return key.empty() ? path_ : path_ + "." + key;
+}
+
+void SettingsReader::Fail(const std::string& key, std::string found,
+                          std::string allowed) {
+  problems_.push_back({PathOf(key), std::move(found), std::move(allowed)});
+}
+
+const Json* SettingsReader::Declare(const std::string& key, Presence presence) {
+  declared_.push_back(key);
+  if (!value_.is_object()) return nullptr;
+  const auto it = value_.find(key);
+  if (it != value_.end()) return &*it;
+  if (presence == Presence::kRequired) missing_.push_back(key);
+  return nullptr;
+}
+
+void SettingsReader::Bool(const std::string& key, Presence presence,
+                          bool* value) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return;
+  if (!json->is_boolean()) return Fail(key, WithType(*json), "true or false");
+  *value = json->get<bool>();
+}
+
+void SettingsReader::Number(const std::string& key, Presence presence,
+                            NumberRange range, double* value) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return;
+  std::string allowed = range.above_min ? "a number above " : "a number from ";
+  allowed += ShownNumber(range.min);
+  if (range.max < std::numeric_limits<double>::max()) {
+    allowed += " to " + ShownNumber(range.max);
+  }
+  if (!json->is_number()) return Fail(key, WithType(*json), allowed);
+  const double read = json->get<double>();
+  const bool too_small = range.above_min ? read <= range.min : read < range.min;
+  if (too_small || read > range.max) return Fail(key, Shown(*json), allowed);
+  *value = read;
+}
+
+std::optional<int64_t> SettingsReader::ReadInt(const std::string& key,
+                                               Presence presence,
+                                               IntRange range) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return std::nullopt;
+  std::string allowed = "a whole number from " + std::to_string(range.min);
+  if (range.max < std::numeric_limits<int64_t>::max()) {
+    allowed += " to " + std::to_string(range.max);
+  }
+  if (!json->is_number_integer()) {
+    Fail(key, WithType(*json), allowed);
+    return std::nullopt;
+  }
+  const bool too_large_for_type =
+      json->is_number_unsigned() &&
+      json->get<uint64_t>() >
+          static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+  const int64_t read = too_large_for_type ? 0 : json->get<int64_t>();
+  if (too_large_for_type || read < range.min || read > range.max) {
+    Fail(key, Shown(*json), allowed);
+    return std::nullopt;
+  }
+  return read;
+}
+
+void SettingsReader::Duration(const std::string& key, Presence presence,
+                              DurationRange range, Milliseconds* value) {
+  const std::optional<int64_t> read =
+      ReadInt(key, presence, {range.min.count(), range.max.count()});
+  if (read) *value = Milliseconds(*read);
+}
+
+std::optional<size_t> SettingsReader::ReadChoice(
+    const std::string& key, Presence presence,
+    const std::vector<std::string>& names) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return std::nullopt;
+  if (json->is_string()) {
+    const auto it =
+        std::find(names.begin(), names.end(), json->get<std::string>());
+    if (it != names.end()) return it - names.begin();
+  }
+  Fail(key, json->is_string() ? Shown(*json) : WithType(*json),
+       "one of " + Joined(names, ", "));
+  return std::nullopt;
+}
+
+bool SettingsReader::CheckText(const std::string& key, const Json& value,
+                               const TextRule& rule) {
+  if (!value.is_string()) {
+    Fail(key, rule.secret ? std::string(value.type_name()) : WithType(value),
+         rule.allowed);
+    return false;
+  }
+  const std::string text = value.get<std::string>();
+  if (rule.accepts(text)) return true;
+  Fail(key, rule.secret ? std::to_string(text.size()) + " bytes" : Shown(value),
+       rule.allowed);
+  return false;
+}
+
+void SettingsReader::Text(const std::string& key, Presence presence,
+                          const TextRule& rule, std::string* value) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr || !CheckText(key, *json, rule)) return;
+  *value = json->get<std::string>();
+}
+
+void SettingsReader::TextList(const std::string& key, Presence presence,
+                              const TextRule& rule,
+                              std::vector<std::string>* value) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return;
+  if (!json->is_array()) return Fail(key, WithType(*json), "a list");
+  std::vector<std::string> read;
+  std::set<std::string> seen;
+  for (size_t i = 0; i < json->size(); ++i) {
+    const std::string item_key = key + "[" + std::to_string(i) + "]";
+    if (!CheckText(item_key, (*json)[i], rule)) return;
+    read.push_back((*json)[i].get<std::string>());
+    if (seen.insert(read.back()).second) continue;
+    return Fail(item_key, Shown((*json)[i]) + " a second time",
+                "each value once");
+  }
+  *value = std::move(read);
+}
+
+void SettingsReader::Section(const std::string& key, Presence presence,
+                             const std::function<void(SettingsReader&)>& read) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return;
+  SettingsReader section(*json, PathOf(key));
+  read(section);
+  for (SettingsProblem& problem : section.Finish()) {
+    problems_.push_back(std::move(problem));
+  }
+}
+
+void SettingsReader::List(const std::string& key, Presence presence,
+                          size_t min_items,
+                          const std::function<void(SettingsReader&)>& read) {
+  const Json* json = Declare(key, presence);
+  if (json == nullptr) return;
+  if (!json->is_array()) return Fail(key, WithType(*json), "a list");
+  if (json->size() < min_items) {
+    return Fail(key, std::to_string(json->size()) + " items",
+                "at least " + std::to_string(min_items));
+  }
+  for (size_t i = 0; i < json->size(); ++i) {
+    SettingsReader item((*json)[i],
+                        PathOf(key) + "[" + std::to_string(i) + "]");
+    read(item);
+    for (SettingsProblem& problem : item.Finish()) {
+      problems_.push_back(std::move(problem));
+    }
+  }
+}
+
+std::string SettingsReader::KeyOfOtherUnit(const std::string& key) const {
+  std::string unit;
+  const std::string stem = Stem(key, &unit);
+  for (const std::string& declared : declared_) {
+    std::string declared_unit;
+    const bool same_stem = Stem(declared, &declared_unit) == stem;
+    if (same_stem && !declared_unit.empty()) return declared;
+  }
+  return "";
+}
+
+std::vector<SettingsProblem> SettingsReader::Finish() {
+  std::vector<SettingsProblem> all;
+  if (!value_.is_object()) {
+    all.push_back({path_, WithType(value_), "an object"});
+    return all;
+  }
+  std::set<std::string> explained;
+  for (const auto& [key, unused] : value_.items()) {
+    if (std::find(declared_.begin(), declared_.end(), key) != declared_.end()) {
+      continue;
+    }
+    const std::string other = KeyOfOtherUnit(key);
+    if (other.empty()) {
+      all.push_back({PathOf(key), "an unknown key", Joined(declared_, ", ")});
+      continue;
+    }
+    explained.insert(other);
+    all.push_back({PathOf(key), "a key of another unit", other});
+  }
+  for (const std::string& key : missing_) {
+    if (explained.count(key) > 0) continue;
+    all.push_back({PathOf(key), "nothing", "a value: the key is required"});
+  }
+  all.insert(all.end(), problems_.begin(), problems_.end());
+  return all;
+}
+
+std::optional<Json> LoadSettingsFile(const std::string& path, Error* error) {
+  std::ifstream file(path);
+  if (!file) {
+    SetError(error, "read settings", path,
+             "found no readable file, allowed a JSON file");
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  std::optional<Json> json = ParseJson(text.str());
+  if (!json) {
+    SetError(error, "read settings", path,
+             "found malformed JSON, allowed JSON with comments");
+    return std::nullopt;
+  }
+  return json;
+}
+
+std::string SettingsErrorLine(const Error& error) {
+  return error.peer + ": " + error.reason;
+}
+
+}  // namespace thornplank
