--- /dev/null
+++ b/src/libs/scheduling/gang_lifecycle.cc
@@ -0,0 +1,314 @@
+#include "scheduling/gang_lifecycle.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+bool IsEnding(const Gang& gang) { return gang.phase == JobPhase::kStopping; }
+
+// Whether a member in `state` should appear in its worker's lease table.
+bool MustBeListed(MemberState state) {
+  return state != MemberState::kPending && state != MemberState::kGone;
+}
+
+std::vector<std::string> GangIds(const GangTable& gangs) {
+  std::vector<std::string> ids;
+  ids.reserve(gangs.gangs().size());
+  for (const auto& entry : gangs.gangs()) ids.push_back(entry.first);
+  return ids;
+}
+
+}  // namespace
+
+GangLifecycle::GangLifecycle(const SchedulerOptions& options, GangTable& gangs,
+                             GangObserver& observer)
+    : options_(options), gangs_(gangs), observer_(observer) {}
+
+void GangLifecycle::Start(std::unique_ptr<Gang> gang, const std::string& reason,
+                          Time now, SchedulerActions* actions) {
+  gang->granted_at = now;
+  gang->deadline = now + options_.start_timeout;
+  Gang& added = gangs_.Add(std::move(gang));
+  observer_.OnPhase(added, JobPhase::kStarting, reason);
+  GrantGang grant{added.job(), added.id(), {}, reason};
+  for (const MemberRecord& record : added.members()) {
+    grant.members.push_back(record.member);
+  }
+  actions->push_back(std::move(grant));
+}
+
+void GangLifecycle::TakeOver(std::unique_ptr<Gang> gang, JobPhase phase,
+                             Duration ran_for, Time now,
+                             SchedulerActions* actions) {
+  gang->granted_at = now - ran_for;
+  gang->phase = phase;
+  Gang& added = gangs_.Add(std::move(gang));
+  if (phase == JobPhase::kStarting) {
+    LiftThrottleIfWhole(added, now, actions);
+    return;
+  }
+  added.started_at = now - ran_for;
+  if (phase == JobPhase::kRunning) return;
+  // What the checkpoint was asked for is not known here: stop and place anew.
+  added.phase = JobPhase::kRunning;
+  Stop(added, "being stopped at takeover", GangEnd::kRequeue, now, actions);
+}
+
+void GangLifecycle::Checkpoint(Gang& gang, const std::string& why,
+                               Duration deadline, Time now,
+                               SchedulerActions* actions) {
+  if (gang.phase == JobPhase::kStarting) {
+    // Nothing has run yet, so there is nothing to save.
+    Stop(gang, why, GangEnd::kRequeue, now, actions);
+    return;
+  }
+  if (gang.phase != JobPhase::kRunning) return;
+  gang.phase = JobPhase::kCheckpointing;
+  gang.end_reason = why;
+  gang.checkpoint_asked_at = now;
+  gang.deadline = now + deadline;
+  observer_.OnPhase(gang, JobPhase::kCheckpointing, why);
+  actions->push_back(CheckpointGang{gang.job(), gang.id(), why});
+}
+
+void GangLifecycle::Stop(Gang& gang, const std::string& why, GangEnd end,
+                         Time now, SchedulerActions* actions) {
+  (void)now;
+  if (end == GangEnd::kCancel || !IsEnding(gang)) gang.end = end;
+  if (IsEnding(gang)) return;
+  gang.phase = JobPhase::kStopping;
+  gang.end_reason = why;
+  if (end != GangEnd::kFinish) {
+    observer_.OnPhase(gang, JobPhase::kStopping, why);
+  }
+  actions->push_back(StopGang{gang.job(), gang.id(), why});
+}
+
+void GangLifecycle::MemberResult(Gang& gang, int member, MemberOutcome outcome,
+                                 const std::string& reason, Time now,
+                                 SchedulerActions* actions) {
+  if (gang.members()[member].state == MemberState::kGone) return;
+  switch (outcome) {
+    case MemberOutcome::kConfirmed:
+      MemberConfirmed(gang, member, now, actions);
+      return;
+    case MemberOutcome::kRefused:
+      MemberFailed(gang, member, true, reason, now, actions);
+      return;
+    case MemberOutcome::kFailed:
+      MemberFailed(gang, member, false, reason, now, actions);
+      return;
+    case MemberOutcome::kFinished:
+      gangs_.SetState(gang, member, MemberState::kFinished, now);
+      FinishIfAllFinished(gang, now, actions);
+      CheckpointedIfAll(gang, now, actions);
+      return;
+    case MemberOutcome::kGone:
+      MemberGone(gang, member, reason, now, actions);
+      return;
+  }
+}
+
+void GangLifecycle::MemberConfirmed(Gang& gang, int member, Time now,
+                                    SchedulerActions* actions) {
+  if (gang.members()[member].state != MemberState::kPending) return;
+  gangs_.SetState(gang, member, MemberState::kConfirmed, now);
+  LiftThrottleIfWhole(gang, now, actions);
+}
+
+void GangLifecycle::LiftThrottleIfWhole(Gang& gang, Time now,
+                                        SchedulerActions* actions) {
+  if (gang.phase != JobPhase::kStarting) return;
+  if (gang.count(MemberState::kConfirmed) != gang.size()) return;
+  gang.phase = JobPhase::kRunning;
+  gang.started_at = now;
+  observer_.OnPhase(gang, JobPhase::kRunning, "all members confirmed");
+  actions->push_back(LiftThrottle{gang.job(), gang.id()});
+}
+
+void GangLifecycle::MemberFailed(Gang& gang, int member, bool refused,
+                                 const std::string& reason, Time now,
+                                 SchedulerActions* actions) {
+  const MemberRecord record = gang.members()[member];
+  if (record.state == MemberState::kFailed) return;
+  // A refused grant holds nothing; a failed task holds its lease until stopped.
+  const MemberState state = refused ? MemberState::kGone : MemberState::kFailed;
+  gangs_.SetState(gang, member, state, now);
+  if (!IsEnding(gang)) {
+    observer_.OnMemberFailed(gang, record, refused, reason);
+    const std::string why = (refused ? "refused by " : "failed on ") +
+                            record.member.worker + ": " + reason;
+    Stop(gang, why, GangEnd::kRequeue, now, actions);
+  }
+  EndIfAllGone(gang);
+}
+
+void GangLifecycle::MemberGone(Gang& gang, int member,
+                               const std::string& reason, Time now,
+                               SchedulerActions* actions) {
+  const std::string worker = gang.members()[member].member.worker;
+  if (!gangs_.SetState(gang, member, MemberState::kGone, now)) return;
+  if (!IsEnding(gang)) {
+    Stop(gang, "lost its member on " + worker + ": " + reason,
+         GangEnd::kRequeue, now, actions);
+  }
+  EndIfAllGone(gang);
+}
+
+void GangLifecycle::FinishIfAllFinished(Gang& gang, Time now,
+                                        SchedulerActions* actions) {
+  if (gang.count(MemberState::kFinished) != gang.size()) return;
+  if (gang.end == GangEnd::kCancel || gang.end == GangEnd::kFail) return;
+  const bool stop_sent = IsEnding(gang);
+  gang.end = GangEnd::kFinish;
+  observer_.OnFinished(gang);
+  if (stop_sent) return;
+  Stop(gang, "finished, leases released", GangEnd::kFinish, now, actions);
+}
+
+void GangLifecycle::CheckpointDone(Gang& gang, Time now,
+                                   SchedulerActions* actions) {
+  if (gang.phase != JobPhase::kCheckpointing) return;
+  gang.checkpointed = true;
+  observer_.OnCheckpointed(gang, now - gang.checkpoint_asked_at);
+  Stop(gang, gang.end_reason, GangEnd::kRequeue, now, actions);
+}
+
+void GangLifecycle::CheckpointedIfAll(Gang& gang, Time now,
+                                      SchedulerActions* actions) {
+  const int saved = gang.count(MemberState::kCheckpointed) +
+                    gang.count(MemberState::kFinished);
+  if (saved == gang.size()) CheckpointDone(gang, now, actions);
+}
+
+void GangLifecycle::ApplyLeaseState(Gang& gang, int member,
+                                    const LeaseReport& lease, Time now,
+                                    SchedulerActions* actions) {
+  const MemberState known = gang.members()[member].state;
+  switch (lease.state) {
+    case LeaseState::kThrottled:
+    case LeaseState::kRunning:
+    case LeaseState::kCheckpointing:
+      MemberConfirmed(gang, member, now, actions);
+      return;
+    case LeaseState::kCheckpointed:
+      if (known == MemberState::kCheckpointed) return;
+      gangs_.SetState(gang, member, MemberState::kCheckpointed, now);
+      CheckpointedIfAll(gang, now, actions);
+      return;
+    case LeaseState::kFinished:
+      if (known == MemberState::kFinished) return;
+      MemberResult(gang, member, MemberOutcome::kFinished, "", now, actions);
+      return;
+    case LeaseState::kFailed:
+      MemberFailed(gang, member, false, lease.reason, now, actions);
+      return;
+    case LeaseState::kGone:
+      if (!MustBeListed(known)) return;
+      MemberGone(gang, member, "not known to the worker", now, actions);
+      return;
+  }
+}
+
+int GangLifecycle::Report(WorkerIndex worker, const std::string& worker_name,
+                          const std::vector<LeaseReport>& leases, Time asked_at,
+                          Time now, SchedulerActions* actions) {
+  int unknown_held = 0;
+  std::unordered_set<std::string> listed;
+  for (const LeaseReport& lease : leases) {
+    const auto [gang, member] = gangs_.FindLease(lease.lease_id);
+    if (gang && gang->members()[member].state != MemberState::kGone) {
+      listed.insert(lease.lease_id);
+      // A lease that was confirmed after the question was sent may be missing
+      // from an answer that overtook the grant.
+      const bool overtaken = lease.state == LeaseState::kGone &&
+                             gang->members()[member].confirmed_at >= asked_at;
+      if (!overtaken) ApplyLeaseState(*gang, member, lease, now, actions);
+      continue;
+    }
+    if (lease.state == LeaseState::kGone) continue;
+    unknown_held += lease.accelerators;
+    actions->push_back(
+        StopLease{worker_name, lease.lease_id, "not held by any current gang"});
+  }
+  for (const std::string& id : gangs_.GangsOn(worker)) {
+    Gang* gang = gangs_.Find(id);
+    for (int i = 0; gang && i < gang->size(); ++i) {
+      const MemberRecord& record = gang->members()[i];
+      if (record.worker != worker || !MustBeListed(record.state)) continue;
+      if (record.confirmed_at >= asked_at) continue;
+      if (listed.count(record.member.lease_id) > 0) continue;
+      MemberGone(*gang, i, "not known to the worker", now, actions);
+      gang = gangs_.Find(id);  // it may have ended
+    }
+  }
+  return unknown_held;
+}
+
+void GangLifecycle::WorkerLost(WorkerIndex worker, Time lapses_at, Time now,
+                               SchedulerActions* actions) {
+  for (const std::string& id : gangs_.GangsOn(worker)) {
+    Gang& gang = *gangs_.Find(id);
+    std::string name;
+    for (int i = 0; i < gang.size(); ++i) {
+      if (gang.members()[i].worker != worker) continue;
+      name = gang.members()[i].member.worker;
+      gang.SetLapse(i, lapses_at);
+    }
+    Stop(gang, "lost its member on " + name + ": worker cannot be reached",
+         GangEnd::kRequeue, now, actions);
+  }
+}
+
+void GangLifecycle::EndIfAllGone(Gang& gang) {
+  if (gang.count(MemberState::kGone) != gang.size()) return;
+  observer_.OnEnded(gang);
+  gangs_.Remove(gang.id());
+}
+
+void GangLifecycle::Tick(Time now, SchedulerActions* actions) {
+  for (const std::string& id : GangIds(gangs_)) {
+    TickGang(*gangs_.Find(id), now, actions);
+  }
+}
+
+void GangLifecycle::TickGang(Gang& gang, Time now, SchedulerActions* actions) {
+  if (gang.phase == JobPhase::kStarting && gang.deadline <= now) {
+    Stop(gang, "not all members confirmed in time", GangEnd::kRequeue, now,
+         actions);
+  }
+  if (gang.phase == JobPhase::kCheckpointing && gang.deadline <= now) {
+    observer_.OnCheckpointHung(gang);
+    Stop(gang, gang.end_reason + "; checkpoint not done in time",
+         GangEnd::kRequeue, now, actions);
+  }
+  const std::string id = gang.id();
+  for (int i = 0; gangs_.Find(id) && i < gang.size(); ++i) {
+    const MemberRecord& record = gang.members()[i];
+    if (record.state == MemberState::kGone) continue;
+    if (!record.lapses_at || *record.lapses_at > now) continue;
+    MemberGone(gang, i, "its lease lapsed", now, actions);
+  }
+}
+
+std::optional<Time> GangLifecycle::NextDue() const {
+  std::optional<Time> next;
+  const auto consider = [&next](Time due) {
+    if (!next || due < *next) next = due;
+  };
+  for (const auto& entry : gangs_.gangs()) {
+    const Gang& gang = *entry.second;
+    if (gang.phase == JobPhase::kStarting) consider(gang.deadline);
+    if (gang.phase == JobPhase::kCheckpointing) consider(gang.deadline);
+    for (const MemberRecord& record : gang.members()) {
+      if (record.state == MemberState::kGone) continue;
+      if (record.lapses_at) consider(*record.lapses_at);
+    }
+  }
+  return next;
+}
+
+}  // namespace thornplank
--- a/src/libs/scheduling/job_scheduler.h
+++ b/src/libs/scheduling/job_scheduler.h
@@ -5,8 +5,13 @@
 // carried out in their order. Only the coordinator of the current epoch holds
 // one; after a takeover it is rebuilt by SetWorkers, SetGuarantees, SetEvents,
 // Submit for every job that is not final, then Adopt for every gang found at
-// the workers, and then Tick. Submit and Adopt never place anything: placing
-// happens in Tick and in the events after the first Tick.
+// the workers, and then Tick. Nothing is placed before the first Tick.
+//
+// What the carrier owes: it renews the leases of a gang until the StopGang of
+// that gang and never after it; it repeats a GrantGang or StopGang whose reply
+// was lost; it reports a member that had not confirmed as kGone only after a
+// stop with a newer token was answered by its worker, since an older grant
+// may still be on its way.
 #ifndef THORNPLANK_SCHEDULING_JOB_SCHEDULER_H_
 #define THORNPLANK_SCHEDULING_JOB_SCHEDULER_H_
 
