Add the stand-in for the platform and the upstreams

Cause: the clients, the carriers and the integration tests need something that speaks section 1 of docs/PROTOCOLS.md and goes wrong on demand. One program plays log service, instance list, workers, executors and TCP proxies. Ruled out: one lock per role (each role runs on a strand of its own and needs none) and the project's own HTTP server (it cannot answer in half, close without an answer or stay silent, which the faults need). Measured: none. Every role was called once by hand with curl: append, read, long poll, grant, refusal of an older token, finish, death, run, cut and heal.

--- /dev/null
+++ b/tests/standins/standin_config.cc
@@ -0,0 +1,276 @@
+// Checking and expansion of the configuration.
+#include "standins/standin_config.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace thornplank::standins {
+
+namespace {
+
+constexpr int64_t kMaxCount = 5000;
+constexpr int64_t kMaxThreads = 16;
+constexpr int64_t kMaxNumber = 1000000000;
+
+// Reads the fields of one object. The first fault is kept in the Error; the
+// caller looks at Finish at the end.
+class FieldReader {
+ public:
+  FieldReader(const Json& object, std::string where, Error* error)
+      : object_(object), where_(std::move(where)), error_(error) {
+    if (!object_.is_object()) Fail("not an object");
+  }
+
+  std::string String(const std::string& name) {
+    return Required(name, StringField(object_, Known(name)), "a string");
+  }
+  std::string String(const std::string& name, const std::string& fallback) {
+    return Has(name) ? String(name) : (Known(name), fallback);
+  }
+  int64_t Int(const std::string& name, int64_t fallback, int64_t min = 0,
+              int64_t max = kMaxNumber) {
+    if (!Has(name)) return Known(name), fallback;
+    int64_t value = Required(name, IntField(object_, Known(name)), "a number");
+    if (value < min || value > max) Fail(name + ": out of range");
+    return value;
+  }
+  Milliseconds Time(const std::string& name, Milliseconds fallback) {
+    return Milliseconds(Int(name, fallback.count()));
+  }
+  bool Bool(const std::string& name, bool fallback) {
+    if (!Has(name)) return Known(name), fallback;
+    return Required(name, BoolField(object_, Known(name)), "true or false");
+  }
+  // An "ip:port".
+  std::string Address(const std::string& name) {
+    std::string address = String(name);
+    if (ok_ && !ParseEndpoint(address, nullptr)) {
+      Fail(name + ": not of the form ip:port");
+    }
+    return address;
+  }
+  std::vector<std::string> Strings(const std::string& name) {
+    std::vector<std::string> values;
+    for (const Json& value : Array(name)) {
+      if (value.is_string()) {
+        values.push_back(value.get<std::string>());
+      } else {
+        Fail(name + ": not an array of strings");
+      }
+    }
+    return values;
+  }
+  // Empty when absent.
+  Json Array(const std::string& name) {
+    if (!Has(name)) return Known(name), Json::array();
+    const Json* array = ArrayField(object_, Known(name));
+    if (array != nullptr) return *array;
+    Fail(name + ": not an array");
+    return Json::array();
+  }
+  // Null when absent.
+  Json Object(const std::string& name) {
+    return Has(name) ? object_[Known(name)] : (Known(name), Json());
+  }
+  void Fail(const std::string& reason) {
+    if (ok_) SetError(error_, "check config", where_, reason);
+    ok_ = false;
+  }
+  bool Finish() {
+    if (!ok_) return false;
+    for (const auto& [name, value] : object_.items()) {
+      if (known_.count(name) == 0) Fail(name + ": unknown field");
+    }
+    return ok_;
+  }
+
+ private:
+  bool Has(const std::string& name) const {
+    return object_.is_object() && object_.contains(name);
+  }
+  const std::string& Known(const std::string& name) {
+    return *known_.insert(name).first;
+  }
+  template <typename T>
+  T Required(const std::string& name, std::optional<T> value,
+             const std::string& kind) {
+    if (!value) Fail(name + ": needs " + kind);
+    return value.value_or(T());
+  }
+
+  const Json& object_;
+  const std::string where_;
+  Error* error_;
+  std::set<std::string> known_;
+  bool ok_ = true;
+};
+
+// The address `index` ports above "ip:port"; port 0 stays 0.
+std::string AddressAt(const std::string& first, int64_t index) {
+  auto endpoint = ParseEndpoint(first, nullptr);
+  if (!endpoint || endpoint->port() == 0) return first;
+  return endpoint->address().to_string() + ":" +
+         std::to_string(endpoint->port() + index);
+}
+
+std::string DomainAt(const std::vector<std::string>& domains, int64_t index) {
+  if (domains.empty()) return "";
+  return domains[static_cast<size_t>(index) % domains.size()];
+}
+
+// Fails when the last of `count` ports is none.
+void CheckPorts(const std::string& first, int64_t count, FieldReader* fields) {
+  auto endpoint = ParseEndpoint(first, nullptr);
+  if (!endpoint || endpoint->port() == 0) return;
+  if (endpoint->port() + count - 1 > 65535) {
+    fields->Fail("first_address: the ports run out");
+  }
+}
+
+bool ParseLog(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "log", error);
+  LogRoleSettings settings;
+  settings.listen = fields.Address("listen");
+  settings.appends_per_second =
+      fields.Int("appends_per_second", settings.appends_per_second);
+  settings.retain_records = fields.Int("retain_records", 0);
+  settings.retain = fields.Time("retain_ms", settings.retain);
+  config->log = settings;
+  return fields.Finish();
+}
+
+bool ParseInstanceList(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "instance_list", error);
+  InstanceListSettings settings;
+  settings.listen = fields.Address("listen");
+  settings.lag = fields.Time("lag_ms", settings.lag);
+  settings.include_own = fields.Bool("include_own", false);
+  settings.instances = fields.Array("instances");
+  config->instance_list = settings;
+  return fields.Finish();
+}
+
+bool ParseWorkers(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "workers", error);
+  WorkerSettings common;
+  std::string prefix = fields.String("name_prefix");
+  int64_t count = fields.Int("count", 1, 1, kMaxCount);
+  std::string first = fields.Address("first_address");
+  int64_t racks_of = fields.Int("racks_of", 6, 1);
+  std::vector<std::string> domains = fields.Strings("failure_domains");
+  common.accelerators = fields.Int("accelerators", common.accelerators);
+  common.cores = fields.Int("cores", common.cores);
+  common.memory_mb = fields.Int("memory_mb", common.memory_mb);
+  common.checkpoint_time = fields.Time("checkpoint_ms", common.checkpoint_time);
+  common.usage_lag = fields.Time("usage_lag_ms", common.usage_lag);
+  CheckPorts(first, count, &fields);
+  if (!fields.Finish()) return false;
+  for (int64_t index = 0; index < count; ++index) {
+    WorkerSettings settings = common;
+    int64_t rack = index / racks_of;
+    settings.name = prefix + std::to_string(index);
+    settings.listen = AddressAt(first, index);
+    settings.rack = prefix + "-rack" + std::to_string(rack);
+    settings.failure_domain = DomainAt(domains, rack);
+    config->workers.push_back(std::move(settings));
+  }
+  return true;
+}
+
+bool ParseExecutors(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "executors", error);
+  ExecutorSettings common;
+  std::string prefix = fields.String("name_prefix");
+  int64_t count = fields.Int("count", 1, 1, kMaxCount);
+  std::string first = fields.Address("first_address");
+  std::vector<std::string> domains = fields.Strings("failure_domains");
+  common.service = fields.String("service");
+  common.slots = fields.Int("slots", common.slots, 1);
+  common.max_connections =
+      fields.Int("max_connections", common.max_connections);
+  common.service_time = fields.Time("service_time_ms", common.service_time);
+  CheckPorts(first, count, &fields);
+  if (!fields.Finish()) return false;
+  for (int64_t index = 0; index < count; ++index) {
+    ExecutorSettings settings = common;
+    settings.name = prefix + std::to_string(index);
+    settings.listen = AddressAt(first, index);
+    settings.failure_domain = DomainAt(domains, index);
+    config->executors.push_back(std::move(settings));
+  }
+  return true;
+}
+
+bool ParseProxy(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "proxies", error);
+  ProxySettings settings;
+  settings.listen = fields.Address("listen");
+  settings.control = fields.Address("control");
+  settings.target = fields.String("target");
+  config->proxies.push_back(settings);
+  return fields.Finish();
+}
+
+// The names that a proxy may have as its target.
+std::set<std::string> RoleNames(const StandinConfig& config) {
+  std::set<std::string> names;
+  if (config.log) names.insert("log");
+  if (config.instance_list) names.insert("instance_list");
+  for (const WorkerSettings& worker : config.workers) names.insert(worker.name);
+  for (const ExecutorSettings& executor : config.executors) {
+    names.insert(executor.name);
+  }
+  return names;
+}
+
+bool CheckNames(const StandinConfig& config, Error* error) {
+  std::set<std::string> names = RoleNames(config);
+  size_t roles = config.workers.size() + config.executors.size() +
+                 (config.log ? 1 : 0) + (config.instance_list ? 1 : 0);
+  if (names.size() != roles) {
+    SetError(error, "check config", "name_prefix", "two roles have one name");
+    return false;
+  }
+  for (const ProxySettings& proxy : config.proxies) {
+    if (names.count(proxy.target) > 0) continue;
+    if (ParseEndpoint(proxy.target, nullptr)) continue;
+    SetError(error, "check config", "proxies",
+             "target: neither ip:port nor a role: " + proxy.target);
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<StandinConfig> ParseStandinConfig(const Json& json,
+                                                Error* error) {
+  StandinConfig config;
+  FieldReader fields(json, "config", error);
+  config.threads = fields.Int("threads", config.threads, 1, kMaxThreads);
+  Json log = fields.Object("log");
+  Json instance_list = fields.Object("instance_list");
+  Json workers = fields.Array("workers");
+  Json executors = fields.Array("executors");
+  Json proxies = fields.Array("proxies");
+  if (!fields.Finish()) return std::nullopt;
+  if (!log.is_null() && !ParseLog(log, &config, error)) return std::nullopt;
+  if (!instance_list.is_null() &&
+      !ParseInstanceList(instance_list, &config, error)) {
+    return std::nullopt;
+  }
+  for (const Json& group : workers) {
+    if (!ParseWorkers(group, &config, error)) return std::nullopt;
+  }
+  for (const Json& group : executors) {
+    if (!ParseExecutors(group, &config, error)) return std::nullopt;
+  }
+  for (const Json& proxy : proxies) {
+    if (!ParseProxy(proxy, &config, error)) return std::nullopt;
+  }
+  if (!CheckNames(config, error)) return std::nullopt;
+  return config;
+}
+
+}  // namespace thornplank::standins
--- /dev/null
+++ b/tests/standins/standin_process.h
@@ -0,0 +1,53 @@
+// The roles of one process on one io_context.
+#ifndef THORNPLANK_TESTS_STANDINS_STANDIN_PROCESS_H_
+#define THORNPLANK_TESTS_STANDINS_STANDIN_PROCESS_H_
+
+#include <boost/asio.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standins/standin_config.h"
+
+namespace thornplank::standins {
+
+class StandinProcess {
+ public:
+  StandinProcess();
+  // Stops.
+  ~StandinProcess();
+
+  // Opens every listener of `config`, then runs them on its threads; false
+  // with `*error` when a listener fails.
+  bool Start(const StandinConfig& config, Error* error);
+  void Stop();
+
+  // The chosen addresses:
+  // {"log","instance_list","workers":{name:address},"executors":{…},
+  //  "proxies":[{"listen","control","target"}]}.
+  Json Addresses() const;
+
+ private:
+  boost::asio::any_io_executor NewStrand();
+  bool OpenRoles(const StandinConfig& config, Error* error);
+  bool OpenProxies(const StandinConfig& config, Error* error);
+  void FillInstanceList(const InstanceListSettings& settings);
+
+  // Before the roles: their sockets must go first.
+  boost::asio::io_context io_;
+  std::unique_ptr<LogRole> log_;
+  std::unique_ptr<InstanceListRole> instance_list_;
+  std::map<std::string, std::unique_ptr<WorkerRole>> workers_;
+  std::map<std::string, std::unique_ptr<ExecutorRole>> executors_;
+  std::vector<std::unique_ptr<TcpProxy>> proxies_;
+  // By name of role; the targets that a proxy may name.
+  std::map<std::string, std::string> role_addresses_;
+  std::vector<std::string> proxy_targets_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace thornplank::standins
+
+#endif  // THORNPLANK_TESTS_STANDINS_STANDIN_PROCESS_H_
