Route requests by share, fairness, deadline and health

Cause: requests need one decision object per entry that knows the executors' slots, the accounts' limits and the outcomes of attempts. Ruled out: sending refused requests on at once without a pause (executors that are full would be asked again and again), and ending a request as "not run" after any attempt that may have run. Conclusion: queue, share, health, retry policy and admission are classes of their own; RequestRouter only keeps the life of each request.

--- /dev/null
+++ b/src/libs/routing/all_slots.cc
@@ -0,0 +1,21 @@
+// Every entry may use every slot.
+#include "routing/all_slots.h"
+
+#include "routing/demand_split.h"
+
+namespace thornplank {
+
+std::vector<int> AllSlots::Allocate(const ShareInput& input) const {
+  std::vector<int> slots;
+  slots.reserve(input.executors.size());
+  for (const ExecutorSlots& executor : input.executors) {
+    slots.push_back(executor.slots);
+  }
+  return slots;
+}
+
+double AllSlots::Potential(const ShareInput& input) const {
+  return UnclaimedByOthers(input);
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/routing/demand_share.h
@@ -0,0 +1,24 @@
+// Every entry owns a range of the numbered slots in proportion to its demand.
+//
+// The demand comes from heartbeats, weighed by the accounts' guarantees and
+// weights, so that a flood of one account at one entry does not take the slots
+// that another account needs at a second entry. What no demand claims is
+// spread evenly, so that an idle entry can serve at once.
+#ifndef THORNPLANK_ROUTING_DEMAND_SHARE_H_
+#define THORNPLANK_ROUTING_DEMAND_SHARE_H_
+
+#include <vector>
+
+#include "routing/slot_share.h"
+
+namespace thornplank {
+
+class DemandShare : public SlotShare {
+ public:
+  std::vector<int> Allocate(const ShareInput& input) const override;
+  double Potential(const ShareInput& input) const override;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_ROUTING_DEMAND_SHARE_H_
--- /dev/null
+++ b/src/libs/routing/demand_split.cc
@@ -0,0 +1,95 @@
+// Water-filling of slots over accounts, then proportional split over entries.
+#include "routing/demand_split.h"
+
+#include <algorithm>
+
+namespace thornplank {
+namespace {
+
+constexpr double kNegligible = 1e-9;
+
+// Whether the account still wants slots beyond its guarantee.
+bool WantsMore(const AccountLimits& account, double demand, double granted) {
+  return account.borrowing && account.weight > 0 &&
+         demand - granted > kNegligible;
+}
+
+}  // namespace
+
+std::vector<double> SplitOverAccounts(
+    double slots, const std::vector<AccountLimits>& accounts,
+    const std::vector<double>& demand) {
+  std::vector<double> granted(accounts.size(), 0.0);
+  double guaranteed = 0;
+  for (size_t i = 0; i < accounts.size(); ++i) {
+    granted[i] =
+        std::min(demand[i], static_cast<double>(accounts[i].guaranteed_slots));
+    guaranteed += granted[i];
+  }
+  if (guaranteed > slots) {
+    for (double& value : granted) {
+      value *= slots / guaranteed;
+    }
+    return granted;
+  }
+  double left = slots - guaranteed;
+  // Each round satisfies at least one account or uses up what is left.
+  for (size_t round = 0; round < accounts.size() && left > kNegligible;
+       ++round) {
+    double weights = 0;
+    for (size_t i = 0; i < accounts.size(); ++i) {
+      if (WantsMore(accounts[i], demand[i], granted[i])) {
+        weights += accounts[i].weight;
+      }
+    }
+    if (weights <= 0) {
+      break;
+    }
+    const double available = left;
+    for (size_t i = 0; i < accounts.size(); ++i) {
+      if (!WantsMore(accounts[i], demand[i], granted[i])) {
+        continue;
+      }
+      const double part = std::min(demand[i] - granted[i],
+                                   available * accounts[i].weight / weights);
+      granted[i] += part;
+      left -= part;
+    }
+  }
+  return granted;
+}
+
+std::vector<double> SplitOverEntries(double slots, const ShareInput& input) {
+  std::vector<double> totals(input.accounts.size(), 0.0);
+  for (const std::vector<double>& entry : input.demand) {
+    for (size_t i = 0; i < totals.size(); ++i) {
+      totals[i] += entry[i];
+    }
+  }
+  const std::vector<double> granted =
+      SplitOverAccounts(slots, input.accounts, totals);
+  std::vector<double> result(input.demand.size(), 0.0);
+  for (size_t entry = 0; entry < result.size(); ++entry) {
+    for (size_t i = 0; i < totals.size(); ++i) {
+      if (totals[i] <= 0) {
+        continue;
+      }
+      result[entry] += granted[i] * input.demand[entry][i] / totals[i];
+    }
+  }
+  return result;
+}
+
+double UnclaimedByOthers(const ShareInput& input) {
+  const double total = TotalSlots(input.executors);
+  const std::vector<double> claimed = SplitOverEntries(total, input);
+  double left = total;
+  for (size_t entry = 0; entry < claimed.size(); ++entry) {
+    if (entry != input.own_entry) {
+      left -= claimed[entry];
+    }
+  }
+  return left;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/routing/executor_pool.cc
@@ -0,0 +1,442 @@
+// Loads, limits and choice of executors.
+#include "routing/executor_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kUpstreamRetryPercent = 20.0;
+constexpr Duration kFirstRefusalPause = milliseconds(5);
+constexpr Duration kLongestRefusalPause = milliseconds(500);
+constexpr Duration kInspectionPeriod = milliseconds(100);
+constexpr Duration kProbeTimeout = seconds(1);
+constexpr Duration kLeavingProbePeriod = seconds(10);
+// Share of a service's executors that may be out at the same time: for
+// failing, and for latency alone.
+constexpr double kMaxOutShare = 0.5;
+constexpr double kMaxOutForLatencyShare = 0.2;
+
+}  // namespace
+
+Executor::Executor(ExecutorInfo executor_info)
+    : info(std::move(executor_info)), retry_budget(kUpstreamRetryPercent) {}
+
+ExecutorPool::ExecutorPool(uint64_t seed, std::string own_domain)
+    : own_domain_(std::move(own_domain)), random_(seed) {}
+
+RoutingActions ExecutorPool::SetExecutors(
+    const std::vector<ExecutorInfo>& listed, Time now) {
+  RoutingActions actions;
+  for (auto& [name, executor] : executors_) {
+    executor.listed = false;
+  }
+  slots_.clear();
+  for (const ExecutorInfo& info : listed) {
+    auto [found, added] = executors_.try_emplace(info.name, info);
+    Executor& executor = found->second;
+    executor.listed = true;
+    if (!added && executor.info.address != info.address) {
+      Executor replaced(info);
+      replaced.generation = executor.generation + 1;
+      replaced.starts = std::move(executor.starts);
+      executor = std::move(replaced);
+    }
+    const bool was_leaving = executor.leaving();
+    executor.info = info;
+    if (info.leaving && !was_leaving) {
+      actions.push_back(
+          ExecutorLeaving{info.name, "the instance list says so"});
+    }
+    if (!info.leaving) {
+      slots_.push_back({info.name, info.failure_domain, info.slots});
+    }
+  }
+  OrderByDomain(&slots_);
+  order_.clear();
+  for (auto it = executors_.begin(); it != executors_.end();) {
+    Refresh(&it->second);
+    if (!it->second.listed && it->second.starts.empty()) {
+      it = executors_.erase(it);
+      continue;
+    }
+    order_.push_back(&it->second);
+    ++it;
+  }
+  std::sort(order_.begin(), order_.end(),
+            [](const Executor* a, const Executor* b) {
+              return a->info.name < b->info.name;
+            });
+  next_inspection_ = now;
+  UpdateNextProbe();
+  return actions;
+}
+
+void ExecutorPool::SetAllocation(const std::vector<int>& allocation,
+                                 int connection_limit) {
+  for (Executor* executor : order_) {
+    if (executor->leaving()) {
+      executor->allocated = 0;
+    }
+  }
+  allocated_slots_ = 0;
+  for (size_t i = 0; i < slots_.size(); ++i) {
+    Executor* executor = Find(slots_[i].name);
+    if (executor == nullptr) {
+      continue;
+    }
+    const int allocated = std::min(allocation[i], connection_limit);
+    const bool backed_off = executor->refusal_limit < executor->allocated;
+    executor->allocated = allocated;
+    executor->refusal_limit =
+        backed_off ? std::min<double>(executor->refusal_limit, allocated)
+                   : allocated;
+    allocated_slots_ += allocated;
+  }
+  for (Executor* executor : order_) {
+    Refresh(executor);
+  }
+}
+
+Executor* ExecutorPool::Find(const std::string& name) {
+  const auto found = executors_.find(name);
+  return found == executors_.end() ? nullptr : &found->second;
+}
+
+Executor* ExecutorPool::Pick(const std::string& excluded, Time now) {
+  if (exhausted_ && now < exhausted_until_) {
+    return nullptr;
+  }
+  Executor* best = nullptr;
+  bool best_near = false;
+  bool passed_over = false;
+  Time next_free = Time::max();
+  const size_t count = order_.size();
+  const size_t offset = count == 0 ? 0 : random_() % count;
+  for (size_t step = 0; step < count; ++step) {
+    const size_t index = offset + step;
+    Executor* executor = order_[index < count ? index : index - count];
+    if (executor->in_flight() >= executor->usable) {
+      continue;
+    }
+    if (now < executor->refused_until) {
+      next_free = std::min(next_free, executor->refused_until);
+      continue;
+    }
+    if (!excluded.empty() && executor->info.name == excluded) {
+      passed_over = true;
+      continue;
+    }
+    const bool near = executor->info.failure_domain == own_domain_;
+    const bool better =
+        best == nullptr || executor->in_flight() < best->in_flight() ||
+        (executor->in_flight() == best->in_flight() && near && !best_near);
+    if (!better) {
+      continue;
+    }
+    best = executor;
+    best_near = near;
+  }
+  exhausted_ = best == nullptr && !passed_over;
+  exhausted_until_ = next_free;
+  return best;
+}
+
+bool ExecutorPool::HasAlternative(const std::string& excluded) const {
+  return std::any_of(order_.begin(), order_.end(), [&](const Executor* e) {
+    return e->health.in_rotation() && !e->leaving() && e->info.name != excluded;
+  });
+}
+
+double ExecutorPool::available_share() const {
+  if (allocated_slots_ == 0) {
+    return 0;
+  }
+  return static_cast<double>(available_slots_) / allocated_slots_;
+}
+
+void ExecutorPool::Begin(Executor* executor, Time now) {
+  executor->starts.push_back(now);
+  ++in_flight_;
+}
+
+RoutingActions ExecutorPool::End(Executor* executor, uint64_t generation,
+                                 Time start, const AttemptResult& result,
+                                 bool timed_out, Time now) {
+  RoutingActions actions;
+  const auto position =
+      std::find(executor->starts.begin(), executor->starts.end(), start);
+  if (position != executor->starts.end()) {
+    executor->starts.erase(position);
+    --in_flight_;
+  }
+  exhausted_ = false;
+  if (generation != executor->generation) {
+    return actions;
+  }
+  if (result.leaving) {
+    std::optional<RoutingAction> leaving =
+        MarkLeaving(executor, "the executor says so", now);
+    if (leaving.has_value()) {
+      actions.push_back(*std::move(leaving));
+    }
+  } else if (result.outcome == AttemptOutcome::kRefusedNotRun) {
+    Refused(executor, now);
+  }
+  if (result.outcome == AttemptOutcome::kAnswered) {
+    last_answer_ = now;
+    executor->refusal_pause = Duration::zero();
+    executor->refusal_limit = std::min<double>(
+        executor->allocated,
+        executor->refusal_limit + 1.0 / std::max(1.0, executor->refusal_limit));
+  }
+  PeerHealth peers;
+  if (result.outcome != AttemptOutcome::kAnswered &&
+      result.outcome != AttemptOutcome::kRefusedNotRun) {
+    peers = PeersOf(*executor, SumHealth());
+  }
+  const std::optional<std::string> reason =
+      executor->health.Record(result, timed_out, peers, now);
+  if (reason.has_value()) {
+    TakeOut(executor, *reason, false, now, &actions);
+  }
+  Refresh(executor);
+  return actions;
+}
+
+RoutingActions ExecutorPool::ProbeResult(Executor* executor,
+                                         const AttemptResult& result,
+                                         Time now) {
+  RoutingActions actions;
+  const bool healthy = result.outcome == AttemptOutcome::kAnswered;
+  if (executor->said_leaving) {
+    executor->leaving_probe_time = now + kLeavingProbePeriod;
+    if (healthy && !result.leaving) {
+      executor->said_leaving = false;
+      actions.push_back(
+          ExecutorBack{executor->info.name, "no longer says that it leaves"});
+    }
+  } else if (result.leaving) {
+    std::optional<RoutingAction> leaving =
+        MarkLeaving(executor, "the executor says so", now);
+    if (leaving.has_value()) {
+      actions.push_back(*std::move(leaving));
+    }
+  }
+  if (executor->health.EndProbe(healthy, now) && !executor->leaving()) {
+    actions.push_back(ExecutorBack{executor->info.name, "its probe succeeded"});
+  }
+  Refresh(executor);
+  UpdateNextProbe();
+  return actions;
+}
+
+RoutingActions ExecutorPool::Tick(Time now) {
+  RoutingActions actions;
+  if (next_probe_.has_value() && now >= *next_probe_) {
+    for (Executor* executor : order_) {
+      if (executor->listed) {
+        SendProbes(executor, now, &actions);
+      }
+    }
+    UpdateNextProbe();
+  }
+  if (now >= next_inspection_) {
+    next_inspection_ = now + kInspectionPeriod;
+    UpdateTypicalLatency();
+    Inspect(now, &actions);
+  }
+  return actions;
+}
+
+std::optional<Time> ExecutorPool::NextWake(bool waiting) const {
+  std::optional<Time> wake;
+  const auto consider = [&wake](Time time) {
+    wake = wake.has_value() ? std::min(*wake, time) : time;
+  };
+  if (in_flight_ > 0) {
+    consider(next_inspection_);
+  }
+  if (waiting && exhausted_ && exhausted_until_ != Time::max()) {
+    consider(exhausted_until_);
+  }
+  if (next_probe_.has_value()) {
+    consider(*next_probe_);
+  }
+  return wake;
+}
+
+void ExecutorPool::UpdateNextProbe() {
+  next_probe_.reset();
+  for (const Executor* executor : order_) {
+    if (!executor->listed || executor->info.leaving) {
+      continue;
+    }
+    const bool in_rotation = executor->health.in_rotation();
+    if (in_rotation && !executor->said_leaving) {
+      continue;
+    }
+    const Time time = executor->said_leaving ? executor->leaving_probe_time
+                                             : executor->health.probe_time();
+    next_probe_ = next_probe_.has_value() ? std::min(*next_probe_, time) : time;
+  }
+}
+
+ExecutorPool::HealthSums ExecutorPool::SumHealth() const {
+  HealthSums sums;
+  for (const Executor* executor : order_) {
+    if (executor->leaving()) {
+      continue;
+    }
+    const ExecutorHealth& health = executor->health;
+    if (!health.in_rotation()) {
+      ++sums.out;
+      sums.out_for_latency += health.out_for_latency() ? 1 : 0;
+      continue;
+    }
+    ++sums.in_rotation;
+    sums.failure_share += health.failure_share();
+  }
+  return sums;
+}
+
+PeerHealth ExecutorPool::PeersOf(const Executor& executor,
+                                 const HealthSums& sums) const {
+  PeerHealth peers;
+  peers.typical_latency = typical_latency_;
+  peers.last_answer = last_answer_;
+  const bool counted = !executor.leaving() && executor.health.in_rotation();
+  const int others = sums.in_rotation - (counted ? 1 : 0);
+  const double failures =
+      sums.failure_share - (counted ? executor.health.failure_share() : 0.0);
+  // Without peers nothing speaks for a fault of this one alone.
+  peers.failure_share = others <= 0 ? 1.0 : failures / others;
+  const int total = sums.in_rotation + sums.out;
+  peers.may_take_out = sums.out + 1 <= kMaxOutShare * total;
+  peers.may_take_out_for_latency =
+      peers.may_take_out &&
+      sums.out_for_latency + 1 <= kMaxOutForLatencyShare * total;
+  return peers;
+}
+
+void ExecutorPool::Refresh(Executor* executor) {
+  usable_slots_ -= executor->usable;
+  available_slots_ -= executor->available;
+  executor->usable = 0;
+  executor->available = 0;
+  if (!executor->leaving() && executor->health.in_rotation()) {
+    executor->available = executor->allocated;
+    const int limit = executor->health.Limit(executor->allocated);
+    executor->usable =
+        std::min(limit, static_cast<int>(executor->refusal_limit));
+  }
+  usable_slots_ += executor->usable;
+  available_slots_ += executor->available;
+  exhausted_ = false;
+}
+
+void ExecutorPool::Refused(Executor* executor, Time now) {
+  executor->refusal_limit = std::max(1.0, executor->refusal_limit / 2);
+  executor->refusal_pause = std::clamp(
+      2 * executor->refusal_pause, kFirstRefusalPause, kLongestRefusalPause);
+  // Between half and the whole of the pause, so that entries do not return
+  // together.
+  const auto half = executor->refusal_pause.count() / 2;
+  const auto jitter =
+      static_cast<Duration::rep>(random_() % static_cast<uint64_t>(half + 1));
+  executor->refused_until = now + Duration(half + jitter);
+}
+
+std::optional<RoutingAction> ExecutorPool::MarkLeaving(
+    Executor* executor, const std::string& reason, Time now) {
+  if (executor->said_leaving) {
+    return std::nullopt;
+  }
+  const bool was_leaving = executor->leaving();
+  executor->said_leaving = true;
+  executor->leaving_probe_time = now + kLeavingProbePeriod;
+  UpdateNextProbe();
+  if (was_leaving) {
+    return std::nullopt;
+  }
+  return ExecutorLeaving{executor->info.name, reason};
+}
+
+void ExecutorPool::TakeOut(Executor* executor, const std::string& reason,
+                           bool for_latency, Time now,
+                           RoutingActions* actions) {
+  executor->health.TakeOut(for_latency, now);
+  Refresh(executor);
+  UpdateNextProbe();
+  actions->push_back(ExecutorTakenOut{executor->info.name, reason});
+}
+
+void ExecutorPool::SendProbes(Executor* executor, Time now,
+                              RoutingActions* actions) {
+  ExecutorHealth& health = executor->health;
+  const auto probe = [&] {
+    actions->push_back(ProbeExecutor{
+        executor->info.name, executor->info.address, now + kProbeTimeout});
+  };
+  if (executor->said_leaving) {
+    if (executor->info.leaving || now < executor->leaving_probe_time) {
+      return;
+    }
+    executor->leaving_probe_time = now + kLeavingProbePeriod;
+    probe();
+    return;
+  }
+  if (health.in_rotation() || now < health.probe_time()) {
+    return;
+  }
+  if (health.state() == ExecutorHealth::State::kProbing) {
+    // The carrier never reported; the probe counts as lost.
+    health.EndProbe(false, now);
+    return;
+  }
+  health.BeginProbe(now + 2 * kProbeTimeout);
+  probe();
+}
+
+void ExecutorPool::Inspect(Time now, RoutingActions* actions) {
+  HealthSums sums = SumHealth();
+  for (Executor* executor : order_) {
+    if (executor->leaving() || !executor->health.in_rotation()) {
+      continue;
+    }
+    std::optional<Time> oldest;
+    if (!executor->starts.empty()) {
+      oldest = executor->starts.front();
+    }
+    const std::optional<std::string> reason =
+        executor->health.Inspect(oldest, PeersOf(*executor, sums), now);
+    if (!reason.has_value()) {
+      continue;
+    }
+    TakeOut(executor, *reason, true, now, actions);
+    sums = SumHealth();
+  }
+}
+
+void ExecutorPool::UpdateTypicalLatency() {
+  std::vector<Duration> latencies;
+  for (const Executor* executor : order_) {
+    if (executor->health.latency_known() && executor->health.in_rotation()) {
+      latencies.push_back(executor->health.mean_latency());
+    }
+  }
+  if (latencies.empty()) {
+    return;
+  }
+  const auto middle =
+      latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  typical_latency_ = *middle;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/routing/executor_pool.h
@@ -0,0 +1,143 @@
+// The executors of one service as this entry uses them: their loads, the
+// limits on them, and which one gets the next request.
+//
+// The limit of an executor is the least of this entry's share, what is left of
+// it after refusals (additive increase, multiplicative decrease), and what its
+// health allows.
+#ifndef THORNPLANK_ROUTING_EXECUTOR_POOL_H_
+#define THORNPLANK_ROUTING_EXECUTOR_POOL_H_
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/executor_health.h"
+#include "routing/retry_budget.h"
+#include "routing/routing_types.h"
+#include "routing/slot_share.h"
+
+namespace thornplank {
+
+struct Executor {
+  explicit Executor(ExecutorInfo executor_info);
+
+  ExecutorInfo info;
+  // Grows when the executor is replaced by another of the same name, so that
+  // attempts at the old one are not held against the new one.
+  uint64_t generation = 0;
+  // False when the instance list no longer has it.
+  bool listed = true;
+  // Set by the executor's own sign; the instance list does not clear it.
+  bool said_leaving = false;
+  // When to ask an executor that said that it leaves whether it still does.
+  Time leaving_probe_time;
+  // Starts of the attempts in flight, ascending.
+  std::vector<Time> starts;
+  // This entry's share of the slots.
+  int allocated = 0;
+  // At most `allocated`, at least 1; halved by refusals.
+  double refusal_limit = 0;
+  // Nothing is sent before this time, after a refusal.
+  Time refused_until;
+  Duration refusal_pause{};
+  // The least of all limits; kept up to date by the pool.
+  int usable = 0;
+  // `allocated` while health and leaving allow any use, else 0.
+  int available = 0;
+  ExecutorHealth health;
+  RetryBudget retry_budget;
+
+  int in_flight() const { return static_cast<int>(starts.size()); }
+  bool leaving() const { return info.leaving || said_leaving || !listed; }
+};
+
+class ExecutorPool {
+ public:
+  ExecutorPool(uint64_t seed, std::string own_domain);
+
+  // Replaces the executors by `listed`, all of this pool's service.
+  RoutingActions SetExecutors(const std::vector<ExecutorInfo>& listed,
+                              Time now);
+  // The executors that share slots, in the order common to all entries.
+  const std::vector<ExecutorSlots>& slots() const { return slots_; }
+  // Sets this entry's share of each of slots().
+  void SetAllocation(const std::vector<int>& allocation, int connection_limit);
+
+  Executor* Find(const std::string& name);
+  // The least loaded executor with room, other than `excluded`; the own failure
+  // domain goes first among equals. Null when there is none.
+  Executor* Pick(const std::string& excluded, Time now);
+  // Whether some executor other than `excluded` is in rotation.
+  bool HasAlternative(const std::string& excluded) const;
+  // Attempts that this entry may have in flight, over all executors.
+  int usable_slots() const { return usable_slots_; }
+  // Share of the allocated slots that health and leaving allow, 0 to 1.
+  double available_share() const;
+  int in_flight() const { return in_flight_; }
+
+  void Begin(Executor* executor, Time now);
+  // An attempt begun at `start` has ended. Returns state changes.
+  RoutingActions End(Executor* executor, uint64_t generation, Time start,
+                     const AttemptResult& result, bool timed_out, Time now);
+  RoutingActions ProbeResult(Executor* executor, const AttemptResult& result,
+                             Time now);
+  // Starts probes and looks for silent and slow executors.
+  RoutingActions Tick(Time now);
+  // The next time at which Tick or Pick may have something to do. `waiting`
+  // says whether requests wait for an executor.
+  std::optional<Time> NextWake(bool waiting) const;
+
+ private:
+  // Sums over the executors that are not leaving.
+  struct HealthSums {
+    double failure_share = 0;  // of those in rotation
+    int in_rotation = 0;
+    int out = 0;
+    int out_for_latency = 0;
+  };
+
+  HealthSums SumHealth() const;
+  PeerHealth PeersOf(const Executor& executor, const HealthSums& sums) const;
+  void Refresh(Executor* executor);
+  void Refused(Executor* executor, Time now);
+  std::optional<RoutingAction> MarkLeaving(Executor* executor,
+                                           const std::string& reason, Time now);
+  void TakeOut(Executor* executor, const std::string& reason, bool for_latency,
+               Time now, RoutingActions* actions);
+  void SendProbes(Executor* executor, Time now, RoutingActions* actions);
+  void Inspect(Time now, RoutingActions* actions);
+  void UpdateTypicalLatency();
+  void UpdateNextProbe();
+
+  const std::string own_domain_;
+  std::mt19937_64 random_;
+  std::unordered_map<std::string, Executor> executors_;
+  std::vector<ExecutorSlots> slots_;
+  // Executors in the order in which Pick looks at them.
+  std::vector<Executor*> order_;
+  // Sum of the executors' `usable`.
+  int usable_slots_ = 0;
+  // Sum of the executors' attempts in flight.
+  int in_flight_ = 0;
+  // Sum of the slots allocated to this entry.
+  int allocated_slots_ = 0;
+  // Sum of the executors' `available`.
+  int available_slots_ = 0;
+  // Pick found nothing, and nothing has changed since; valid until
+  // `exhausted_until_`.
+  bool exhausted_ = false;
+  Time exhausted_until_;
+  Time next_inspection_;
+  // The earliest time at which an executor is to be probed.
+  std::optional<Time> next_probe_;
+  Duration typical_latency_{};
+  std::optional<Time> last_answer_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_ROUTING_EXECUTOR_POOL_H_
--- a/src/libs/routing/request_router.h
+++ b/src/libs/routing/request_router.h
@@ -9,18 +9,25 @@
 #ifndef THORNPLANK_ROUTING_REQUEST_ROUTER_H_
 #define THORNPLANK_ROUTING_REQUEST_ROUTER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
+#include "routing/retry_budget.h"
 #include "routing/routing_types.h"
 
 namespace thornplank {
 
+class RequestTable;
+class ServiceRouter;
 class SlotShare;
+struct RoutedRequest;
 
 struct RouterOptions {
   // Spreads Retry-After and breaks ties.
@@ -84,8 +91,29 @@
   std::optional<Time> NextWake() const;
 
  private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  // Null when there is no such service.
+  const ServiceRouter* Find(const std::string& service) const;
+  ServiceRouter* Find(const std::string& service);
+  ServiceRouter* FindOrAdd(const std::string& service, Time now);
+  std::vector<AccountLimits> LimitsOf(const std::string& service) const;
+  // Position of this entry among the live ones.
+  size_t own_entry() const;
+  RetryBudget& BudgetOf(const RequestInfo& request);
+  void DispatchAll(Time now, RoutingActions* actions);
+  void Settle(RoutedRequest* request, ServiceRouter* service,
+              const AttemptResult& result, Time now, RoutingActions* actions);
+  void Expire(RoutedRequest* request, Time now, RoutingActions* actions);
+
+  const RouterOptions options_;
+  const std::unique_ptr<SlotShare> share_;
+  std::vector<AccountLimits> limits_;
+  std::string own_name_;
+  // The live entries with this one, sorted.
+  std::vector<std::string> entries_;
+  std::unique_ptr<RequestTable> table_;
+  std::map<std::string, std::unique_ptr<ServiceRouter>> services_;
+  // By service and account.
+  std::map<std::pair<std::string, std::string>, RetryBudget> budgets_;
 };
 
 }  // namespace thornplank
--- /dev/null
+++ b/src/libs/routing/retry_policy.cc
@@ -0,0 +1,60 @@
+// Decisions at the end of an attempt.
+#include "routing/retry_policy.h"
+
+namespace thornplank {
+namespace {
+
+constexpr int kMaxTries = 3;
+constexpr int kMaxRefusals = 8;
+
+bool MayRetry(AttemptOutcome outcome, const AttemptHistory& history) {
+  if (!history.wanted || !history.alternative) {
+    return false;
+  }
+  if (outcome == AttemptOutcome::kRefusedNotRun) {
+    return history.refusals < kMaxRefusals;
+  }
+  if (history.tries >= kMaxTries || !history.budget) {
+    return false;
+  }
+  return history.idempotent || !MayHaveRun(outcome);
+}
+
+}  // namespace
+
+bool MayHaveRun(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kRefusedNotRun:
+    case AttemptOutcome::kNotSent:
+      return false;
+    case AttemptOutcome::kAnswered:
+    case AttemptOutcome::kFailed:
+    case AttemptOutcome::kUnknown:
+      break;
+  }
+  return true;
+}
+
+NextStep Decide(AttemptOutcome outcome, const AttemptHistory& history) {
+  if (outcome == AttemptOutcome::kAnswered) {
+    return NextStep::kDeliver;
+  }
+  if (MayRetry(outcome, history)) {
+    return NextStep::kRetry;
+  }
+  if (outcome == AttemptOutcome::kFailed) {
+    return NextStep::kDeliver;
+  }
+  if (history.may_have_run || MayHaveRun(outcome)) {
+    return NextStep::kFinishUnknown;
+  }
+  return NextStep::kFinishNotRun;
+}
+
+bool CostsBudget(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::kRefusedNotRun;
+}
+
+int MaxTries() { return kMaxTries; }
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/routing/retry_policy.h
@@ -0,0 +1,49 @@
+// What follows from the outcome of an attempt: the answer is delivered, another
+// attempt is made, or the request ends as "not run" or "unknown".
+//
+// A request that may have run is sent again only when it is idempotent, and
+// never ends as "not run".
+#ifndef THORNPLANK_ROUTING_RETRY_POLICY_H_
+#define THORNPLANK_ROUTING_RETRY_POLICY_H_
+
+#include "routing/routing_types.h"
+
+namespace thornplank {
+
+enum class NextStep {
+  kDeliver,
+  kRetry,
+  kFinishNotRun,
+  kFinishUnknown,
+};
+
+// A request at the end of an attempt.
+struct AttemptHistory {
+  bool idempotent = false;
+  // Attempts so far that were not refused, and those that were.
+  int tries = 0;
+  int refusals = 0;
+  // Whether an earlier attempt may have run.
+  bool may_have_run = false;
+  // False when the caller is gone or the time is up.
+  bool wanted = true;
+  // Whether another executor could take it.
+  bool alternative = true;
+  // Whether the budgets of the account and of the upstream allow a retry.
+  bool budget = true;
+};
+
+// Whether an attempt with this outcome may have run at the executor.
+bool MayHaveRun(AttemptOutcome outcome);
+
+NextStep Decide(AttemptOutcome outcome, const AttemptHistory& history);
+
+// Whether a retry after this outcome is paid from the retry budgets.
+bool CostsBudget(AttemptOutcome outcome);
+
+// The number of tries after which a request is not sent again.
+int MaxTries();
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_ROUTING_RETRY_POLICY_H_
--- /dev/null
+++ b/src/libs/routing/spread.h
@@ -0,0 +1,16 @@
+// Deterministic spreading of times, from a seed and a key.
+#ifndef THORNPLANK_ROUTING_SPREAD_H_
+#define THORNPLANK_ROUTING_SPREAD_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace thornplank {
+
+// A number in [0, 1) that depends on nothing but the seed and the key, and
+// differs between keys as if drawn at random.
+double SpreadFraction(uint64_t seed, std::string_view key);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_ROUTING_SPREAD_H_
--- /dev/null
+++ b/src/libs/routing/static_share.cc
@@ -0,0 +1,19 @@
+// Equal, fixed parts of the slots.
+#include "routing/static_share.h"
+
+namespace thornplank {
+
+std::vector<int> StaticShare::Allocate(const ShareInput& input) const {
+  const int total = TotalSlots(input.executors);
+  const int entries = static_cast<int>(input.demand.size());
+  const int own = static_cast<int>(input.own_entry);
+  return SlotsInRange(input.executors, total * own / entries,
+                      total * (own + 1) / entries);
+}
+
+double StaticShare::Potential(const ShareInput& input) const {
+  return static_cast<double>(TotalSlots(input.executors)) /
+         static_cast<double>(input.demand.size());
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/routing/tst_request_router.cc
@@ -0,0 +1,241 @@
+// The router's life of a request: admission, sending, retries, finishing.
+#include "routing/request_router.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "routing_fixtures.h"
+
+namespace thornplank {
+namespace {
+
+using routing_test::At;
+using routing_test::kService;
+using routing_test::MakeAccount;
+using routing_test::MakeExecutor;
+using routing_test::MakeExecutors;
+using routing_test::MakeRequest;
+using routing_test::MakeResult;
+using routing_test::Only;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A router for one entry with account "a".
+struct Fixture {
+  explicit Fixture(int executors, int slots = 8,
+                   std::vector<AccountLimits> accounts = {MakeAccount("a")})
+      : router(Options()) {
+    router.SetAccounts(accounts, At(0));
+    router.SetExecutors(MakeExecutors(executors, slots), At(0));
+    router.SetPeers("entry-1", {"entry-1"}, At(0));
+  }
+
+  static RouterOptions Options() {
+    RouterOptions options;
+    options.failure_domain = "domain-1";
+    return options;
+  }
+
+  RequestRouter router;
+};
+
+TEST_CASE(
+    "a request is sent to the own failure domain and its answer ends it") {
+  Fixture fixture(8);
+  const auto sends = Only<SendAttempt>(
+      fixture.router.Submit(MakeRequest("r", "a", At(1000)), At(0)));
+  REQUIRE(sends.size() == 1);
+  CHECK(sends[0].attempt == 1);
+  CHECK((sends[0].executor == "executor-101" ||
+         sends[0].executor == "executor-105"));
+  const RoutingActions done = fixture.router.Complete(
+      "r", sends[0].executor, MakeResult(AttemptOutcome::kAnswered), At(10));
+  REQUIRE(done.size() == 1);
+  CHECK(std::get<FinishAnswered>(done[0]).request_id == "r");
+  CHECK(fixture.router.demand().accounts.empty());
+}
+
+TEST_CASE("an outcome that fits no attempt in flight is ignored") {
+  Fixture fixture(2);
+  const auto sends = Only<SendAttempt>(
+      fixture.router.Submit(MakeRequest("r", "a", At(1000)), At(0)));
+  const std::string other =
+      sends[0].executor == "executor-100" ? "executor-101" : "executor-100";
+  const AttemptResult answered = MakeResult(AttemptOutcome::kAnswered);
+  CHECK(fixture.router.Complete("r", other, answered, At(5)).empty());
+  CHECK(fixture.router.Complete("x", other, answered, At(5)).empty());
+  CHECK(fixture.router.Submit(MakeRequest("r", "a", At(1000)), At(5)).empty());
+  CHECK(
+      fixture.router.Complete("r", sends[0].executor, answered, At(6)).size() ==
+      1);
+  CHECK(
+      fixture.router.Complete("r", sends[0].executor, answered, At(7)).empty());
+}
+
+TEST_CASE("what cannot run is refused at once") {
+  Fixture fixture(1, 1, {MakeAccount("a"), [] {
+                           AccountLimits limits = MakeAccount("closed");
+                           limits.borrowing = false;
+                           return limits;
+                         }()});
+  // One answer of 100 ms teaches the service time.
+  auto sends = Only<SendAttempt>(
+      fixture.router.Submit(MakeRequest("first", "a", At(9000)), At(0)));
+  fixture.router.Complete("first", sends[0].executor,
+                          MakeResult(AttemptOutcome::kAnswered, 100), At(100));
+  fixture.router.Submit(MakeRequest("running", "a", At(9000)), At(100));
+  for (int i = 0; i < 20; ++i) {
+    fixture.router.Submit(
+        MakeRequest("queued-" + std::to_string(i), "a", At(1500)), At(100));
+  }
+  struct Row {
+    const char* account;
+    const char* service;
+    int deadline;
+    bool admitted;
+  };
+  const Row rows[] = {
+      {"a", "claims", 9000, true},        {"a", "claims", 1500, false},
+      {"a", "claims", 100, false},        {"a", "unknown", 9000, false},
+      {"unknown", "claims", 9000, false}, {"closed", "claims", 9000, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.account);
+    CAPTURE(row.deadline);
+    RequestInfo request = MakeRequest("probe", row.account, At(row.deadline));
+    request.service = row.service;
+    const std::optional<Refusal> refusal =
+        fixture.router.CheckAdmission(request, At(100));
+    CHECK(refusal.has_value() != row.admitted);
+  }
+}
+
+TEST_CASE("Retry-After spreads the return and grows with the backlog") {
+  const auto widest = [](int queued) {
+    AccountLimits limits = MakeAccount("a");
+    limits.max_queued = queued;
+    Fixture fixture(1, 1, {limits});
+    auto sends = Only<SendAttempt>(
+        fixture.router.Submit(MakeRequest("first", "a", At(600000)), At(0)));
+    fixture.router.Complete("first", sends[0].executor,
+                            MakeResult(AttemptOutcome::kAnswered, 100),
+                            At(100));
+    for (int i = 0; i <= queued; ++i) {
+      fixture.router.Submit(
+          MakeRequest("q" + std::to_string(i), "a", At(600000)), At(100));
+    }
+    Duration least = seconds(1000);
+    Duration most{};
+    for (int i = 0; i < 50; ++i) {
+      const auto refused = Only<FinishNotRun>(fixture.router.Submit(
+          MakeRequest("late" + std::to_string(i), "a", At(600000)), At(100)));
+      REQUIRE(refused.size() == 1);
+      least = std::min(least, refused[0].retry_after);
+      most = std::max(most, refused[0].retry_after);
+    }
+    CHECK(most - least > milliseconds(500));
+    return most;
+  };
+  CHECK(widest(200) > widest(20));
+}
+
+TEST_CASE("a request in flight at its deadline ends as unknown, once") {
+  Fixture fixture(2);
+  const auto sends = Only<SendAttempt>(
+      fixture.router.Submit(MakeRequest("r", "a", At(100), false), At(0)));
+  CHECK(fixture.router.NextWake() <= At(100));
+  const RoutingActions ended = fixture.router.Tick(At(100));
+  CHECK(Only<FinishUnknown>(ended).size() == 1);
+  const RoutingActions late = fixture.router.Complete(
+      "r", sends[0].executor, MakeResult(AttemptOutcome::kAnswered, 105),
+      At(105));
+  REQUIRE(late.size() == 1);
+  CHECK(std::get<DropAnswer>(late[0]).request_id == "r");
+}
+
+TEST_CASE("a queued request ends as not run") {
+  Fixture fixture(1, 1);
+  fixture.router.Submit(MakeRequest("running", "a", At(9000)), At(0));
+  SUBCASE("when its caller is gone") {
+    fixture.router.Submit(MakeRequest("r", "a", At(9000)), At(0));
+    CHECK(Only<FinishNotRun>(fixture.router.Cancel("r", At(1))).size() == 1);
+    CHECK(fixture.router.Cancel("r", At(2)).empty());
+  }
+  SUBCASE("when its deadline comes") {
+    fixture.router.Submit(MakeRequest("r", "a", At(50)), At(0));
+    CHECK(Only<FinishNotRun>(fixture.router.Tick(At(50))).size() == 1);
+  }
+  CHECK(fixture.router.demand().accounts[0].queued == 0);
+}
+
+TEST_CASE("a total outage does not multiply attempts") {
+  struct Row {
+    AttemptOutcome outcome;
+    double percent;
+  };
+  const Row rows[] = {
+      {AttemptOutcome::kFailed, 10},  {AttemptOutcome::kUnknown, 10},
+      {AttemptOutcome::kNotSent, 10}, {AttemptOutcome::kFailed, 0},
+      {AttemptOutcome::kUnknown, 50},
+  };
+  constexpr int kRequests = 2000;
+  for (const Row& row : rows) {
+    CAPTURE(static_cast<int>(row.outcome));
+    CAPTURE(row.percent);
+    AccountLimits limits = MakeAccount("a");
+    limits.retry_budget_percent = row.percent;
+    Fixture fixture(50, 8, {limits});
+    int attempts = 0;
+    int finals = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      const Time now = At(i * 5);
+      RoutingActions actions = fixture.router.Tick(now);
+      const RoutingActions submitted = fixture.router.Submit(
+          MakeRequest("r" + std::to_string(i), "a", now + seconds(10)), now);
+      actions.insert(actions.end(), submitted.begin(), submitted.end());
+      for (size_t k = 0; k < actions.size(); ++k) {
+        const RoutingAction action = actions[k];
+        RoutingActions more;
+        if (const auto* send = std::get_if<SendAttempt>(&action)) {
+          ++attempts;
+          more = fixture.router.Complete(send->request_id, send->executor,
+                                         MakeResult(row.outcome, 1), now);
+        }
+        if (const auto* probe = std::get_if<ProbeExecutor>(&action)) {
+          more = fixture.router.ProbeResult(probe->executor,
+                                            MakeResult(row.outcome, 1), now);
+        }
+        finals += std::holds_alternative<FinishAnswered>(action) ||
+                  std::holds_alternative<FinishNotRun>(action) ||
+                  std::holds_alternative<FinishUnknown>(action);
+        actions.insert(actions.end(), more.begin(), more.end());
+      }
+    }
+    MESSAGE("attempts per request: ", 1.0 * attempts / kRequests);
+    CHECK(finals == kRequests);
+    CHECK(attempts <= kRequests * (1 + row.percent / 100) + 3);
+  }
+}
+
+TEST_CASE("retries never go to the same executor twice in a row") {
+  Fixture fixture(3);
+  std::string last;
+  RoutingActions actions =
+      fixture.router.Submit(MakeRequest("r", "a", At(5000)), At(0));
+  for (int i = 0; i < 20; ++i) {
+    const auto sends = Only<SendAttempt>(actions);
+    if (sends.empty()) {
+      break;
+    }
+    CHECK(sends[0].executor != last);
+    last = sends[0].executor;
+    actions = fixture.router.Complete(
+        "r", last, MakeResult(AttemptOutcome::kRefusedNotRun), At(600 * i));
+  }
+}
+
+}  // namespace
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/routing/tst_retry_policy.cc
@@ -0,0 +1,105 @@
+// Outcomes of attempts and what follows from them.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "routing/retry_budget.h"
+#include "routing/retry_policy.h"
+
+namespace thornplank {
+namespace {
+
+struct Row {
+  const char* name;
+  AttemptOutcome outcome;
+  AttemptHistory history;
+  NextStep expected;
+};
+
+AttemptHistory History(bool idempotent, int tries, bool may_have_run,
+                       bool budget = true) {
+  AttemptHistory history;
+  history.idempotent = idempotent;
+  history.tries = tries;
+  history.may_have_run = may_have_run;
+  history.budget = budget;
+  return history;
+}
+
+TEST_CASE("the next step after an attempt") {
+  using Outcome = AttemptOutcome;
+  AttemptHistory unwanted = History(true, 1, false);
+  unwanted.wanted = false;
+  AttemptHistory alone = History(true, 1, false);
+  alone.alternative = false;
+  AttemptHistory refused_often = History(true, 0, false);
+  refused_often.refusals = 8;
+  const Row rows[] = {
+      {"an answer is delivered", Outcome::kAnswered, History(false, 1, false),
+       NextStep::kDeliver},
+      {"a failure of an idempotent request is retried", Outcome::kFailed,
+       History(true, 1, false), NextStep::kRetry},
+      {"a failure of another one is delivered", Outcome::kFailed,
+       History(false, 1, false), NextStep::kDeliver},
+      {"a failure without budget is delivered", Outcome::kFailed,
+       History(true, 1, false, false), NextStep::kDeliver},
+      {"an unknown idempotent request is retried", Outcome::kUnknown,
+       History(true, 1, false), NextStep::kRetry},
+      {"another unknown one is not", Outcome::kUnknown,
+       History(false, 1, false), NextStep::kFinishUnknown},
+      {"the last try ends unknown", Outcome::kUnknown, History(true, 3, true),
+       NextStep::kFinishUnknown},
+      {"a refused request moves, idempotent or not", Outcome::kRefusedNotRun,
+       History(false, 0, false), NextStep::kRetry},
+      {"a refusal moves without budget", Outcome::kRefusedNotRun,
+       History(false, 0, false, false), NextStep::kRetry},
+      {"moves are bounded", Outcome::kRefusedNotRun, refused_often,
+       NextStep::kFinishNotRun},
+      {"a request not sent moves, idempotent or not", Outcome::kNotSent,
+       History(false, 1, false), NextStep::kRetry},
+      {"a request not sent costs budget", Outcome::kNotSent,
+       History(false, 1, false, false), NextStep::kFinishNotRun},
+      {"what may have run is never 'not run'", Outcome::kNotSent,
+       History(true, 3, true), NextStep::kFinishUnknown},
+      {"nor when refused at the end", Outcome::kRefusedNotRun,
+       [] {
+         AttemptHistory history = History(true, 1, true);
+         history.refusals = 8;
+         return history;
+       }(),
+       NextStep::kFinishUnknown},
+      {"a caller that is gone gets no retry", Outcome::kNotSent, unwanted,
+       NextStep::kFinishNotRun},
+      {"no other executor", Outcome::kUnknown, alone, NextStep::kFinishUnknown},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CHECK(Decide(row.outcome, row.history) == row.expected);
+  }
+}
+
+TEST_CASE("a budget allows its share of retries and no more") {
+  struct BudgetRow {
+    double percent;
+    int requests;
+    int most;
+  };
+  const BudgetRow rows[] = {{0, 1000, 0}, {10, 1000, 103}, {50, 1000, 503}};
+  for (const BudgetRow& row : rows) {
+    CAPTURE(row.percent);
+    RetryBudget budget(row.percent);
+    int retries = 0;
+    for (int i = 0; i < row.requests; ++i) {
+      budget.AddFresh();
+      while (budget.available()) {
+        budget.Take();
+        ++retries;
+      }
+    }
+    CHECK(retries <= row.most);
+    CHECK(retries >= row.requests * row.percent / 100 - 1);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank
