--- a/src/libs/settings/entry_settings.cc
+++ b/src/libs/settings/entry_settings.cc
@@ -25,7 +25,7 @@
 
 std::string Shown(Milliseconds value) { return std::to_string(value.count()); }
 
-void ReadLog(SettingsReader& reader, LogSettings* log) {
+void ReadLog(SettingsReader& reader, EntryLogSettings* log) {
   reader.Choose<Severity>("level", Presence::kOptional,
                           {{"debug", Severity::kDebug},
                            {"info", Severity::kInfo},
@@ -35,7 +35,7 @@
   reader.Text("file", Presence::kOptional, NonEmptyText(), &log->file);
 }
 
-void ReadToken(SettingsReader& reader, TokenSettings* token) {
+void ReadToken(SettingsReader& reader, EntryTokenSettings* token) {
   reader.Text("name", Presence::kRequired, NameText(), &token->name);
   reader.Text("token", Presence::kRequired, SecretText(kMinSecretBytes),
               &token->token);
@@ -56,12 +56,12 @@
 }
 
 void CheckTokensDiffer(SettingsReader& reader,
-                       const std::vector<TokenSettings>& tokens) {
+                       const std::vector<EntryTokenSettings>& tokens) {
   std::set<std::string> names;
   std::set<std::string> secrets;
   for (size_t i = 0; i < tokens.size(); ++i) {
     const std::string key = "tokens[" + std::to_string(i) + "].";
-    const TokenSettings& token = tokens[i];
+    const EntryTokenSettings& token = tokens[i];
     if (!token.name.empty() && !names.insert(token.name).second) {
       reader.Fail(key + "name", '"' + token.name + "\" a second time",
                   "each name once");
@@ -73,7 +73,7 @@
   }
 }
 
-void ReadLimits(SettingsReader& reader, LimitSettings* limits) {
+void ReadLimits(SettingsReader& reader, EntryLimitSettings* limits) {
   reader.Int("body_bytes", Presence::kOptional, kBodyRange,
              &limits->body_bytes);
   reader.Int("connections", Presence::kOptional, kConnectionRange,
@@ -93,7 +93,7 @@
   }
 }
 
-void ReadRequests(SettingsReader& reader, RequestSettings* requests) {
+void ReadRequests(SettingsReader& reader, EntryRequestSettings* requests) {
   reader.Duration("claim_window_ms", Presence::kOptional, kClaimWindowRange,
                   &requests->claim_window);
   reader.Duration("demand_interval_ms", Presence::kOptional, kIntervalRange,
@@ -102,7 +102,7 @@
                   &requests->default_deadline);
 }
 
-void ReadJobs(SettingsReader& reader, JobSettings* jobs) {
+void ReadJobs(SettingsReader& reader, EntryJobSettings* jobs) {
   reader.Duration("lease_term_ms", Presence::kOptional, kLeaseRange,
                   &jobs->lease_term);
   reader.Duration("renewal_interval_ms", Presence::kOptional, kIntervalRange,
@@ -114,7 +114,8 @@
   }
 }
 
-void ReadMembership(SettingsReader& reader, MembershipSettings* membership) {
+void ReadMembership(SettingsReader& reader,
+                    EntryMembershipSettings* membership) {
   reader.Duration("heartbeat_interval_ms", Presence::kOptional, kIntervalRange,
                   &membership->heartbeat_interval);
   reader.Duration("suspect_after_ms", Presence::kOptional, kSilenceRange,
@@ -169,7 +170,7 @@
   });
   reader.List("tokens", Presence::kRequired, /*min_items=*/1,
               [settings](SettingsReader& item) {
-                TokenSettings token;
+                EntryTokenSettings token;
                 ReadToken(item, &token);
                 settings->tokens.push_back(std::move(token));
               });
--- a/src/libs/settings/entry_settings.h
+++ b/src/libs/settings/entry_settings.h
@@ -23,7 +23,7 @@
 enum class TokenRole { kCaller, kViewer, kOperator };
 
 // One bearer token. Invariant: `account` is set exactly when role is kCaller.
-struct TokenSettings {
+struct EntryTokenSettings {
   // Shown in history and logs; unique.
   std::string name;
   // The secret itself; unique, at least 8 bytes, never logged.
@@ -33,7 +33,7 @@
 };
 
 // Bounds on what callers may cost. Invariant: body_bytes <= buffered_bytes.
-struct LimitSettings {
+struct EntryLimitSettings {
   size_t body_bytes = 4 * 1024 * 1024;
   size_t connections = 4096;
   // Request bodies held in memory over all connections.
@@ -43,7 +43,7 @@
   Milliseconds idle_timeout{75000};
 };
 
-struct RequestSettings {
+struct EntryRequestSettings {
   // How long a key of a non-idempotent request is remembered.
   Milliseconds claim_window{600000};
   // Between two exchanges of demand with the peers.
@@ -54,19 +54,19 @@
 
 // Invariant: renewal_interval <= lease_term / 2, so that one lost renewal
 // does not end a lease.
-struct JobSettings {
+struct EntryJobSettings {
   Milliseconds lease_term{15000};
   Milliseconds renewal_interval{3000};
 };
 
 // Invariant: heartbeat_interval < suspect_after < dead_after.
-struct MembershipSettings {
+struct EntryMembershipSettings {
   Milliseconds heartbeat_interval{250};
   Milliseconds suspect_after{1500};
   Milliseconds dead_after{5000};
 };
 
-struct LogSettings {
+struct EntryLogSettings {
   Severity level = Severity::kInfo;
   // Empty: standard error.
   std::string file;
@@ -87,12 +87,12 @@
   std::string log_address;
   std::string instance_list_address;
   int threads = 2;
-  LogSettings log;
-  std::vector<TokenSettings> tokens;
-  LimitSettings limits;
-  RequestSettings requests;
-  JobSettings jobs;
-  MembershipSettings membership;
+  EntryLogSettings log;
+  std::vector<EntryTokenSettings> tokens;
+  EntryLimitSettings limits;
+  EntryRequestSettings requests;
+  EntryJobSettings jobs;
+  EntryMembershipSettings membership;
   // The longest that a planned stop waits for requests in flight.
   Milliseconds drain_timeout{30000};
 };
--- a/src/libs/settings/settings_reader.cc
+++ b/src/libs/settings/settings_reader.cc
@@ -278,8 +278,10 @@
 
 void SettingsReader::List(const std::string& key, Presence presence,
                           size_t min_items,
-                          const std::function<void(SettingsReader&)>& read) {
+                          const std::function<void(SettingsReader&)>& read,
+                          bool* present) {
   const Json* json = Declare(key, presence);
+  if (present != nullptr) *present = json != nullptr;
   if (json == nullptr) return;
   if (!json->is_array()) return Fail(key, WithType(*json), "a list");
   if (json->size() < min_items) {
--- a/src/libs/settings/settings_reader.h
+++ b/src/libs/settings/settings_reader.h
@@ -97,22 +97,27 @@
     const std::optional<int64_t> read = ReadInt(key, presence, range);
     if (read) *value = static_cast<Integer>(*read);
   }
+  // True when `*value` was read.
   template <typename Choice>
-  void Choose(const std::string& key, Presence presence,
+  bool Choose(const std::string& key, Presence presence,
               const std::vector<std::pair<std::string, Choice>>& choices,
               Choice* value) {
     std::vector<std::string> names;
     for (const auto& choice : choices) names.push_back(choice.first);
     const std::optional<size_t> index = ReadChoice(key, presence, names);
-    if (index) *value = choices[*index].second;
+    if (!index) return false;
+    *value = choices[*index].second;
+    return true;
   }
 
   // An object, read by `read` with a reader of its own.
   void Section(const std::string& key, Presence presence,
                const std::function<void(SettingsReader&)>& read);
-  // A list of objects, `read` runs once for each.
+  // A list of objects, `read` runs once for each. `*present` (may be null)
+  // tells whether the key is there.
   void List(const std::string& key, Presence presence, size_t min_items,
-            const std::function<void(SettingsReader&)>& read);
+            const std::function<void(SettingsReader&)>& read,
+            bool* present = nullptr);
 
   // Adds a problem that concerns several keys; an empty `key` stands for the
   // value that this reader reads.
