--- a/src/libs/settings/settings_fold.cc
+++ b/src/libs/settings/settings_fold.cc
@@ -80,39 +80,58 @@
   if (!covers) return SnapshotVerdict::kMalformed;
   if (*covers <= next_offset_) return SnapshotVerdict::kStale;
   if (resume_at_ && *covers < *resume_at_) return SnapshotVerdict::kLeavesGap;
+  std::optional<State> state = ParseSnapshot(snapshot);
+  if (!state) return SnapshotVerdict::kMalformed;
+  tree_ = std::move(state->tree);
+  history_ = std::move(state->history);
+  decided_ = std::move(state->decided);
+  next_offset_ = *covers;
+  resume_at_.reset();
+  const std::vector<SettingsRecord> waiting = std::exchange(waiting_, {});
+  for (const SettingsRecord& record : waiting) {
+    if (record.offset < next_offset_) continue;
+    FoldNext(record, outcomes);
+  }
+  return SnapshotVerdict::kAdopted;
+}
+
+std::optional<SettingsFold::State> SettingsFold::ParseSnapshot(
+    const Json& snapshot) {
+  const std::optional<int64_t> covers = IntField(snapshot, "covers");
   const Json* tree_json = ObjectField(snapshot, "tree");
   const Json* history_json = ObjectField(snapshot, "history");
   const Json* decided_json = ArrayField(snapshot, "decided");
-  if (tree_json == nullptr || history_json == nullptr ||
+  if (!covers || tree_json == nullptr || history_json == nullptr ||
       decided_json == nullptr) {
-    return SnapshotVerdict::kMalformed;
+    return std::nullopt;
   }
   std::optional<SettingsTree> tree = SettingsTree::FromJson(*tree_json);
   std::optional<SettingsHistory> history =
       SettingsHistory::FromJson(*history_json);
   std::optional<std::deque<Decided>> decided = ParseDecided(*decided_json);
-  if (!tree || !history || !decided) return SnapshotVerdict::kMalformed;
-  tree_ = std::move(*tree);
-  history_ = std::move(*history);
-  decided_ = std::move(*decided);
-  next_offset_ = *covers;
-  resume_at_.reset();
-  const std::vector<SettingsRecord> waiting = std::exchange(waiting_, {});
-  for (const SettingsRecord& record : waiting) {
-    if (record.offset < next_offset_) continue;
-    FoldNext(record, outcomes);
-  }
-  return SnapshotVerdict::kAdopted;
+  if (!tree || !history || !decided) return std::nullopt;
+  return State{*covers, std::move(*tree), std::move(*history),
+               std::move(*decided)};
+}
+
+bool SettingsFold::Readable(const Json& snapshot) {
+  return ParseSnapshot(snapshot).has_value();
 }
 
-Json SettingsFold::Snapshot() const {
+Json SettingsFold::SnapshotCovering(int64_t covers) const {
   return {{"type", kSnapshotType},
-          {"covers", next_offset_},
+          {"covers", covers},
           {"tree", tree_.ToJson()},
           {"history", history_.ToJson()},
           {"decided", DecidedToJson()}};
 }
 
+Json SettingsFold::Snapshot() const { return SnapshotCovering(next_offset_); }
+
+Json SettingsFold::RecoverySnapshot() const {
+  return SnapshotCovering(resume_at_.value_or(next_offset_));
+}
+
 std::optional<ChangeResult> SettingsFold::Decision(
     const std::string& id) const {
   for (const Decided& decided : decided_) {
--- a/src/libs/settings/settings_fold.h
+++ b/src/libs/settings/settings_fold.h
@@ -67,6 +67,13 @@
   // Requires complete().
   Json Snapshot() const;
 
+  // What an operator appends when the records of the gap are lost to
+  // everyone: the state of this entry, said to cover the gap. Requires
+  // !complete().
+  Json RecoverySnapshot() const;
+  // Whether Adopt could read it.
+  static bool Readable(const Json& snapshot);
+
   // False while there is a gap.
   bool complete() const { return !resume_at_; }
   // All records before it are folded; a snapshot of it "covers" this.
@@ -83,6 +90,16 @@
     int64_t version;
   };
 
+  // What a snapshot holds.
+  struct State {
+    int64_t covers = 0;
+    SettingsTree tree;
+    SettingsHistory history;
+    std::deque<Decided> decided;
+  };
+
+  static std::optional<State> ParseSnapshot(const Json& snapshot);
+  Json SnapshotCovering(int64_t covers) const;
   void FoldNext(const SettingsRecord& record,
                 std::vector<FoldOutcome>* outcomes);
   void Remember(const std::string& id, const ChangeResult& result);
