--- a/tests/standins/log_role.cc
+++ b/tests/standins/log_role.cc
@@ -197,7 +197,9 @@
 
 Json LogRole::ControlState() {
   Json streams = Json::object();
+  size_t waiting = 0;
   for (const auto& [name, stream] : streams_) {
+    waiting += stream.waiters.size();
     streams[name] = {{"first_offset", stream.first_offset},
                      {"next_offset", stream.next_offset()}};
   }
@@ -208,6 +210,7 @@
           {"reads", counters_.reads},
           {"read_bytes", counters_.read_bytes},
           {"lost_replies", counters_.lost_replies},
+          {"waiting", waiting},
           {"streams", streams}};
 }
 
