Add the command line, the load tool with its history checker, and tools

Cause: operators need verbs for settings, accounts, events, jobs, instances and status; every later measurement needs open-loop load with a recorded history.

--- /dev/null
+++ b/src/app/thornplank_load/main.cc
@@ -0,0 +1,148 @@
+// thornplank_load: open-loop load with a recorded history, and its checker.
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "history/history_checker.h"
+#include "load_generator.h"
+#include "load_report.h"
+#include "net/io_pool.h"
+
+DEFINE_string(entries, "127.0.0.1:8001", "entries as ip:port,...");
+DEFINE_string(entry_weights, "", "relative load per entry, as 8,1,1");
+DEFINE_string(accounts, "north:north-secret:1",
+              "account:token:share,... that send");
+DEFINE_string(service, "claims", "service that is asked");
+DEFINE_bool(direct, false, "--entries names executors: measures a direct call");
+DEFINE_double(rate, 100, "requests a second");
+DEFINE_int32(duration_ms, 5000, "length of the steady load");
+DEFINE_int32(burst, 0, "further requests sent at once");
+DEFINE_int32(burst_at_ms, 1000, "when the burst leaves");
+DEFINE_double(non_idempotent_share, 0, "share with an Idempotency-Key");
+DEFINE_double(repeat_share, 0,
+              "share of these sent to two entries at the same moment");
+DEFINE_int32(deadline_ms, 2000, "deadline of each request");
+DEFINE_int32(body_bytes, 200, "size of a request body");
+DEFINE_int32(connections, 512, "connections per entry at most");
+DEFINE_int32(threads, 2, "threads that send and receive");
+DEFINE_uint64(seed, 1, "seed of the plan");
+DEFINE_string(name, "load", "part of every id");
+DEFINE_string(history, "", "file for the history, one JSON object a line");
+DEFINE_string(out, "", "file for the report as JSON");
+DEFINE_string(check, "",
+              "checks these history files (comma-separated) instead of "
+              "sending load; needs --runs");
+DEFINE_string(runs, "", "file with the executors' runs, for --check");
+
+namespace thornplank {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFaults = 1;
+constexpr int kExitUsage = 2;
+
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> items;
+  std::istringstream stream(text);
+  for (std::string item; std::getline(stream, item, separator);) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+int Fail(const std::string& message) {
+  std::cerr << "thornplank_load: " << message << "\n";
+  return kExitUsage;
+}
+
+int Check() {
+  Error error;
+  std::vector<HistoryRecord> history;
+  for (const std::string& path : Split(FLAGS_check, ',')) {
+    const auto part = ReadHistory(path, &error);
+    if (!part.has_value()) return Fail(error.ToString());
+    history.insert(history.end(), part->begin(), part->end());
+  }
+  const auto runs = ReadRuns(FLAGS_runs, &error);
+  if (!runs.has_value()) return Fail(error.ToString());
+  const HistoryVerdict verdict = CheckHistory(history, *runs);
+  std::cout << verdict.ToJson().dump(2) << "\n";
+  return verdict.ok() ? kExitOk : kExitFaults;
+}
+
+bool ReadAccounts(LoadSettings* settings) {
+  for (const std::string& text : Split(FLAGS_accounts, ',')) {
+    const std::vector<std::string> parts = Split(text, ':');
+    if (parts.size() != 3) return false;
+    settings->accounts.push_back(
+        {parts[0], parts[1], std::atof(parts[2].c_str())});
+  }
+  return !settings->accounts.empty();
+}
+
+bool ReadSettings(LoadSettings* settings) {
+  settings->entries = Split(FLAGS_entries, ',');
+  for (const std::string& weight : Split(FLAGS_entry_weights, ',')) {
+    settings->entry_weights.push_back(std::atof(weight.c_str()));
+  }
+  settings->service = FLAGS_service;
+  settings->direct = FLAGS_direct;
+  settings->rate = FLAGS_rate;
+  settings->duration = Milliseconds(FLAGS_duration_ms);
+  settings->burst = FLAGS_burst;
+  settings->burst_at = Milliseconds(FLAGS_burst_at_ms);
+  settings->non_idempotent_share = FLAGS_non_idempotent_share;
+  settings->repeat_share = FLAGS_repeat_share;
+  settings->deadline = Milliseconds(FLAGS_deadline_ms);
+  settings->body_bytes = static_cast<size_t>(FLAGS_body_bytes);
+  settings->max_connections_per_entry = static_cast<size_t>(FLAGS_connections);
+  settings->seed = FLAGS_seed;
+  settings->name = FLAGS_name;
+  return ReadAccounts(settings) && !settings->entries.empty();
+}
+
+void WriteHistory(const std::vector<HistoryRecord>& history) {
+  if (FLAGS_history.empty()) return;
+  std::ofstream file(FLAGS_history);
+  for (const HistoryRecord& record : history) {
+    file << ToJson(record).dump() << "\n";
+  }
+}
+
+int Load() {
+  LoadSettings settings;
+  if (!ReadSettings(&settings)) {
+    return Fail("--accounts takes account:token:share,...; see --help");
+  }
+  IoPool pool(FLAGS_threads);
+  pool.Start();
+  std::vector<HistoryRecord> history;
+  {
+    LoadGenerator generator(pool, settings);
+    history = generator.Run();
+  }
+  pool.Stop();
+  WriteHistory(history);
+  const Json report = SummarizeHistory(history);
+  std::cout << report.dump(2) << "\n";
+  if (!FLAGS_out.empty()) std::ofstream(FLAGS_out) << report.dump(2) << "\n";
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace thornplank
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "open-loop load on the services of entries; writes rates, percentiles "
+      "and outcomes.\nexample: thornplank_load --entries=127.0.0.1:8001 "
+      "--rate=200 --duration_ms=5000 --burst=400 --history=history.jsonl\n"
+      "exit codes: 0 done, 1 the checker found faults, 2 wrong command line");
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  if (!FLAGS_check.empty()) return thornplank::Check();
+  return thornplank::Load();
+}
--- /dev/null
+++ b/src/app/thornplankctl/document_commands.cc
@@ -0,0 +1,110 @@
+// thornplankctl accounts … and events ….
+#include <iostream>
+
+#include "client/table_printer.h"
+#include "command.h"
+
+namespace thornplank {
+namespace {
+
+int List(const CommandContext& context, const std::string& noun,
+         const std::vector<std::string>& fields) {
+  Json answer;
+  const int code =
+      CallApi(context, "GET", "/v1/" + noun, "", HttpHeaders(), &answer);
+  if (code != kExitOk) return code;
+  if (context.json) {
+    PrintJson(answer);
+    return kExitOk;
+  }
+  TablePrinter table(fields);
+  if (const Json* items = ArrayField(answer, noun)) {
+    for (const Json& item : *items) {
+      std::vector<std::string> row;
+      for (const std::string& field : fields) row.push_back(Cell(item, field));
+      table.AddRow(row);
+    }
+  }
+  std::cout << table.ToText();
+  return kExitOk;
+}
+
+int Show(const CommandContext& context, const std::string& noun) {
+  Json answer;
+  const int code =
+      CallApi(context, "GET", "/v1/" + noun + "/" + context.arguments[0], "",
+              HttpHeaders(), &answer);
+  if (code == kExitOk) PrintJson(answer);
+  return code;
+}
+
+// Writes the whole document on the condition that it did not change since it
+// was read here.
+int Put(const CommandContext& context, const std::string& noun,
+        const Json& value) {
+  const std::string target = "/v1/" + noun + "/" + context.arguments[0];
+  const std::optional<HttpResponse> current =
+      context.api.Send("GET", target, "", HttpHeaders(), nullptr);
+  HttpHeaders headers;
+  const bool exists = current.has_value() && current->status == 200;
+  headers.Set("If-Match", exists ? current->headers.Value("ETag") : "\"0\"");
+  Json answer;
+  const int code =
+      CallApi(context, "PUT", target, value.dump(), headers, &answer);
+  if (code != kExitOk) return code;
+  if (context.json) {
+    PrintJson(answer);
+  } else {
+    std::cout << "accepted: version " << Cell(answer, "version") << "\n";
+  }
+  return kExitOk;
+}
+
+int PutJson(const CommandContext& context, const std::string& noun) {
+  const std::optional<Json> value = ReadJsonArgument(context.arguments[1]);
+  if (!value.has_value()) return kExitUsage;
+  return Put(context, noun, *value);
+}
+
+}  // namespace
+
+std::vector<Command> DocumentCommands() {
+  return {
+      {"accounts", "list", "", "The client accounts.",
+       "thornplankctl accounts list", 0,
+       [](const CommandContext& context) {
+         return List(context, "accounts",
+                     {"name", "version", "weight", "guaranteed_slots",
+                      "guaranteed_shapes"});
+       }},
+      {"accounts", "show", "NAME", "One client account.",
+       "thornplankctl accounts show north", 1,
+       [](const CommandContext& context) { return Show(context, "accounts"); }},
+      {"accounts", "set", "NAME JSON|@FILE",
+       "Writes a client account's own values as a whole.",
+       "thornplankctl accounts set north "
+       "'{\"weight\":2,\"guaranteed_slots\":8,\"guaranteed_shapes\":[{"
+       "\"members\":4,\"accelerators\":8,\"adjacency\":\"rack\",\"count\":1}]}"
+       "'",
+       2,
+       [](const CommandContext& context) {
+         return PutJson(context, "accounts");
+       }},
+      {"events", "list", "", "The events with their fixed starts.",
+       "thornplankctl events list", 0,
+       [](const CommandContext& context) {
+         return List(context, "events",
+                     {"name", "version", "account", "starts_at_ms", "shapes"});
+       }},
+      {"events", "show", "NAME", "One event.",
+       "thornplankctl events show morning", 1,
+       [](const CommandContext& context) { return Show(context, "events"); }},
+      {"events", "set", "NAME JSON|@FILE", "Declares or changes an event.",
+       "thornplankctl events set morning @morning.json", 2,
+       [](const CommandContext& context) {
+         return PutJson(context, "events");
+       }},
+  };
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/app/thornplankctl/instance_commands.cc
@@ -0,0 +1,98 @@
+// thornplankctl instances …, drain …, and status ….
+#include <iostream>
+
+#include "client/table_printer.h"
+#include "command.h"
+
+namespace thornplank {
+namespace {
+
+int List(const CommandContext& context) {
+  Json answer;
+  const int code =
+      CallApi(context, "GET", "/v1/instances", "", HttpHeaders(), &answer);
+  if (code != kExitOk) return code;
+  if (context.json) {
+    PrintJson(answer);
+    return kExitOk;
+  }
+  TablePrinter table({"NAME", "KIND", "STATE", "ADDRESS", "FAILURE DOMAIN",
+                      "RACK", "ACCELERATORS", "SLOTS"});
+  if (const Json* instances = ArrayField(answer, "instances")) {
+    for (const Json& instance : *instances) {
+      table.AddRow({Cell(instance, "name"), Cell(instance, "kind"),
+                    Cell(instance, "state"), Cell(instance, "address"),
+                    Cell(instance, "failure_domain"), Cell(instance, "rack"),
+                    Cell(instance, "accelerators"), Cell(instance, "slots")});
+    }
+  }
+  std::cout << table.ToText();
+  return kExitOk;
+}
+
+int ChangeDrain(const CommandContext& context, const std::string& method,
+                const std::string& said) {
+  const int code =
+      CallApi(context, method, "/v1/drains/" + context.arguments[0], "",
+              HttpHeaders(), nullptr);
+  if (code == kExitOk) std::cout << said << "\n";
+  return code;
+}
+
+int Status(const CommandContext& context) {
+  TablePrinter table({"ENTRY", "NAME", "READY", "SETTINGS", "JOBS", "CLAIMS",
+                      "EPOCH", "COORDINATOR"});
+  Json all = Json::array();
+  bool all_answered = true;
+  for (const std::string& entry : context.api.entries()) {
+    Error error;
+    const std::optional<HttpResponse> response = context.api.SendTo(
+        entry, "GET", "/v1/status", "", HttpHeaders(), &error);
+    if (!response.has_value() || response->status != 200) {
+      all_answered = false;
+      table.AddRow({entry, "no answer: " + error.reason});
+      continue;
+    }
+    const Json status = ParseJson(response->body).value_or(Json::object());
+    all.push_back(status);
+    const Json none = Json::object();
+    const Json* offsets = ObjectField(status, "offsets");
+    if (offsets == nullptr) offsets = &none;
+    table.AddRow({entry, Cell(status, "name"), Cell(status, "ready"),
+                  Cell(*offsets, "settings"), Cell(*offsets, "jobs"),
+                  Cell(*offsets, "claims"), Cell(status, "epoch"),
+                  Cell(status, "coordinator")});
+  }
+  if (context.json) {
+    PrintJson(all);
+  } else {
+    std::cout << table.ToText();
+  }
+  return all_answered ? kExitOk : kExitNoAnswer;
+}
+
+}  // namespace
+
+std::vector<Command> InstanceCommands() {
+  return {
+      {"instances", "list", "", "Workers, executors and entries.",
+       "thornplankctl instances list", 0, List},
+      {"instances", "drain", "NAME",
+       "No new work for the instance; its gangs move whole.",
+       "thornplankctl instances drain w-17", 1,
+       [](const CommandContext& context) {
+         return ChangeDrain(context, "POST", "draining");
+       }},
+      {"instances", "undrain", "NAME", "Takes the instance back.",
+       "thornplankctl instances undrain w-17", 1,
+       [](const CommandContext& context) {
+         return ChangeDrain(context, "DELETE", "no longer draining");
+       }},
+      {"status", "show", "",
+       "Offsets folded, readiness and coordinator of every entry of --entries.",
+       "thornplankctl --entries=127.0.0.1:8001,127.0.0.1:8002 status show", 0,
+       Status},
+  };
+}
+
+}  // namespace thornplank
