Learn how far to trust the estimated wait

Cause: in a burst of three times the capacity a tenth of the slots' time went into requests that were answered after their deadline, and half of the refusals came only after the caller had waited. Ruled out: a fixed safety factor; the right one depends on how far shares move. Conclusion: admission multiplies the wait by a factor that late refusals raise and timely sends lower; a slot is not given to what will probably be late.

--- /dev/null
+++ b/src/libs/routing/admission_margin.cc
@@ -0,0 +1,25 @@
+// Steps up on late refusals, down on requests sent in time.
+#include "routing/admission_margin.h"
+
+#include <algorithm>
+
+namespace thornplank {
+namespace {
+
+constexpr double kStep = 0.02;
+// Late refusals, as a share of the requests that waited, at which the factor
+// stays where it is.
+constexpr double kAcceptedShare = 0.003;
+constexpr double kLargest = 4.0;
+
+}  // namespace
+
+void AdmissionMargin::RecordLateRefusal() {
+  factor_ = std::min(kLargest, factor_ + kStep);
+}
+
+void AdmissionMargin::RecordSent() {
+  factor_ = std::max(1.0, factor_ - kStep * kAcceptedShare);
+}
+
+}  // namespace thornplank
--- a/src/libs/routing/fair_queue.cc
+++ b/src/libs/routing/fair_queue.cc
@@ -172,7 +172,7 @@
   if (guaranteed) {
     return 0;
   }
-  const double cost = std::max(kUnknownCost, Seconds(ExpectedTime(account)));
+  const double cost = std::max(kUnknownCost, Seconds(TimeOf(account).mean()));
   virtual_time_ = std::max(virtual_time_, target.virtual_start);
   target.virtual_start += cost / target.limits.weight;
   return cost;
@@ -190,12 +190,12 @@
   target.virtual_start += (used - charged) / target.limits.weight;
 }
 
-Duration FairQueue::ExpectedTime(const std::string& account) const {
+const ServiceTime& FairQueue::TimeOf(const std::string& account) const {
   const auto found = accounts_.find(account);
   if (found != accounts_.end() && found->second.service_time.known()) {
-    return found->second.service_time.mean();
+    return found->second.service_time;
   }
-  return service_time_.mean();
+  return service_time_;
 }
 
 void FairQueue::RecordAnswer(const std::string& account, Duration latency) {
@@ -221,10 +221,13 @@
     if (name == account) {
       continue;
     }
-    rest -= std::min(other.guaranteed_here, other.demand());
-    if (!other.waiting.empty() && other.limits.borrowing) {
-      weights += other.limits.weight;
+    if (other.waiting.empty() || !other.limits.borrowing) {
+      rest -= std::max(std::min(other.guaranteed_here, other.demand()),
+                       other.in_flight);
+      continue;
     }
+    rest -= std::min(other.guaranteed_here, other.demand());
+    weights += other.limits.weight;
   }
   const double borrowed = std::max(0.0, rest) * own.limits.weight / weights;
   return std::max(kMinimumSlots, own_guarantee + borrowed);
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -88,8 +88,7 @@
   void End(const std::string& account, double charged,
            std::optional<Duration> latency);
   // Service time of the account, or of the service while that is unknown.
-  Duration ExpectedTime(const std::string& account) const;
-  bool TimeKnown() const { return service_time_.known(); }
+  const ServiceTime& TimeOf(const std::string& account) const;
   void RecordAnswer(const std::string& account, Duration latency);
 
   // Slots out of `slots` that the account can count on, were it to have more
--- a/src/libs/routing/request_router.cc
+++ b/src/libs/routing/request_router.cc
@@ -315,9 +315,7 @@
   table_->SetTimer(request, std::nullopt);
   ServiceRouter* service = Find(request->info.service);
   if (request->phase == RoutedRequest::Phase::kQueued) {
-    service->RemoveQueued(*request);
-    service->FinishUnserved(request, "its turn did not come in time", now,
-                            actions);
+    service->ExpireQueued(request, now, actions);
     return;
   }
   request->phase = RoutedRequest::Phase::kFinished;
--- a/src/libs/routing/request_table.h
+++ b/src/libs/routing/request_table.h
@@ -31,6 +31,7 @@
   // Whether an attempt that has ended may have run.
   bool may_have_run = false;
   bool caller_gone = false;
+  Time queued_at;
   // Of the current or the last attempt.
   std::string executor;
   uint64_t executor_generation = 0;
--- a/src/libs/routing/service_router.cc
+++ b/src/libs/routing/service_router.cc
@@ -96,10 +96,11 @@
   if (!queue_.HasRoom(request.account)) {
     return refuse("the queue of the client account is full");
   }
-  const Duration expected = queue_.ExpectedTime(request.account);
-  const Duration wait = ExpectedWait(request.account, request.deadline);
+  const ServiceTime& time = queue_.TimeOf(request.account);
+  const Duration wait =
+      Scale(ExpectedWait(request.account, request.deadline), margin_.factor());
   const Duration run =
-      wait > Duration::zero() ? expected : expected / kQuickFraction;
+      wait > Duration::zero() ? time.high() : time.mean() / kQuickFraction;
   if (now + wait + run >= request.deadline) {
     return refuse("cannot finish before its deadline");
   }
@@ -108,7 +109,7 @@
 
 Duration ServiceRouter::RetryAfter(const std::string& account,
                                    const std::string& id, Time now) const {
-  const Duration expected = queue_.ExpectedTime(account);
+  const Duration expected = queue_.TimeOf(account).mean();
   const double slots = ExpectedSlots(account);
   const FairQueue::Account* found = queue_.Find(account);
   const double waiting =
@@ -139,12 +140,20 @@
 
 void ServiceRouter::Enqueue(RoutedRequest* request, Time now) {
   request->phase = RoutedRequest::Phase::kQueued;
+  request->queued_at = now;
   queue_.Push(request->info.account, {request->handle, request->info.deadline});
   const Duration quick =
-      queue_.ExpectedTime(request->info.account) / kQuickFraction;
+      queue_.TimeOf(request->info.account).mean() / kQuickFraction;
   table_->SetTimer(request, std::max(now, request->info.deadline - quick));
 }
 
+void ServiceRouter::ExpireQueued(RoutedRequest* request, Time now,
+                                 RoutingActions* actions) {
+  margin_.RecordLateRefusal();
+  RemoveQueued(*request);
+  FinishUnserved(request, "its turn did not come in time", now, actions);
+}
+
 void ServiceRouter::RemoveQueued(const RoutedRequest& request) {
   queue_.Remove(request.info.account, {request.handle, request.info.deadline});
 }
@@ -187,11 +196,18 @@
     return true;
   }
   RoutedRequest* request = table_->At(taken->handle);
-  const Duration quick = queue_.ExpectedTime(*account) / kQuickFraction;
-  if (now + quick >= request->info.deadline) {
+  const ServiceTime& time = queue_.TimeOf(*account);
+  // When others wait, a slot is not spent on what will probably be late.
+  const Duration needed =
+      queue_.size() > 0 ? time.high() : time.mean() / kQuickFraction;
+  if (now + needed >= request->info.deadline) {
+    margin_.RecordLateRefusal();
     FinishUnserved(request, "cannot finish before its deadline", now, actions);
     return true;
   }
+  if (request->queued_at < now) {
+    margin_.RecordSent();
+  }
   Send(request, executor, now, actions);
   return true;
 }
@@ -215,7 +231,7 @@
   if (request->info.idempotent && request->tries + 1 < MaxTries()) {
     // Leaves time for a retry when the executor turns out to be silent.
     const Duration patience = std::max(
-        (deadline - now) / 2, kPatience * queue_.ExpectedTime(account));
+        (deadline - now) / 2, kPatience * queue_.TimeOf(account).mean());
     request->attempt_deadline = std::min(deadline, now + patience);
   }
   table_->SetTimer(request, deadline);
@@ -344,7 +360,7 @@
   if (rank == 0 && pool_.in_flight() < pool_.usable_slots()) {
     return Duration::zero();
   }
-  return Scale(queue_.ExpectedTime(account),
+  return Scale(queue_.TimeOf(account).mean(),
                (rank + 1) / ExpectedSlots(account));
 }
 
@@ -359,6 +375,7 @@
       if (now + Scale(wait, 1 / kHopelessFactor) < last->deadline) {
         break;
       }
+      margin_.RecordLateRefusal();
       RoutedRequest* request = table_->At(last->handle);
       RemoveQueued(*request);
       FinishUnserved(request, "its turn would come after its deadline", now,
--- a/src/libs/routing/service_router.h
+++ b/src/libs/routing/service_router.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/admission_margin.h"
 #include "routing/executor_pool.h"
 #include "routing/fair_queue.h"
 #include "routing/request_table.h"
@@ -50,6 +51,8 @@
 
   void Enqueue(RoutedRequest* request, Time now);
   void RemoveQueued(const RoutedRequest& request);
+  // Gives up on a queued request whose time is up.
+  void ExpireQueued(RoutedRequest* request, Time now, RoutingActions* actions);
   // Sends what can be sent.
   void Dispatch(Time now, RoutingActions* actions);
   // Ends the accounting of an attempt that was in flight. Returns changes of
@@ -82,6 +85,7 @@
   RequestTable* const table_;
   FairQueue queue_;
   ExecutorPool pool_;
+  AdmissionMargin margin_;
   std::vector<std::string> entries_;
   size_t own_entry_ = 0;
   std::map<std::string, std::vector<AccountDemand>> peer_demand_;
--- a/src/libs/routing/service_time.h
+++ b/src/libs/routing/service_time.h
@@ -6,17 +6,21 @@
 
 namespace thornplank {
 
+// All durations are zero while nothing is known.
 class ServiceTime {
  public:
   // The latency of one answered request.
   void Record(Duration latency);
   bool known() const { return samples_ > 0; }
-  // Zero while nothing is known.
   Duration mean() const;
+  // Most requests take less than this.
+  Duration high() const;
 
  private:
-  double mean_ = 0;  // in ticks of Duration
-  int samples_ = 0;  // stops at the length of the window
+  // Both in ticks of Duration.
+  double mean_ = 0;
+  double deviation_ = 0;  // mean of the absolute distance from mean_
+  int samples_ = 0;       // stops at the length of the window
 };
 
 }  // namespace thornplank
