Carry requests between callers, executors and the claim stream

Cause: callers need one route that checks their headers, asks the router for an executor, sends the attempt with the request id as the matched header and answers with exactly one outcome; requests with an idempotency key must be claimed in the log before they are sent. RequestManager takes the HTTP request, RequestDispatcher holds RequestRouter under one mutex and carries out its actions after it, ClaimFlow holds ClaimTable, the claim stream and the questions to other holders. Ruled out: deciding a claim by the reply to its append; a reply may be lost, so only the claim folded back from the stream permits the send. Ruled out: releasing a claim from any other entry than its holder's own run. Conclusion: interfaces are whole, behaviour is still untested.

--- /dev/null
+++ b/src/libs/claims/answer_cache.h
@@ -0,0 +1,55 @@
+// Answers to non-idempotent requests, held for repeats of their keys.
+//
+// Bounded by bytes and by age; the oldest answer goes first. Losing an answer
+// is harmless: the repeat is then told that the answer is no longer held.
+#ifndef THORNPLANK_CLAIMS_ANSWER_CACHE_H_
+#define THORNPLANK_CLAIMS_ANSWER_CACHE_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "base/time.h"
+#include "claims/claim_key.h"
+#include "claims/upstream_answer.h"
+
+namespace thornplank {
+
+struct AnswerCacheLimits {
+  size_t max_bytes = 32 * 1024 * 1024;
+  Duration max_age = std::chrono::minutes(5);
+};
+
+class AnswerCache {
+ public:
+  explicit AnswerCache(AnswerCacheLimits limits);
+
+  // Holds the first answer of a key; an answer larger than all the room there
+  // is is not held.
+  void Put(const Digest128& key, UpstreamAnswer answer, Time now);
+  // nullopt when the answer is not held, or older than the limit.
+  std::optional<UpstreamAnswer> Find(const Digest128& key, Time now) const;
+
+  size_t bytes() const { return bytes_; }
+  size_t size() const { return answers_.size(); }
+
+ private:
+  struct Slot {
+    UpstreamAnswer answer;
+    Time since;
+  };
+
+  void DropOldest();
+
+  const AnswerCacheLimits limits_;
+  // Sum of CostOf over answers_; at most limits_.max_bytes.
+  size_t bytes_ = 0;
+  std::unordered_map<Digest128, Slot, Digest128Hash> answers_;
+  // The keys of answers_, oldest first.
+  std::deque<Digest128> order_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_CLAIMS_ANSWER_CACHE_H_
--- /dev/null
+++ b/src/libs/claims/claim_table.cc
@@ -0,0 +1,386 @@
+// Folding of claim records, and what this entry may do about a key.
+#include "claims/claim_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+// Names one claim together with its holder, so that nobody can release the
+// claim of another by its id alone.
+Digest128 ClaimDigest(const ClaimRecord& record) {
+  return ClaimKeyDigest(record.claim_id, record.holder.entry,
+                        record.holder.incarnation);
+}
+
+Digest128 KeyDigest(const ClaimRecord& record) {
+  return ClaimKeyDigest(record.account, record.service, record.key);
+}
+
+ClaimDecision Refuse(ClaimRefusal refusal) {
+  ClaimDecision decision;
+  decision.kind = ClaimDecisionKind::kRefuse;
+  decision.refusal = refusal;
+  return decision;
+}
+
+ClaimDecision Join(const std::string& claim_id) {
+  ClaimDecision decision;
+  decision.kind = ClaimDecisionKind::kJoin;
+  decision.claim_id = claim_id;
+  return decision;
+}
+
+}  // namespace
+
+ClaimTable::ClaimTable(ClaimTableSettings settings)
+    : settings_(std::move(settings)) {}
+
+// A claim is folded as valid only while the log's clock is at most
+// window + margin past the key time, and at least (ahead + margin) before it
+// never. So from the first valid claim of a key to the last possible one lie at
+// most window + ahead + 2 * margin.
+Duration ClaimTable::retention() const {
+  return settings_.window + settings_.max_key_time_ahead +
+         2 * settings_.clock_margin;
+}
+
+std::optional<ClaimEvent> ClaimTable::Fold(const ClaimRecord& record,
+                                           WallTime time) {
+  log_time_ = std::max(log_time_, time);
+  if (after_gap_) {
+    after_gap_ = false;
+    remembered_since_ = std::min(*remembered_since_, time);
+  }
+  Expire();
+  switch (record.kind) {
+    case ClaimRecordKind::kClaim:
+      return FoldClaim(record);
+    case ClaimRecordKind::kReleased:
+      FoldReleased(record);
+      break;
+    case ClaimRecordKind::kDone:
+      FoldDone(record);
+      break;
+  }
+  return std::nullopt;
+}
+
+std::optional<ClaimEvent> ClaimTable::FoldClaim(const ClaimRecord& record) {
+  const Digest128 claim = ClaimDigest(record);
+  if (dead_claims_.count(claim) > 0) return std::nullopt;
+  const ClaimRefusal refusal = CheckTimes(record);
+  if (refusal != ClaimRefusal::kNone) return Lose(record, claim, refusal);
+  const Digest128 key = KeyDigest(record);
+  const auto held = keys_.find(key);
+  if (held != keys_.end()) {
+    if (held->second.claim == claim) return std::nullopt;
+    return Lose(record, claim, ClaimRefusal::kNone);
+  }
+  KeyState state;
+  state.body_digest = record.body_digest;
+  state.claim = claim;
+  state.holder = Intern(record.holder);
+  KeyState* inserted = &keys_.emplace(key, state).first->second;
+  key_expiry_.push_back({log_time_ + retention(), key, claim});
+  return Win(record, inserted);
+}
+
+std::optional<ClaimEvent> ClaimTable::Win(const ClaimRecord& record,
+                                          KeyState* held) {
+  const auto own = own_claims_.find(record.claim_id);
+  if (own == own_claims_.end()) return std::nullopt;
+  if (own->second.phase == AttemptPhase::kAbandoned) {
+    held->phase = Phase::kReleasing;
+    return std::nullopt;
+  }
+  ClaimEvent event;
+  event.claim_id = record.claim_id;
+  if (!Remembers(record.key_time)) {
+    event.kind = ClaimEventKind::kLost;
+    event.refusal = ClaimRefusal::kKeyNotRemembered;
+    event.release = Release(record.claim_id);
+    return event;
+  }
+  own->second.phase = AttemptPhase::kWon;
+  event.kind = ClaimEventKind::kWon;
+  return event;
+}
+
+std::optional<ClaimEvent> ClaimTable::Lose(const ClaimRecord& record,
+                                           const Digest128& claim,
+                                           ClaimRefusal refusal) {
+  Bury(claim);
+  const auto found = own_claims_.find(record.claim_id);
+  if (found == own_claims_.end()) return std::nullopt;
+  const OwnClaim own = std::move(found->second);
+  own_claims_.erase(found);
+  RemoveByKey(own);
+  if (own.phase != AttemptPhase::kPending) return std::nullopt;
+  ClaimEvent event;
+  event.kind = ClaimEventKind::kLost;
+  event.claim_id = record.claim_id;
+  event.refusal = refusal;
+  return event;
+}
+
+void ClaimTable::FoldReleased(const ClaimRecord& record) {
+  const Digest128 claim = ClaimDigest(record);
+  Bury(claim);
+  const auto held = keys_.find(KeyDigest(record));
+  if (held != keys_.end() && held->second.claim == claim &&
+      held->second.phase != Phase::kDone) {
+    keys_.erase(held);
+  }
+  const auto own = own_claims_.find(record.claim_id);
+  if (own == own_claims_.end()) return;
+  RemoveByKey(own->second);
+  own_claims_.erase(own);
+}
+
+void ClaimTable::FoldDone(const ClaimRecord& record) {
+  const auto held = keys_.find(KeyDigest(record));
+  if (held == keys_.end() || held->second.claim != ClaimDigest(record)) return;
+  held->second.phase = Phase::kDone;
+}
+
+ClaimRefusal ClaimTable::CheckTimes(const ClaimRecord& record) const {
+  const Duration margin = settings_.clock_margin;
+  if (record.key_time > log_time_ + settings_.max_key_time_ahead + margin) {
+    return ClaimRefusal::kKeyTimeAhead;
+  }
+  if (record.key_time + settings_.window + margin < log_time_) {
+    return ClaimRefusal::kKeyExpired;
+  }
+  return ClaimRefusal::kNone;
+}
+
+// No claim of the key can be older than the key time less (ahead + margin).
+bool ClaimTable::Remembers(WallTime key_time) const {
+  if (!remembered_since_) return true;
+  return key_time - settings_.max_key_time_ahead - settings_.clock_margin >=
+         *remembered_since_;
+}
+
+void ClaimTable::Bury(const Digest128& claim) {
+  if (!dead_claims_.insert(claim).second) return;
+  dead_expiry_.push_back({log_time_ + retention(), claim});
+}
+
+void ClaimTable::Expire() {
+  while (!key_expiry_.empty() && key_expiry_.front().at < log_time_) {
+    const KeyExpiry& expiry = key_expiry_.front();
+    const auto held = keys_.find(expiry.key);
+    if (held != keys_.end() && held->second.claim == expiry.claim) {
+      keys_.erase(held);
+    }
+    key_expiry_.pop_front();
+  }
+  while (!dead_expiry_.empty() && dead_expiry_.front().at < log_time_) {
+    dead_claims_.erase(dead_expiry_.front().claim);
+    dead_expiry_.pop_front();
+  }
+  while (!abandoned_expiry_.empty() &&
+         abandoned_expiry_.front().at < log_time_) {
+    own_claims_.erase(abandoned_expiry_.front().claim_id);
+    abandoned_expiry_.pop_front();
+  }
+}
+
+void ClaimTable::NoteGap(WallTime now) {
+  after_gap_ = true;
+  remembered_since_ = now + settings_.clock_margin;
+}
+
+void ClaimTable::SetLiveEntries(std::vector<ClaimHolder> entries) {
+  live_ = std::move(entries);
+}
+
+ClaimDecision ClaimTable::Look(const ClaimRequest& request, WallTime now,
+                               bool log_available) const {
+  if (request.key_time > now + settings_.max_key_time_ahead) {
+    return Refuse(ClaimRefusal::kKeyTimeAhead);
+  }
+  const Digest128 key =
+      ClaimKeyDigest(request.account, request.service, request.key);
+  const auto held = keys_.find(key);
+  if (held != keys_.end()) return LookHeld(held->second, request);
+  const auto pending = own_by_key_.find(key);
+  if (pending != own_by_key_.end()) {
+    const OwnClaim& own = own_claims_.at(pending->second);
+    if (own.record.body_digest != request.body_digest) {
+      return Refuse(ClaimRefusal::kBodyDiffers);
+    }
+    return Join(pending->second);
+  }
+  const ClaimRefusal refusal = CheckAbsent(request, now, log_available);
+  if (refusal != ClaimRefusal::kNone) return Refuse(refusal);
+  ClaimDecision decision;
+  decision.kind = ClaimDecisionKind::kAppend;
+  decision.claim_id = request.claim_id;
+  return decision;
+}
+
+ClaimDecision ClaimTable::LookHeld(const KeyState& held,
+                                   const ClaimRequest& request) const {
+  if (held.body_digest != request.body_digest) {
+    return Refuse(ClaimRefusal::kBodyDiffers);
+  }
+  const ClaimHolder& holder = holders_[held.holder];
+  if (holder == settings_.self) {
+    return LookOwn(
+        held, ClaimKeyDigest(request.account, request.service, request.key));
+  }
+  if (IsLive(holder)) {
+    ClaimDecision decision;
+    decision.kind = ClaimDecisionKind::kAskHolder;
+    decision.holder = holder;
+    return decision;
+  }
+  return Refuse(held.phase == Phase::kDone ? ClaimRefusal::kAnswerNotHeld
+                                           : ClaimRefusal::kHolderGone);
+}
+
+ClaimDecision ClaimTable::LookOwn(const KeyState& held,
+                                  const Digest128& key) const {
+  switch (held.phase) {
+    case Phase::kDone: {
+      ClaimDecision decision;
+      decision.kind = ClaimDecisionKind::kAnsweredHere;
+      return decision;
+    }
+    case Phase::kUnknown:
+      return Refuse(ClaimRefusal::kOutcomeUnknown);
+    case Phase::kReleasing:
+      return Refuse(ClaimRefusal::kBeingReleased);
+    case Phase::kHeld:
+      break;
+  }
+  const auto running = own_by_key_.find(key);
+  if (running == own_by_key_.end()) {
+    return Refuse(ClaimRefusal::kOutcomeUnknown);
+  }
+  return Join(running->second);
+}
+
+ClaimRefusal ClaimTable::CheckAbsent(const ClaimRequest& request, WallTime now,
+                                     bool log_available) const {
+  if (request.key_time + settings_.window < now) {
+    return ClaimRefusal::kKeyExpired;
+  }
+  if (!caught_up_) return ClaimRefusal::kNotCaughtUp;
+  if (!Remembers(request.key_time)) return ClaimRefusal::kKeyNotRemembered;
+  if (!log_available) return ClaimRefusal::kLogDown;
+  if (keys_.size() + own_claims_.size() >= settings_.max_keys) {
+    return ClaimRefusal::kTableFull;
+  }
+  return ClaimRefusal::kNone;
+}
+
+ClaimDecision ClaimTable::Begin(const ClaimRequest& request, WallTime now,
+                                bool log_available) {
+  ClaimDecision decision = Look(request, now, log_available);
+  if (decision.kind != ClaimDecisionKind::kAppend) return decision;
+  OwnClaim own;
+  own.record.kind = ClaimRecordKind::kClaim;
+  own.record.account = request.account;
+  own.record.service = request.service;
+  own.record.key = request.key;
+  own.record.holder = settings_.self;
+  own.record.claim_id = request.claim_id;
+  own.record.key_time = request.key_time;
+  own.record.body_digest = request.body_digest;
+  own.key = KeyDigest(own.record);
+  own_by_key_[own.key] = request.claim_id;
+  decision.record = own.record;
+  own_claims_[request.claim_id] = std::move(own);
+  return decision;
+}
+
+bool ClaimTable::MaySend(const std::string& claim_id) const {
+  const auto own = own_claims_.find(claim_id);
+  if (own == own_claims_.end()) return false;
+  if (own->second.phase != AttemptPhase::kWon) return false;
+  const auto held = keys_.find(own->second.key);
+  return held != keys_.end() &&
+         held->second.claim == ClaimDigest(own->second.record);
+}
+
+std::optional<ClaimRecord> ClaimTable::Release(const std::string& claim_id) {
+  const auto found = own_claims_.find(claim_id);
+  if (found == own_claims_.end()) return std::nullopt;
+  OwnClaim& own = found->second;
+  if (own.phase == AttemptPhase::kAbandoned) return std::nullopt;
+  own.phase = AttemptPhase::kAbandoned;
+  RemoveByKey(own);
+  const auto held = keys_.find(own.key);
+  if (held != keys_.end() && held->second.claim == ClaimDigest(own.record)) {
+    held->second.phase = Phase::kReleasing;
+  }
+  abandoned_expiry_.push_back({log_time_ + retention(), claim_id});
+  return RecordOf(own, ClaimRecordKind::kReleased);
+}
+
+void ClaimTable::ForgetUnappended(const std::string& claim_id) {
+  const auto found = own_claims_.find(claim_id);
+  if (found == own_claims_.end()) return;
+  RemoveByKey(found->second);
+  own_claims_.erase(found);
+}
+
+std::optional<ClaimRecord> ClaimTable::Finish(const std::string& claim_id,
+                                              int status) {
+  const auto found = own_claims_.find(claim_id);
+  if (found == own_claims_.end()) return std::nullopt;
+  const OwnClaim own = std::move(found->second);
+  own_claims_.erase(found);
+  RemoveByKey(own);
+  const auto held = keys_.find(own.key);
+  if (held != keys_.end() && held->second.claim == ClaimDigest(own.record)) {
+    held->second.phase = Phase::kDone;
+  }
+  ClaimRecord record = RecordOf(own, ClaimRecordKind::kDone);
+  record.status = status;
+  return record;
+}
+
+void ClaimTable::FinishUnknown(const std::string& claim_id) {
+  const auto found = own_claims_.find(claim_id);
+  if (found == own_claims_.end()) return;
+  const OwnClaim own = std::move(found->second);
+  own_claims_.erase(found);
+  RemoveByKey(own);
+  const auto held = keys_.find(own.key);
+  if (held == keys_.end()) return;
+  if (held->second.claim != ClaimDigest(own.record)) return;
+  held->second.phase = Phase::kUnknown;
+}
+
+void ClaimTable::RemoveByKey(const OwnClaim& own) {
+  const auto found = own_by_key_.find(own.key);
+  if (found == own_by_key_.end()) return;
+  if (found->second == own.record.claim_id) own_by_key_.erase(found);
+}
+
+bool ClaimTable::IsLive(const ClaimHolder& holder) const {
+  return std::find(live_.begin(), live_.end(), holder) != live_.end();
+}
+
+ClaimTable::HolderIndex ClaimTable::Intern(const ClaimHolder& holder) {
+  const auto found = std::find(holders_.begin(), holders_.end(), holder);
+  if (found != holders_.end()) {
+    return static_cast<HolderIndex>(found - holders_.begin());
+  }
+  holders_.push_back(holder);
+  return static_cast<HolderIndex>(holders_.size() - 1);
+}
+
+ClaimRecord ClaimTable::RecordOf(const OwnClaim& own,
+                                 ClaimRecordKind kind) const {
+  ClaimRecord record = own.record;
+  record.kind = kind;
+  return record;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/requests/request_dispatcher.cc
@@ -0,0 +1,351 @@
+// The router under its mutex, and the actions it asks for.
+#include "requests/request_dispatcher.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "net/http_client.h"
+#include "requests/attempt_sender.h"
+#include "requests/routing_log.h"
+
+namespace thornplank {
+namespace {
+
+// A request from Submit until it is finished and no attempt is in flight.
+struct Call {
+  Dispatch dispatch;
+  bool finished = false;
+  RequestOutcome outcome = RequestOutcome::kUnknown;
+  // The answer of the attempt that was completed last.
+  std::optional<UpstreamAnswer> answer;
+  int attempts_in_flight = 0;
+};
+
+// Work collected under the mutex and done after it.
+using Deferred = std::vector<std::function<void()>>;
+
+RequestInfo ToInfo(const std::string& id, const CallerRequest& request,
+                   Time deadline) {
+  RequestInfo info;
+  info.id = id;
+  info.account = request.account;
+  info.service = request.service;
+  info.deadline = deadline;
+  info.idempotent = request.idempotent();
+  return info;
+}
+
+DispatchResult UnknownResult(std::string reason) {
+  DispatchResult result;
+  result.outcome = RequestOutcome::kUnknown;
+  result.reason = std::move(reason);
+  return result;
+}
+
+}  // namespace
+
+class RequestDispatcher::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, HttpClient& http, RouterOptions options)
+      : sender_(http), router_(std::move(options)), wake_timer_(io) {}
+
+  void Start();
+  void Stop();
+  void Submit(Dispatch dispatch);
+  std::optional<Refusal> CheckAdmission(const RequestInfo& info) const;
+  PeerDemand demand() const;
+  size_t unsettled() const;
+
+  // Feeds one event to the router and carries its actions out. `event` runs
+  // with the mutex held.
+  void Feed(const std::function<RoutingActions(RequestRouter&, Time)>& event);
+
+ private:
+  void Complete(const SendAttempt& action, AttemptReport report);
+  void ProbeDone(const std::string& executor, const AttemptResult& result);
+  void Tick();
+
+  // The following are called with the mutex held.
+  void Prepare(const RoutingActions& actions, Deferred* deferred);
+  void PrepareSend(const SendAttempt& action, Deferred* deferred);
+  void PrepareProbe(const ProbeExecutor& action, Deferred* deferred);
+  void PrepareFinish(const std::string& id, DispatchResult result,
+                     Deferred* deferred);
+  void PrepareSettle(const std::string& id, Deferred* deferred);
+  void ArmWakeTimer();
+
+  AttemptSender sender_;
+
+  // Guards everything below. Never held while a send or a callback runs.
+  mutable std::mutex mutex_;
+  RequestRouter router_;
+  std::unordered_map<std::string, Call> calls_;
+  bool running_ = false;
+  boost::asio::steady_timer wake_timer_;
+  // When wake_timer_ fires; nullopt when it is not armed.
+  std::optional<Time> wake_at_;
+};
+
+void RequestDispatcher::Impl::Feed(
+    const std::function<RoutingActions(RequestRouter&, Time)>& event) {
+  Deferred deferred;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    Prepare(event(router_, std::chrono::steady_clock::now()), &deferred);
+    ArmWakeTimer();
+  }
+  for (const auto& work : deferred) work();
+}
+
+void RequestDispatcher::Impl::Submit(Dispatch dispatch) {
+  Feed([&](RequestRouter& router, Time now) {
+    const RequestInfo info =
+        ToInfo(dispatch.id, dispatch.request, dispatch.deadline);
+    calls_[info.id].dispatch = std::move(dispatch);
+    return router.Submit(info, now);
+  });
+}
+
+void RequestDispatcher::Impl::Prepare(const RoutingActions& actions,
+                                      Deferred* deferred) {
+  for (const RoutingAction& action : actions) {
+    LogRoutingAction(action);
+    if (const auto* send = std::get_if<SendAttempt>(&action)) {
+      PrepareSend(*send, deferred);
+    } else if (const auto* probe = std::get_if<ProbeExecutor>(&action)) {
+      PrepareProbe(*probe, deferred);
+    } else if (const auto* answered = std::get_if<FinishAnswered>(&action)) {
+      DispatchResult result;
+      result.outcome = RequestOutcome::kAnswered;
+      PrepareFinish(answered->request_id, std::move(result), deferred);
+    } else if (const auto* not_run = std::get_if<FinishNotRun>(&action)) {
+      DispatchResult result;
+      result.outcome = RequestOutcome::kNotRun;
+      result.reason = not_run->reason;
+      result.retry_after = not_run->retry_after;
+      PrepareFinish(not_run->request_id, std::move(result), deferred);
+    } else if (const auto* unknown = std::get_if<FinishUnknown>(&action)) {
+      PrepareFinish(unknown->request_id, UnknownResult(unknown->reason),
+                    deferred);
+    }
+  }
+}
+
+void RequestDispatcher::Impl::PrepareSend(const SendAttempt& action,
+                                          Deferred* deferred) {
+  const auto found = calls_.find(action.request_id);
+  if (found == calls_.end()) return;
+  Call& call = found->second;
+  ++call.attempts_in_flight;
+  const CallerRequest& request = call.dispatch.request;
+  Attempt attempt;
+  attempt.id = action.request_id + "-" + std::to_string(action.attempt);
+  attempt.service = request.service;
+  attempt.executor = action.executor;
+  attempt.address = action.address;
+  attempt.content_type = request.content_type;
+  attempt.body = request.body;
+  attempt.deadline = action.attempt_deadline;
+  attempt.may_send = call.dispatch.may_send;
+  if (request.idempotency_key) {
+    attempt.idempotency_key = request.idempotency_key->key;
+  }
+  deferred->push_back([self = shared_from_this(), action,
+                       attempt = std::move(attempt)]() mutable {
+    self->sender_.Send(std::move(attempt),
+                       [self, action](AttemptReport report) {
+                         self->Complete(action, std::move(report));
+                       });
+  });
+}
+
+void RequestDispatcher::Impl::PrepareProbe(const ProbeExecutor& action,
+                                           Deferred* deferred) {
+  deferred->push_back([self = shared_from_this(), action] {
+    const Duration timeout =
+        action.probe_deadline - std::chrono::steady_clock::now();
+    self->sender_.Probe(
+        action.address, timeout,
+        [self, executor = action.executor](const AttemptResult& result) {
+          self->ProbeDone(executor, result);
+        });
+  });
+}
+
+void RequestDispatcher::Impl::PrepareFinish(const std::string& id,
+                                            DispatchResult result,
+                                            Deferred* deferred) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second.finished) return;
+  Call& call = found->second;
+  const bool has_answer = call.answer.has_value();
+  if (result.outcome == RequestOutcome::kAnswered && !has_answer) {
+    result = UnknownResult("the answer was lost inside the entry");
+  }
+  // Nothing is called "not run" while an attempt might still send.
+  if (result.outcome == RequestOutcome::kNotRun &&
+      call.attempts_in_flight > 0) {
+    result = UnknownResult(result.reason);
+  }
+  if (result.outcome == RequestOutcome::kAnswered) {
+    result.answer = std::move(*call.answer);
+    call.answer.reset();
+  }
+  call.finished = true;
+  call.outcome = result.outcome;
+  deferred->push_back(
+      [finished = std::move(call.dispatch.finished),
+       result = std::move(result)]() mutable { finished(std::move(result)); });
+  PrepareSettle(id, deferred);
+}
+
+void RequestDispatcher::Impl::PrepareSettle(const std::string& id,
+                                            Deferred* deferred) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Call& call = found->second;
+  if (!call.finished || call.attempts_in_flight > 0) return;
+  std::optional<UpstreamAnswer> late_answer;
+  if (call.outcome == RequestOutcome::kUnknown) {
+    late_answer = std::move(call.answer);
+  }
+  if (call.dispatch.settled) {
+    deferred->push_back([settled = std::move(call.dispatch.settled),
+                         late_answer = std::move(late_answer)]() mutable {
+      settled(std::move(late_answer));
+    });
+  }
+  calls_.erase(found);
+}
+
+void RequestDispatcher::Impl::Complete(const SendAttempt& action,
+                                       AttemptReport report) {
+  LogAttemptEnd(action, report);
+  Deferred deferred;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = calls_.find(action.request_id);
+    if (found != calls_.end()) {
+      --found->second.attempts_in_flight;
+      found->second.answer = std::move(report.answer);
+    }
+    Prepare(router_.Complete(action.request_id, action.executor, report.result,
+                             std::chrono::steady_clock::now()),
+            &deferred);
+    PrepareSettle(action.request_id, &deferred);
+    ArmWakeTimer();
+  }
+  for (const auto& work : deferred) work();
+}
+
+void RequestDispatcher::Impl::ProbeDone(const std::string& executor,
+                                        const AttemptResult& result) {
+  Feed([&](RequestRouter& router, Time now) {
+    return router.ProbeResult(executor, result, now);
+  });
+}
+
+void RequestDispatcher::Impl::ArmWakeTimer() {
+  if (!running_) return;
+  const std::optional<Time> next = router_.NextWake();
+  if (!next || (wake_at_ && *wake_at_ <= *next)) return;
+  wake_at_ = next;
+  wake_timer_.expires_at(*next);
+  wake_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& code) {
+        if (code) return;
+        if (auto self = weak.lock()) self->Tick();
+      });
+}
+
+void RequestDispatcher::Impl::Tick() {
+  Feed([this](RequestRouter& router, Time now) {
+    wake_at_.reset();
+    return router.Tick(now);
+  });
+}
+
+void RequestDispatcher::Impl::Start() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  running_ = true;
+  ArmWakeTimer();
+}
+
+void RequestDispatcher::Impl::Stop() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  running_ = false;
+  wake_at_.reset();
+  wake_timer_.cancel();
+}
+
+std::optional<Refusal> RequestDispatcher::Impl::CheckAdmission(
+    const RequestInfo& info) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return router_.CheckAdmission(info, std::chrono::steady_clock::now());
+}
+
+PeerDemand RequestDispatcher::Impl::demand() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return router_.demand();
+}
+
+size_t RequestDispatcher::Impl::unsettled() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return calls_.size();
+}
+
+RequestDispatcher::RequestDispatcher(boost::asio::io_context& io,
+                                     HttpClient& http, RouterOptions options)
+    : impl_(std::make_shared<Impl>(io, http, std::move(options))) {}
+
+RequestDispatcher::~RequestDispatcher() { Stop(); }
+
+void RequestDispatcher::Start() { impl_->Start(); }
+
+void RequestDispatcher::Stop() { impl_->Stop(); }
+
+void RequestDispatcher::SetAccounts(
+    const std::vector<AccountLimits>& accounts) {
+  impl_->Feed([&](RequestRouter& router, Time now) {
+    return router.SetAccounts(accounts, now);
+  });
+}
+
+void RequestDispatcher::SetExecutors(
+    const std::vector<ExecutorInfo>& executors) {
+  impl_->Feed([&](RequestRouter& router, Time now) {
+    return router.SetExecutors(executors, now);
+  });
+}
+
+void RequestDispatcher::SetPeers(const std::string& own_name,
+                                 const std::vector<std::string>& live_entries) {
+  impl_->Feed([&](RequestRouter& router, Time now) {
+    return router.SetPeers(own_name, live_entries, now);
+  });
+}
+
+void RequestDispatcher::SetPeerDemand(const PeerDemand& demand) {
+  impl_->Feed([&](RequestRouter& router, Time now) {
+    return router.SetPeerDemand(demand, now);
+  });
+}
+
+PeerDemand RequestDispatcher::demand() const { return impl_->demand(); }
+
+std::optional<Refusal> RequestDispatcher::CheckAdmission(
+    const std::string& id, const CallerRequest& request, Time deadline) const {
+  return impl_->CheckAdmission(ToInfo(id, request, deadline));
+}
+
+void RequestDispatcher::Submit(Dispatch dispatch) {
+  impl_->Submit(std::move(dispatch));
+}
+
+size_t RequestDispatcher::unsettled() const { return impl_->unsettled(); }
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/requests/request_manager.cc
@@ -0,0 +1,453 @@
+// From a caller's HTTP request to its answer.
+#include "requests/request_manager.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "api/api_router.h"
+#include "logging/events/claims_events.h"
+#include "metrics/metrics_registry.h"
+#include "protocol/peer_mesh.h"
+#include "requests/caller_request.h"
+#include "requests/claim_flow.h"
+#include "requests/demand_exchange.h"
+#include "requests/request_answer.h"
+#include "requests/request_dispatcher.h"
+
+namespace thornplank {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kGatewayTimeout = 504;
+constexpr char kRoute[] = "/v1/services/{service}/requests";
+constexpr Duration kDrainCheckInterval = Milliseconds(20);
+// With the log down, its last records may never be appended.
+constexpr Duration kMaxDrainForRecords = std::chrono::seconds(3);
+
+// One request of a caller.
+struct Exchange {
+  std::string id;
+  CallerRequest request;
+  Time arrival;
+  Time deadline;
+  HttpServer::Responder respond;
+  // Set once the claim on the key is won.
+  std::string claim_id;
+  RequestOutcome outcome = RequestOutcome::kUnknown;
+};
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+CallerRequestLimits ToLimits(const RequestManagerSettings& settings) {
+  return {settings.default_deadline, settings.max_deadline,
+          settings.max_request_bytes, settings.max_idempotency_key_bytes};
+}
+
+RequestFault ToFault(const ClaimVerdict& verdict) {
+  if (verdict.refusal == ClaimRefusal::kBodyDiffers) {
+    return {kUnprocessable, "Idempotency key used before", verdict.reason};
+  }
+  return {kBadRequest, "Bad idempotency key time", verdict.reason};
+}
+
+}  // namespace
+
+class RequestManager::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, HttpClient& http, PeerMesh* mesh,
+       LogClient& log, MetricsRegistry& metrics,
+       const RequestManagerSettings& settings)
+      : io_(io),
+        settings_(settings),
+        metrics_(metrics),
+        mesh_(mesh),
+        dispatcher_(io, http, {settings.seed, settings.failure_domain}),
+        claims_(io, log, mesh, metrics, settings),
+        drain_timer_(io) {}
+
+  void Connect();
+  void Handle(const HttpRequest& request, const Caller& caller,
+              const PathParameters& parameters, HttpServer::Responder respond);
+  void Start();
+  void Stop();
+  void SetAccounts(const std::vector<AccountLimits>& accounts);
+  void SetExecutors(const std::vector<ExecutorInfo>& executors);
+  void SetLiveEntries(const std::vector<ClaimHolder>& entries);
+  void Drain(std::function<void()> done);
+  size_t in_flight() const;
+  bool claims_ready() const { return claims_.ready(); }
+  int64_t claims_offset() const { return claims_.offset(); }
+
+ private:
+  std::optional<CallerRequest> Read(const HttpRequest& request,
+                                    const Caller& caller,
+                                    const std::string& service,
+                                    RequestFault* fault) const;
+  std::optional<RequestFault> CheckNames(const std::string& account,
+                                         const std::string& service) const;
+  std::string NextRequestId();
+  void Acquire(const ExchangePtr& exchange);
+  void HandleVerdict(const ExchangePtr& exchange, ClaimVerdict verdict);
+  void Submit(const ExchangePtr& exchange);
+  void Finish(const ExchangePtr& exchange, DispatchResult result);
+  void Settle(const ExchangePtr& exchange,
+              const std::optional<UpstreamAnswer>& late_answer);
+  void Refuse(const ExchangePtr& exchange, const RequestFault& fault);
+  void Answer(const ExchangePtr& exchange, HttpResponse response,
+              const char* outcome);
+  void CheckDrained(Time begun, std::function<void()> done);
+
+  boost::asio::io_context& io_;
+  const RequestManagerSettings settings_;
+  MetricsRegistry& metrics_;
+  PeerMesh* const mesh_;
+  RequestDispatcher dispatcher_;
+  ClaimFlow claims_;
+  // Null without a mesh.
+  std::unique_ptr<DemandExchange> demand_;
+
+  // Guards everything below; no other lock is taken while it is held.
+  mutable std::mutex mutex_;
+  std::set<std::string> accounts_;
+  // Every service that an executor ever had: one whose executors are all gone
+  // is not unknown.
+  std::set<std::string> services_;
+  uint64_t next_request_ = 1;
+  // Exchanges without an answer.
+  size_t unanswered_ = 0;
+  boost::asio::steady_timer drain_timer_;
+};
+
+void RequestManager::Impl::Connect() {
+  const std::weak_ptr<Impl> weak = weak_from_this();
+  metrics_.AddGauge("thornplank_requests_in_flight",
+                    "Requests of callers without an answer yet.", {}, [weak] {
+                      auto self = weak.lock();
+                      return self ? static_cast<double>(self->in_flight()) : 0;
+                    });
+  if (mesh_ == nullptr) return;
+  demand_ = std::make_unique<DemandExchange>(
+      io_, *mesh_, settings_.demand_interval, settings_.demand_refresh,
+      [weak] {
+        auto self = weak.lock();
+        return self ? self->dispatcher_.demand() : PeerDemand{};
+      },
+      [weak](const PeerDemand& demand) {
+        if (auto self = weak.lock()) self->dispatcher_.SetPeerDemand(demand);
+      });
+}
+
+void RequestManager::Impl::Handle(const HttpRequest& request,
+                                  const Caller& caller,
+                                  const PathParameters& parameters,
+                                  HttpServer::Responder respond) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->id = NextRequestId();
+  exchange->arrival = std::chrono::steady_clock::now();
+  exchange->respond = std::move(respond);
+  const auto service = parameters.find("service");
+  RequestFault fault;
+  auto read = Read(request, caller,
+                   service == parameters.end() ? "" : service->second, &fault);
+  if (!read) {
+    Refuse(exchange, fault);
+    return;
+  }
+  exchange->request = std::move(*read);
+  exchange->deadline = exchange->arrival + exchange->request.time_allowed;
+  if (exchange->request.idempotent()) {
+    Submit(exchange);
+  } else {
+    Acquire(exchange);
+  }
+}
+
+std::optional<CallerRequest> RequestManager::Impl::Read(
+    const HttpRequest& request, const Caller& caller,
+    const std::string& service, RequestFault* fault) const {
+  if (caller.role == Role::kViewer) {
+    *fault = {kForbidden, "Not allowed", "a viewer may not send requests"};
+    return std::nullopt;
+  }
+  if (auto unknown = CheckNames(caller.account, service)) {
+    *fault = std::move(*unknown);
+    return std::nullopt;
+  }
+  return ReadCallerRequest(request, caller.account, service,
+                           ToLimits(settings_), fault);
+}
+
+std::optional<RequestFault> RequestManager::Impl::CheckNames(
+    const std::string& account, const std::string& service) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (accounts_.count(account) == 0) {
+    return RequestFault{kForbidden, "Unknown account",
+                        "client account '" + account + "' is not declared"};
+  }
+  if (services_.count(service) == 0) {
+    return RequestFault{kNotFound, "Unknown service",
+                        "no service '" + service + "' has executors"};
+  }
+  return std::nullopt;
+}
+
+// Counts the request as in flight, too.
+std::string RequestManager::Impl::NextRequestId() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++unanswered_;
+  return settings_.self.entry + "-" + settings_.self.incarnation + "-" +
+         std::to_string(next_request_++);
+}
+
+void RequestManager::Impl::Acquire(const ExchangePtr& exchange) {
+  auto admit = [self = shared_from_this(), exchange] {
+    return self->dispatcher_.CheckAdmission(exchange->id, exchange->request,
+                                            exchange->deadline);
+  };
+  claims_.Acquire(exchange->request, exchange->deadline, std::move(admit),
+                  [self = shared_from_this(), exchange](ClaimVerdict verdict) {
+                    self->HandleVerdict(exchange, std::move(verdict));
+                  });
+}
+
+void RequestManager::Impl::HandleVerdict(const ExchangePtr& exchange,
+                                         ClaimVerdict verdict) {
+  switch (verdict.kind) {
+    case ClaimVerdictKind::kSend:
+      exchange->claim_id = verdict.claim_id;
+      Submit(exchange);
+      return;
+    case ClaimVerdictKind::kAnswered:
+      Answer(exchange, AnsweredResponse(exchange->id, verdict.answer),
+             kOutcomeAnswered);
+      return;
+    case ClaimVerdictKind::kNotRun:
+      Answer(exchange,
+             NotRunResponse(exchange->id, verdict.reason, verdict.retry_after),
+             kOutcomeNotRun);
+      return;
+    case ClaimVerdictKind::kUnknown:
+      Answer(exchange, UnknownResponse(exchange->id, kConflict, verdict.reason),
+             kOutcomeUnknown);
+      return;
+    case ClaimVerdictKind::kFault:
+      Refuse(exchange, ToFault(verdict));
+      return;
+  }
+}
+
+void RequestManager::Impl::Submit(const ExchangePtr& exchange) {
+  Dispatch dispatch;
+  dispatch.id = exchange->id;
+  dispatch.request = exchange->request;
+  dispatch.deadline = exchange->deadline;
+  if (!exchange->claim_id.empty()) {
+    dispatch.may_send = [self = shared_from_this(),
+                         claim_id = exchange->claim_id,
+                         deadline = exchange->deadline] {
+      return std::chrono::steady_clock::now() < deadline &&
+             self->claims_.MaySend(claim_id);
+    };
+  }
+  dispatch.finished = [self = shared_from_this(),
+                       exchange](DispatchResult result) {
+    self->Finish(exchange, std::move(result));
+  };
+  dispatch.settled = [self = shared_from_this(), exchange](
+                         const std::optional<UpstreamAnswer>& late_answer) {
+    self->Settle(exchange, late_answer);
+  };
+  dispatcher_.Submit(std::move(dispatch));
+}
+
+// The claim comes to its end before the caller is told, so that no "not run"
+// is out while the claim could still be sent.
+void RequestManager::Impl::Finish(const ExchangePtr& exchange,
+                                  DispatchResult result) {
+  const bool claimed = !exchange->claim_id.empty();
+  exchange->outcome = result.outcome;
+  switch (result.outcome) {
+    case RequestOutcome::kAnswered:
+      if (claimed) claims_.Answered(exchange->claim_id, result.answer);
+      Answer(exchange, AnsweredResponse(exchange->id, result.answer),
+             kOutcomeAnswered);
+      return;
+    case RequestOutcome::kNotRun:
+      if (claimed) claims_.NotSent(exchange->claim_id);
+      Answer(exchange,
+             NotRunResponse(exchange->id, result.reason, result.retry_after),
+             kOutcomeNotRun);
+      return;
+    case RequestOutcome::kUnknown:
+      Answer(exchange,
+             UnknownResponse(exchange->id, kGatewayTimeout, result.reason),
+             kOutcomeUnknown);
+      return;
+  }
+}
+
+void RequestManager::Impl::Settle(
+    const ExchangePtr& exchange,
+    const std::optional<UpstreamAnswer>& late_answer) {
+  if (exchange->claim_id.empty()) return;
+  if (exchange->outcome != RequestOutcome::kUnknown) return;
+  if (late_answer) {
+    claims_.Answered(exchange->claim_id, *late_answer);
+  } else {
+    claims_.Unknown(exchange->claim_id);
+  }
+}
+
+void RequestManager::Impl::Refuse(const ExchangePtr& exchange,
+                                  const RequestFault& fault) {
+  LogEvent(events::kRequestFault, {{"request", exchange->id},
+                                   {"status", fault.status},
+                                   {"reason", fault.detail}});
+  Answer(exchange, FaultResponse(exchange->id, fault), "refused");
+}
+
+void RequestManager::Impl::Answer(const ExchangePtr& exchange,
+                                  HttpResponse response, const char* outcome) {
+  metrics_
+      .counter("thornplank_requests_total", "Requests by their outcome.",
+               {{"outcome", outcome}})
+      .Add();
+  metrics_
+      .summary("thornplank_request_duration_seconds",
+               "From the arrival of a request to its answer.",
+               {{"outcome", outcome}})
+      .Observe(std::chrono::steady_clock::now() - exchange->arrival);
+  HttpServer::Responder respond = std::move(exchange->respond);
+  respond(std::move(response));
+  std::lock_guard<std::mutex> lock(mutex_);
+  --unanswered_;
+}
+
+void RequestManager::Impl::Start() {
+  claims_.Start();
+  dispatcher_.Start();
+  if (demand_) demand_->Start();
+}
+
+void RequestManager::Impl::Stop() {
+  if (demand_) demand_->Stop();
+  dispatcher_.Stop();
+  claims_.Stop();
+  std::lock_guard<std::mutex> lock(mutex_);
+  drain_timer_.cancel();
+}
+
+void RequestManager::Impl::SetAccounts(
+    const std::vector<AccountLimits>& accounts) {
+  dispatcher_.SetAccounts(accounts);
+  std::lock_guard<std::mutex> lock(mutex_);
+  accounts_.clear();
+  for (const AccountLimits& limits : accounts) {
+    accounts_.insert(limits.account);
+  }
+}
+
+void RequestManager::Impl::SetExecutors(
+    const std::vector<ExecutorInfo>& executors) {
+  dispatcher_.SetExecutors(executors);
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const ExecutorInfo& executor : executors) {
+    services_.insert(executor.service);
+  }
+}
+
+void RequestManager::Impl::SetLiveEntries(
+    const std::vector<ClaimHolder>& entries) {
+  std::vector<std::string> names;
+  names.reserve(entries.size());
+  for (const ClaimHolder& holder : entries) names.push_back(holder.entry);
+  dispatcher_.SetPeers(settings_.self.entry, names);
+  claims_.SetLiveEntries(entries);
+}
+
+void RequestManager::Impl::Drain(std::function<void()> done) {
+  CheckDrained(std::chrono::steady_clock::now(), std::move(done));
+}
+
+void RequestManager::Impl::CheckDrained(Time begun,
+                                        std::function<void()> done) {
+  const Time now = std::chrono::steady_clock::now();
+  const bool idle = in_flight() == 0 && dispatcher_.unsettled() == 0;
+  const bool recorded =
+      claims_.pending_records() == 0 || now >= begun + kMaxDrainForRecords;
+  if (idle && recorded) {
+    boost::asio::post(io_, std::move(done));
+    return;
+  }
+  // The time for the last records counts from the last answer.
+  const Time next_begun = idle ? begun : now;
+  std::lock_guard<std::mutex> lock(mutex_);
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait(
+      [weak = weak_from_this(), next_begun,
+       done = std::move(done)](const boost::system::error_code& code) mutable {
+        if (code) return;
+        auto self = weak.lock();
+        if (self) self->CheckDrained(next_begun, std::move(done));
+      });
+}
+
+size_t RequestManager::Impl::in_flight() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return unanswered_;
+}
+
+RequestManager::RequestManager(boost::asio::io_context& io, HttpClient& http,
+                               PeerMesh* mesh, LogClient& log,
+                               MetricsRegistry& metrics,
+                               RequestManagerSettings settings)
+    : impl_(std::make_shared<Impl>(io, http, mesh, log, metrics, settings)) {
+  impl_->Connect();
+}
+
+RequestManager::~RequestManager() { Stop(); }
+
+void RequestManager::RegisterRoutes(ApiRouter& router) {
+  router.Add("POST", kRoute, Role::kCaller,
+             [impl = impl_](const HttpRequest& request, const Caller& caller,
+                            const PathParameters& parameters,
+                            HttpServer::Responder respond) {
+               impl->Handle(request, caller, parameters, std::move(respond));
+             });
+}
+
+void RequestManager::Start() { impl_->Start(); }
+
+void RequestManager::Stop() { impl_->Stop(); }
+
+void RequestManager::SetAccounts(const std::vector<AccountLimits>& accounts) {
+  impl_->SetAccounts(accounts);
+}
+
+void RequestManager::SetExecutors(const std::vector<ExecutorInfo>& executors) {
+  impl_->SetExecutors(executors);
+}
+
+void RequestManager::SetLiveEntries(const std::vector<ClaimHolder>& entries) {
+  impl_->SetLiveEntries(entries);
+}
+
+void RequestManager::Drain(std::function<void()> done) {
+  impl_->Drain(std::move(done));
+}
+
+size_t RequestManager::in_flight() const { return impl_->in_flight(); }
+
+bool RequestManager::claims_ready() const { return impl_->claims_ready(); }
+
+int64_t RequestManager::claims_offset() const { return impl_->claims_offset(); }
+
+}  // namespace thornplank
