Count refused requests as demand when slots are shared

Cause: shares followed queues, and queues followed shares through admission, so that an entry with a fifth of the arrivals drifted to 3 of 400 slots; and one refusal by an executor halved the entry's use of it for 300 ms. Conclusion: demand is what waits, was refused lately or is in flight; a refusal cuts the limit by a quarter and never below what the executor has accepted.

--- /dev/null
+++ b/src/libs/routing/decaying_count.h
@@ -0,0 +1,23 @@
+// A count of events that fades with time.
+#ifndef THORNPLANK_ROUTING_DECAYING_COUNT_H_
+#define THORNPLANK_ROUTING_DECAYING_COUNT_H_
+
+#include "base/time.h"
+
+namespace thornplank {
+
+class DecayingCount {
+ public:
+  void Add(Time now);
+  // Events up to `now`, each counted by half for each second of its age.
+  double At(Time now) const;
+
+ private:
+  // The count at `time_`.
+  double count_ = 0;
+  Time time_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_ROUTING_DECAYING_COUNT_H_
--- a/src/libs/routing/executor_pool.cc
+++ b/src/libs/routing/executor_pool.cc
@@ -12,8 +12,11 @@
 using std::chrono::seconds;
 
 constexpr double kUpstreamRetryPercent = 20.0;
+constexpr double kRefusalDecrease = 0.75;
 constexpr Duration kFirstRefusalPause = milliseconds(5);
 constexpr Duration kLongestRefusalPause = milliseconds(500);
+// A full executor frees a slot within a fraction of its service time.
+constexpr int kPauseFraction = 4;
 constexpr Duration kInspectionPeriod = milliseconds(100);
 constexpr Duration kProbeTimeout = seconds(1);
 constexpr Duration kLeavingProbePeriod = seconds(10);
@@ -341,9 +344,15 @@
 }
 
 void ExecutorPool::Refused(Executor* executor, Time now) {
-  executor->refusal_limit = std::max(1.0, executor->refusal_limit / 2);
-  executor->refusal_pause = std::clamp(
-      2 * executor->refusal_pause, kFirstRefusalPause, kLongestRefusalPause);
+  // What is in flight there has been accepted and need not give way.
+  const double accepted = std::max(1, executor->in_flight());
+  executor->refusal_limit = std::max(
+      accepted, std::min<double>(executor->refusal_limit, executor->allocated) *
+                    kRefusalDecrease);
+  const Duration longest = std::clamp(typical_latency_ / kPauseFraction,
+                                      kFirstRefusalPause, kLongestRefusalPause);
+  executor->refusal_pause =
+      std::clamp(2 * executor->refusal_pause, kFirstRefusalPause, longest);
   // Between half and the whole of the pause, so that entries do not return
   // together.
   const auto half = executor->refusal_pause.count() / 2;
--- a/src/libs/routing/executor_pool.h
+++ b/src/libs/routing/executor_pool.h
@@ -39,7 +39,7 @@
   std::vector<Time> starts;
   // This entry's share of the slots.
   int allocated = 0;
-  // At most `allocated`, at least 1; halved by refusals.
+  // At most `allocated`, at least 1; cut by refusals.
   double refusal_limit = 0;
   // Nothing is sent before this time, after a refusal.
   Time refused_until;
--- a/src/libs/routing/fair_queue.cc
+++ b/src/libs/routing/fair_queue.cc
@@ -203,6 +203,14 @@
   accounts_[account].service_time.Record(latency);
 }
 
+void FairQueue::RecordRefusal(const std::string& account, Time now) {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end()) {
+    return;
+  }
+  found->second.refusals.Add(now);
+}
+
 double FairQueue::SlotsFor(const std::string& account, double slots) const {
   const auto found = accounts_.find(account);
   if (found == accounts_.end()) {
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/decaying_count.h"
 #include "routing/routing_types.h"
 #include "routing/service_time.h"
 
@@ -45,6 +46,8 @@
     // Virtual time at which the account's next request starts.
     double virtual_start = 0;
     ServiceTime service_time;
+    // Requests turned away lately for want of slots.
+    DecayingCount refusals;
 
     int demand() const { return static_cast<int>(waiting.size()) + in_flight; }
   };
@@ -90,6 +93,8 @@
   // Service time of the account, or of the service while that is unknown.
   const ServiceTime& TimeOf(const std::string& account) const;
   void RecordAnswer(const std::string& account, Duration latency);
+  // A request of the account was turned away for want of slots.
+  void RecordRefusal(const std::string& account, Time now);
 
   // Slots out of `slots` that the account can count on, were it to have more
   // requests than it can send.
--- a/src/libs/routing/request_router.cc
+++ b/src/libs/routing/request_router.cc
@@ -93,6 +93,7 @@
 
 RoutingActions RequestRouter::SetAccounts(
     const std::vector<AccountLimits>& accounts, Time now) {
+  latest_ = now;
   limits_ = accounts;
   RoutingActions actions;
   for (auto& [name, service] : services_) {
@@ -104,6 +105,7 @@
 
 RoutingActions RequestRouter::SetExecutors(
     const std::vector<ExecutorInfo>& executors, Time now) {
+  latest_ = now;
   std::map<std::string, std::vector<ExecutorInfo>> by_service;
   for (const auto& [name, service] : services_) {
     by_service[name];
@@ -122,6 +124,7 @@
 RoutingActions RequestRouter::SetPeers(
     const std::string& own_name, const std::vector<std::string>& live_entries,
     Time now) {
+  latest_ = now;
   own_name_ = own_name;
   entries_ = live_entries;
   entries_.push_back(own_name);
@@ -143,6 +146,7 @@
 
 RoutingActions RequestRouter::SetPeerDemand(const PeerDemand& demand,
                                             Time now) {
+  latest_ = now;
   RoutingActions actions;
   const bool live =
       std::binary_search(entries_.begin(), entries_.end(), demand.entry);
@@ -177,6 +181,7 @@
 }
 
 RoutingActions RequestRouter::Submit(const RequestInfo& info, Time now) {
+  latest_ = now;
   RoutingActions actions;
   if (table_->Find(info.id) != nullptr) {
     return actions;
@@ -185,7 +190,7 @@
   ServiceRouter* service = Find(info.service);
   if (refusal.has_value()) {
     if (service != nullptr) {
-      service->CountRefusal(now);
+      service->CountRefusal(info.account, now);
     }
     actions.push_back(
         FinishNotRun{info.id, refusal->reason, refusal->retry_after});
@@ -200,6 +205,7 @@
 RoutingActions RequestRouter::Complete(const std::string& request_id,
                                        const std::string& executor,
                                        const AttemptResult& result, Time now) {
+  latest_ = now;
   RoutingActions actions;
   RoutedRequest* request = table_->Find(request_id);
   if (request == nullptr || request->phase == RoutedRequest::Phase::kQueued ||
@@ -270,6 +276,7 @@
 RoutingActions RequestRouter::ProbeResult(const std::string& executor,
                                           const AttemptResult& result,
                                           Time now) {
+  latest_ = now;
   RoutingActions actions;
   for (auto& [name, service] : services_) {
     Executor* found = service->pool().Find(executor);
@@ -283,6 +290,7 @@
 }
 
 RoutingActions RequestRouter::Cancel(const std::string& request_id, Time now) {
+  latest_ = now;
   RoutingActions actions;
   RoutedRequest* request = table_->Find(request_id);
   if (request == nullptr) {
@@ -299,6 +307,7 @@
 }
 
 RoutingActions RequestRouter::Tick(Time now) {
+  latest_ = now;
   RoutingActions actions;
   for (RoutedRequest* due = table_->Due(now); due != nullptr;
        due = table_->Due(now)) {
@@ -333,14 +342,8 @@
   PeerDemand result;
   result.entry = own_name_;
   for (const auto& [name, service] : services_) {
-    for (const auto& [account_name, account] : service->queue().accounts()) {
-      if (account.demand() == 0) {
-        continue;
-      }
-      result.accounts.push_back({name, account_name,
-                                 static_cast<int>(account.waiting.size()),
-                                 account.in_flight});
-    }
+    std::vector<AccountDemand> part = service->Demand(name, latest_);
+    std::move(part.begin(), part.end(), std::back_inserter(result.accounts));
   }
   return result;
 }
--- a/src/libs/routing/request_router.h
+++ b/src/libs/routing/request_router.h
@@ -63,7 +63,8 @@
   RoutingActions SetPeerDemand(const PeerDemand& demand, Time now);
 
   // Whether Submit would refuse the request now. Changes nothing; asked before
-  // a claim is appended for a non-idempotent request.
+  // a claim is appended for a non-idempotent request. Submit at the same time
+  // gives the same refusal and counts it as demand.
   std::optional<Refusal> CheckAdmission(const RequestInfo& request,
                                         Time now) const;
 
@@ -85,7 +86,9 @@
   // starts probes.
   RoutingActions Tick(Time now);
 
-  // This entry's own demand, for its heartbeat.
+  // This entry's own demand at the latest event, for its heartbeat: per service
+  // and account what is in flight, and under `queued` what waits or was turned
+  // away in the last seconds.
   PeerDemand demand() const;
   // When Tick has something to do; nullopt when only events will bring it.
   std::optional<Time> NextWake() const;
@@ -107,6 +110,8 @@
   const RouterOptions options_;
   const std::unique_ptr<SlotShare> share_;
   std::vector<AccountLimits> limits_;
+  // The time of the latest call.
+  Time latest_;
   std::string own_name_;
   // The live entries with this one, sorted.
   std::vector<std::string> entries_;
--- a/src/libs/routing/routing_types.h
+++ b/src/libs/routing/routing_types.h
@@ -58,6 +58,7 @@
 struct AccountDemand {
   std::string service;
   std::string account;
+  // Requests that wait, and those turned away lately for want of slots.
   int queued = 0;
   int in_flight = 0;
 };
--- a/src/libs/routing/service_router.cc
+++ b/src/libs/routing/service_router.cc
@@ -26,11 +26,12 @@
 // An attempt of an idempotent request is not given up on before this many
 // mean service times, deadline permitting.
 constexpr int kPatience = 20;
+// For this long a refusal may show in the demand.
+constexpr Duration kRefusalsFade = seconds(12);
 constexpr Duration kUnknownBacklog = seconds(1);
 constexpr Duration kShortestRetryAfter = milliseconds(200);
 constexpr Duration kShortestSpread = seconds(1);
 constexpr Duration kLongestRetryAfter = seconds(60);
-constexpr double kRefusalHalfLife = 1.0;  // seconds
 
 Duration Scale(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(
@@ -38,6 +39,12 @@
           static_cast<double>(duration.count()) * factor));
 }
 
+// Requests that wait or were turned away lately.
+int QueuedDemand(const FairQueue::Account& account, Time now) {
+  return static_cast<int>(account.waiting.size()) +
+         static_cast<int>(std::lround(account.refusals.At(now)));
+}
+
 }  // namespace
 
 ServiceRouter::ServiceRouter(uint64_t seed, std::string own_domain,
@@ -114,12 +121,13 @@
   const FairQueue::Account* found = queue_.Find(account);
   const double waiting =
       found == nullptr ? 0.0 : static_cast<double>(found->waiting.size());
+  const double refusals = found == nullptr ? 0.0 : found->refusals.At(now);
   Duration backlog = kUnknownBacklog;
   Duration spread = kShortestSpread;
   if (expected > Duration::zero()) {
     backlog = std::min(kLongestRetryAfter, Scale(expected, waiting / slots));
-    const Duration returning = std::min(
-        kLongestRetryAfter, Scale(expected, RecentRefusals(now) / slots));
+    const Duration returning =
+        std::min(kLongestRetryAfter, Scale(expected, refusals / slots));
     spread = std::max(kShortestSpread, backlog + returning);
   }
   const Duration after = std::max(kShortestRetryAfter, backlog) +
@@ -127,15 +135,23 @@
   return std::min(after, kLongestRetryAfter);
 }
 
-void ServiceRouter::CountRefusal(Time now) {
-  refusals_ = RecentRefusals(now) + 1;
-  refusals_time_ = now;
+void ServiceRouter::CountRefusal(const std::string& account, Time now) {
+  queue_.RecordRefusal(account, now);
+  refusals_fade_ = now + kRefusalsFade;
+  next_shedding_ = std::max(next_shedding_, now);
 }
 
-double ServiceRouter::RecentRefusals(Time now) const {
-  const double elapsed =
-      std::chrono::duration<double>(now - refusals_time_).count();
-  return refusals_ * std::exp2(-std::max(0.0, elapsed) / kRefusalHalfLife);
+std::vector<AccountDemand> ServiceRouter::Demand(const std::string& service,
+                                                 Time now) const {
+  std::vector<AccountDemand> result;
+  for (const auto& [name, account] : queue_.accounts()) {
+    const int queued = QueuedDemand(account, now);
+    if (queued == 0 && account.in_flight == 0) {
+      continue;
+    }
+    result.push_back({service, name, queued, account.in_flight});
+  }
+  return result;
 }
 
 void ServiceRouter::Enqueue(RoutedRequest* request, Time now) {
@@ -265,7 +281,7 @@
 void ServiceRouter::Tick(Time now, RoutingActions* actions) {
   RoutingActions changes = pool_.Tick(now);
   std::move(changes.begin(), changes.end(), std::back_inserter(*actions));
-  if (queue_.size() > 0 && now >= next_shedding_) {
+  if (now >= next_shedding_) {
     next_shedding_ = now + kSheddingPeriod;
     ShedHopeless(now, actions);
   }
@@ -275,7 +291,7 @@
 std::optional<Time> ServiceRouter::NextWake() const {
   const bool waiting = queue_.size() > 0;
   std::optional<Time> wake = pool_.NextWake(waiting);
-  if (waiting) {
+  if (waiting || next_shedding_ < refusals_fade_) {
     wake = wake.has_value() ? std::min(*wake, next_shedding_) : next_shedding_;
   }
   return wake;
@@ -299,7 +315,7 @@
   if (entries_.empty()) {
     entries_.emplace_back();
   }
-  const ShareInput input = MakeShareInput();
+  const ShareInput input = MakeShareInput(now);
   pool_.SetAllocation(share_->Allocate(input),
                       ConnectionLimit(entries_.size()));
   potential_slots_ = share_->Potential(input);
@@ -314,7 +330,7 @@
   }
 }
 
-ShareInput ServiceRouter::MakeShareInput() const {
+ShareInput ServiceRouter::MakeShareInput(Time now) const {
   ShareInput input;
   input.executors = pool_.slots();
   input.own_entry = own_entry_;
@@ -326,7 +342,7 @@
     }
     index.emplace(name, input.accounts.size());
     input.accounts.push_back(account.limits);
-    own.push_back(account.demand());
+    own.push_back(QueuedDemand(account, now) + account.in_flight);
   }
   for (size_t entry = 0; entry < entries_.size(); ++entry) {
     if (entry == own_entry_) {
--- a/src/libs/routing/service_router.h
+++ b/src/libs/routing/service_router.h
@@ -46,8 +46,13 @@
   // account, spread over a time that grows with it.
   Duration RetryAfter(const std::string& account, const std::string& id,
                       Time now) const;
-  // Counts a refusal, which lengthens the times that RetryAfter gives.
-  void CountRefusal(Time now);
+  // Counts a refusal by CheckAdmission, which shows as demand and lengthens the
+  // times that RetryAfter gives.
+  void CountRefusal(const std::string& account, Time now);
+  // This entry's demand: what waits, what was turned away lately, and what is
+  // in flight. Were refusals left out, an entry with a small share would admit
+  // and thus ask for little, and keep its small share for good.
+  std::vector<AccountDemand> Demand(const std::string& service, Time now) const;
 
   void Enqueue(RoutedRequest* request, Time now);
   void RemoveQueued(const RoutedRequest& request);
@@ -70,7 +75,7 @@
 
  private:
   void Reallocate(Time now);
-  ShareInput MakeShareInput() const;
+  ShareInput MakeShareInput(Time now) const;
   Duration ExpectedWait(const std::string& account, Time deadline) const;
   double ExpectedSlots(const std::string& account) const;
   bool DispatchOne(Time now, std::vector<std::string>* blocked,
@@ -78,7 +83,6 @@
   void Send(RoutedRequest* request, Executor* executor, Time now,
             RoutingActions* actions);
   void ShedHopeless(Time now, RoutingActions* actions);
-  double RecentRefusals(Time now) const;
 
   const uint64_t seed_;
   const SlotShare* const share_;
@@ -93,9 +97,8 @@
   double potential_slots_ = 0;
   Time next_reallocation_;
   Time next_shedding_;
-  // Decays by half each second from its value at `refusals_time_`.
-  double refusals_ = 0;
-  Time refusals_time_;
+  // Until then the demand changes without events.
+  Time refusals_fade_;
 };
 
 }  // namespace thornplank
