--- a/src/libs/routing/executor_pool.cc
+++ b/src/libs/routing/executor_pool.cc
@@ -231,7 +231,8 @@
       actions.push_back(*std::move(leaving));
     }
   }
-  if (executor->health.EndProbe(healthy, now) && !executor->leaving()) {
+  // A leaving executor stays out; it is probed when it no longer leaves.
+  if (executor->health.EndProbe(healthy && !executor->leaving(), now)) {
     actions.push_back(ExecutorBack{executor->info.name, "its probe succeeded"});
   }
   Refresh(executor);
@@ -392,8 +393,11 @@
     actions->push_back(ProbeExecutor{
         executor->info.name, executor->info.address, now + kProbeTimeout});
   };
+  if (executor->info.leaving) {
+    return;
+  }
   if (executor->said_leaving) {
-    if (executor->info.leaving || now < executor->leaving_probe_time) {
+    if (now < executor->leaving_probe_time) {
       return;
     }
     executor->leaving_probe_time = now + kLeavingProbePeriod;
--- /dev/null
+++ b/tests/auto/routing/tst_executor_health.cc
@@ -0,0 +1,153 @@
+// What speaks against an executor, and how it comes back.
+#include "routing/executor_health.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "routing_fixtures.h"
+
+namespace thornplank {
+namespace {
+
+using routing_test::At;
+using routing_test::MakeResult;
+using std::chrono::milliseconds;
+
+PeerHealth GoodPeers() {
+  PeerHealth peers;
+  peers.typical_latency = milliseconds(10);
+  peers.last_answer = At(1000000);
+  return peers;
+}
+
+TEST_CASE("outcomes that take an executor out") {
+  // One letter an attempt: a answered, f failed, n not sent, u lost, t timed
+  // out, s timed out after a time too short to blame anyone, r refused.
+  struct Row {
+    const char* name;
+    const char* outcomes;
+    double peers_failing;
+    bool may_take_out;
+    bool out;
+  };
+  const Row rows[] = {
+      {"answers", "aaaaaaaaaa", 0, true, false},
+      {"fails fast", "afff", 0, true, true},
+      {"a failure now and then", "afafafafaf", 0, true, false},
+      {"more failures than its peers", "ffaffaffaffaffaffaffa", 0, true, true},
+      {"all fail alike", "ffffffffff", 0.9, true, false},
+      {"too many are out already", "ffffffffff", 0, false, false},
+      {"black hole", "att", 0, true, true},
+      {"deadlines too short", "ssssssssss", 0, true, false},
+      {"unreachable", "nnn", 0.9, false, true},
+      {"refusals are no fault", "rrrrrrrrrr", 0, true, false},
+      {"lost answers", "uuu", 0, true, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ExecutorHealth health;
+    PeerHealth peers = GoodPeers();
+    peers.failure_share = row.peers_failing;
+    peers.may_take_out = row.may_take_out;
+    bool out = false;
+    for (char letter : std::string(row.outcomes)) {
+      AttemptResult result = MakeResult(AttemptOutcome::kUnknown, 100);
+      switch (letter) {
+        case 'a':
+          result = MakeResult(AttemptOutcome::kAnswered);
+          break;
+        case 'f':
+          result = MakeResult(AttemptOutcome::kFailed, 1);
+          break;
+        case 'n':
+          result = MakeResult(AttemptOutcome::kNotSent, 0);
+          break;
+        case 'r':
+          result = MakeResult(AttemptOutcome::kRefusedNotRun, 1);
+          break;
+        case 's':
+          result = MakeResult(AttemptOutcome::kUnknown, 5);
+          break;
+        default:
+          break;
+      }
+      const bool timed_out = letter == 't' || letter == 's';
+      out = out || health.Record(result, timed_out, peers, At(0)).has_value();
+    }
+    CHECK(out == row.out);
+  }
+}
+
+TEST_CASE("silence and slowness, against peers only") {
+  struct Row {
+    const char* name;
+    int latency_ms;
+    int oldest_age_ms;
+    bool answered_since;
+    bool peers_answer;
+    bool may_take_out;
+    bool out;
+  };
+  const Row rows[] = {
+      {"as fast as its peers", 10, 5, false, true, true, false},
+      {"far slower", 200, 5, false, true, true, true},
+      {"far slower, too many out", 200, 5, false, true, false, false},
+      {"silent", 10, 2000, false, true, true, true},
+      {"one long request among answers", 10, 2000, true, true, true, false},
+      {"all are silent", 10, 2000, false, false, true, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const Time now = At(5000);
+    const Time oldest = now - milliseconds(row.oldest_age_ms);
+    PeerHealth peers = GoodPeers();
+    peers.may_take_out_for_latency = row.may_take_out;
+    peers.last_answer = row.peers_answer ? now : At(0);
+    ExecutorHealth health;
+    const Time answered = row.answered_since ? now : At(1);
+    for (int i = 0; i < 20; ++i) {
+      health.Record(MakeResult(AttemptOutcome::kAnswered, row.latency_ms),
+                    false, peers, answered);
+    }
+    CHECK(health.Inspect(oldest, peers, now).has_value() == row.out);
+  }
+}
+
+TEST_CASE("it comes back by one probe and a slow start") {
+  ExecutorHealth health;
+  health.TakeOut(false, At(0));
+  CHECK(health.Limit(8) == 0);
+  const Duration first_stay = health.probe_time() - At(0);
+  health.BeginProbe(At(2000));
+  CHECK(health.Limit(8) == 0);
+  SUBCASE("a lost probe lengthens the stay") {
+    CHECK_FALSE(health.EndProbe(false, At(2000)));
+    CHECK(health.Limit(8) == 0);
+    CHECK(health.probe_time() - At(2000) == 2 * first_stay);
+  }
+  SUBCASE("answers raise the limit") {
+    CHECK(health.EndProbe(true, At(2000)));
+    for (int expected : {1, 2, 4, 8}) {
+      CHECK(health.Limit(8) == expected);
+      health.Record(MakeResult(AttemptOutcome::kAnswered), false, GoodPeers(),
+                    At(2000));
+    }
+    CHECK(health.state() == ExecutorHealth::State::kSlowStart);
+    health.Record(MakeResult(AttemptOutcome::kAnswered), false, GoodPeers(),
+                  At(2000));
+    CHECK(health.state() == ExecutorHealth::State::kIn);
+  }
+  SUBCASE("one failure in slow start takes it out again, for longer") {
+    CHECK(health.EndProbe(true, At(2000)));
+    CHECK(health
+              .Record(MakeResult(AttemptOutcome::kFailed), false, GoodPeers(),
+                      At(2000))
+              .has_value());
+    health.TakeOut(false, At(2000));
+    CHECK(health.probe_time() - At(2000) == 2 * first_stay);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/routing/tst_fair_queue.cc
@@ -0,0 +1,185 @@
+// Whose turn it is.
+#include "routing/fair_queue.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+#include "routing_fixtures.h"
+
+namespace thornplank {
+namespace {
+
+using routing_test::At;
+using routing_test::MakeAccount;
+using std::chrono::milliseconds;
+
+bool Any(uint64_t) { return true; }
+
+void Fill(FairQueue* queue, const std::string& account, int count) {
+  for (int i = 0; i < count; ++i) {
+    queue->Push(account, {static_cast<uint64_t>(i + 1), At(10000 + i)});
+  }
+}
+
+// Begins requests by turn; returns how many each account got.
+std::map<std::string, int> BeginMany(FairQueue* queue, int count) {
+  std::map<std::string, int> begun;
+  for (int i = 0; i < count; ++i) {
+    const std::optional<std::string> account = queue->Next({});
+    if (!account.has_value()) {
+      break;
+    }
+    queue->Take(*account, Any);
+    queue->Begin(*account);
+    ++begun[*account];
+  }
+  return begun;
+}
+
+TEST_CASE("slots are divided by guarantee, then by weight") {
+  AccountLimits closed = MakeAccount("b", 5);
+  closed.borrowing = false;
+  struct Row {
+    const char* name;
+    std::vector<AccountLimits> accounts;
+    int a_waiting;
+    int b_waiting;
+    int slots;
+    int a;
+    int b;
+  };
+  const Row rows[] = {
+      {"equal weights",
+       {MakeAccount("a"), MakeAccount("b")},
+       500,
+       500,
+       100,
+       50,
+       50},
+      {"weights of 1 and 3",
+       {MakeAccount("a"), MakeAccount("b", 0, 3)},
+       500,
+       500,
+       100,
+       25,
+       75},
+      {"a guarantee before the rest",
+       {MakeAccount("a"), MakeAccount("b", 80)},
+       500,
+       500,
+       100,
+       10,
+       90},
+      {"an unused guarantee is borrowed",
+       {MakeAccount("a"), MakeAccount("b", 80)},
+       500,
+       20,
+       100,
+       80,
+       20},
+      {"no borrowing beyond the guarantee",
+       {MakeAccount("a"), closed},
+       500,
+       500,
+       100,
+       95,
+       5},
+      {"two guarantees too large are divided",
+       {MakeAccount("a", 100), MakeAccount("b", 100)},
+       500,
+       500,
+       100,
+       50,
+       50},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    FairQueue queue;
+    queue.SetLimits(row.accounts);
+    Fill(&queue, "a", row.a_waiting);
+    Fill(&queue, "b", row.b_waiting);
+    const std::map<std::string, int> begun = BeginMany(&queue, row.slots);
+    CHECK(begun.at("a") >= row.a - 1);
+    CHECK(begun.at("a") <= row.a + 1);
+    CHECK(begun.at("b") >= row.b - 1);
+    CHECK(begun.at("b") <= row.b + 1);
+  }
+}
+
+TEST_CASE("an account that uses longer requests gets fewer of them") {
+  FairQueue queue;
+  queue.SetLimits({MakeAccount("long"), MakeAccount("short")});
+  Fill(&queue, "long", 2000);
+  Fill(&queue, "short", 2000);
+  std::map<std::string, int> begun;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string account = *queue.Next({});
+    queue.Take(account, Any);
+    const double charged = queue.Begin(account);
+    const Duration latency = milliseconds(account == "long" ? 40 : 10);
+    queue.RecordAnswer(account, latency);
+    queue.End(account, charged, latency);
+    ++begun[account];
+  }
+  CHECK(begun["short"] >= 3.5 * begun["long"]);
+  CHECK(begun["short"] <= 4.5 * begun["long"]);
+}
+
+TEST_CASE("an idle account does not catch up on what it left unused") {
+  FairQueue queue;
+  queue.SetLimits({MakeAccount("a"), MakeAccount("b")});
+  Fill(&queue, "a", 1000);
+  BeginMany(&queue, 500);
+  Fill(&queue, "b", 1000);
+  CHECK(BeginMany(&queue, 100)["b"] <= 51);
+}
+
+TEST_CASE("the earliest deadline of an account goes first") {
+  FairQueue queue;
+  queue.SetLimits({MakeAccount("a")});
+  queue.Push("a", {1, At(300)});
+  queue.Push("a", {2, At(100)});
+  queue.Push("a", {3, At(200)});
+  queue.Push("a", {4, At(100)});
+  CHECK(queue.Rank("a", At(100)) == 2);
+  CHECK(queue.Rank("a", At(250)) == 3);
+  CHECK(queue.Remove("a", {3, At(200)}));
+  CHECK_FALSE(queue.Remove("a", {3, At(200)}));
+  for (uint64_t expected : {2, 4, 1}) {
+    CHECK(queue.Take("a", Any)->handle == expected);
+  }
+  CHECK(queue.size() == 0);
+}
+
+TEST_CASE("a guarantee is divided over the entries by demand") {
+  struct Row {
+    int waiting;
+    double elsewhere;
+    int expected;
+  };
+  const Row rows[] = {{0, 10, 0}, {10, 0, 40}, {10, 30, 10}, {1, 1000, 1}};
+  for (const Row& row : rows) {
+    FairQueue queue;
+    queue.SetLimits({MakeAccount("a", 40)});
+    Fill(&queue, "a", row.waiting);
+    queue.SetDemandElsewhere("a", row.elsewhere);
+    CHECK(queue.Find("a")->guaranteed_here == row.expected);
+  }
+}
+
+TEST_CASE("queues are bounded") {
+  AccountLimits limits = MakeAccount("a");
+  limits.max_queued = 3;
+  FairQueue queue;
+  queue.SetLimits({limits});
+  Fill(&queue, "a", 2);
+  CHECK(queue.HasRoom("a"));
+  Fill(&queue, "a", 1);
+  CHECK_FALSE(queue.HasRoom("a"));
+  CHECK_FALSE(queue.HasRoom("unknown"));
+}
+
+}  // namespace
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/routing/tst_slot_share.cc
@@ -0,0 +1,172 @@
+// Ways of sharing slots between entries.
+#include "routing/slot_share.h"
+
+#include <doctest/doctest.h>
+
+#include <numeric>
+#include <set>
+#include <string>
+
+#include "routing/all_slots.h"
+#include "routing/demand_share.h"
+#include "routing/demand_split.h"
+#include "routing/static_share.h"
+#include "routing_fixtures.h"
+
+namespace thornplank {
+namespace {
+
+using routing_test::MakeAccount;
+using routing_test::MakeExecutors;
+
+constexpr int kExecutors = 50;
+constexpr int kTotal = 400;
+
+ShareInput MakeInput(std::vector<AccountLimits> accounts,
+                     std::vector<std::vector<double>> demand) {
+  ShareInput input;
+  for (const ExecutorInfo& info : MakeExecutors(kExecutors)) {
+    input.executors.push_back({info.name, info.failure_domain, info.slots});
+  }
+  OrderByDomain(&input.executors);
+  input.accounts = std::move(accounts);
+  input.demand = std::move(demand);
+  return input;
+}
+
+int Sum(const std::vector<int>& slots) {
+  return std::accumulate(slots.begin(), slots.end(), 0);
+}
+
+std::vector<int> AllocateFor(const SlotShare& share, ShareInput input,
+                             size_t entry) {
+  input.own_entry = entry;
+  return share.Allocate(input);
+}
+
+TEST_CASE("ranges of all entries together are all slots, each once") {
+  struct Row {
+    const char* name;
+    std::vector<std::vector<double>> demand;
+  };
+  const Row rows[] = {
+      {"idle", {{0}, {0}, {0}, {0}}},
+      {"even", {{10}, {10}, {10}, {10}}},
+      {"uneven overload", {{5000}, {300}, {60}, {700}}},
+      {"uneven, below capacity", {{170}, {3}, {44}, {1}}},
+  };
+  const StaticShare fixed;
+  const DemandShare by_demand;
+  for (const SlotShare* share : {static_cast<const SlotShare*>(&fixed),
+                                 static_cast<const SlotShare*>(&by_demand)}) {
+    for (const Row& row : rows) {
+      CAPTURE(row.name);
+      const ShareInput input = MakeInput({MakeAccount("a")}, row.demand);
+      std::vector<int> used(kExecutors, 0);
+      for (size_t entry = 0; entry < row.demand.size(); ++entry) {
+        const std::vector<int> slots = AllocateFor(*share, input, entry);
+        for (size_t i = 0; i < slots.size(); ++i) {
+          used[i] += slots[i];
+        }
+      }
+      CHECK(used == std::vector<int>(kExecutors, 8));
+    }
+  }
+}
+
+TEST_CASE("slots go where the demand is") {
+  struct Row {
+    const char* name;
+    std::vector<AccountLimits> accounts;
+    std::vector<std::vector<double>> demand;
+    size_t entry;
+    int least;
+    int most;
+  };
+  AccountLimits closed = MakeAccount("b", 50);
+  closed.borrowing = false;
+  const Row rows[] = {
+      {"a burst at one entry gets all that nobody uses",
+       {MakeAccount("a")},
+       {{5000}, {0}, {0}, {0}},
+       0,
+       400,
+       400},
+      {"an idle entry keeps a little for its first request",
+       {MakeAccount("a")},
+       {{5000}, {0}, {0}, {0}},
+       2,
+       2,
+       2},
+      {"a guarantee at one entry stands against a flood at another",
+       {MakeAccount("a"), MakeAccount("b", 50)},
+       {{10000, 0}, {0, 50}},
+       1,
+       50,
+       50},
+      {"weights divide what no guarantee claims",
+       {MakeAccount("a"), MakeAccount("b", 0, 3.0)},
+       {{10000, 0}, {0, 10000}},
+       1,
+       300,
+       300},
+      {"without borrowing there is no more than the guarantee",
+       {MakeAccount("a"), closed},
+       {{10000, 0}, {0, 10000}},
+       1,
+       50,
+       50},
+      {"guarantees that do not fit are cut in proportion",
+       {MakeAccount("a", 600), MakeAccount("b", 200)},
+       {{1000, 0}, {0, 1000}},
+       1,
+       100,
+       100},
+  };
+  const DemandShare share;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const int slots =
+        Sum(AllocateFor(share, MakeInput(row.accounts, row.demand), row.entry));
+    CHECK(slots >= row.least);
+    CHECK(slots <= row.most);
+  }
+}
+
+TEST_CASE("even a small share touches many executors and all domains") {
+  ShareInput input =
+      MakeInput({MakeAccount("a")}, {{3920}, {80}});  // 392 and 8 slots
+  const std::vector<int> slots = AllocateFor(DemandShare(), input, 1);
+  std::set<std::string> domains;
+  for (size_t i = 0; i < slots.size(); ++i) {
+    CHECK(slots[i] <= 1);
+    if (slots[i] > 0) {
+      domains.insert(input.executors[i].failure_domain);
+    }
+  }
+  CHECK(Sum(slots) == 8);
+  CHECK(domains.size() == 4);
+}
+
+TEST_CASE("the potential of an entry is what the others do not claim") {
+  const ShareInput input =
+      MakeInput({MakeAccount("a")}, {{10}, {100}, {50}, {0}});
+  CHECK(DemandShare().Potential(input) == doctest::Approx(kTotal - 150));
+  CHECK(AllSlots().Potential(input) == doctest::Approx(kTotal - 150));
+  CHECK(StaticShare().Potential(input) == doctest::Approx(kTotal / 4));
+  CHECK(Sum(AllSlots().Allocate(input)) == kTotal);
+}
+
+TEST_CASE("an executor's connections are divided over the entries") {
+  struct Row {
+    size_t entries;
+    int limit;
+  };
+  const Row rows[] = {{1, 60}, {7, 9}, {8, 8}, {20, 3}, {100, 1}};
+  for (const Row& row : rows) {
+    CHECK(ConnectionLimit(row.entries) == row.limit);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank
