--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -44,7 +44,8 @@
  public:
   // Called once per request; may be called, and calls back, on any thread. A
   // responder that is dropped uncalled answers 500; calls after the first, or
-  // after the connection is gone, do nothing.
+  // after the connection is gone, do nothing. It must not outlive the
+  // io_context, called or not.
   using Responder = std::function<void(HttpResponse)>;
   using Handler = std::function<void(HttpRequest, Responder)>;
 
--- /dev/null
+++ b/src/libs/platform/instance_list_client.cc
@@ -0,0 +1,85 @@
+// The wire form of the instance list.
+#include "platform/instance_list_client.h"
+
+#include <utility>
+
+#include "base/json.h"
+#include "platform/platform_call.h"
+
+namespace thornplank {
+namespace {
+
+constexpr char kStep[] = "read instance list";
+
+std::optional<InstanceKind> ParseKind(const std::string& name) {
+  if (name == "entry") return InstanceKind::kEntry;
+  if (name == "executor") return InstanceKind::kExecutor;
+  if (name == "worker") return InstanceKind::kWorker;
+  return std::nullopt;
+}
+
+int SmallInt(const Json& item, std::string_view name) {
+  return static_cast<int>(IntField(item, name).value_or(0));
+}
+
+std::optional<Instance> ReadInstance(const Json& item) {
+  const auto name = StringField(item, "name");
+  const auto address = StringField(item, "address");
+  const auto kind = ParseKind(StringField(item, "kind").value_or(""));
+  if (!name || !address || !kind) return std::nullopt;
+  Instance instance;
+  instance.name = *name;
+  instance.kind = *kind;
+  instance.address = *address;
+  instance.failure_domain = StringField(item, "failure_domain").value_or("");
+  instance.leaving = StringField(item, "state") == "leaving";
+  instance.rack = StringField(item, "rack").value_or("");
+  instance.accelerators = SmallInt(item, "accelerators");
+  instance.cores = SmallInt(item, "cores");
+  instance.memory_mb = IntField(item, "memory_mb").value_or(0);
+  instance.service = StringField(item, "service").value_or("");
+  instance.slots = SmallInt(item, "slots");
+  return instance;
+}
+
+// Entries of an unknown kind, or without name or address, are left out: one
+// strange entry must not hide all others.
+std::optional<InstanceList> ReadList(const Json& body) {
+  const auto as_of = IntField(body, "as_of_ms");
+  const Json* items = ArrayField(body, "instances");
+  if (!as_of || items == nullptr) return std::nullopt;
+  InstanceList list;
+  list.as_of = FromUnixMilliseconds(*as_of);
+  for (const Json& item : *items) {
+    std::optional<Instance> instance = ReadInstance(item);
+    if (!instance) continue;
+    list.instances.push_back(std::move(*instance));
+  }
+  return list;
+}
+
+}  // namespace
+
+InstanceListClient::InstanceListClient(HttpClient& http, std::string address)
+    : http_(http), address_(std::move(address)) {}
+
+void InstanceListClient::Read(Duration timeout, Callback callback) {
+  PlatformCall call;
+  call.step = kStep;
+  call.address = address_;
+  call.target = "/v1/instances";
+  call.timeout = timeout;
+  SendPlatformCall(
+      http_, call,
+      [callback = std::move(callback),
+       address = address_](const PlatformReply& reply) {
+        if (!reply.ok()) return callback(std::nullopt, reply.error);
+        std::optional<InstanceList> list = ReadList(reply.body);
+        if (!list) {
+          return callback(std::nullopt, {kStep, address, "malformed answer"});
+        }
+        callback(std::move(list), {});
+      });
+}
+
+}  // namespace thornplank
--- a/src/libs/platform/log_client.h
+++ b/src/libs/platform/log_client.h
@@ -33,6 +33,19 @@
   int64_t first_offset = -1;
 };
 
+// How one append ended, in full.
+struct LogAppendOutcome {
+  // Set when the service confirmed the append.
+  std::optional<LogAppendResult> result;
+  Error error;
+  // Without a result: the batch may have been applied all the same.
+  bool may_be_applied = false;
+  // The service refused because of its rate cap.
+  bool rate_capped = false;
+  // As the service asked, else zero.
+  Duration retry_after = Duration::zero();
+};
+
 struct LogReadResult {
   std::vector<LogRecord> records;
   // The oldest offset still kept.
@@ -47,6 +60,7 @@
  public:
   using AppendCallback =
       std::function<void(std::optional<LogAppendResult>, const Error&)>;
+  using OutcomeCallback = std::function<void(const LogAppendOutcome&)>;
   using ReadCallback =
       std::function<void(std::optional<LogReadResult>, const Error&)>;
 
@@ -56,6 +70,10 @@
   // error the batch may still have been applied.
   void Append(const std::string& stream, const std::vector<LogRecord>& records,
               Duration timeout, AppendCallback callback);
+  // The same, telling what a retry needs to know.
+  void TryAppend(const std::string& stream,
+                 const std::vector<LogRecord>& records, Duration timeout,
+                 OutcomeCallback callback);
   // Reads from `from` on, waiting up to `wait` when nothing is there yet.
   void Read(const std::string& stream, int64_t from, int max_records,
             Duration wait, Duration timeout, ReadCallback callback);
--- a/src/libs/platform/stream_follower.h
+++ b/src/libs/platform/stream_follower.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -38,8 +39,9 @@
                  RecordHandler on_record, GapHandler on_gap);
   ~StreamFollower();
 
-  // Begins at `from`; reads until Stop.
+  // Begins at `from`; reads until Stop. Once.
   void Start(int64_t from);
+  // A handler that runs at that moment ends; no other begins.
   void Stop();
 
   // The offset that comes next; all before it have been handed on.
--- a/src/libs/platform/stream_writer.h
+++ b/src/libs/platform/stream_writer.h
@@ -43,12 +43,14 @@
 
 class StreamWriter {
  public:
-  // Runs once per record. `offset` is -1 unless kAppended.
+  // Runs once per record, one at a time. `offset` is -1 unless kAppended; an
+  // earlier copy may stand before it when an attempt lost its reply.
   using Callback =
       std::function<void(AppendState, int64_t offset, const Error&)>;
 
   StreamWriter(boost::asio::io_context& io, LogClient& log, std::string stream,
                StreamWriterSettings settings);
+  // What is pending then gets no callback.
   ~StreamWriter();
 
   // Queues a record. It is sent again, under the same id, until confirmed or
--- /dev/null
+++ b/src/libs/platform/worker_client.cc
@@ -0,0 +1,204 @@
+// The wire form of a worker's lease interface.
+#include "platform/worker_client.h"
+
+#include <utility>
+
+#include "platform/platform_call.h"
+
+namespace thornplank {
+namespace {
+
+constexpr int kConflict = 409;
+constexpr int kInsufficientStorage = 507;
+
+struct StateName {
+  LeaseState state;
+  std::string_view name;
+};
+
+constexpr StateName kStateNames[] = {
+    {LeaseState::kThrottled, "throttled"},
+    {LeaseState::kRunning, "running"},
+    {LeaseState::kCheckpointing, "checkpointing"},
+    {LeaseState::kCheckpointed, "checkpointed"},
+    {LeaseState::kFinished, "finished"},
+    {LeaseState::kFailed, "failed"},
+    {LeaseState::kGone, "gone"},
+};
+
+std::optional<LeaseState> ParseState(const std::string& text) {
+  for (const StateName& entry : kStateNames) {
+    if (entry.name == text) return entry.state;
+  }
+  return std::nullopt;
+}
+
+int64_t CountMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+Json TokenToJson(const FencingToken& token) {
+  return {{"epoch", token.epoch}, {"sequence", token.sequence}};
+}
+
+FencingToken ReadToken(const Json& body) {
+  FencingToken token;
+  const Json* object = ObjectField(body, "newest_token");
+  if (object == nullptr) return token;
+  token.epoch = IntField(*object, "epoch").value_or(0);
+  token.sequence = IntField(*object, "sequence").value_or(0);
+  return token;
+}
+
+std::optional<LeaseReport> ReadLease(const Json& item) {
+  const auto id = StringField(item, "lease_id");
+  const auto state = ParseState(StringField(item, "state").value_or(""));
+  if (!id || !state) return std::nullopt;
+  LeaseReport lease;
+  lease.lease_id = *id;
+  lease.state = *state;
+  lease.gang_id = StringField(item, "gang_id").value_or("");
+  lease.job_id = StringField(item, "job_id").value_or("");
+  lease.account = StringField(item, "account").value_or("");
+  lease.reason = StringField(item, "reason").value_or("");
+  lease.accelerators =
+      static_cast<int>(IntField(item, "accelerators").value_or(0));
+  return lease;
+}
+
+// A report with a lease that cannot be read is no report: a lease left out
+// would pass for one that ended.
+std::optional<WorkerReport> ReadReport(const Json& body) {
+  const auto worker = StringField(body, "worker");
+  const auto accelerators = IntField(body, "accelerators");
+  const Json* leases = ArrayField(body, "leases");
+  if (!worker || !accelerators || leases == nullptr) return std::nullopt;
+  WorkerReport report;
+  report.worker = *worker;
+  report.accelerators = static_cast<int>(*accelerators);
+  report.newest_token = ReadToken(body);
+  for (const Json& item : *leases) {
+    std::optional<LeaseReport> lease = ReadLease(item);
+    if (!lease) return std::nullopt;
+    report.leases.push_back(std::move(*lease));
+  }
+  const Json* usage = ObjectField(body, "usage");
+  if (usage == nullptr) return report;
+  report.accelerators_in_use =
+      static_cast<int>(IntField(*usage, "accelerators_in_use").value_or(0));
+  report.usage_as_of =
+      FromUnixMilliseconds(IntField(*usage, "as_of_ms").value_or(0));
+  return report;
+}
+
+WorkerRefusal ReadRefusal(const PlatformReply& reply) {
+  if (reply.status == 0) return WorkerRefusal::kUnreachable;
+  if (reply.status == kConflict) return WorkerRefusal::kStaleToken;
+  if (reply.status == kInsufficientStorage) return WorkerRefusal::kNoRoom;
+  return WorkerRefusal::kOther;
+}
+
+void Call(HttpClient& http, const PlatformCall& call,
+          WorkerClient::Callback callback) {
+  SendPlatformCall(
+      http, call,
+      [callback = std::move(callback), step = call.step,
+       address = call.address](const PlatformReply& reply) {
+        if (!reply.ok()) {
+          return callback(std::nullopt, ReadRefusal(reply), reply.error);
+        }
+        std::optional<WorkerReport> report = ReadReport(reply.body);
+        if (!report) {
+          return callback(std::nullopt, WorkerRefusal::kOther,
+                          {step, address, "malformed report"});
+        }
+        callback(std::move(report), WorkerRefusal::kNone, {});
+      });
+}
+
+PlatformCall TokenCall(const std::string& step, const std::string& address,
+                       const std::string& target, const FencingToken& token,
+                       Duration timeout) {
+  PlatformCall call;
+  call.step = step;
+  call.address = address;
+  call.method = "POST";
+  call.target = target;
+  call.timeout = timeout;
+  call.body = {{"token", TokenToJson(token)}};
+  return call;
+}
+
+}  // namespace
+
+WorkerClient::WorkerClient(HttpClient& http) : http_(http) {}
+
+void WorkerClient::Grant(const std::string& address, const FencingToken& token,
+                         const std::vector<LeaseRequest>& leases,
+                         Duration timeout, Callback callback) {
+  Json items = Json::array();
+  for (const LeaseRequest& lease : leases) {
+    items.push_back({{"lease_id", lease.lease_id},
+                     {"gang_id", lease.gang_id},
+                     {"job_id", lease.job_id},
+                     {"account", lease.account},
+                     {"accelerators", lease.accelerators},
+                     {"term_ms", CountMilliseconds(lease.term)},
+                     {"task", lease.task}});
+  }
+  PlatformCall call = TokenCall("grant", address, "/v1/leases", token, timeout);
+  call.body["leases"] = std::move(items);
+  Call(http_, call, std::move(callback));
+}
+
+void WorkerClient::Renew(const std::string& address, const FencingToken& token,
+                         const std::vector<std::string>& lease_ids,
+                         Duration term, Duration timeout, Callback callback) {
+  PlatformCall call =
+      TokenCall("renew", address, "/v1/renewals", token, timeout);
+  call.body["lease_ids"] = lease_ids;
+  call.body["term_ms"] = CountMilliseconds(term);
+  Call(http_, call, std::move(callback));
+}
+
+void WorkerClient::Throttle(const std::string& address,
+                            const FencingToken& token,
+                            const std::vector<std::string>& lease_ids,
+                            bool throttled, Duration timeout,
+                            Callback callback) {
+  PlatformCall call =
+      TokenCall("throttle", address, "/v1/throttle", token, timeout);
+  call.body["lease_ids"] = lease_ids;
+  call.body["throttled"] = throttled;
+  Call(http_, call, std::move(callback));
+}
+
+void WorkerClient::Checkpoint(const std::string& address,
+                              const FencingToken& token,
+                              const std::vector<std::string>& lease_ids,
+                              Duration timeout, Callback callback) {
+  PlatformCall call =
+      TokenCall("checkpoint", address, "/v1/checkpoint", token, timeout);
+  call.body["lease_ids"] = lease_ids;
+  Call(http_, call, std::move(callback));
+}
+
+void WorkerClient::Stop(const std::string& address, const FencingToken& token,
+                        const std::vector<std::string>& lease_ids,
+                        Duration timeout, Callback callback) {
+  PlatformCall call = TokenCall("stop", address, "/v1/stop", token, timeout);
+  call.body["lease_ids"] = lease_ids;
+  Call(http_, call, std::move(callback));
+}
+
+void WorkerClient::Read(const std::string& address, Duration timeout,
+                        Callback callback) {
+  PlatformCall call;
+  call.step = "read worker";
+  call.address = address;
+  call.target = "/v1/state";
+  call.timeout = timeout;
+  Call(http_, call, std::move(callback));
+}
+
+}  // namespace thornplank
