--- /dev/null
+++ b/src/libs/protocol/message.cc
@@ -0,0 +1,95 @@
+// CBOR encoding and checked decoding of the envelope.
+#include "protocol/message.h"
+
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+// Deeper frames are refused, since the decoder recurses once a level.
+constexpr int kMaxDepth = 64;
+
+constexpr char kStep[] = "decode message";
+
+// Walks a frame without building values and stops below `kMaxDepth`.
+class DepthCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override { return Enter(); }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t, const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  bool Enter() { return ++depth_ <= kMaxDepth; }
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+};
+
+std::optional<Message> Refuse(Error* error, std::string reason) {
+  SetError(error, kStep, "", std::move(reason));
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodeMessage(const Message& message) {
+  Json envelope = {
+      {"v", kProtocolVersion}, {"type", message.type}, {"body", message.body}};
+  if (message.correlation != 0) envelope["id"] = message.correlation;
+  if (message.is_reply) envelope["reply"] = true;
+  std::string frame;
+  Json::to_cbor(envelope, frame);
+  return frame;
+}
+
+std::optional<Message> DecodeMessage(std::string_view frame, Error* error) {
+  DepthCheck check;
+  if (!Json::sax_parse(frame.begin(), frame.end(), &check,
+                       Json::input_format_t::cbor)) {
+    return Refuse(error, "not CBOR, or too deep");
+  }
+  Json envelope = Json::from_cbor(frame.begin(), frame.end(), /*strict=*/true,
+                                  /*allow_exceptions=*/false);
+  if (!envelope.is_object()) return Refuse(error, "not a CBOR map");
+  const std::optional<int64_t> version = IntField(envelope, "v");
+  if (version != kProtocolVersion) {
+    return Refuse(error, "another protocol version, this one is " +
+                             std::to_string(kProtocolVersion));
+  }
+  const std::optional<std::string> type = StringField(envelope, "type");
+  if (!type || type->empty()) return Refuse(error, "no type");
+  const auto body = envelope.find("body");
+  if (body == envelope.end()) return Refuse(error, "no body");
+
+  Message message;
+  message.type = *type;
+  message.body = std::move(*body);
+  message.is_reply = BoolField(envelope, "reply").value_or(false);
+  const auto id = envelope.find("id");
+  if (id != envelope.end()) {
+    if (!id->is_number_unsigned()) return Refuse(error, "malformed id");
+    message.correlation = id->get<uint64_t>();
+  }
+  if (message.is_reply && message.correlation == 0) {
+    return Refuse(error, "a reply without an id");
+  }
+  return message;
+}
+
+}  // namespace thornplank
--- a/src/libs/protocol/message.h
+++ b/src/libs/protocol/message.h
@@ -1,7 +1,8 @@
 // The envelope of the inner protocol between entries.
 //
 // Each message is one binary WebSocket frame that holds one CBOR map:
-// {"v": protocol version, "type": name, "id": correlation, "body": map}.
+// {"v": protocol version, "type": name, "id": correlation, "reply": true,
+// "body": map}; "id" and "reply" are left out where they would be 0 and false.
 // The typed bodies stand in the other headers of this library.
 #ifndef THORNPLANK_PROTOCOL_MESSAGE_H_
 #define THORNPLANK_PROTOCOL_MESSAGE_H_
