Guarantee shapes by a witness, reclaim borrowers, reserve for large jobs

Every guaranteed shape keeps a cell on usable workers; a gang inside its account's guarantee lives in cells, everything else borrows and can be moved off. Cells move only when no other cell loses its place, and what has none is reported. Beside it: reclaim by checkpoint with a deadline, events with lent cells, one reservation with a bounded number of delays, learned run times, quarantine by crossing evidence, draining of leaving workers. Ruled out: counting missing cells before and after a move, since a random sequence showed one account's guarantee traded for another's that way; the set of placed cells is compared instead.

--- a/src/libs/scheduling/cluster_model.cc
+++ b/src/libs/scheduling/cluster_model.cc
@@ -32,9 +32,13 @@
 }
 
 int ClusterModel::free(WorkerIndex index) const {
+  return std::max(0, unheld(index) - workers_[index].claimed);
+}
+
+int ClusterModel::unheld(WorkerIndex index) const {
   const Worker& worker = workers_[index];
-  return std::max(
-      0, capacity(index) - worker.held - worker.claimed - worker.unknown_held);
+  if (worker.refusing) return 0;
+  return std::max(0, capacity(index) - worker.held - worker.unknown_held);
 }
 
 int ClusterModel::total_capacity() const {
@@ -93,6 +97,10 @@
   return !workers_[index].present || workers_[index].info.leaving;
 }
 
+bool ClusterModel::present(WorkerIndex index) const {
+  return !leaving(index) && !workers_[index].lost;
+}
+
 void ClusterModel::SetLost(WorkerIndex worker, bool lost) {
   workers_[worker].lost = lost;
 }
@@ -101,6 +109,10 @@
   workers_[worker].quarantined = quarantined;
 }
 
+void ClusterModel::SetRefusing(WorkerIndex worker, bool refusing) {
+  workers_[worker].refusing = refusing;
+}
+
 int ClusterModel::RackIndex(const std::string& name) {
   const auto [entry, is_new] =
       rack_by_name_.emplace(name, static_cast<int>(racks_.size()));
--- a/src/libs/scheduling/cluster_model.h
+++ b/src/libs/scheduling/cluster_model.h
@@ -50,6 +50,8 @@
   int capacity(WorkerIndex worker) const;
   // Accelerators that no lease, unknown lease or claim holds.
   int free(WorkerIndex worker) const;
+  // The same with what is claimed.
+  int unheld(WorkerIndex worker) const;
   int total_capacity() const;
   int total_free() const;
   // Largest accelerators of one usable worker.
@@ -61,6 +63,7 @@
   void Hold(WorkerIndex worker, int accelerators);
   void Release(WorkerIndex worker, int accelerators);
   int held(WorkerIndex worker) const { return workers_[worker].held; }
+  int claimed(WorkerIndex worker) const { return workers_[worker].claimed; }
   // A plan that waits for borrowers to leave.
   void Claim(WorkerIndex worker, int accelerators);
   void Unclaim(WorkerIndex worker, int accelerators);
@@ -72,8 +75,12 @@
   bool quarantined(WorkerIndex worker) const {
     return workers_[worker].quarantined;
   }
+  // Whether the worker is declared, staying and reachable.
+  bool present(WorkerIndex worker) const;
   void SetLost(WorkerIndex worker, bool lost);
   void SetQuarantined(WorkerIndex worker, bool quarantined);
+  // Refused a grant that should have fitted: nothing is free there for now.
+  void SetRefusing(WorkerIndex worker, bool refusing);
 
  private:
   struct Worker {
@@ -82,6 +89,7 @@
     bool present = false;
     bool lost = false;
     bool quarantined = false;
+    bool refusing = false;
     // held + unknown_held may exceed the accelerators for a moment only when
     // the worker itself reports leases that are not ours.
     int held = 0;
--- /dev/null
+++ b/src/libs/scheduling/cluster_survey.cc
@@ -0,0 +1,103 @@
+#include "scheduling/cluster_survey.h"
+
+#include <algorithm>
+
+namespace thornplank {
+namespace {
+
+bool IsHeld(const MemberRecord& record) {
+  return record.state != MemberState::kGone;
+}
+
+}  // namespace
+
+ClusterSurvey::ClusterSurvey(const SchedulerState& state, Time now) {
+  gangs.reserve(state.gangs.gangs().size());
+  for (const auto& entry : state.gangs.gangs()) {
+    const Gang& gang = *entry.second;
+    const JobRecord* job = state.FindJob(gang.job());
+    GangView view;
+    view.gang = &gang;
+    view.borrower = !job || !job->use;
+    view.urgent = job && job->spec.priority == Priority::kUrgent;
+    view.leaving = gang.phase == JobPhase::kCheckpointing ||
+                   gang.phase == JobPhase::kStopping;
+    view.expected_end = state.ExpectedEnd(gang, now);
+    if (view.borrower) borrowed[gang.account()] += gang.accelerators();
+    gangs.push_back(view);
+  }
+  for (const auto& entry : state.accounts) total_weight += entry.second.weight;
+}
+
+double ClusterSurvey::BorrowedOverShare(const SchedulerState& state,
+                                        const std::string& account) const {
+  const auto found = borrowed.find(account);
+  if (found == borrowed.end()) return 0;
+  const double weight = state.Account(account).weight;
+  const double all = std::max(total_weight, weight);
+  const double share = state.cluster.total_capacity() * weight / all;
+  return share > 0 ? found->second / share : 0;
+}
+
+std::vector<ExpectedRelease> ClusterSurvey::Releases() const {
+  std::vector<ExpectedRelease> releases;
+  for (const GangView& view : gangs) {
+    for (const MemberRecord& record : view.gang->members()) {
+      if (!IsHeld(record)) continue;
+      releases.push_back(
+          {view.expected_end, record.worker, record.member.accelerators});
+    }
+  }
+  return releases;
+}
+
+Room ClusterSurvey::Outlasting(const ClusterModel& cluster, Time at) const {
+  Room outlasting(cluster.size());
+  for (WorkerIndex i = 0; i < cluster.size(); ++i) {
+    outlasting[i] = cluster.claimed(i);
+  }
+  for (const GangView& view : gangs) {
+    if (view.expected_end <= at) continue;
+    for (const MemberRecord& record : view.gang->members()) {
+      if (IsHeld(record)) {
+        outlasting[record.worker] += record.member.accelerators;
+      }
+    }
+  }
+  return outlasting;
+}
+
+Room ClusterSurvey::Reclaimable(const ClusterModel& cluster,
+                                bool urgent_too) const {
+  Room room(cluster.size(), 0);
+  for (const GangView& view : gangs) {
+    if (!view.borrower && !view.leaving) continue;
+    if (view.urgent && !view.leaving && !urgent_too) continue;
+    for (const MemberRecord& record : view.gang->members()) {
+      if (!IsHeld(record) || cluster.capacity(record.worker) == 0) continue;
+      room[record.worker] += record.member.accelerators;
+    }
+  }
+  return room;
+}
+
+std::vector<double> ClusterSurvey::DisplacementCost(const SchedulerState& state,
+                                                    Time now) const {
+  std::vector<double> lost(state.cluster.size(), 0);
+  std::vector<int> held(state.cluster.size(), 0);
+  for (const GangView& view : gangs) {
+    if (!view.borrower || view.leaving) continue;
+    const double work_lost = state.WorkLost(*view.gang, now);
+    for (const MemberRecord& record : view.gang->members()) {
+      if (!IsHeld(record)) continue;
+      lost[record.worker] += work_lost;
+      held[record.worker] += record.member.accelerators;
+    }
+  }
+  for (WorkerIndex i = 0; i < state.cluster.size(); ++i) {
+    if (held[i] > 0) lost[i] /= held[i];
+  }
+  return lost;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/scheduling/fault_ledger.cc
@@ -0,0 +1,130 @@
+#include "scheduling/fault_ledger.h"
+
+#include <algorithm>
+
+namespace thornplank {
+namespace {
+
+// Quarantine never lasts longer than this many times its first length.
+constexpr int kLongestQuarantine = 16;
+
+}  // namespace
+
+FaultLedger::FaultLedger(FaultLimits limits) : limits_(limits) {}
+
+bool FaultLedger::IsSuspected(const Worker& worker) const {
+  return worker.state != WorkerState::kGood ||
+         static_cast<int>(worker.failed_jobs.size()) >=
+             limits_.jobs_to_suspect_worker;
+}
+
+void FaultLedger::Quarantine(Worker& worker, Time now) {
+  const Duration longest = limits_.quarantine_time * kLongestQuarantine;
+  worker.quarantine_time = worker.quarantine_time == Duration::zero()
+                               ? limits_.quarantine_time
+                               : std::min(longest, worker.quarantine_time * 2);
+  worker.state = WorkerState::kQuarantined;
+  worker.probe_at = now + worker.quarantine_time;
+}
+
+bool FaultLedger::Failed(const std::string& job, WorkerIndex index,
+                         int worker_count, Time now) {
+  Worker& worker = workers_[index];
+  worker.failed_jobs.insert(job);
+  ++jobs_[job].failed_on[index];
+  ++jobs_[job].failures;
+  if (worker.state == WorkerState::kProbing) {
+    Quarantine(worker, now);
+    return true;
+  }
+  if (worker.state == WorkerState::kQuarantined) return false;
+  if (!IsSuspected(worker)) return false;
+  const auto allowed =
+      static_cast<size_t>(limits_.max_quarantined_share * worker_count);
+  if (quarantined().size() >= allowed) return false;
+  Quarantine(worker, now);
+  return true;
+}
+
+bool FaultLedger::Succeeded(const std::string& job, WorkerIndex index) {
+  jobs_.erase(job);
+  const auto found = workers_.find(index);
+  if (found == workers_.end()) return false;
+  const bool was_good = found->second.state == WorkerState::kGood;
+  workers_.erase(found);
+  return !was_good;
+}
+
+bool FaultLedger::IsBadJob(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return false;
+  const Job& job = found->second;
+  if (job.failures >= limits_.failures_at_most) return true;
+  int good_workers = 0;
+  int failures_on_good = 0;
+  for (const auto& [index, count] : job.failed_on) {
+    const auto worker = workers_.find(index);
+    if (worker != workers_.end() && IsSuspected(worker->second)) continue;
+    ++good_workers;
+    failures_on_good += count;
+  }
+  // A cluster with fewer workers than that is judged by the failures alone.
+  return good_workers >= limits_.failures_to_judge_job ||
+         failures_on_good >= 2 * limits_.failures_to_judge_job - 1;
+}
+
+void FaultLedger::Forget(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  if (IsBadJob(id)) {
+    for (const auto& [index, count] : found->second.failed_on) {
+      const auto worker = workers_.find(index);
+      if (worker == workers_.end()) continue;
+      worker->second.failed_jobs.erase(id);
+    }
+  }
+  jobs_.erase(found);
+}
+
+FaultLedger::WorkerState FaultLedger::state(WorkerIndex worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? WorkerState::kGood : found->second.state;
+}
+
+bool FaultLedger::IsProbeDue(WorkerIndex worker, Time now) const {
+  const auto found = workers_.find(worker);
+  return found != workers_.end() &&
+         found->second.state == WorkerState::kQuarantined &&
+         found->second.probe_at <= now;
+}
+
+void FaultLedger::ProbeStarted(WorkerIndex worker) {
+  workers_[worker].state = WorkerState::kProbing;
+}
+
+void FaultLedger::ProbeAbandoned(WorkerIndex worker) {
+  const auto found = workers_.find(worker);
+  if (found == workers_.end()) return;
+  if (found->second.state != WorkerState::kProbing) return;
+  found->second.state = WorkerState::kQuarantined;
+}
+
+std::vector<WorkerIndex> FaultLedger::quarantined() const {
+  std::vector<WorkerIndex> found;
+  for (const auto& [index, worker] : workers_) {
+    if (worker.state != WorkerState::kGood) found.push_back(index);
+  }
+  return found;
+}
+
+std::optional<Time> FaultLedger::NextProbe() const {
+  std::optional<Time> next;
+  for (const auto& entry : workers_) {
+    const Worker& worker = entry.second;
+    if (worker.state != WorkerState::kQuarantined) continue;
+    if (!next || worker.probe_at < *next) next = worker.probe_at;
+  }
+  return next;
+}
+
+}  // namespace thornplank
--- a/src/libs/scheduling/feasibility.cc
+++ b/src/libs/scheduling/feasibility.cc
@@ -1,5 +1,6 @@
 // Whether guarantees fit together and whether a job can ever run.
 #include "scheduling/cluster_model.h"
+#include "scheduling/guarantee_witness.h"
 #include "scheduling/job_scheduler.h"
 #include "scheduling/placement_search.h"
 
@@ -14,6 +15,12 @@
   return nullptr;
 }
 
+// Workers that leave may be declared back, so they count as if they stayed.
+std::vector<WorkerInfo> Staying(std::vector<WorkerInfo> workers) {
+  for (WorkerInfo& worker : workers) worker.leaving = false;
+  return workers;
+}
+
 std::string CannotHold(const Shape& shape, const ClusterModel& cluster) {
   if (shape.accelerators_per_member > cluster.largest_worker()) {
     return "a member needs " + std::to_string(shape.accelerators_per_member) +
@@ -31,42 +38,69 @@
   return "the workers do not hold " + shape.ToString();
 }
 
+bool IsSensible(const Shape& shape) {
+  return shape.members > 0 && shape.accelerators_per_member > 0;
+}
+
+// Whether the account's own guarantee could hold the job.
+bool IsWithinGuarantee(const JobSpec& job, const AccountGuarantee& account,
+                       const ClusterModel& cluster) {
+  GuaranteeWitness witness(cluster, 0);
+  std::vector<CellDemand> demands;
+  for (const GuaranteedShape& shape : account.shapes) {
+    demands.push_back({{account.account, ""}, shape});
+  }
+  witness.SetDemands(demands);
+  return witness.CouldEverHold({account.account, ""}, job.shape);
+}
+
 }  // namespace
 
 std::optional<std::string> CheckJobCanEverRun(
     const JobSpec& job, const std::vector<WorkerInfo>& workers,
     const std::vector<AccountGuarantee>& guarantees) {
-  if (job.shape.members <= 0 || job.shape.accelerators_per_member <= 0) {
+  if (!IsSensible(job.shape)) {
     return "members and accelerators must be at least 1";
   }
-  if (!FindAccount(guarantees, job.account)) {
-    return "account " + job.account + " is not declared";
-  }
+  const AccountGuarantee* account = FindAccount(guarantees, job.account);
+  if (!account) return "account " + job.account + " is not declared";
   ClusterModel cluster;
-  cluster.SetWorkers(workers);
-  const std::optional<Placement> placement = FindPlacement(
-      cluster, job.shape, cluster.CapacityRoom(), NoPlacementCost());
-  if (!placement) return CannotHold(job.shape, cluster);
-  return std::nullopt;
+  cluster.SetWorkers(Staying(workers));
+  if (!Fits(cluster, job.shape, cluster.CapacityRoom())) {
+    return CannotHold(job.shape, cluster);
+  }
+  // Jobs of an event have the event's shapes beside the guarantee.
+  if (account->borrowing || !job.event.empty()) return std::nullopt;
+  if (IsWithinGuarantee(job, *account, cluster)) return std::nullopt;
+  return "account " + job.account + " may not borrow and its guarantee does " +
+         "not hold " + job.shape.ToString();
 }
 
 std::optional<std::string> CheckGuaranteesFit(
     const std::vector<WorkerInfo>& workers,
     const std::vector<AccountGuarantee>& guarantees) {
   ClusterModel cluster;
-  cluster.SetWorkers(workers);
-  Room room = cluster.CapacityRoom();
+  cluster.SetWorkers(Staying(workers));
+  std::vector<CellDemand> demands;
   for (const AccountGuarantee& guarantee : guarantees) {
     for (const GuaranteedShape& guaranteed : guarantee.shapes) {
-      for (int i = 0; i < guaranteed.count; ++i) {
-        const std::optional<Placement> placement =
-            FindPlacement(cluster, guaranteed.shape, room, NoPlacementCost());
-        if (!placement) {
-          return guarantee.account + ": no room left for " +
-                 guaranteed.shape.ToString();
-        }
-        TakeRoom(*placement, guaranteed.shape, &room);
+      if (!IsSensible(guaranteed.shape) || guaranteed.count < 0) {
+        return guarantee.account +
+               ": members and accelerators must be at least 1";
+      }
+      if (!Fits(cluster, guaranteed.shape, cluster.CapacityRoom())) {
+        return guarantee.account + ": " + CannotHold(guaranteed.shape, cluster);
       }
+      demands.push_back({{guarantee.account, ""}, guaranteed});
+    }
+  }
+  GuaranteeWitness witness(cluster, 0);
+  witness.SetDemands(demands);
+  for (const AccountGuarantee& guarantee : guarantees) {
+    const std::string text = witness.Shortfall({guarantee.account, ""});
+    if (!text.empty()) {
+      return "the guarantees do not fit together: " + guarantee.account + ": " +
+             text;
     }
   }
   return std::nullopt;
--- a/src/libs/scheduling/gang_lifecycle.cc
+++ b/src/libs/scheduling/gang_lifecycle.cc
@@ -138,7 +138,7 @@
   const MemberState state = refused ? MemberState::kGone : MemberState::kFailed;
   gangs_.SetState(gang, member, state, now);
   if (!IsEnding(gang)) {
-    observer_.OnMemberFailed(gang, record, refused, reason);
+    observer_.OnMemberFailed(gang, record, refused, reason, now);
     const std::string why = (refused ? "refused by " : "failed on ") +
                             record.member.worker + ": " + reason;
     Stop(gang, why, GangEnd::kRequeue, now, actions);
@@ -164,7 +164,7 @@
   if (gang.end == GangEnd::kCancel || gang.end == GangEnd::kFail) return;
   const bool stop_sent = IsEnding(gang);
   gang.end = GangEnd::kFinish;
-  observer_.OnFinished(gang);
+  observer_.OnFinished(gang, now);
   if (stop_sent) return;
   Stop(gang, "finished, leases released", GangEnd::kFinish, now, actions);
 }
--- a/src/libs/scheduling/gang_lifecycle.h
+++ b/src/libs/scheduling/gang_lifecycle.h
@@ -27,13 +27,14 @@
                        const std::string& reason) = 0;
   // A member's task failed, or the worker refused the grant.
   virtual void OnMemberFailed(const Gang& gang, const MemberRecord& member,
-                              bool refused, const std::string& reason) = 0;
+                              bool refused, const std::string& reason,
+                              Time now) = 0;
   // All members saved their state `took` after being asked.
   virtual void OnCheckpointed(const Gang& gang, Duration took) = 0;
   // The checkpoint was not done by its deadline.
   virtual void OnCheckpointHung(const Gang& gang) = 0;
   // Every member finished; the leases are released next.
-  virtual void OnFinished(const Gang& gang) = 0;
+  virtual void OnFinished(const Gang& gang, Time now) = 0;
   // No lease is left; the gang is removed next.
   virtual void OnEnded(const Gang& gang) = 0;
 };
--- a/src/libs/scheduling/job_scheduler.h
+++ b/src/libs/scheduling/job_scheduler.h
@@ -28,6 +28,8 @@
 
 namespace thornplank {
 
+class GuaranteeWitness;
+
 struct SchedulerOptions {
   // Part of every gang and lease id: the coordinator's epoch, so that no two
   // coordinators make the same id.
@@ -52,6 +54,11 @@
   double max_quarantined_share = 0.1;
   // From quarantine until a probe is placed on the worker.
   Duration quarantine_time = std::chrono::seconds(60);
+  // A waiting job that the declared workers could not hold even if empty, or
+  // that its account's rules forbid, fails after this long.
+  Duration impossible_job_bound = std::chrono::seconds(30);
+  // A worker that refused a grant gets none for this long, nor does the job.
+  Duration refusal_pause = std::chrono::seconds(5);
   uint64_t seed = 1;
 };
 
@@ -155,6 +162,8 @@
   std::vector<std::string> quarantined_workers() const;
   // Accelerators not held by any lease on workers that may be used.
   int free_accelerators() const;
+  // Where every guarantee would be honoured now.
+  const GuaranteeWitness& witness() const;
 
  private:
   class Impl;
--- a/src/libs/scheduling/placement_search.cc
+++ b/src/libs/scheduling/placement_search.cc
@@ -151,24 +151,25 @@
   return whole && whole->cost <= spread->cost ? whole->share : spread->share;
 }
 
-void TakeRoom(const Placement& placement, const Shape& shape, Room* room) {
-  for (const WorkerShare& share : placement) {
-    (*room)[share.worker] -= share.members * shape.accelerators_per_member;
-  }
-}
-
-void GiveRoom(const Placement& placement, const Shape& shape, Room* room) {
-  for (const WorkerShare& share : placement) {
-    (*room)[share.worker] += share.members * shape.accelerators_per_member;
+bool Fits(const ClusterModel& cluster, const Shape& shape, const Room& room) {
+  const bool one_rack = shape.adjacency == Adjacency::kRack;
+  int slots = 0;
+  for (int rack = 0; rack < cluster.rack_count(); ++rack) {
+    if (one_rack) slots = 0;
+    for (const WorkerIndex worker : cluster.rack(rack)) {
+      slots += std::max(0, room[worker]) / shape.accelerators_per_member;
+    }
+    if (slots >= shape.members) return true;
   }
+  return false;
 }
 
-bool HasRoom(const Placement& placement, const Shape& shape, const Room& room) {
+std::vector<WorkerIndex> MemberWorkers(const Placement& placement) {
+  std::vector<WorkerIndex> workers;
   for (const WorkerShare& share : placement) {
-    const int needed = share.members * shape.accelerators_per_member;
-    if (room[share.worker] < needed) return false;
+    workers.insert(workers.end(), share.members, share.worker);
   }
-  return true;
+  return workers;
 }
 
 }  // namespace thornplank
--- a/src/libs/scheduling/placement_search.h
+++ b/src/libs/scheduling/placement_search.h
@@ -41,12 +41,11 @@
                                        const Shape& shape, const Room& room,
                                        const PlacementCost& cost);
 
-// Takes the placement's accelerators out of `room`, or gives them back.
-void TakeRoom(const Placement& placement, const Shape& shape, Room* room);
-void GiveRoom(const Placement& placement, const Shape& shape, Room* room);
+// Whether `room` holds `shape` at all; cheaper than FindPlacement.
+bool Fits(const ClusterModel& cluster, const Shape& shape, const Room& room);
 
-// Whether `room` holds every member of `placement`.
-bool HasRoom(const Placement& placement, const Shape& shape, const Room& room);
+// The worker of each member, in order.
+std::vector<WorkerIndex> MemberWorkers(const Placement& placement);
 
 }  // namespace thornplank
 
--- /dev/null
+++ b/src/libs/scheduling/reclaimer.h
@@ -0,0 +1,50 @@
+// Moves borrowers off: for plans that wait for their accelerators, and for
+// events before their fixed start.
+#ifndef THORNPLANK_SCHEDULING_RECLAIMER_H_
+#define THORNPLANK_SCHEDULING_RECLAIMER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "scheduling/cluster_survey.h"
+#include "scheduling/scheduler_state.h"
+#include "scheduling/victim_selection.h"
+
+namespace thornplank {
+
+class Reclaimer {
+ public:
+  // Both outlive the object.
+  Reclaimer(SchedulerState& state, GangStopper& stopper);
+
+  // Starts the leaving of whatever borrower still stands in the way.
+  void Run(Time now);
+  // Lends cells to the events that come near and settles them where the
+  // least work is lost.
+  void PrepareEvents(const ClusterSurvey& survey, Time now);
+  // When the next event has to be looked at; nullopt when none is ahead.
+  std::optional<Time> NextDue(Time now) const;
+
+ private:
+  // Which plans' claims are served.
+  enum class Claims { kGuaranteed, kAll };
+
+  void ServeClaims(Claims claims, const ClusterSurvey& survey, Time now);
+  void ClearForEvent(const EventReservation& event, const ClusterSurvey& survey,
+                     Time now);
+  // Claimed accelerators per worker beyond what is free or coming free.
+  std::map<WorkerIndex, int> Missing(const std::map<WorkerIndex, int>& claimed,
+                                     const ClusterSurvey& survey) const;
+  std::map<WorkerIndex, int> ClaimedBy(Claims claims) const;
+  std::vector<VictimCandidate> Candidates(const ClusterSurvey& survey,
+                                          bool urgent_too, Time now) const;
+
+  SchedulerState& state_;
+  GangStopper& stopper_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_SCHEDULING_RECLAIMER_H_
--- /dev/null
+++ b/src/libs/scheduling/run_time_estimator.cc
@@ -0,0 +1,113 @@
+#include "scheduling/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace thornplank {
+namespace {
+
+// Weight of the newest run time in the means, once several are known.
+constexpr double kNewestWeight = 0.1;
+constexpr double kLargestFactor = 50;
+// Expected of a job of which neither it nor its account says anything.
+constexpr Duration kUnknownRunTime = std::chrono::seconds(600);
+// A job that overran is expected to run on for this share of what it ran.
+constexpr double kOverrunShare = 0.25;
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(100);
+constexpr size_t kCheckpointsKept = 16;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+RunTimeEstimator::RunTimeEstimator(Duration assumed_checkpoint_time)
+    : assumed_checkpoint_time_(assumed_checkpoint_time) {}
+
+void RunTimeEstimator::Finished(const std::string& account, Duration declared,
+                                Duration actual) {
+  if (actual <= Duration::zero()) return;
+  Account& known = accounts_[account];
+  ++known.finished;
+  const double weight = std::max(kNewestWeight, 1.0 / known.finished);
+  known.mean_seconds += weight * (Seconds(actual) - known.mean_seconds);
+  if (declared <= Duration::zero()) return;
+  const double ratio = std::clamp(Seconds(actual) / Seconds(declared),
+                                  1 / kLargestFactor, kLargestFactor);
+  known.log_factor += weight * (std::log(ratio) - known.log_factor);
+}
+
+Duration RunTimeEstimator::Expect(const std::string& account,
+                                  Duration declared) const {
+  const Account* known = Find(account);
+  if (declared <= Duration::zero()) {
+    const bool has_mean = known && known->mean_seconds > 0;
+    return has_mean ? FromSeconds(known->mean_seconds) : kUnknownRunTime;
+  }
+  return FromSeconds(Seconds(declared) * factor(account));
+}
+
+Duration RunTimeEstimator::Remaining(const std::string& account,
+                                     Duration declared,
+                                     Duration ran_for) const {
+  const Duration expected = Expect(account, declared);
+  const Duration overrun = FromSeconds(Seconds(ran_for) * kOverrunShare);
+  return std::max(
+      {expected - ran_for, std::min(overrun, expected), kLeastRemaining});
+}
+
+double RunTimeEstimator::factor(const std::string& account) const {
+  const Account* known = Find(account);
+  return known ? std::exp(known->log_factor) : 1.0;
+}
+
+void RunTimeEstimator::Checkpointed(const std::string& account, Duration took) {
+  Keep(account, {took, false});
+}
+
+void RunTimeEstimator::CheckpointHung(const std::string& account) {
+  Keep(account, {Duration::zero(), true});
+}
+
+Duration RunTimeEstimator::CheckpointTime(const std::string& account) const {
+  const Account* known = Find(account);
+  Duration longest = Duration::zero();
+  bool measured = false;
+  for (const Checkpoint& checkpoint :
+       known ? known->checkpoints : std::deque<Checkpoint>()) {
+    if (checkpoint.hung) continue;
+    longest = std::max(longest, checkpoint.took);
+    measured = true;
+  }
+  return measured ? longest : assumed_checkpoint_time_;
+}
+
+double RunTimeEstimator::HungShare(const std::string& account) const {
+  const Account* known = Find(account);
+  if (!known || known->checkpoints.empty()) return 0;
+  const auto hung =
+      std::count_if(known->checkpoints.begin(), known->checkpoints.end(),
+                    [](const Checkpoint& one) { return one.hung; });
+  return static_cast<double>(hung) /
+         static_cast<double>(known->checkpoints.size());
+}
+
+const RunTimeEstimator::Account* RunTimeEstimator::Find(
+    const std::string& account) const {
+  const auto found = accounts_.find(account);
+  return found == accounts_.end() ? nullptr : &found->second;
+}
+
+void RunTimeEstimator::Keep(const std::string& account, Checkpoint checkpoint) {
+  std::deque<Checkpoint>& kept = accounts_[account].checkpoints;
+  kept.push_back(checkpoint);
+  if (kept.size() > kCheckpointsKept) kept.pop_front();
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/scheduling/victim_selection.cc
@@ -0,0 +1,85 @@
+#include "scheduling/victim_selection.h"
+
+#include <algorithm>
+
+namespace thornplank {
+namespace {
+
+// Needed accelerators that stopping the candidate would free.
+int Unblocks(const VictimCandidate& candidate,
+             const std::map<WorkerIndex, int>& needed) {
+  int freed = 0;
+  for (const auto& [worker, accelerators] : candidate.holds) {
+    const auto need = needed.find(worker);
+    if (need == needed.end() || need->second <= 0) continue;
+    freed += std::min(accelerators, need->second);
+  }
+  return freed;
+}
+
+void Free(const VictimCandidate& candidate, int sign,
+          std::map<WorkerIndex, int>* needed) {
+  for (const auto& [worker, accelerators] : candidate.holds) {
+    const auto need = needed->find(worker);
+    if (need != needed->end()) need->second -= sign * accelerators;
+  }
+}
+
+const VictimCandidate* BestVictim(
+    const std::map<WorkerIndex, int>& needed,
+    const std::vector<const VictimCandidate*>& candidates) {
+  const VictimCandidate* best = nullptr;
+  double best_cost = 0;
+  for (const VictimCandidate* candidate : candidates) {
+    const int freed = Unblocks(*candidate, needed);
+    if (freed == 0) continue;
+    const double cost = candidate->work_lost / freed;
+    if (best && cost >= best_cost) continue;
+    best = candidate;
+    best_cost = cost;
+  }
+  return best;
+}
+
+// Whether `victim` can stay although all the others of the choice leave.
+bool IsNeedless(const VictimCandidate& victim,
+                const std::map<WorkerIndex, int>& left) {
+  return std::all_of(
+      victim.holds.begin(), victim.holds.end(), [&left](const auto& hold) {
+        const auto need = left.find(hold.first);
+        return need == left.end() || need->second + hold.second <= 0;
+      });
+}
+
+}  // namespace
+
+std::vector<std::string> SelectVictims(
+    const std::map<WorkerIndex, int>& needed,
+    const std::vector<VictimCandidate>& candidates) {
+  std::map<WorkerIndex, int> left = needed;
+  std::vector<const VictimCandidate*> open;
+  for (const VictimCandidate& candidate : candidates) {
+    if (Unblocks(candidate, left) > 0) open.push_back(&candidate);
+  }
+  std::vector<const VictimCandidate*> chosen;
+  while (const VictimCandidate* best = BestVictim(left, open)) {
+    chosen.push_back(best);
+    Free(*best, 1, &left);
+    open.erase(std::find(open.begin(), open.end(), best));
+  }
+  std::vector<std::string> victims;
+  // Costly ones are spared first.
+  std::sort(chosen.begin(), chosen.end(), [](const auto* a, const auto* b) {
+    return a->work_lost > b->work_lost;
+  });
+  for (const VictimCandidate* victim : chosen) {
+    if (IsNeedless(*victim, left)) {
+      Free(*victim, -1, &left);
+    } else {
+      victims.push_back(victim->gang_id);
+    }
+  }
+  return victims;
+}
+
+}  // namespace thornplank
