Test guarantees, events, reservations and blame with tables

Cases for what fits together, what can never run, reclaim with answered and hung checkpoints, urgent work, shortfalls, events with own and extra shapes, a large job among small ones that end as declared or never, quarantine. Ruled out: answering checkpoints at once in the event case, since a measured time of zero rightly lets borrowers back until two seconds before the start.

--- /dev/null
+++ b/tests/auto/scheduling/tst_large_jobs_and_events.cc
@@ -0,0 +1,241 @@
+// Reservations of large jobs, events with a fixed start, faulty workers and
+// faulty jobs.
+#include <doctest/doctest.h>
+
+#include "scheduling/fault_ledger.h"
+#include "scheduling/run_time_estimator.h"
+#include "scheduling_fixtures.h"
+
+namespace thornplank::testing {
+namespace {
+
+constexpr Shape kRackFour{4, 8, Adjacency::kRack};
+
+// Answers every action at once; jobs run as long as the test says.
+class Answering {
+ public:
+  explicit Answering(std::vector<AccountGuarantee> accounts,
+                     SchedulerOptions options = SchedulerOptions())
+      : scheduler(options) {
+    scheduler.SetWorkers(Workers(1, 4, 8), At(0));
+    scheduler.SetGuarantees(accounts, At(0));
+    Take(scheduler.Tick(At(0)), At(0));
+  }
+
+  void Take(SchedulerActions actions, Time now) {
+    for (size_t i = 0; i < actions.size(); ++i) {
+      const SchedulerAction action = actions[i];
+      SchedulerActions more;
+      if (const auto* grant = std::get_if<GrantGang>(&action)) {
+        grants[grant->job] = *grant;
+        ++attempts[grant->job];
+        more = ConfirmAll(scheduler, *grant, now);
+      } else if (const auto* stop = std::get_if<StopGang>(&action)) {
+        more =
+            ConfirmAll(scheduler, grants[stop->job], now, MemberOutcome::kGone);
+      } else if (const auto* save = std::get_if<CheckpointGang>(&action)) {
+        if (!hang)
+          more = scheduler.CheckpointDone(save->job, save->gang_id, now);
+      } else if (const auto* report = std::get_if<ReportShortfall>(&action)) {
+        shortfalls[report->name] = report->text;
+      }
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+  }
+  void Submit(const JobSpec& job, int second) {
+    Take(scheduler.Submit(job, At(second)), At(second));
+  }
+  void Tick(int second) { Take(scheduler.Tick(At(second)), At(second)); }
+  void End(const std::string& job, int second, MemberOutcome outcome) {
+    Take(ConfirmAll(scheduler, grants[job], At(second), outcome), At(second));
+  }
+  bool Runs(const std::string& job) const {
+    const std::optional<JobStatus> status = scheduler.job(job);
+    return status && status->phase == JobPhase::kRunning;
+  }
+
+  JobScheduler scheduler;
+  std::map<std::string, GrantGang> grants;
+  std::map<std::string, int> attempts;
+  std::map<std::string, std::string> shortfalls;
+  bool hang = false;
+};
+
+// Small jobs keep coming, each ending as declared or running on past that.
+TEST_CASE("a large job starts within a bound among small ones") {
+  bool honest = true;
+  SUBCASE("run times are as declared") { honest = true; }
+  SUBCASE("small jobs never end by themselves") { honest = false; }
+  Answering t({Account("c"), Account("d")});
+  for (int i = 0; i < 4; ++i) {
+    t.Submit(Job("first" + std::to_string(i), "c", kWhole, 10 + 10 * i), 0);
+  }
+  t.Submit(Job("large", "d", kRackFour, 50), 1);
+  std::map<std::string, int> ends;
+  for (int i = 0; i < 4; ++i) ends["first" + std::to_string(i)] = 10 + 10 * i;
+  int started = 0;
+  for (int second = 2; second <= 600 && started == 0; ++second) {
+    if (second % 5 == 0) {
+      const std::string id = "s" + std::to_string(second);
+      t.Submit(Job(id, "c", kWhole, 20), second);
+    }
+    for (auto& [job, grant] : std::map<std::string, GrantGang>(t.grants)) {
+      if (job == "large" || !t.Runs(job)) continue;
+      const int end = ends.emplace(job, second + 20).first->second;
+      if (honest && end <= second) t.End(job, second, MemberOutcome::kFinished);
+    }
+    t.Tick(second);
+    if (t.Runs("large")) started = second;
+  }
+  // The wait bound, and as often as a delay is allowed one small run time.
+  CHECK(started > 0);
+  CHECK(started <= 60 + 4 * 40);
+}
+
+TEST_CASE("an event's accelerators are free at its start, not much before") {
+  Answering t({Account("a"), Account("c")});
+  const std::vector<EventReservation> events = {
+      {"opening", "a", At(1000), {{kRackFour, 1}}}};
+  t.Take(t.scheduler.SetEvents(events, At(0)), At(0));
+  CHECK(t.shortfalls["opening"].empty());
+  for (int i = 0; i < 4; ++i) {
+    t.Submit(Job("c" + std::to_string(i), "c", kWhole, 5000), 0);
+  }
+  JobSpec job = Job("alert", "a", kRackFour);
+  job.event = "opening";
+  t.Submit(job, 1);
+  // 10 s assumed for a checkpoint, half of it as margin, 2 s to stop.
+  t.hang = true;
+  t.Tick(980);
+  CHECK(t.Runs("c0"));
+  t.Tick(984);
+  CHECK_FALSE(t.Runs("c0"));
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    t.Take(t.scheduler.CheckpointDone(id, t.grants[id].gang_id, At(990)),
+           At(990));
+  }
+  CHECK(t.scheduler.free_accelerators() == 32);
+  CHECK_FALSE(t.Runs("alert"));
+  t.Submit(Job("late", "c", kWhole, 500), 991);
+  CHECK_FALSE(t.Runs("late"));
+  t.Submit(Job("short", "c", kWhole, 5), 991);
+  CHECK(t.Runs("short"));
+  t.End("short", 996, MemberOutcome::kFinished);
+  t.Tick(1000);
+  CHECK(t.Runs("alert"));
+}
+
+TEST_CASE("an event that cannot be served whole is reported at once") {
+  Answering t({Account("a"), Account("b", {{kWhole, 1}})});
+  t.Take(t.scheduler.SetEvents({{"opening", "a", At(1000), {{kRackFour, 1}}}},
+                               At(0)),
+         At(0));
+  CHECK_FALSE(t.shortfalls["opening"].empty());
+  t.Take(
+      t.scheduler.SetEvents({{"opening", "a", At(1000), {{kWhole, 3}}}}, At(1)),
+      At(1));
+  CHECK(t.shortfalls["opening"].empty());
+  t.Take(t.scheduler.WorkerLost("w3", At(20), At(5)), At(5));
+  const bool told =
+      !t.shortfalls["opening"].empty() || !t.shortfalls["b"].empty();
+  CHECK(told);
+}
+
+TEST_CASE("an event uses its account's own guarantee before anything else") {
+  Answering t({Account("a", {{kRackFour, 1}})});
+  t.Take(t.scheduler.SetEvents({{"opening", "a", At(1000), {{kRackFour, 1}}}},
+                               At(0)),
+         At(0));
+  CHECK(t.shortfalls["opening"].empty());
+  t.Submit(Job("usual", "a", kRackFour, 5000), 1);
+  CHECK(t.scheduler.job("usual")->guaranteed);
+  JobSpec job = Job("alert", "a", kRackFour);
+  job.event = "opening";
+  t.Submit(job, 2);
+  t.Tick(990);
+  t.Tick(1000);
+  CHECK(t.Runs("alert"));
+}
+
+TEST_CASE("blame falls on the worker or on the job, by crossing evidence") {
+  FaultLedger ledger{FaultLimits()};
+  constexpr int kWorkers = 50;
+  SUBCASE("many jobs fail on one worker") {
+    CHECK_FALSE(ledger.Failed("j1", 0, kWorkers, At(0)));
+    CHECK_FALSE(ledger.Failed("j2", 0, kWorkers, At(0)));
+    CHECK(ledger.Failed("j3", 0, kWorkers, At(0)));
+    CHECK_FALSE(ledger.IsBadJob("j3"));
+    CHECK_FALSE(ledger.IsProbeDue(0, At(59)));
+    CHECK(ledger.IsProbeDue(0, At(60)));
+    ledger.ProbeStarted(0);
+    SUBCASE("the probe fails") {
+      CHECK(ledger.Failed("j4", 0, kWorkers, At(61)));
+      CHECK_FALSE(ledger.IsProbeDue(0, At(180)));
+      CHECK(ledger.IsProbeDue(0, At(181)));
+    }
+    SUBCASE("the probe goes well") {
+      CHECK(ledger.Succeeded("j4", 0));
+      CHECK(ledger.quarantined().empty());
+    }
+  }
+  SUBCASE("one job fails on many workers") {
+    for (int worker = 0; worker < 3; ++worker) {
+      CHECK_FALSE(ledger.Failed("bad", worker, kWorkers, At(0)));
+    }
+    CHECK(ledger.IsBadJob("bad"));
+    ledger.Forget("bad");
+    // Its failures count against no worker any more.
+    CHECK_FALSE(ledger.Failed("j1", 0, kWorkers, At(0)));
+    CHECK_FALSE(ledger.Failed("j2", 0, kWorkers, At(0)));
+    CHECK(ledger.quarantined().empty());
+  }
+  SUBCASE("never more than the set share") {
+    for (int worker = 0; worker < 10; ++worker) {
+      for (const char* job : {"j1", "j2", "j3", "j4"}) {
+        ledger.Failed(job + std::to_string(worker), worker, kWorkers, At(0));
+      }
+    }
+    CHECK(ledger.quarantined().size() == 5);
+  }
+}
+
+TEST_CASE("a job that fails everywhere ends, a good one moves on") {
+  SchedulerOptions options;
+  options.max_quarantined_share = 0.25;
+  Answering t({Account("c")}, options);
+  t.Submit(Job("bad", "c", kWhole), 0);
+  for (int second = 1; second < 20 && t.Runs("bad"); ++second) {
+    t.End("bad", second, MemberOutcome::kFailed);
+  }
+  CHECK(t.scheduler.job("bad")->phase == JobPhase::kFailed);
+  CHECK(t.attempts["bad"] == 3);
+  CHECK(t.scheduler.quarantined_workers().empty());
+  // Whatever lies on w0 fails there.
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "g" + std::to_string(i);
+    t.Submit(Job(id, "c", kWhole), 100 + i);
+    for (int tries = 0; tries < 3 && t.Runs(id); ++tries) {
+      const bool faulty = t.grants[id].members[0].worker == "w0";
+      const auto outcome =
+          faulty ? MemberOutcome::kFailed : MemberOutcome::kFinished;
+      t.End(id, 100 + i, outcome);
+    }
+    CHECK(t.scheduler.job(id)->phase == JobPhase::kFinished);
+  }
+  CHECK(t.scheduler.quarantined_workers() == std::vector<std::string>{"w0"});
+}
+
+TEST_CASE("declared run times are corrected per account") {
+  RunTimeEstimator estimator(seconds(10));
+  for (int i = 0; i < 20; ++i)
+    estimator.Finished("a", seconds(10), seconds(40));
+  CHECK(estimator.factor("a") == doctest::Approx(4));
+  CHECK(estimator.factor("b") == doctest::Approx(1));
+  CHECK(estimator.Expect("a", seconds(20)) > seconds(79));
+  // An overrunning job is never expected to end at once.
+  CHECK(estimator.Remaining("b", seconds(10), seconds(100)) >= seconds(10));
+}
+
+}  // namespace
+}  // namespace thornplank::testing
