Fold the job stream and carry jobs between stream and workers

Cause: jobs need a state that survives the death of any entry, and one coordinator at a time whose orders are fenced at the workers. The fold takes records by meaning (job id, revision, epoch) and by remembered ids.

--- /dev/null
+++ b/src/libs/jobs/job_manager_access.cc
@@ -0,0 +1,307 @@
+// Submissions, cancellations and reads of the HTTP handlers and the peers.
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job_manager_impl.h"
+#include "logging/events/jobs_events.h"
+
+namespace thornplank {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Outcome = JobChangeResult::Outcome;
+
+// A caller waits this much longer than its record, so that the fate of the
+// record is known first.
+constexpr Milliseconds kFoldMargin{500};
+// Appends that fail for this long mean that the log is down.
+constexpr Milliseconds kAppendFailingBound{500};
+
+JobChangeResult NotRun(const std::string& reason) {
+  return {Outcome::kNotRun, JobPhase::kWaiting, reason};
+}
+
+}  // namespace
+
+void JobManager::Impl::Submit(const JobRequest& job, ChangeCallback callback) {
+  const Time now = Clock::now();
+  const std::string record_id = NewRecordId();
+  std::optional<JobChangeResult> result;
+  bool log_down = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    log_down = LogDown(now);
+    if (!fold_.complete()) {
+      result = NotRun("the job stream is not folded yet");
+    } else if (fold_.jobs().Knows(job.spec.id)) {
+      result = SubmissionResult(fold_.jobs(), job);
+    } else if (draining_) {
+      result = NotRun("this entry is stopping");
+    } else if (log_down && job.spec.priority != Priority::kUrgent) {
+      result = NotRun("the log is down; only urgent jobs are taken");
+    } else if (!log_down) {
+      waiters_.Add({record_id, job, false,
+                    now + settings_.submit_timeout + kFoldMargin, callback});
+    }
+  }
+  if (result) {
+    callback(*result);
+    return;
+  }
+  if (log_down) {
+    urgent_->Submit(job, std::move(callback));
+    return;
+  }
+  AppendSubmission(job, record_id, now + settings_.submit_timeout);
+}
+
+void JobManager::Impl::AppendSubmission(const JobRequest& job,
+                                        const std::string& record_id,
+                                        Time deadline) {
+  writer_.Append(record_id, EncodeJobRecord(SubmittedRecord{job}), deadline,
+                 [weak = weak_from_this(), id = job.spec.id, record_id](
+                     AppendState state, int64_t, const Error& error) {
+                   // An append that is confirmed or unknown is settled by the
+                   // fold.
+                   if (state != AppendState::kNotAppended) return;
+                   if (const auto self = weak.lock()) {
+                     self->SubmissionFailed(id, record_id, error);
+                   }
+                 });
+}
+
+void JobManager::Impl::SubmissionFailed(const std::string& job,
+                                        const std::string& record_id,
+                                        const Error& error) {
+  std::vector<JobWaiters::Waiter> waiters;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiters = waiters_.TakeByRecord(job, record_id);
+  }
+  for (JobWaiters::Waiter& waiter : waiters) {
+    if (!waiter.for_end && waiter.job.spec.priority == Priority::kUrgent) {
+      urgent_->Submit(waiter.job, std::move(waiter.callback));
+      continue;
+    }
+    AnswerFailed(std::move(waiter), true, error.ToString());
+  }
+}
+
+void JobManager::Impl::AnswerFailed(JobWaiters::Waiter waiter,
+                                    bool proved_not_appended,
+                                    const std::string& reason) {
+  const Outcome outcome =
+      proved_not_appended ? Outcome::kNotRun : Outcome::kUnknown;
+  waiter.callback({outcome, JobPhase::kWaiting, reason});
+}
+
+void JobManager::Impl::Cancel(const std::string& id, const std::string& by,
+                              ChangeCallback callback) {
+  const Time now = Clock::now();
+  const std::string record_id = NewRecordId();
+  std::optional<JobChangeResult> result;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const JobEntry* entry = fold_.jobs().Find(id);
+    if (entry != nullptr && IsFinal(entry->phase)) {
+      result = {Outcome::kAccepted, entry->phase, entry->reason};
+    } else if (LogDown(now) || entry == nullptr) {
+      result = NotRun("the log is down");
+    } else {
+      JobRequest job;
+      job.spec.id = id;
+      waiters_.Add({record_id, job, true,
+                    now + settings_.submit_timeout + kFoldMargin, callback});
+    }
+  }
+  if (result) {
+    callback(*result);
+    return;
+  }
+  writer_.Append(record_id, EncodeJobRecord(CancelledRecord{id, by}),
+                 now + settings_.submit_timeout,
+                 [weak = weak_from_this(), id, record_id](
+                     AppendState state, int64_t, const Error& error) {
+                   if (state != AppendState::kNotAppended) return;
+                   if (const auto self = weak.lock()) {
+                     self->SubmissionFailed(id, record_id, error);
+                   }
+                 });
+}
+
+std::optional<JobEntry> JobManager::Impl::Find(const std::string& id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const JobEntry* entry = fold_.jobs().Find(id);
+  if (entry != nullptr) return *entry;
+  const auto held = held_.find(id);
+  if (held == held_.end()) return std::nullopt;
+  return HeldEntry(held->second);
+}
+
+std::vector<JobEntry> JobManager::Impl::List(const std::string& account,
+                                             size_t limit) const {
+  std::vector<JobEntry> found;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [id, entry] : fold_.jobs().jobs()) {
+      if (!account.empty() && entry.request.spec.account != account) continue;
+      found.push_back(entry);
+    }
+    for (const auto& [id, job] : held_) {
+      if (!account.empty() && job.spec.account != account) continue;
+      found.push_back(HeldEntry(job));
+    }
+  }
+  std::sort(found.begin(), found.end(),
+            [](const JobEntry& left, const JobEntry& right) {
+              return left.request.spec.submitted_order <
+                     right.request.spec.submitted_order;
+            });
+  if (found.size() > limit) {
+    found.erase(found.begin(),
+                found.end() - static_cast<std::ptrdiff_t>(limit));
+  }
+  return found;
+}
+
+std::optional<std::string> JobManager::Impl::CheckCanRun(
+    const JobSpec& job) const {
+  std::shared_ptr<const PlanningInputs> inputs;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    inputs = inputs_;
+  }
+  if (inputs->workers.empty()) return std::nullopt;
+  return CheckJobCanEverRun(job, inputs->workers, inputs->guarantees);
+}
+
+std::string JobManager::Impl::NewJobId() { return "job-" + NewRecordId(); }
+
+bool JobManager::Impl::ready() const { return not_ready_reason().empty(); }
+
+std::string JobManager::Impl::not_ready_reason() const {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!fold_.complete()) return "the job stream has no snapshot to begin at";
+  }
+  if (!follower_ || !follower_->caught_up()) {
+    return "the job stream has not been read to its end";
+  }
+  return "";
+}
+
+bool JobManager::Impl::is_coordinator() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return coordinator_ != nullptr;
+}
+
+CoordinatorEpoch JobManager::Impl::current_epoch() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return fold_.epochs().current();
+}
+
+int64_t JobManager::Impl::jobs_offset() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return fold_.next_offset();
+}
+
+size_t JobManager::Impl::open_jobs() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return fold_.jobs().jobs().size() - fold_.jobs().final_jobs();
+}
+
+Json JobManager::Impl::ProduceSnapshot() const {
+  std::vector<SnapshotPartRecord> parts;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    parts = fold_.MakeSnapshot("peer", settings_.snapshot_jobs_per_part);
+  }
+  if (parts.empty()) return Json();
+  Json array = Json::array();
+  for (const SnapshotPartRecord& part : parts) {
+    array.push_back(EncodeJobRecord(part));
+  }
+  return {{"parts", std::move(array)}};
+}
+
+bool JobManager::Impl::ConsumeSnapshot(const Json& snapshot, Error* error) {
+  std::vector<SnapshotPartRecord> parts;
+  const Json* array = ArrayField(snapshot, "parts");
+  if (array != nullptr) {
+    for (const Json& item : *array) {
+      const std::optional<JobStreamRecord> record = DecodeJobRecord(item);
+      if (!record) continue;
+      if (!std::holds_alternative<SnapshotPartRecord>(*record)) continue;
+      parts.push_back(std::get<SnapshotPartRecord>(*record));
+    }
+  }
+  const bool whole =
+      !parts.empty() && parts.size() == static_cast<size_t>(parts[0].parts);
+  if (!whole) {
+    SetError(error, "read job snapshot", "", "the snapshot is not whole");
+    return false;
+  }
+  JobWaiters::Answers answers;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!fold_.Restore(parts)) return true;
+    HandleChange({FoldChange::Kind::kRestored, ""}, Clock::now(), &answers);
+  }
+  for (const auto& answer : answers) answer();
+  return true;
+}
+
+bool JobManager::Impl::LogDown(Time now) {
+  if (!follower_) return true;
+  if (writer_.healthy() || writer_.pending() == 0) {
+    append_failing_since_.reset();
+  } else if (!append_failing_since_) {
+    append_failing_since_ = now;
+  }
+  const std::optional<Time> read_at = follower_->last_success();
+  if (!read_at || now - *read_at > settings_.log_down_after) return true;
+  return append_failing_since_ &&
+         now - *append_failing_since_ > kAppendFailingBound;
+}
+
+bool JobManager::Impl::PlanUrgent(const JobRequest& job) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!coordinator_ || verifying_) return false;
+    if (fold_.jobs().Knows(job.spec.id)) return true;
+    coordinator_->Submit(HeldEntry(job), Clock::now());
+  }
+  SchedulePump();
+  return true;
+}
+
+void JobManager::Impl::HoldUrgent(const JobRequest& job) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (fold_.jobs().Knows(job.spec.id)) return;
+    if (!held_.emplace(job.spec.id, job).second) return;
+  }
+  writer_.Append(NewRecordId(), EncodeJobRecord(SubmittedRecord{job}),
+                 Clock::now() + settings_.append_patience,
+                 [](AppendState state, int64_t, const Error& error) {
+                   if (state == AppendState::kAppended) return;
+                   LogEvent(events::kJobRecordLost, error);
+                 });
+}
+
+// Its place in the order of arrival is after all that is folded.
+JobEntry JobManager::Impl::HeldEntry(const JobRequest& job) const {
+  JobEntry entry;
+  entry.request = job;
+  entry.request.spec.submitted_order = fold_.next_offset();
+  entry.reason = "held until the log is back";
+  entry.submitted_at = std::chrono::system_clock::now();
+  return entry;
+}
+
+std::string JobManager::Impl::NewRecordId() {
+  return settings_.name + "-" + settings_.incarnation + "-" +
+         std::to_string(next_id_.fetch_add(1));
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/jobs/job_routes.h
@@ -0,0 +1,24 @@
+// The HTTP interface of jobs: checks the caller and the body, asks JobAccess,
+// and writes the answer. See docs/PROTOCOLS.md section 2.
+#ifndef THORNPLANK_JOBS_JOB_ROUTES_H_
+#define THORNPLANK_JOBS_JOB_ROUTES_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "api/api_router.h"
+#include "jobs/job_access.h"
+
+namespace thornplank {
+
+// Adds the routes under /v1/jobs. `access` is kept by the handlers.
+void AddJobRoutes(const std::shared_ptr<JobAccess>& access,
+                  size_t max_listed_jobs, ApiRouter* router);
+
+// The form of a job in answers.
+Json JobToJson(const JobEntry& entry);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_JOBS_JOB_ROUTES_H_
--- /dev/null
+++ b/src/libs/state/job_stream_fold.cc
@@ -0,0 +1,136 @@
+// The fold of the job stream in log order.
+#include "state/job_stream_fold.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace thornplank {
+
+using Kind = FoldChange::Kind;
+
+namespace {
+
+constexpr size_t kMaxRememberedIds = 20000;
+
+}  // namespace
+
+JobStreamFold::JobStreamFold(JobRetention retention)
+    : retention_(retention), jobs_(retention) {}
+
+FoldChange JobStreamFold::Fold(const LogRecord& record) {
+  if (record.offset < next_offset_) return {};
+  next_offset_ = record.offset + 1;
+  if (!NoteId(record.id)) return {};
+  const std::optional<JobStreamRecord> typed = DecodeJobRecord(record.data);
+  if (typed && std::holds_alternative<SnapshotPartRecord>(*typed)) {
+    return SeePart(std::get<SnapshotPartRecord>(*typed));
+  }
+  if (!complete_) {
+    kept_.push_back(record);
+    return {};
+  }
+  if (!typed) return {};
+  return Apply(record, *typed);
+}
+
+void JobStreamFold::LoseBefore(int64_t first_kept) {
+  if (first_kept <= next_offset_) return;
+  complete_ = false;
+  kept_.clear();
+  kept_from_ = first_kept;
+  next_offset_ = first_kept;
+  collector_.Clear();
+}
+
+bool JobStreamFold::Restore(const std::vector<SnapshotPartRecord>& parts) {
+  if (parts.empty()) return false;
+  const int64_t covers = parts.front().covers;
+  if (complete_ && covers <= next_offset_) return false;
+  if (!complete_ && covers < kept_from_) return false;
+  if (!Install(parts)) return false;
+  next_offset_ = std::max(next_offset_, covers);
+  return true;
+}
+
+std::vector<SnapshotPartRecord> JobStreamFold::MakeSnapshot(
+    const std::string& snapshot_id, size_t jobs_per_part) const {
+  if (!complete_) return {};
+  return MakeJobSnapshot(snapshot_id, next_offset_, jobs_, epochs_,
+                         jobs_per_part);
+}
+
+bool JobStreamFold::NoteId(const std::string& id) {
+  if (!ids_.insert(id).second) return false;
+  id_order_.push_back(id);
+  if (id_order_.size() > kMaxRememberedIds) {
+    ids_.erase(id_order_.front());
+    id_order_.pop_front();
+  }
+  return true;
+}
+
+FoldChange JobStreamFold::Apply(const LogRecord& record,
+                                const JobStreamRecord& typed) {
+  const auto change = [](bool changed, Kind kind, const std::string& job) {
+    return changed ? FoldChange{kind, job} : FoldChange{};
+  };
+  if (const auto* submitted = std::get_if<SubmittedRecord>(&typed)) {
+    return change(jobs_.Submit(*submitted, record.offset, record.time),
+                  Kind::kSubmitted, submitted->job.spec.id);
+  }
+  if (const auto* cancelled = std::get_if<CancelledRecord>(&typed)) {
+    return change(jobs_.Cancel(*cancelled, record.time), Kind::kCancelled,
+                  cancelled->job);
+  }
+  if (const auto* placed = std::get_if<PlacedRecord>(&typed)) {
+    if (!epochs_.InForce(placed->epoch)) return {};
+    return change(jobs_.Place(*placed, record.time), Kind::kPlaced,
+                  placed->job);
+  }
+  if (const auto* phase = std::get_if<PhaseRecord>(&typed)) {
+    if (!epochs_.InForce(phase->epoch)) return {};
+    return change(jobs_.ChangePhase(*phase, record.time), Kind::kPhase,
+                  phase->job);
+  }
+  if (const auto* epoch = std::get_if<EpochRecord>(&typed)) {
+    return change(epochs_.Claim(*epoch), Kind::kEpoch, "");
+  }
+  if (const auto* resign = std::get_if<ResignRecord>(&typed)) {
+    return change(epochs_.Resign(*resign), Kind::kResigned, "");
+  }
+  return {};
+}
+
+FoldChange JobStreamFold::SeePart(const SnapshotPartRecord& part) {
+  const auto whole = collector_.Add(part);
+  if (!whole) return {};
+  if (complete_) {
+    newest_snapshot_covers_ = std::max(newest_snapshot_covers_, part.covers);
+    return {};
+  }
+  if (part.covers < kept_from_) return {};
+  if (!Install(*whole)) return {};
+  newest_snapshot_covers_ = std::max(newest_snapshot_covers_, part.covers);
+  return {Kind::kRestored, ""};
+}
+
+bool JobStreamFold::Install(const std::vector<SnapshotPartRecord>& parts) {
+  JobTable jobs(retention_);
+  EpochTable epochs;
+  if (!RestoreJobSnapshot(parts, &jobs, &epochs)) return false;
+  jobs_ = std::move(jobs);
+  epochs_ = epochs;
+  complete_ = true;
+  const int64_t covers = parts.front().covers;
+  const std::vector<LogRecord> tail = std::move(kept_);
+  kept_.clear();
+  for (const LogRecord& record : tail) {
+    if (record.offset < covers) continue;
+    const std::optional<JobStreamRecord> typed = DecodeJobRecord(record.data);
+    if (typed) Apply(record, *typed);
+  }
+  return true;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/state/fold_harness.h
@@ -0,0 +1,75 @@
+// Short ways to write streams of job records in tests.
+#ifndef THORNPLANK_TESTS_STATE_FOLD_HARNESS_H_
+#define THORNPLANK_TESTS_STATE_FOLD_HARNESS_H_
+
+#include <string>
+#include <vector>
+
+#include "state/job_stream_fold.h"
+
+namespace thornplank {
+
+inline JobStreamRecord SubmitOf(const std::string& id) {
+  JobRequest job;
+  job.spec.id = id;
+  job.spec.account = "north";
+  job.spec.shape = {2, 4, Adjacency::kRack};
+  job.task = {{"run_ms", 50}};
+  return SubmittedRecord{job};
+}
+
+inline JobStreamRecord CancelOf(const std::string& id) {
+  return CancelledRecord{id, "operator"};
+}
+
+inline JobStreamRecord EpochOf(int64_t number, const std::string& holder) {
+  return EpochRecord{number, holder, holder + "-1"};
+}
+
+inline JobStreamRecord PlaceOf(int64_t epoch, int64_t revision,
+                               const std::string& id, const std::string& gang) {
+  return PlacedRecord{epoch, revision, id, gang, {{"w1", gang + "/0", 4}}};
+}
+
+inline JobStreamRecord PhaseOf(int64_t epoch, int64_t revision,
+                               const std::string& id, JobPhase phase) {
+  return PhaseRecord{epoch, revision, id, phase, "because"};
+}
+
+// `records` as the log holds them from `offset` on, through their JSON form.
+inline std::vector<LogRecord> ToLog(const std::vector<JobStreamRecord>& records,
+                                    int64_t offset = 0) {
+  std::vector<LogRecord> log;
+  for (const JobStreamRecord& record : records) {
+    LogRecord entry;
+    entry.offset = offset;
+    entry.time = FromUnixMilliseconds(1000);
+    entry.id = "r" + std::to_string(offset++);
+    entry.data = Json::parse(EncodeJobRecord(record).dump());
+    log.push_back(entry);
+  }
+  return log;
+}
+
+inline JobStreamFold FoldOf(const std::vector<LogRecord>& log) {
+  JobStreamFold fold{JobRetention{}};
+  for (const LogRecord& record : log) fold.Fold(record);
+  return fold;
+}
+
+// Everything that a fold knows, as one value. Orders of arrival are left out:
+// repeats move offsets.
+inline Json ContentOf(const JobStreamFold& fold) {
+  Json content = Json::array();
+  for (const SnapshotPartRecord& part : fold.MakeSnapshot("s", 1000)) {
+    content.push_back(part.content);
+  }
+  for (Json& part : content) {
+    for (Json& job : part["jobs"]) job.erase("order");
+  }
+  return content;
+}
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_TESTS_STATE_FOLD_HARNESS_H_
--- /dev/null
+++ b/tests/auto/state/tst_job_stream_fold.cc
@@ -0,0 +1,171 @@
+// The fold of the job stream: which records count, and which do not.
+#include <doctest/doctest.h>
+
+#include "fold_harness.h"
+
+namespace thornplank {
+namespace {
+
+struct FoldCase {
+  const char* name;
+  std::vector<JobStreamRecord> records;
+  // What job "a" must look like at the end.
+  JobPhase phase;
+  const char* gang;
+  int attempts;
+};
+
+TEST_CASE("one job through the stream") {
+  using Phase = JobPhase;
+  const std::vector<FoldCase> cases = {
+      {"submitted", {SubmitOf("a")}, Phase::kWaiting, "", 0},
+      {"submitted twice after it was placed",
+       {EpochOf(1, "e1"), SubmitOf("a"), PlaceOf(1, 1, "a", "g1"),
+        SubmitOf("a")},
+       Phase::kStarting,
+       "g1",
+       1},
+      {"placed twice",
+       {EpochOf(1, "e1"), SubmitOf("a"), PlaceOf(1, 1, "a", "g1"),
+        PlaceOf(1, 1, "a", "g1")},
+       Phase::kStarting,
+       "g1",
+       1},
+      {"an older placement repeated after a newer one",
+       {EpochOf(1, "e1"), SubmitOf("a"), PlaceOf(1, 1, "a", "g1"),
+        PhaseOf(1, 2, "a", Phase::kWaiting), PlaceOf(1, 3, "a", "g2"),
+        PlaceOf(1, 1, "a", "g1")},
+       Phase::kStarting,
+       "g2",
+       2},
+      {"cancelled, then placed",
+       {EpochOf(1, "e1"), SubmitOf("a"), CancelOf("a"),
+        PlaceOf(1, 1, "a", "g1"), PhaseOf(1, 2, "a", Phase::kRunning)},
+       Phase::kCancelled,
+       "",
+       0},
+      {"cancelled after it finished",
+       {EpochOf(1, "e1"), SubmitOf("a"), PlaceOf(1, 1, "a", "g1"),
+        PhaseOf(1, 2, "a", Phase::kFinished), CancelOf("a")},
+       Phase::kFinished,
+       "",
+       1},
+      {"placed under an older epoch",
+       {EpochOf(1, "e1"), EpochOf(2, "e2"), SubmitOf("a"),
+        PlaceOf(1, 1, "a", "g1")},
+       Phase::kWaiting,
+       "",
+       0},
+      {"placed before any epoch",
+       {SubmitOf("a"), PlaceOf(0, 1, "a", "g1")},
+       Phase::kWaiting,
+       "",
+       0},
+      {"placed under an epoch that was resigned",
+       {EpochOf(1, "e1"), ResignRecord{1, "e1", "e1-1"}, SubmitOf("a"),
+        PlaceOf(1, 1, "a", "g1")},
+       Phase::kWaiting,
+       "",
+       0},
+      {"placed by the loser of a race for the epoch",
+       {EpochOf(1, "e1"), EpochOf(1, "e2"), SubmitOf("a"),
+        PlaceOf(1, 1, "a", "g1"), PhaseOf(1, 2, "a", Phase::kRunning)},
+       Phase::kRunning,
+       "g1",
+       1},
+  };
+  for (const FoldCase& one : cases) {
+    CAPTURE(one.name);
+    const JobStreamFold fold = FoldOf(ToLog(one.records));
+    const JobEntry* entry = fold.jobs().Find("a");
+    REQUIRE(entry != nullptr);
+    CHECK(entry->phase == one.phase);
+    CHECK(entry->gang_id == one.gang);
+    CHECK(entry->attempts == one.attempts);
+  }
+}
+
+struct EpochCase {
+  const char* name;
+  std::vector<JobStreamRecord> records;
+  CoordinatorEpoch expected;
+};
+
+TEST_CASE("the first claim in log order wins") {
+  const std::vector<EpochCase> cases = {
+      {"rivals", {EpochOf(1, "e1"), EpochOf(1, "e2")}, {1, "e1", "e1-1"}},
+      {"a claim that skips a number", {EpochOf(2, "e2")}, {}},
+      {"a repeat after the next epoch",
+       {EpochOf(1, "e1"), EpochOf(2, "e2"), EpochOf(1, "e1")},
+       {2, "e2", "e2-1"}},
+      {"resigned",
+       {EpochOf(1, "e1"), ResignRecord{1, "e1", "e1-1"}},
+       {1, "e1", "e1-1", true}},
+      {"resignation by another process of that name",
+       {EpochOf(1, "e1"), ResignRecord{1, "e1", "e1-0"}},
+       {1, "e1", "e1-1", false}},
+      {"resignation of an older epoch",
+       {EpochOf(1, "e1"), EpochOf(2, "e1"), ResignRecord{1, "e1", "e1-1"}},
+       {2, "e1", "e1-1", false}},
+  };
+  for (const EpochCase& one : cases) {
+    CAPTURE(one.name);
+    const JobStreamFold fold = FoldOf(ToLog(one.records));
+    CHECK(fold.epochs().current() == one.expected);
+  }
+}
+
+TEST_CASE("a job id is not taken again") {
+  JobRetention retention;
+  retention.max_final_jobs = 1;
+  JobStreamFold fold(retention);
+  for (const LogRecord& record :
+       ToLog({SubmitOf("a"), SubmitOf("b"), CancelOf("a"), CancelOf("b")})) {
+    fold.Fold(record);
+  }
+  CHECK(fold.jobs().Find("a") == nullptr);
+  CHECK(fold.jobs().Find("b") != nullptr);
+  SUBCASE("after its entry was dropped") {
+    fold.Fold(ToLog({SubmitOf("a")}, 4)[0]);
+    CHECK(fold.jobs().Find("a") == nullptr);
+  }
+  SUBCASE("when its cancellation came first") {
+    for (const LogRecord& record : ToLog({CancelOf("c"), SubmitOf("c")}, 4)) {
+      fold.Fold(record);
+    }
+    CHECK(fold.jobs().Find("c") == nullptr);
+  }
+}
+
+TEST_CASE("final jobs are dropped by age in the log's time") {
+  JobRetention retention;
+  retention.max_final_age = Milliseconds(1000);
+  JobStreamFold fold(retention);
+  std::vector<LogRecord> log =
+      ToLog({SubmitOf("a"), CancelOf("a"), SubmitOf("b"), SubmitOf("c")});
+  log[2].time = FromUnixMilliseconds(2000);
+  log[3].time = FromUnixMilliseconds(2001);
+  for (size_t i = 0; i < 3; ++i) fold.Fold(log[i]);
+  CHECK(fold.jobs().Find("a") != nullptr);
+  fold.Fold(log[3]);
+  CHECK(fold.jobs().Find("a") == nullptr);
+}
+
+TEST_CASE("malformed and unknown records change nothing") {
+  JobStreamFold fold{JobRetention{}};
+  int64_t offset = 0;
+  for (const Json& data :
+       {Json(), Json(7), Json{{"type", "later"}}, Json{{"type", "submitted"}},
+        Json{{"type", "submitted"}, {"job", {{"id", ""}}}},
+        Json{{"type", "submitted"}, {"job", {{"id", "a"}, {"members", 0}}}},
+        Json{{"type", "phase"}, {"phase", "odd"}},
+        Json{{"type", "snapshot"}, {"part", 3}, {"parts", 1}}}) {
+    const std::string id = std::to_string(offset);
+    CHECK(fold.Fold({offset++, {}, id, data}).kind == FoldChange::Kind::kNone);
+  }
+  CHECK(fold.jobs().jobs().empty());
+  CHECK(fold.next_offset() == offset);
+}
+
+}  // namespace
+}  // namespace thornplank
