--- /dev/null
+++ b/src/libs/admin/change_writer.cc
@@ -0,0 +1,121 @@
+// The life of an appended change, from its id to its verdict.
+#include "admin/change_writer.h"
+
+#include <cstdio>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "logging/events/settings_events.h"
+
+namespace thornplank {
+namespace {
+
+std::string MakeIdPrefix(const std::string& instance) {
+  std::random_device device;
+  char nonce[24];
+  std::snprintf(nonce, sizeof(nonce), "%08x%08x", device(), device());
+  return instance + "-" + nonce + "-";
+}
+
+}  // namespace
+
+ChangeWriter::ChangeWriter(boost::asio::io_context& io, LogClient& log,
+                           const SettingsManagerOptions& options)
+    : options_(options),
+      writer_(io, log, options.stream, options.writer),
+      id_prefix_(MakeIdPrefix(options.instance)) {}
+
+std::string ChangeWriter::NextId(const char* kind) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return id_prefix_ + kind + std::to_string(next_number_++);
+}
+
+void ChangeWriter::Append(const SettingsChange& change, Done done) {
+  const Time now = std::chrono::steady_clock::now();
+  const Time deadline = now + options_.append_timeout;
+  const std::string id = NextId("change-");
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    pending_[id] = {std::move(done), change.by,
+                    deadline + options_.decide_timeout};
+  }
+  writer_.Append(
+      id, ToJson(change), deadline,
+      [weak = weak_from_this(), id](AppendState state, int64_t, const Error&) {
+        if (const auto self = weak.lock()) {
+          self->OnAppended(id, state);
+        }
+      });
+}
+
+void ChangeWriter::AppendSnapshot(Json data, StreamWriter::Callback done) {
+  const Time now = std::chrono::steady_clock::now();
+  writer_.Append(NextId("snapshot-"), std::move(data),
+                 now + options_.append_timeout, std::move(done));
+}
+
+void ChangeWriter::OnAppended(const std::string& id, AppendState state) {
+  // The verdict comes with the fold.
+  if (state == AppendState::kAppended) return;
+  Done not_appended;
+  std::string by;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = pending_.find(id);
+    if (it == pending_.end()) return;
+    by = it->second.by;
+    if (state == AppendState::kNotAppended) {
+      not_appended = std::move(it->second.done);
+      pending_.erase(it);
+    }
+  }
+  if (not_appended) {
+    not_appended(AppendOutcome::kNotAppended, ChangeResult());
+    return;
+  }
+  Withdraw(id, by);
+}
+
+void ChangeWriter::Withdraw(const std::string& id, const std::string& by) {
+  const Time now = std::chrono::steady_clock::now();
+  writer_.Append(id, WithdrawalData(by), now + options_.withdraw_timeout,
+                 [](AppendState, int64_t, const Error&) {});
+}
+
+ChangeWriter::Calls ChangeWriter::TakeDecided(const SettingsFold& fold) {
+  Calls calls;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    const std::optional<ChangeResult> result = fold.Decision(it->first);
+    if (!result) {
+      ++it;
+      continue;
+    }
+    calls.push_back([done = std::move(it->second.done), result = *result] {
+      done(AppendOutcome::kDecided, result);
+    });
+    it = pending_.erase(it);
+  }
+  return calls;
+}
+
+ChangeWriter::Calls ChangeWriter::TakeExpired(Time now) {
+  Calls calls;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (now < it->second.give_up) {
+      ++it;
+      continue;
+    }
+    LogEvent(events::kSettingsWriteUndecided,
+             {{"id", it->first}, {"by", it->second.by}});
+    calls.push_back([done = std::move(it->second.done)] {
+      done(AppendOutcome::kUndecided, ChangeResult());
+    });
+    it = pending_.erase(it);
+  }
+  return calls;
+}
+
+}  // namespace thornplank
--- a/src/libs/admin/settings_manager.h
+++ b/src/libs/admin/settings_manager.h
@@ -97,6 +97,8 @@
   void SetFetchSnapshot(FetchSnapshot fetch);
 
   void Start();
+  // Answers what is pending. A handler that is running ends by itself: what
+  // handlers use has to live until the io threads have ended.
   void Stop();
 
   // `callback` runs once, on any thread, perhaps before Write returns; after
@@ -104,10 +106,12 @@
   // `kind`, `value` and `by` are used.
   void Write(SettingsChange change, WriteCallback callback);
   // Declares records that are lost to everyone void and appends the state of
-  // this entry as the new base. kLostRace when nothing is lost.
-  void Recover(const std::string& by, WriteCallback callback);
+  // this entry as the new base; an entry without any state does so only with
+  // `accept_empty`. kInvalid when no records are missing here.
+  void Recover(const std::string& by, bool accept_empty,
+               WriteCallback callback);
 
-  // What is in force on this entry; empty until ready.
+  // What is in force on this entry; an empty tree until ready, never null.
   std::shared_ptr<const SettingsTree> tree() const;
   // Newest first.
   std::vector<HistoryEntry> history(const std::string& path) const;
--- a/src/libs/settings/settings_reader.cc
+++ b/src/libs/settings/settings_reader.cc
@@ -14,6 +14,7 @@
 
 constexpr size_t kMaxShownBytes = 60;
 constexpr size_t kMaxNameBytes = 64;
+constexpr int kShownDigits = 15;
 constexpr int kMaxPort = 65535;
 
 // The units that end a key, for the hint at a wrong one.
@@ -36,6 +37,7 @@
 
 std::string ShownNumber(double value) {
   std::ostringstream text;
+  text.precision(kShownDigits);
   text << value;
   return text.str();
 }
--- a/tests/auto/settings/tst_settings_tree.cc
+++ b/tests/auto/settings/tst_settings_tree.cc
@@ -35,7 +35,8 @@
   SettingsTree tree;
   const std::vector<SettingsChange> changes = {
       Put("", 0, R"({"weight": 2, "max_queued": 50})"),
-      Put("north", 0, R"({"weight": 3, "guaranteed_slots": 8})"),
+      Put("north", 0,
+          R"({"weight": 3, "guaranteed_slots": 8, "default_deadline_ms": 8000})"),
       Put("north/desk", 0, R"({"kind": "group", "max_queued": 20})"),
       Put("north/desk/claims", 0, R"({"borrowing": false})"),
       Put("south", 0, "{}"),
@@ -147,9 +148,12 @@
       {Put("east", 0, R"({"max_deadline_ms": 10})"),
        "east: default_deadline_ms: found 10000, allowed at most "
        "max_deadline_ms (10) in force here"},
-      // Breaks the rule at a child only, by inheritance.
       {Put("", 1, R"({"max_deadline_ms": 9000})"),
        "(root): default_deadline_ms: found 10000, allowed at most"},
+      // Breaks the rule at a child only, by inheritance.
+      {Put("", 1, R"({"default_deadline_ms": 100, "max_deadline_ms": 7000})"),
+       "north: default_deadline_ms: found 8000, allowed at most "
+       "max_deadline_ms (7000) in force here"},
       {Remove("", 1), "(root): found a removal, allowed a change"},
       {Remove("east", 0), "east: found nothing to remove"},
       {Remove("north", 2), "north: found child nodes such as north/desk"},
