--- a/src/libs/net/server_connection.cc
+++ b/src/libs/net/server_connection.cc
@@ -166,7 +166,10 @@
   phase_ = Phase::kBody;
   SetDeadline(owner_->limits().body_timeout);
   const std::optional<uint64_t> length = parser_->content_length();
+  // Refuses early what cannot fit now. The budget is taken as bytes arrive, so
+  // that announcing bodies without sending them shuts nobody out.
   if (length && !ReserveBody(static_cast<size_t>(*length))) return false;
+  owner_->ReleaseBytes(std::exchange(reserved_bytes_, 0));
   if (parser_->expects_continue() && buffer_.size() == 0) SendContinue();
   return true;
 }
--- a/tests/auto/net/tst_http_server.cc
+++ b/tests/auto/net/tst_http_server.cc
@@ -146,6 +146,18 @@
   CHECK(first.ReadUntil("POST again").find("200 OK") != std::string::npos);
 }
 
+TEST_CASE("a body that is announced but not sent takes no budget") {
+  Fixture fixture;
+  RawConnection slow = fixture.Connect();
+  slow.Send(
+      "POST /echo HTTP/1.1\r\nExpect: 100-continue\r\n"
+      "Content-Length: 1400\r\n\r\n");
+  CHECK(StatusOf(slow.ReadHeader()) == 100);
+  RawConnection other = fixture.Connect();
+  other.Send(Post(std::string(1000, 'x')));
+  CHECK(StatusOf(other.ReadHeader()) == 200);
+}
+
 TEST_CASE("whole requests in every form are answered in order") {
   Fixture fixture;
   RawConnection connection = fixture.Connect();
