Split the claim flow and test what an unconfirmed append means

ClaimStream now holds the writer and the follower, claim_questions asks other holders, and claim_flow_decisions.cc holds the decision on one request. Found by switching mechanisms off: taking a lost reply for "not appended" passed every test, since the deadline's own timer came first; the new test of ClaimStream fails with it. Conclusion: no behaviour changed by the split.

--- /dev/null
+++ b/src/libs/requests/claim_flow_decisions.cc
@@ -0,0 +1,147 @@
+// How ClaimFlow decides on a request of a caller, or a question of a peer.
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "logging/events/claims_events.h"
+#include "requests/claim_flow_impl.h"
+#include "requests/claim_messages.h"
+#include "requests/claim_questions.h"
+
+namespace thornplank {
+namespace {
+
+Digest128 KeyOf(const ClaimRequest& request) {
+  return ClaimKeyDigest(request.account, request.service, request.key);
+}
+
+}  // namespace
+
+void ClaimFlow::Impl::Decide(const ClaimWaiterPtr& waiter) {
+  NoteCaughtUp();
+  if (!PassAdmission(waiter)) return;
+  const bool available = stream_.available();
+  ClaimDecision decision;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    decision = BeginLocked(waiter, available);
+  }
+  switch (decision.kind) {
+    case ClaimDecisionKind::kAppend:
+      if (waiter->may_claim) {
+        AppendClaim(decision.record, waiter->deadline);
+        return;
+      }
+      // The holder does not know the claim: it was released.
+      Resolve(waiter, RefusalVerdict(ClaimRefusal::kBeingReleased));
+      return;
+    case ClaimDecisionKind::kJoin:
+      LogEvent(events::kClaimJoined, {{"key", waiter->request.key},
+                                      {"claim", decision.claim_id},
+                                      {"reason", "running at this entry"}});
+      return;
+    case ClaimDecisionKind::kAskHolder:
+      AskHolder(mesh_, decision.holder, waiter->request, waiter->deadline,
+                [self = shared_from_this(), waiter](ClaimVerdict verdict) {
+                  self->Resolve(waiter, std::move(verdict));
+                });
+      return;
+    case ClaimDecisionKind::kAnsweredHere:
+      GiveHeldAnswer(waiter);
+      return;
+    case ClaimDecisionKind::kRefuse:
+      Count("refused");
+      LogEvent(events::kClaimRefused, {{"account", waiter->request.account},
+                                       {"key", waiter->request.key},
+                                       {"reason", Describe(decision.refusal)}});
+      Resolve(waiter, RefusalVerdict(decision.refusal));
+      return;
+  }
+}
+
+void ClaimFlow::Impl::NoteCaughtUp() {
+  if (!ready()) return;
+  std::lock_guard<std::mutex> lock(mutex_);
+  table_.NoteCaughtUp();
+}
+
+bool ClaimFlow::Impl::PassAdmission(const ClaimWaiterPtr& waiter) {
+  if (!waiter->may_claim || !waiter->admit) return true;
+  const bool available = stream_.available();
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const ClaimDecision decision = table_.Look(
+        waiter->request, std::chrono::system_clock::now(), available);
+    if (decision.kind != ClaimDecisionKind::kAppend) return true;
+  }
+  const std::optional<Refusal> refusal = waiter->admit();
+  if (!refusal) return true;
+  LogEvent(events::kClaimRefused, {{"account", waiter->request.account},
+                                   {"key", waiter->request.key},
+                                   {"reason", refusal->reason}});
+  Resolve(waiter, NotRunVerdict(refusal->reason, refusal->retry_after));
+  return false;
+}
+
+ClaimDecision ClaimFlow::Impl::BeginLocked(const ClaimWaiterPtr& waiter,
+                                           bool available) {
+  ClaimRequest& request = waiter->request;
+  const WallTime now = std::chrono::system_clock::now();
+  if (!waiter->may_claim) {
+    const ClaimDecision decision = table_.Look(request, now, available);
+    if (decision.kind == ClaimDecisionKind::kJoin) {
+      waiters_.Join(decision.claim_id, waiter);
+      ArmDeadline(waiter);
+    }
+    return decision;
+  }
+  request.claim_id = settings_.self.entry + "-" + settings_.self.incarnation +
+                     "-" + std::to_string(next_claim_++);
+  const ClaimDecision decision = table_.Begin(request, now, available);
+  if (decision.kind == ClaimDecisionKind::kAppend) {
+    waiters_.AddPending(waiter);
+    ArmDeadline(waiter);
+  }
+  if (decision.kind == ClaimDecisionKind::kJoin) {
+    waiters_.Join(decision.claim_id, waiter);
+    ArmDeadline(waiter);
+  }
+  return decision;
+}
+
+void ClaimFlow::Impl::GiveHeldAnswer(const ClaimWaiterPtr& waiter) {
+  std::optional<UpstreamAnswer> answer;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    answer =
+        answers_.Find(KeyOf(waiter->request), std::chrono::steady_clock::now());
+  }
+  if (!answer) {
+    Resolve(waiter, RefusalVerdict(ClaimRefusal::kAnswerNotHeld));
+    return;
+  }
+  LogEvent(events::kClaimJoined, {{"key", waiter->request.key},
+                                  {"reason", "answered by this entry"}});
+  Resolve(waiter, AnsweredVerdict(std::move(*answer)));
+}
+
+void ClaimFlow::Impl::AnswerPeer(const Message& message,
+                                 PeerMesh::Reply reply) {
+  const auto question = DecodeClaimQuestion(message.body);
+  if (!question) {
+    reply(EncodeClaimVerdict(UnknownVerdict("malformed question")));
+    return;
+  }
+  auto waiter = std::make_shared<ClaimWaiter>(io_);
+  waiter->request = question->request;
+  waiter->may_claim = false;
+  const Milliseconds wait =
+      std::clamp(question->wait, Milliseconds(0), settings_.max_deadline);
+  waiter->deadline = std::chrono::steady_clock::now() + wait;
+  waiter->decided = [reply = std::move(reply)](const ClaimVerdict& verdict) {
+    reply(EncodeClaimVerdict(verdict));
+  };
+  Decide(waiter);
+}
+
+}  // namespace thornplank
--- a/tests/auto/requests/fake_upstreams.h
+++ b/tests/auto/requests/fake_upstreams.h
@@ -25,6 +25,8 @@
   kDown,
   // Takes appends; reads fail.
   kUnreadable,
+  // Takes appends and answers them with an error; reads fail.
+  kTakesUnseen,
 };
 
 class FakeLog {
@@ -91,14 +93,16 @@
     for (const Json& record : body["records"]) {
       Store(record["id"], record["data"]);
     }
-    if (mode_ == LogMode::kLosesReplies) return Reply(500, Json::object());
+    if (mode_ != LogMode::kWorks && mode_ != LogMode::kUnreadable) {
+      return Reply(500, Json::object());
+    }
     return Reply(200,
                  {{"first_offset", first}, {"next_offset", records_.size()}});
   }
 
   HttpResponse Read(const HttpRequest& request) {
     std::lock_guard<std::mutex> lock(mutex_);
-    if (mode_ == LogMode::kDown || mode_ == LogMode::kUnreadable) {
+    if (mode_ != LogMode::kWorks && mode_ != LogMode::kLosesReplies) {
       return Reply(503, Json::object());
     }
     Json records = Json::array();
--- /dev/null
+++ b/tests/auto/requests/tst_claim_stream.cc
@@ -0,0 +1,57 @@
+// What the claim stream says of an append that nobody confirmed.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+
+#include "net/http_client.h"
+#include "net/io_pool.h"
+#include "platform/log_client.h"
+#include "request_fixture.h"
+#include "requests/claim_stream.h"
+
+namespace thornplank::test {
+namespace {
+
+struct UnconfirmedCase {
+  const char* name;
+  bool listens;
+  bool not_appended;
+};
+
+TEST_CASE("only what never left this process counts as not appended") {
+  const std::vector<UnconfirmedCase> cases = {
+      {"taken, reply lost", true, false},
+      {"nobody listens", false, true},
+  };
+  for (const UnconfirmedCase& c : cases) {
+    CAPTURE(c.name);
+    IoPool pool(2);
+    pool.Start();
+    FakeLog log(pool.io());
+    log.set_mode(LogMode::kTakesUnseen);
+    HttpClient http(pool.io(), {});
+    LogClient client(http, c.listens ? log.address() : "127.0.0.1:1");
+    RequestManagerSettings settings;
+    settings.claim_writer.retry_delay = Milliseconds(10);
+    ClaimStream stream(pool.io(), client, settings);
+    std::atomic<bool> not_appended{false};
+    ClaimRecord record;
+    record.claim_id = "claim-1";
+    const Time deadline = std::chrono::steady_clock::now() + Milliseconds(300);
+    stream.AppendClaim(record, deadline, [&] { not_appended = true; });
+    REQUIRE(WaitUntil([&] { return stream.pending() == 0; }));
+    // The callback runs right after the record has stopped to count.
+    if (c.not_appended) {
+      CHECK(WaitUntil([&] { return not_appended.load(); }));
+    }
+    CHECK((log.Count("claim") == 1) == c.listens);
+    http.Close();
+    log.Close();
+    pool.Stop();
+    CHECK(not_appended == c.not_appended);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank::test
--- a/tests/auto/requests/tst_request_claims.cc
+++ b/tests/auto/requests/tst_request_claims.cc
@@ -170,7 +170,10 @@
 
 TEST_CASE("a claim that is not seen in time is given up for good") {
   RequestFixture fixture;
-  fixture.log.set_mode(LogMode::kUnreadable);
+  LogMode mode = LogMode::kUnreadable;
+  SUBCASE("with its append confirmed") { mode = LogMode::kUnreadable; }
+  SUBCASE("with the reply lost too") { mode = LogMode::kTakesUnseen; }
+  fixture.log.set_mode(mode);
   const HttpResponse response =
       fixture.Send(RequestFixture::Payment("unseen", "150"));
   CHECK(OutcomeOf(response) == "not-run");
