Test the coordinator and the carrier of jobs, renew new leases in time

Cause: the first lease of a worker that had been idle was renewed only at the next idle probe, up to 20 s later, so that it lapsed under its job. The carrier's test over sockets showed it: its job stayed unfinished. Ruled out: a shorter idle probe, which would cost a call for each idle worker every few seconds; the renewal is now moved up when a grant succeeds. Conclusion: submit to finished, planned and unplanned takeover, stepping down and refusal during an outage hold over real sockets in one process.

--- a/src/libs/jobs/gang_executor.cc
+++ b/src/libs/jobs/gang_executor.cc
@@ -262,6 +262,8 @@
       break;
     case WorkerCall::Kind::kGrant:
       GrantSucceeded(call, slot, events);
+      // An idle worker was to be asked much later than a lease needs.
+      slot->renew_at = std::min(slot->renew_at, now + RenewalDelay(*slot));
       break;
     case WorkerCall::Kind::kLiftThrottle:
       for (const std::string& id : call.lease_ids) {
--- a/tests/auto/jobs/tst_gang_executor.cc
+++ b/tests/auto/jobs/tst_gang_executor.cc
@@ -150,6 +150,14 @@
   CHECK(rig.fake.calls.back().lease_ids.size() == 2);
 }
 
+TEST_CASE("the first lease of an idle worker is renewed in time") {
+  Rig rig;
+  rig.Run(milliseconds(1000));
+  rig.Grant("g");
+  rig.Run(milliseconds(5000));
+  CHECK(rig.fake.count(Kind::kRenew) == 2);
+}
+
 TEST_CASE("a stop that hangs does not let other leases lapse") {
   Rig rig;
   rig.Grant("g");
--- /dev/null
+++ b/tests/auto/jobs/tst_job_manager.cc
@@ -0,0 +1,336 @@
+// JobManager between a log service, workers and callers, over real sockets in
+// one process.
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "api/api_router.h"
+#include "jobs/job_manager.h"
+#include "metrics/metrics_registry.h"
+#include "net/http_client.h"
+#include "platform/log_client.h"
+#include "standins/log_role.h"
+#include "standins/worker_role.h"
+
+namespace thornplank {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPatience{10000};
+constexpr milliseconds kPoll{20};
+
+bool Eventually(const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return condition();
+}
+
+JobManagerSettings SettingsOf(const std::string& name) {
+  JobManagerSettings settings;
+  settings.name = name;
+  settings.incarnation = "1";
+  settings.submit_timeout = milliseconds(1500);
+  settings.log_down_after = milliseconds(1200);
+  settings.follower.wait = milliseconds(300);
+  settings.follower.timeout = milliseconds(1000);
+  settings.leases.renewal_interval = milliseconds(200);
+  settings.election.vacancy_delay = milliseconds(50);
+  settings.election.rank_delay = milliseconds(100);
+  settings.election.min_tenure = milliseconds(200);
+  return settings;
+}
+
+// One entry: a JobManager with its clients and routes, no server.
+struct Entry {
+  Entry(boost::asio::io_context& io, const std::string& log_address,
+        const std::string& name)
+      : http(io, HttpClientLimits{}),
+        log(http, log_address),
+        router({{"n", "north-token", Role::kCaller, "north"},
+                {"s", "south-token", Role::kCaller, "south"},
+                {"v", "viewer-token", Role::kViewer, ""},
+                {"o", "operator-token", Role::kOperator, ""}}),
+        jobs(io, http, log, nullptr, SettingsOf(name), metrics) {
+    jobs.RegisterRoutes(router);
+  }
+
+  HttpResponse Call(const std::string& method, const std::string& target,
+                    const std::string& token, const std::string& body = "") {
+    std::mutex mutex;
+    std::condition_variable done;
+    std::optional<HttpResponse> answer;
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    request.headers.Set("Authorization", "Bearer " + token);
+    router.Route(request, [&](HttpResponse response) {
+      const std::lock_guard<std::mutex> lock(mutex);
+      answer = std::move(response);
+      done.notify_one();
+    });
+    std::unique_lock<std::mutex> lock(mutex);
+    done.wait(lock, [&] { return answer.has_value(); });
+    return *answer;
+  }
+
+  std::string PhaseOf(const std::string& id) {
+    const HttpResponse answer = Call("GET", "/v1/jobs/" + id, "operator-token");
+    const std::optional<Json> json = ParseJson(answer.body);
+    if (answer.status != 200 || !json) return "";
+    return StringField(*json, "phase").value_or("");
+  }
+
+  MetricsRegistry metrics;
+  HttpClient http;
+  LogClient log;
+  ApiRouter router;
+  JobManager jobs;
+};
+
+class Platform {
+ public:
+  Platform()
+      : work_(boost::asio::make_work_guard(io)),
+        log(boost::asio::make_strand(io), {}) {
+    Error error;
+    REQUIRE(log.Open("127.0.0.1:0", &error));
+    for (int i = 1; i <= 2; ++i) {
+      standins::WorkerSettings settings;
+      settings.name = "w" + std::to_string(i);
+      workers.push_back(std::make_unique<standins::WorkerRole>(
+          boost::asio::make_strand(io), settings));
+      REQUIRE(workers.back()->Open("127.0.0.1:0", &error));
+    }
+    for (int i = 0; i < 4; ++i) {
+      threads_.emplace_back([this] { io.run(); });
+    }
+  }
+
+  ~Platform() {
+    for (const auto& entry : entries) entry->jobs.Stop();
+    work_.reset();
+    io.stop();
+    for (std::thread& thread : threads_) thread.join();
+    entries.clear();
+  }
+
+  Entry& AddEntry(const std::string& name) {
+    entries.push_back(std::make_unique<Entry>(io, log.address(), name));
+    Entry& entry = *entries.back();
+    std::vector<WorkerInfo> infos;
+    for (size_t i = 0; i < workers.size(); ++i) {
+      WorkerInfo info;
+      info.name = "w" + std::to_string(i + 1);
+      info.address = workers[i]->address();
+      info.rack = "r1";
+      info.failure_domain = "d1";
+      info.accelerators = 8;
+      infos.push_back(info);
+    }
+    AccountGuarantee north;
+    north.account = "north";
+    entry.jobs.SetWorkers(infos);
+    entry.jobs.SetGuarantees({north});
+    entry.jobs.Start();
+    return entry;
+  }
+
+  void SetOutage(bool outage) {
+    HttpClient http(io, HttpClientLimits{});
+    std::mutex mutex;
+    std::condition_variable done;
+    bool answered = false;
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/control";
+    request.body = Json{{"outage", outage}}.dump();
+    http.Send(log.address(), request, HttpSendOptions{},
+              [&](const std::optional<HttpResponse>&, const HttpFailure&) {
+                const std::lock_guard<std::mutex> lock(mutex);
+                answered = true;
+                done.notify_one();
+              });
+    std::unique_lock<std::mutex> lock(mutex);
+    done.wait(lock, [&] { return answered; });
+  }
+
+  boost::asio::io_context io;
+
+ private:
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::vector<std::thread> threads_;
+
+ public:
+  standins::LogRole log;
+  std::vector<std::unique_ptr<standins::WorkerRole>> workers;
+  std::vector<std::unique_ptr<Entry>> entries;
+};
+
+std::string JobBody(const std::string& id, int members, int run_ms) {
+  return Json{{"id", id},
+              {"account", "north"},
+              {"members", members},
+              {"accelerators", 8},
+              {"task", {{"run_ms", run_ms}}}}
+      .dump();
+}
+
+TEST_CASE("a job is taken at one entry, run by another, and seen at both") {
+  Platform platform;
+  Entry& first = platform.AddEntry("e1");
+  first.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& second = platform.AddEntry("e2");
+  REQUIRE(Eventually([&] { return second.jobs.ready(); }));
+  const HttpResponse taken =
+      second.Call("POST", "/v1/jobs", "north-token", JobBody("a", 2, 100));
+  CHECK(taken.status == 202);
+  CHECK(Eventually([&] { return second.PhaseOf("a") == "finished"; }));
+  CHECK(Eventually([&] { return first.PhaseOf("a") == "finished"; }));
+  // A repeat is answered from the fold.
+  const HttpResponse again =
+      first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 2, 100));
+  CHECK(again.status == 202);
+  CHECK(first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 100))
+            .status == 409);
+}
+
+struct AccessCase {
+  const char* method;
+  const char* target;
+  const char* token;
+  int status;
+};
+
+TEST_CASE("callers reach the jobs of their own account only") {
+  Platform platform;
+  Entry& entry = platform.AddEntry("e1");
+  entry.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 60000))
+              .status == 202);
+  const std::vector<AccessCase> cases = {
+      {"GET", "/v1/jobs/a", "north-token", 200},
+      {"GET", "/v1/jobs/a", "south-token", 404},
+      {"GET", "/v1/jobs/a", "viewer-token", 200},
+      {"GET", "/v1/jobs?account=north", "south-token", 403},
+      {"GET", "/v1/jobs", "viewer-token", 200},
+      {"DELETE", "/v1/jobs/a", "south-token", 404},
+      {"DELETE", "/v1/jobs/a", "viewer-token", 403},
+      {"DELETE", "/v1/jobs/none", "operator-token", 404},
+      {"DELETE", "/v1/jobs/a", "north-token", 202},
+  };
+  for (const AccessCase& one : cases) {
+    CAPTURE(one.method);
+    CAPTURE(one.target);
+    CAPTURE(one.token);
+    CHECK(entry.Call(one.method, one.target, one.token).status == one.status);
+  }
+  CHECK(entry.PhaseOf("a") == "cancelled");
+  CHECK(entry.Call("POST", "/v1/jobs", "south-token", JobBody("b", 1, 1))
+            .status == 403);
+  CHECK(entry.Call("POST", "/v1/jobs", "viewer-token", JobBody("b", 1, 1))
+            .status == 403);
+  CHECK(entry.Call("POST", "/v1/jobs", "north-token", "{").status == 400);
+  CHECK(entry.Call("POST", "/v1/jobs", "north-token", JobBody("b", 99, 1))
+            .status == 422);
+}
+
+TEST_CASE("the next coordinator goes on with what runs") {
+  Platform platform;
+  Entry& first = platform.AddEntry("e1");
+  first.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& second = platform.AddEntry("e2");
+  second.jobs.SetLiveEntries({"e1", "e2"});
+  REQUIRE(first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 2, 2000))
+              .status == 202);
+  REQUIRE(Eventually([&] { return second.PhaseOf("a") == "running"; }));
+  SUBCASE("after a planned stop") {
+    bool drained = false;
+    first.jobs.Drain([&] { drained = true; });
+    CHECK(Eventually([&] { return drained; }));
+  }
+  SUBCASE("after its death") {
+    first.jobs.Stop();
+    second.jobs.SetLiveEntries({"e2"});
+  }
+  CHECK(Eventually([&] { return second.jobs.is_coordinator(); }));
+  CHECK(second.jobs.epoch() == 2);
+  CHECK_FALSE(first.jobs.is_coordinator());
+  CHECK(Eventually([&] { return second.PhaseOf("a") == "finished"; }));
+  const std::optional<Json> job =
+      ParseJson(second.Call("GET", "/v1/jobs/a", "north-token").body);
+  REQUIRE(job);
+  CHECK(IntField(*job, "attempts") == 1);
+}
+
+TEST_CASE("a coordinator that sees a newer epoch steps down") {
+  Platform platform;
+  Entry& first = platform.AddEntry("e1");
+  first.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& second = platform.AddEntry("e2");
+  // The second entry is wrong about the first one's death.
+  second.jobs.SetLiveEntries({"e2"});
+  CHECK(Eventually([&] { return second.jobs.is_coordinator(); }));
+  second.jobs.SetLiveEntries({"e1", "e2"});
+  first.jobs.SetLiveEntries({"e1", "e2"});
+  CHECK(Eventually([&] { return !first.jobs.is_coordinator(); }));
+  CHECK(first.jobs.epoch() == second.jobs.epoch());
+}
+
+TEST_CASE("while the log is down submissions are refused at once") {
+  Platform platform;
+  Entry& entry = platform.AddEntry("e1");
+  entry.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 2500))
+              .status == 202);
+  REQUIRE(Eventually([&] { return entry.PhaseOf("a") == "running"; }));
+  platform.SetOutage(true);
+  std::this_thread::sleep_for(milliseconds(1500));
+  const HttpResponse refused =
+      entry.Call("POST", "/v1/jobs", "north-token", JobBody("b", 1, 10));
+  CHECK(refused.status == 503);
+  CHECK(refused.headers.Value("Thornplank-Outcome") == "not-run");
+  CHECK(refused.headers.Has("Retry-After"));
+  CHECK(entry.jobs.is_coordinator());
+  // Longer than the job runs: its end is recorded when the log is back.
+  std::this_thread::sleep_for(milliseconds(1500));
+  platform.SetOutage(false);
+  CHECK(Eventually([&] { return entry.PhaseOf("a") == "finished"; }));
+  CHECK(entry.PhaseOf("b") == "");
+}
+
+TEST_CASE("an entry joins from a peer's snapshot") {
+  Platform platform;
+  Entry& first = platform.AddEntry("e1");
+  first.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  REQUIRE(first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 50))
+              .status == 202);
+  Entry joining(platform.io, platform.log.address(), "e3");
+  Error error;
+  CHECK(joining.jobs.ConsumeSnapshot(first.jobs.ProduceSnapshot(), &error));
+  CHECK(joining.jobs.jobs_offset() >= 2);
+  CHECK_FALSE(joining.jobs.ConsumeSnapshot(Json::object(), &error));
+  joining.jobs.Stop();
+}
+
+}  // namespace
+}  // namespace thornplank
