Call a peer silent only when it answered nobody meanwhile

Each timeout after an answer logged 806 and the next answer 807, so one slow executor under load filled the log with pairs. A rate limit on the lines was ruled out: it would hide other peers. Now a timeout counts as silence only when no other request to that peer was answered since it began. Also tests that the server lets go of quiet callers and of those that don't read. Lines saved under load: none measured. Conclusion: 806 and 807 mark changes of a peer, not of single requests.

--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -294,7 +294,8 @@
     return Fail(pending, SendProgress::kNotSent, "wait for a connection",
                 "timed out");
   }
-  NoteSilent(true);
+  // With an answer to another request since, the peer is slow, not silent.
+  if (last_answer_ < pending->stage_begun) NoteSilent(true);
   // Without its connection the request ignores how the exchange ends. A late
   // answer must find that connection closed, and what has not answered since
   // may be as silent; it goes first, since the closing lets others be taken.
@@ -350,6 +351,7 @@
 
 void ClientPool::Succeed(const PendingPointer& pending, HttpResponse response) {
   NoteSilent(false);
+  last_answer_ = Now();
   pending->stage = Pending::Stage::kDone;
   pending->timer.cancel();
   pending->connection.reset();
--- a/src/libs/net/client_pool.h
+++ b/src/libs/net/client_pool.h
@@ -88,7 +88,9 @@
   boost::asio::steady_timer sweep_timer_;
   bool sweeping_ = false;
   bool closed_ = false;
-  // The last thing that a request met was a timeout.
+  // When a request last succeeded on any connection.
+  Time last_answer_ = Time::min();
+  // A request timed out with no answer to any other since it began.
   bool silent_ = false;
 };
 
--- a/tests/auto/net/tst_http_server.cc
+++ b/tests/auto/net/tst_http_server.cc
@@ -178,6 +178,31 @@
   CHECK(answers.find("\nX-Injected") == std::string::npos);
 }
 
+TEST_CASE("a caller that is quiet or does not read is let go") {
+  HttpServerLimits limits = SmallLimits();
+  limits.max_body_bytes = 16 * 1024 * 1024;
+  limits.max_buffered_bytes = limits.max_body_bytes;
+  limits.body_timeout = Milliseconds(10000);
+  limits.idle_timeout = Milliseconds(100);
+  limits.write_timeout = Milliseconds(100);
+  Fixture fixture(limits);
+  RawConnection quiet = fixture.Connect();
+  quiet.Send(Post("one"));
+  CHECK(quiet.ReadUntil("POST one").find("200 OK") != std::string::npos);
+  CHECK(quiet.ReadAll().empty());
+  CHECK(quiet.ended());
+
+  // More than the sockets' buffers hold, so that the write cannot end.
+  const std::string large(12 * 1024 * 1024, 'x');
+  RawConnection reads_nothing = fixture.Connect();
+  reads_nothing.Send(Post(large));
+  for (int i = 0; i < 500 && fixture.server().connections() > 0; ++i) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  CHECK(fixture.server().connections() == 0);
+  CHECK(fixture.server().requests_in_flight() == 0);
+}
+
 TEST_CASE("a body is asked for when the caller waits to be asked") {
   Fixture fixture;
   RawConnection connection = fixture.Connect();
