--- a/src/libs/protocol/peer_socket.cc
+++ b/src/libs/protocol/peer_socket.cc
@@ -72,10 +72,8 @@
   endpoint->clear_error_channels(websocketpp::log::elevel::all);
   websocketpp::lib::error_code ec;
   endpoint->init_asio(io, ec);
-  endpoint->set_open_handshake_timeout(static_cast<long>(
-      handshake_timeout.count()));  // NOLINT(google-runtime-int)
-  endpoint->set_close_handshake_timeout(static_cast<long>(
-      kCloseHandshakeTimeout.count()));  // NOLINT(google-runtime-int)
+  endpoint->set_open_handshake_timeout(handshake_timeout.count());
+  endpoint->set_close_handshake_timeout(kCloseHandshakeTimeout.count());
   endpoint->set_max_message_size(max_message_bytes);
 }
 
@@ -195,8 +193,9 @@
     acceptor_.open(endpoint->protocol(), ec);
     if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec) acceptor_.bind(*endpoint, ec);
-    if (!ec)
+    if (!ec) {
       acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+    }
     if (ec) {
       SetError(error, "listen", address, ec.message());
       return false;
