Keep loans of events that stay, and forget the oldest final jobs

A repeated declaration of an event took its cells back and lent other ones, so a running gang of the event lost its place. Final jobs were remembered for ever; the latest 20,000 are now. Shortfalls of what is declared no more are taken back. Large jobs count more when fragmentation is weighed, and small ones no longer more when it is not.

--- a/src/libs/scheduling/job_order.cc
+++ b/src/libs/scheduling/job_order.cc
@@ -6,8 +6,8 @@
 namespace thornplank {
 namespace {
 
-// Exponent of the accelerators when only completion time counts.
-constexpr double kSizeExponent = 0.5;
+// Exponent of the accelerators when only fragmentation counts.
+constexpr double kSizeExponent = 0.15;
 constexpr double kLeastExpectedSeconds = 0.05;
 
 double Seconds(Duration duration) {
@@ -20,9 +20,9 @@
   const double expected =
       std::max(kLeastExpectedSeconds, Seconds(claim.expected));
   const double ratio = (Seconds(claim.waited) + expected) / expected;
-  const double exponent = kSizeExponent * (1 - claim.fragmentation_weight);
+  const double exponent = kSizeExponent * claim.fragmentation_weight;
   const double size = std::pow(claim.accelerators, exponent);
-  return ratio / size / (1 + claim.borrowed_over_share);
+  return ratio * size / (1 + claim.borrowed_over_share);
 }
 
 }  // namespace thornplank
--- a/src/libs/scheduling/job_order.h
+++ b/src/libs/scheduling/job_order.h
@@ -19,8 +19,8 @@
 };
 
 // The job with the highest score goes first. The longer a job waited relative
-// to its run time, the higher; with completion time in mind small jobs count
-// more, with fragmentation in mind large ones are not held back by their size.
+// to its run time, the higher; with fragmentation in mind, large ones count
+// more, since what they need comes free rarely.
 double BorrowScore(const BorrowClaim& claim);
 
 }  // namespace thornplank
--- a/src/libs/scheduling/scheduler_core.h
+++ b/src/libs/scheduling/scheduler_core.h
@@ -76,6 +76,7 @@
   void JudgeProbes(Time now);
   void ReleaseFromQuarantine(WorkerIndex worker);
   void ReportShortfalls();
+  void WithdrawReports();
   void ReportOne(ReportShortfall::Subject subject, const std::string& name,
                  const std::string& text);
   std::string EventShortfall(const EventReservation& event) const;
--- a/src/libs/scheduling/scheduler_state.cc
+++ b/src/libs/scheduling/scheduler_state.cc
@@ -6,6 +6,8 @@
 namespace thornplank {
 namespace {
 
+// Final jobs remembered here; the fold of the job stream knows all of them.
+constexpr size_t kFinalJobsKept = 20000;
 // From the order to stop until the worker's answer.
 constexpr Duration kStopAllowance = std::chrono::seconds(2);
 
@@ -74,6 +76,22 @@
   job.phase = phase;
   job.reason = reason;
   actions.push_back(PhaseChanged{job.spec.id, phase, reason});
+  if (!IsFinal(phase)) return;
+  final_jobs_.push_back(job.spec.id);
+  ForgetOldFinal();
+}
+
+void SchedulerState::ForgetOldFinal() {
+  if (final_jobs_.size() <= kFinalJobsKept) return;
+  const std::string oldest = std::move(final_jobs_.front());
+  final_jobs_.pop_front();
+  const JobRecord* job = FindJob(oldest);
+  if (!job) return;
+  if (job->use) {
+    final_jobs_.push_back(oldest);  // its last leases are not released yet
+  } else {
+    jobs.erase(oldest);
+  }
 }
 
 void SchedulerState::DropPlan(JobRecord& job) {
--- a/src/libs/scheduling/scheduler_state.h
+++ b/src/libs/scheduling/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef THORNPLANK_SCHEDULING_SCHEDULER_STATE_H_
 #define THORNPLANK_SCHEDULING_SCHEDULER_STATE_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -72,7 +73,11 @@
   SchedulerActions actions;
 
  private:
+  // Final jobs beyond a bound are forgotten, the oldest first.
+  void ForgetOldFinal();
+
   std::map<std::string, int> class_by_key_;
+  std::deque<std::string> final_jobs_;
 };
 
 // Stops borrowers for a claim of a guarantee, an event or urgent work.
--- a/src/libs/scheduling/scheduler_upkeep.cc
+++ b/src/libs/scheduling/scheduler_upkeep.cc
@@ -52,8 +52,13 @@
 }
 
 void SchedulerCore::SetEvents(const std::vector<EventReservation>& events) {
+  // What is lent to an event that stays is kept: its gangs may run there.
   for (const EventReservation& old : state_.calendar.events()) {
-    state_.witness.EndLoans(old.name);
+    const bool stays =
+        std::any_of(events.begin(), events.end(), [&old](const auto& event) {
+          return event.name == old.name && event.account == old.account;
+        });
+    if (!stays) state_.witness.EndLoans(old.name);
   }
   state_.calendar.Set(events);
   DeclareCells();
@@ -99,8 +104,15 @@
 }
 
 void SchedulerCore::DemoteUncovered() {
-  for (const auto& entry : state_.jobs) {
-    JobRecord& job = *entry.second;
+  std::vector<JobRecord*> holders;
+  for (const auto& entry : state_.planned) holders.push_back(entry.second);
+  for (const auto& entry : state_.gangs.gangs()) {
+    if (JobRecord* job = state_.FindJob(entry.second->job())) {
+      holders.push_back(job);
+    }
+  }
+  for (JobRecord* holder : holders) {
+    JobRecord& job = *holder;
     if (!job.use) continue;
     const CellOwner own{job.spec.account, ""};
     const CellOwner of_event{job.spec.account, job.spec.event};
@@ -239,6 +251,7 @@
 
 void SchedulerCore::ReportShortfalls() {
   using Subject = ReportShortfall::Subject;
+  WithdrawReports();
   const bool whole = state_.witness.IsWhole();
   if (whole && !reported_shortfall_) return;
   reported_shortfall_ = !whole;
@@ -252,6 +265,24 @@
   }
 }
 
+// Takes back what was said of accounts and events that are declared no more.
+void SchedulerCore::WithdrawReports() {
+  for (auto one = reported_.begin(); one != reported_.end();) {
+    const auto& [subject, name] = one->first;
+    const bool declared = subject == ReportShortfall::Subject::kAccount
+                              ? state_.accounts.count(name) > 0
+                              : state_.calendar.Find(name) != nullptr;
+    if (declared) {
+      ++one;
+      continue;
+    }
+    if (!one->second.empty()) {
+      state_.actions.push_back(ReportShortfall{subject, name, ""});
+    }
+    one = reported_.erase(one);
+  }
+}
+
 void SchedulerCore::ReportOne(ReportShortfall::Subject subject,
                               const std::string& name,
                               const std::string& text) {
