Leave the producer of offsets out of MembershipManager::alive

alive() asked the carriers for this entry's own offsets although its callers read names only; a caller that holds a carrier's lock could have locked itself out through that producer. Ruled out: caching the offsets, which members() must show as they are. No such lock was met in practice.

--- a/src/libs/peers/membership_manager.cc
+++ b/src/libs/peers/membership_manager.cc
@@ -58,7 +58,8 @@
   void SetListed(const std::vector<std::string>& names);
   void FetchSnapshot(const std::string& name, int64_t min_offset,
                      SnapshotCallback callback);
-  std::vector<MemberView> members() const;
+  // `own_offsets` become those of this entry.
+  std::vector<MemberView> Views(const Json& own_offsets) const;
   std::optional<std::string> OwnerOf(const std::string& key) const;
   Json OwnOffsets() const { return offsets_ ? offsets_() : Json::object(); }
 
@@ -180,8 +181,8 @@
   return names;
 }
 
-std::vector<MemberView> MembershipManager::Impl::members() const {
-  const Json own_offsets = OwnOffsets();
+std::vector<MemberView> MembershipManager::Impl::Views(
+    const Json& own_offsets) const {
   const Time now = Now();
   const std::lock_guard lock(mutex_);
   std::vector<MemberView> views;
@@ -347,11 +348,11 @@
 }
 
 std::vector<MemberView> MembershipManager::members() const {
-  return impl_->members();
+  return impl_->Views(impl_->OwnOffsets());
 }
 
 std::vector<MemberView> MembershipManager::alive() const {
-  std::vector<MemberView> views = impl_->members();
+  std::vector<MemberView> views = impl_->Views(Json::object());
   views.erase(std::remove_if(views.begin(), views.end(),
                              [](const MemberView& view) {
                                return view.state != MemberState::kAlive;
@@ -366,16 +367,16 @@
 }
 
 Json MembershipManager::ToJson() const {
-  Json members = Json::array();
-  for (const MemberView& view : impl_->members()) {
-    members.push_back({{"name", view.name},
-                       {"incarnation", view.incarnation},
-                       {"failure_domain", view.failure_domain},
-                       {"state", std::string(ToString(view.state))},
-                       {"since_ms", view.since.count()},
-                       {"offsets", view.offsets}});
+  Json result = Json::array();
+  for (const MemberView& view : members()) {
+    result.push_back({{"name", view.name},
+                      {"incarnation", view.incarnation},
+                      {"failure_domain", view.failure_domain},
+                      {"state", std::string(ToString(view.state))},
+                      {"since_ms", view.since.count()},
+                      {"offsets", view.offsets}});
   }
-  return members;
+  return result;
 }
 
 }  // namespace thornplank
--- a/src/libs/peers/membership_manager.h
+++ b/src/libs/peers/membership_manager.h
@@ -90,7 +90,8 @@
 
   // All members with this entry, by name.
   std::vector<MemberView> members() const;
-  // Those alive, with this entry when it is ready.
+  // Those alive, with this entry when it is ready; the own offsets are left
+  // out, so that no producer runs inside this call.
   std::vector<MemberView> alive() const;
   std::optional<std::string> OwnerOf(const std::string& key) const;
   // `members()` for the status page.
