--- a/tests/auto/net/tst_http_client.cc
+++ b/tests/auto/net/tst_http_client.cc
@@ -138,14 +138,12 @@
   limits.max_connections_per_peer = 1;
   // The one connection is held by a request that is never answered.
   ScriptedPeer silent({[](RawConnection& c) { c.ReadAll(); }});
-  ScriptedPeer full({});
   Fixture fixture(limits);
   auto held = SendAsync(fixture.client, silent.address(), Get(),
                         Within(Milliseconds(400)));
   HttpSendOptions refused = Within(Milliseconds(1000));
   refused.may_send = [] { return false; };
   HttpRequest split = Get("/a b");
-  // Port 1 refuses; the closing peer accepts and closes at once.
   struct Case {
     std::string name;
     std::string peer;
@@ -342,6 +340,19 @@
   CHECK(next.response->body == "new");
 }
 
+TEST_CASE("an idle connection is closed after its time") {
+  ScriptedPeer peer({Reply(Answer("one"))});
+  HttpClientLimits limits;
+  limits.idle_timeout = Milliseconds(50);
+  Fixture fixture(limits);
+  CHECK(fixture.Send(peer.address(), Get()).response);
+  for (int i = 0; i < 500 && fixture.client.connections(peer.address()) > 0;
+       ++i) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  CHECK(fixture.client.connections(peer.address()) == 0);
+}
+
 TEST_CASE("closing fails what is pending, once each") {
   ScriptedPeer peer({[](RawConnection& c) { c.ReadAll(); }});
   HttpClientLimits limits;
