Make the settings manager's stop wait for what is running

A run under the thread sanitizer showed a use after free: a tick that was under way when Stop returned still read through the log client of the caller. Ruled out: a note that the io threads must end first (the daemon stops its parts while others go on). Stop now waits for the running tick or publication, and no record is appended after it. Conclusion: after Stop neither handlers nor the log are used.

--- a/src/libs/admin/change_writer.cc
+++ b/src/libs/admin/change_writer.cc
@@ -23,8 +23,20 @@
 ChangeWriter::ChangeWriter(boost::asio::io_context& io, LogClient& log,
                            const SettingsManagerOptions& options)
     : options_(options),
-      writer_(io, log, options.stream, options.writer),
-      id_prefix_(MakeIdPrefix(options.instance)) {}
+      id_prefix_(MakeIdPrefix(options.instance)),
+      writer_(std::make_shared<StreamWriter>(io, log, options.stream,
+                                             options.writer)) {}
+
+std::shared_ptr<StreamWriter> ChangeWriter::writer() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return writer_;
+}
+
+void ChangeWriter::Stop() {
+  std::shared_ptr<StreamWriter> ended;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ended.swap(writer_);
+}
 
 std::string ChangeWriter::NextId(const char* kind) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -35,12 +47,17 @@
   const Time now = std::chrono::steady_clock::now();
   const Time deadline = now + options_.append_timeout;
   const std::string id = NextId("change-");
+  const std::shared_ptr<StreamWriter> writer = this->writer();
+  if (!writer) {
+    done(AppendOutcome::kNotAppended, ChangeResult());
+    return;
+  }
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     pending_[id] = {std::move(done), change.by,
                     deadline + options_.decide_timeout};
   }
-  writer_.Append(
+  writer->Append(
       id, ToJson(change), deadline,
       [weak = weak_from_this(), id](AppendState state, int64_t, const Error&) {
         if (const auto self = weak.lock()) {
@@ -50,8 +67,13 @@
 }
 
 void ChangeWriter::AppendSnapshot(Json data, StreamWriter::Callback done) {
+  const std::shared_ptr<StreamWriter> writer = this->writer();
+  if (!writer) {
+    done(AppendState::kNotAppended, -1, Error{"append", "", "stopped"});
+    return;
+  }
   const Time now = std::chrono::steady_clock::now();
-  writer_.Append(NextId("snapshot-"), std::move(data),
+  writer->Append(NextId("snapshot-"), std::move(data),
                  now + options_.append_timeout, std::move(done));
 }
 
@@ -78,8 +100,10 @@
 }
 
 void ChangeWriter::Withdraw(const std::string& id, const std::string& by) {
+  const std::shared_ptr<StreamWriter> writer = this->writer();
+  if (!writer) return;
   const Time now = std::chrono::steady_clock::now();
-  writer_.Append(id, WithdrawalData(by), now + options_.withdraw_timeout,
+  writer->Append(id, WithdrawalData(by), now + options_.withdraw_timeout,
                  [](AppendState, int64_t, const Error&) {});
 }
 
--- a/src/libs/admin/change_writer.h
+++ b/src/libs/admin/change_writer.h
@@ -42,6 +42,9 @@
   // Appends a record that nobody waits for, such as a snapshot.
   void AppendSnapshot(Json data, StreamWriter::Callback done);
 
+  // Appends nothing any more; what is still pending is left to TakeExpired.
+  void Stop();
+
   // Takes out every change on which `fold` has a verdict.
   Calls TakeDecided(const SettingsFold& fold);
   // Takes out every change that has waited too long.
@@ -55,16 +58,18 @@
     Time give_up;
   };
 
+  std::shared_ptr<StreamWriter> writer() const;
   std::string NextId(const char* kind);
   void OnAppended(const std::string& id, AppendState state);
   void Withdraw(const std::string& id, const std::string& by);
 
   const SettingsManagerOptions options_;
-  StreamWriter writer_;
   // Differs from process to process, so that ids never return.
   const std::string id_prefix_;
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
+  // Null after Stop.
+  std::shared_ptr<StreamWriter> writer_;
   uint64_t next_number_ = 0;
   // By record id.
   std::map<std::string, Pending> pending_;
--- a/src/libs/admin/settings_manager.cc
+++ b/src/libs/admin/settings_manager.cc
@@ -33,6 +33,10 @@
   const std::optional<Time> last_read =
       follower_ ? follower_->last_success() : std::nullopt;
   const Time now = std::chrono::steady_clock::now();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (stopped_) return "this entry is stopping";
+  }
   if (!ready()) return "the settings of this entry are not complete yet";
   if (!last_read || now - *last_read > options_.log_silent_after) {
     return "the log service does not answer";
--- a/src/libs/admin/settings_manager.h
+++ b/src/libs/admin/settings_manager.h
@@ -97,8 +97,9 @@
   void SetFetchSnapshot(FetchSnapshot fetch);
 
   void Start();
-  // Answers what is pending. A handler that is running ends by itself: what
-  // handlers use has to live until the io threads have ended.
+  // Answers what is pending and waits for a handler that is running; after it
+  // neither handlers nor the log are used. Not while the caller holds a lock
+  // that a handler takes.
   void Stop();
 
   // `callback` runs once, on any thread, perhaps before Write returns; after
--- a/src/libs/admin/settings_manager_impl.cc
+++ b/src/libs/admin/settings_manager_impl.cc
@@ -70,7 +70,13 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (std::exchange(stopped_, true)) return;
   }
+  // Tick and Publish do nothing from here on; the one that is running ends
+  // first, unless it is what calls.
+  if (!strand_.running_in_this_thread()) {
+    const std::lock_guard<std::mutex> wait(active_mutex_);
+  }
   if (follower_) follower_->Stop();
+  writer_->Stop();
   RunAll(writer_->TakeExpired(Time::max()));
   ResubmitDeferred(Time::max());
   boost::asio::post(strand_,
@@ -118,6 +124,11 @@
 }
 
 void SettingsManager::Impl::Publish() {
+  const std::lock_guard<std::mutex> active(active_mutex_);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (stopped_) return;
+  }
   // Asked for before the lock: the follower calls in with locks of its own.
   const bool caught_up = follower_->caught_up();
   const int64_t handed_on = follower_->next_offset();
@@ -128,7 +139,6 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     publish_requested_ = false;
-    if (stopped_) return;
     outcomes.swap(outcomes_);
     was_ready = visible_.ready;
     const bool log_is_read = caught_up && fold_.next_offset() >= handed_on;
@@ -199,6 +209,7 @@
 }
 
 void SettingsManager::Impl::Tick() {
+  const std::lock_guard<std::mutex> active(active_mutex_);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (stopped_) return;
--- a/src/libs/admin/settings_manager_impl.h
+++ b/src/libs/admin/settings_manager_impl.h
@@ -111,6 +111,10 @@
   Time next_first_offset_read_;
   Time next_snapshot_;
 
+  // Held through each Tick and Publish, so that Stop can wait for the one that
+  // is running; the strand keeps them apart from each other. Taken first.
+  std::mutex active_mutex_;
+
   // Taken before ChangeWriter's mutex; no callback runs under it.
   mutable std::mutex mutex_;
   bool stopped_ = false;
--- a/src/libs/settings/settings_reader.h
+++ b/src/libs/settings/settings_reader.h
@@ -103,6 +103,7 @@
               const std::vector<std::pair<std::string, Choice>>& choices,
               Choice* value) {
     std::vector<std::string> names;
+    names.reserve(choices.size());
     for (const auto& choice : choices) names.push_back(choice.first);
     const std::optional<size_t> index = ReadChoice(key, presence, names);
     if (!index) return false;
--- a/tests/auto/admin/tst_settings_manager.cc
+++ b/tests/auto/admin/tst_settings_manager.cc
@@ -34,6 +34,22 @@
   CHECK(two->manager().history("north").at(0).by == "admin");
 }
 
+TEST_CASE("The answer to a change comes after every handler was told") {
+  SettingsFixture fixture;
+  std::atomic<int64_t> told_last{0};
+  const auto entry = fixture.MakeEntry(FastOptions("one"));
+  entry->manager().HandleChange([&told_last](const SettingsTree& tree) {
+    std::this_thread::sleep_for(Milliseconds(20));
+    told_last = tree.revision();
+  });
+  entry->StartAndWait();
+  for (int i = 0; i < 3; ++i) {
+    const WriteResult result = entry->Put("north", i, Weight(i + 1)).get();
+    CHECK(result.version == i + 1);
+    CHECK(told_last >= i + 1);
+  }
+}
+
 TEST_CASE("Invalid changes get reasons and append nothing") {
   SettingsFixture fixture;
   const auto entry = fixture.StartEntry("one");
@@ -208,6 +224,18 @@
   CHECK(late->weight("north") == 2);
 }
 
+TEST_CASE("A snapshot that nobody can read does not count as one") {
+  SettingsFixture fixture;
+  auto options = FastOptions("one");
+  options.snapshots.margin = 0;
+  const auto entry = fixture.MakeEntry(options);
+  entry->StartAndWait();
+  PutInTurn(*entry, 2);
+  fixture.log().Append("bad", {{"type", "snapshot"}, {"covers", 2}});
+  fixture.log().Truncate(1);
+  CHECK(WaitUntil([&] { return fixture.log().next_offset() > 3; }));
+}
+
 TEST_CASE("A snapshot of a paused entry reverts nothing") {
   SettingsFixture fixture;
   const auto entry = fixture.StartEntry("one");
@@ -262,21 +290,26 @@
   // One without state must not become the base by mistake.
   const auto empty = fixture.MakeEntry(FastOptions("empty"));
   empty->manager().Start();
-  REQUIRE(WaitUntil([&] { return !empty->manager().ready(); }));
   const auto recover = [](TestEntry& at) {
     std::promise<WriteResult> promise;
     at.manager().Recover("admin", false, [&](const WriteResult& result) {
       promise.set_value(result);
     });
-    return promise.get_future().get().outcome;
+    return promise.get_future().get();
   };
-  CHECK(recover(*empty) == WriteOutcome::kInvalid);
-  CHECK(recover(*entry) == WriteOutcome::kApplied);
+  // Once it has met the gap.
+  REQUIRE(WaitUntil([&] {
+    const WriteResult result = recover(*empty);
+    return result.outcome == WriteOutcome::kInvalid &&
+           result.reasons.at(0).find("holds no state") != std::string::npos;
+  }));
+  CHECK(fixture.log().next_offset() == 3);
+  CHECK(recover(*entry).outcome == WriteOutcome::kApplied);
   REQUIRE(WaitUntil(
       [&] { return entry->manager().ready() && empty->manager().ready(); }));
   CHECK(entry->weight("north") == 2);
   CHECK(empty->weight("north") == 2);
-  CHECK(recover(*entry) == WriteOutcome::kInvalid);
+  CHECK(recover(*entry).outcome == WriteOutcome::kInvalid);
 }
 
 // Allows ten guaranteed slots over all accounts.
