Use each WebSocket connection on its own strand only

A ThreadSanitizer trial over the mesh and manager tests reported that close() called from another connection's handler writes the close code and reason while the connection's own strand uses them, and that the queue length is read without a lock. The first can corrupt a string. Sending, pings, closing and the queue length now go through the connection's strand; the length is kept in atomics. Ruled out: a mutex around websocketpp, which calls handlers from inside.

--- a/src/libs/protocol/peer_socket.cc
+++ b/src/libs/protocol/peer_socket.cc
@@ -77,6 +77,8 @@
   endpoint->set_max_message_size(max_message_bytes);
 }
 
+// websocketpp guards only part of a connection's state by locks, so all use of
+// a connection goes through its strand, on which its own handlers run too.
 class WebSocket : public PeerSocket {
  public:
   explicit WebSocket(const ConnectionPtr& connection)
@@ -85,26 +87,34 @@
   bool Send(const std::string& frame) override {
     const ConnectionPtr connection = connection_.lock();
     if (!connection) return false;
-    return !connection->send(frame, websocketpp::frame::opcode::binary);
+    queue_->posted += frame.size();
+    connection->get_strand()->post([connection, frame, queue = queue_] {
+      connection->send(frame, websocketpp::frame::opcode::binary);
+      queue->buffered = connection->get_buffered_amount();
+      queue->posted -= frame.size();
+    });
+    return true;
   }
 
   void Ping() override {
     const ConnectionPtr connection = connection_.lock();
     if (!connection) return;
-    websocketpp::lib::error_code ec;
-    connection->ping("", ec);
+    connection->get_strand()->post([connection] {
+      websocketpp::lib::error_code ec;
+      connection->ping("", ec);
+    });
   }
 
   void Close(const std::string& reason) override {
     const ConnectionPtr connection = connection_.lock();
     if (!connection) return;
-    websocketpp::lib::error_code ec;
-    connection->close(websocketpp::close::status::going_away,
-                      reason.substr(0, kMaxCloseReason), ec);
-    if (!ec) return;
-    // Not open yet, or closing already.
-    connection->get_strand()->post(
-        [connection, started = started_] { Drop(connection, *started); });
+    connection->get_strand()->post([connection, started = started_,
+                                    text = reason.substr(0, kMaxCloseReason)] {
+      websocketpp::lib::error_code ec;
+      connection->close(websocketpp::close::status::going_away, text, ec);
+      // Not open yet, or closing already.
+      if (ec) Drop(connection, *started);
+    });
   }
 
   void SetMaxMessageBytes(size_t bytes) override {
@@ -115,7 +125,12 @@
 
   size_t queued_bytes() const override {
     const ConnectionPtr connection = connection_.lock();
-    return connection ? connection->get_buffered_amount() : 0;
+    if (connection && queue_->buffered > 0) {
+      connection->get_strand()->post([connection, queue = queue_] {
+        queue->buffered = connection->get_buffered_amount();
+      });
+    }
+    return queue_->posted + queue_->buffered;
   }
 
   // On the connection's strand: the TCP socket is connected.
@@ -138,10 +153,18 @@
   }
 
  private:
+  struct Queue {
+    // On the way to the strand.
+    std::atomic<size_t> posted{0};
+    // Behind the write in progress, when last looked at.
+    std::atomic<size_t> buffered{0};
+  };
+
   // Weak, since the connection's handlers own this object.
   const std::weak_ptr<Connection> connection_;
   // Touched on the connection's strand only.
   const std::shared_ptr<bool> started_ = std::make_shared<bool>(false);
+  const std::shared_ptr<Queue> queue_ = std::make_shared<Queue>();
 };
 
 // `owner` keeps the endpoint alive as long as the connection.
--- a/src/libs/protocol/peer_socket.h
+++ b/src/libs/protocol/peer_socket.h
@@ -26,7 +26,8 @@
  public:
   virtual ~PeerSocket() = default;
 
-  // Queues a binary frame; false when the socket is not open.
+  // Queues a binary frame; false when the socket is gone. A frame queued while
+  // the socket closes is lost, which `closed` tells.
   virtual bool Send(const std::string& frame) = 0;
   virtual void Ping() = 0;
   // Says goodbye where the other end still answers, and drops the connection
@@ -34,7 +35,7 @@
   virtual void Close(const std::string& reason) = 0;
   // To be called inside a handler of this socket.
   virtual void SetMaxMessageBytes(size_t bytes) = 0;
-  // Bytes that wait behind the write in progress.
+  // Bytes that wait behind the write in progress; may lag a moment.
   virtual size_t queued_bytes() const = 0;
 };
 
