Tell a marked repeat "unknown" where "not run" can't cover its key

Cause: while an entry cannot read the log, it may refuse a repeat of a key that another entry has claimed and sent since; "not run" is then true of the repeat and false of the key. Thornplank-Repeat: 1 lets the caller say that it may have sent the key before, and refusals before a won claim are then "unknown". Ruled out: asking all peers on each refusal in an outage; 7 calls a refusal, and an entry that has died still can't answer. Tests: the new check failed with the mechanism off. Conclusion: "not run" is true of the key for callers that mark repeats.

--- a/src/libs/requests/caller_request.cc
+++ b/src/libs/requests/caller_request.cc
@@ -86,7 +86,8 @@
     return false;
   }
   *key = IdempotencyKey{std::move(text), FromUnixMilliseconds(*time),
-                        DigestOf(request.body)};
+                        DigestOf(request.body),
+                        request.headers.Value(kRepeatHeader) == "1"};
   return true;
 }
 
--- a/src/libs/requests/caller_request.h
+++ b/src/libs/requests/caller_request.h
@@ -15,6 +15,8 @@
 inline constexpr char kDeadlineHeader[] = "Thornplank-Deadline-Ms";
 inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
 inline constexpr char kIdempotencyKeyTimeHeader[] = "Idempotency-Key-Time";
+// "1" when the caller may have sent a request of this key before.
+inline constexpr char kRepeatHeader[] = "Thornplank-Repeat";
 
 // Present when the request is not idempotent.
 struct IdempotencyKey {
@@ -22,6 +24,8 @@
   // When the caller made the key.
   WallTime key_time;
   Digest128 body_digest;
+  // The caller says that it may have sent a request of this key before.
+  bool repeat = false;
 };
 
 // One request as the caller sent it, checked.
--- a/src/libs/requests/request_manager.cc
+++ b/src/libs/requests/request_manager.cc
@@ -96,6 +96,8 @@
   std::string NextRequestId();
   void Acquire(const ExchangePtr& exchange);
   void HandleVerdict(const ExchangePtr& exchange, ClaimVerdict verdict);
+  void RefuseUnclaimed(const ExchangePtr& exchange,
+                       const ClaimVerdict& verdict);
   void Submit(const ExchangePtr& exchange);
   void Finish(const ExchangePtr& exchange, DispatchResult result);
   void Settle(const ExchangePtr& exchange,
@@ -230,9 +232,7 @@
              kOutcomeAnswered);
       return;
     case ClaimVerdictKind::kNotRun:
-      Answer(exchange,
-             NotRunResponse(exchange->id, verdict.reason, verdict.retry_after),
-             kOutcomeNotRun);
+      RefuseUnclaimed(exchange, verdict);
       return;
     case ClaimVerdictKind::kUnknown:
       Answer(exchange, UnknownResponse(exchange->id, kConflict, verdict.reason),
@@ -244,6 +244,23 @@
   }
 }
 
+// This request was not sent. But without a claim of its own in the log it is
+// not known whether an earlier request of the key was.
+void RequestManager::Impl::RefuseUnclaimed(const ExchangePtr& exchange,
+                                           const ClaimVerdict& verdict) {
+  HttpResponse not_run =
+      NotRunResponse(exchange->id, verdict.reason, verdict.retry_after);
+  if (!exchange->request.idempotency_key->repeat) {
+    Answer(exchange, std::move(not_run), kOutcomeNotRun);
+    return;
+  }
+  HttpResponse unknown = UnknownResponse(
+      exchange->id, not_run.status,
+      verdict.reason + "; an earlier request of the key may have run");
+  unknown.headers.Set("Retry-After", not_run.headers.Value("Retry-After"));
+  Answer(exchange, std::move(unknown), kOutcomeUnknown);
+}
+
 void RequestManager::Impl::Submit(const ExchangePtr& exchange) {
   Dispatch dispatch;
   dispatch.id = exchange->id;
