--- a/src/libs/jobs/job_manager_access.cc
+++ b/src/libs/jobs/job_manager_access.cc
@@ -264,12 +264,18 @@
          now - *append_failing_since_ > kAppendFailingBound;
 }
 
+// The submission is appended before the scheduler sees the job: the record of
+// its placement counts only when it comes after that.
 bool JobManager::Impl::PlanUrgent(const JobRequest& job) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!coordinator_ || verifying_) return false;
     if (fold_.jobs().Knows(job.spec.id)) return true;
-    coordinator_->Submit(HeldEntry(job), Clock::now());
+  }
+  HoldUrgent(job);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (coordinator_) coordinator_->Submit(HeldEntry(job), Clock::now());
   }
   SchedulePump();
   return true;
--- a/src/libs/jobs/urgent_jobs.cc
+++ b/src/libs/jobs/urgent_jobs.cc
@@ -113,7 +113,6 @@
                   return;
                 }
                 LogHeld(job, self->name_);
-                self->hooks_.hold(job);
                 callback(Accepted());
               });
 }
@@ -155,7 +154,6 @@
     reply({{"accepted", false}, {"reason", name_ + " is not the coordinator"}});
     return;
   }
-  hooks_.hold(*job);
   reply({{"accepted", true}});
 }
 
--- a/src/libs/jobs/urgent_jobs.h
+++ b/src/libs/jobs/urgent_jobs.h
@@ -23,7 +23,8 @@
   struct Hooks {
     // Name of the coordinator by the stream, or "".
     std::function<std::string()> coordinator;
-    // Gives the job to this entry's coordinator; false when it has none.
+    // Holds the job and gives it to this entry's coordinator; false, without
+    // any effect, when it has none.
     std::function<bool(const JobRequest&)> plan;
     // Keeps the job and appends it to the stream as soon as the log allows.
     std::function<void(const JobRequest&)> hold;
--- a/tests/auto/jobs/tst_job_manager.cc
+++ b/tests/auto/jobs/tst_job_manager.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <condition_variable>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
 #include "platform/log_client.h"
+#include "protocol/peer_mesh.h"
 #include "standins/log_role.h"
 #include "standins/worker_role.h"
 
@@ -28,8 +30,9 @@
 constexpr milliseconds kPatience{10000};
 constexpr milliseconds kPoll{20};
 
-bool Eventually(const std::function<bool()>& condition) {
-  const auto end = std::chrono::steady_clock::now() + kPatience;
+bool Eventually(const std::function<bool()>& condition,
+                milliseconds patience = kPatience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
   while (std::chrono::steady_clock::now() < end) {
     if (condition()) return true;
     std::this_thread::sleep_for(kPoll);
@@ -49,6 +52,19 @@
   settings.election.vacancy_delay = milliseconds(50);
   settings.election.rank_delay = milliseconds(100);
   settings.election.min_tenure = milliseconds(200);
+  settings.retention_check_interval = milliseconds(100);
+  settings.snapshot_records = 20;
+  settings.snapshot_jobs_per_part = 4;
+  return settings;
+}
+
+PeerMeshSettings MeshOf(const std::string& name) {
+  PeerMeshSettings settings;
+  settings.name = name;
+  settings.incarnation = "1";
+  settings.failure_domain = "d1";
+  settings.listen = "127.0.0.1:0";
+  settings.shared_secret = "secret of the test";
   return settings;
 }
 
@@ -56,13 +72,14 @@
 struct Entry {
   Entry(boost::asio::io_context& io, const std::string& log_address,
         const std::string& name)
-      : http(io, HttpClientLimits{}),
+      : mesh(io, MeshOf(name)),
+        http(io, HttpClientLimits{}),
         log(http, log_address),
         router({{"n", "north-token", Role::kCaller, "north"},
                 {"s", "south-token", Role::kCaller, "south"},
                 {"v", "viewer-token", Role::kViewer, ""},
                 {"o", "operator-token", Role::kOperator, ""}}),
-        jobs(io, http, log, nullptr, SettingsOf(name), metrics) {
+        jobs(io, http, log, &mesh, SettingsOf(name), metrics) {
     jobs.RegisterRoutes(router);
   }
 
@@ -94,6 +111,7 @@
   }
 
   MetricsRegistry metrics;
+  PeerMesh mesh;
   HttpClient http;
   LogClient log;
   ApiRouter router;
@@ -120,7 +138,10 @@
   }
 
   ~Platform() {
-    for (const auto& entry : entries) entry->jobs.Stop();
+    for (const auto& entry : entries) {
+      entry->jobs.Stop();
+      entry->mesh.Stop();
+    }
     work_.reset();
     io.stop();
     for (std::thread& thread : threads_) thread.join();
@@ -148,23 +169,47 @@
     return entry;
   }
 
-  void SetOutage(bool outage) {
+  // Links every entry with every other.
+  void Connect() {
+    Error error;
+    std::vector<std::string> addresses;
+    for (const auto& entry : entries) {
+      REQUIRE(entry->mesh.Start(&error));
+      addresses.push_back(entry->mesh.address());
+    }
+    for (const auto& entry : entries) entry->mesh.SetPeers(addresses);
+    for (const auto& entry : entries) {
+      REQUIRE(Eventually([&] {
+        return entry->mesh.connected_peers().size() + 1 == entries.size();
+      }));
+    }
+  }
+
+  void ControlLog(const Json& control) {
+    Ask(log.address(), "POST", control.dump());
+  }
+
+  // Whether something happened to a lease at a worker, by its history.
+  bool Saw(size_t worker, const std::string& what) {
+    const std::string state = Ask(workers[worker]->address(), "GET", "");
+    return state.find("\"what\":\"" + what + "\"") != std::string::npos;
+  }
+
+  // The body of the answer of a role's control interface.
+  std::string Ask(const std::string& address, const std::string& method,
+                  const std::string& body) {
     HttpClient http(io, HttpClientLimits{});
-    std::mutex mutex;
-    std::condition_variable done;
-    bool answered = false;
+    std::promise<std::string> answer;
     HttpRequest request;
-    request.method = "POST";
+    request.method = method;
     request.target = "/control";
-    request.body = Json{{"outage", outage}}.dump();
-    http.Send(log.address(), request, HttpSendOptions{},
-              [&](const std::optional<HttpResponse>&, const HttpFailure&) {
-                const std::lock_guard<std::mutex> lock(mutex);
-                answered = true;
-                done.notify_one();
-              });
-    std::unique_lock<std::mutex> lock(mutex);
-    done.wait(lock, [&] { return answered; });
+    request.body = body;
+    http.Send(
+        address, request, HttpSendOptions{},
+        [&](const std::optional<HttpResponse>& response, const HttpFailure&) {
+          answer.set_value(response ? response->body : "");
+        });
+    return answer.get_future().get();
   }
 
   boost::asio::io_context io;
@@ -180,9 +225,11 @@
   std::vector<std::unique_ptr<Entry>> entries;
 };
 
-std::string JobBody(const std::string& id, int members, int run_ms) {
+std::string JobBody(const std::string& id, int members, int run_ms,
+                    const std::string& priority = "normal") {
   return Json{{"id", id},
               {"account", "north"},
+              {"priority", priority},
               {"members", members},
               {"accelerators", 8},
               {"task", {{"run_ms", run_ms}}}}
@@ -302,7 +349,7 @@
   REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 2500))
               .status == 202);
   REQUIRE(Eventually([&] { return entry.PhaseOf("a") == "running"; }));
-  platform.SetOutage(true);
+  platform.ControlLog({{"outage", true}});
   std::this_thread::sleep_for(milliseconds(1500));
   const HttpResponse refused =
       entry.Call("POST", "/v1/jobs", "north-token", JobBody("b", 1, 10));
@@ -312,11 +359,72 @@
   CHECK(entry.jobs.is_coordinator());
   // Longer than the job runs: its end is recorded when the log is back.
   std::this_thread::sleep_for(milliseconds(1500));
-  platform.SetOutage(false);
+  platform.ControlLog({{"outage", false}});
   CHECK(Eventually([&] { return entry.PhaseOf("a") == "finished"; }));
   CHECK(entry.PhaseOf("b") == "");
 }
 
+struct UrgentCase {
+  const char* name;
+  // Index of the entry that is asked; entry 0 is the coordinator.
+  size_t asked;
+  bool linked;
+  int status;
+};
+
+TEST_CASE("urgent work starts while the log is down") {
+  const std::vector<UrgentCase> cases = {
+      {"at the coordinator", 0, true, 202},
+      {"at another entry", 1, true, 202},
+      {"with nobody to hold it as well", 0, false, 503},
+      {"without a link to the coordinator", 1, false, 503},
+  };
+  for (const UrgentCase& one : cases) {
+    CAPTURE(one.name);
+    Platform platform;
+    Entry& first = platform.AddEntry("e1");
+    first.jobs.SetLiveEntries({"e1"});
+    REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+    Entry& second = platform.AddEntry("e2");
+    REQUIRE(Eventually([&] { return second.jobs.ready(); }));
+    if (one.linked) platform.Connect();
+    platform.ControlLog({{"outage", true}});
+    std::this_thread::sleep_for(milliseconds(1500));
+    const HttpResponse answer = platform.entries[one.asked]->Call(
+        "POST", "/v1/jobs", "north-token", JobBody("a", 2, 100, "urgent"));
+    CHECK(answer.status == one.status);
+    const bool ran = Eventually([&] { return platform.Saw(0, "finished"); },
+                                milliseconds(1000));
+    CHECK(ran == (one.status == 202));
+    platform.ControlLog({{"outage", false}});
+    if (one.status != 202) continue;
+    CHECK(Eventually([&] { return second.PhaseOf("a") == "finished"; }));
+    const std::optional<Json> job =
+        ParseJson(second.Call("GET", "/v1/jobs/a", "north-token").body);
+    REQUIRE(job);
+    CHECK(IntField(*job, "attempts") == 1);
+  }
+}
+
+TEST_CASE("an entry that starts after retention takes the last snapshot") {
+  Platform platform;
+  Entry& first = platform.AddEntry("e1");
+  first.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  platform.ControlLog({{"retain_records", 60}});
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    REQUIRE(first.Call("POST", "/v1/jobs", "north-token", JobBody(id, 1, 1))
+                .status == 202);
+    REQUIRE(Eventually([&] { return first.PhaseOf(id) == "finished"; }));
+  }
+  Entry& late = platform.AddEntry("e2");
+  CHECK(Eventually([&] { return late.jobs.ready(); }));
+  CHECK(late.PhaseOf("j0") == "finished");
+  CHECK(late.PhaseOf("j39") == "finished");
+  CHECK(late.jobs.epoch() == first.jobs.epoch());
+}
+
 TEST_CASE("an entry joins from a peer's snapshot") {
   Platform platform;
   Entry& first = platform.AddEntry("e1");
