Free the client's connections when its io_context is stopped

An exchange held its pool, its connection and its request, and these held each other, so that requests in flight when the io_context was stopped kept their sockets open until the process ended. Closing in the destructor when the io_context is stopped was ruled out: its threads may still run a last handler. Before: the address sanitizer reported memory held at exit in tst_stream_writer and tst_stream_follower. After: none there, nor in tst_http_client; that binary and the four others pass in the plain build.

--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -37,7 +37,8 @@
   Stage stage = Stage::kQueued;
   // Set in kProbing and kSending; the end of an exchange on any other
   // connection does not concern the request.
-  ConnectionPointer connection;
+  // Not owned, as the connection holds the request until the exchange ends.
+  std::weak_ptr<ClientConnection> connection;
   // Whether that connection had answered before, so that a failure may be
   // one of a connection kept too long.
   bool kept_connection = false;
@@ -196,14 +197,20 @@
   pending->stage_begun = Now();
   ArmTimer(pending,
            std::min(pending->deadline, Now() + pending->options.probe_timeout));
+  // Weak, as everywhere in an exchange: what the connection holds must not
+  // hold it, or both outlive an io_context that is stopped.
+  const std::weak_ptr<ClientConnection> weak_connection = connection;
   HttpRequest probe;
   probe.target = pending->options.probe_target;
   connection->Exchange(probe, "",
-                       [self = shared_from_this(), pending, connection](
+                       [weak = weak_from_this(), pending, weak_connection](
                            const std::optional<HttpResponse>& response,
                            const HttpFailure& failure) {
+                         const auto self = weak.lock();
+                         const auto connection = weak_connection.lock();
+                         if (self == nullptr || connection == nullptr) return;
                          if (!connection->is_open()) self->Remove(connection);
-                         if (pending->connection == connection) {
+                         if (pending->connection.lock() == connection) {
                            self->OnProbed(pending, connection,
                                           response.has_value(), failure);
                          }
@@ -240,16 +247,20 @@
   }
   pending->stage = Pending::Stage::kSending;
   pending->stage_begun = Now();
+  const std::weak_ptr<ClientConnection> weak_connection = connection;
   connection->Exchange(
       pending->request, pending->options.match_header,
-      [self = shared_from_this(), pending, connection](
+      [weak = weak_from_this(), pending, weak_connection](
           std::optional<HttpResponse> response, const HttpFailure& failure) {
+        const auto self = weak.lock();
+        const auto connection = weak_connection.lock();
+        if (self == nullptr || connection == nullptr) return;
         if (connection->is_open()) {
           self->Release(connection);
         } else {
           self->Remove(connection);
         }
-        if (pending->connection == connection) {
+        if (pending->connection.lock() == connection) {
           self->OnExchanged(pending, std::move(response), failure);
         }
         self->Pump();
@@ -299,10 +310,10 @@
   // Without its connection the request ignores how the exchange ends. A late
   // answer must find that connection closed, and what has not answered since
   // may be as silent; it goes first, since the closing lets others be taken.
-  const ConnectionPointer connection = std::move(pending->connection);
+  const ConnectionPointer connection = pending->connection.lock();
   pending->connection.reset();
   DropUnprovedSince(pending->stage_begun);
-  connection->Close("timed out");
+  if (connection != nullptr) connection->Close("timed out");
   if (pending->stage == Pending::Stage::kSending) {
     Fail(pending, SendProgress::kUnknown, "wait for the answer", "timed out");
   } else if (pending->kept_connection && Now() < pending->deadline) {
