Test waiting reads on new connections of the stand-in

Cause: stale readiness blocked a role only now and then, and no test aimed at it; this one opens 600 connections that each wait a millisecond. Conclusion: kept as a bounded load check; the fault stays covered by repetition.

--- a/tests/standins/tst_standin.cc
+++ b/tests/standins/tst_standin.cc
@@ -302,14 +302,17 @@
   CHECK(clients.front()->Get("/healthz").status == 200);
 }
 
-// Guards against a strand blocked by stale readiness of a socket.
-TEST_CASE("executor: answers go on under several callers") {
-  constexpr int kCalls = 400;
+// A load check for strands blocked by stale readiness, which a new connection
+// meets most.
+TEST_CASE("log: waiting reads on new connections are all answered") {
+  constexpr int kCalls = 300;
   Fixture fixture;
   auto call = [&fixture] {
-    TestClient client(fixture.executor);
     int answered = 0;
-    while (answered < kCalls && client.Post("/claims", 1).status == 200) {
+    while (answered < kCalls &&
+           TestClient(fixture.log)
+                   .Get(std::string(kRecords) + "?from=0&wait_ms=1")
+                   .status == 200) {
       ++answered;
     }
     return answered;
