Ask every entry that may still answer for a claim it holds

Cause: tst_whole_path failed: a repeat of an answered payment at another entry got "answered earlier, answer no longer held" while its holder stood beside it. The claims were told only of entries that take requests; right after a start the first heartbeat that says so had not arrived. Ruled out: waiting in the test until all entries know each other: a leaving or suspected holder would still be taken for gone. Also: the command line shows where each value comes from, the integration fixture keeps a caller's own token and empties log files before use. Conclusion: slots are shared among live entries, claims ask all that are not dead.

--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -327,13 +327,17 @@
   }
 
   void OnMembersChanged() {
-    std::vector<ClaimHolder> holders;
     std::vector<std::string> names;
     for (const MemberView& member : members_.alive()) {
-      holders.push_back({member.name, member.incarnation});
       names.push_back(member.name);
     }
-    requests_.SetLiveEntries(holders);
+    std::vector<ClaimHolder> reachable;
+    for (const MemberView& member : members_.members()) {
+      if (member.state == MemberState::kDead) continue;
+      reachable.push_back({member.name, member.incarnation});
+    }
+    requests_.SetLiveEntries(names);
+    requests_.SetReachableEntries(reachable);
     jobs_.SetLiveEntries(names);
   }
 
--- a/src/app/thornplankctl/settings_commands.cc
+++ b/src/app/thornplankctl/settings_commands.cc
@@ -15,6 +15,15 @@
   return "/v1/settings/" + (path == "/" ? std::string() : path);
 }
 
+// The node that gives the value of `key`.
+std::string Origin(const Json& explain, const std::string& key) {
+  const Json* origin = ObjectField(explain, key);
+  if (origin == nullptr) return "";
+  if (BoolField(*origin, "built_in").value_or(false)) return "(built in)";
+  const std::string node = Cell(*origin, "node");
+  return node.empty() ? "/" : node;
+}
+
 void PrintNode(const Json& node) {
   std::cout << "path     " << Cell(node, "path") << "\nversion  "
             << Cell(node, "version") << "\n";
@@ -29,8 +38,7 @@
     const bool is_own = own != nullptr && own->contains(key);
     std::vector<std::string> row = {key, ToCell(value), is_own ? "yes" : ""};
     if (explain != nullptr) {
-      const std::string from = Cell(*explain, key);
-      row.push_back(from.empty() ? "/" : from);
+      row.push_back(Origin(*explain, key));
     }
     table.AddRow(row);
   }
--- a/src/libs/client/api_client.cc
+++ b/src/libs/client/api_client.cc
@@ -88,10 +88,10 @@
   if (!body.empty() && !headers.Has("Content-Type")) {
     request.headers.Set("Content-Type", "application/json");
   }
-  if (!settings_.token.empty()) {
+  if (!settings_.token.empty() && !headers.Has("Authorization")) {
     request.headers.Set("Authorization", "Bearer " + settings_.token);
   }
-  if (!settings_.account.empty()) {
+  if (!settings_.account.empty() && !headers.Has("Thornplank-Account")) {
     request.headers.Set("Thornplank-Account", settings_.account);
   }
   return request;
--- a/src/libs/requests/request_manager.cc
+++ b/src/libs/requests/request_manager.cc
@@ -80,7 +80,8 @@
   void Stop();
   void SetAccounts(const std::vector<AccountLimits>& accounts);
   void SetExecutors(const std::vector<ExecutorInfo>& executors);
-  void SetLiveEntries(const std::vector<ClaimHolder>& entries);
+  void SetLiveEntries(const std::vector<std::string>& names);
+  void SetReachableEntries(const std::vector<ClaimHolder>& entries);
   void Drain(std::function<void()> done);
   size_t in_flight() const;
   bool claims_ready() const { return claims_.ready(); }
@@ -264,7 +265,7 @@
 void RequestManager::Impl::Submit(const ExchangePtr& exchange) {
   Dispatch dispatch;
   dispatch.id = exchange->id;
-  dispatch.request = exchange->request;
+  dispatch.request = std::move(exchange->request);
   dispatch.deadline = exchange->deadline;
   if (!exchange->claim_id.empty()) {
     dispatch.may_send = [self = shared_from_this(),
@@ -382,11 +383,12 @@
 }
 
 void RequestManager::Impl::SetLiveEntries(
-    const std::vector<ClaimHolder>& entries) {
-  std::vector<std::string> names;
-  names.reserve(entries.size());
-  for (const ClaimHolder& holder : entries) names.push_back(holder.entry);
+    const std::vector<std::string>& names) {
   dispatcher_.SetPeers(settings_.self.entry, names);
+}
+
+void RequestManager::Impl::SetReachableEntries(
+    const std::vector<ClaimHolder>& entries) {
   claims_.SetLiveEntries(entries);
 }
 
@@ -453,8 +455,13 @@
   impl_->SetExecutors(executors);
 }
 
-void RequestManager::SetLiveEntries(const std::vector<ClaimHolder>& entries) {
-  impl_->SetLiveEntries(entries);
+void RequestManager::SetLiveEntries(const std::vector<std::string>& names) {
+  impl_->SetLiveEntries(names);
+}
+
+void RequestManager::SetReachableEntries(
+    const std::vector<ClaimHolder>& entries) {
+  impl_->SetReachableEntries(entries);
 }
 
 void RequestManager::Drain(std::function<void()> done) {
--- a/src/libs/requests/request_manager.h
+++ b/src/libs/requests/request_manager.h
@@ -89,8 +89,12 @@
 
   void SetAccounts(const std::vector<AccountLimits>& accounts);
   void SetExecutors(const std::vector<ExecutorInfo>& executors);
-  // The entries that are alive now, with their incarnations.
-  void SetLiveEntries(const std::vector<ClaimHolder>& entries);
+  // The entries that take requests now: slots are shared between them.
+  void SetLiveEntries(const std::vector<std::string>& names);
+  // The entries that may still answer for the claims they hold, also while
+  // they join, leave or are suspected. Asking in vain costs a timeout; not
+  // asking would turn an answer into "unknown".
+  void SetReachableEntries(const std::vector<ClaimHolder>& entries);
 
   // Calls `done` once, when no request is in flight and no claim record waits
   // to be appended. New requests are still served: the HTTP server decides
--- a/tests/auto/requests/request_fixture.h
+++ b/tests/auto/requests/request_fixture.h
@@ -109,7 +109,8 @@
       if (entry->mesh) entry->mesh->SetPeers(addresses);
       entry->manager->SetExecutors(
           {{"executor-1", executor.address(), "claims", "", 64, false}});
-      entry->manager->SetLiveEntries(LiveEntries());
+      entry->manager->SetLiveEntries(LiveNames());
+      entry->manager->SetReachableEntries(LiveEntries());
       REQUIRE(WaitUntil([&] { return entry->manager->claims_ready(); }));
       REQUIRE(WaitUntil([&] {
         return !entry->mesh ||
@@ -126,6 +127,12 @@
     pool_.Stop();
   }
 
+  std::vector<std::string> LiveNames() const {
+    std::vector<std::string> names;
+    for (const ClaimHolder& entry : LiveEntries()) names.push_back(entry.entry);
+    return names;
+  }
+
   std::vector<ClaimHolder> LiveEntries() const {
     std::vector<ClaimHolder> live;
     for (size_t i = 0; i < entries.size(); ++i) {
--- a/tests/auto/requests/tst_request_claims.cc
+++ b/tests/auto/requests/tst_request_claims.cc
@@ -77,7 +77,8 @@
     CHECK(OutcomeOf(first.get()) == "answered");
   }
   SUBCASE("or that the holder is gone") {
-    fixture.entries[1]->manager->SetLiveEntries({{"entry-1", "entry-1-1"}});
+    fixture.entries[1]->manager->SetReachableEntries(
+        {{"entry-1", "entry-1-1"}});
     const HttpResponse repeat =
         fixture.Send(RequestFixture::Payment("held"), 1);
     CHECK(repeat.status == 409);
--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -2,6 +2,8 @@
 #include "child_process.h"
 
 #include <csignal>
+#include <fstream>
+#include <thread>
 
 #include <boost/process.hpp>
 
@@ -9,6 +11,16 @@
 
 namespace process = boost::process;
 
+namespace {
+
+// Boost.Process writes over an existing file from its beginning.
+const std::string& Emptied(const std::string& path) {
+  std::ofstream(path, std::ios::trunc);
+  return path;
+}
+
+}  // namespace
+
 class ChildProcess::Impl {
  public:
   Impl(const std::string& program, const std::vector<std::string>& arguments,
@@ -23,7 +35,7 @@
 ChildProcess::ChildProcess(const std::string& program,
                            const std::vector<std::string>& arguments,
                            const std::string& output)
-    : impl_(std::make_unique<Impl>(program, arguments, output)) {}
+    : impl_(std::make_unique<Impl>(program, arguments, Emptied(output))) {}
 
 ChildProcess::~ChildProcess() { Kill(); }
 
--- a/tests/integration/support/test_cluster.cc
+++ b/tests/integration/support/test_cluster.cc
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
