Let calls on a link that another one replaces come to their end

When both ends dial at once, the link that goes was closed at once, and calls that had just been sent on it failed with "the link was replaced". A link replaced by another one to the same incarnation now takes nothing new and is closed after half of the silence timeout. Links that are stale or of an older incarnation are closed at once, as before.

--- a/src/libs/protocol/peer_mesh.cc
+++ b/src/libs/protocol/peer_mesh.cc
@@ -64,9 +64,11 @@
     tick_timer_.cancel();
     for (const auto& [id, link] : opening_) open.push_back(link);
     for (const auto& [name, link] : links_) open.push_back(link);
+    for (const auto& [id, retiring] : retiring_) open.push_back(retiring.link);
     for (const PeerLinkPtr& link : open) link->state = LinkState::kClosed;
     opening_.clear();
     links_.clear();
+    retiring_.clear();
   }
   transport_.StopListening();
   for (const PeerLinkPtr& link : open) link->socket->Close("stopping");
@@ -156,6 +158,9 @@
       silent.push_back(link);
     }
   }
+  for (const auto& [id, retiring] : retiring_) {
+    if (now >= retiring.close_at) silent.push_back(retiring.link);
+  }
   const Duration ping_after = settings_.silence_timeout / kPingsPerSilence;
   for (const auto& [name, link] : links_) {
     const Duration quiet = now - link->last_heard;
--- a/src/libs/protocol/peer_mesh_impl.h
+++ b/src/libs/protocol/peer_mesh_impl.h
@@ -85,6 +85,9 @@
   bool KeepLink(const PeerLinkPtr& link, const Hello& hello,
                 PeerLinkPtr* replaced);
   void MarkClosed(const PeerLinkPtr& link);
+  // Another link to the same incarnation stays; this one takes nothing new,
+  // but what is on its way still arrives and is answered.
+  void Retire(const PeerLinkPtr& link);
   void SendHello(const PeerLink& link, bool kept);
   bool SendFrame(const PeerLink& link, const std::string& frame);
   PeerLinkPtr FindLink(const std::string& peer) const;
@@ -109,6 +112,12 @@
   std::map<uint64_t, PeerLinkPtr> opening_;
   // Established links by the peer's name; none of them is kClosed.
   std::map<std::string, PeerLinkPtr> links_;
+  struct RetiringLink {
+    PeerLinkPtr link;
+    Time close_at;
+  };
+  // Established links that another one has replaced, by id.
+  std::map<uint64_t, RetiringLink> retiring_;
   // Incarnations that a newer one has replaced, by name.
   std::map<std::string, std::deque<std::string>> retired_;
 };
--- a/src/libs/protocol/peer_mesh_links.cc
+++ b/src/libs/protocol/peer_mesh_links.cc
@@ -169,11 +169,19 @@
   const PeerLinkPtr existing = FindLink(hello.name);
   if (existing &&
       !TakesOver(*link, *existing, settings_.name, Now(), stale_after)) {
-    return false;
+    // The other end may have used it already.
+    if (link->dialed()) Retire(link);
+    return link->dialed();
   }
   const bool restarted =
       existing && existing->peer.incarnation != hello.incarnation;
-  if (existing) MarkClosed(existing);
+  const bool stale = existing && Now() - existing->last_heard > stale_after;
+  if (existing && (restarted || stale)) {
+    MarkClosed(existing);
+    *replaced = existing;
+  } else if (existing) {
+    Retire(existing);
+  }
   if (restarted) {
     retired.push_back(existing->peer.incarnation);
     if (retired.size() > kMaxRetiredIncarnations) retired.pop_front();
@@ -184,7 +192,6 @@
   links_[hello.name] = link;
   if (link->dialed()) dialer_.HandleEstablished(link->dialed_address);
   if (!existing || restarted) PostLinkEvent(link->peer, true, "");
-  *replaced = existing;
   return true;
 }
 
@@ -239,7 +246,7 @@
     const std::lock_guard lock(mutex_);
     if (link->dialed()) dialer_.HandleClosed(link->dialed_address, Now());
     if (link->state == LinkState::kClosed) return;
-    const bool established = link->state == LinkState::kEstablished;
+    const bool established = FindLink(link->peer.name) == link;
     MarkClosed(link);
     if (established) PostLinkEvent(link->peer, false, reason);
   }
@@ -255,7 +262,7 @@
   {
     const std::lock_guard lock(mutex_);
     if (link->state == LinkState::kClosed) return;
-    const bool established = link->state == LinkState::kEstablished;
+    const bool established = FindLink(link->peer.name) == link;
     MarkClosed(link);
     if (established) PostLinkEvent(link->peer, false, reason);
   }
@@ -263,8 +270,15 @@
   calls_->FailLink(link->id, "the link was closed: " + reason);
 }
 
+void PeerMesh::Impl::Retire(const PeerLinkPtr& link) {
+  opening_.erase(link->id);
+  link->state = LinkState::kEstablished;
+  retiring_[link->id] = {link, Now() + settings_.silence_timeout / 2};
+}
+
 void PeerMesh::Impl::MarkClosed(const PeerLinkPtr& link) {
   opening_.erase(link->id);
+  retiring_.erase(link->id);
   const auto found = links_.find(link->peer.name);
   if (found != links_.end() && found->second == link) {
     links_.erase(found);
