Count the bytes that each client of an entry costs

Cause: docs/CAPACITY.md needs bytes a second per role, measured; the entry knew only those of the inner protocol. Ruled out: reading socket counters from outside: closed connections take theirs with them. Conclusion: /metrics shows bytes to the platform, workers and executors apart; workers get a client of their own, so that renewals never wait behind reads of the log.

--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -40,6 +40,8 @@
 
 // An executor allows about 60 connections and there are at most 8 entries.
 constexpr size_t kConnectionsPerExecutor = 7;
+// Renewals go one at a time; a second connection serves a stop meanwhile.
+constexpr size_t kConnectionsPerWorker = 2;
 // Three streams, each with a reader that waits and a writer, and spare ones.
 constexpr size_t kConnectionsPerPlatformPeer = 12;
 // After readiness is off, the balancer needs a moment to notice; requests
@@ -208,6 +210,7 @@
         incarnation_(NewIncarnation()),
         pool_(settings_.threads),
         platform_http_(pool_.io(), ClientLimits(kConnectionsPerPlatformPeer)),
+        worker_http_(pool_.io(), ClientLimits(kConnectionsPerWorker)),
         executor_http_(pool_.io(), ClientLimits(kConnectionsPerExecutor)),
         log_(platform_http_, settings_.log_address),
         instance_list_(platform_http_, settings_.instance_list_address),
@@ -217,7 +220,7 @@
         tree_(pool_.io(), log_, ToSettingsOptions(settings_)),
         requests_(pool_.io(), executor_http_, &mesh_, log_, metrics_,
                   ToRequestSettings(settings_, incarnation_)),
-        jobs_(pool_.io(), platform_http_, log_, &mesh_,
+        jobs_(pool_.io(), worker_http_, log_, &mesh_,
               ToJobSettings(settings_, incarnation_), metrics_),
         review_([this] { return Workers(); }),
         admin_(tree_),
@@ -426,6 +429,9 @@
     metrics_.AddGauge(
         "thornplank_requests_in_flight", "Requests without an answer yet.", {},
         [this] { return static_cast<double>(requests_.in_flight()); });
+    AddTrafficGauges("platform", platform_http_);
+    AddTrafficGauges("workers", worker_http_);
+    AddTrafficGauges("executors", executor_http_);
     metrics_.AddGauge(
         "thornplank_peer_bytes_sent", "Bytes to other entries.", {},
         [this] { return static_cast<double>(mesh_.bytes_sent()); });
@@ -434,6 +440,17 @@
         [this] { return static_cast<double>(mesh_.bytes_received()); });
   }
 
+  void AddTrafficGauges(const char* client, const HttpClient& http) {
+    metrics_.AddGauge(
+        "thornplank_client_bytes_sent", "Bytes sent, by what they serve.",
+        {{"to", client}},
+        [&http] { return static_cast<double>(http.bytes_sent()); });
+    metrics_.AddGauge(
+        "thornplank_client_bytes_received",
+        "Bytes received, by what they serve.", {{"to", client}},
+        [&http] { return static_cast<double>(http.bytes_received()); });
+  }
+
   Json Status() const {
     const std::string reason = NotReadyReason();
     return {{"name", settings_.name},
@@ -468,6 +485,7 @@
     mesh_.Stop();
     server_.Close();
     executor_http_.Close();
+    worker_http_.Close();
     platform_http_.Close();
     pool_.Stop();
   }
@@ -477,6 +495,7 @@
   MetricsRegistry metrics_;
   IoPool pool_;
   HttpClient platform_http_;
+  HttpClient worker_http_;
   HttpClient executor_http_;
   LogClient log_;
   InstanceListClient instance_list_;
--- a/src/libs/net/client_connection.cc
+++ b/src/libs/net/client_connection.cc
@@ -43,9 +43,11 @@
 
 ClientConnection::ClientConnection(const Strand& strand, std::string peer,
                                    size_t max_response_bytes,
+                                   std::shared_ptr<TrafficCounters> traffic,
                                    std::function<void()> on_lost)
     : peer_(std::move(peer)),
       max_response_bytes_(max_response_bytes),
+      traffic_(std::move(traffic)),
       on_lost_(std::move(on_lost)),
       socket_(strand),
       connect_timer_(strand) {}
@@ -127,6 +129,7 @@
 }
 
 void ClientConnection::OnWritten(const error_code& code, size_t bytes) {
+  traffic_->sent += bytes;
   if (state_ != State::kExchanging) return;
   if (!code) {
     written_ = true;
@@ -146,6 +149,7 @@
 }
 
 void ClientConnection::OnRead(const error_code& code, size_t bytes) {
+  traffic_->received += bytes;
   if (code == boost::asio::error::eof) {
     return Fail(SendProgress::kUnknown, "read answer",
                 "closed before the answer was whole");
--- a/src/libs/net/client_connection.h
+++ b/src/libs/net/client_connection.h
@@ -18,6 +18,7 @@
 #include "net/http_client.h"
 #include "net/http_codec.h"
 #include "net/http_message.h"
+#include "net/traffic_counters.h"
 
 namespace thornplank {
 
@@ -31,7 +32,9 @@
 
   // `on_lost` runs when the connection closes while idle.
   ClientConnection(const Strand& strand, std::string peer,
-                   size_t max_response_bytes, std::function<void()> on_lost);
+                   size_t max_response_bytes,
+                   std::shared_ptr<TrafficCounters> traffic,
+                   std::function<void()> on_lost);
 
   // `handler` gets nullopt once connected. Nothing else before that.
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint, Duration timeout,
@@ -68,6 +71,7 @@
 
   const std::string peer_;
   const size_t max_response_bytes_;
+  const std::shared_ptr<TrafficCounters> traffic_;
   const std::function<void()> on_lost_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -47,9 +47,11 @@
 };
 
 ClientPool::ClientPool(boost::asio::io_context& io, std::string peer,
-                       const HttpClientLimits& limits)
+                       const HttpClientLimits& limits,
+                       std::shared_ptr<TrafficCounters> traffic)
     : peer_(std::move(peer)),
       limits_(limits),
+      traffic_(std::move(traffic)),
       strand_(boost::asio::make_strand(io)),
       sweep_timer_(strand_) {}
 
@@ -138,7 +140,7 @@
   // The connection is known only after it is made; `slot` breaks the circle.
   auto slot = std::make_shared<std::weak_ptr<ClientConnection>>();
   auto connection = std::make_shared<ClientConnection>(
-      strand_, peer_, limits_.max_response_bytes, [weak, slot] {
+      strand_, peer_, limits_.max_response_bytes, traffic_, [weak, slot] {
         const auto self = weak.lock();
         const auto lost = slot->lock();
         if (self != nullptr && lost != nullptr) self->Remove(lost);
--- a/src/libs/net/client_pool.h
+++ b/src/libs/net/client_pool.h
@@ -21,7 +21,8 @@
 class ClientPool : public std::enable_shared_from_this<ClientPool> {
  public:
   ClientPool(boost::asio::io_context& io, std::string peer,
-             const HttpClientLimits& limits);
+             const HttpClientLimits& limits,
+             std::shared_ptr<TrafficCounters> traffic);
 
   // As HttpClient::Send and Close; on any thread.
   void Send(HttpRequest request, HttpSendOptions options,
@@ -73,6 +74,7 @@
 
   const std::string peer_;
   const HttpClientLimits limits_;
+  const std::shared_ptr<TrafficCounters> traffic_;
   const ClientConnection::Strand strand_;
   std::atomic<size_t> connection_count_{0};
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -15,6 +15,9 @@
   Impl(boost::asio::io_context& io, HttpClientLimits limits)
       : io_(io), limits_(limits) {}
 
+  uint64_t bytes_sent() const { return traffic_->sent; }
+  uint64_t bytes_received() const { return traffic_->received; }
+
   void Send(const std::string& peer, HttpRequest request,
             HttpSendOptions options, Callback callback) {
     Pool(peer)->Send(std::move(request), std::move(options),
@@ -40,13 +43,15 @@
     std::lock_guard lock(mutex_);
     std::shared_ptr<ClientPool>& pool = pools_[peer];
     if (pool != nullptr) return pool;
-    pool = std::make_shared<ClientPool>(io_, peer, limits_);
+    pool = std::make_shared<ClientPool>(io_, peer, limits_, traffic_);
     if (closed_) pool->Close();
     return pool;
   }
 
   boost::asio::io_context& io_;
   const HttpClientLimits limits_;
+  const std::shared_ptr<TrafficCounters> traffic_ =
+      std::make_shared<TrafficCounters>();
   mutable std::mutex mutex_;
   // Under mutex_. A pool without connections is small and stays.
   std::map<std::string, std::shared_ptr<ClientPool>> pools_;
@@ -63,6 +68,8 @@
               std::move(callback));
 }
 void HttpClient::Close() { impl_->Close(); }
+uint64_t HttpClient::bytes_sent() const { return impl_->bytes_sent(); }
+uint64_t HttpClient::bytes_received() const { return impl_->bytes_received(); }
 size_t HttpClient::connections(const std::string& peer) const {
   return impl_->connections(peer);
 }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -7,6 +7,7 @@
 #define THORNPLANK_NET_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -83,6 +84,9 @@
   void Close();
 
   size_t connections(const std::string& peer) const;
+  // Bytes written to and read from all peers since the start.
+  uint64_t bytes_sent() const;
+  uint64_t bytes_received() const;
 
  private:
   class Impl;
