Name the entries that a claim's holder is looked for among

Cause: the claims are now told of every entry that is not dead, but the table and the flow still called them "live", which elsewhere means "takes requests". SetReachableEntries is the name at every level; no behaviour changed. Ruled out: one list for both uses; slots are shared only among those that take requests. Conclusion: the two lists can't be mistaken for each other any more.

--- a/src/libs/claims/claim_table.cc
+++ b/src/libs/claims/claim_table.cc
@@ -193,8 +193,8 @@
   remembered_since_ = now + settings_.clock_margin;
 }
 
-void ClaimTable::SetLiveEntries(std::vector<ClaimHolder> entries) {
-  live_ = std::move(entries);
+void ClaimTable::SetReachableEntries(std::vector<ClaimHolder> entries) {
+  reachable_ = std::move(entries);
 }
 
 ClaimDecision ClaimTable::Look(const ClaimRequest& request, WallTime now,
@@ -232,7 +232,7 @@
     return LookOwn(
         held, ClaimKeyDigest(request.account, request.service, request.key));
   }
-  if (IsLive(holder)) {
+  if (IsReachable(holder)) {
     ClaimDecision decision;
     decision.kind = ClaimDecisionKind::kAskHolder;
     decision.holder = holder;
@@ -366,8 +366,9 @@
   if (found->second == own.record.claim_id) own_by_key_.erase(found);
 }
 
-bool ClaimTable::IsLive(const ClaimHolder& holder) const {
-  return std::find(live_.begin(), live_.end(), holder) != live_.end();
+bool ClaimTable::IsReachable(const ClaimHolder& holder) const {
+  return std::find(reachable_.begin(), reachable_.end(), holder) !=
+         reachable_.end();
 }
 
 ClaimTable::HolderIndex ClaimTable::Intern(const ClaimHolder& holder) {
--- a/src/libs/claims/claim_table.h
+++ b/src/libs/claims/claim_table.h
@@ -40,8 +40,9 @@
   void NoteGap(WallTime now);
   // The stream has been read to its end once.
   void NoteCaughtUp() { caught_up_ = true; }
-  // The entries that are alive, this one included or not.
-  void SetLiveEntries(std::vector<ClaimHolder> entries);
+  // The entries that may still answer for their claims, this one included or
+  // not.
+  void SetReachableEntries(std::vector<ClaimHolder> entries);
 
   // What would be decided on the request; changes nothing.
   ClaimDecision Look(const ClaimRequest& request, WallTime now,
@@ -133,7 +134,7 @@
   ClaimDecision LookOwn(const KeyState& held, const Digest128& key) const;
   ClaimRefusal CheckAbsent(const ClaimRequest& request, WallTime now,
                            bool log_available) const;
-  bool IsLive(const ClaimHolder& holder) const;
+  bool IsReachable(const ClaimHolder& holder) const;
   HolderIndex Intern(const ClaimHolder& holder);
   ClaimRecord RecordOf(const OwnClaim& own, ClaimRecordKind kind) const;
 
@@ -146,7 +147,7 @@
   WallTime log_time_ = WallTime::min();
 
   std::vector<ClaimHolder> holders_;
-  std::vector<ClaimHolder> live_;
+  std::vector<ClaimHolder> reachable_;
 
   // Keys that a claim holds. Equal on all entries up to `phase`, which only
   // matters to the holder itself.
--- a/src/libs/claims/claim_types.h
+++ b/src/libs/claims/claim_types.h
@@ -41,7 +41,7 @@
   kAppend,
   // This entry is running the same request under `claim_id`: wait for it.
   kJoin,
-  // `holder`, a live entry, has the request: ask it.
+  // `holder`, which may still answer, has the request: ask it.
   kAskHolder,
   // The request was answered through this entry: give the answer if it is
   // still held.
--- a/src/libs/requests/claim_flow.cc
+++ b/src/libs/requests/claim_flow.cc
@@ -72,9 +72,10 @@
   waiters_.CancelTimers();
 }
 
-void ClaimFlow::Impl::SetLiveEntries(const std::vector<ClaimHolder>& entries) {
+void ClaimFlow::Impl::SetReachableEntries(
+    const std::vector<ClaimHolder>& entries) {
   std::lock_guard<std::mutex> lock(mutex_);
-  table_.SetLiveEntries(entries);
+  table_.SetReachableEntries(entries);
 }
 
 void ClaimFlow::Impl::Acquire(const CallerRequest& request, Time deadline,
@@ -286,8 +287,8 @@
 
 void ClaimFlow::Stop() { impl_->Stop(); }
 
-void ClaimFlow::SetLiveEntries(const std::vector<ClaimHolder>& entries) {
-  impl_->SetLiveEntries(entries);
+void ClaimFlow::SetReachableEntries(const std::vector<ClaimHolder>& entries) {
+  impl_->SetReachableEntries(entries);
 }
 
 void ClaimFlow::Acquire(const CallerRequest& request, Time deadline,
--- a/src/libs/requests/claim_flow.h
+++ b/src/libs/requests/claim_flow.h
@@ -33,7 +33,7 @@
 
   void Start();
   void Stop();
-  void SetLiveEntries(const std::vector<ClaimHolder>& entries);
+  void SetReachableEntries(const std::vector<ClaimHolder>& entries);
 
   // `request` has an idempotency key. `decided` runs once, at `deadline` at
   // the latest, on any thread, perhaps before Acquire returns. No lock is held
--- a/src/libs/requests/claim_flow_impl.h
+++ b/src/libs/requests/claim_flow_impl.h
@@ -26,7 +26,7 @@
   void Connect();
   void Start();
   void Stop();
-  void SetLiveEntries(const std::vector<ClaimHolder>& entries);
+  void SetReachableEntries(const std::vector<ClaimHolder>& entries);
   void Acquire(const CallerRequest& request, Time deadline, Admit admit,
                Decided decided);
   bool MaySend(const std::string& claim_id) const;
--- a/src/libs/requests/request_manager.cc
+++ b/src/libs/requests/request_manager.cc
@@ -389,7 +389,7 @@
 
 void RequestManager::Impl::SetReachableEntries(
     const std::vector<ClaimHolder>& entries) {
-  claims_.SetLiveEntries(entries);
+  claims_.SetReachableEntries(entries);
 }
 
 void RequestManager::Impl::Drain(std::function<void()> done) {
--- a/tests/auto/claims/tst_claim_table.cc
+++ b/tests/auto/claims/tst_claim_table.cc
@@ -25,7 +25,7 @@
   settings.self = self;
   ClaimTable table(settings);
   table.NoteCaughtUp();
-  table.SetLiveEntries({kEast, kWest});
+  table.SetReachableEntries({kEast, kWest});
   return table;
 }
 
@@ -258,7 +258,7 @@
 TEST_CASE("a paused holder keeps its claim from everybody else") {
   ClaimTable west = MakeTable(kWest);
   west.Fold(ClaimOf("e-1", kEast), kStart);
-  west.SetLiveEntries({kWest});
+  west.SetReachableEntries({kWest});
   CHECK(BeginAt(&west, "w-1", kStart + minutes(14)).refusal ==
         ClaimRefusal::kHolderGone);
 }
