Check that neither end dials twice for one link

With the slow closing of replaced links, the mesh test no longer noticed when the rule of the lower name was switched off: the links came to rest by luck. It now also checks that each end was dialled once. Ruled out: leaving it to the table test of the rule, which does not show that the mesh uses the rule.

--- a/tests/auto/protocol/tst_peer_mesh.cc
+++ b/tests/auto/protocol/tst_peer_mesh.cc
@@ -85,6 +85,9 @@
     return to_a->accepted() > 0 && to_a->open() == 0 && to_b->open() == 1 &&
            HasPeer(*a, "b") && HasPeer(*b, "a");
   }));
+  // Neither end had to dial twice: they agreed on the link that stays.
+  CHECK(to_a->accepted() == 1);
+  CHECK(to_b->accepted() == 1);
   Outcomes outcomes;
   a->Call("b", "echo", {{"n", 1}}, std::chrono::seconds(5),
           outcomes.Recorder());
