Place gangs where racks come free as a whole, and bound one decision

A borrowing gang prefers racks whose gangs end as late as itself. One decision starts at most eight borrowers and asks to be called again at once; jobs that the same limits keep off are not tried one by one; the total of accelerators is no longer summed for each waiting job. Ruled out: that many starts alone made a decision slow; a profile named the sum over all workers for each of 3,600 waiting jobs.

--- a/src/libs/scheduling/cluster_survey.cc
+++ b/src/libs/scheduling/cluster_survey.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-ClusterSurvey::ClusterSurvey(const SchedulerState& state, Time now) {
+ClusterSurvey::ClusterSurvey(const SchedulerState& state, Time now)
+    : total_capacity(state.cluster.total_capacity()) {
   gangs.reserve(state.gangs.gangs().size());
   for (const auto& entry : state.gangs.gangs()) {
     const Gang& gang = *entry.second;
@@ -35,7 +36,7 @@
   if (found == borrowed.end()) return 0;
   const double weight = state.Account(account).weight;
   const double all = std::max(total_weight, weight);
-  const double share = state.cluster.total_capacity() * weight / all;
+  const double share = total_capacity * weight / all;
   return share > 0 ? found->second / share : 0;
 }
 
@@ -81,6 +82,18 @@
   return room;
 }
 
+std::vector<Time> ClusterSurvey::RackEnds(const ClusterModel& cluster,
+                                          Time now) const {
+  std::vector<Time> ends(cluster.rack_count(), now);
+  for (const GangView& view : gangs) {
+    for (const MemberRecord& record : view.gang->members()) {
+      Time& end = ends[cluster.rack_of(record.worker)];
+      if (IsHeld(record)) end = std::max(end, view.expected_end);
+    }
+  }
+  return ends;
+}
+
 std::vector<double> ClusterSurvey::DisplacementCost(const SchedulerState& state,
                                                     Time now) const {
   std::vector<double> lost(state.cluster.size(), 0);
--- a/src/libs/scheduling/cluster_survey.h
+++ b/src/libs/scheduling/cluster_survey.h
@@ -34,6 +34,8 @@
   // Accelerators per worker that only borrowers hold, urgent ones excepted
   // unless `urgent_too`.
   Room Reclaimable(const ClusterModel& cluster, bool urgent_too) const;
+  // When the last gang of each rack is expected to end; `now` for an idle one.
+  std::vector<Time> RackEnds(const ClusterModel& cluster, Time now) const;
   // Work lost per borrowed accelerator when a worker is cleared.
   std::vector<double> DisplacementCost(const SchedulerState& state,
                                        Time now) const;
@@ -41,6 +43,7 @@
   std::vector<GangView> gangs;
   std::map<std::string, int> borrowed;
   double total_weight = 0;
+  int total_capacity = 0;
 };
 
 }  // namespace thornplank
--- a/src/libs/scheduling/placement_costs.cc
+++ b/src/libs/scheduling/placement_costs.cc
@@ -10,6 +10,9 @@
 constexpr double kFailedThere = 1e9;
 // Borrowing what a guarantee may soon call back, per accelerator.
 constexpr double kOnGuarantee = 0.05;
+// Each second by which a rack comes free later than without the gang, in
+// accelerators of large shapes lost.
+constexpr double kRackHeldLonger = 0.2;
 
 bool FailedOn(const JobRecord& job, WorkerIndex worker) {
   return std::find(job.failed_on.begin(), job.failed_on.end(), worker) !=
@@ -43,24 +46,23 @@
   return fragmentation_.Loss(rack, share, accelerators_per_member, room);
 }
 
-BorrowingCost::BorrowingCost(const FragmentationScore& fragmentation,
-                             const Room& set_aside, const Room& room,
-                             const JobRecord& job)
-    : fragmentation_(fragmentation),
-      set_aside_(set_aside),
-      room_(room),
-      job_(job) {}
+BorrowingCost::BorrowingCost(const BorrowingView& view, const Room& room,
+                             const JobRecord& job, Time expected_end)
+    : view_(view), room_(room), job_(job), expected_end_(expected_end) {}
 
 double BorrowingCost::WorkerCost(WorkerIndex worker) const {
   const int needed = job_.spec.shape.accelerators_per_member;
-  const int clear = std::max(0, room_[worker] - set_aside_[worker]);
+  const int clear = std::max(0, room_[worker] - view_.set_aside[worker]);
   return kOnGuarantee * std::max(0, needed - clear);
 }
 
 double BorrowingCost::RackCost(int rack, const Placement& share,
                                int accelerators_per_member,
                                const Room& room) const {
-  return fragmentation_.Loss(rack, share, accelerators_per_member, room);
+  const std::chrono::duration<double> longer =
+      expected_end_ - view_.rack_ends[rack];
+  return view_.fragmentation.Loss(rack, share, accelerators_per_member, room) +
+         kRackHeldLonger * std::max(0.0, longer.count());
 }
 
 }  // namespace thornplank
--- a/src/libs/scheduling/placement_costs.h
+++ b/src/libs/scheduling/placement_costs.h
@@ -5,6 +5,7 @@
 
 #include <vector>
 
+#include "base/time.h"
 #include "scheduling/fragmentation_score.h"
 #include "scheduling/job_record.h"
 #include "scheduling/placement_search.h"
@@ -31,22 +32,32 @@
   const JobRecord& job_;
 };
 
-// For gangs that use free accelerators only.
+// What borrowing weighs, shared by the jobs of one round.
+struct BorrowingView {
+  const FragmentationScore& fragmentation;
+  // What guarantees hold unused, by worker.
+  const Room& set_aside;
+  // When the last gang of each rack is expected to end.
+  const std::vector<Time>& rack_ends;
+};
+
+// For gangs that use free accelerators only. Racks whose gangs end late anyway
+// are preferred for long gangs, so that others come free as a whole.
 class BorrowingCost : public PlacementCost {
  public:
-  // `set_aside` is what guarantees hold unused, by worker.
-  BorrowingCost(const FragmentationScore& fragmentation, const Room& set_aside,
-                const Room& room, const JobRecord& job);
+  // `expected_end` is that of the gang. The references outlive the object.
+  BorrowingCost(const BorrowingView& view, const Room& room,
+                const JobRecord& job, Time expected_end);
 
   double WorkerCost(WorkerIndex worker) const override;
   double RackCost(int rack, const Placement& share, int accelerators_per_member,
                   const Room& room) const override;
 
  private:
-  const FragmentationScore& fragmentation_;
-  const Room& set_aside_;
+  const BorrowingView view_;
   const Room& room_;
   const JobRecord& job_;
+  const Time expected_end_;
 };
 
 }  // namespace thornplank
--- a/src/libs/scheduling/placement_round.cc
+++ b/src/libs/scheduling/placement_round.cc
@@ -11,6 +11,9 @@
 namespace thornplank {
 namespace {
 
+// Borrowers that one decision starts, so that none takes long.
+constexpr int kMostStartsPerRound = 8;
+
 bool ArrivedLater(const JobRecord* a, const JobRecord* b) {
   return a->spec.submitted_order > b->spec.submitted_order;
 }
@@ -27,14 +30,14 @@
   state_.borrowed = survey_.borrowed;
 }
 
-void PlacementRound::Run() {
+bool PlacementRound::Run() {
   ServePlans();
   PlaceGuaranteed();
   PlaceUrgent();
-  set_aside_ = state_.witness.SetAside();
   KeepReservation();
-  PlaceBorrowers();
+  const bool complete = PlaceBorrowers();
   PlaceProbes();
+  return complete;
 }
 
 void PlacementRound::RunFor(JobRecord& job) {
@@ -43,9 +46,14 @@
   const JobClass& job_class = state_.ClassOf(job);
   if (!MayBorrow(job_class)) return;
   if (job.spec.priority == Priority::kUrgent && TryUrgent(job)) return;
+  SurveyBorrowing();
+  TryBorrow(job);
+}
+
+void PlacementRound::SurveyBorrowing() {
   set_aside_ = state_.witness.SetAside();
+  rack_ends_ = survey_.RackEnds(state_.cluster, now_);
   outlasting_ = survey_.Outlasting(state_.cluster, state_.reservation.start());
-  TryBorrow(job);
 }
 
 bool PlacementRound::MayStart(const JobRecord& job) const {
@@ -229,15 +237,33 @@
       room[i] = std::max(0, room[i] - aside[i]);
     }
   }
-  const LargeJobReservation& reservation = state_.reservation;
-  if (!past_reservation && reservation.active() &&
-      reservation.job() != job.spec.id && !reservation.EndsInTime(end)) {
-    reservation.KeepFree(state_.cluster, outlasting_, &room);
+  if (!past_reservation && KeepsOffReservation(job, end)) {
+    state_.reservation.KeepFree(state_.cluster, outlasting_, &room);
   }
   for (const WorkerIndex worker : job.failed_on) room[worker] = 0;
   return room;
 }
 
+bool PlacementRound::KeepsOffReservation(const JobRecord& job, Time end) const {
+  const LargeJobReservation& reservation = state_.reservation;
+  return reservation.active() && reservation.job() != job.spec.id &&
+         !reservation.EndsInTime(end);
+}
+
+std::set<std::string> PlacementRound::LimitsOf(const JobRecord& job) const {
+  std::set<std::string> limits;
+  const Time end = now_ + state_.ExpectedRun(job);
+  if (KeepsOffReservation(job, end)) limits.insert("");
+  if (state_.calendar.events().empty()) return limits;
+  const Duration lead = state_.Lead(job.spec.account);
+  for (const EventReservation& event : state_.calendar.events()) {
+    if (EventCalendar::KeepsOff(event, now_, end, lead)) {
+      limits.insert(event.name);
+    }
+  }
+  return limits;
+}
+
 double PlacementRound::ScoreOf(const JobRecord& job) const {
   const AccountGuarantee& account = state_.Account(job.spec.account);
   BorrowClaim claim;
@@ -250,8 +276,8 @@
   return BorrowScore(claim);
 }
 
-void PlacementRound::PlaceBorrowers() {
-  outlasting_ = survey_.Outlasting(state_.cluster, state_.reservation.start());
+bool PlacementRound::PlaceBorrowers() {
+  SurveyBorrowing();
   if (JobRecord* reserved = state_.FindJob(state_.reservation.job())) {
     if (MayStart(*reserved) && TryBorrow(*reserved)) state_.reservation.Clear();
   }
@@ -270,21 +296,30 @@
     return ArrivedLater(a.second, b.second);
   };
   std::make_heap(entries.begin(), entries.end(), lower);
-  std::vector<bool> too_large(state_.classes.size(), false);
+  // Classes, with limits, that found no room: it only shrinks in a round.
+  std::set<std::pair<int, std::set<std::string>>> without_room;
+  int started = 0;
   while (!entries.empty()) {
+    if (started == kMostStartsPerRound) return false;
     std::pop_heap(entries.begin(), entries.end(), lower);
     JobRecord& job = *entries.back().second;
     entries.pop_back();
-    if (too_large[job.job_class] || TryBorrow(job)) continue;
-    too_large[job.job_class] =
-        !Fits(state_.cluster, job.spec.shape, state_.cluster.FreeRoom());
+    const auto key = std::make_pair(job.job_class, LimitsOf(job));
+    if (without_room.count(key) > 0) continue;
+    if (TryBorrow(job)) {
+      ++started;
+    } else if (job.failed_on.empty()) {
+      without_room.insert(key);
+    }
   }
+  return true;
 }
 
 bool PlacementRound::TryBorrow(JobRecord& job) {
   const Room room = RoomFor(job, false);
   if (!Fits(state_.cluster, job.spec.shape, room)) return false;
-  const BorrowingCost cost(state_.fragmentation, set_aside_, room, job);
+  const BorrowingCost cost({state_.fragmentation, set_aside_, rack_ends_}, room,
+                           job, now_ + state_.ExpectedRun(job));
   const std::optional<Placement> placement =
       FindPlacement(state_.cluster, job.spec.shape, room, cost);
   if (!placement) return false;
--- a/src/libs/scheduling/placement_round.h
+++ b/src/libs/scheduling/placement_round.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,9 @@
   // Both outlive the object, which serves one decision at `now`.
   PlacementRound(SchedulerState& state, GangStarter& starter, Time now);
 
-  // Looks at every waiting job.
-  void Run();
+  // Looks at every waiting job. Returns false when it stopped early, having
+  // started as many borrowers as one decision may: another round is due.
+  bool Run();
   // Looks at one job that was just submitted; nothing else has changed.
   void RunFor(JobRecord& job);
   // Starts the plans whose accelerators have come free and drops those that
@@ -48,10 +50,16 @@
   bool TryUrgent(JobRecord& job);
   bool ClaimFromBorrowers(JobRecord& job, const std::string& reason);
 
-  void PlaceBorrowers();
+  bool PlaceBorrowers();
   bool TryBorrow(JobRecord& job);
   double ScoreOf(const JobRecord& job) const;
   Room RoomFor(const JobRecord& job, bool past_reservation);
+  // What its expected end keeps the job off: the reservation and events, by
+  // name. Jobs of one class with the same limits have the same room.
+  std::set<std::string> LimitsOf(const JobRecord& job) const;
+  bool KeepsOffReservation(const JobRecord& job, Time end) const;
+  // Looks at what borrowing weighs.
+  void SurveyBorrowing();
   void StartBorrowing(JobRecord& job, const Placement& placement,
                       const std::string& reason);
 
@@ -74,6 +82,7 @@
   ClusterSurvey survey_;
   std::vector<double> displacement_cost_;
   Room set_aside_;
+  std::vector<Time> rack_ends_;
   // In use past the start of the reservation; kept up to date while placing.
   Room outlasting_;
   std::map<std::string, Room> aside_for_event_;
--- a/src/libs/scheduling/placement_search.cc
+++ b/src/libs/scheduling/placement_search.cc
@@ -144,7 +144,8 @@
   if (shape.adjacency == Adjacency::kRack) {
     return whole ? std::make_optional(whole->share) : std::nullopt;
   }
-  if (whole && whole->cost <= 0) return whole->share;
+  // One member cannot be spread.
+  if (whole && (whole->cost <= 0 || shape.members == 1)) return whole->share;
   const std::optional<RackOffer> spread =
       SpreadOffer(cluster, offers, shape, room, cost);
   if (!spread) return std::nullopt;
--- a/src/libs/scheduling/scheduler_core.cc
+++ b/src/libs/scheduling/scheduler_core.cc
@@ -157,7 +157,7 @@
       reclaimer_.PrepareEvents(ClusterSurvey(state_, now), now);
       DemoteUncovered();
     }
-    PlacementRound(state_, *this, now).Run();
+    dirty_ = !PlacementRound(state_, *this, now).Run() || dirty_;
   } else if (!state_.planned.empty()) {
     PlacementRound(state_, *this, now).ServePlans();
   }
@@ -180,6 +180,7 @@
 }
 
 std::optional<Time> SchedulerCore::NextWake(Time now) const {
+  if (dirty_) return now;  // a round stopped early
   std::optional<Time> next;
   const auto consider = [&next](std::optional<Time> due) {
     if (due && (!next || *due < *next)) next = due;
--- a/tests/auto/scheduling/tst_guarantees.cc
+++ b/tests/auto/scheduling/tst_guarantees.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "scheduling/guarantee_witness.h"
+#include "scheduling/victim_selection.h"
 #include "scheduling_fixtures.h"
 #include "virtual_cluster.h"
 
@@ -138,6 +139,70 @@
   CHECK(back[0].text.empty());
 }
 
+TEST_CASE("a guarantee moves off a lost worker when there is room") {
+  JobScheduler scheduler{SchedulerOptions()};
+  scheduler.SetWorkers(Workers(2, 3, 8), At(0));
+  scheduler.SetGuarantees({Account("a", {{kRackPair, 2}})}, At(0));
+  scheduler.Tick(At(0));
+  for (const char* worker : {"w0", "w5"}) {
+    const SchedulerActions lost = scheduler.WorkerLost(worker, At(15), At(1));
+    CHECK(Only<ReportShortfall>(lost).empty());
+  }
+  CHECK(scheduler.witness().IsWhole());
+}
+
+// With too few workers for all, who has a place keeps it.
+TEST_CASE("a start never takes the place of another account's guarantee") {
+  AccountGuarantee strict = Account("strict", {{{3, 4, Adjacency::kRack}, 1}});
+  VirtualCluster cluster(
+      Workers(3, 3, 8),
+      {Account("a", {{kRackPair, 1}, {{2, 2, Adjacency::kAnywhere}, 2}}),
+       Account("b", {{kWhole, 2}}), strict});
+  const auto missing = [&cluster](const std::string& account) {
+    return cluster.scheduler().witness().Shortfall({account, ""});
+  };
+  cluster.LoseOrReturn(6);
+  cluster.Submit(Job("j0", "b", kRackPair));
+  cluster.LoseOrReturn(2);
+  cluster.Submit(Job("j1", "a", kOne));
+  cluster.LoseOrReturn(7);
+  const std::string of_b = missing("b");
+  const std::string of_strict = missing("strict");
+  cluster.Submit(Job("j2", "a", {2, 2, Adjacency::kAnywhere}));
+  CHECK(missing("b") == of_b);
+  CHECK(missing("strict") == of_strict);
+}
+
+TEST_CASE("victims lose the least work for what they unblock") {
+  struct Case {
+    const char* name;
+    std::map<WorkerIndex, int> needed;
+    std::vector<VictimCandidate> candidates;
+    std::vector<std::string> victims;
+  };
+  const std::vector<Case> cases = {
+      {"the cheap ones",
+       {{0, 8}},
+       {{"dear", 100, {{0, 8}}}, {"b", 10, {{0, 4}}}, {"c", 9, {{0, 4}}}},
+       {"b", "c"}},
+      {"the one that frees both",
+       {{0, 4}, {1, 4}},
+       {{"a", 10, {{0, 4}}},
+        {"b", 10, {{1, 4}}},
+        {"both", 12, {{0, 4}, {1, 4}}}},
+       {"both"}},
+      {"none that a later choice made needless",
+       {{0, 8}},
+       {{"small", 1, {{0, 4}}}, {"whole", 10, {{0, 8}}}},
+       {"whole"}},
+      {"nobody elsewhere", {{0, 8}}, {{"a", 1, {{1, 8}}}}, {}},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.name);
+    CHECK(SelectVictims(one.needed, one.candidates) == one.victims);
+  }
+}
+
 TEST_CASE("borrowers that are saved fast leave before those that are not") {
   VirtualCluster cluster(Workers(1, 2, 8), {Account("a", {{kWhole, 1}}),
                                             Account("fast"), Account("slow")});
