--- a/src/libs/jobs/job_manager.h
+++ b/src/libs/jobs/job_manager.h
@@ -67,12 +67,13 @@
   std::string coordinator() const;
   // The offset of the stream up to which this entry has folded.
   int64_t jobs_offset() const;
-  // Whether the fold is complete and has once reached the end of the stream.
+  // Whether the fold is complete and has once reached the end of the stream,
+  // or has taken the fold of a peer that was ready.
   bool ready() const;
   // What readiness waits for, or "".
   std::string not_ready_reason() const;
 
-  // The fold for an entry that joins, {"parts":[…]}; null while incomplete.
+  // The fold for an entry that joins, {"parts":[…]}; null unless ready.
   Json ProduceSnapshot() const;
   // Takes a peer's snapshot. One that covers less than what is folded changes
   // nothing (true). False and `*error` when it cannot be read.
--- a/src/libs/jobs/job_manager_access.cc
+++ b/src/libs/jobs/job_manager_access.cc
@@ -183,6 +183,7 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!fold_.complete()) return "the job stream has no snapshot to begin at";
+    if (from_peer_) return "";
   }
   if (!follower_ || !follower_->caught_up()) {
     return "the job stream has not been read to its end";
@@ -211,6 +212,8 @@
 }
 
 Json JobManager::Impl::ProduceSnapshot() const {
+  // Two that join while the log is down must not call each other complete.
+  if (!ready()) return Json();
   std::vector<SnapshotPartRecord> parts;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -244,7 +247,9 @@
   JobWaiters::Answers answers;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!fold_.Restore(parts)) return true;
+    const bool restored = fold_.Restore(parts);
+    from_peer_ = fold_.complete();
+    if (!restored) return true;
     HandleChange({FoldChange::Kind::kRestored, ""}, Clock::now(), &answers);
   }
   for (const auto& answer : answers) answer();
--- a/src/libs/jobs/job_manager_impl.h
+++ b/src/libs/jobs/job_manager_impl.h
@@ -150,6 +150,8 @@
   int64_t given_up_epoch_ = 0;
   std::shared_ptr<const PlanningInputs> inputs_;
   bool live_entries_known_ = false;
+  // A ready peer's fold was taken over or covers no more than this one.
+  bool from_peer_ = false;
   bool draining_ = false;
   JobWaiters waiters_;
   // Urgent jobs that the stream does not have yet.
--- a/src/libs/jobs/urgent_jobs.cc
+++ b/src/libs/jobs/urgent_jobs.cc
@@ -64,14 +64,16 @@
   mesh_->HandleMessages(kPlanType,
                         [weak](const PeerIdentity&, const Message& message,
                                const PeerMesh::Reply& reply) {
-                          if (const auto self = weak.lock())
+                          if (const auto self = weak.lock()) {
                             self->HandlePlan(message, reply);
+                          }
                         });
   mesh_->HandleMessages(kHoldType,
                         [weak](const PeerIdentity&, const Message& message,
                                const PeerMesh::Reply& reply) {
-                          if (const auto self = weak.lock())
+                          if (const auto self = weak.lock()) {
                             self->HandleHold(message, reply);
+                          }
                         });
 }
 
--- a/tests/auto/jobs/tst_gang_executor.cc
+++ b/tests/auto/jobs/tst_gang_executor.cc
@@ -83,6 +83,20 @@
         std::vector<LeaseState>(2, LeaseState::kRunning));
 }
 
+TEST_CASE("nothing but the fence goes to a worker that has not answered it") {
+  Rig rig;
+  rig.fake.silent.insert("w1");
+  rig.Grant("g");
+  rig.Run(milliseconds(2000));
+  int asked = 0;
+  for (const WorkerCall& call : rig.fake.calls) {
+    if (call.worker != "w1") continue;
+    CHECK(call.kind == Kind::kFence);
+    ++asked;
+  }
+  CHECK(asked >= 2);
+}
+
 TEST_CASE("a grant whose reply is lost is repeated and held once") {
   Rig rig;
   rig.Settle();
--- a/tests/auto/state/tst_job_snapshot.cc
+++ b/tests/auto/state/tst_job_snapshot.cc
@@ -25,11 +25,12 @@
 
 CutLog CutWithSnapshot(int64_t covers, int64_t first) {
   const std::vector<LogRecord> whole = SampleLog();
-  const JobStreamFold until =
-      FoldOf({whole.begin(), whole.begin() + static_cast<long>(covers)});
+  const JobStreamFold until = FoldOf(
+      {whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(covers)});
   std::vector<JobStreamRecord> parts;
   for (const auto& part : until.MakeSnapshot("snap", 1)) parts.push_back(part);
-  CutLog cut{{whole.begin() + static_cast<long>(first), whole.end()}, first};
+  CutLog cut{{whole.begin() + static_cast<std::ptrdiff_t>(first), whole.end()},
+             first};
   for (const LogRecord& record :
        ToLog(parts, static_cast<int64_t>(whole.size()))) {
     cut.log.push_back(record);
@@ -158,8 +159,8 @@
 TEST_CASE("any snapshot with its tail gives the same fold") {
   CHECK(rc::check([] {
     const auto log = ToLog(RandomRecords());
-    const auto cut =
-        static_cast<long>(*rc::gen::inRange<size_t>(0, log.size() + 1));
+    const auto cut = static_cast<std::ptrdiff_t>(
+        *rc::gen::inRange<size_t>(0, log.size() + 1));
     JobStreamFold fold{JobRetention{}};
     fold.LoseBefore(cut);
     fold.Restore(FoldOf({log.begin(), log.begin() + cut}).MakeSnapshot("s", 1));
