Read an unchanged instance list for the price of one short answer

Ruled out: reading less often: a leaving upstream that does not say so itself must get no new work after a few seconds. One reader that tells the others: not needed as long as the platform gives a validator. Conclusion: If-None-Match where the platform gives an ETag, the whole list otherwise.

--- a/src/libs/platform/instance_list_client.cc
+++ b/src/libs/platform/instance_list_client.cc
@@ -1,6 +1,7 @@
 // The wire form of the instance list.
 #include "platform/instance_list_client.h"
 
+#include <mutex>
 #include <utility>
 
 #include "base/json.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr char kStep[] = "read instance list";
+constexpr int kNotModified = 304;
 
 std::optional<InstanceKind> ParseKind(const std::string& name) {
   if (name == "entry") return InstanceKind::kEntry;
@@ -60,8 +62,32 @@
 
 }  // namespace
 
+// The last list and the validator that came with it.
+struct InstanceListClient::Cache {
+  std::mutex mutex;
+  // Empty while there is no list, or when the platform gives none.
+  std::string etag;
+  InstanceList list;
+
+  std::string Etag() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return etag;
+  }
+  void Store(const std::string& new_etag, const InstanceList& new_list) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    etag = new_etag;
+    list = new_list;
+  }
+  InstanceList List() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return list;
+  }
+};
+
 InstanceListClient::InstanceListClient(HttpClient& http, std::string address)
-    : http_(http), address_(std::move(address)) {}
+    : http_(http),
+      address_(std::move(address)),
+      cache_(std::make_shared<Cache>()) {}
 
 void InstanceListClient::Read(Duration timeout, Callback callback) {
   PlatformCall call;
@@ -69,15 +95,18 @@
   call.address = address_;
   call.target = "/v1/instances";
   call.timeout = timeout;
+  call.etag = cache_->Etag();
   SendPlatformCall(
       http_, call,
-      [callback = std::move(callback),
-       address = address_](const PlatformReply& reply) {
+      [callback = std::move(callback), address = address_,
+       cache = cache_](const PlatformReply& reply) {
         if (!reply.ok()) return callback(std::nullopt, reply.error);
+        if (reply.status == kNotModified) return callback(cache->List(), {});
         std::optional<InstanceList> list = ReadList(reply.body);
         if (!list) {
           return callback(std::nullopt, {kStep, address, "malformed answer"});
         }
+        cache->Store(reply.etag, *list);
         callback(std::move(list), {});
       });
 }
--- a/src/libs/platform/instance_list_client.h
+++ b/src/libs/platform/instance_list_client.h
@@ -3,6 +3,7 @@
 #define THORNPLANK_PLATFORM_INSTANCE_LIST_CLIENT_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,11 +47,16 @@
 
   InstanceListClient(HttpClient& http, std::string address);
 
+  // Where the platform gives an ETag, a list that has not changed costs one
+  // short answer, and comes back as it was, `as_of` included.
   void Read(Duration timeout, Callback callback);
 
  private:
+  struct Cache;
+
   HttpClient& http_;
   std::string address_;
+  std::shared_ptr<Cache> cache_;
 };
 
 }  // namespace thornplank
--- a/src/libs/platform/platform_call.cc
+++ b/src/libs/platform/platform_call.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotModified = 304;
 constexpr std::chrono::seconds kMaxRetryAfter{60};
 
 Duration ParseRetryAfter(const std::string& text) {
@@ -40,6 +41,8 @@
   }
   reply.status = response->status;
   reply.retry_after = ParseRetryAfter(response->headers.Value("Retry-After"));
+  reply.etag = response->headers.Value("ETag");
+  if (reply.status == kNotModified && !call.etag.empty()) return reply;
   std::optional<Json> body = ParseJson(response->body);
   if (body && body->is_object()) reply.body = std::move(*body);
   if (reply.status != kOk) {
@@ -57,6 +60,7 @@
   HttpRequest request;
   request.method = call.method;
   request.target = call.target;
+  if (!call.etag.empty()) request.headers.Set("If-None-Match", call.etag);
   if (!call.body.is_null()) {
     request.headers.Set("Content-Type", "application/json");
     // Text from callers may hold bytes that are not UTF-8.
--- a/src/libs/platform/platform_call.h
+++ b/src/libs/platform/platform_call.h
@@ -24,6 +24,8 @@
   std::string target;
   // Not sent when null.
   Json body;
+  // If-None-Match; empty for none. The answer may then be 304 without a body.
+  std::string etag;
   Duration timeout = std::chrono::seconds(1);
 };
 
@@ -33,11 +35,13 @@
   int status = 0;
   // Of an answer with a JSON object as its body, else null.
   Json body;
+  // The answer's ETag, or "".
+  std::string etag;
   // Of the answer's Retry-After in seconds, else zero.
   Duration retry_after = Duration::zero();
   // Meaningful when status is 0.
   SendProgress progress = SendProgress::kUnknown;
-  // Set unless status is 200 with a JSON object.
+  // Set unless status is 200 with a JSON object, or 304.
   Error error;
 
   bool ok() const { return error.step.empty(); }
--- a/tests/auto/platform/tst_platform_clients.cc
+++ b/tests/auto/platform/tst_platform_clients.cc
@@ -26,6 +26,7 @@
 struct Answer {
   int status = 200;
   std::string body;
+  std::string etag;
   // Of the last request.
   HttpRequest request;
 };
@@ -36,6 +37,7 @@
     HttpResponse response;
     response.status = answer.status;
     response.body = answer.body;
+    if (!answer.etag.empty()) response.headers.Set("ETag", answer.etag);
     respond(std::move(response));
   };
 }
@@ -197,6 +199,17 @@
   CHECK(list->instances[0].memory_mb == 64000);
   CHECK(list->instances[1].kind == InstanceKind::kExecutor);
   CHECK(list->instances[1].slots == 8);
+  // With a validator, an unchanged list travels once.
+  answer.etag = "\"7\"";
+  REQUIRE(read());
+  answer.status = 304;
+  answer.body.clear();
+  const std::optional<InstanceList> unchanged = read();
+  REQUIRE(unchanged);
+  CHECK(unchanged->as_of == FromUnixMilliseconds(5000));
+  CHECK(unchanged->instances.size() == 2);
+  CHECK(answer.request.headers.Value("If-None-Match") == "\"7\"");
+  answer.status = 200;
   for (const char* body : {"[]", "{}", R"({"as_of_ms":1})"}) {
     CAPTURE(body);
     answer.body = body;
--- a/tests/standins/instance_list_role.cc
+++ b/tests/standins/instance_list_role.cc
@@ -1,6 +1,8 @@
 // Versions of the instance list and its controls.
 #include "standins/instance_list_role.h"
 
+#include <xxhash.h>
+
 namespace thornplank::standins {
 
 namespace {
@@ -29,8 +31,17 @@
   if (outage_) return exchange->Answer(ProblemReply(503, "outage"));
   Trim(std::chrono::steady_clock::now());
   WallTime as_of = std::chrono::system_clock::now() - lag_;
-  exchange->Answer(JsonReply({{"as_of_ms", ToUnixMilliseconds(as_of)},
-                              {"instances", versions_.front().instances}}));
+  const std::string text = versions_.front().instances.dump();
+  const std::string etag =
+      "\"" + std::to_string(XXH64(text.data(), text.size(), 0)) + "\"";
+  Reply reply = JsonReply({{"as_of_ms", ToUnixMilliseconds(as_of)},
+                           {"instances", versions_.front().instances}});
+  if (exchange->Header("If-None-Match") == etag) {
+    reply.status = 304;
+    reply.body.clear();
+  }
+  reply.headers.emplace_back("ETag", etag);
+  exchange->Answer(std::move(reply));
 }
 
 Json InstanceListRole::ControlState() {
