--- a/benchmarks/scheduling_policies.cc
+++ b/benchmarks/scheduling_policies.cc
@@ -86,7 +86,8 @@
   const double wave = area / (kRacks * kPerRack * kSize) / load / kWaves;
   for (int i = 0; i < kJobs; ++i) {
     const double within = wave / 3 * (i % kPerWave) / kPerWave;
-    trace[static_cast<size_t>(i)].submit = wave * (i / kPerWave) + within;
+    trace[static_cast<size_t>(i)].submit =
+        wave * std::floor(1.0 * i / kPerWave) + within;
   }
   return trace;
 }
--- a/tests/auto/scheduling/tst_large_jobs_and_events.cc
+++ b/tests/auto/scheduling/tst_large_jobs_and_events.cc
@@ -34,8 +34,9 @@
         more =
             ConfirmAll(scheduler, grants[stop->job], now, MemberOutcome::kGone);
       } else if (const auto* save = std::get_if<CheckpointGang>(&action)) {
-        if (!hang)
+        if (!hang) {
           more = scheduler.CheckpointDone(save->job, save->gang_id, now);
+        }
       } else if (const auto* report = std::get_if<ReportShortfall>(&action)) {
         shortfalls[report->name] = report->text;
       }
@@ -228,8 +229,9 @@
 
 TEST_CASE("declared run times are corrected per account") {
   RunTimeEstimator estimator(seconds(10));
-  for (int i = 0; i < 20; ++i)
+  for (int i = 0; i < 20; ++i) {
     estimator.Finished("a", seconds(10), seconds(40));
+  }
   CHECK(estimator.factor("a") == doctest::Approx(4));
   CHECK(estimator.factor("b") == doctest::Approx(1));
   CHECK(estimator.Expect("a", seconds(20)) > seconds(79));
--- a/tests/auto/scheduling/virtual_cluster.cc
+++ b/tests/auto/scheduling/virtual_cluster.cc
@@ -205,8 +205,9 @@
 }
 
 void VirtualCluster::ApplyOne(const GrantGang& action) {
-  if (cancelled_.count(action.job) > 0)
+  if (cancelled_.count(action.job) > 0) {
     Fault(action.job + " cancelled, granted");
+  }
   if (!grants_.emplace(action.gang_id, action).second) {
     Fault("gang id used twice: " + action.gang_id);
   }
@@ -226,8 +227,9 @@
 }
 
 void VirtualCluster::ApplyOne(const LiftThrottle& action) {
-  if (cancelled_.count(action.job) > 0)
+  if (cancelled_.count(action.job) > 0) {
     Fault(action.job + " cancelled, started");
+  }
   for (const GangMember& member : grants_[action.gang_id].members) {
     if (workers_[member.worker].leases.count(member.lease_id) == 0) {
       Fault("started in part: " + action.gang_id);
@@ -303,8 +305,9 @@
 std::string VirtualCluster::CheckLeases() const {
   std::map<std::string, std::set<std::string>> gangs_of_job;
   for (const auto& [name, worker] : workers_) {
-    if (Held(worker) > worker.info.accelerators)
+    if (Held(worker) > worker.info.accelerators) {
       return name + " over-allocated";
+    }
     for (const auto& [id, lease] : worker.leases) {
       gangs_of_job[lease.job].insert(lease.gang_id);
     }
