Count a worker that refuses the token as one without an answer

Cause: a single worker that refused the coordinator's token was asked again and again and never counted as lost, so its leases lapsed while the other members of their gangs were renewed and ran on. Ruled out: stepping down at the first refusal, since one faulty worker could then depose every coordinator in turn. Conclusion: such a worker is lost by the bound of a silent one, and its gangs are stopped whole.

--- a/src/libs/jobs/gang_executor.cc
+++ b/src/libs/jobs/gang_executor.cc
@@ -236,10 +236,10 @@
     Succeeded(call, *report, &slot, now, &events);
     return events;
   }
+  // A worker that refuses our token alone is of no more use than a silent one:
+  // its leases lapse, so it is lost by the same bound.
   if (refusal == WorkerRefusal::kStaleToken) {
-    slot.retry_at = now + settings_.retry_delay;
     events.push_back(TokenRefused{call.worker});
-    return events;
   }
   Failed(call, refusal, reason, &slot, now, &events);
   return events;
