Measure requests through real processes beside a round-robin baseline

Cause: the burst, the added latency, the appends used by claims and the cost of an idle entry were known from a loop in virtual time only, or not at all. bench_requests starts 50 executors of 8 slots, 8 entries and, in turn on the same addresses, 8 forwarders, and prints tables and JSON. Ruled out: both behind the executors at once (more connections than the 60 that an executor takes); equal service times (all slots then answer in step, so executors differ by up to a quarter of the mean).

--- /dev/null
+++ b/benchmarks/bench_requests.cc
@@ -0,0 +1,443 @@
+// Requests through real processes: 50 executors of 8 slots behind 8 entries,
+// and behind a baseline of 8 round-robin forwarders, in one run.
+//
+// Prints tables and, with --out, writes the same figures as JSON. Ends by
+// itself in less than three minutes. Times depend on what else the machine
+// does; ratios within one run are what is to be compared.
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/json.h"
+#include "load_figures.h"
+#include "loadgen/load_generator.h"
+#include "net/io_pool.h"
+#include "test_cluster.h"
+
+DEFINE_int32(entries, 8, "entries, and forwarders of the baseline");
+DEFINE_int32(executors, 50, "executors of 8 slots");
+DEFINE_int32(service_ms, 200,
+             "mean service time in the burst; the executors differ by up to a "
+             "quarter of it");
+DEFINE_double(factor, 3, "load of the burst as a multiple of the capacity");
+DEFINE_int32(burst_ms, 5000, "length of the burst");
+DEFINE_int32(rounds, 3, "rounds of each measurement; medians are shown");
+DEFINE_int32(idle_ms, 10000, "how long idle entries are watched");
+DEFINE_string(parts, "idle,latency,appends,burst", "what is measured");
+DEFINE_string(out, "", "file for the figures as JSON");
+
+namespace thornplank {
+namespace {
+
+constexpr int kSlots = 8;
+constexpr int kLoadThreads = 3;
+constexpr size_t kConnectionsPerEntry = 3500;
+constexpr Milliseconds kDeadline{2000};
+// Rates and lengths of the parts without a burst.
+constexpr double kLowRate = 150;
+constexpr Milliseconds kLowLength{2000};
+constexpr Milliseconds kAppendsLength{4000};
+constexpr Milliseconds kAloneLength{4000};
+// The first second of a load isn't counted: slots fill, shares settle.
+constexpr Milliseconds kSettling{1000};
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr char kNeighbour[] = "neighbour";
+constexpr char kFlood[] = "flood";
+constexpr char kToken[] = "operator-secret";
+// Load of the neighbour as a share of the capacity; half is its guarantee.
+constexpr double kNeighbourLoad = 0.4;
+constexpr double kGuarantee = 0.5;
+
+bool Measures(const std::string& part) {
+  return ("," + FLAGS_parts + ",").find("," + part + ",") != std::string::npos;
+}
+
+int GuaranteedSlots() {
+  return static_cast<int>(FLAGS_executors * kSlots * kGuarantee);
+}
+
+// Service time of one executor in the burst, around the mean: equal ones would
+// answer in step for ever.
+int BurstServiceMs(int executor) {
+  const double place = FLAGS_executors < 2
+                           ? 0.5
+                           : static_cast<double>(executor) /
+                                 static_cast<double>(FLAGS_executors - 1);
+  return static_cast<int>(FLAGS_service_ms * (0.75 + 0.5 * place));
+}
+
+// Requests a second that all executors can run in the burst.
+double Capacity() {
+  double capacity = 0;
+  for (int i = 0; i < FLAGS_executors; ++i) {
+    capacity += kSlots * kMillisecondsPerSecond / BurstServiceMs(i);
+  }
+  return capacity;
+}
+
+TestClusterSettings ClusterSettings() {
+  TestClusterSettings settings;
+  settings.entries = FLAGS_entries;
+  settings.workers = 1;
+  settings.executors = FLAGS_executors;
+  settings.slots_per_executor = kSlots;
+  settings.service_time_ms = 0;
+  return settings;
+}
+
+class RequestBenchmark {
+ public:
+  RequestBenchmark() : cluster_(ClusterSettings()), pool_(kLoadThreads) {
+    pool_.Start();
+  }
+
+  // False when the processes don't get ready.
+  bool Start();
+  Json Idle();
+  Json Latency(int service_ms);
+  Json Appends(double rate);
+  // Medians of the rounds, {"thornplank","baseline"}; nullopt when processes
+  // don't start.
+  std::optional<Json> Burst();
+
+ private:
+  using History = std::vector<HistoryRecord>;
+
+  bool SetServiceTimes(bool burst, int service_ms);
+  History Load(LoadSettings settings);
+  LoadSettings LowLoad() const;
+  LoadSettings BurstLoad() const;
+  Json MeasureBurst();
+  std::optional<double> Metric(int entry, const std::string& name);
+  bool StartEntries();
+  void StopEntries();
+  bool StartBaseline();
+  std::vector<std::string> EntryAddresses() const;
+  std::vector<std::string> ExecutorAddresses() const;
+
+  TestCluster cluster_;
+  IoPool pool_;
+  std::vector<std::unique_ptr<ChildProcess>> baseline_;
+  int loads_ = 0;
+};
+
+std::vector<std::string> RequestBenchmark::EntryAddresses() const {
+  std::vector<std::string> addresses;
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    addresses.push_back(cluster_.entry_address(i));
+  }
+  return addresses;
+}
+
+std::vector<std::string> RequestBenchmark::ExecutorAddresses() const {
+  std::vector<std::string> addresses;
+  for (int i = 0; i < FLAGS_executors; ++i) {
+    addresses.push_back(cluster_.executor_address(i));
+  }
+  return addresses;
+}
+
+bool RequestBenchmark::Start() {
+  if (!cluster_.Start()) return false;
+  const Json account = {{"kind", "account"},
+                        {"guaranteed_slots", GuaranteedSlots()}};
+  if (!cluster_.PutNode(0, kNeighbour, account) ||
+      !cluster_.PutNode(0, kFlood, account)) {
+    return false;
+  }
+  return StartEntries();
+}
+
+// Starts those that don't run, and waits until each answers for both accounts.
+bool RequestBenchmark::StartEntries() {
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    if (!cluster_.entry(i).running()) cluster_.StartEntry(i);
+  }
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    if (!cluster_.WaitReady(i)) return false;
+    const bool answers = TestCluster::Eventually([this, i] {
+      const auto one = cluster_.SendRequest(i, kNeighbour, "first");
+      const auto two = cluster_.SendRequest(i, kFlood, "first");
+      return one.has_value() && one->status == 200 && two.has_value() &&
+             two->status == 200;
+    });
+    if (!answers) return false;
+  }
+  return true;
+}
+
+void RequestBenchmark::StopEntries() {
+  for (int i = 0; i < FLAGS_entries; ++i) cluster_.entry(i).Signal(SIGTERM);
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    const bool ended =
+        cluster_.entry(i).Wait(std::chrono::seconds(5)).has_value();
+    if (!ended) cluster_.entry(i).Kill();
+  }
+}
+
+// On the addresses of the entries, which must have been stopped.
+bool RequestBenchmark::StartBaseline() {
+  std::string executors;
+  for (const std::string& address : ExecutorAddresses()) {
+    executors += (executors.empty() ? "" : ",") + address;
+  }
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    baseline_.push_back(std::make_unique<ChildProcess>(
+        BENCH_BASELINE_ENTRY,
+        std::vector<std::string>{"--listen", cluster_.entry_address(i),
+                                 "--executors", executors},
+        cluster_.folder() + "/baseline" + std::to_string(i) + ".log"));
+  }
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    const bool answers = TestCluster::Eventually([this, i] {
+      const auto response = cluster_.SendRequest(i, kNeighbour, "first");
+      return response.has_value() && response->status == 200;
+    });
+    if (!answers) return false;
+  }
+  return true;
+}
+
+bool RequestBenchmark::SetServiceTimes(bool burst, int service_ms) {
+  for (int i = 0; i < FLAGS_executors; ++i) {
+    const int late_ms = burst ? BurstServiceMs(i) : service_ms;
+    if (!cluster_.Control(cluster_.executor_address(i), {{"late_ms", late_ms}}))
+      return false;
+  }
+  return true;
+}
+
+RequestBenchmark::History RequestBenchmark::Load(LoadSettings settings) {
+  settings.max_connections_per_entry = kConnectionsPerEntry;
+  settings.deadline = kDeadline;
+  settings.name = "load" + std::to_string(loads_++);
+  LoadGenerator generator(pool_, std::move(settings));
+  return generator.Run();
+}
+
+std::optional<double> RequestBenchmark::Metric(int entry,
+                                               const std::string& name) {
+  const auto response = cluster_.Call(entry, "GET", "/metrics");
+  if (!response.has_value()) return std::nullopt;
+  std::istringstream lines(response->body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind(name + " ", 0) != 0) continue;
+    return std::atof(line.c_str() + name.size());
+  }
+  return std::nullopt;
+}
+
+// Medians over the entries: memory in bytes and share of one core.
+Json RequestBenchmark::Idle() {
+  const auto processor_time = [this](int entry) {
+    return Metric(entry, "process_cpu_seconds_total").value_or(0);
+  };
+  std::vector<double> before;
+  const Time begun = std::chrono::steady_clock::now();
+  for (int i = 0; i < FLAGS_entries; ++i) before.push_back(processor_time(i));
+  std::this_thread::sleep_for(Milliseconds(FLAGS_idle_ms));
+  const std::chrono::duration<double> length =
+      std::chrono::steady_clock::now() - begun;
+  std::vector<Json> entries;
+  for (int i = 0; i < FLAGS_entries; ++i) {
+    const double used = processor_time(i) - before[static_cast<size_t>(i)];
+    entries.push_back(
+        {{"memory_mb",
+          Metric(i, "process_resident_memory_bytes").value_or(0) / 1e6},
+         {"core_share", used / length.count()}});
+  }
+  return MedianOfRounds(entries);
+}
+
+LoadSettings RequestBenchmark::LowLoad() const {
+  LoadSettings settings;
+  settings.entries = EntryAddresses();
+  settings.accounts = {{kNeighbour, kToken, 1}};
+  settings.rate = kLowRate;
+  settings.duration = kLowLength;
+  return settings;
+}
+
+// A direct call, the same through an entry, and a non-idempotent one.
+Json RequestBenchmark::Latency(int service_ms) {
+  if (!SetServiceTimes(/*burst=*/false, service_ms)) return Json::object();
+  const LoadWindow whole{Duration(0), kLowLength};
+  std::vector<Json> rounds;
+  for (int round = 0; round < FLAGS_rounds; ++round) {
+    LoadSettings direct = LowLoad();
+    direct.entries = ExecutorAddresses();
+    direct.direct = true;
+    LoadSettings claims = LowLoad();
+    claims.non_idempotent_share = 1;
+    // Connections are opened before the measured load.
+    Load(LowLoad());
+    const History histories[] = {Load(direct), Load(LowLoad()), Load(claims)};
+    const auto latency = [&](int way, double quantile) {
+      return LatencyQuantile(histories[way], whole, Outcome::kAnswered,
+                             quantile);
+    };
+    rounds.push_back({{"direct_p50_us", latency(0, 0.5)},
+                      {"direct_p99_us", latency(0, 0.99)},
+                      {"entry_p50_us", latency(1, 0.5)},
+                      {"entry_p99_us", latency(1, 0.99)},
+                      {"claim_p50_us", latency(2, 0.5)},
+                      {"claim_p99_us", latency(2, 0.99)},
+                      {"ratio_p50", latency(1, 0.5) / latency(0, 0.5)},
+                      {"ratio_p99", latency(1, 0.99) / latency(0, 0.99)}});
+  }
+  return MedianOfRounds(rounds);
+}
+
+// Appends of all entries to the log under a rate of non-idempotent requests.
+Json RequestBenchmark::Appends(double rate) {
+  LoadSettings settings = LowLoad();
+  settings.rate = rate;
+  settings.duration = kAppendsLength;
+  settings.non_idempotent_share = 1;
+  const auto counter = [this](const char* name) {
+    return static_cast<double>(
+        IntField(cluster_.ControlState(cluster_.log_address()), name)
+            .value_or(0));
+  };
+  const double seconds = std::chrono::duration<double>(kAppendsLength).count();
+  const double appends = counter("appends");
+  const double records = counter("records");
+  const double refused = counter("refused");
+  const History history = Load(settings);
+  const LoadWindow whole{Duration(0), kAppendsLength};
+  return {
+      {"rate", rate},
+      {"appends_per_second", (counter("appends") - appends) / seconds},
+      {"records_per_second", (counter("records") - records) / seconds},
+      {"refused_per_second", (counter("refused") - refused) / seconds},
+      {"answered_share", ShareOf(history, whole, Outcome::kAnswered)},
+      {"p50_us", LatencyQuantile(history, whole, Outcome::kAnswered, 0.5)},
+      {"p99_us", LatencyQuantile(history, whole, Outcome::kAnswered, 0.99)}};
+}
+
+// Half of the requests at the first entry.
+LoadSettings RequestBenchmark::BurstLoad() const {
+  LoadSettings settings = LowLoad();
+  settings.entry_weights.assign(static_cast<size_t>(FLAGS_entries), 1);
+  settings.entry_weights[0] = FLAGS_entries - 1;
+  settings.accounts = {{kNeighbour, kToken, kNeighbourLoad},
+                       {kFlood, kToken, FLAGS_factor - kNeighbourLoad}};
+  settings.rate = FLAGS_factor * Capacity();
+  settings.duration = Milliseconds(FLAGS_burst_ms);
+  return settings;
+}
+
+// The neighbour alone, then beside the flood.
+Json RequestBenchmark::MeasureBurst() {
+  LoadSettings alone = BurstLoad();
+  alone.accounts = {{kNeighbour, kToken, 1}};
+  alone.rate = kNeighbourLoad * Capacity();
+  alone.duration = kAloneLength;
+  const History quiet = Load(alone);
+  const History burst = Load(BurstLoad());
+  const LoadWindow quiet_window{kSettling, kAloneLength};
+  const LoadWindow window{kSettling, Milliseconds(FLAGS_burst_ms)};
+  const auto latency_ms = [&](Outcome outcome, double quantile,
+                              const std::string& account) {
+    return LatencyQuantile(burst, window, outcome, quantile, account) / 1e3;
+  };
+  const double alone_p99 =
+      LatencyQuantile(quiet, quiet_window, Outcome::kAnswered, 0.99) / 1e3;
+  const double flooded_p99 = latency_ms(Outcome::kAnswered, 0.99, kNeighbour);
+  const auto answers = [&](const std::string& account) {
+    return AnswersPerSecond(burst, window, kDeadline, account) / Capacity();
+  };
+  return {
+      {"goodput", answers("")},
+      {"neighbour_answers", answers(kNeighbour)},
+      {"flood_answers", answers(kFlood)},
+      {"neighbour_to_due", answers(kNeighbour) / kNeighbourLoad},
+      {"flood_to_due", answers(kFlood) / kGuarantee},
+      {"answered_p50_ms", latency_ms(Outcome::kAnswered, 0.5, "")},
+      {"answered_p99_ms", latency_ms(Outcome::kAnswered, 0.99, "")},
+      {"refused_p50_ms", latency_ms(Outcome::kNotRun, 0.5, "")},
+      {"refused_p99_ms", latency_ms(Outcome::kNotRun, 0.99, "")},
+      {"unknown_share", ShareOf(burst, window, Outcome::kUnknown)},
+      {"no_answer_share", ShareOf(burst, window, Outcome::kNoAnswer)},
+      {"neighbour_alone_p99_ms", alone_p99},
+      {"neighbour_flooded_p99_ms", flooded_p99},
+      {"neighbour_p99_ratio", alone_p99 > 0 ? flooded_p99 / alone_p99 : 0.0}};
+}
+
+std::optional<Json> RequestBenchmark::Burst() {
+  std::vector<Json> own;
+  std::vector<Json> baseline;
+  if (!SetServiceTimes(/*burst=*/true, 0)) return std::nullopt;
+  for (int round = 0; round < FLAGS_rounds; ++round) {
+    if (!StartEntries()) return std::nullopt;
+    own.push_back(MeasureBurst());
+    // Both at once would need more connections than an executor takes.
+    StopEntries();
+    if (!StartBaseline()) return std::nullopt;
+    baseline.push_back(MeasureBurst());
+    baseline_.clear();
+  }
+  return Json{{"thornplank", MedianOfRounds(own)},
+              {"baseline", MedianOfRounds(baseline)},
+              {"rounds", {{"thornplank", own}, {"baseline", baseline}}}};
+}
+
+int Fail(const std::string& what) {
+  std::cerr << "bench_requests: " << what << "\n";
+  return 1;
+}
+
+int Run() {
+  const Time begun = std::chrono::steady_clock::now();
+  RequestBenchmark benchmark;
+  if (!benchmark.Start()) return Fail("the processes did not get ready");
+  Json figures = {{"capacity_per_second", Capacity()}};
+  std::cout << "capacity " << Capacity() << " requests a second\n";
+  if (Measures("idle")) {
+    figures["idle"] = benchmark.Idle();
+    PrintTable("idle entry", {"median"}, {figures["idle"]});
+  }
+  if (Measures("latency")) {
+    const std::vector<Json> columns = {benchmark.Latency(0),
+                                       benchmark.Latency(20)};
+    figures["latency"] = {{"0_ms", columns[0]}, {"20_ms", columns[1]}};
+    PrintTable("low load, service time", {"0 ms", "20 ms"}, columns);
+  }
+  if (Measures("appends")) {
+    const std::vector<Json> columns = {benchmark.Appends(200),
+                                       benchmark.Appends(1000)};
+    figures["appends"] = columns;
+    PrintTable("non-idempotent", {"200/s", "1000/s"}, columns);
+  }
+  if (Measures("burst")) {
+    const std::optional<Json> burst = benchmark.Burst();
+    if (!burst.has_value()) return Fail("processes did not get ready");
+    figures["burst"] = *burst;
+    PrintTable("burst", {"thornplank", "baseline"},
+               {(*burst)["thornplank"], (*burst)["baseline"]});
+  }
+  const std::chrono::duration<double> length =
+      std::chrono::steady_clock::now() - begun;
+  figures["seconds"] = length.count();
+  std::cout << "\n" << length.count() << " s\n";
+  if (!FLAGS_out.empty()) {
+    std::ofstream(FLAGS_out) << figures.dump(2) << "\n";
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace thornplank
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  return thornplank::Run();
+}
