Give suspect_after_ms and dead_after_ms their effect, split the wiring

Cause: the settings file checks membership.suspect_after_ms and dead_after_ms, but nothing read them: an operator's change was accepted and did nothing. Ruled out: dropping the keys: regions with longer latency need them. Conclusion: MembershipManager takes the bounds of its table whole; the conversions stand in part_settings, the JSON form of an instance in instances.

--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -5,8 +5,6 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
-#include <random>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -20,13 +18,16 @@
 #include "api/api_router.h"
 #include "guarantee_review.h"
 #include "instances/instance_directory.h"
+#include "instances/instance_json.h"
 #include "instances/instance_watcher.h"
 #include "jobs/job_manager.h"
+#include "logging/events/membership_events.h"
 #include "logging/events/process_events.h"
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/io_pool.h"
+#include "part_settings.h"
 #include "peers/membership_manager.h"
 #include "platform/instance_list_client.h"
 #include "platform/log_client.h"
@@ -48,140 +49,12 @@
 // that it still sends are taken.
 constexpr Milliseconds kReadinessNotice{300};
 constexpr Milliseconds kReadinessInterval{50};
+// From the start until a peer is asked for the jobs, and from one time to the
+// next, while the log alone does not give them.
+constexpr Milliseconds kJobsFetchInterval{1000};
 constexpr char kSettingsSnapshot[] = "settings";
 constexpr char kJobsSnapshot[] = "jobs";
 
-std::string NewIncarnation() {
-  std::random_device device;
-  std::ostringstream text;
-  text << std::hex << device() << device();
-  return text.str();
-}
-
-uint64_t NewSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-Role ToRole(TokenRole role) {
-  switch (role) {
-    case TokenRole::kCaller:
-      return Role::kCaller;
-    case TokenRole::kViewer:
-      return Role::kViewer;
-    case TokenRole::kOperator:
-      return Role::kOperator;
-  }
-  return Role::kCaller;
-}
-
-std::vector<AccessToken> ToAccessTokens(
-    const std::vector<EntryTokenSettings>& tokens) {
-  std::vector<AccessToken> result;
-  for (const EntryTokenSettings& token : tokens) {
-    result.push_back(
-        {token.name, token.token, ToRole(token.role), token.account});
-  }
-  return result;
-}
-
-HttpServerLimits ToServerLimits(const EntryLimitSettings& limits) {
-  HttpServerLimits result;
-  result.max_body_bytes = limits.body_bytes;
-  result.max_connections = limits.connections;
-  result.max_buffered_bytes = limits.buffered_bytes;
-  result.header_timeout = limits.header_timeout;
-  result.body_timeout = limits.body_timeout;
-  result.idle_timeout = limits.idle_timeout;
-  return result;
-}
-
-PeerMeshSettings ToMeshSettings(const EntrySettings& settings,
-                                const std::string& incarnation) {
-  PeerMeshSettings result;
-  result.name = settings.name;
-  result.incarnation = incarnation;
-  result.failure_domain = settings.failure_domain;
-  result.listen = settings.listen_peers;
-  result.shared_secret = settings.peer_secret;
-  return result;
-}
-
-MembershipManagerSettings ToMembershipSettings(const EntrySettings& settings,
-                                               const std::string& incarnation) {
-  MembershipManagerSettings result;
-  result.name = settings.name;
-  result.incarnation = incarnation;
-  result.failure_domain = settings.failure_domain;
-  result.heartbeat_interval = settings.membership.heartbeat_interval;
-  return result;
-}
-
-RequestManagerSettings ToRequestSettings(const EntrySettings& settings,
-                                         const std::string& incarnation) {
-  RequestManagerSettings result;
-  result.self = {settings.name, incarnation};
-  result.failure_domain = settings.failure_domain;
-  result.seed = NewSeed();
-  result.default_deadline = settings.requests.default_deadline;
-  result.max_request_bytes = settings.limits.body_bytes;
-  result.claim_window = settings.requests.claim_window;
-  result.demand_interval = settings.requests.demand_interval;
-  return result;
-}
-
-JobManagerSettings ToJobSettings(const EntrySettings& settings,
-                                 const std::string& incarnation) {
-  JobManagerSettings result;
-  result.name = settings.name;
-  result.incarnation = incarnation;
-  result.leases.term = settings.jobs.lease_term;
-  result.leases.renewal_interval = settings.jobs.renewal_interval;
-  result.seed = NewSeed();
-  return result;
-}
-
-SettingsManagerOptions ToSettingsOptions(const EntrySettings& settings) {
-  SettingsManagerOptions result;
-  result.instance = settings.name;
-  return result;
-}
-
-HttpClientLimits ClientLimits(size_t connections_per_peer) {
-  HttpClientLimits result;
-  result.max_connections_per_peer = connections_per_peer;
-  return result;
-}
-
-const char* KindName(InstanceKind kind) {
-  switch (kind) {
-    case InstanceKind::kEntry:
-      return "entry";
-    case InstanceKind::kExecutor:
-      return "executor";
-    case InstanceKind::kWorker:
-      return "worker";
-  }
-  return "worker";
-}
-
-Json ToJson(const Instance& instance) {
-  Json value = {{"name", instance.name},
-                {"kind", KindName(instance.kind)},
-                {"address", instance.address},
-                {"failure_domain", instance.failure_domain},
-                {"state", instance.leaving ? "leaving" : "live"}};
-  if (instance.kind == InstanceKind::kWorker) {
-    value["rack"] = instance.rack;
-    value["accelerators"] = instance.accelerators;
-  }
-  if (instance.kind == InstanceKind::kExecutor) {
-    value["service"] = instance.service;
-    value["slots"] = instance.slots;
-  }
-  return value;
-}
-
 // Waits for a callback.
 class Latch {
  public:
@@ -312,6 +185,31 @@
   void OnList(const InstanceList& list) {
     const std::lock_guard<std::mutex> lock(directory_mutex_);
     if (directory_.SetList(list)) TellInstances();
+    std::vector<std::string> entries;
+    for (const Instance& instance : directory_.instances()) {
+      if (instance.kind != InstanceKind::kEntry) continue;
+      entries.push_back(instance.name);
+    }
+    members_.SetListed(entries);
+  }
+
+  // A peer is asked while the log does not answer or has forgotten records
+  // that were not read. Called by the readiness timer only.
+  void FetchJobsWhenMissing() {
+    const Time now = std::chrono::steady_clock::now();
+    if (now < next_jobs_fetch_ || jobs_.ready() || leaving_) return;
+    next_jobs_fetch_ = now + kJobsFetchInterval;
+    if (fetching_jobs_.exchange(true)) return;
+    members_.FetchSnapshot(kJobsSnapshot, 0,
+                           [this](std::optional<Json> snapshot, const Error&) {
+                             Error error;
+                             if (snapshot.has_value() &&
+                                 !jobs_.ConsumeSnapshot(*snapshot, &error)) {
+                               LogEvent(events::kSnapshotFetchFailed, error,
+                                        {{"stream", kJobsSnapshot}});
+                             }
+                             fetching_jobs_ = false;
+                           });
   }
 
   void OnTree(const SettingsTree& tree) {
@@ -367,6 +265,7 @@
   }
 
   void WatchReadiness() {
+    FetchJobsWhenMissing();
     const std::string reason = NotReadyReason();
     const bool ready = reason.empty();
     if (ready != was_ready_) {
@@ -511,8 +410,10 @@
   HttpServer server_;
   InstanceWatcher watcher_;
   boost::asio::steady_timer readiness_timer_;
-  // Used by the readiness timer only.
+  // These two are used by the readiness timer only.
   bool was_ready_ = false;
+  Time next_jobs_fetch_ = std::chrono::steady_clock::now() + kJobsFetchInterval;
+  std::atomic<bool> fetching_jobs_{false};
   std::atomic<bool> leaving_{false};
   // Taken before the mutexes of requests_ and jobs_.
   mutable std::mutex directory_mutex_;
--- a/src/libs/peers/membership_manager.cc
+++ b/src/libs/peers/membership_manager.cc
@@ -21,17 +21,6 @@
 
 Time Now() { return std::chrono::steady_clock::now(); }
 
-// The bounds of suspicion that go with a heartbeat interval.
-MembershipSettings TableSettings(Milliseconds interval) {
-  MembershipSettings settings;
-  settings.heartbeat_interval = interval;
-  settings.min_suspect_after = 3 * interval;
-  settings.max_suspect_after = 8 * interval;
-  settings.unlinked_suspect_after = 2 * interval;
-  settings.dead_after = 6 * interval;
-  return settings;
-}
-
 MemberIdentity ToMemberIdentity(const PeerIdentity& peer) {
   return {peer.name, peer.incarnation, peer.failure_domain};
 }
@@ -47,7 +36,7 @@
         timer_(io),
         change_events_(boost::asio::make_strand(io)),
         table_(
-            TableSettings(settings_.heartbeat_interval),
+            settings_.bounds,
             {settings_.name, settings_.incarnation, settings_.failure_domain},
             Now()) {}
 
@@ -208,7 +197,7 @@
 }
 
 void MembershipManager::Impl::Schedule() {
-  timer_.expires_after(settings_.heartbeat_interval);
+  timer_.expires_after(settings_.bounds.heartbeat_interval);
   timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& ec) {
         const auto self = weak.lock();
--- a/src/libs/peers/membership_manager.h
+++ b/src/libs/peers/membership_manager.h
@@ -31,7 +31,9 @@
   std::string name;
   std::string incarnation;
   std::string failure_domain;
-  Milliseconds heartbeat_interval{500};
+  // Interval of heartbeats, and the silence after which a member is suspected
+  // and dead.
+  MembershipSettings bounds;
   // For one peer's answer to a request for a snapshot.
   Milliseconds snapshot_timeout{5000};
 };
