--- a/tests/standins/worker_role.cc
+++ b/tests/standins/worker_role.cc
@@ -18,9 +18,13 @@
 }
 
 // Wall-clock milliseconds of a moment of the monotonic clock.
+// By one pair of readings for the whole process, so that the times of
+// different workers compare.
 int64_t UnixMilliseconds(Time time) {
-  return ToUnixMilliseconds(std::chrono::system_clock::now()) -
-         ToMilliseconds(std::chrono::steady_clock::now() - time);
+  static const WallTime wall_base = std::chrono::system_clock::now();
+  static const Time base = std::chrono::steady_clock::now();
+  return ToUnixMilliseconds(
+      wall_base + std::chrono::duration_cast<WallTime::duration>(time - base));
 }
 
 std::optional<Lease> ParseLease(const Json& json, Time now) {
