--- a/src/libs/jobs/job_manager_impl.cc
+++ b/src/libs/jobs/job_manager_impl.cc
@@ -274,6 +274,9 @@
   NoticePause(now, &outbox);
   last_turn_ = now;
   const bool log_down = LogDown(now);
+  // Whether their records were appended is unknown and does not matter: the
+  // fold takes a job once.
+  if (log_down) outbox.urgent = waiters_.TakeUrgent();
   const bool may_claim = live_entries_known_ && !draining_ && !log_down &&
                          fold_.complete() && follower_->caught_up();
   if (may_claim) {
@@ -340,6 +343,9 @@
   for (JobWaiters::Waiter& waiter : outbox.expired) {
     AnswerFailed(std::move(waiter), false, "the log did not answer in time");
   }
+  for (JobWaiters::Waiter& waiter : outbox.urgent) {
+    urgent_->Submit(waiter.job, std::move(waiter.callback));
+  }
   if (outbox.check_retention || outbox.check_epoch) {
     ReadOffsets(outbox.check_retention, outbox.next_offset);
   }
--- a/src/libs/jobs/job_manager_impl.h
+++ b/src/libs/jobs/job_manager_impl.h
@@ -77,6 +77,8 @@
     std::optional<EpochRecord> claim;
     std::optional<ResignRecord> resign;
     std::vector<JobWaiters::Waiter> expired;
+    // Submitted just before the log went down.
+    std::vector<JobWaiters::Waiter> urgent;
     bool check_retention = false;
     bool check_epoch = false;
     int64_t next_offset = 0;
--- a/src/libs/jobs/job_waiters.cc
+++ b/src/libs/jobs/job_waiters.cc
@@ -89,6 +89,20 @@
   return taken;
 }
 
+std::vector<JobWaiters::Waiter> JobWaiters::TakeUrgent() {
+  std::vector<Waiter> taken;
+  for (auto next = waiters_.begin(); next != waiters_.end();) {
+    const Waiter& waiter = next->second;
+    if (waiter.for_end || waiter.job.spec.priority != Priority::kUrgent) {
+      ++next;
+      continue;
+    }
+    taken.push_back(std::move(next->second));
+    next = waiters_.erase(next);
+  }
+  return taken;
+}
+
 JobChangeResult SubmissionResult(const JobTable& jobs, const JobRequest& job) {
   const JobEntry* entry = jobs.Find(job.spec.id);
   if (entry == nullptr || !SameRequest(entry->request, job)) {
--- a/src/libs/jobs/job_waiters.h
+++ b/src/libs/jobs/job_waiters.h
@@ -37,6 +37,8 @@
   std::vector<Waiter> TakeByRecord(const std::string& job,
                                    const std::string& record_id);
   std::vector<Waiter> TakeExpired(Time now);
+  // Takes the submissions of urgent jobs.
+  std::vector<Waiter> TakeUrgent();
   size_t size() const { return waiters_.size(); }
 
  private:
