--- a/src/libs/jobs/coordinator.cc
+++ b/src/libs/jobs/coordinator.cc
@@ -17,6 +17,10 @@
   return options;
 }
 
+// The scheduler acts on each event by itself; a tick looks through all gangs
+// for what has come due, which would cost too much after each worker's answer.
+constexpr Milliseconds kTickInterval{20};
+
 Json WorkerNames(const std::vector<GangMember>& members) {
   Json names = Json::array();
   for (const GangMember& member : members) names.push_back(member.worker);
@@ -89,6 +93,8 @@
     if (!TakeoverDone(now)) return;
     TakeOver(fold, now, wall_now);
   }
+  if (now < next_tick_) return;
+  next_tick_ = now + kTickInterval;
   Carry(scheduler_.Tick(now), now);
 }
 
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -107,6 +107,7 @@
   // False during the takeover: the scheduler is not fed yet, and what arrives
   // is kept in heard_, silent_ and early_.
   bool planning_ = false;
+  Time next_tick_;
   std::map<std::string, ReportArrived> heard_;
   std::map<std::string, Time> silent_;
   std::vector<JobEntry> early_;
--- a/src/libs/jobs/gang_executor.cc
+++ b/src/libs/jobs/gang_executor.cc
@@ -44,6 +44,7 @@
     Slot& slot = found->second;
     slot.listed = true;
     slot.address = worker.address;
+    touched_.insert(worker.name);
     if (!is_new) continue;
     slot.answered_at = now;
     slot.retry_at = now;
@@ -52,6 +53,7 @@
   for (auto slot = slots_.begin(); slot != slots_.end();) {
     const bool unused = !slot->second.listed && slot->second.leases.empty() &&
                         !slot->second.in_flight;
+    if (unused) SetTimer(slot->first, &slot->second, std::nullopt);
     slot = unused ? slots_.erase(slot) : std::next(slot);
   }
 }
@@ -76,6 +78,7 @@
     lease.task = task;
     lease.extended_at = now;
     found->second.leases.emplace(member.lease_id, std::move(lease));
+    touched_.insert(member.worker);
   }
   return events;
 }
@@ -85,6 +88,7 @@
     for (auto& [id, lease] : slot.leases) {
       if (lease.gang_id != gang_id || lease.want != Want::kHeld) continue;
       lease.want = Want::kRunning;
+      touched_.insert(name);
     }
   }
 }
@@ -94,6 +98,7 @@
     for (auto& [id, lease] : slot.leases) {
       if (lease.gang_id != gang_id || lease.want == Want::kStopped) continue;
       lease.want = Want::kCheckpointed;
+      touched_.insert(name);
     }
   }
 }
@@ -107,6 +112,7 @@
         continue;
       }
       lease->second.want = Want::kStopped;
+      touched_.insert(name);
       if (lease->second.confirmed || lease->second.grants_sent > 0) {
         ++lease;
         continue;
@@ -126,6 +132,7 @@
   Lease& lease = slot->second.leases[lease_id];
   lease.want = Want::kStopped;
   lease.confirmed = true;
+  touched_.insert(worker);
 }
 
 void GangExecutor::Adopt(const std::string& worker, const LeaseReport& report,
@@ -144,24 +151,54 @@
   if (is_new) slot->second.listed = false;
   slot->second.leases.emplace(report.lease_id, std::move(lease));
   slot->second.renew_at = now;
+  touched_.insert(worker);
 }
 
 std::vector<WorkerCall> GangExecutor::NextCalls(Time now) {
+  std::set<std::string> due = std::exchange(touched_, {});
+  for (const auto& [when, worker] : timers_) {
+    if (when > now) break;
+    due.insert(worker);
+  }
   std::vector<WorkerCall> calls;
-  for (auto& [name, slot] : slots_) {
-    if (slot.in_flight || now < slot.retry_at || slot.address.empty()) continue;
-    std::optional<WorkerCall> call = NextCall(&slot, now);
-    if (!call) continue;
-    slot.in_flight = true;
-    call->worker = name;
-    call->address = slot.address;
-    call->token = {epoch_, ++sequence_};
-    call->sent_at = now;
-    calls.push_back(std::move(*call));
+  for (const std::string& worker : due) {
+    const auto slot = slots_.find(worker);
+    if (slot == slots_.end()) continue;
+    Visit(worker, &slot->second, now, &calls);
   }
   return calls;
 }
 
+void GangExecutor::Visit(const std::string& worker, Slot* slot, Time now,
+                         std::vector<WorkerCall>* calls) {
+  SetTimer(worker, slot, std::nullopt);
+  // The answer of the call, or the address, will touch it again.
+  if (slot->in_flight || slot->address.empty()) return;
+  if (now < slot->retry_at) return SetTimer(worker, slot, slot->retry_at);
+  std::optional<WorkerCall> call = NextCall(slot, now);
+  if (!call) {
+    Time when = slot->renew_at;
+    for (const auto& [id, lease] : slot->leases) {
+      if (lease.want != Want::kStopped) continue;
+      when = std::min(when, lease.stop_again_at);
+    }
+    return SetTimer(worker, slot, when);
+  }
+  slot->in_flight = true;
+  call->worker = worker;
+  call->address = slot->address;
+  call->token = {epoch_, ++sequence_};
+  call->sent_at = now;
+  calls->push_back(std::move(*call));
+}
+
+void GangExecutor::SetTimer(const std::string& worker, Slot* slot,
+                            std::optional<Time> when) {
+  if (slot->timer) timers_.erase({*slot->timer, worker});
+  slot->timer = when;
+  if (when) timers_.emplace(*when, worker);
+}
+
 std::optional<WorkerCall> GangExecutor::NextCall(Slot* slot, Time now) {
   WorkerCall call;
   if (slot->lost && now >= slot->lapse_at) slot->leases.clear();
@@ -232,6 +269,7 @@
   if (found == slots_.end()) return events;
   Slot& slot = found->second;
   slot.in_flight = false;
+  touched_.insert(call.worker);
   if (report) {
     Succeeded(call, *report, &slot, now, &events);
     return events;
--- a/src/libs/jobs/gang_executor.h
+++ b/src/libs/jobs/gang_executor.h
@@ -13,7 +13,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/job_manager_settings.h"
@@ -91,8 +93,16 @@
     Time answered_at;
     Time retry_at;
     Time renew_at;
+    // Its place in timers_.
+    std::optional<Time> timer;
   };
 
+  // Looks at one worker for NextCalls.
+  void Visit(const std::string& worker, Slot* slot, Time now,
+             std::vector<WorkerCall>* calls);
+  // The worker is visited next at `when`, unless it is touched before.
+  void SetTimer(const std::string& worker, Slot* slot,
+                std::optional<Time> when);
   std::optional<WorkerCall> NextCall(Slot* slot, Time now);
   std::optional<WorkerCall> GrantCall(Slot* slot, Time now);
   WorkerCall RenewCall(Slot* slot, Time now);
@@ -116,6 +126,11 @@
   std::mt19937_64 random_;
   int64_t sequence_ = 0;
   std::map<std::string, Slot> slots_;
+  // Workers for which something has changed since their last visit, and those
+  // for which something comes due. Every worker that is in neither has nothing
+  // to be sent, so that NextCalls costs as much as there is to do.
+  std::set<std::string> touched_;
+  std::set<std::pair<Time, std::string>> timers_;
 };
 
 }  // namespace thornplank
--- a/src/libs/scheduling/gang_table.h
+++ b/src/libs/scheduling/gang_table.h
@@ -45,6 +45,9 @@
   ClusterModel& cluster_;
   std::map<std::string, std::unique_ptr<Gang>> gangs_;
   std::unordered_map<std::string, std::pair<Gang*, int>> leases_;
+  // By worker, how many members of each gang may be held there.
+  // Invariant: no count is 0.
+  std::unordered_map<WorkerIndex, std::map<std::string, int>> on_worker_;
 };
 
 }  // namespace thornplank
