Print every list of the command line by one function

Ruled out: a table description in a file: the commands are code anyway. Conclusion: PrintList takes the target, the array's name and the columns.

--- a/src/app/thornplankctl/command.cc
+++ b/src/app/thornplankctl/command.cc
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <sstream>
 
+#include "client/table_printer.h"
+
 namespace thornplank {
 namespace {
 
@@ -54,6 +56,31 @@
   return kExitOk;
 }
 
+int PrintList(const CommandContext& context, const std::string& target,
+              const std::string& list, const std::vector<Column>& columns) {
+  Json answer;
+  const int code = CallApi(context, "GET", target, "", HttpHeaders(), &answer);
+  if (code != kExitOk) return code;
+  if (context.json) {
+    PrintJson(answer);
+    return kExitOk;
+  }
+  std::vector<std::string> header;
+  for (const Column& column : columns) header.push_back(column.heading);
+  TablePrinter table(header);
+  if (const Json* items = ArrayField(answer, list)) {
+    for (const Json& item : *items) {
+      std::vector<std::string> row;
+      for (const Column& column : columns) {
+        row.push_back(Cell(item, column.field));
+      }
+      table.AddRow(row);
+    }
+  }
+  std::cout << table.ToText();
+  return kExitOk;
+}
+
 void PrintJson(const Json& value) {
   std::cout << value.dump(2, ' ', false, Json::error_handler_t::replace)
             << "\n";
--- a/src/app/thornplankctl/command.h
+++ b/src/app/thornplankctl/command.h
@@ -61,6 +61,17 @@
             const HttpHeaders& headers, Json* answer,
             HttpHeaders* answer_headers = nullptr);
 
+// A column of a printed list: its heading, and the field of each item.
+struct Column {
+  std::string heading;
+  std::string field;
+};
+
+// Reads `target` and prints the array `list` of the answer, as a table or, with
+// --json, the whole answer. The exit code comes back.
+int PrintList(const CommandContext& context, const std::string& target,
+              const std::string& list, const std::vector<Column>& columns);
+
 // Prints `value` as indented JSON.
 void PrintJson(const Json& value);
 // A scalar as it stands, anything else as compact JSON.
--- a/src/app/thornplankctl/document_commands.cc
+++ b/src/app/thornplankctl/document_commands.cc
@@ -1,34 +1,11 @@
 // thornplankctl accounts … and events ….
 #include <iostream>
 
-#include "client/table_printer.h"
 #include "command.h"
 
 namespace thornplank {
 namespace {
 
-int List(const CommandContext& context, const std::string& noun,
-         const std::vector<std::string>& fields) {
-  Json answer;
-  const int code =
-      CallApi(context, "GET", "/v1/" + noun, "", HttpHeaders(), &answer);
-  if (code != kExitOk) return code;
-  if (context.json) {
-    PrintJson(answer);
-    return kExitOk;
-  }
-  TablePrinter table(fields);
-  if (const Json* items = ArrayField(answer, noun)) {
-    for (const Json& item : *items) {
-      std::vector<std::string> row;
-      for (const std::string& field : fields) row.push_back(Cell(item, field));
-      table.AddRow(row);
-    }
-  }
-  std::cout << table.ToText();
-  return kExitOk;
-}
-
 int Show(const CommandContext& context, const std::string& noun) {
   Json answer;
   const int code =
@@ -73,9 +50,12 @@
       {"accounts", "list", "", "The client accounts.",
        "thornplankctl accounts list", 0,
        [](const CommandContext& context) {
-         return List(context, "accounts",
-                     {"name", "version", "weight", "guaranteed_slots",
-                      "guaranteed_shapes"});
+         return PrintList(context, "/v1/accounts", "accounts",
+                          {{"NAME", "name"},
+                           {"VERSION", "version"},
+                           {"WEIGHT", "weight"},
+                           {"GUARANTEED SLOTS", "guaranteed_slots"},
+                           {"GUARANTEED SHAPES", "guaranteed_shapes"}});
        }},
       {"accounts", "show", "NAME", "One client account.",
        "thornplankctl accounts show north", 1,
@@ -93,8 +73,12 @@
       {"events", "list", "", "The events with their fixed starts.",
        "thornplankctl events list", 0,
        [](const CommandContext& context) {
-         return List(context, "events",
-                     {"name", "version", "account", "starts_at_ms", "shapes"});
+         return PrintList(context, "/v1/events", "events",
+                          {{"NAME", "name"},
+                           {"VERSION", "version"},
+                           {"ACCOUNT", "account"},
+                           {"STARTS AT MS", "starts_at_ms"},
+                           {"SHAPES", "shapes"}});
        }},
       {"events", "show", "NAME", "One event.",
        "thornplankctl events show morning", 1,
--- a/src/app/thornplankctl/instance_commands.cc
+++ b/src/app/thornplankctl/instance_commands.cc
@@ -8,26 +8,15 @@
 namespace {
 
 int List(const CommandContext& context) {
-  Json answer;
-  const int code =
-      CallApi(context, "GET", "/v1/instances", "", HttpHeaders(), &answer);
-  if (code != kExitOk) return code;
-  if (context.json) {
-    PrintJson(answer);
-    return kExitOk;
-  }
-  TablePrinter table({"NAME", "KIND", "STATE", "ADDRESS", "FAILURE DOMAIN",
-                      "RACK", "ACCELERATORS", "SLOTS"});
-  if (const Json* instances = ArrayField(answer, "instances")) {
-    for (const Json& instance : *instances) {
-      table.AddRow({Cell(instance, "name"), Cell(instance, "kind"),
-                    Cell(instance, "state"), Cell(instance, "address"),
-                    Cell(instance, "failure_domain"), Cell(instance, "rack"),
-                    Cell(instance, "accelerators"), Cell(instance, "slots")});
-    }
-  }
-  std::cout << table.ToText();
-  return kExitOk;
+  return PrintList(context, "/v1/instances", "instances",
+                   {{"NAME", "name"},
+                    {"KIND", "kind"},
+                    {"STATE", "state"},
+                    {"ADDRESS", "address"},
+                    {"FAILURE DOMAIN", "failure_domain"},
+                    {"RACK", "rack"},
+                    {"ACCELERATORS", "accelerators"},
+                    {"SLOTS", "slots"}});
 }
 
 int ChangeDrain(const CommandContext& context, const std::string& method,
--- a/src/app/thornplankctl/job_commands.cc
+++ b/src/app/thornplankctl/job_commands.cc
@@ -3,7 +3,6 @@
 #include <iostream>
 #include <thread>
 
-#include "client/table_printer.h"
 #include "command.h"
 
 namespace thornplank {
@@ -51,24 +50,14 @@
 int List(const CommandContext& context) {
   std::string target = "/v1/jobs";
   if (!context.arguments.empty()) target += "?account=" + context.arguments[0];
-  Json answer;
-  const int code = CallApi(context, "GET", target, "", HttpHeaders(), &answer);
-  if (code != kExitOk) return code;
-  if (context.json) {
-    PrintJson(answer);
-    return kExitOk;
-  }
-  TablePrinter table({"ID", "ACCOUNT", "PHASE", "MEMBERS", "ACCELERATORS",
-                      "PRIORITY", "REASON"});
-  if (const Json* jobs = ArrayField(answer, "jobs")) {
-    for (const Json& job : *jobs) {
-      table.AddRow({Cell(job, "id"), Cell(job, "account"), Cell(job, "phase"),
-                    Cell(job, "members"), Cell(job, "accelerators"),
-                    Cell(job, "priority"), Cell(job, "reason")});
-    }
-  }
-  std::cout << table.ToText();
-  return kExitOk;
+  return PrintList(context, target, "jobs",
+                   {{"ID", "id"},
+                    {"ACCOUNT", "account"},
+                    {"PHASE", "phase"},
+                    {"MEMBERS", "members"},
+                    {"ACCELERATORS", "accelerators"},
+                    {"PRIORITY", "priority"},
+                    {"REASON", "reason"}});
 }
 
 int Cancel(const CommandContext& context) {
--- a/src/app/thornplankctl/settings_commands.cc
+++ b/src/app/thornplankctl/settings_commands.cc
@@ -130,23 +130,13 @@
 int History(const CommandContext& context) {
   std::string target = "/v1/settings-history";
   if (!context.arguments.empty()) target += "?path=" + context.arguments[0];
-  Json answer;
-  const int code = CallApi(context, "GET", target, "", HttpHeaders(), &answer);
-  if (code != kExitOk) return code;
-  if (context.json) {
-    PrintJson(answer);
-    return kExitOk;
-  }
-  TablePrinter table({"OFFSET", "TIME_MS", "BY", "PATH", "VERSION", "VALUE"});
-  if (const Json* changes = ArrayField(answer, "changes")) {
-    for (const Json& change : *changes) {
-      table.AddRow({Cell(change, "offset"), Cell(change, "time_ms"),
-                    Cell(change, "by"), Cell(change, "path"),
-                    Cell(change, "version"), Cell(change, "value")});
-    }
-  }
-  std::cout << table.ToText();
-  return kExitOk;
+  return PrintList(context, target, "changes",
+                   {{"OFFSET", "offset"},
+                    {"TIME_MS", "time_ms"},
+                    {"BY", "by"},
+                    {"PATH", "path"},
+                    {"VERSION", "version"},
+                    {"VALUE", "value"}});
 }
 
 // The settings offset that `entry` has folded; nullopt without an answer.
