Ask a worker early and often while a checkpoint is under way

Cause: the end of a checkpoint showed only in the next renewal, so a guaranteed or urgent job with everything full waited for a renewal interval (3 s as shipped) on top of the checkpoint.

Ruled out: the log, the placement and the stop; the log of the coordinator showed 2.7 to 3 s between the order to checkpoint and the order to stop, and a few ms for the rest.

The new case of tst_gang_executor failed without the change; tst_gang_executor, tst_coordinator and the three tst_jobs_* pass. The end of a task that finishes by itself still shows only at the next renewal.

--- a/src/libs/jobs/gang_executor.cc
+++ b/src/libs/jobs/gang_executor.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kMaxBackoffDoublings = 3;
+// Asking again after this part of what a checkpoint has taken so far adds no
+// larger part to it, and few calls.
+constexpr int kCheckpointProbeShare = 4;
 
 const LeaseReport* FindLease(const WorkerReport& report,
                              const std::string& lease_id) {
@@ -229,7 +232,7 @@
 
 WorkerCall GangExecutor::RenewCall(Slot* slot, Time now) {
   WorkerCall call;
-  slot->renew_at = now + RenewalDelay(*slot);
+  slot->renew_at = now + RenewalDelay(*slot, now);
   call.lease_ids = Matching(slot->leases, [](const Lease& lease) {
     return lease.confirmed && lease.want != Want::kStopped;
   });
@@ -301,7 +304,7 @@
     case WorkerCall::Kind::kGrant:
       GrantSucceeded(call, slot, events);
       // An idle worker was to be asked much later than a lease needs.
-      slot->renew_at = std::min(slot->renew_at, now + RenewalDelay(*slot));
+      slot->renew_at = std::min(slot->renew_at, now + RenewalDelay(*slot, now));
       break;
     case WorkerCall::Kind::kLiftThrottle:
       for (const std::string& id : call.lease_ids) {
@@ -312,8 +315,11 @@
     case WorkerCall::Kind::kCheckpoint:
       for (const std::string& id : call.lease_ids) {
         const auto lease = slot->leases.find(id);
-        if (lease != slot->leases.end()) lease->second.checkpoint_told = true;
+        if (lease == slot->leases.end()) continue;
+        lease->second.checkpoint_told = true;
+        lease->second.checkpoint_told_at = now;
       }
+      slot->renew_at = std::min(slot->renew_at, now + RenewalDelay(*slot, now));
       break;
     case WorkerCall::Kind::kStop:
       StopSucceeded(call, report, slot, now, events);
@@ -420,9 +426,17 @@
   events->push_back(WorkerWentSilent{worker, slot->lapse_at});
 }
 
-Duration GangExecutor::RenewalDelay(const Slot& slot) {
-  const Duration interval = slot.leases.empty() ? settings_.idle_probe_interval
-                                                : settings_.renewal_interval;
+// Short while a checkpoint is under way: what waits for its accelerators is
+// not to wait for a renewal as well.
+Duration GangExecutor::RenewalDelay(const Slot& slot, Time now) {
+  Duration interval = slot.leases.empty() ? settings_.idle_probe_interval
+                                          : settings_.renewal_interval;
+  for (const auto& [id, lease] : slot.leases) {
+    if (lease.want != Want::kCheckpointed || !lease.checkpoint_told) continue;
+    const Duration taken = now - lease.checkpoint_told_at;
+    interval = std::min(interval, std::max(settings_.min_checkpoint_probe,
+                                           taken / kCheckpointProbeShare));
+  }
   std::uniform_real_distribution<double> jitter(-settings_.renewal_jitter,
                                                 settings_.renewal_jitter);
   return std::chrono::duration_cast<Duration>(interval *
--- a/src/libs/jobs/gang_executor.h
+++ b/src/libs/jobs/gang_executor.h
@@ -73,6 +73,8 @@
     int grants_sent = 0;
     bool lifted = false;
     bool checkpoint_told = false;
+    // Meaningful once checkpoint_told.
+    Time checkpoint_told_at;
     // The latest moment at which a grant or renewal of it was sent.
     Time extended_at;
     // A stop that left it there is repeated from then on.
@@ -119,7 +121,7 @@
                    const std::string& reason, Slot* slot, WorkerEvents* events);
   void Lose(const std::string& worker, Slot* slot, Time now,
             WorkerEvents* events);
-  Duration RenewalDelay(const Slot& slot);
+  Duration RenewalDelay(const Slot& slot, Time now);
 
   const int64_t epoch_;
   const LeaseSettings settings_;
--- a/src/libs/jobs/job_manager_settings.h
+++ b/src/libs/jobs/job_manager_settings.h
@@ -34,6 +34,9 @@
   double renewal_jitter = 0.1;
   // A worker without leases is asked for its report this often.
   Duration idle_probe_interval = std::chrono::seconds(20);
+  // While a checkpoint is under way its worker is asked again after a quarter
+  // of the time that it has taken so far, and not before this.
+  Duration min_checkpoint_probe = std::chrono::milliseconds(50);
   Duration call_timeout = std::chrono::seconds(2);
   Duration retry_delay = std::chrono::milliseconds(200);
   // A worker is lost after this many failed calls in a row and this long
--- a/tests/auto/jobs/tst_gang_executor.cc
+++ b/tests/auto/jobs/tst_gang_executor.cc
@@ -164,6 +164,22 @@
   CHECK(rig.fake.calls.back().lease_ids.size() == 2);
 }
 
+TEST_CASE("a checkpoint under way is asked for soon, and ever more rarely") {
+  Rig rig;
+  rig.Grant("g");
+  rig.Settle();
+  rig.executor.Lift("g");
+  rig.Settle();
+  rig.executor.Checkpoint("g");
+  rig.Settle();
+  const int before = rig.fake.count(Kind::kRenew);
+  rig.Run(milliseconds(1000));
+  const int soon = rig.fake.count(Kind::kRenew) - before;
+  CHECK(soon >= 2 * 6);
+  rig.Run(milliseconds(60000));
+  CHECK(rig.fake.count(Kind::kRenew) - before <= 2 * 40);
+}
+
 TEST_CASE("the first lease of an idle worker is renewed in time") {
   Rig rig;
   rig.Run(milliseconds(1000));
