Say which member two positional settings mean in the membership test

clang-tidy found braces left out (clang-diagnostic-missing-braces) in tst_membership_manager.cc and bench_heartbeat.cc. GCC gave no warning. Ruled out: braces that keep the accidental meaning. Conclusion: no product code was concerned; entries name their members.

--- a/benchmarks/bench_heartbeat.cc
+++ b/benchmarks/bench_heartbeat.cc
@@ -35,7 +35,10 @@
   Entry(boost::asio::io_context& io, const std::string& name)
       : mesh(io, Settings(name)),
         members(io, mesh,
-                {name, name + "-1", "domain", Milliseconds(FLAGS_interval_ms),
+                {name,
+                 name + "-1",
+                 "domain",
+                 {Milliseconds(FLAGS_interval_ms)},
                  Milliseconds(5000)}) {
     members.SetOffsets([] {
       return Json{{"settings", 1200}, {"jobs", 1500000}, {"claims", 9000000}};
--- a/tests/auto/peers/tst_membership_manager.cc
+++ b/tests/auto/peers/tst_membership_manager.cc
@@ -22,7 +22,10 @@
         const std::string& incarnation)
       : mesh(io, Settings(name, incarnation)),
         members(io, mesh,
-                {name, incarnation, "domain", Milliseconds(50),
+                {name,
+                 incarnation,
+                 "domain",
+                 {Milliseconds(50)},
                  Milliseconds(2000)}) {}
 
   static PeerMeshSettings Settings(const std::string& name,
