Keep one free slot from borrowers while a guaranteed account is active

Cause: with 28 slots of 200 ms at an entry a slot frees each 7 ms; a request within its guarantee waited for it at p99 behind an account that floods. Ruled out: the order of the queue (guarantees go first already); moves after refusals. Change: a borrower leaves the last free slot of an entry with 16 slots or more while another account with requests in flight is below its guarantee there. Without it the new test fails (15 in place of 14).

--- a/src/libs/routing/fair_queue.cc
+++ b/src/libs/routing/fair_queue.cc
@@ -141,6 +141,19 @@
   return *best_name;
 }
 
+bool FairQueue::BorrowsFromActive(const std::string& account) const {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end() ||
+      found->second.in_flight < found->second.guaranteed_here) {
+    return false;
+  }
+  return std::any_of(accounts_.begin(), accounts_.end(), [&](const auto& item) {
+    const Account& other = item.second;
+    return item.first != account && other.in_flight > 0 &&
+           other.in_flight < other.guaranteed_here;
+  });
+}
+
 std::optional<QueuedRequest> FairQueue::Take(
     const std::string& account, const std::function<bool(uint64_t)>& eligible) {
   Account& target = accounts_[account];
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -86,6 +86,9 @@
   // `blocked` are passed over.
   std::optional<std::string> Next(
       const std::vector<std::string>& blocked) const;
+  // Whether a further request of the account would borrow while another account
+  // with requests in flight has not used its guarantee up.
+  bool BorrowsFromActive(const std::string& account) const;
   // Takes the first request of the account that `eligible` accepts, looking at
   // a bounded number. nullopt when there is none.
   std::optional<QueuedRequest> Take(
--- a/src/libs/routing/service_router.cc
+++ b/src/libs/routing/service_router.cc
@@ -32,6 +32,8 @@
 constexpr Duration kShortestRetryAfter = milliseconds(200);
 constexpr Duration kShortestSpread = seconds(1);
 constexpr Duration kLongestRetryAfter = seconds(60);
+// An entry with fewer slots keeps none free for guarantees.
+constexpr int kLeastToKeepOne = 16;
 
 Duration Scale(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(
@@ -196,6 +198,9 @@
   if (!account.has_value()) {
     return false;
   }
+  if (KeepsSlotFrom(*account)) {
+    return false;
+  }
   const auto fits = [&](uint64_t handle) {
     return table_->At(handle)->executor != executor->info.name;
   };
@@ -228,6 +233,12 @@
   return true;
 }
 
+bool ServiceRouter::KeepsSlotFrom(const std::string& account) const {
+  const int usable = pool_.usable_slots();
+  return usable >= kLeastToKeepOne && usable - pool_.in_flight() <= 1 &&
+         queue_.BorrowsFromActive(account);
+}
+
 void ServiceRouter::Send(RoutedRequest* request, Executor* executor, Time now,
                          RoutingActions* actions) {
   const std::string& account = request->info.account;
--- a/src/libs/routing/service_router.h
+++ b/src/libs/routing/service_router.h
@@ -80,6 +80,9 @@
   double ExpectedSlots(const std::string& account) const;
   bool DispatchOne(Time now, std::vector<std::string>* blocked,
                    RoutingActions* actions);
+  // Whether the last free slot is kept from an account that would borrow it,
+  // for the next request of an account below its guarantee.
+  bool KeepsSlotFrom(const std::string& account) const;
   void Send(RoutedRequest* request, Executor* executor, Time now,
             RoutingActions* actions);
   void ShedHopeless(Time now, RoutingActions* actions);
--- a/tests/auto/routing/tst_request_router.cc
+++ b/tests/auto/routing/tst_request_router.cc
@@ -169,6 +169,24 @@
   CHECK(fixture.router.demand().accounts[0].queued == 0);
 }
 
+TEST_CASE("borrowing leaves the last slot to an active guaranteed account") {
+  RequestRouter router(RouterOptions{});
+  router.SetAccounts({MakeAccount("a", 4), MakeAccount("b")}, At(0));
+  router.SetExecutors(MakeExecutors(2, 8), At(0));
+  router.SetPeers("entry-1", {}, At(0));
+  const auto sent = [&router](const std::string& id, const char* account) {
+    return Only<SendAttempt>(
+               router.Submit(MakeRequest(id, account, At(9000)), At(1)))
+        .size();
+  };
+  CHECK(sent("a-1", "a") == 1);
+  size_t borrowed = 0;
+  for (int i = 0; i < 20; ++i) borrowed += sent("b-" + std::to_string(i), "b");
+  CHECK(borrowed == 14);
+  CHECK(sent("a-2", "a") == 1);
+  CHECK(sent("a-3", "a") == 0);
+}
+
 TEST_CASE("a total outage does not multiply attempts") {
   struct Row {
     AttemptOutcome outcome;
