--- a/benchmarks/bench_requests.cc
+++ b/benchmarks/bench_requests.cc
@@ -7,6 +7,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -14,6 +15,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "base/json.h"
@@ -131,6 +133,7 @@
 
 std::vector<std::string> RequestBenchmark::EntryAddresses() const {
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<size_t>(FLAGS_entries));
   for (int i = 0; i < FLAGS_entries; ++i) {
     addresses.push_back(cluster_.entry_address(i));
   }
@@ -139,6 +142,7 @@
 
 std::vector<std::string> RequestBenchmark::ExecutorAddresses() const {
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<size_t>(FLAGS_executors));
   for (int i = 0; i < FLAGS_executors; ++i) {
     addresses.push_back(cluster_.executor_address(i));
   }
@@ -209,8 +213,8 @@
 bool RequestBenchmark::SetServiceTimes(bool burst, int service_ms) {
   for (int i = 0; i < FLAGS_executors; ++i) {
     const int late_ms = burst ? BurstServiceMs(i) : service_ms;
-    if (!cluster_.Control(cluster_.executor_address(i), {{"late_ms", late_ms}}))
-      return false;
+    const std::string address = cluster_.executor_address(i);
+    if (!cluster_.Control(address, {{"late_ms", late_ms}})) return false;
   }
   return true;
 }
@@ -241,6 +245,7 @@
     return Metric(entry, "process_cpu_seconds_total").value_or(0);
   };
   std::vector<double> before;
+  before.reserve(static_cast<size_t>(FLAGS_entries));
   const Time begun = std::chrono::steady_clock::now();
   for (int i = 0; i < FLAGS_entries; ++i) before.push_back(processor_time(i));
   std::this_thread::sleep_for(Milliseconds(FLAGS_idle_ms));
--- a/benchmarks/load_figures.cc
+++ b/benchmarks/load_figures.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <iostream>
+#include <utility>
 
 namespace thornplank {
 namespace {
@@ -74,6 +75,7 @@
   if (rounds.empty()) return medians;
   for (const auto& [key, unused] : rounds.front().items()) {
     std::vector<double> values;
+    values.reserve(rounds.size());
     for (const Json& round : rounds) values.push_back(round[key].get<double>());
     medians[key] = Quantile(std::move(values), 0.5);
   }
