--- a/src/libs/requests/request_manager.cc
+++ b/src/libs/requests/request_manager.cc
@@ -29,6 +29,8 @@
 constexpr int kUnprocessable = 422;
 constexpr int kGatewayTimeout = 504;
 constexpr char kRoute[] = "/v1/services/{service}/requests";
+// An entry that starts learns the settings and the executors within seconds.
+constexpr Duration kRetryWithoutState = std::chrono::seconds(1);
 constexpr Duration kDrainCheckInterval = Milliseconds(20);
 // With the log down, its last records may never be appended.
 constexpr Duration kMaxDrainForRecords = std::chrono::seconds(3);
@@ -91,12 +93,15 @@
   std::optional<CallerRequest> Read(const HttpRequest& request,
                                     const Caller& caller,
                                     const std::string& service,
+                                    bool names_known,
                                     RequestFault* fault) const;
+  std::string MissingState() const;
   std::optional<RequestFault> CheckNames(const std::string& account,
                                          const std::string& service) const;
   std::string NextRequestId();
   void Acquire(const ExchangePtr& exchange);
   void HandleVerdict(const ExchangePtr& exchange, ClaimVerdict verdict);
+  void RefuseForNow(const ExchangePtr& exchange, const std::string& reason);
   void RefuseUnclaimed(const ExchangePtr& exchange,
                        const ClaimVerdict& verdict);
   void Submit(const ExchangePtr& exchange);
@@ -120,6 +125,8 @@
   // Guards everything below; no other lock is taken while it is held.
   mutable std::mutex mutex_;
   std::set<std::string> accounts_;
+  // Accounts have been set once.
+  bool accounts_known_ = false;
   // Every service that an executor ever had: one whose executors are all gone
   // is not unknown.
   std::set<std::string> services_;
@@ -157,14 +164,20 @@
   exchange->arrival = std::chrono::steady_clock::now();
   exchange->respond = std::move(respond);
   const auto service = parameters.find("service");
+  const std::string missing = MissingState();
   RequestFault fault;
-  auto read = Read(request, caller,
-                   service == parameters.end() ? "" : service->second, &fault);
+  auto read =
+      Read(request, caller, service == parameters.end() ? "" : service->second,
+           /*names_known=*/missing.empty(), &fault);
   if (!read) {
     Refuse(exchange, fault);
     return;
   }
   exchange->request = std::move(*read);
+  if (!missing.empty()) {
+    RefuseForNow(exchange, missing);
+    return;
+  }
   exchange->deadline = exchange->arrival + exchange->request.time_allowed;
   if (exchange->request.idempotent()) {
     Submit(exchange);
@@ -175,12 +188,14 @@
 
 std::optional<CallerRequest> RequestManager::Impl::Read(
     const HttpRequest& request, const Caller& caller,
-    const std::string& service, RequestFault* fault) const {
+    const std::string& service, bool names_known, RequestFault* fault) const {
   if (caller.role == Role::kViewer) {
     *fault = {kForbidden, "Not allowed", "a viewer may not send requests"};
     return std::nullopt;
   }
-  if (auto unknown = CheckNames(caller.account, service)) {
+  std::optional<RequestFault> unknown;
+  if (names_known) unknown = CheckNames(caller.account, service);
+  if (unknown) {
     *fault = std::move(*unknown);
     return std::nullopt;
   }
@@ -188,6 +203,14 @@
                            ToLimits(settings_), fault);
 }
 
+// Until then a name that is missing proves nothing about the request.
+std::string RequestManager::Impl::MissingState() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!accounts_known_) return "the settings are not known here yet";
+  if (services_.empty()) return "no executor is known here yet";
+  return "";
+}
+
 std::optional<RequestFault> RequestManager::Impl::CheckNames(
     const std::string& account, const std::string& service) const {
   std::lock_guard<std::mutex> lock(mutex_);
@@ -245,6 +268,20 @@
   }
 }
 
+void RequestManager::Impl::RefuseForNow(const ExchangePtr& exchange,
+                                        const std::string& reason) {
+  if (exchange->request.idempotent()) {
+    Answer(exchange, NotRunResponse(exchange->id, reason, kRetryWithoutState),
+           kOutcomeNotRun);
+    return;
+  }
+  ClaimVerdict verdict;
+  verdict.kind = ClaimVerdictKind::kNotRun;
+  verdict.reason = reason;
+  verdict.retry_after = kRetryWithoutState;
+  RefuseUnclaimed(exchange, verdict);
+}
+
 // This request was not sent. But without a claim of its own in the log it is
 // not known whether an earlier request of the key was.
 void RequestManager::Impl::RefuseUnclaimed(const ExchangePtr& exchange,
@@ -367,6 +404,7 @@
     const std::vector<AccountLimits>& accounts) {
   dispatcher_.SetAccounts(accounts);
   std::lock_guard<std::mutex> lock(mutex_);
+  accounts_known_ = true;
   accounts_.clear();
   for (const AccountLimits& limits : accounts) {
     accounts_.insert(limits.account);
