Let a checkpointed job go on from its checkpoint

Cause: progress_ms of a worker's report was not read, so that a gang which was saved for a reclaim, an event or a drain started again with its whole task. Now the least progress over the members of a completed checkpoint is added to the job's saved progress, goes with its phase records, and reduces run_ms of the next grant, which names the sum as resume_progress_ms. A checkpoint that hung on a member, or that a member does not report progress of, adds nothing. A takeover counts a checkpoint which completed unrecorded, once, and stops a gang with saved members also when the stream says that it runs; before, such a gang kept its leases without running. Ruled out: the part of each checkpoint in the record, added up by the fold, since a repeat would count twice and a task would leave work out. Measured: no times or rates. Of the older epoch's record the guard of the fold was already there and was not switched off. Not tested: progress_ms in the answer of GET /v1/jobs/{id}, and the whole way over real processes.

--- a/src/libs/jobs/coordinator.cc
+++ b/src/libs/jobs/coordinator.cc
@@ -27,6 +27,27 @@
   return names;
 }
 
+// The task from where the job's checkpoints left it. A job without any gets
+// its task as it was submitted.
+Json RemainingTask(const Json& task, Milliseconds progress) {
+  if (progress <= Milliseconds(0)) return task;
+  Json remaining = task.is_object() ? task : Json::object();
+  remaining["resume_progress_ms"] = progress.count();
+  const std::optional<int64_t> run = IntField(task, "run_ms");
+  if (run) {
+    remaining["run_ms"] = std::max<int64_t>(*run - progress.count(), 0);
+  }
+  return remaining;
+}
+
+const LeaseReport* FindLease(const WorkerReport& report,
+                             const std::string& lease_id) {
+  for (const LeaseReport& lease : report.leases) {
+    if (lease.lease_id == lease_id) return &lease;
+  }
+  return nullptr;
+}
+
 bool HasMember(const AdoptedGang& gang, const std::string& lease_id) {
   return std::any_of(
       gang.members.begin(), gang.members.end(),
@@ -69,9 +90,10 @@
     return;
   }
   const JobSpec& spec = entry.request.spec;
-  KnownJob known{spec.account, entry.request.task, entry.revision};
+  KnownJob known{spec.account, entry.request.task, entry.revision,
+                 entry.progress};
   if (!jobs_.emplace(spec.id, std::move(known)).second) return;
-  Carry(scheduler_.Submit(spec, now), now);
+  Carry(scheduler_.Submit(spec, now, entry.progress), now);
 }
 
 void Coordinator::Cancel(const std::string& job, Time now) {
@@ -181,7 +203,11 @@
       gang.job = lease.job_id;
       gang.gang_id = lease.gang_id;
       gang.members.push_back({worker, lease.lease_id, lease.accelerators});
-      if (lease.state == LeaseState::kThrottled) {
+      const bool saving = lease.state == LeaseState::kCheckpointing ||
+                          lease.state == LeaseState::kCheckpointed;
+      const bool held_back = lease.state == LeaseState::kThrottled;
+      if (saving) gang.phase = JobPhase::kCheckpointing;
+      if (held_back && gang.phase != JobPhase::kCheckpointing) {
         gang.phase = JobPhase::kStarting;
       }
       executor_.Adopt(worker, lease, now);
@@ -236,9 +262,32 @@
   const bool is_current = entry->gang_id == gang->gang_id;
   const bool ordered_away = entry->phase == JobPhase::kCheckpointing ||
                             entry->phase == JobPhase::kStopping;
+  if (is_current) gang->saved_progress = UncountedProgress(*entry, *gang);
   if (is_current && ordered_away) gang->phase = entry->phase;
 }
 
+// The least progress when every member reports that its state is saved. A gang
+// that the stream holds as stopping has its checkpoint counted already.
+std::optional<Duration> Coordinator::UncountedProgress(
+    const JobEntry& entry, const AdoptedGang& gang) const {
+  if (entry.phase != JobPhase::kRunning &&
+      entry.phase != JobPhase::kCheckpointing) {
+    return std::nullopt;
+  }
+  std::optional<Duration> least;
+  for (const GangMember& member : gang.members) {
+    const auto heard = heard_.find(member.worker);
+    if (heard == heard_.end()) return std::nullopt;
+    const LeaseReport* lease = FindLease(heard->second.report, member.lease_id);
+    if (lease == nullptr || lease->state != LeaseState::kCheckpointed ||
+        !lease->progress) {
+      return std::nullopt;
+    }
+    least = std::min(least.value_or(*lease->progress), *lease->progress);
+  }
+  return least;
+}
+
 // After a takeover the stream may say that a job has a gang which is nowhere,
 // or not know of one whose record was lost with the predecessor.
 void Coordinator::ResyncRecords(const JobEntry& entry) {
@@ -255,8 +304,8 @@
   } else if (status->phase == entry.phase) {
     return;
   }
-  records_.push_back(
-      PhaseRecord{epoch_, ++revision, id, status->phase, status->reason});
+  records_.push_back(PhaseRecord{epoch_, ++revision, id, status->phase,
+                                 status->reason, known->second.progress});
 }
 
 void Coordinator::Handle(const WorkerEvents& worker_events, Time now) {
@@ -332,7 +381,9 @@
                                  {"gang", action.gang_id},
                                  {"workers", WorkerNames(action.members)},
                                  {"reason", action.reason}});
-  Handle(executor_.Grant(action, job.account, job.task, now), now);
+  Handle(executor_.Grant(action, job.account,
+                         RemainingTask(job.task, job.progress), now),
+         now);
 }
 
 void Coordinator::CarryOne(const LiftThrottle& action, Time) {
@@ -371,8 +422,11 @@
   if (action.phase == JobPhase::kStarting) return;
   const auto known = jobs_.find(action.job);
   if (known == jobs_.end()) return;
-  records_.push_back(PhaseRecord{epoch_, ++known->second.revision, action.job,
-                                 action.phase, action.reason});
+  KnownJob& job = known->second;
+  job.progress =
+      std::chrono::duration_cast<Milliseconds>(action.saved_progress);
+  records_.push_back(PhaseRecord{epoch_, ++job.revision, action.job,
+                                 action.phase, action.reason, job.progress});
   if (IsFinal(action.phase)) jobs_.erase(known);
 }
 
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -71,6 +71,8 @@
     std::string account;
     Json task;
     int64_t revision = 0;
+    // Saved by checkpoints that completed on every member.
+    Milliseconds progress{0};
   };
 
   bool TakeoverDone(Time now) const;
@@ -80,6 +82,8 @@
                          std::map<std::string, AdoptedGang>* gangs);
   void SettlePhase(const JobStreamFold& fold, WallTime wall_now,
                    AdoptedGang* gang) const;
+  std::optional<Duration> UncountedProgress(const JobEntry& entry,
+                                            const AdoptedGang& gang) const;
 
   void ResyncRecords(const JobEntry& entry);
 
--- a/src/libs/jobs/job_routes.cc
+++ b/src/libs/jobs/job_routes.cc
@@ -212,6 +212,7 @@
   json["phase"] = std::string(JobPhaseName(entry.phase));
   json["reason"] = entry.reason;
   json["attempts"] = entry.attempts;
+  json["progress_ms"] = entry.progress.count();
   json["gang_id"] = entry.gang_id;
   json["gang"] = EncodeMembers(entry.members);
   json["submitted_ms"] = TimeToJson(entry.submitted_at);
--- a/src/libs/platform/worker_client.cc
+++ b/src/libs/platform/worker_client.cc
@@ -10,6 +10,8 @@
 
 constexpr int kConflict = 409;
 constexpr int kInsufficientStorage = 507;
+// Far above any run time; a larger number is taken for garbage.
+constexpr int64_t kMaxProgressMs = int64_t{10} * 366 * 24 * 3600 * 1000;
 
 struct StateName {
   LeaseState state;
@@ -50,6 +52,14 @@
   return token;
 }
 
+std::optional<Duration> ReadProgress(const Json& item) {
+  const std::optional<int64_t> progress = IntField(item, "progress_ms");
+  if (!progress || *progress < 0 || *progress > kMaxProgressMs) {
+    return std::nullopt;
+  }
+  return Milliseconds(*progress);
+}
+
 std::optional<LeaseReport> ReadLease(const Json& item) {
   const auto id = StringField(item, "lease_id");
   const auto state = ParseState(StringField(item, "state").value_or(""));
@@ -63,6 +73,7 @@
   lease.reason = StringField(item, "reason").value_or("");
   lease.accelerators =
       static_cast<int>(IntField(item, "accelerators").value_or(0));
+  lease.progress = ReadProgress(item);
   return lease;
 }
 
--- a/src/libs/platform/worker_client.h
+++ b/src/libs/platform/worker_client.h
@@ -62,6 +62,9 @@
   int accelerators = 0;
   // Readable cause of kFailed.
   std::string reason;
+  // How far the task has come since the start of this lease; nullopt when the
+  // worker does not say. Saved only in state kCheckpointed.
+  std::optional<Duration> progress;
 };
 
 struct WorkerReport {
--- a/src/libs/scheduling/gang.cc
+++ b/src/libs/scheduling/gang.cc
@@ -1,5 +1,6 @@
 #include "scheduling/gang.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace thornplank {
@@ -24,4 +25,15 @@
   if (state == MemberState::kConfirmed) record.confirmed_at = now;
 }
 
+std::optional<Duration> Gang::LeastSavedProgress() const {
+  std::optional<Duration> least;
+  for (const MemberRecord& record : members_) {
+    if (record.state != MemberState::kCheckpointed) continue;
+    if (!record.saved_progress) return std::nullopt;
+    least = std::min(least.value_or(*record.saved_progress),
+                     *record.saved_progress);
+  }
+  return least;
+}
+
 }  // namespace thornplank
--- a/src/libs/scheduling/gang.h
+++ b/src/libs/scheduling/gang.h
@@ -33,6 +33,9 @@
   WorkerIndex worker = kNoWorker;
   MemberState state = MemberState::kPending;
   Time confirmed_at;
+  // Progress since the start of the gang, as saved; set with kCheckpointed
+  // when the worker reports it.
+  std::optional<Duration> saved_progress;
   // Set while the worker is lost: the lease is gone from then on.
   std::optional<Time> lapses_at;
 };
@@ -53,6 +56,12 @@
     return counts_[static_cast<int>(state)];
   }
   void SetState(int member, MemberState state, Time now);
+  void SetSavedProgress(int member, std::optional<Duration> progress) {
+    members_[member].saved_progress = progress;
+  }
+  // The least over the members that saved their state; nullopt when one of
+  // them did not report it. A finished member has nothing to go on with.
+  std::optional<Duration> LeastSavedProgress() const;
   void SetLapse(int member, std::optional<Time> lapses_at) {
     members_[member].lapses_at = lapses_at;
   }
--- a/src/libs/scheduling/gang_lifecycle.cc
+++ b/src/libs/scheduling/gang_lifecycle.cc
@@ -197,6 +197,7 @@
     case LeaseState::kCheckpointed:
       if (known == MemberState::kCheckpointed) return;
       gangs_.SetState(gang, member, MemberState::kCheckpointed, now);
+      gang.SetSavedProgress(member, lease.progress);
       CheckpointedIfAll(gang, now, actions);
       return;
     case LeaseState::kFinished:
--- a/src/libs/scheduling/job_record.h
+++ b/src/libs/scheduling/job_record.h
@@ -40,8 +40,11 @@
   // Workers on which an attempt failed by itself.
   std::vector<WorkerIndex> failed_on;
   std::string last_failure;
-  // Run time kept by checkpoints.
+  // Run time kept by checkpoints, for the expected run time: as reported, or
+  // the time run when a worker did not report it.
   Duration saved_run_time = Duration::zero();
+  // The part of it that all members reported: the next attempt begins there.
+  Duration saved_progress = Duration::zero();
   // Not placed before, after a failed start.
   Time not_before;
 };
--- a/src/libs/scheduling/job_scheduler.cc
+++ b/src/libs/scheduling/job_scheduler.cc
@@ -34,8 +34,9 @@
   return impl_->Decide(now);
 }
 
-SchedulerActions JobScheduler::Submit(const JobSpec& spec, Time now) {
-  JobRecord* job = impl_->Submit(spec, now);
+SchedulerActions JobScheduler::Submit(const JobSpec& spec, Time now,
+                                      Duration saved_progress) {
+  JobRecord* job = impl_->Submit(spec, saved_progress, now);
   if (!job) return {};
   return impl_->DecideFor(*job, now);
 }
@@ -114,6 +115,7 @@
   status.gang_id = job->gang_id;
   status.attempts = job->attempts;
   status.guaranteed = job->use.has_value();
+  status.saved_progress = job->saved_progress;
   const Gang* gang = impl_->state().gangs.Find(job->gang_id);
   if (!gang) return status;
   for (const MemberRecord& record : gang->members()) {
--- a/src/libs/scheduling/job_scheduler.h
+++ b/src/libs/scheduling/job_scheduler.h
@@ -87,6 +87,9 @@
   JobPhase phase = JobPhase::kRunning;
   // How long the gang has run; zero when unknown.
   Duration ran_for = Duration::zero();
+  // Set when every member has saved its state and the job does not count it
+  // yet: the least progress over the members. The gang is stopped.
+  std::optional<Duration> saved_progress;
 };
 
 // What is known about one job, for callers and operators.
@@ -101,6 +104,9 @@
   int attempts = 0;
   // Whether the gang uses its account's own guarantee.
   bool guaranteed = false;
+  // Run time saved by the checkpoints that completed on every member; a gang
+  // that starts begins there.
+  Duration saved_progress = Duration::zero();
 };
 
 class JobScheduler {
@@ -122,8 +128,10 @@
   SchedulerActions SetEvents(const std::vector<EventReservation>& events,
                              Time now);
 
-  // Takes a job in. A repeat of a known id changes nothing.
-  SchedulerActions Submit(const JobSpec& job, Time now);
+  // Takes a job in. A repeat of a known id changes nothing. `saved_progress`
+  // is what checkpoints under an earlier coordinator saved.
+  SchedulerActions Submit(const JobSpec& job, Time now,
+                          Duration saved_progress = Duration::zero());
   // No start after this. A running gang is stopped; the phase becomes
   // kCancelled when no lease of it is left.
   SchedulerActions Cancel(const std::string& job, Time now);
--- a/src/libs/scheduling/scheduler_actions.h
+++ b/src/libs/scheduling/scheduler_actions.h
@@ -56,6 +56,8 @@
   std::string job;
   JobPhase phase = JobPhase::kWaiting;
   std::string reason;
+  // JobStatus::saved_progress at this moment.
+  Duration saved_progress = Duration::zero();
 };
 
 // A guarantee or an event that cannot be served whole now. An empty `text`
--- a/src/libs/scheduling/scheduler_core.cc
+++ b/src/libs/scheduling/scheduler_core.cc
@@ -17,13 +17,16 @@
       lifecycle_(state_.options, state_.gangs, *this),
       reclaimer_(state_, *this) {}
 
-JobRecord* SchedulerCore::Submit(const JobSpec& spec, Time now) {
+JobRecord* SchedulerCore::Submit(const JobSpec& spec, Duration saved_progress,
+                                 Time now) {
   const auto [entry, is_new] = state_.jobs.emplace(spec.id, nullptr);
   if (!is_new) return nullptr;
   entry->second = std::make_unique<JobRecord>();
   JobRecord& job = *entry->second;
   job.spec = spec;
   job.submitted_at = now;
+  job.saved_run_time = saved_progress;
+  job.saved_progress = saved_progress;
   job.reason = "submitted";
   const size_t known_classes = state_.classes.size();
   job.job_class = state_.ClassFor(spec);
@@ -87,6 +90,10 @@
   }
   // A gang found with part of its members must not have its throttle lifted.
   const JobPhase phase = whole && !cancelled ? found.phase : JobPhase::kRunning;
+  if (whole && found.saved_progress) {
+    job->saved_run_time += *found.saved_progress;
+    job->saved_progress += *found.saved_progress;
+  }
   auto gang = std::make_unique<Gang>(found.gang_id, found.job,
                                      job->spec.account, std::move(members));
   Gang& taken = *gang;
@@ -210,7 +217,10 @@
   state_.estimator.Checkpointed(gang.account(), took);
   JobRecord* job = state_.FindJob(gang.job());
   if (!job || !gang.started_at) return;
-  job->saved_run_time += gang.checkpoint_asked_at - *gang.started_at;
+  const std::optional<Duration> progress = gang.LeastSavedProgress();
+  job->saved_run_time +=
+      progress.value_or(gang.checkpoint_asked_at - *gang.started_at);
+  job->saved_progress += progress.value_or(Duration::zero());
 }
 
 void SchedulerCore::OnCheckpointHung(const Gang& gang) {
--- a/src/libs/scheduling/scheduler_core.h
+++ b/src/libs/scheduling/scheduler_core.h
@@ -26,7 +26,7 @@
   void SetGuarantees(const std::vector<AccountGuarantee>& accounts, Time now);
   void SetEvents(const std::vector<EventReservation>& events);
   // Returns nullptr when the job was known.
-  JobRecord* Submit(const JobSpec& spec, Time now);
+  JobRecord* Submit(const JobSpec& spec, Duration saved_progress, Time now);
   void Cancel(const std::string& id, Time now);
   void Adopt(const AdoptedGang& found, Time now);
   void WorkerReported(WorkerIndex worker,
--- a/src/libs/scheduling/scheduler_state.cc
+++ b/src/libs/scheduling/scheduler_state.cc
@@ -75,7 +75,8 @@
                               const std::string& reason) {
   job.phase = phase;
   job.reason = reason;
-  actions.push_back(PhaseChanged{job.spec.id, phase, reason});
+  actions.push_back(
+      PhaseChanged{job.spec.id, phase, reason, job.saved_progress});
   if (!IsFinal(phase)) return;
   final_jobs_.push_back(job.spec.id);
   ForgetOldFinal();
--- a/src/libs/state/job_records.cc
+++ b/src/libs/state/job_records.cc
@@ -1,6 +1,7 @@
 // JSON form of the records of the job stream.
 #include "state/job_records.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -12,8 +13,11 @@
 constexpr int64_t kMaxMembers = 4096;
 constexpr int64_t kMaxAcceleratorsPerMember = 1024;
 constexpr int64_t kMaxRunTimeMs = int64_t{366} * 24 * 3600 * 1000;
+constexpr int64_t kMaxProgressMs = 10 * kMaxRunTimeMs;
 constexpr size_t kMaxNameBytes = 200;
 constexpr size_t kMaxTaskBytes = 64 * 1024;
+// Leaves room for what wraps a task in the records and frames that carry it.
+constexpr int kMaxTaskDepth = 16;
 
 std::string Text(const Json& data, std::string_view name) {
   return StringField(data, name).value_or("");
@@ -97,6 +101,11 @@
     Refuse(error, "\"task\" must be an object");
     return false;
   }
+  if (IsDeeperThan(*found, kMaxTaskDepth)) {
+    Refuse(error, "\"task\" is nested deeper than " +
+                      std::to_string(kMaxTaskDepth) + " levels");
+    return false;
+  }
   if (found->dump(-1, ' ', false, Json::error_handler_t::replace).size() >
       kMaxTaskBytes) {
     Refuse(error, "\"task\" is larger than " + std::to_string(kMaxTaskBytes) +
@@ -125,12 +134,16 @@
 }
 
 Json Encode(const PhaseRecord& record) {
-  return {{"type", "phase"},
-          {"epoch", record.epoch},
-          {"revision", record.revision},
-          {"job_id", record.job},
-          {"phase", std::string(JobPhaseName(record.phase))},
-          {"reason", record.reason}};
+  Json json = {{"type", "phase"},
+               {"epoch", record.epoch},
+               {"revision", record.revision},
+               {"job_id", record.job},
+               {"phase", std::string(JobPhaseName(record.phase))},
+               {"reason", record.reason}};
+  if (record.progress > Milliseconds(0)) {
+    json["progress_ms"] = record.progress.count();
+  }
+  return json;
 }
 
 Json Encode(const EpochRecord& record) {
@@ -172,7 +185,8 @@
   const std::optional<JobPhase> phase = JobPhaseFromName(Text(data, "phase"));
   if (!phase) return std::nullopt;
   return PhaseRecord{Number(data, "epoch"), Number(data, "revision"),
-                     Text(data, "job_id"), *phase, Text(data, "reason")};
+                     Text(data, "job_id"),  *phase,
+                     Text(data, "reason"),  DecodeProgress(data)};
 }
 
 std::optional<JobStreamRecord> DecodeSnapshotPart(const Json& data) {
@@ -188,6 +202,11 @@
 
 }  // namespace
 
+Milliseconds DecodeProgress(const Json& data) {
+  return Milliseconds(
+      std::clamp<int64_t>(Number(data, "progress_ms"), 0, kMaxProgressMs));
+}
+
 Json EncodeJobRecord(const JobStreamRecord& record) {
   return std::visit([](const auto& typed) { return Encode(typed); }, record);
 }
--- a/src/libs/state/job_records.h
+++ b/src/libs/state/job_records.h
@@ -58,6 +58,9 @@
   std::string job;
   JobPhase phase = JobPhase::kWaiting;
   std::string reason;
+  // Run time of the job that completed checkpoints have saved so far; left
+  // out of the JSON form when zero.
+  Milliseconds progress{0};
 };
 
 // A claim to be the coordinator. It wins when `number` is the current epoch
@@ -99,6 +102,9 @@
 // nullopt and `*error` (step "read job") with a reason for the caller.
 std::optional<JobRequest> DecodeJobRequest(const Json& data, Error* error);
 
+// The field "progress_ms" within its bounds; zero when it is not there.
+Milliseconds DecodeProgress(const Json& data);
+
 Json EncodeMembers(const std::vector<GangMember>& members);
 std::vector<GangMember> DecodeMembers(const Json* array);
 
--- a/src/libs/state/job_snapshot.cc
+++ b/src/libs/state/job_snapshot.cc
@@ -26,6 +26,7 @@
           {"members", EncodeMembers(entry.members)},
           {"attempts", entry.attempts},
           {"revision", entry.revision},
+          {"progress_ms", entry.progress.count()},
           {"submitted_ms", EncodeTime(entry.submitted_at)},
           {"running_ms", EncodeTime(entry.running_at)},
           {"ended_ms", EncodeTime(entry.ended_at)}};
@@ -48,6 +49,7 @@
   entry.members = DecodeMembers(ArrayField(data, "members"));
   entry.attempts = static_cast<int>(IntField(data, "attempts").value_or(0));
   entry.revision = IntField(data, "revision").value_or(0);
+  entry.progress = DecodeProgress(data);
   entry.submitted_at = *submitted_at;
   entry.running_at = DecodeTime(data, "running_ms");
   entry.ended_at = DecodeTime(data, "ended_ms");
--- a/src/libs/state/job_table.cc
+++ b/src/libs/state/job_table.cc
@@ -1,6 +1,7 @@
 // The fold of job records.
 #include "state/job_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace thornplank {
@@ -50,6 +51,7 @@
   JobEntry* entry = FindOpen(record.job, record.revision);
   if (entry == nullptr) return false;
   entry->revision = record.revision;
+  entry->progress = std::max(entry->progress, record.progress);
   if (IsFinal(record.phase)) {
     End(entry, record.phase, record.reason, time);
     return true;
--- a/src/libs/state/job_table.h
+++ b/src/libs/state/job_table.h
@@ -32,6 +32,8 @@
   // Number of the coordinator's last record that counted. Since the records
   // of older epochs are ignored, one coordinator at a time numbers them.
   int64_t revision = 0;
+  // Run time that completed checkpoints have saved; never becomes less.
+  Milliseconds progress{0};
   // Times by the clock of the log service.
   WallTime submitted_at;
   std::optional<WallTime> running_at;
--- a/tests/auto/jobs/fake_workers.h
+++ b/tests/auto/jobs/fake_workers.h
@@ -69,6 +69,10 @@
   std::set<std::string> silent;
   std::set<std::string> losing_replies;
   std::set<std::string> refusing_grants;
+  // Checkpoints there are begun and never done.
+  std::set<std::string> hanging_checkpoints;
+  // What the leases of a worker report from their checkpoint on.
+  std::map<std::string, Duration> progress;
   std::vector<WorkerCall> calls;
 
  private:
@@ -87,7 +91,7 @@
             lease.lease_id,
             LeaseReport{lease.lease_id, lease.gang_id, lease.job_id,
                         lease.account, LeaseState::kThrottled,
-                        lease.accelerators, ""});
+                        lease.accelerators, "", std::nullopt});
       }
     }
     for (const std::string& id : call.lease_ids) {
@@ -97,7 +101,11 @@
         lease->second.state = LeaseState::kRunning;
       }
       if (call.kind == WorkerCall::Kind::kCheckpoint) {
-        lease->second.state = LeaseState::kCheckpointed;
+        const bool hangs = hanging_checkpoints.count(call.worker) > 0;
+        lease->second.state =
+            hangs ? LeaseState::kCheckpointing : LeaseState::kCheckpointed;
+        const auto done = progress.find(call.worker);
+        if (done != progress.end()) lease->second.progress = done->second;
       }
       if (call.kind == WorkerCall::Kind::kStop) worker.leases.erase(lease);
     }
--- a/tests/auto/jobs/tst_coordinator.cc
+++ b/tests/auto/jobs/tst_coordinator.cc
@@ -188,7 +188,7 @@
   rig.coordinator.reset();
   rig.Append(CancelledRecord{"a", "operator"});
   rig.fake.workers["w1"].leases["x"] = {
-      "x", "gx", "unknown", "north", LeaseState::kRunning, 1, ""};
+      "x", "gx", "unknown", "north", LeaseState::kRunning, 1, "", std::nullopt};
   rig.BeginEpoch(2, "e2");
   rig.Run(milliseconds(2000));
   CHECK(rig.fake.StatesOf("a").empty());
@@ -220,6 +220,156 @@
   CHECK(rig.fake.StatesOf("late").empty());
 }
 
+// A running job of two members, moved off one of its workers on request.
+struct MovedJob {
+  explicit MovedJob(const Json& task) {
+    rig.BeginEpoch(1, "e1");
+    JobRequest job = JobOf("a", 2);
+    job.task = task;
+    rig.Append(SubmittedRecord{job});
+    rig.Run(milliseconds(500));
+  }
+
+  std::vector<std::string> Workers() const {
+    std::vector<std::string> names;
+    for (const auto& [name, worker] : rig.fake.workers) {
+      if (!worker.leases.empty()) names.push_back(name);
+    }
+    return names;
+  }
+
+  // Drains the first worker of the gang: its members are checkpointed.
+  void MoveOff() {
+    const std::string drained = Workers().at(0);
+    for (WorkerInfo& worker : rig.inputs.workers) {
+      worker.leaving = worker.name == drained;
+    }
+    rig.coordinator->SetWorkers(rig.inputs.workers, rig.now);
+  }
+
+  // Of the newest grant.
+  Json Task() const {
+    Json task;
+    for (const WorkerCall& call : rig.fake.calls) {
+      for (const LeaseRequest& lease : call.leases) task = lease.task;
+    }
+    return task;
+  }
+
+  Milliseconds Progress() const { return rig.fold.jobs().Find("a")->progress; }
+
+  Rig rig;
+};
+
+struct ProgressCase {
+  const char* name;
+  Json task;
+  // What the two members report; negative: nothing.
+  int first_ms;
+  int second_ms;
+  bool second_hangs;
+  Json next_task;
+  int saved_ms;
+};
+
+TEST_CASE("the next grant goes on from a checkpoint of every member") {
+  const Json ten = {{"run_ms", 10000}, {"image", "x"}};
+  const std::vector<ProgressCase> cases = {
+      {"the least counts", ten, 3000, 2000, false,
+       Json{{"run_ms", 8000}, {"image", "x"}, {"resume_progress_ms", 2000}},
+       2000},
+      {"a task without a run time", Json{{"image", "x"}}, 2000, 3000, false,
+       Json{{"image", "x"}, {"resume_progress_ms", 2000}}, 2000},
+      {"a member said more than the task's run time", ten, 12000, 11000, false,
+       Json{{"run_ms", 0}, {"image", "x"}, {"resume_progress_ms", 11000}},
+       11000},
+      {"the checkpoint of one member hangs", ten, 3000, 2000, true, ten, 0},
+      {"one member does not report it", ten, 3000, -1, false, ten, 0},
+  };
+  for (const ProgressCase& one : cases) {
+    CAPTURE(one.name);
+    MovedJob t(one.task);
+    CHECK(t.Task() == one.task);
+    const std::vector<std::string> workers = t.Workers();
+    REQUIRE(workers.size() == 2);
+    t.rig.fake.progress[workers[0]] = milliseconds(one.first_ms);
+    if (one.second_ms >= 0) {
+      t.rig.fake.progress[workers[1]] = milliseconds(one.second_ms);
+    }
+    if (one.second_hangs) t.rig.fake.hanging_checkpoints.insert(workers[1]);
+    t.MoveOff();
+    t.rig.Run(milliseconds(40000));
+    CHECK(t.rig.PhaseOf("a") == JobPhase::kRunning);
+    CHECK(t.rig.fold.jobs().Find("a")->attempts == 2);
+    CHECK(t.Task() == one.next_task);
+    CHECK(t.Progress() == Milliseconds(one.saved_ms));
+  }
+}
+
+TEST_CASE(
+    "the progress of several checkpoints adds up, also after a takeover") {
+  MovedJob t(Json{{"run_ms", 10000}});
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    t.rig.fake.progress[worker] = milliseconds(2000);
+  }
+  t.MoveOff();
+  t.rig.Run(milliseconds(10000));
+  CHECK(t.Progress() == Milliseconds(2000));
+  SUBCASE("the same coordinator") {}
+  SUBCASE("its successor") { t.rig.BeginEpoch(2, "e2"); }
+  t.rig.Run(milliseconds(2000));
+  t.MoveOff();
+  t.rig.Run(milliseconds(10000));
+  CHECK(t.Task() == Json{{"run_ms", 6000}, {"resume_progress_ms", 4000}});
+  CHECK(t.Progress() == Milliseconds(4000));
+}
+
+struct SavedAtTakeoverCase {
+  const char* name;
+  // What of the predecessor reached the stream before it died.
+  JobPhase logged;
+  bool second_saved;
+  int saved_ms;
+};
+
+TEST_CASE("a checkpoint that ends during a takeover counts once") {
+  const std::vector<SavedAtTakeoverCase> cases = {
+      {"not recorded yet", JobPhase::kCheckpointing, true, 2000},
+      {"neither recorded nor its order", JobPhase::kRunning, true, 2000},
+      {"recorded already", JobPhase::kStopping, true, 2000},
+      {"one member is not done", JobPhase::kCheckpointing, false, 0},
+      {"one member is not done, nothing recorded", JobPhase::kRunning, false,
+       0},
+  };
+  for (const SavedAtTakeoverCase& one : cases) {
+    CAPTURE(one.name);
+    MovedJob t(Json{{"run_ms", 10000}});
+    t.rig.coordinator.reset();
+    const std::vector<std::string> workers = t.Workers();
+    REQUIRE(workers.size() == 2);
+    for (const std::string& name : workers) {
+      for (auto& [id, lease] : t.rig.fake.workers[name].leases) {
+        const bool saved = one.second_saved || name == workers[0];
+        lease.state =
+            saved ? LeaseState::kCheckpointed : LeaseState::kCheckpointing;
+        lease.progress = milliseconds(2000);
+      }
+    }
+    const int64_t revision = t.rig.fold.jobs().Find("a")->revision + 1;
+    const bool counted = one.logged == JobPhase::kStopping;
+    if (one.logged != JobPhase::kRunning) {
+      t.rig.Append(PhaseRecord{1, revision, "a", one.logged, "in the test",
+                               Milliseconds(counted ? 2000 : 0)});
+    }
+    t.rig.BeginEpoch(2, "e2");
+    t.rig.Run(milliseconds(8000));
+    CHECK(t.rig.PhaseOf("a") == JobPhase::kRunning);
+    CHECK(t.rig.fold.jobs().Find("a")->attempts == 2);
+    CHECK(t.Progress() == Milliseconds(one.saved_ms));
+    CHECK(t.Task()["run_ms"] == 10000 - one.saved_ms);
+  }
+}
+
 TEST_CASE("planning goes on while the log is down") {
   Rig rig;
   rig.BeginEpoch(1, "e1");
--- a/tests/auto/platform/tst_platform_clients.cc
+++ b/tests/auto/platform/tst_platform_clients.cc
@@ -20,7 +20,8 @@
   "worker": "w1", "newest_token": {"epoch": 3, "sequence": 9},
   "accelerators": 8,
   "leases": [{"lease_id": "l1", "gang_id": "g", "job_id": "j", "account": "a",
-              "accelerators": 2, "state": "failed", "reason": "broken"}],
+              "accelerators": 2, "state": "failed", "reason": "broken",
+              "progress_ms": 750}],
   "usage": {"as_of_ms": 1000, "accelerators_in_use": 2}})";
 
 struct Answer {
@@ -127,6 +128,26 @@
     REQUIRE(result.report->leases.size() == 1);
     CHECK(result.report->leases[0].state == LeaseState::kFailed);
     CHECK(result.report->leases[0].reason == "broken");
+    CHECK(result.report->leases[0].progress == Milliseconds(750));
+  }
+}
+
+TEST_CASE("progress that is missing or senseless is none") {
+  Answer answer;
+  FakeService service(Play(answer));
+  WorkerClient client(service.http);
+  for (const char* field : {"", R"(,"progress_ms":-1)", R"(,"progress_ms":"7")",
+                            R"(,"progress_ms":9000000000000000000)"}) {
+    CAPTURE(field);
+    answer.body = R"({"worker":"w1","accelerators":8,"leases":[)"
+                  R"({"lease_id":"l1","state":"checkpointed")" +
+                  std::string(field) + "}]}";
+    const WorkerResult result = Await([&](WorkerClient::Callback done) {
+      client.Read(service.server.address(), kTimeout, std::move(done));
+    });
+    REQUIRE(result.report);
+    REQUIRE(result.report->leases.size() == 1);
+    CHECK_FALSE(result.report->leases[0].progress);
   }
 }
 
--- a/tests/auto/scheduling/tst_gang_lifecycle.cc
+++ b/tests/auto/scheduling/tst_gang_lifecycle.cc
@@ -140,8 +140,12 @@
   next.SetWorkers(Workers(2, 2, 8), At(0));
   next.SetGuarantees({Account("a")}, At(0));
   next.Submit(Job("j", "a", kPair), At(0));
-  AdoptedGang found{"j", t.grant.gang_id, t.grant.members, JobPhase::kRunning,
-                    Duration::zero()};
+  AdoptedGang found{"j",
+                    t.grant.gang_id,
+                    t.grant.members,
+                    JobPhase::kRunning,
+                    Duration::zero(),
+                    std::nullopt};
   SUBCASE("whole") {
     CHECK(next.Adopt(found, At(1)).empty());
     CHECK(next.Tick(At(2)).empty());
--- a/tests/auto/state/fold_harness.h
+++ b/tests/auto/state/fold_harness.h
@@ -32,8 +32,10 @@
 }
 
 inline JobStreamRecord PhaseOf(int64_t epoch, int64_t revision,
-                               const std::string& id, JobPhase phase) {
-  return PhaseRecord{epoch, revision, id, phase, "because"};
+                               const std::string& id, JobPhase phase,
+                               int64_t progress_ms = 0) {
+  return PhaseRecord{epoch, revision,  id,
+                     phase, "because", Milliseconds(progress_ms)};
 }
 
 // `records` as the log holds them from `offset` on, through their JSON form.
--- a/tests/auto/state/tst_job_snapshot.cc
+++ b/tests/auto/state/tst_job_snapshot.cc
@@ -120,7 +120,7 @@
       case 4:
         records.push_back(
             PhaseOf(*small, *small, id,
-                    static_cast<JobPhase>(*rc::gen::inRange(0, 8))));
+                    static_cast<JobPhase>(*rc::gen::inRange(0, 8)), *small));
         break;
       default:
         records.push_back(ResignRecord{*small, "e1", "e1-1"});
--- a/tests/auto/state/tst_job_stream_fold.cc
+++ b/tests/auto/state/tst_job_stream_fold.cc
@@ -85,6 +85,60 @@
   }
 }
 
+struct ProgressCase {
+  const char* name;
+  std::vector<JobStreamRecord> records;
+  int64_t progress_ms;
+};
+
+TEST_CASE("the progress of a job never becomes less") {
+  using Phase = JobPhase;
+  const std::vector<JobStreamRecord> stopped = {
+      EpochOf(1, "e1"), SubmitOf("a"), PlaceOf(1, 1, "a", "g1"),
+      PhaseOf(1, 2, "a", Phase::kStopping, 700)};
+  const std::vector<ProgressCase> cases = {
+      {"saved once", {}, 700},
+      {"saved further", {PhaseOf(1, 3, "a", Phase::kStopping, 900)}, 900},
+      {"a smaller one", {PhaseOf(1, 3, "a", Phase::kStopping, 300)}, 700},
+      {"a record without it", {PhaseOf(1, 3, "a", Phase::kWaiting)}, 700},
+      {"placed again", {PlaceOf(1, 3, "a", "g2")}, 700},
+      {"final", {PhaseOf(1, 3, "a", Phase::kFinished, 900)}, 900},
+      {"a repeat with a higher one",
+       {PhaseOf(1, 2, "a", Phase::kStopping, 900)},
+       700},
+      {"an older epoch",
+       {EpochOf(2, "e2"), PhaseOf(1, 3, "a", Phase::kStopping, 900)},
+       700},
+      {"a negative one", {PhaseOf(1, 3, "a", Phase::kStopping, -5)}, 700},
+  };
+  for (const ProgressCase& one : cases) {
+    CAPTURE(one.name);
+    std::vector<JobStreamRecord> records = stopped;
+    records.insert(records.end(), one.records.begin(), one.records.end());
+    const JobStreamFold fold = FoldOf(ToLog(records));
+    CHECK(fold.jobs().Find("a")->progress == Milliseconds(one.progress_ms));
+    JobStreamFold restored{JobRetention{}};
+    REQUIRE(restored.Restore(fold.MakeSnapshot("s", 1)));
+    CHECK(restored.jobs().Find("a")->progress == Milliseconds(one.progress_ms));
+  }
+}
+
+TEST_CASE("records and snapshots written without progress are read") {
+  const Json record = EncodeJobRecord(PhaseOf(1, 2, "a", JobPhase::kRunning));
+  CHECK(record.count("progress_ms") == 0);
+  const auto decoded = DecodeJobRecord(record);
+  REQUIRE(decoded);
+  CHECK(std::get<PhaseRecord>(*decoded).progress == Milliseconds(0));
+  std::vector<SnapshotPartRecord> parts =
+      FoldOf(ToLog({SubmitOf("a")})).MakeSnapshot("s", 1);
+  for (SnapshotPartRecord& part : parts) {
+    for (Json& job : part.content["jobs"]) job.erase("progress_ms");
+  }
+  JobStreamFold restored{JobRetention{}};
+  REQUIRE(restored.Restore(parts));
+  CHECK(restored.jobs().Find("a")->progress == Milliseconds(0));
+}
+
 struct EpochCase {
   const char* name;
   std::vector<JobStreamRecord> records;
