--- a/src/libs/admin/admin_api.cc
+++ b/src/libs/admin/admin_api.cc
@@ -13,6 +13,11 @@
 // Rounds of a write without a precondition that others overtake.
 constexpr int kMaxAttempts = 4;
 
+// What callers wrote need not be UTF-8.
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 ChangeKind PutKind(const std::string& path) {
   return IsDocumentPath(path) ? ChangeKind::kDocumentPut : ChangeKind::kPut;
 }
@@ -180,7 +185,7 @@
   for (const std::string& path : tree->documents(prefix)) {
     list.push_back(DocumentJson(*tree, path));
   }
-  respond(JsonResponse(200, Json{{key, std::move(list)}}.dump()));
+  respond(JsonResponse(200, Dump({{key, std::move(list)}})));
 }
 
 void ListAccounts(const SettingsManager& settings, const Responder& respond) {
@@ -192,7 +197,7 @@
     node["name"] = account;
     list.push_back(std::move(node));
   }
-  respond(JsonResponse(200, Json{{"accounts", std::move(list)}}.dump()));
+  respond(JsonResponse(200, Dump({{"accounts", std::move(list)}})));
 }
 
 void GetHistory(const SettingsManager& settings, const HttpRequest& request,
@@ -203,8 +208,8 @@
   for (const HistoryEntry& entry : settings.history(path)) {
     list.push_back(ToJson(entry));
   }
-  respond(JsonResponse(
-      200, Json{{"path", path}, {"history", std::move(list)}}.dump()));
+  respond(
+      JsonResponse(200, Dump({{"path", path}, {"history", std::move(list)}})));
 }
 
 void StartDrain(SettingsManager& settings, const Caller& caller,
@@ -241,17 +246,16 @@
 
 void RecoverSettings(SettingsManager& settings, const HttpRequest& request,
                      const Caller& caller, const Responder& respond) {
-  settings.Recover(
-      caller.token_name, request.query("accept_empty") == "1",
-      [respond](const WriteResult& result) {
-        if (result.outcome == WriteOutcome::kApplied) {
-          respond(JsonResponse(202, Json{{"appended", true}}.dump()));
-          return;
-        }
-        respond(result.outcome == WriteOutcome::kInvalid
-                    ? InvalidResponse(result.reasons)
-                    : UnavailableResponse(result));
-      });
+  settings.Recover(caller.token_name, request.query("accept_empty") == "1",
+                   [respond](const WriteResult& result) {
+                     if (result.outcome == WriteOutcome::kApplied) {
+                       respond(JsonResponse(202, Dump({{"appended", true}})));
+                       return;
+                     }
+                     respond(result.outcome == WriteOutcome::kInvalid
+                                 ? InvalidResponse(result.reasons)
+                                 : UnavailableResponse(result));
+                   });
 }
 
 // GET for `reader`, PUT and DELETE for operators, of the path that
--- a/src/libs/admin/admin_responses.cc
+++ b/src/libs/admin/admin_responses.cc
@@ -13,6 +13,9 @@
 
 // Digits that an int64_t always holds.
 constexpr size_t kMaxVersionDigits = 18;
+// An answer tells what is wrong with a large value, and does not give it back.
+constexpr size_t kMaxReasons = 20;
+constexpr size_t kMaxReasonBytes = 300;
 
 std::string ETag(int64_t version) {
   return '"' + std::to_string(version) + '"';
@@ -48,6 +51,20 @@
   return text;
 }
 
+std::vector<std::string> Shortened(std::vector<std::string> reasons) {
+  const size_t count = reasons.size();
+  reasons.resize(std::min(count, kMaxReasons));
+  for (std::string& reason : reasons) {
+    if (reason.size() <= kMaxReasonBytes) continue;
+    reason.resize(kMaxReasonBytes);
+    reason += "...";
+  }
+  if (count > kMaxReasons) {
+    reasons.push_back("and " + std::to_string(count - kMaxReasons) + " more");
+  }
+  return reasons;
+}
+
 Json ExplainJson(const SettingsTree& tree, const std::string& path) {
   Json explained = Json::object();
   for (const auto& [key, item] : tree.Explain(path)) {
@@ -127,8 +144,9 @@
 }
 
 HttpResponse InvalidResponse(const std::vector<std::string>& reasons) {
-  return WithMember(ProblemResponse(400, "settings refused", Joined(reasons)),
-                    "reasons", reasons);
+  const std::vector<std::string> shown = Shortened(reasons);
+  return WithMember(ProblemResponse(400, "settings refused", Joined(shown)),
+                    "reasons", shown);
 }
 
 HttpResponse LostRaceResponse(const SettingsTree& tree,
--- a/src/libs/base/json.h
+++ b/src/libs/base/json.h
@@ -15,9 +15,17 @@
 
 using Json = nlohmann::json;
 
-// Parses JSON text (comments are allowed); nullopt when malformed.
+// Values nested deeper than this are not read: copying and writing recurse once
+// a level, and what one entry takes in must fit into every frame between peers.
+inline constexpr int kMaxJsonDepth = 64;
+
+// Parses JSON text (comments are allowed); nullopt when malformed or nested
+// deeper than kMaxJsonDepth.
 std::optional<Json> ParseJson(std::string_view text);
 
+// Whether `value` has more than `levels` objects and arrays inside each other.
+bool IsDeeperThan(const Json& value, int levels);
+
 // Fields of an object; nullopt when absent or of another type. `object` may
 // be of any type.
 std::optional<std::string> StringField(const Json& object,
--- a/src/libs/net/http_message.cc
+++ b/src/libs/net/http_message.cc
@@ -60,11 +60,12 @@
   return "";
 }
 
-bool HttpHeaders::Has(std::string_view name) const {
-  for (const auto& [field, value] : fields_) {
-    if (SameName(field, name)) return true;
-  }
-  return false;
+bool HttpHeaders::Has(std::string_view name) const { return Count(name) > 0; }
+
+size_t HttpHeaders::Count(std::string_view name) const {
+  return std::count_if(
+      fields_.begin(), fields_.end(),
+      [name](const auto& field) { return SameName(field.first, name); });
 }
 
 std::string HttpRequest::path() const {
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -2,6 +2,7 @@
 #ifndef THORNPLANK_NET_HTTP_MESSAGE_H_
 #define THORNPLANK_NET_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,8 @@
   // The first field of that name, or "" when absent.
   std::string Value(std::string_view name) const;
   bool Has(std::string_view name) const;
+  // How many fields have that name.
+  size_t Count(std::string_view name) const;
 
   const std::vector<std::pair<std::string, std::string>>& fields() const {
     return fields_;
--- a/src/libs/net/server_connection.cc
+++ b/src/libs/net/server_connection.cc
@@ -22,6 +22,9 @@
 constexpr std::chrono::seconds kLingerTime{1};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr char kRetryAfterSeconds[] = "1";
+// Small bodies of all connections together take at most this part of the budget
+// in addition to it.
+constexpr size_t kSmallBodies = 8;
 
 std::string_view View(const boost::asio::streambuf& buffer) {
   const auto data = buffer.data();
@@ -176,6 +179,12 @@
 
 bool ServerConnection::ReserveBody(size_t bytes) {
   if (bytes <= reserved_bytes_) return true;
+  // Slow senders of large bodies, who fill the budget, shut no small ones out.
+  const HttpServerLimits& limits = owner_->limits();
+  if (bytes <=
+      limits.max_buffered_bytes / kSmallBodies / limits.max_connections) {
+    return true;
+  }
   if (!owner_->ReserveBytes(bytes - reserved_bytes_)) {
     RefuseRequest(503, "too many request bodies are held in memory");
     return false;
--- a/src/libs/requests/caller_request.cc
+++ b/src/libs/requests/caller_request.cc
@@ -41,6 +41,19 @@
   return Milliseconds(*value);
 }
 
+// Of two values it would be anyone's guess which one counts: another reader of
+// the same request could run a key that this one takes for another.
+bool CheckGivenOnce(const HttpRequest& request, RequestFault* fault) {
+  for (const char* name : {kDeadlineHeader, kIdempotencyKeyHeader,
+                           kIdempotencyKeyTimeHeader, kRepeatHeader}) {
+    if (request.headers.Count(name) <= 1) continue;
+    SetFault(kBadRequest, "Repeated header",
+             std::string(name) + " may be given once only", fault);
+    return false;
+  }
+  return true;
+}
+
 bool IsVisibleAscii(const std::string& text) {
   return std::all_of(text.begin(), text.end(),
                      [](unsigned char c) { return c >= 0x20 && c < 0x7f; });
@@ -103,6 +116,7 @@
              fault);
     return std::nullopt;
   }
+  if (!CheckGivenOnce(request, fault)) return std::nullopt;
   const auto time_allowed = ReadDeadline(request, limits, fault);
   if (!time_allowed) return std::nullopt;
   CallerRequest result;
--- /dev/null
+++ b/tests/auto/base/tst_json.cc
@@ -0,0 +1,51 @@
+// Reading of JSON text: what is too deep, whatever hides it.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "base/json.h"
+
+namespace thornplank {
+namespace {
+
+std::string Nested(int levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+TEST_CASE("a text is read up to the greatest depth and no further") {
+  struct Case {
+    std::string name;
+    std::string text;
+    bool read;
+  };
+  const std::string deepest = Nested(kMaxJsonDepth);
+  const std::string deeper = Nested(kMaxJsonDepth + 1);
+  std::string wide = "[0";
+  for (int i = 0; i < 1000; ++i) wide += ",[{}]";
+  const Case cases[] = {
+      {"deepest", deepest, true},
+      {"one deeper", deeper, false},
+      {"objects", "{\"a\":" + deepest + "}", false},
+      {"far deeper", Nested(1'000'000), false},
+      {"without an end", std::string(1'000'000, '['), false},
+      {"wide", wide + "]", true},
+      {"brackets in a string", "\"" + deeper + "\"", true},
+      {"brackets in a comment", "/*" + deeper + "*/1", true},
+      {"behind a quote in a comment", "/*\"*/" + deeper, false},
+      {"behind a quote in a string", "[\"\\\"\"," + deepest + "]", false},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    CHECK(ParseJson(c.text).has_value() == c.read);
+  }
+}
+
+TEST_CASE("depth of a value") {
+  const Json value = {{"a", Json::array({1, Json::array()})}};
+  CHECK_FALSE(IsDeeperThan(value, 3));
+  CHECK(IsDeeperThan(value, 2));
+  CHECK_FALSE(IsDeeperThan(Json(7), 0));
+}
+
+}  // namespace
+}  // namespace thornplank
