Refuse to start under the name of a live entry

Cause: a duplicate instance name was noticed by the mesh (the link was refused and a line logged) but both entries went on; to third entries the two replaced each other's links in turn. Ruled out: refusing at the newcomer's peers alone: the newcomer would not learn why. Ending the one that serves: the mistake is the newcomer's. Conclusion: the accepting end answers with its hello before it closes, and an entry that has never been ready ends with one line and exit code 2.

--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -113,7 +113,8 @@
 
   ~Impl() { pool_.Stop(); }
 
-  bool Start(Error* error) {
+  bool Start(std::function<void(const Error&)> on_unusable, Error* error) {
+    on_unusable_ = std::move(on_unusable);
     if (!server_.Listen(settings_.listen_http, error)) return false;
     if (!mesh_.Start(error)) return false;
     pool_.Start();
@@ -158,6 +159,8 @@
  private:
   // Who tells whom.
   void Connect() {
+    mesh_.HandleNameClash(
+        [this](const std::string& where) { OnNameClash(where); });
     tree_.AddReview(&review_);
     tree_.HandleChange([this](const SettingsTree& tree) { OnTree(tree); });
     tree_.SetFetchSnapshot([this](SettingsManager::SnapshotsCallback done) {
@@ -172,6 +175,15 @@
     members_.SetOffsets([this] { return Offsets(); });
   }
 
+  // An entry that already serves stays; the one that begins gives way.
+  void OnNameClash(const std::string& where) {
+    if (ever_ready_ || clash_reported_.exchange(true)) return;
+    on_unusable_({"name", where,
+                  "found \"" + settings_.name +
+                      "\", which a live entry has there, allowed a name that "
+                      "no other entry has"});
+  }
+
   void FetchSettings(SettingsManager::SnapshotsCallback done) {
     members_.FetchSnapshot(
         kSettingsSnapshot, 0,
@@ -271,6 +283,7 @@
     if (ready != was_ready_) {
       members_.SetReady(ready);
       if (ready) {
+        ever_ready_ = true;
         LogEvent(events::kProcessReady, {});
       } else {
         LogEvent(events::kProcessNotReady, {{"reason", reason}});
@@ -415,6 +428,10 @@
   Time next_jobs_fetch_ = std::chrono::steady_clock::now() + kJobsFetchInterval;
   std::atomic<bool> fetching_jobs_{false};
   std::atomic<bool> leaving_{false};
+  std::atomic<bool> ever_ready_{false};
+  std::atomic<bool> clash_reported_{false};
+  // Set before anything runs.
+  std::function<void(const Error&)> on_unusable_;
   // Taken before the mutexes of requests_ and jobs_.
   mutable std::mutex directory_mutex_;
   InstanceDirectory directory_;
@@ -424,7 +441,10 @@
     : impl_(std::make_unique<Impl>(std::move(settings))) {}
 EntryProcess::~EntryProcess() = default;
 
-bool EntryProcess::Start(Error* error) { return impl_->Start(error); }
+bool EntryProcess::Start(std::function<void(const Error&)> on_unusable,
+                         Error* error) {
+  return impl_->Start(std::move(on_unusable), error);
+}
 bool EntryProcess::Stop() { return impl_->Stop(); }
 
 }  // namespace thornplank
--- a/src/app/thornplank_entry/entry_process.h
+++ b/src/app/thornplank_entry/entry_process.h
@@ -2,6 +2,7 @@
 #ifndef THORNPLANK_APP_THORNPLANK_ENTRY_ENTRY_PROCESS_H_
 #define THORNPLANK_APP_THORNPLANK_ENTRY_ENTRY_PROCESS_H_
 
+#include <functional>
 #include <memory>
 
 #include "base/error.h"
@@ -16,7 +17,9 @@
 
   // False and `*error` when an address cannot be listened on; nothing runs
   // then.
-  bool Start(Error* error);
+  // `on_unusable` runs once, on another thread, when this entry must not go on
+  // as it is configured: a live entry has its name. `error` says why.
+  bool Start(std::function<void(const Error& error)> on_unusable, Error* error);
   // Graceful shutdown: readiness off, the coordinator resigns, requests in
   // flight are finished. False when some were not by the drain timeout.
   bool Stop();
--- a/src/app/thornplank_entry/main.cc
+++ b/src/app/thornplank_entry/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "entry_process.h"
@@ -22,12 +23,33 @@
 constexpr int kExitUnclean = 1;
 constexpr int kExitUsage = 2;
 
-// Blocks until SIGTERM or SIGINT.
-void WaitForStopSignal() {
+// Runs the entry until SIGTERM or SIGINT, and ends it gracefully.
+int RunEntry(const EntrySettings& settings) {
   boost::asio::io_context io;
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([](const boost::system::error_code&, int) {});
+  EntryProcess process(settings);
+  Error unusable;
+  Error error;
+  const bool started = process.Start(
+      [&io, &unusable](const Error& why) {
+        boost::asio::post(io, [&io, &unusable, why] {
+          unusable = why;
+          io.stop();
+        });
+      },
+      &error);
+  if (!started) {
+    std::cerr << FLAGS_settings << ": " << error.ToString() << "\n";
+    return kExitUsage;
+  }
   io.run();
+  const bool clean = process.Stop();
+  if (!unusable.reason.empty()) {
+    std::cerr << FLAGS_settings << ": " << unusable.ToString() << "\n";
+    return kExitUsage;
+  }
+  return clean ? kExitOk : kExitUnclean;
 }
 
 int Run() {
@@ -47,17 +69,7 @@
     return kExitOk;
   }
   OpenEventLog(settings->name, settings->log.level, settings->log.file);
-  int code = kExitOk;
-  {
-    EntryProcess process(*settings);
-    if (!process.Start(&error)) {
-      std::cerr << FLAGS_settings << ": " << error.ToString() << "\n";
-      code = kExitUsage;
-    } else {
-      WaitForStopSignal();
-      code = process.Stop() ? kExitOk : kExitUnclean;
-    }
-  }
+  const int code = RunEntry(*settings);
   CloseEventLog();
   return code;
 }
--- a/src/app/thornplank_entry/part_settings.cc
+++ b/src/app/thornplank_entry/part_settings.cc
@@ -37,6 +37,7 @@
 std::vector<AccessToken> ToAccessTokens(
     const std::vector<EntryTokenSettings>& tokens) {
   std::vector<AccessToken> result;
+  result.reserve(tokens.size());
   for (const EntryTokenSettings& token : tokens) {
     result.push_back(
         {token.name, token.token, ToRole(token.role), token.account});
--- a/src/libs/protocol/peer_mesh.cc
+++ b/src/libs/protocol/peer_mesh.cc
@@ -210,6 +210,11 @@
   impl_->link_handler_ = std::move(handler);
 }
 
+void PeerMesh::HandleNameClash(
+    std::function<void(const std::string& where)> handler) {
+  impl_->name_clash_handler_ = std::move(handler);
+}
+
 bool PeerMesh::Start(Error* error) { return impl_->Start(error); }
 
 void PeerMesh::SetPeers(const std::vector<std::string>& addresses) {
--- a/src/libs/protocol/peer_mesh_impl.h
+++ b/src/libs/protocol/peer_mesh_impl.h
@@ -51,6 +51,7 @@
   // Written before Start only.
   std::unordered_map<std::string, MessageHandler> message_handlers_;
   LinkHandler link_handler_;
+  std::function<void(const std::string& where)> name_clash_handler_;
 
   std::atomic<uint64_t> bytes_sent_{0};
   std::atomic<uint64_t> bytes_received_{0};
@@ -76,6 +77,8 @@
   // Ends a link from this end.
   void Close(const PeerLinkPtr& link, const std::string& reason);
   // nullopt when the hello is acceptable.
+  // Tells the handler and, on an accepted link, the other end.
+  void ReportNameClash(const PeerLink& link, const Hello& hello);
   std::optional<Error> CheckHello(const PeerLink& link, const Message& message,
                                   Hello* hello) const;
   Reply MakeReply(const PeerLinkPtr& link, const Message& call);
--- a/src/libs/protocol/peer_mesh_links.cc
+++ b/src/libs/protocol/peer_mesh_links.cc
@@ -123,17 +123,28 @@
   if (!SecretsEqual(read->secret, settings_.shared_secret)) {
     return Error{"hello", where, "wrong secret"};
   }
+  *hello = *read;
   if (read->name == settings_.name) {
     return Error{"hello", where, "it has this entry's own name"};
   }
-  *hello = *read;
   return std::nullopt;
 }
 
+void PeerMesh::Impl::ReportNameClash(const PeerLink& link, const Hello& hello) {
+  const bool clash = hello.name == settings_.name &&
+                     hello.incarnation != settings_.incarnation;
+  if (!clash) return;
+  if (!link.dialed()) SendHello(link, /*kept=*/false);
+  if (!name_clash_handler_) return;
+  name_clash_handler_(link.dialed() ? link.dialed_address
+                                    : "an accepted connection");
+}
+
 void PeerMesh::Impl::HandleHello(const PeerLinkPtr& link,
                                  const Message& message) {
   Hello hello;
   if (const auto error = CheckHello(*link, message, &hello)) {
+    ReportNameClash(*link, hello);
     Refuse(link, *error);
     return;
   }
--- a/tests/integration/support/test_cluster.cc
+++ b/tests/integration/support/test_cluster.cc
@@ -86,9 +86,11 @@
   return true;
 }
 
-void TestCluster::StartEntry(int entry) {
+void TestCluster::StartEntry(int entry, const Json& changes) {
   const std::string name = "entry" + std::to_string(entry);
-  WriteFile(name + ".json", EntryConfig(entry));
+  Json config = EntryConfig(entry);
+  config.merge_patch(changes);
+  WriteFile(name + ".json", config);
   // A log of its own per start, so that Events reads all of them.
   int start = 0;
   while (std::filesystem::exists(folder_ + "/" + name + "-" +
--- a/tests/integration/support/test_cluster.h
+++ b/tests/integration/support/test_cluster.h
@@ -50,7 +50,8 @@
   // False when they are not within a generous limit.
   bool Start();
 
-  void StartEntry(int entry);
+  // `changes` are merged into its settings file for this start only.
+  void StartEntry(int entry, const Json& changes = Json::object());
   ChildProcess& entry(int entry) { return *entries_[entry]; }
   ChildProcess& standins() { return *standins_; }
   bool WaitReady(int entry, Duration limit = std::chrono::seconds(20));
--- a/tests/integration/tst_whole_path.cc
+++ b/tests/integration/tst_whole_path.cc
@@ -90,6 +90,18 @@
   }
 }
 
+TEST_CASE("an entry with the name of a live one does not start") {
+  TestClusterSettings settings;
+  settings.entries = 2;
+  TestCluster cluster{settings};
+  REQUIRE(cluster.Start());
+  cluster.entry(1).Kill();
+  cluster.StartEntry(1, {{"name", "entry0"}});
+  CHECK(cluster.entry(1).Wait(std::chrono::seconds(20)) == 2);
+  CHECK(cluster.entry(0).running());
+  CHECK(cluster.WaitReady(0));
+}
+
 TEST_CASE("a caller cannot act for another client account") {
   TestClusterSettings settings;
   settings.entries = 1;
