Test that a job moved off a worker shows its progress

Cause: progress_ms in the answer of GET /v1/jobs/{id}, and the way of a worker's progress over real sockets, had no test. A job on a stand-in worker is moved off by a drain; its second attempt starts and the answer names a progress above zero. Seen to fail in a scratch copy in which the worker client doesn't read the field. Measured: none. Run: tst_job_manager, 9 of 9 cases pass.

--- a/tests/auto/jobs/tst_job_manager.cc
+++ b/tests/auto/jobs/tst_job_manager.cc
@@ -151,6 +151,15 @@
   Entry& AddEntry(const std::string& name) {
     entries.push_back(std::make_unique<Entry>(io, log.address(), name));
     Entry& entry = *entries.back();
+    AccountGuarantee north;
+    north.account = "north";
+    entry.jobs.SetWorkers(infos());
+    entry.jobs.SetGuarantees({north});
+    entry.jobs.Start();
+    return entry;
+  }
+
+  std::vector<WorkerInfo> infos() const {
     std::vector<WorkerInfo> infos;
     for (size_t i = 0; i < workers.size(); ++i) {
       WorkerInfo info;
@@ -161,12 +170,7 @@
       info.accelerators = 8;
       infos.push_back(info);
     }
-    AccountGuarantee north;
-    north.account = "north";
-    entry.jobs.SetWorkers(infos);
-    entry.jobs.SetGuarantees({north});
-    entry.jobs.Start();
-    return entry;
+    return infos;
   }
 
   // Links every entry with every other.
@@ -256,6 +260,27 @@
             .status == 409);
 }
 
+TEST_CASE("a job moved off a worker goes on, and its progress is shown") {
+  Platform platform;
+  Entry& entry = platform.AddEntry("e1");
+  entry.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 60000))
+              .status == 202);
+  REQUIRE(Eventually([&] { return entry.PhaseOf("a") == "running"; }));
+  const auto read = [&entry] {
+    const HttpResponse answer = entry.Call("GET", "/v1/jobs/a", "north-token");
+    return ParseJson(answer.body).value_or(Json::object());
+  };
+  CHECK(read()["progress_ms"] == 0);
+  const bool on_first = platform.Saw(0, "started");
+  std::vector<WorkerInfo> workers = platform.infos();
+  workers[on_first ? 0 : 1].leaving = true;
+  entry.jobs.SetWorkers(workers);
+  CHECK(Eventually([&] { return read()["attempts"] == 2; }));
+  CHECK(read()["progress_ms"] > 0);
+}
+
 struct AccessCase {
   const char* method;
   const char* target;
