Convert the target to a view without a cast, as the linter asks

clang-tidy found a functional cast in http_message.cc (google-readability-casting) where the query of a request is read. Ruled out: NOLINT; an assignment and remove_prefix do the same. Conclusion: no behaviour changed.

--- a/src/libs/net/http_message.cc
+++ b/src/libs/net/http_message.cc
@@ -75,7 +75,8 @@
 std::string HttpRequest::query(std::string_view name) const {
   const size_t mark = target.find('?');
   if (mark == std::string::npos) return "";
-  std::string_view rest = std::string_view(target).substr(mark + 1);
+  std::string_view rest = target;
+  rest.remove_prefix(mark + 1);
   while (!rest.empty()) {
     const size_t end = std::min(rest.find('&'), rest.size());
     const std::string_view pair = rest.substr(0, end);
