Load jobs as well as requests, with bursts and their waits

Ruled out: one generator for both: jobs are followed by polling for seconds, requests end with their answer.

--- a/src/app/thornplank_load/main.cc
+++ b/src/app/thornplank_load/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "history/history_checker.h"
+#include "loadgen/job_load.h"
 #include "loadgen/load_generator.h"
 #include "loadgen/load_report.h"
 #include "net/io_pool.h"
@@ -33,6 +34,14 @@
 DEFINE_string(name, "load", "part of every id");
 DEFINE_string(history, "", "file for the history, one JSON object a line");
 DEFINE_string(out, "", "file for the report as JSON");
+DEFINE_double(jobs_rate, 0, "jobs a second, instead of requests");
+DEFINE_int32(jobs_burst, 0, "jobs submitted at once, instead of requests");
+DEFINE_int32(job_members, 1, "members of each job");
+DEFINE_int32(job_accelerators, 1, "accelerators of each member");
+DEFINE_string(job_adjacency, "none", "none or rack");
+DEFINE_string(job_priority, "normal", "normal or urgent");
+DEFINE_int32(job_run_ms, 500, "run time of each job");
+DEFINE_int32(job_deadline_ms, 60000, "a job is given up on after this time");
 DEFINE_string(check, "",
               "checks these history files (comma-separated) instead of "
               "sending load; needs --runs");
@@ -113,6 +122,39 @@
   }
 }
 
+int LoadJobs() {
+  LoadSettings common;
+  if (!ReadSettings(&common)) {
+    return Fail("--accounts takes account:token:share,...; see --help");
+  }
+  JobLoadSettings settings;
+  settings.entries = common.entries;
+  settings.account = common.accounts.front().account;
+  settings.token = common.accounts.front().token;
+  settings.rate = FLAGS_jobs_rate;
+  settings.duration = common.duration;
+  settings.burst = FLAGS_jobs_burst;
+  settings.burst_at = common.burst_at;
+  settings.members = FLAGS_job_members;
+  settings.accelerators = FLAGS_job_accelerators;
+  settings.adjacency = FLAGS_job_adjacency;
+  settings.priority = FLAGS_job_priority;
+  settings.run_time = Milliseconds(FLAGS_job_run_ms);
+  settings.deadline = Milliseconds(FLAGS_job_deadline_ms);
+  settings.name = FLAGS_name + "-" + std::to_string(FLAGS_seed);
+  const std::vector<JobHistoryRecord> history = RunJobLoad(settings);
+  if (!FLAGS_history.empty()) {
+    std::ofstream file(FLAGS_history);
+    for (const JobHistoryRecord& record : history) {
+      file << ToJson(record).dump() << "\n";
+    }
+  }
+  const Json report = SummarizeJobs(history);
+  std::cout << report.dump(2) << "\n";
+  if (!FLAGS_out.empty()) std::ofstream(FLAGS_out) << report.dump(2) << "\n";
+  return kExitOk;
+}
+
 int Load() {
   LoadSettings settings;
   if (!ReadSettings(&settings)) {
@@ -144,5 +186,8 @@
       "exit codes: 0 done, 1 the checker found faults, 2 wrong command line");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
   if (!FLAGS_check.empty()) return thornplank::Check();
+  if (FLAGS_jobs_rate > 0 || FLAGS_jobs_burst > 0) {
+    return thornplank::LoadJobs();
+  }
   return thornplank::Load();
 }
