Reserve the vectors of the settings' race tests, as the linter asks

clang-tidy found emplace_back and push_back in loops of known length in tst_settings_races.cc and settings_calls.cc (performance-inefficient-vector-operation). Ruled out: NOLINT; each mend is one line, no check of the test is touched. Measured: tst_settings_races passes (1 of 1 in ctest, 45.7 s on a busy machine); both files are clean in clang-tidy. Conclusion: no behaviour changed.

--- a/tests/integration/support/settings_calls.cc
+++ b/tests/integration/support/settings_calls.cc
@@ -154,6 +154,7 @@
 
 std::vector<int> SettingsCalls::all() const {
   std::vector<int> entries;
+  entries.reserve(static_cast<size_t>(entries_));
   for (int entry = 0; entry < entries_; ++entry) entries.push_back(entry);
   return entries;
 }
--- a/tests/integration/tst_settings_races.cc
+++ b/tests/integration/tst_settings_races.cc
@@ -78,6 +78,7 @@
 std::vector<Try> Race(SettingsCalls& calls, int64_t version, int64_t base) {
   std::vector<Try> tries(kOperators);
   std::vector<std::thread> operators;
+  operators.reserve(kOperators);
   std::atomic<int> waiting{kOperators};
   for (int i = 0; i < kOperators; ++i) {
     operators.emplace_back([&, i] {
@@ -401,6 +402,7 @@
 int AnsweredOf(TestCluster& cluster, int entry, int count, int round) {
   std::atomic<int> answered{0};
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     callers.emplace_back([&, i] {
       const std::string id = std::to_string(round) + "-" +
