Reserve the flood's connections in the test of bad input

clang-tidy found push_back in a loop of known length in tst_bad_input.cc (performance-inefficient-vector-operation). Ruled out: NOLINT; the mend is one line, no check of the test is touched. Conclusion: no behaviour changed.

--- a/tests/integration/tst_bad_input.cc
+++ b/tests/integration/tst_bad_input.cc
@@ -229,6 +229,7 @@
   ordinary.CheckAnswered();
   ordinary.CheckMemory();
   std::vector<RawConnection> flood;
+  flood.reserve(kFlood);
   for (int i = 0; i < kFlood; ++i) flood.push_back(bad.ConnectHttp());
   for (int i = 0; i < 20; ++i) {
     ordinary.CheckAnswered();
