Ask a worker when its task should end

Cause: the end of a task showed only at the next renewal, up to 3 s later, and its accelerators stayed held until then; the users' first measure is completion time. Ruled out: shorter renewals for all: bytes of control are over the budget already (docs/CAPACITY.md). The new case of tst_gang_executor fails with the expected end left out, passes with it; tst_coordinator and tst_job_manager pass. Conclusion: one call more for a task that ends when it said, none for one that does not.

--- a/src/libs/jobs/gang_executor.cc
+++ b/src/libs/jobs/gang_executor.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr int kMaxBackoffDoublings = 3;
+// A task is asked for this long after it should have ended.
+constexpr Milliseconds kEndMargin{20};
+// Longer run times are not reckoned with: a renewal comes first anyway.
+constexpr Milliseconds kMaxRunTime{24 * 3600 * 1000};
 // Asking again after this part of what a checkpoint has taken so far adds no
 // larger part to it, and few calls.
 constexpr int kCheckpointProbeShare = 4;
@@ -29,6 +33,13 @@
   return ids;
 }
 
+// Nothing is known of a task without a run time of its own.
+std::optional<Time> ExpectedEnd(const Json& task, Time lifted_at) {
+  const std::optional<int64_t> run = IntField(task, "run_ms");
+  if (!run || *run > kMaxRunTime.count()) return std::nullopt;
+  return lifted_at + Milliseconds(*run) + kEndMargin;
+}
+
 bool Holds(const WorkerReport& report, const std::string& lease_id) {
   const LeaseReport* lease = FindLease(report, lease_id);
   return lease != nullptr && lease->state != LeaseState::kGone;
@@ -309,8 +320,13 @@
     case WorkerCall::Kind::kLiftThrottle:
       for (const std::string& id : call.lease_ids) {
         const auto lease = slot->leases.find(id);
-        if (lease != slot->leases.end()) lease->second.lifted = true;
+        if (lease == slot->leases.end()) continue;
+        lease->second.lifted = true;
+        lease->second.ends_at = ExpectedEnd(lease->second.task, now);
       }
+      // The end of a task frees accelerators: it is asked for when due, not
+      // at the next renewal.
+      slot->renew_at = std::min(slot->renew_at, now + RenewalDelay(*slot, now));
       break;
     case WorkerCall::Kind::kCheckpoint:
       for (const std::string& id : call.lease_ids) {
@@ -426,7 +442,8 @@
   events->push_back(WorkerWentSilent{worker, slot->lapse_at});
 }
 
-// Short while a checkpoint is under way: what waits for its accelerators is
+// Up to the expected end of a task, and short while a checkpoint is under way:
+// what waits for its accelerators is
 // not to wait for a renewal as well.
 Duration GangExecutor::RenewalDelay(const Slot& slot, Time now) {
   Duration interval = slot.leases.empty() ? settings_.idle_probe_interval
@@ -439,8 +456,13 @@
   }
   std::uniform_real_distribution<double> jitter(-settings_.renewal_jitter,
                                                 settings_.renewal_jitter);
-  return std::chrono::duration_cast<Duration>(interval *
-                                              (1.0 + jitter(random_)));
+  Duration delay =
+      std::chrono::duration_cast<Duration>(interval * (1.0 + jitter(random_)));
+  for (const auto& [id, lease] : slot.leases) {
+    if (!lease.ends_at || *lease.ends_at <= now) continue;
+    delay = std::min(delay, *lease.ends_at - now);
+  }
+  return delay;
 }
 
 bool GangExecutor::fenced(const std::string& worker) const {
--- a/src/libs/jobs/gang_executor.h
+++ b/src/libs/jobs/gang_executor.h
@@ -75,6 +75,8 @@
     bool checkpoint_told = false;
     // Meaningful once checkpoint_told.
     Time checkpoint_told_at;
+    // When the task should end by its own run time; nullopt when unknown.
+    std::optional<Time> ends_at;
     // The latest moment at which a grant or renewal of it was sent.
     Time extended_at;
     // A stop that left it there is repeated from then on.
--- a/tests/auto/jobs/tst_gang_executor.cc
+++ b/tests/auto/jobs/tst_gang_executor.cc
@@ -37,10 +37,10 @@
     }
   }
 
-  void Grant(const std::string& gang) {
+  void Grant(const std::string& gang, const Json& task = Json()) {
     const GrantGang action{
         "job", gang, {{"w1", gang + "/0", 4}, {"w2", gang + "/1", 4}}, ""};
-    const WorkerEvents more = executor.Grant(action, "north", Json(), now);
+    const WorkerEvents more = executor.Grant(action, "north", task, now);
     events.insert(events.end(), more.begin(), more.end());
   }
 
@@ -180,6 +180,29 @@
   CHECK(rig.fake.count(Kind::kRenew) - before <= 2 * 40);
 }
 
+TEST_CASE("a worker is asked when a task should end, and then as usual") {
+  Rig rig;
+  rig.Grant("g", {{"run_ms", 700}});
+  rig.Settle();
+  rig.executor.Lift("g");
+  rig.Settle();
+  const auto renewals = [&rig] {
+    int count = 0;
+    for (const WorkerCall& call : rig.fake.calls) {
+      if (call.worker == "w1" && call.kind == Kind::kRenew) ++count;
+    }
+    return count;
+  };
+  const int before = renewals();
+  rig.Run(milliseconds(650));
+  CHECK(renewals() == before);
+  rig.Run(milliseconds(200));
+  CHECK(renewals() == before + 1);
+  // One that takes longer than it said costs no further calls.
+  rig.Run(milliseconds(2000));
+  CHECK(renewals() == before + 1);
+}
+
 TEST_CASE("the first lease of an idle worker is renewed in time") {
   Rig rig;
   rig.Run(milliseconds(1000));
