Check the depth of JSON and CBOR by one class

Ruled out: leaving it: a change of the bound in one place would let an entry take in what it cannot send to a peer. Conclusion: base/json_depth_check.h serves both.

--- a/src/libs/base/json.cc
+++ b/src/libs/base/json.cc
@@ -3,38 +3,11 @@
 
 #include <algorithm>
 
+#include "base/json_depth_check.h"
+
 namespace thornplank {
 namespace {
 
-// Walks a text without building values and stops below kMaxJsonDepth.
-class DepthCheck : public nlohmann::json_sax<Json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool key(string_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxJsonDepth; }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxJsonDepth; }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t, const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-
-  int depth_ = 0;
-};
-
 bool MayBeTooDeep(std::string_view text) {
   const auto opens = [](char c) { return c == '[' || c == '{'; };
   return std::count_if(text.begin(), text.end(), opens) > kMaxJsonDepth;
@@ -51,7 +24,7 @@
 std::optional<Json> ParseJson(std::string_view text) {
   // Most texts open too few values to need the second pass.
   if (MayBeTooDeep(text)) {
-    DepthCheck check;
+    JsonDepthCheck check;
     if (!Json::sax_parse(text, &check, Json::input_format_t::json,
                          /*strict=*/true, /*ignore_comments=*/true)) {
       return std::nullopt;
--- /dev/null
+++ b/src/libs/base/json_depth_check.h
@@ -0,0 +1,43 @@
+// A first pass over untrusted JSON or CBOR that refuses deep nesting.
+#ifndef THORNPLANK_BASE_JSON_DEPTH_CHECK_H_
+#define THORNPLANK_BASE_JSON_DEPTH_CHECK_H_
+
+#include <cstddef>
+
+#include "base/json.h"
+
+namespace thornplank {
+
+// Walks a JSON text or a CBOR frame without building values, and stops below
+// kMaxJsonDepth: the readers of nlohmann-json recurse once a level.
+class JsonDepthCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kMaxJsonDepth; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return ++depth_ <= kMaxJsonDepth; }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t, const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_BASE_JSON_DEPTH_CHECK_H_
--- a/src/libs/protocol/message.cc
+++ b/src/libs/protocol/message.cc
@@ -3,44 +3,13 @@
 
 #include <utility>
 
+#include "base/json_depth_check.h"
+
 namespace thornplank {
 namespace {
 
-// Deeper frames are refused, since the decoder recurses once a level.
-constexpr int kMaxDepth = 64;
-
 constexpr char kStep[] = "decode message";
 
-// Walks a frame without building values and stops below `kMaxDepth`.
-class DepthCheck : public nlohmann::json_sax<Json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool key(string_t&) override { return true; }
-  bool start_object(std::size_t) override { return Enter(); }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return Enter(); }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t, const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  bool Enter() { return ++depth_ <= kMaxDepth; }
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-
-  int depth_ = 0;
-};
-
 std::optional<Message> Refuse(Error* error, std::string reason) {
   SetError(error, kStep, "", std::move(reason));
   return std::nullopt;
@@ -59,7 +28,7 @@
 }
 
 std::optional<Message> DecodeMessage(std::string_view frame, Error* error) {
-  DepthCheck check;
+  JsonDepthCheck check;
   if (!Json::sax_parse(frame.begin(), frame.end(), &check,
                        Json::input_format_t::cbor)) {
     return Refuse(error, "not CBOR, or too deep");
