Time the takeover against workers and tasks up to the target size

Ruled out: timing by polling /v1/status: its interval would blur differences of a few milliseconds; the log events carry the times.

--- a/benchmarks/bench_control.cc
+++ b/benchmarks/bench_control.cc
@@ -19,6 +19,8 @@
 DEFINE_string(rows, "",
               "rows as entries:workers:tasks:accounts,...; empty for all");
 DEFINE_int32(seconds, 12, "time measured per row");
+DEFINE_bool(takeover, false,
+            "then kills the coordinator of each row and times the takeover");
 
 namespace thornplank {
 namespace {
@@ -26,6 +28,9 @@
 constexpr Milliseconds kSettle{4000};
 constexpr int kJobMembers = 32;
 constexpr int kLongRunMs = 3600 * 1000;
+// Log events of the coordinator, see docs/EVENTS.md.
+constexpr int kEpochWon = 500;
+constexpr int kTakeoverDone = 501;
 
 struct Row {
   int entries = 3;
@@ -128,6 +133,40 @@
   std::cout << " | " << total << std::endl;
 }
 
+// Milliseconds on the wall clock from `killed_at` to the first event `number`
+// after it at any entry; -1 while there is none.
+int64_t SinceKill(const TestCluster& cluster, const Row& row, int number,
+                  int64_t killed_at) {
+  int64_t first = -1;
+  for (int i = 0; i < row.entries; ++i) {
+    for (const Json& event : cluster.Events(i, number)) {
+      const int64_t after = IntField(event, "time_ms").value_or(0) - killed_at;
+      if (after >= 0 && (first < 0 || after < first)) first = after;
+    }
+  }
+  return first;
+}
+
+void KillCoordinator(TestCluster& cluster, const Row& row) {
+  for (int i = 0; i < row.entries; ++i) {
+    const Json status = cluster.CallJson(i, "GET", "/v1/status");
+    if (!BoolField(status, "is_coordinator").value_or(false)) continue;
+    const int64_t killed_at =
+        ToUnixMilliseconds(std::chrono::system_clock::now());
+    cluster.entry(i).Kill();
+    const bool done = TestCluster::Eventually(
+        [&] { return SinceKill(cluster, row, kTakeoverDone, killed_at) >= 0; },
+        std::chrono::seconds(60));
+    std::cout << "takeover with " << row.workers << " workers, " << row.tasks
+              << " tasks: epoch after "
+              << SinceKill(cluster, row, kEpochWon, killed_at)
+              << " ms, workers heard and gangs adopted after "
+              << SinceKill(cluster, row, kTakeoverDone, killed_at) << " ms"
+              << (done ? "" : " (not done)") << std::endl;
+    return;
+  }
+}
+
 bool Measure(const Row& row) {
   TestClusterSettings settings;
   settings.entries = row.entries;
@@ -167,6 +206,7 @@
     PrintEntry(row, coordinator ? "coordinator" : "other", before[i], after,
                seconds);
   }
+  if (FLAGS_takeover) KillCoordinator(cluster, row);
   return true;
 }
 
