--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -338,9 +338,6 @@
     metrics_.AddGauge(
         "thornplank_http_connections", "Connections of callers.", {},
         [this] { return static_cast<double>(server_.connections()); });
-    metrics_.AddGauge(
-        "thornplank_requests_in_flight", "Requests without an answer yet.", {},
-        [this] { return static_cast<double>(requests_.in_flight()); });
     AddTrafficGauges("platform", platform_http_);
     AddTrafficGauges("workers", worker_http_);
     AddTrafficGauges("executors", executor_http_);
