--- a/tests/auto/jobs/tst_job_manager.cc
+++ b/tests/auto/jobs/tst_job_manager.cc
@@ -240,11 +240,25 @@
       .dump();
 }
 
+// The first entry, once it is the coordinator.
+Entry& AddCoordinator(Platform* platform) {
+  Entry& entry = platform->AddEntry("e1");
+  entry.jobs.SetLiveEntries({"e1"});
+  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  return entry;
+}
+
+// Attempts of a job as `entry` answers; -1 without an answer.
+int64_t Attempts(Entry& entry, const std::string& job) {
+  const std::optional<Json> status =
+      ParseJson(entry.Call("GET", "/v1/jobs/" + job, "north-token").body);
+  REQUIRE(status);
+  return IntField(*status, "attempts").value_or(-1);
+}
+
 TEST_CASE("a job is taken at one entry, run by another, and seen at both") {
   Platform platform;
-  Entry& first = platform.AddEntry("e1");
-  first.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& first = AddCoordinator(&platform);
   Entry& second = platform.AddEntry("e2");
   REQUIRE(Eventually([&] { return second.jobs.ready(); }));
   const HttpResponse taken =
@@ -262,9 +276,7 @@
 
 TEST_CASE("a job moved off a worker goes on, and its progress is shown") {
   Platform platform;
-  Entry& entry = platform.AddEntry("e1");
-  entry.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  Entry& entry = AddCoordinator(&platform);
   REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 60000))
               .status == 202);
   REQUIRE(Eventually([&] { return entry.PhaseOf("a") == "running"; }));
@@ -290,9 +302,7 @@
 
 TEST_CASE("callers reach the jobs of their own account only") {
   Platform platform;
-  Entry& entry = platform.AddEntry("e1");
-  entry.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  Entry& entry = AddCoordinator(&platform);
   REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 60000))
               .status == 202);
   const std::vector<AccessCase> cases = {
@@ -324,9 +334,7 @@
 
 TEST_CASE("the next coordinator goes on with what runs") {
   Platform platform;
-  Entry& first = platform.AddEntry("e1");
-  first.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& first = AddCoordinator(&platform);
   Entry& second = platform.AddEntry("e2");
   second.jobs.SetLiveEntries({"e1", "e2"});
   REQUIRE(first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 2, 2000))
@@ -345,17 +353,12 @@
   CHECK(second.jobs.epoch() == 2);
   CHECK_FALSE(first.jobs.is_coordinator());
   CHECK(Eventually([&] { return second.PhaseOf("a") == "finished"; }));
-  const std::optional<Json> job =
-      ParseJson(second.Call("GET", "/v1/jobs/a", "north-token").body);
-  REQUIRE(job);
-  CHECK(IntField(*job, "attempts") == 1);
+  CHECK(Attempts(second, "a") == 1);
 }
 
 TEST_CASE("a coordinator that sees a newer epoch steps down") {
   Platform platform;
-  Entry& first = platform.AddEntry("e1");
-  first.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& first = AddCoordinator(&platform);
   Entry& second = platform.AddEntry("e2");
   // The second entry is wrong about the first one's death.
   second.jobs.SetLiveEntries({"e2"});
@@ -368,9 +371,7 @@
 
 TEST_CASE("while the log is down submissions are refused at once") {
   Platform platform;
-  Entry& entry = platform.AddEntry("e1");
-  entry.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return entry.jobs.is_coordinator(); }));
+  Entry& entry = AddCoordinator(&platform);
   REQUIRE(entry.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 2500))
               .status == 202);
   REQUIRE(Eventually([&] { return entry.PhaseOf("a") == "running"; }));
@@ -424,18 +425,13 @@
     platform.ControlLog({{"outage", false}});
     if (one.status != 202) continue;
     CHECK(Eventually([&] { return second.PhaseOf("a") == "finished"; }));
-    const std::optional<Json> job =
-        ParseJson(second.Call("GET", "/v1/jobs/a", "north-token").body);
-    REQUIRE(job);
-    CHECK(IntField(*job, "attempts") == 1);
+    CHECK(Attempts(second, "a") == 1);
   }
 }
 
 TEST_CASE("an entry that starts after retention takes the last snapshot") {
   Platform platform;
-  Entry& first = platform.AddEntry("e1");
-  first.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& first = AddCoordinator(&platform);
   platform.ControlLog({{"retain_records", 60}});
   for (int i = 0; i < 40; ++i) {
     const std::string id = "j" + std::to_string(i);
@@ -452,9 +448,7 @@
 
 TEST_CASE("an entry joins from a peer's snapshot") {
   Platform platform;
-  Entry& first = platform.AddEntry("e1");
-  first.jobs.SetLiveEntries({"e1"});
-  REQUIRE(Eventually([&] { return first.jobs.is_coordinator(); }));
+  Entry& first = AddCoordinator(&platform);
   REQUIRE(first.Call("POST", "/v1/jobs", "north-token", JobBody("a", 1, 50))
               .status == 202);
   Entry joining(platform.io, platform.log.address(), "e3");
