--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -31,7 +31,7 @@
 #include "peers/membership_manager.h"
 #include "platform/instance_list_client.h"
 #include "platform/log_client.h"
-#include "process_metrics.h"
+#include "metrics/process_metrics.h"
 #include "protocol/peer_mesh.h"
 #include "requests/request_manager.h"
 #include "settings_mapping.h"
--- /dev/null
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -0,0 +1,349 @@
+// The parts of a hosted entry and their order of start and stop.
+#include "hosted_process.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "coordination/caller_service.h"
+#include "coordination/cluster_coordinator.h"
+#include "coordination/job_board.h"
+#include "coordination/record_tail.h"
+#include "coordination/serving_configuration.h"
+#include "logging/events/coordination_events.h"
+#include "logging/events/process_events.h"
+#include "metrics/metrics_registry.h"
+#include "metrics/process_metrics.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/executor_client.h"
+#include "platform/metadata_store.h"
+#include "platform/wire_formats.h"
+
+namespace thornplank {
+namespace {
+
+// The project's own stream in the store. The board is open to all entries, the
+// progress of tasks belongs to the leader.
+constexpr char kJobStream[] = "keyed.thornplank";
+constexpr int kBoardPartition = 0;
+constexpr int kProgressPartition = 1;
+// A follower reads a busy board at most this often.
+constexpr Milliseconds kFollowerPace{200};
+// Keys are refused this long before the bound on their revocation: the time
+// that a call may wait for its answer from the store.
+constexpr Milliseconds kRevocationMargin{800};
+// The platform takes an entry out after two probes, a second apart; until then
+// new connections still come and are answered.
+constexpr Milliseconds kStopListeningAfter{2300};
+// For the record with which the lead is given back.
+constexpr Milliseconds kReleaseTimeout{700};
+// How much the instance's size and how much chance decides who leads first.
+constexpr double kSizeWeight = 0.6;
+// The largest instances of today have half a core.
+constexpr double kLargestShare = 0.5;
+
+double Rank(const HostedSettings& settings) {
+  const double size = std::min(settings.processor_share / kLargestShare, 1.0);
+  std::mt19937 random(
+      static_cast<uint32_t>(std::hash<std::string>()(settings.name)));
+  const double chance = std::uniform_real_distribution<double>(0, 1)(random);
+  return kSizeWeight * (1 - size) + (1 - kSizeWeight) * chance;
+}
+
+std::string Holder(const HostedSettings& settings) {
+  const int64_t started = ToUnixMilliseconds(std::chrono::system_clock::now());
+  return settings.name + "/" + std::to_string(started) + "-" +
+         std::to_string(::getpid());
+}
+
+HttpServerLimits CallerLimits() {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 1024 * 1024;
+  limits.max_connections = 2048;
+  limits.max_buffered_bytes = 16 * 1024 * 1024;
+  return limits;
+}
+
+}  // namespace
+
+class HostedProcess::Impl {
+ public:
+  Impl(boost::asio::io_context& io, HostedSettings settings)
+      : io_(io),
+        settings_(std::move(settings)),
+        client_(io, HttpClientLimits()),
+        store_(client_, settings_.store_address),
+        executors_(client_),
+        board_tail_(io, store_, BoardTail(), BoardHandlers()),
+        configuration_tail_(io, store_, ConfigurationTail(),
+                            ConfigurationHandlers()),
+        callers_(io, store_, formats_, CallerSettings(), CallerSurroundings(),
+                 metrics_),
+        coordinator_(io, store_, executors_, formats_, CoordinatorSettings(),
+                     CoordinatorSurroundings()),
+        caller_server_(
+            io, CallerLimits(),
+            [this](HttpRequest request, HttpServer::Responder respond) {
+              callers_.Handle(std::move(request), std::move(respond));
+            }),
+        readiness_server_(io, HttpServerLimits(),
+                          [this](const HttpRequest& request,
+                                 const HttpServer::Responder& respond) {
+                            respond(AnswerReadiness(request));
+                          }),
+        metrics_server_(
+            io, HttpServerLimits(),
+            [this](const HttpRequest&, const HttpServer::Responder& respond) {
+              HttpResponse response;
+              response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+              response.body = metrics_.ToText();
+              respond(std::move(response));
+            }),
+        stop_timer_(io) {}
+
+  bool Start(Error* error) {
+    if (!caller_server_.Listen(settings_.listen_callers, error)) return false;
+    if (!readiness_server_.Listen(settings_.listen_readiness, error)) {
+      return false;
+    }
+    if (!settings_.listen_metrics.empty() &&
+        !metrics_server_.Listen(settings_.listen_metrics, error)) {
+      return false;
+    }
+    AddGauges();
+    board_tail_.Start();
+    configuration_tail_.Start();
+    coordinator_.Start();
+    LogEvent(events::kProcessStarted,
+             {{"callers", settings_.listen_callers},
+              {"failure_domain", settings_.failure_domain}});
+    return true;
+  }
+
+  void Stop(std::function<void()> done) {
+    if (std::exchange(stopping_, true)) return;
+    LogEvent(events::kShutdownBegun,
+             {{"in_flight", caller_server_.requests_in_flight()},
+              {"leading", coordinator_.leading()}});
+    coordinator_.Release(kReleaseTimeout, [] {});
+    stop_timer_.expires_after(kStopListeningAfter);
+    stop_timer_.async_wait(
+        [this, done = std::move(done)](const boost::system::error_code&) {
+          caller_server_.Drain([done] {
+            LogEvent(events::kShutdownDone, {});
+            done();
+          });
+        });
+  }
+
+  void Reload(const HostedSettings& settings) {
+    LogEvent(
+        events::kSettingsReloaded,
+        {{"log_level_changed", settings.log_level != settings_.log_level},
+         {"store_changed", settings.store_address != settings_.store_address}});
+    if (settings.log_level != settings_.log_level) {
+      OpenEventLog(settings.name, settings.log_level);
+    }
+    settings_.log_level = settings.log_level;
+  }
+
+ private:
+  static RecordTailSettings BoardTail() {
+    RecordTailSettings settings;
+    settings.partition = {kJobStream, kBoardPartition};
+    settings.pace = kFollowerPace;
+    return settings;
+  }
+
+  RecordTailSettings ConfigurationTail() const {
+    RecordTailSettings settings;
+    settings.partition = formats_.streams().configuration;
+    return settings;
+  }
+
+  RecordTail::Handlers BoardHandlers() {
+    RecordTail::Handlers handlers;
+    handlers.on_record = [this](const KeyedRecord& record) {
+      const BoardChange change = board_.Apply(record);
+      coordinator_.OnBoardChange(change);
+    };
+    handlers.on_snapshot = [](const std::set<std::string>&) {};
+    handlers.on_current = [this] {
+      board_tail_.set_pace(coordinator_.leading() ? Milliseconds(0)
+                                                  : kFollowerPace);
+      coordinator_.OnBoardContact();
+      NoteStore(std::nullopt);
+    };
+    handlers.on_failure = [this](const Error& error) { NoteStore(error); };
+    return handlers;
+  }
+
+  RecordTail::Handlers ConfigurationHandlers() {
+    RecordTail::Handlers handlers;
+    handlers.on_record = [this](const KeyedRecord& record) {
+      TakeConfiguration(record);
+    };
+    handlers.on_snapshot = [](const std::set<std::string>&) {};
+    handlers.on_current = [] {};
+    handlers.on_failure = [](const Error&) {};
+    return handlers;
+  }
+
+  // A version that was seen once is never left for an older one.
+  void TakeConfiguration(const KeyedRecord& record) {
+    if (record.key != formats_.streams().configuration_key) return;
+    if (!record.value) return;
+    Error error;
+    std::optional<ServingConfiguration> read =
+        formats_.ReadConfiguration(*record.value, &error);
+    if (!read) {
+      return LogEvent(events::kConfigurationUnreadable, error,
+                      {{"offset", record.offset}});
+    }
+    if (configuration_ && read->version <= configuration_->version) return;
+    LogEvent(events::kConfigurationInForce,
+             {{"version", read->version},
+              {"offset", record.offset},
+              {"queues", read->queues.size()},
+              {"accounts", read->accounts.size()}});
+    configuration_ = std::move(read);
+  }
+
+  void NoteStore(const std::optional<Error>& error) {
+    if (error && !store_lost_) {
+      store_lost_ = true;
+      LogEvent(events::kStoreLost, *error);
+    } else if (!error && store_lost_) {
+      store_lost_ = false;
+      LogEvent(events::kStoreBack, {{"board_next", board_tail_.next()}});
+    }
+  }
+
+  CallerServiceSettings CallerSettings() const {
+    CallerServiceSettings settings;
+    settings.board = {kJobStream, kBoardPartition};
+    settings.configuration_age = settings_.revocation_bound - kRevocationMargin;
+    return settings;
+  }
+
+  CallerService::Surroundings CallerSurroundings() {
+    CallerService::Surroundings surroundings;
+    surroundings.configuration = [this]() -> const ServingConfiguration* {
+      return configuration_ ? &*configuration_ : nullptr;
+    };
+    surroundings.configuration_as_of = [this] {
+      return configuration_tail_.as_of();
+    };
+    surroundings.board = &board_;
+    surroundings.board_tail = &board_tail_;
+    return surroundings;
+  }
+
+  ClusterCoordinatorSettings CoordinatorSettings() const {
+    ClusterCoordinatorSettings settings;
+    settings.holder = Holder(settings_);
+    settings.rank = Rank(settings_);
+    settings.board = {kJobStream, kBoardPartition};
+    settings.progress = {kJobStream, kProgressPartition};
+    settings.state_kept = settings_.state_kept + std::chrono::seconds(30);
+    return settings;
+  }
+
+  ClusterCoordinator::Surroundings CoordinatorSurroundings() {
+    ClusterCoordinator::Surroundings surroundings;
+    surroundings.board = &board_;
+    surroundings.configuration = [this]() -> const ServingConfiguration& {
+      static const ServingConfiguration kNone;
+      return configuration_ ? *configuration_ : kNone;
+    };
+    surroundings.board_next = [this] { return board_tail_.next(); };
+    surroundings.board_as_of = [this] { return board_tail_.as_of(); };
+    return surroundings;
+  }
+
+  HttpResponse AnswerReadiness(const HttpRequest&) {
+    const bool ready = callers_.ready() && !stopping_;
+    if (ready != was_ready_) {
+      was_ready_ = ready;
+      LogEvent(ready ? events::kProcessReady : events::kProcessNotReady,
+               {{"stopping", stopping_},
+                {"configured", configuration_.has_value()}});
+    }
+    HttpResponse response;
+    response.status = ready ? 200 : 503;
+    return response;
+  }
+
+  void AddGauges() {
+    AddProcessMetrics(metrics_);
+    metrics_.AddGauge("thornplank_leading", "1 while this entry leads.", {},
+                      [this] { return coordinator_.leading() ? 1.0 : 0.0; });
+    metrics_.AddGauge(
+        "thornplank_epoch", "The last epoch led by this entry.", {},
+        [this] { return static_cast<double>(coordinator_.epoch()); });
+    metrics_.AddGauge(
+        "thornplank_jobs_known", "Jobs on the board, ended ones included.", {},
+        [this] { return static_cast<double>(board_.jobs().size()); });
+    AddFleetGauge("thornplank_starts_total", "Start orders sent.",
+                  &WorkerFleet::Counts::starts);
+    AddFleetGauge("thornplank_stops_total", "Stop orders sent.",
+                  &WorkerFleet::Counts::stops);
+    AddFleetGauge("thornplank_reports_total", "Reports asked of workers.",
+                  &WorkerFleet::Counts::reports);
+    AddFleetGauge("thornplank_failed_worker_calls_total",
+                  "Calls of workers without the answer hoped for.",
+                  &WorkerFleet::Counts::failed_calls);
+  }
+
+  void AddFleetGauge(const std::string& name, const std::string& help,
+                     uint64_t WorkerFleet::Counts::*count) {
+    metrics_.AddGauge(name, help, {}, [this, count] {
+      const WorkerFleet* fleet = coordinator_.fleet();
+      return fleet == nullptr ? 0.0
+                              : static_cast<double>(fleet->counts().*count);
+    });
+  }
+
+  boost::asio::io_context& io_;
+  HostedSettings settings_;
+  MetricsRegistry metrics_;
+  HttpClient client_;
+  MetadataStore store_;
+  ExecutorClient executors_;
+  const WireFormats formats_;
+  JobBoard board_;
+  std::optional<ServingConfiguration> configuration_;
+  RecordTail board_tail_;
+  RecordTail configuration_tail_;
+  CallerService callers_;
+  ClusterCoordinator coordinator_;
+  HttpServer caller_server_;
+  HttpServer readiness_server_;
+  HttpServer metrics_server_;
+  boost::asio::steady_timer stop_timer_;
+  bool stopping_ = false;
+  bool was_ready_ = false;
+  bool store_lost_ = false;
+};
+
+HostedProcess::HostedProcess(boost::asio::io_context& io,
+                             HostedSettings settings)
+    : impl_(std::make_unique<Impl>(io, std::move(settings))) {}
+HostedProcess::~HostedProcess() = default;
+bool HostedProcess::Start(Error* error) { return impl_->Start(error); }
+void HostedProcess::Stop(std::function<void()> done) {
+  impl_->Stop(std::move(done));
+}
+void HostedProcess::Reload(const HostedSettings& settings) {
+  impl_->Reload(settings);
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/caller_service.cc
@@ -0,0 +1,248 @@
+// Routes a caller's request and answers it.
+#include "coordination/caller_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "logging/events/coordination_events.h"
+#include "net/problem_response.h"
+
+namespace thornplank {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMalformed = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+constexpr int kTimedOut = 504;
+
+}  // namespace
+
+struct CallerService::Call {
+  HttpRequest request;
+  HttpServer::Responder respond;
+  QueueConfiguration queue;
+  std::string account;
+  std::string job;
+  int64_t configuration_version = 0;
+  Time begun{};
+};
+
+CallerService::CallerService(boost::asio::io_context& io, RecordStore& store,
+                             const Formats& formats,
+                             CallerServiceSettings settings,
+                             Surroundings surroundings,
+                             MetricsRegistry& metrics)
+    : io_(io),
+      store_(store),
+      formats_(formats),
+      settings_(std::move(settings)),
+      surroundings_(std::move(surroundings)),
+      metrics_(metrics),
+      accepted_(metrics.counter("thornplank_jobs_accepted_total",
+                                "Submissions that were stored.")),
+      cancelled_(metrics.counter("thornplank_jobs_cancelled_total",
+                                 "Cancellations that were stored.")),
+      acknowledgement_time_(
+          metrics.summary("thornplank_acknowledgement_seconds",
+                          "From a whole submission to its answer.")) {}
+
+CallerService::~CallerService() { *alive_ = false; }
+
+bool CallerService::IsStoreFresh() const {
+  return surroundings_.board_tail->started() &&
+         BootClock::now() - surroundings_.board_tail->as_of() <
+             settings_.store_age;
+}
+
+bool CallerService::ready() const {
+  return surroundings_.configuration() != nullptr && IsStoreFresh();
+}
+
+void CallerService::Handle(HttpRequest request, HttpServer::Responder respond) {
+  auto call = std::make_shared<Call>();
+  call->begun = std::chrono::steady_clock::now();
+  call->request = std::move(request);
+  call->respond = std::move(respond);
+  const ServingConfiguration* configuration = surroundings_.configuration();
+  if (configuration == nullptr) {
+    return Refuse(call, kUnavailable, "no configuration yet");
+  }
+  call->configuration_version = configuration->version;
+  const std::string path = call->request.path();
+  const CallerHeaders headers = formats_.ReadHeaders(call->request);
+  const QueueConfiguration* queue =
+      configuration->FindQueue(headers.host, path);
+  if (queue == nullptr) return Refuse(call, kNotFound, "no such queue");
+  call->queue = *queue;
+  call->job = path.substr(queue->prefix.size());
+  if (!queue->is_public) {
+    const auto age = BootClock::now() - surroundings_.configuration_as_of();
+    if (age > settings_.configuration_age) {
+      return Refuse(call, kUnavailable, "keys were not confirmed lately");
+    }
+    const AccountConfiguration* account =
+        configuration->FindAccount(headers.key);
+    if (account == nullptr) return Refuse(call, kUnauthorized, "unknown key");
+    call->account = account->name;
+  }
+  if (call->request.body.size() > configuration->max_body_bytes) {
+    return Refuse(call, kTooLarge, "the body is too large");
+  }
+  const std::string& method = call->request.method;
+  if (call->job.empty()) {
+    if (method == "GET") return ShowQueue(call);
+    return Refuse(call, kMethodNotAllowed, "a queue can only be read");
+  }
+  if (!IsJobId(call->job)) {
+    return Refuse(call, kNotFound, "a job's id is 16 hexadecimal digits");
+  }
+  if (method == "POST") return Submit(call);
+  if (method == "GET") return ShowState(call, /*caught_up=*/false);
+  if (method == "DELETE") return Cancel(call, /*caught_up=*/false);
+  Refuse(call, kMethodNotAllowed, "a job takes POST, GET and DELETE");
+}
+
+void CallerService::Submit(const std::shared_ptr<Call>& call) {
+  if (surroundings_.board->Find(call->job) != nullptr) {
+    return Respond(call, HttpResponse());
+  }
+  Error error;
+  std::optional<JobSpec> job = formats_.ReadJob(call->request.body, &error);
+  if (!job) return Refuse(call, kMalformed, error.reason);
+  job->id = call->job;
+  job->account = call->account;
+  job->policy = call->queue.policy;
+  job->accepted = std::chrono::system_clock::now();
+  std::string reason;
+  if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
+  if (!IsStoreFresh()) return Refuse(call, kUnavailable, "the store is away");
+  Append(JobBoard::Submission(*job),
+         [this, call](int status, const Error& error) {
+           if (status != kOk) return Refuse(call, status, error.ToString());
+           accepted_.Add();
+           acknowledgement_time_.Observe(std::chrono::steady_clock::now() -
+                                         call->begun);
+           LogEvent(events::kJobAccepted,
+                    {{"job", call->job},
+                     {"account", call->account},
+                     {"queue", call->queue.policy.queue},
+                     {"configuration", call->configuration_version}});
+           Respond(call, HttpResponse());
+         });
+}
+
+void CallerService::ShowState(const std::shared_ptr<Call>& call,
+                              bool caught_up) {
+  const BoardJob* job = surroundings_.board->Find(call->job);
+  if (job == nullptr && !caught_up) {
+    return CatchUp(call, &CallerService::ShowState);
+  }
+  if (job == nullptr) return Refuse(call, kGone, "no such job");
+  LogEvent(events::kStateAnswered,
+           {{"job", call->job}, {"state", std::string(ToText(job->state()))}});
+  Respond(call, formats_.JobStateResponse(job->state()));
+}
+
+void CallerService::Cancel(const std::shared_ptr<Call>& call, bool caught_up) {
+  const BoardJob* job = surroundings_.board->Find(call->job);
+  if (job == nullptr && !caught_up) {
+    return CatchUp(call, &CallerService::Cancel);
+  }
+  if (job == nullptr) return Refuse(call, kGone, "no such job");
+  if (IsTerminal(job->state())) return Respond(call, HttpResponse());
+  Append(JobBoard::Cancellation(call->job),
+         [this, call](int status, const Error& error) {
+           if (status != kOk) return Refuse(call, status, error.ToString());
+           cancelled_.Add();
+           LogEvent(events::kJobCancelled, {{"job", call->job}});
+           Respond(call, HttpResponse());
+         });
+}
+
+void CallerService::CatchUp(
+    const std::shared_ptr<Call>& call,
+    void (CallerService::*then)(const std::shared_ptr<Call>&, bool)) {
+  surroundings_.board_tail->CatchUp(
+      settings_.catch_up_timeout,
+      [this, alive = alive_, call, then](bool caught_up) {
+        if (!*alive) return;
+        if (caught_up) return (this->*then)(call, true);
+        Refuse(call, kUnavailable, "the store is away");
+      });
+}
+
+void CallerService::ShowQueue(const std::shared_ptr<Call>& call) {
+  if (!IsStoreFresh()) return Refuse(call, kUnavailable, "the store is away");
+  Respond(call, formats_.QueueLengthResponse(surroundings_.board->WaitingJobs(
+                    call->queue.policy.queue)));
+}
+
+void CallerService::Append(KeyedRecord record,
+                           std::function<void(int, const Error&)> done) {
+  auto request = std::make_shared<AppendRequest>();
+  request->partition = settings_.board;
+  request->records.push_back(std::move(record));
+  TryAppend(request, settings_.append_tries, /*may_be_stored=*/false,
+            std::move(done));
+}
+
+void CallerService::TryAppend(const std::shared_ptr<AppendRequest>& request,
+                              int tries_left, bool may_be_stored,
+                              std::function<void(int, const Error&)> done) {
+  store_.Append(
+      *request, settings_.append_timeout,
+      [this, alive = alive_, request, tries_left, may_be_stored,
+       done = std::move(done)](const AppendResult& result) mutable {
+        if (!*alive) return;
+        if (result.outcome == AppendOutcome::kStored) return done(kOk, {});
+        may_be_stored =
+            may_be_stored || result.outcome == AppendOutcome::kUnknown;
+        if (tries_left <= 1) {
+          return done(may_be_stored ? kTimedOut : kUnavailable, result.error);
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            io_, settings_.append_retry);
+        timer->async_wait([this, alive, timer, request, tries_left,
+                           may_be_stored, done = std::move(done)](
+                              const boost::system::error_code& code) mutable {
+          if (code || !*alive) return;
+          TryAppend(request, tries_left - 1, may_be_stored, std::move(done));
+        });
+      });
+}
+
+void CallerService::Refuse(const std::shared_ptr<Call>& call, int status,
+                           const std::string& reason) {
+  const Event& event =
+      status == kTimedOut ? events::kJobUndecided : events::kJobRefused;
+  LogEvent(event, {{"job", call->job},
+                   {"method", call->request.method},
+                   {"status", status},
+                   {"reason", reason},
+                   {"configuration", call->configuration_version}});
+  HttpResponse response =
+      ProblemResponse(status, {"answer", call->request.remote, reason});
+  if (status == kUnavailable) {
+    response.headers.Set("Retry-After",
+                         std::to_string(settings_.retry_after.count()));
+  }
+  Respond(call, std::move(response));
+}
+
+void CallerService::Respond(const std::shared_ptr<Call>& call,
+                            HttpResponse response) {
+  metrics_
+      .counter("thornplank_caller_answers_total", "Answers to callers.",
+               {{"method", call->request.method},
+                {"status", std::to_string(response.status)}})
+      .Add();
+  call->respond(std::move(response));
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/caller_service.h
@@ -0,0 +1,94 @@
+// Answers callers: submissions, states, cancellations, queue lengths.
+//
+// A submission is accepted once it is stored in the board; who leads does not
+// matter for it. A refusal is said only of what was certainly not stored.
+#ifndef THORNPLANK_COORDINATION_CALLER_SERVICE_H_
+#define THORNPLANK_COORDINATION_CALLER_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/boot_clock.h"
+#include "base/time.h"
+#include "coordination/formats.h"
+#include "coordination/job_board.h"
+#include "coordination/record_tail.h"
+#include "metrics/metrics_registry.h"
+#include "net/http_message.h"
+#include "net/http_server.h"
+
+namespace thornplank {
+
+struct CallerServiceSettings {
+  Partition board;
+  // A configuration that was confirmed longer ago may have lost keys since, so
+  // calls with a key are refused. Below the bound on revocation (5 s).
+  Milliseconds configuration_age{4200};
+  // Without the store for this long a call is refused at once.
+  Milliseconds store_age{2600};
+  // One append. A lost answer is settled by repeating it, which is idempotent.
+  Milliseconds append_timeout{650};
+  int append_tries = 2;
+  Milliseconds append_retry{40};
+  // The last look before a job is said not to exist.
+  Milliseconds catch_up_timeout{500};
+  // When a refused caller may come back.
+  std::chrono::seconds retry_after{1};
+};
+
+class CallerService {
+ public:
+  struct Surroundings {
+    // Null before the first configuration.
+    std::function<const ServingConfiguration*()> configuration;
+    std::function<BootTime()> configuration_as_of;
+    const JobBoard* board = nullptr;
+    RecordTail* board_tail = nullptr;
+  };
+
+  CallerService(boost::asio::io_context& io, RecordStore& store,
+                const Formats& formats, CallerServiceSettings settings,
+                Surroundings surroundings, MetricsRegistry& metrics);
+  ~CallerService();
+
+  void Handle(HttpRequest request, HttpServer::Responder respond);
+  // Whether callers should be sent here.
+  bool ready() const;
+
+ private:
+  struct Call;
+
+  bool IsStoreFresh() const;
+  void Submit(const std::shared_ptr<Call>& call);
+  void ShowState(const std::shared_ptr<Call>& call, bool caught_up);
+  void Cancel(const std::shared_ptr<Call>& call, bool caught_up);
+  void ShowQueue(const std::shared_ptr<Call>& call);
+  void CatchUp(const std::shared_ptr<Call>& call,
+               void (CallerService::*then)(const std::shared_ptr<Call>&, bool));
+  // Stores one record; `done` gets 200, 503 (not stored) or 504 (unknown).
+  void Append(KeyedRecord record, std::function<void(int, const Error&)> done);
+  void TryAppend(const std::shared_ptr<AppendRequest>& request, int tries_left,
+                 bool may_be_stored,
+                 std::function<void(int, const Error&)> done);
+  void Refuse(const std::shared_ptr<Call>& call, int status,
+              const std::string& reason);
+  void Respond(const std::shared_ptr<Call>& call, HttpResponse response);
+
+  boost::asio::io_context& io_;
+  RecordStore& store_;
+  const Formats& formats_;
+  const CallerServiceSettings settings_;
+  const Surroundings surroundings_;
+  MetricsRegistry& metrics_;
+  Counter& accepted_;
+  Counter& cancelled_;
+  Summary& acknowledgement_time_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_CALLER_SERVICE_H_
--- /dev/null
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -0,0 +1,370 @@
+// Taking, keeping and giving back the lead.
+#include "coordination/cluster_coordinator.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <utility>
+
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+constexpr char kProducer[] = "leader";
+// Bounds the first sequence number, so that it never overflows.
+constexpr int64_t kSequenceSpan = int64_t{1} << 40;
+// After a claim that did not succeed.
+constexpr Milliseconds kClaimRetry{200};
+constexpr Milliseconds kStoreRetry{120};
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+// The store takes two appends with the same producer, epoch and sequence for
+// one, answered twice. Claimants of the same epoch therefore begin at sequence
+// numbers of their own: the store keeps the first and refuses the others.
+int64_t FirstSequence(const std::string& holder) {
+  return static_cast<int64_t>(std::hash<std::string>()(holder) %
+                              static_cast<uint64_t>(kSequenceSpan));
+}
+
+}  // namespace
+
+ClusterCoordinator::ClusterCoordinator(boost::asio::io_context& io,
+                                       RecordStore& store, WorkerCalls& calls,
+                                       const Formats& formats,
+                                       ClusterCoordinatorSettings settings,
+                                       Surroundings surroundings)
+    : io_(io),
+      store_(store),
+      calls_(calls),
+      formats_(formats),
+      settings_(std::move(settings)),
+      surroundings_(std::move(surroundings)),
+      first_sequence_(FirstSequence(settings_.holder)),
+      election_(LeaderElectionSettings(), settings_.rank),
+      planner_(PlannerSettings()),
+      tick_timer_(io),
+      planning_timer_(io),
+      release_timer_(io) {}
+
+ClusterCoordinator::~ClusterCoordinator() { ++*generation_; }
+
+void ClusterCoordinator::Start() { OnTick(); }
+
+void ClusterCoordinator::OnTick() {
+  const Time now = Now();
+  if (phase_ == Phase::kFollowing && !released_ && now >= next_claim_ &&
+      election_.ShouldClaim(surroundings_.board->leader(), now)) {
+    Claim();
+  }
+  if (phase_ == Phase::kLeading) {
+    const BootTime written = BootClock::now();
+    const bool may_renew = written - lead_confirmed_ < settings_.lead_term;
+    fleet_->Tick(now, may_renew);
+    StopOutdatedRuns();
+    const auto heartbeat = election_.settings().heartbeat;
+    if (board_writer_->idle() && now - last_heartbeat_ >= heartbeat) {
+      WriteHeartbeat(/*released=*/false, nullptr);
+    }
+    ForgetOldJobs();
+    SchedulePlanning();
+  }
+  tick_timer_.expires_after(settings_.tick);
+  tick_timer_.async_wait([this](const boost::system::error_code& code) {
+    if (!code) OnTick();
+  });
+}
+
+void ClusterCoordinator::OnBoardContact() { election_.OnContact(Now()); }
+
+void ClusterCoordinator::OnBoardChange(const BoardChange& change) {
+  switch (change.kind) {
+    case BoardChange::Kind::kLeader: {
+      const LeaderRecord& leader = surroundings_.board->leader();
+      election_.OnLeaderRecord(leader, Now());
+      const bool mine = leader.holder == settings_.holder;
+      if (mine && leader.epoch == claimed_epoch_ && !leader.released &&
+          (phase_ == Phase::kFollowing || phase_ == Phase::kClaiming)) {
+        BeginLead(leader.epoch);
+      }
+      if (!mine && phase_ != Phase::kFollowing && leader.epoch > epoch_ &&
+          phase_ != Phase::kClaiming) {
+        ScheduleStepDown("another entry leads");
+      }
+      return;
+    }
+    case BoardChange::Kind::kSubmitted:
+    case BoardChange::Kind::kCancelled:
+      if (phase_ != Phase::kLeading) return;
+      AdoptJob(change.job);
+      if (change.kind == BoardChange::Kind::kCancelled) StopOutdatedRuns();
+      return SchedulePlanning();
+    case BoardChange::Kind::kState:
+    case BoardChange::Kind::kDropped:
+    case BoardChange::Kind::kNone:
+      return;
+  }
+}
+
+void ClusterCoordinator::Claim() {
+  phase_ = Phase::kClaiming;
+  const int64_t epoch = surroundings_.board->leader().epoch + 1;
+  claimed_epoch_ = epoch;
+  AppendRequest request;
+  request.partition = settings_.board;
+  request.records = {JobBoard::Leader({settings_.holder, epoch, false})};
+  request.expected_end = surroundings_.board_next();
+  request.producer = ProducerPosition{kProducer, epoch, first_sequence_};
+  LogEvent(events::kLeadClaimed,
+           {{"epoch", epoch}, {"expected_end", *request.expected_end}});
+  store_.Append(request, settings_.store_timeout,
+                [this, epoch, generation = generation_,
+                 current = *generation_](const AppendResult& result) {
+                  if (*generation == current) OnClaimed(epoch, result);
+                });
+}
+
+void ClusterCoordinator::OnClaimed(int64_t epoch, const AppendResult& result) {
+  if (phase_ != Phase::kClaiming) return;
+  if (result.outcome == AppendOutcome::kStored) return BeginLead(epoch);
+  LogEvent(events::kLeadRefused, result.error, {{"epoch", epoch}});
+  phase_ = Phase::kFollowing;
+  // An unknown claim that was stored shows in the board.
+  next_claim_ = Now() + kClaimRetry;
+}
+
+void ClusterCoordinator::BeginLead(int64_t epoch) {
+  phase_ = Phase::kFencing;
+  // The claim has served: the same record must not begin a lead again.
+  claimed_epoch_ = 0;
+  epoch_ = epoch;
+  lead_confirmed_ = BootClock::now();
+  FenceProgress();
+}
+
+// From here on nothing of a predecessor is stored in the progress partition,
+// so that what is read next is its last state.
+void ClusterCoordinator::FenceProgress() {
+  AppendRequest request;
+  request.partition = settings_.progress;
+  request.producer = ProducerPosition{kProducer, epoch_, first_sequence_};
+  store_.Append(
+      request, settings_.store_timeout,
+      [this, generation = generation_,
+       current = *generation_](const AppendResult& result) {
+        if (*generation != current || phase_ != Phase::kFencing) return;
+        if (result.outcome == AppendOutcome::kFenced) {
+          return StepDown("fenced while taking the lead");
+        }
+        const bool stored = result.outcome == AppendOutcome::kStored ||
+                            result.outcome == AppendOutcome::kOutOfSequence;
+        if (stored) {
+          phase_ = Phase::kLoading;
+          loaded_.clear();
+          return LoadProgress("");
+        }
+        release_timer_.expires_after(kStoreRetry);
+        release_timer_.async_wait([this](const boost::system::error_code& c) {
+          if (!c && phase_ == Phase::kFencing) FenceProgress();
+        });
+      });
+}
+
+void ClusterCoordinator::LoadProgress(const std::string& after_key) {
+  store_.Newest(
+      settings_.progress, after_key, settings_.store_timeout,
+      [this, after_key, generation = generation_,
+       current = *generation_](const NewestPage& page) {
+        if (*generation != current || phase_ != Phase::kLoading) return;
+        if (!page.ok) {
+          release_timer_.expires_after(kStoreRetry);
+          release_timer_.async_wait(
+              [this, after_key](const boost::system::error_code& code) {
+                if (!code && phase_ == Phase::kLoading) LoadProgress(after_key);
+              });
+          return;
+        }
+        for (const KeyedRecord& record : page.records) {
+          if (!record.value) continue;
+          Error error;
+          const auto ref = ParseStepRef(record.key);
+          auto progress = DecodeProgress(*record.value, &error);
+          if (!ref || !progress) {
+            LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
+            continue;
+          }
+          loaded_[*ref] = std::move(*progress);
+        }
+        if (page.has_more && !page.records.empty()) {
+          return LoadProgress(page.records.back().key);
+        }
+        OnLoaded();
+      });
+}
+
+void ClusterCoordinator::OnLoaded() {
+  const auto fenced = [this] { ScheduleStepDown("the store fenced it"); };
+  FencedWriterSettings writer;
+  writer.producer = kProducer;
+  writer.epoch = epoch_;
+  writer.first_sequence = first_sequence_ + 1;
+  writer.partition = settings_.board;
+  board_writer_ = std::make_unique<FencedWriter>(io_, store_, writer, fenced);
+  writer.partition = settings_.progress;
+  progress_writer_ =
+      std::make_unique<FencedWriter>(io_, store_, writer, fenced);
+
+  WorkerFleetSettings fleet;
+  fleet.epoch = epoch_;
+  WorkerFleet::Handlers handlers;
+  handlers.on_end = [this](const std::string& worker, const RunEndReport& end) {
+    OnRunEnd(worker, end);
+  };
+  handlers.on_progress = [this](const RunReport& run) {
+    ledger_.Checkpoint(run.task, run.run, run.checkpoint);
+  };
+  handlers.profile_of = [this](const TaskRef& task) { return ProfileOf(task); };
+  handlers.on_change = [this] { SchedulePlanning(); };
+  handlers.on_fenced = [this] {
+    ScheduleStepDown("a worker obeys a higher epoch");
+  };
+  fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet, handlers);
+
+  phase_ = Phase::kLeading;
+  ledger_ = JobLedger();
+  planner_ = Planner(PlannerSettings());
+  stored_steps_.clear();
+  published_ends_.clear();
+  finished_.clear();
+  for (const auto& [id, job] : surroundings_.board->jobs()) {
+    AdoptJob(id);
+  }
+  const Time now = Now();
+  size_t inherited = 0;
+  for (auto& [ref, progress] : loaded_) {
+    stored_steps_.insert(ref);
+    // An ended job whose runs are not settled is still needed for them.
+    const BoardJob* job = surroundings_.board->Find(ref.job);
+    if (job == nullptr) continue;
+    if (ledger_.Find(ref.job) == nullptr) ledger_.Add(*job->spec, now);
+    ledger_.Restore(ref, std::move(progress));
+    InheritRuns(ref, now);
+    ++inherited;
+  }
+  for (const auto& [ref, progress] : loaded_) {
+    const BoardJob* job = surroundings_.board->Find(ref.job);
+    if (job == nullptr) continue;
+    ledger_.AdoptState(ref.job, job->published);
+    if (job->cancelled) ledger_.Cancel(ref.job);
+    if (IsTerminal(job->published)) published_ends_.insert(ref.job);
+  }
+  loaded_.clear();
+  LogEvent(events::kLeadTaken, {{"epoch", epoch_},
+                                {"board_next", surroundings_.board_next()},
+                                {"jobs", ledger_.jobs().size()},
+                                {"steps", inherited}});
+  WriteHeartbeat(/*released=*/false, nullptr);
+
+  RecordTailSettings tail;
+  tail.partition = formats_.streams().workers;
+  RecordTail::Handlers directory;
+  directory.on_record = [this](const KeyedRecord& record) {
+    fleet_->OnDirectoryRecord(record, Now());
+  };
+  directory.on_snapshot = [this](const std::set<std::string>& ids) {
+    fleet_->OnDirectorySnapshot(ids, Now());
+  };
+  directory.on_current = [this] { fleet_->OnDirectoryContact(Now()); };
+  directory.on_failure = [](const Error&) {};
+  directory_ = std::make_unique<RecordTail>(io_, store_, tail, directory);
+  directory_->Start();
+  StopOutdatedRuns();
+  Flush();
+}
+
+// Takes over from the board what it says of a job.
+void ClusterCoordinator::AdoptJob(const std::string& id) {
+  const BoardJob* job = surroundings_.board->Find(id);
+  if (job == nullptr) return;
+  if (ledger_.Find(id) == nullptr) {
+    if (IsTerminal(job->published) || finished_.count(id) > 0) return;
+    ledger_.Add(*job->spec, Now());
+  }
+  if (job->cancelled) ledger_.Cancel(id);
+}
+
+void ClusterCoordinator::InheritRuns(const StepRef& ref, Time now) {
+  const StepProgress* progress = ledger_.FindStep(ref);
+  if (progress == nullptr) return;
+  const Time lease_bound = now + settings_.lead_term + settings_.longest_lease;
+  for (size_t i = 0; i < progress->tasks.size(); ++i) {
+    const TaskStatus& task = progress->tasks[i];
+    if (task.phase != TaskPhase::kActive) continue;
+    const TaskRef task_ref{ref, static_cast<int>(i)};
+    fleet_->Inherit(task.worker, task_ref, task.run, ProfileOf(task_ref), now,
+                    lease_bound);
+  }
+}
+
+void ClusterCoordinator::ScheduleStepDown(const std::string& reason) {
+  boost::asio::post(
+      io_, [this, reason, generation = generation_, current = *generation_] {
+        if (*generation == current) StepDown(reason);
+      });
+}
+
+void ClusterCoordinator::StepDown(const std::string& reason) {
+  if (phase_ == Phase::kFollowing) return;
+  LogEvent(events::kLeadLost, {{"epoch", epoch_}, {"reason", reason}});
+  ++*generation_;
+  phase_ = Phase::kFollowing;
+  planning_timer_.cancel();
+  planning_scheduled_ = false;
+  directory_.reset();
+  fleet_.reset();
+  board_writer_.reset();
+  progress_writer_.reset();
+  ledger_ = JobLedger();
+  pending_starts_.clear();
+  unrecorded_ends_.clear();
+  loaded_.clear();
+  next_claim_ = Now() + kClaimRetry;
+}
+
+void ClusterCoordinator::Release(Milliseconds timeout,
+                                 std::function<void()> done) {
+  released_ = true;
+  if (phase_ != Phase::kLeading) return done();
+  auto once = std::make_shared<std::function<void()>>(std::move(done));
+  const auto finish = [this, once] {
+    if (!*once) return;
+    release_timer_.cancel();
+    const auto callback = std::exchange(*once, nullptr);
+    LogEvent(events::kLeadReleased, {{"epoch", epoch_}});
+    callback();
+  };
+  release_timer_.expires_after(timeout);
+  release_timer_.async_wait([finish](const boost::system::error_code& code) {
+    if (!code) finish();
+  });
+  // What is decided and recorded goes out first.
+  Flush();
+  WriteHeartbeat(/*released=*/true, finish);
+}
+
+void ClusterCoordinator::WriteHeartbeat(bool released,
+                                        FencedWriter::Stored stored) {
+  last_heartbeat_ = Now();
+  const BootTime begun = BootClock::now();
+  board_writer_->Write({JobBoard::Leader({settings_.holder, epoch_, released})},
+                       [this, begun, generation = generation_,
+                        current = *generation_, stored = std::move(stored)] {
+                         if (*generation != current) return;
+                         lead_confirmed_ = std::max(lead_confirmed_, begun);
+                         if (stored) stored();
+                       });
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -0,0 +1,174 @@
+// One entry's part in scheduling: it claims the lead when that is vacant, and
+// while it leads it places tasks and orders workers.
+//
+// Two partitions of one stream hold what must last. The board is open to every
+// entry: submissions, cancellations, states, the leader. The progress partition
+// is the leader's alone: which run of a task is where. A start is recorded
+// there before it is sent, and an end before the worker may forget it. The
+// leader's epoch fences both partitions and every worker.
+#ifndef THORNPLANK_COORDINATION_CLUSTER_COORDINATOR_H_
+#define THORNPLANK_COORDINATION_CLUSTER_COORDINATOR_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "base/time.h"
+#include "coordination/fenced_writer.h"
+#include "coordination/formats.h"
+#include "coordination/job_board.h"
+#include "coordination/leader_election.h"
+#include "coordination/record_tail.h"
+#include "coordination/worker_fleet.h"
+#include "workload/job_ledger.h"
+#include "workload/planner.h"
+
+namespace thornplank {
+
+struct ClusterCoordinatorSettings {
+  // Instance and life: unique for ever.
+  std::string holder;
+  // Where it stands among the entries: 0 should lead first, 1 last.
+  double rank = 0;
+  Partition board;
+  Partition progress;
+  // A leader without the store for longer stops renewing leases; a successor
+  // waits for that where it cannot reach a worker itself.
+  Milliseconds lead_term{20000};
+  // The longest lease that a worker grants.
+  Milliseconds longest_lease{10000};
+  // No start is decided on a view of the board that is older: a cancelled job
+  // must not start tasks 3 s after the cancellation.
+  Milliseconds board_age{1700};
+  // Collects events that come together into one round of placement.
+  Milliseconds planning_delay{8};
+  // How long an ended job is remembered.
+  Milliseconds state_kept{150000};
+  Milliseconds tick{100};
+  // For one call of the store while taking the lead.
+  Milliseconds store_timeout{900};
+};
+
+class ClusterCoordinator {
+ public:
+  // What it needs of the entry that it runs in.
+  struct Surroundings {
+    const JobBoard* board = nullptr;
+    std::function<const ServingConfiguration&()> configuration;
+    // Offset behind the last record of the board that was folded.
+    std::function<int64_t()> board_next;
+    std::function<BootTime()> board_as_of;
+  };
+
+  ClusterCoordinator(boost::asio::io_context& io, RecordStore& store,
+                     WorkerCalls& calls, const Formats& formats,
+                     ClusterCoordinatorSettings settings,
+                     Surroundings surroundings);
+  ~ClusterCoordinator();
+
+  void Start();
+  // After the board has folded a record.
+  void OnBoardChange(const BoardChange& change);
+  // The board was read up to its end.
+  void OnBoardContact();
+  // Gives the lead back, if it is held; `done` runs when that is stored or
+  // `timeout` has passed. It takes no lead afterwards.
+  void Release(Milliseconds timeout, std::function<void()> done);
+
+  bool leading() const { return phase_ == Phase::kLeading; }
+  int64_t epoch() const { return epoch_; }
+  const JobLedger& ledger() const { return ledger_; }
+  const WorkerFleet* fleet() const { return fleet_.get(); }
+
+ private:
+  enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kLeading };
+
+  void OnTick();
+  void Claim();
+  void OnClaimed(int64_t epoch, const AppendResult& result);
+  void BeginLead(int64_t epoch);
+  void FenceProgress();
+  void LoadProgress(const std::string& after_key);
+  void OnLoaded();
+  void AdoptJob(const std::string& id);
+  void InheritRuns(const StepRef& ref, Time now);
+  void StepDown(const std::string& reason);
+  void ScheduleStepDown(const std::string& reason);
+
+  void SchedulePlanning();
+  void PlanRound();
+  void ApplyStart(const StartDecision& decision, Time now);
+  RunProfile ProfileOf(const TaskRef& task) const;
+  void OnRunEnd(const std::string& worker, const RunEndReport& end);
+  void StopOutdatedRuns();
+  void Flush();
+  void OnFlushed(const std::vector<std::string>& changed,
+                 const std::map<std::string, int64_t>& ends);
+  void Publish(const std::vector<std::string>& changed);
+  void DropRecords(const std::string& job, std::vector<KeyedRecord>* records);
+  void ForgetOldJobs();
+  void WriteHeartbeat(bool released, FencedWriter::Stored stored);
+
+  boost::asio::io_context& io_;
+  RecordStore& store_;
+  WorkerCalls& calls_;
+  const Formats& formats_;
+  const ClusterCoordinatorSettings settings_;
+  const Surroundings surroundings_;
+  // Of a claim; the writers go on behind it.
+  const int64_t first_sequence_;
+  LeaderElection election_;
+  Planner planner_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer planning_timer_;
+  boost::asio::steady_timer release_timer_;
+
+  Phase phase_ = Phase::kFollowing;
+  bool released_ = false;
+  bool planning_scheduled_ = false;
+  int64_t epoch_ = 0;
+  // Of the last claim, answered or not.
+  int64_t claimed_epoch_ = 0;
+  Time next_claim_{};
+  BootTime lead_confirmed_{};
+  Time last_heartbeat_{};
+  Time last_cleanup_{};
+
+  // Everything below lives while this entry leads.
+  JobLedger ledger_;
+  std::map<StepRef, StepProgress> loaded_;
+  std::unique_ptr<FencedWriter> board_writer_;
+  std::unique_ptr<FencedWriter> progress_writer_;
+  std::unique_ptr<WorkerFleet> fleet_;
+  std::unique_ptr<RecordTail> directory_;
+  // Steps that have a record in the progress partition.
+  std::set<StepRef> stored_steps_;
+  // Jobs whose end is published, so that their records may go.
+  std::set<std::string> published_ends_;
+  // Jobs that ended under this lead and left the ledger; the board may learn
+  // of it later and must not bring them back.
+  std::set<std::string> finished_;
+  // Ends that the next flush covers, by worker.
+  std::map<std::string, int64_t> unrecorded_ends_;
+  struct PendingStart {
+    std::string worker;
+    TaskRef task;
+    int run = 0;
+    std::string checkpoint;
+  };
+  std::vector<PendingStart> pending_starts_;
+
+  // Callbacks that outlive this object, or this lead, do nothing.
+  std::shared_ptr<int64_t> generation_ = std::make_shared<int64_t>(0);
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_CLUSTER_COORDINATOR_H_
--- /dev/null
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -0,0 +1,249 @@
+// What the leader does with events: rounds of placement, records, ends.
+#include <algorithm>
+#include <utility>
+
+#include "coordination/cluster_coordinator.h"
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+// Between two looks for jobs that nobody needs to ask for any more.
+constexpr std::chrono::seconds kCleanupInterval{5};
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+void ClusterCoordinator::SchedulePlanning() {
+  if (planning_scheduled_ || phase_ != Phase::kLeading) return;
+  planning_scheduled_ = true;
+  planning_timer_.expires_after(settings_.planning_delay);
+  planning_timer_.async_wait([this](const boost::system::error_code& code) {
+    if (code || phase_ != Phase::kLeading) return;
+    planning_scheduled_ = false;
+    PlanRound();
+  });
+}
+
+void ClusterCoordinator::PlanRound() {
+  // One record at a time: what is not stored cannot be started.
+  if (!progress_writer_->idle()) return;
+  const auto age = BootClock::now() - surroundings_.board_as_of();
+  const bool informed =
+      age <= settings_.board_age && !released_ && directory_->started();
+  if (informed) {
+    const Time now = Now();
+    const Guarantees guarantees = surroundings_.configuration().guarantees();
+    PlanInputs inputs;
+    inputs.ledger = &ledger_;
+    inputs.workers = &fleet_->trackers();
+    inputs.guarantees = &guarantees;
+    inputs.now = now;
+    inputs.wall_now = std::chrono::system_clock::now();
+    const Plan plan = planner_.Decide(inputs);
+    for (const StartDecision& decision : plan.starts) {
+      ApplyStart(decision, now);
+    }
+    for (const StopDecision& stop : plan.stops) {
+      fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
+    }
+  }
+  Flush();
+}
+
+void ClusterCoordinator::ApplyStart(const StartDecision& decision, Time now) {
+  const int run = ledger_.Start(decision.step, decision.assignments);
+  Json workers = Json::array();
+  for (const JobLedger::Assignment& assignment : decision.assignments) {
+    const TaskRef task{decision.step, assignment.index};
+    fleet_->Add(assignment.worker, task, run, ProfileOf(task), now);
+    const TaskStatus* status = ledger_.FindTask(task);
+    pending_starts_.push_back(
+        {assignment.worker, task, run, status->checkpoint});
+    workers.push_back(Json::array({assignment.index, assignment.worker}));
+  }
+  LogEvent(events::kTasksPlaced,
+           {{"job", decision.step.job},
+            {"step", decision.step.ToString()},
+            {"run", run},
+            {"tasks", std::move(workers)},
+            {"reason", decision.reason},
+            {"epoch", epoch_},
+            {"board_next", surroundings_.board_next()},
+            {"configuration", surroundings_.configuration().version}});
+}
+
+RunProfile ClusterCoordinator::ProfileOf(const TaskRef& task) const {
+  RunProfile profile;
+  const Job* job = ledger_.Find(task.step.job);
+  const StepSpec* spec = ledger_.FindStepSpec(task.step);
+  if (job == nullptr || spec == nullptr) return profile;
+  profile.need = spec->need;
+  if (spec->fills) profile.need.cpu_millis = 0;
+  profile.priority = job->spec.policy.priority;
+  profile.checkpointable = spec->checkpointable;
+  profile.gang = spec->gang;
+  profile.long_running = spec->long_running;
+  profile.account = job->spec.account;
+  profile.estimate = spec->estimate;
+  return profile;
+}
+
+void ClusterCoordinator::OnRunEnd(const std::string& worker,
+                                  const RunEndReport& end) {
+  const bool taken = ledger_.End(end.task, end.run, end.end, end.checkpoint);
+  LogEvent(events::kRunEnded, {{"task", end.task.ToString()},
+                               {"run", end.run},
+                               {"worker", worker},
+                               {"end", std::string(ToText(end.end))},
+                               {"number", end.number},
+                               {"in_force", taken}});
+  if (end.number > 0) {
+    int64_t& number = unrecorded_ends_[worker];
+    number = std::max(number, end.number);
+  }
+  SchedulePlanning();
+}
+
+// Runs that the ledger does not count on are stopped: of cancelled or failed
+// jobs, of gangs that lost a member, of tasks that are done.
+void ClusterCoordinator::StopOutdatedRuns() {
+  struct Outdated {
+    std::string worker;
+    TaskRef task;
+    int run = 0;
+    std::string reason;
+  };
+  std::vector<Outdated> outdated;
+  for (const auto& [id, tracker] : fleet_->trackers()) {
+    for (const auto& [task, run] : tracker.runs()) {
+      if (run.stop_wanted) continue;
+      const Job* job = ledger_.Find(task.step.job);
+      const TaskStatus* status = ledger_.FindTask(task);
+      std::string reason;
+      if (job == nullptr || status == nullptr) {
+        reason = "no such job";
+      } else if (IsTerminal(job->state)) {
+        reason = "job " + std::string(ToText(job->state));
+      } else if (status->run != run.run ||
+                 status->phase != TaskPhase::kActive) {
+        reason = "not in force";
+      } else if (run.profile.gang) {
+        const StepProgress* progress = ledger_.FindStep(task.step);
+        if (progress->waiting > 0) reason = "gang lost a member";
+      }
+      if (reason.empty()) continue;
+      outdated.push_back({id, task, run.run, std::move(reason)});
+    }
+  }
+  for (const Outdated& run : outdated) {
+    fleet_->RequestStop(run.worker, run.task, run.run, run.reason);
+  }
+}
+
+void ClusterCoordinator::Flush() {
+  if (phase_ != Phase::kLeading || !progress_writer_->idle()) return;
+  std::vector<KeyedRecord> records;
+  for (const StepRef& ref : ledger_.TakeDirtySteps()) {
+    const StepProgress* progress = ledger_.FindStep(ref);
+    if (progress == nullptr) continue;
+    records.push_back({ref.ToString(), EncodeProgress(*progress), 0});
+    stored_steps_.insert(ref);
+  }
+  const std::set<std::string> published = published_ends_;
+  for (const std::string& job : published) {
+    DropRecords(job, &records);
+  }
+  const std::set<std::string> changed_jobs = ledger_.TakeChangedJobs();
+  std::vector<std::string> changed(changed_jobs.begin(), changed_jobs.end());
+  std::map<std::string, int64_t> ends = std::exchange(unrecorded_ends_, {});
+  if (records.empty()) return OnFlushed(changed, ends);
+  std::vector<PendingStart> starts = std::exchange(pending_starts_, {});
+  progress_writer_->Write(
+      std::move(records), [this, changed = std::move(changed),
+                           ends = std::move(ends), starts = std::move(starts),
+                           generation = generation_, current = *generation_] {
+        if (*generation != current) return;
+        OnFlushed(changed, ends);
+        for (const PendingStart& start : starts) {
+          const Job* job = ledger_.Find(start.task.step.job);
+          if (job == nullptr) continue;
+          fleet_->SendStart(start.worker, start.task, start.run,
+                            job->spec.payload, start.checkpoint);
+        }
+        SchedulePlanning();
+      });
+}
+
+void ClusterCoordinator::OnFlushed(const std::vector<std::string>& changed,
+                                   const std::map<std::string, int64_t>& ends) {
+  for (const auto& [worker, number] : ends) {
+    fleet_->OnEndsRecorded(worker, number);
+  }
+  if (!changed.empty()) Publish(changed);
+}
+
+void ClusterCoordinator::Publish(const std::vector<std::string>& changed) {
+  std::vector<KeyedRecord> records;
+  std::vector<std::string> ended;
+  const WallTime now = std::chrono::system_clock::now();
+  for (const std::string& id : changed) {
+    const Job* job = ledger_.Find(id);
+    if (job == nullptr) continue;
+    records.push_back(JobBoard::State(id, job->state, now));
+    if (IsTerminal(job->state)) ended.push_back(id);
+    LogEvent(events::kJobState,
+             {{"job", id}, {"state", std::string(ToText(job->state))}});
+  }
+  last_heartbeat_ = Now();
+  records.push_back(JobBoard::Leader({settings_.holder, epoch_, released_}));
+  const BootTime begun = BootClock::now();
+  board_writer_->Write(std::move(records),
+                       [this, begun, ended = std::move(ended),
+                        generation = generation_, current = *generation_] {
+                         if (*generation != current) return;
+                         lead_confirmed_ = std::max(lead_confirmed_, begun);
+                         published_ends_.insert(ended.begin(), ended.end());
+                       });
+}
+
+// Once an end is published and no run is left, the records of a job's steps
+// have served.
+void ClusterCoordinator::DropRecords(const std::string& id,
+                                     std::vector<KeyedRecord>* records) {
+  const Job* job = ledger_.Find(id);
+  if (job != nullptr) {
+    for (const auto& steps : job->occurrences) {
+      for (const StepProgress& progress : steps) {
+        if (progress.active() > 0) return;
+      }
+    }
+  }
+  for (auto it = stored_steps_.lower_bound(StepRef{id, 0, 0});
+       it != stored_steps_.end() && it->job == id;) {
+    records->push_back({it->ToString(), std::nullopt, 0});
+    it = stored_steps_.erase(it);
+  }
+  published_ends_.erase(id);
+  ledger_.Remove(id);
+  finished_.insert(id);
+}
+
+void ClusterCoordinator::ForgetOldJobs() {
+  const Time now = Now();
+  if (now - last_cleanup_ < kCleanupInterval) return;
+  last_cleanup_ = now;
+  const WallTime wall_now = std::chrono::system_clock::now();
+  std::vector<KeyedRecord> records;
+  for (const auto& [id, job] : surroundings_.board->jobs()) {
+    if (!IsTerminal(job.published)) continue;
+    if (wall_now - job.ended < settings_.state_kept) continue;
+    for (KeyedRecord& record : JobBoard::Drop(id)) {
+      records.push_back(std::move(record));
+    }
+  }
+  if (!records.empty()) board_writer_->Write(std::move(records), nullptr);
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/job_board.cc
@@ -0,0 +1,141 @@
+// Keys and values of the shared stream.
+#include "coordination/job_board.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/json.h"
+
+namespace thornplank {
+namespace {
+
+// The first letter of a key says what the record is; the job's id follows.
+constexpr char kSubmissionKey = 'j';
+constexpr char kCancellationKey = 'c';
+constexpr char kStateKey = 's';
+constexpr char kLeaderKey[] = "leader";
+// A record needs a value, or it would drop its key.
+constexpr char kPresent[] = "1";
+
+std::string Key(char kind, const std::string& job) { return kind + job; }
+
+std::string ToBytes(const Json& value) {
+  std::string bytes;
+  Json::to_cbor(value, bytes);
+  return bytes;
+}
+
+Json FromBytes(const std::string& bytes) {
+  return Json::from_cbor(bytes, /*strict=*/true, /*allow_exceptions=*/false);
+}
+
+}  // namespace
+
+BoardChange JobBoard::Apply(const KeyedRecord& record) {
+  if (record.key == kLeaderKey) return ApplyLeader(record);
+  if (record.key.size() < 2) return {};
+  const std::string id = record.key.substr(1);
+  switch (record.key[0]) {
+    case kSubmissionKey:
+      return ApplySubmission(id, record);
+    case kCancellationKey:
+      if (!record.value) return {};
+      jobs_[id].cancelled = true;
+      return {BoardChange::Kind::kCancelled, id};
+    case kStateKey:
+      return ApplyState(id, record);
+    default:
+      return {};
+  }
+}
+
+BoardChange JobBoard::ApplySubmission(const std::string& id,
+                                      const KeyedRecord& record) {
+  if (!record.value) {
+    jobs_.erase(id);
+    return {BoardChange::Kind::kDropped, id};
+  }
+  BoardJob& job = jobs_[id];
+  // A repeated submission is the same job.
+  if (job.spec != nullptr) return {};
+  std::optional<JobSpec> spec = DecodeJob(*record.value, nullptr);
+  if (!spec) return {};
+  job.spec = std::make_shared<const JobSpec>(std::move(*spec));
+  return {BoardChange::Kind::kSubmitted, id};
+}
+
+BoardChange JobBoard::ApplyState(const std::string& id,
+                                 const KeyedRecord& record) {
+  if (!record.value) return {};
+  const Json fields = FromBytes(*record.value);
+  if (!fields.is_array() || fields.size() != 2 || !fields[0].is_string() ||
+      !fields[1].is_number_integer()) {
+    return {};
+  }
+  const auto state = JobStateFromText(fields[0].get<std::string>());
+  if (!state) return {};
+  BoardJob& job = jobs_[id];
+  if (IsTerminal(job.published)) return {};
+  job.published = *state;
+  job.ended = FromUnixMilliseconds(fields[1].get<int64_t>());
+  return {BoardChange::Kind::kState, id};
+}
+
+BoardChange JobBoard::ApplyLeader(const KeyedRecord& record) {
+  if (!record.value) return {};
+  const Json fields = FromBytes(*record.value);
+  if (!fields.is_array() || fields.size() != 3 || !fields[0].is_string() ||
+      !fields[1].is_number_integer() || !fields[2].is_boolean()) {
+    return {};
+  }
+  LeaderRecord leader;
+  leader.holder = fields[0].get<std::string>();
+  leader.epoch = fields[1].get<int64_t>();
+  leader.released = fields[2].get<bool>();
+  if (leader.epoch < leader_.epoch) return {};
+  leader_ = std::move(leader);
+  return {BoardChange::Kind::kLeader, ""};
+}
+
+const BoardJob* JobBoard::Find(const std::string& job) const {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() || it->second.spec == nullptr ? nullptr
+                                                         : &it->second;
+}
+
+int64_t JobBoard::WaitingJobs(const std::string& queue) const {
+  return std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto& entry) {
+    const BoardJob& job = entry.second;
+    return job.spec != nullptr && job.state() == JobState::kQueued &&
+           job.spec->policy.queue == queue;
+  });
+}
+
+KeyedRecord JobBoard::Submission(const JobSpec& job) {
+  return {Key(kSubmissionKey, job.id), EncodeJob(job), 0};
+}
+
+KeyedRecord JobBoard::Cancellation(const std::string& job) {
+  return {Key(kCancellationKey, job), kPresent, 0};
+}
+
+KeyedRecord JobBoard::State(const std::string& job, JobState state,
+                            WallTime when) {
+  const Json fields =
+      Json::array({std::string(ToText(state)), ToUnixMilliseconds(when)});
+  return {Key(kStateKey, job), ToBytes(fields), 0};
+}
+
+KeyedRecord JobBoard::Leader(const LeaderRecord& leader) {
+  const Json fields =
+      Json::array({leader.holder, leader.epoch, leader.released});
+  return {kLeaderKey, ToBytes(fields), 0};
+}
+
+std::vector<KeyedRecord> JobBoard::Drop(const std::string& job) {
+  return {{Key(kStateKey, job), std::nullopt, 0},
+          {Key(kCancellationKey, job), std::nullopt, 0},
+          {Key(kSubmissionKey, job), std::nullopt, 0}};
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/job_board.h
@@ -0,0 +1,87 @@
+// What every entry knows of jobs: the fold of the shared stream.
+//
+// The stream holds, by key: a submission, a cancellation, a state for each job,
+// and the leader. Whatever the order in which records come, the fold gives the
+// same answer: a job that was cancelled before its end was published stays
+// cancelled, and a published end stays.
+#ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
+#define THORNPLANK_COORDINATION_JOB_BOARD_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "coordination/record_store.h"
+#include "workload/job_ledger.h"
+#include "workload/job_spec.h"
+
+namespace thornplank {
+
+struct BoardJob {
+  // Null when a state or a cancellation came before the submission.
+  std::shared_ptr<const JobSpec> spec;
+  bool cancelled = false;
+  JobState published = JobState::kQueued;
+  // When its end was published.
+  WallTime ended{};
+
+  JobState state() const {
+    if (IsTerminal(published)) return published;
+    return cancelled ? JobState::kCancelled : published;
+  }
+};
+
+// Who orders the workers.
+struct LeaderRecord {
+  // Instance and life; empty before the first.
+  std::string holder;
+  int64_t epoch = 0;
+  // It has given the lead back.
+  bool released = false;
+};
+
+// What a record was about.
+struct BoardChange {
+  enum class Kind { kNone, kSubmitted, kCancelled, kState, kDropped, kLeader };
+  Kind kind = Kind::kNone;
+  std::string job;
+};
+
+class JobBoard {
+ public:
+  BoardChange Apply(const KeyedRecord& record);
+
+  const BoardJob* Find(const std::string& job) const;
+  const std::unordered_map<std::string, BoardJob>& jobs() const {
+    return jobs_;
+  }
+  const LeaderRecord& leader() const { return leader_; }
+  // Jobs of the queue that were accepted and of which nothing has started.
+  int64_t WaitingJobs(const std::string& queue) const;
+
+  // Records to be stored.
+  static KeyedRecord Submission(const JobSpec& job);
+  static KeyedRecord Cancellation(const std::string& job);
+  static KeyedRecord State(const std::string& job, JobState state,
+                           WallTime when);
+  static KeyedRecord Leader(const LeaderRecord& leader);
+  // Records that drop all keys of a job.
+  static std::vector<KeyedRecord> Drop(const std::string& job);
+
+ private:
+  BoardChange ApplySubmission(const std::string& id, const KeyedRecord& record);
+  BoardChange ApplyState(const std::string& id, const KeyedRecord& record);
+  BoardChange ApplyLeader(const KeyedRecord& record);
+
+  std::unordered_map<std::string, BoardJob> jobs_;
+  LeaderRecord leader_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_JOB_BOARD_H_
--- /dev/null
+++ b/src/libs/coordination/record_tail.cc
@@ -0,0 +1,154 @@
+// Pages through the newest records, then long-polls.
+#include "coordination/record_tail.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+namespace thornplank {
+
+class RecordTail::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, RecordStore& store,
+       RecordTailSettings settings, Handlers handlers)
+      : store_(store),
+        settings_(std::move(settings)),
+        handlers_(std::move(handlers)),
+        timer_(io) {}
+
+  void Start() { BeginSnapshot(); }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+  void CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
+    if (!started_ || stopped_) return done(false);
+    const BootTime begun = BootClock::now();
+    store_.Read(settings_.partition, next_, Milliseconds(0), timeout,
+                [self = shared_from_this(), begun,
+                 done = std::move(done)](const ReadResult& result) {
+                  if (self->stopped_) return done(false);
+                  const bool read = result.outcome == ReadOutcome::kRead;
+                  if (read) self->Take(result, begun);
+                  done(read && self->next_ >= result.end);
+                });
+  }
+
+  bool started() const { return started_; }
+  int64_t next() const { return next_; }
+  BootTime as_of() const { return as_of_; }
+  void set_pace(Milliseconds pace) { settings_.pace = pace; }
+
+ private:
+  void BeginSnapshot() {
+    snapshot_keys_.clear();
+    snapshot_end_.reset();
+    snapshot_begun_ = BootClock::now();
+    NextPage("");
+  }
+
+  void NextPage(const std::string& after_key) {
+    store_.Newest(settings_.partition, after_key,
+                  settings_.wait + settings_.patience,
+                  [self = shared_from_this()](const NewestPage& page) {
+                    if (!self->stopped_) self->OnPage(page);
+                  });
+  }
+
+  void OnPage(const NewestPage& page) {
+    if (!page.ok) {
+      handlers_.on_failure(page.error);
+      return After(settings_.retry, [this] { BeginSnapshot(); });
+    }
+    // Pages are no snapshot: what came behind the first end is read again.
+    if (!snapshot_end_) snapshot_end_ = page.end;
+    for (const KeyedRecord& record : page.records) {
+      snapshot_keys_.insert(record.key);
+      handlers_.on_record(record);
+    }
+    if (page.has_more && !page.records.empty()) {
+      return NextPage(page.records.back().key);
+    }
+    next_ = *snapshot_end_;
+    as_of_ = std::max(as_of_, snapshot_begun_);
+    started_ = true;
+    handlers_.on_snapshot(snapshot_keys_);
+    handlers_.on_current();
+    Poll();
+  }
+
+  void Poll() {
+    const BootTime begun = BootClock::now();
+    const Time started = std::chrono::steady_clock::now();
+    store_.Read(
+        settings_.partition, next_, settings_.wait,
+        settings_.wait + settings_.patience,
+        [self = shared_from_this(), begun, started](const ReadResult& result) {
+          if (!self->stopped_) self->OnPolled(result, begun, started);
+        });
+  }
+
+  void OnPolled(const ReadResult& result, BootTime begun, Time started) {
+    if (result.outcome == ReadOutcome::kTrimmed) return BeginSnapshot();
+    if (result.outcome == ReadOutcome::kFailed) {
+      handlers_.on_failure(result.error);
+      return After(settings_.retry, [this] { Poll(); });
+    }
+    Take(result, begun);
+    const auto used = std::chrono::duration_cast<Milliseconds>(
+        std::chrono::steady_clock::now() - started);
+    if (used >= settings_.pace) return Poll();
+    After(settings_.pace - used, [this] { Poll(); });
+  }
+
+  // Reads may overlap: records behind `next_` only.
+  void Take(const ReadResult& result, BootTime begun) {
+    for (const KeyedRecord& record : result.records) {
+      if (record.offset < next_) continue;
+      next_ = record.offset + 1;
+      handlers_.on_record(record);
+    }
+    if (next_ < result.end) return;
+    as_of_ = std::max(as_of_, begun);
+    handlers_.on_current();
+  }
+
+  void After(Milliseconds delay, std::function<void()> action) {
+    timer_.expires_after(delay);
+    timer_.async_wait([self = shared_from_this(), action = std::move(action)](
+                          const boost::system::error_code& code) {
+      if (!code && !self->stopped_) action();
+    });
+  }
+
+  RecordStore& store_;
+  RecordTailSettings settings_;
+  const Handlers handlers_;
+  boost::asio::steady_timer timer_;
+  bool stopped_ = false;
+  bool started_ = false;
+  int64_t next_ = 0;
+  BootTime as_of_{};
+  std::set<std::string> snapshot_keys_;
+  std::optional<int64_t> snapshot_end_;
+  BootTime snapshot_begun_{};
+};
+
+RecordTail::RecordTail(boost::asio::io_context& io, RecordStore& store,
+                       RecordTailSettings settings, Handlers handlers)
+    : impl_(std::make_shared<Impl>(io, store, std::move(settings),
+                                   std::move(handlers))) {}
+RecordTail::~RecordTail() { impl_->Stop(); }
+void RecordTail::Start() { impl_->Start(); }
+void RecordTail::Stop() { impl_->Stop(); }
+void RecordTail::CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
+  impl_->CatchUp(timeout, std::move(done));
+}
+bool RecordTail::started() const { return impl_->started(); }
+int64_t RecordTail::next() const { return impl_->next(); }
+BootTime RecordTail::as_of() const { return impl_->as_of(); }
+void RecordTail::set_pace(Milliseconds pace) { impl_->set_pace(pace); }
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/serving_configuration.cc
@@ -0,0 +1,41 @@
+// Lookups in the operators' configuration.
+#include "coordination/serving_configuration.h"
+
+#include <algorithm>
+
+namespace thornplank {
+
+const QueueConfiguration* ServingConfiguration::FindQueue(
+    const std::string& host, const std::string& path) const {
+  const QueueConfiguration* best = nullptr;
+  for (const QueueConfiguration& queue : queues) {
+    if (queue.host != host) continue;
+    if (path.compare(0, queue.prefix.size(), queue.prefix) != 0) continue;
+    if (best != nullptr && best->prefix.size() >= queue.prefix.size()) continue;
+    best = &queue;
+  }
+  return best;
+}
+
+const AccountConfiguration* ServingConfiguration::FindAccount(
+    const std::string& key) const {
+  if (key.empty()) return nullptr;
+  for (const AccountConfiguration& account : accounts) {
+    if (std::find(account.keys.begin(), account.keys.end(), key) !=
+        account.keys.end()) {
+      return &account;
+    }
+  }
+  return nullptr;
+}
+
+Guarantees ServingConfiguration::guarantees() const {
+  Guarantees guarantees;
+  for (const AccountConfiguration& account : accounts) {
+    if (account.guaranteed_accelerators <= 0) continue;
+    guarantees[account.name] = account.guaranteed_accelerators;
+  }
+  return guarantees;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/serving_configuration.h
@@ -0,0 +1,48 @@
+// The operators' configuration: queues, accounts, limits.
+#ifndef THORNPLANK_COORDINATION_SERVING_CONFIGURATION_H_
+#define THORNPLANK_COORDINATION_SERVING_CONFIGURATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "workload/job_spec.h"
+#include "workload/planner.h"
+
+namespace thornplank {
+
+// A queue: jobs sent to `host` under `prefix`.
+struct QueueConfiguration {
+  std::string host;
+  std::string prefix;
+  QueuePolicy policy;
+  // Needs no key.
+  bool is_public = false;
+};
+
+struct AccountConfiguration {
+  std::string name;
+  std::vector<std::string> keys;
+  // Accelerators that are its own at all times.
+  int64_t guaranteed_accelerators = 0;
+};
+
+struct ServingConfiguration {
+  int64_t version = 0;
+  std::vector<QueueConfiguration> queues;
+  std::vector<AccountConfiguration> accounts;
+  size_t max_body_bytes = 256 * 1024;
+
+  // The queue of that host with the longest prefix of `path`, or null.
+  const QueueConfiguration* FindQueue(const std::string& host,
+                                      const std::string& path) const;
+  // The account that holds the key, or null.
+  const AccountConfiguration* FindAccount(const std::string& key) const;
+  Guarantees guarantees() const;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_SERVING_CONFIGURATION_H_
--- /dev/null
+++ b/src/libs/coordination/worker_fleet.cc
@@ -0,0 +1,413 @@
+// The call loop of each worker.
+#include "coordination/worker_fleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+// An extra renewal follows a start when less of the lease is left.
+constexpr Milliseconds kThinLease{3000};
+// A stop that was acknowledged and shows no end by then is sent again.
+constexpr Milliseconds kStopPatience{900};
+// Time between two reads of the directory that counts as an outage.
+constexpr Milliseconds kContactGap{2500};
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+WorkerFleet::WorkerFleet(WorkerCalls& calls, const Formats& formats,
+                         WorkerFleetSettings settings, Handlers handlers)
+    : calls_(calls),
+      formats_(formats),
+      settings_(settings),
+      handlers_(std::move(handlers)) {}
+
+WorkerFleet::~WorkerFleet() { *alive_ = false; }
+
+WorkerTracker* WorkerFleet::Find(const std::string& id) {
+  const auto it = trackers_.find(id);
+  return it == trackers_.end() ? nullptr : &it->second;
+}
+
+void WorkerFleet::OnDirectoryRecord(const KeyedRecord& record, Time now) {
+  if (!record.value) {
+    if (Find(record.key) != nullptr) links_[record.key].missing_since = now;
+    return;
+  }
+  Error error;
+  std::optional<WorkerRegistration> registration =
+      formats_.ReadWorker(record, &error);
+  if (!registration) {
+    LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
+    return;
+  }
+  const std::string id = registration->id;
+  WorkerTracker* tracker = Find(id);
+  links_[id].missing_since.reset();
+  if (tracker == nullptr) {
+    LogEvent(events::kWorkerSeen, {{"worker", id},
+                                   {"address", registration->address},
+                                   {"rack", registration->rack},
+                                   {"offset", record.offset}});
+    trackers_.emplace(id, WorkerTracker(std::move(*registration)));
+    return Drive(id, now);
+  }
+  const bool leaves =
+      registration->draining && !tracker->registration().draining;
+  if (leaves) {
+    LogEvent(events::kWorkerLeaving,
+             {{"worker", id},
+              {"left_ms", registration->drain_left.count()},
+              {"runs", tracker->runs().size()},
+              {"offset", record.offset}});
+  }
+  tracker->Update(std::move(*registration), now);
+}
+
+void WorkerFleet::OnDirectorySnapshot(const std::set<std::string>& ids,
+                                      Time now) {
+  for (const auto& [id, tracker] : trackers_) {
+    if (ids.count(id) > 0) continue;
+    Link& link = links_[id];
+    if (!link.missing_since) link.missing_since = now;
+  }
+}
+
+void WorkerFleet::OnDirectoryContact(Time now) {
+  if (now - contact_ > kContactGap) contact_since_ = now;
+  contact_ = now;
+}
+
+void WorkerFleet::Inherit(const std::string& worker, const TaskRef& task,
+                          int run, const RunProfile& profile, Time now,
+                          Time lease_bound) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) {
+    WorkerRegistration unknown;
+    unknown.id = worker;
+    tracker = &trackers_.emplace(worker, WorkerTracker(unknown)).first->second;
+    links_[worker].missing_since = now;
+  }
+  tracker->Inherit(task, run, profile, now, lease_bound);
+}
+
+void WorkerFleet::Add(const std::string& worker, const TaskRef& task, int run,
+                      const RunProfile& profile, Time now) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker != nullptr) tracker->Add(task, run, profile, now);
+}
+
+void WorkerFleet::SendStart(const std::string& worker, const TaskRef& task,
+                            int run, const std::string& payload,
+                            const std::string& checkpoint) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  TrackedRun* tracked = tracker->Find(task);
+  if (tracked == nullptr || tracked->run != run) return;
+  const Time now = Now();
+  if (tracked->stop_wanted || !may_renew_) {
+    // Never sent: settled without a call.
+    return Deliver(
+        worker, tracker->OnStartAnswer(task, run, StartOutcome::kRefused, now));
+  }
+  StartOrder order;
+  order.task = task;
+  order.run = run;
+  order.payload = payload;
+  order.checkpoint = checkpoint;
+  order.deadline = tracker->DeadlineIn(settings_.start_term, now);
+  order.epoch = settings_.epoch;
+  tracker->OnStartSent(task, run, order.deadline, now);
+  ++counts_.starts;
+  const WorkerAddress address{worker, tracker->registration().address};
+  calls_.Start(
+      address, order, settings_.call_timeout,
+      [this, alive = alive_, worker, task, run](const StartAnswer& answer) {
+        if (!*alive) return;
+        WorkerTracker* tracker = Find(worker);
+        if (tracker == nullptr) return;
+        const Time now = Now();
+        if (answer.outcome != StartOutcome::kAccepted) {
+          ++counts_.failed_calls;
+          const Event& event = answer.outcome == StartOutcome::kNoAnswer
+                                   ? events::kStartUndecided
+                                   : events::kStartRefused;
+          LogEvent(event, answer.error,
+                   {{"task", task.ToString()}, {"run", run}});
+        }
+        if (answer.outcome == StartOutcome::kRefused) {
+          tracker->OnRunFailed(task.step.job, now);
+        }
+        if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
+        Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
+        Link& link = links_[worker];
+        if (link.reporting && link.leased_until < now + kThinLease &&
+            !link.extra_report) {
+          return Report(worker, Milliseconds(0), /*extra=*/true);
+        }
+        Drive(worker, now);
+      });
+}
+
+void WorkerFleet::RequestStop(const std::string& worker, const TaskRef& task,
+                              int run, const std::string& reason) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  TrackedRun* tracked = tracker->Find(task);
+  if (tracked == nullptr || tracked->run != run || tracked->stop_wanted) return;
+  tracked->stop_wanted = true;
+  tracked->stop_reason = reason;
+  LogEvent(events::kRunStopped, {{"task", task.ToString()},
+                                 {"run", run},
+                                 {"worker", worker},
+                                 {"percent", tracked->percent},
+                                 {"reason", reason}});
+  SendStops(worker, Now());
+}
+
+void WorkerFleet::OnEndsRecorded(const std::string& worker, int64_t number) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  tracker->OnEndsRecorded(number);
+  Drive(worker, Now());
+}
+
+void WorkerFleet::Tick(Time now, bool may_renew) {
+  may_renew_ = may_renew;
+  std::vector<std::string> ids;
+  ids.reserve(trackers_.size());
+  for (const auto& [id, tracker] : trackers_) {
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    Judge(id, now);
+    if (Find(id) == nullptr) continue;
+    SendStops(id, now);
+    Drive(id, now);
+  }
+}
+
+// A worker is asked while it has something to tell, and until it has heard
+// that its ends are recorded.
+void WorkerFleet::Drive(const std::string& id, Time now) {
+  WorkerTracker* tracker = Find(id);
+  Link& link = links_[id];
+  if (tracker == nullptr || link.reporting || now < link.next_report) return;
+  if (tracker->registration().address.empty()) return;
+  const bool unrecorded = tracker->processed_ends() > tracker->recorded_ends();
+  const bool untold = tracker->recorded_ends() > link.told_ends;
+  const bool has_runs = !tracker->runs().empty();
+  if (tracker->synchronized() && !has_runs && !untold) return;
+  bool settling = !tracker->synchronized() || !tracker->reachable();
+  for (const auto& [task, run] : tracker->runs()) {
+    settling = settling || run.stage == RunStage::kUnknown ||
+               run.stop_acknowledged.has_value();
+  }
+  // With ends that are not recorded a report would come back at once.
+  const bool waits = has_runs && !settling && !unrecorded;
+  if (!waits) link.next_report = now + settings_.report_retry;
+  Report(id, waits ? settings_.report_wait : Milliseconds(0), /*extra=*/false);
+}
+
+void WorkerFleet::Report(const std::string& id, Milliseconds wait, bool extra) {
+  WorkerTracker* tracker = Find(id);
+  Link& link = links_[id];
+  const Time now = Now();
+  StatusQuery query;
+  query.epoch = settings_.epoch;
+  query.recorded_ends = tracker->recorded_ends();
+  query.wait = wait;
+  // A worker that does not answer is not renewed: its leases must end.
+  const bool renew = may_renew_ && tracker->synchronized() &&
+                     tracker->reachable() && !tracker->runs().empty();
+  if (renew) {
+    query.lease_until = tracker->DeadlineIn(settings_.lease_term, now);
+  }
+  (extra ? link.extra_report : link.reporting) = true;
+  ++counts_.reports;
+  const WorkerAddress address{id, tracker->registration().address};
+  const int64_t recorded = query.recorded_ends;
+  calls_.Status(address, query, settings_.call_timeout + wait,
+                [this, alive = alive_, id, now, recorded, renew,
+                 extra](const StatusAnswer& answer) {
+                  if (!*alive) return;
+                  OnStatus(id, answer, now, recorded, renew, extra);
+                });
+}
+
+void WorkerFleet::OnStatus(const std::string& id, const StatusAnswer& answer,
+                           Time sent, int64_t recorded, bool renewed,
+                           bool extra) {
+  Link& link = links_[id];
+  (extra ? link.extra_report : link.reporting) = false;
+  WorkerTracker* tracker = Find(id);
+  if (tracker == nullptr) return;
+  const Time now = Now();
+  switch (answer.outcome) {
+    case CallOutcome::kOk:
+      break;
+    case CallOutcome::kFenced:
+      return handlers_.on_fenced();
+    case CallOutcome::kOtherLife:
+      Lose(id, "another life answers at its address");
+      return;
+    case CallOutcome::kRefused:
+    case CallOutcome::kNoAnswer:
+      ++counts_.failed_calls;
+      if (tracker->reachable()) {
+        LogEvent(events::kWorkerSilent, answer.error,
+                 {{"worker", id}, {"runs", tracker->runs().size()}});
+      }
+      tracker->OnNoReport(now);
+      link.next_report = now + settings_.report_retry;
+      return;
+  }
+  if (!tracker->reachable()) {
+    LogEvent(events::kWorkerBack,
+             {{"worker", id}, {"failed_reports", tracker->failed_reports()}});
+  }
+  const bool first = !tracker->synchronized();
+  link.told_ends = std::max(link.told_ends, recorded);
+  if (renewed) link.leased_until = sent + settings_.lease_term;
+  std::vector<RunReport> unexpected;
+  const std::vector<RunEndReport> ends =
+      tracker->OnReport(answer.report, sent, now, &unexpected);
+  for (const RunReport& run : answer.report.running) {
+    handlers_.on_progress(run);
+  }
+  for (const RunReport& run : unexpected) {
+    LogEvent(events::kRunUnexpected,
+             {{"task", run.task.ToString()}, {"run", run.run}, {"worker", id}});
+    if (tracker->Find(run.task) != nullptr) continue;
+    tracker->Add(run.task, run.run, handlers_.profile_of(run.task), now);
+    tracker->Find(run.task)->stage = RunStage::kRunning;
+    RequestStop(id, run.task, run.run, "not in force");
+  }
+  Deliver(id, ends);
+  if (first || !ends.empty()) handlers_.on_change();
+  Drive(id, now);
+}
+
+void WorkerFleet::SendStops(const std::string& id, Time now) {
+  WorkerTracker* tracker = Find(id);
+  const WorkerAddress address{id, tracker->registration().address};
+  if (address.address.empty()) return;
+  for (auto& [task, run] : tracker->runs()) {
+    if (!run.stop_wanted || run.stop_sending) continue;
+    if (run.stage == RunStage::kRecording) continue;
+    if (run.stop_acknowledged && now - *run.stop_acknowledged < kStopPatience) {
+      continue;
+    }
+    run.stop_sending = true;
+    ++counts_.stops;
+    const StopOrder order{task, run.run, settings_.epoch};
+    calls_.Stop(
+        address, order, settings_.call_timeout,
+        [this, alive = alive_, id, order](CallOutcome outcome, const Error&) {
+          if (!*alive) return;
+          WorkerTracker* tracker = Find(id);
+          if (tracker == nullptr) return;
+          if (outcome == CallOutcome::kFenced) {
+            return handlers_.on_fenced();
+          }
+          if (outcome == CallOutcome::kOtherLife) {
+            Lose(id, "another life answers at its address");
+            return;
+          }
+          if (outcome != CallOutcome::kOk) ++counts_.failed_calls;
+          tracker->OnStopAnswer(order.task, order.run,
+                                outcome == CallOutcome::kOk, Now());
+          Drive(id, Now());
+        });
+  }
+}
+
+void WorkerFleet::Deliver(const std::string& id,
+                          const std::vector<RunEndReport>& ends) {
+  for (const RunEndReport& end : ends) {
+    WorkerTracker* tracker = Find(id);
+    if (tracker != nullptr) {
+      if (end.end == RunEnd::kFailed) {
+        tracker->OnRunFailed(end.task.step.job, Now());
+      }
+      if (end.end == RunEnd::kDone) tracker->OnRunDone();
+    }
+    handlers_.on_end(id, end);
+  }
+}
+
+void WorkerFleet::Judge(const std::string& id, Time now) {
+  WorkerTracker* tracker = Find(id);
+  Link& link = links_[id];
+  const bool unreachable =
+      !tracker->reachable() || tracker->registration().address.empty();
+  if (unreachable && !tracker->runs().empty() && tracker->LeasesOver(now)) {
+    if (Lose(id, "its leases have ended")) return;
+  }
+  const bool listed_long_ago =
+      link.missing_since && now - *link.missing_since > settings_.missing_grace;
+  if (listed_long_ago && now - contact_since_ > settings_.missing_grace) {
+    tracker->MarkMissing(now);
+    if (tracker->runs().empty()) {
+      LogEvent(events::kWorkerGone,
+               {{"worker", id}, {"reason", "no longer listed"}});
+      trackers_.erase(id);
+      links_.erase(id);
+      return;
+    }
+  }
+  JudgeRuns(tracker, now);
+}
+
+void WorkerFleet::JudgeRuns(WorkerTracker* tracker, Time now) {
+  const WorkerRegistration& worker = tracker->registration();
+  std::vector<std::pair<const TrackedRun*, std::string>> stops;
+  bool stalled = false;
+  for (const auto& [task, run] : tracker->runs()) {
+    if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
+    if (run.profile.long_running) continue;
+    if (tracker->reachable() && now - run.progressed > settings_.stall_after) {
+      LogEvent(events::kRunStalled, {{"task", task.ToString()},
+                                     {"run", run.run},
+                                     {"worker", worker.id},
+                                     {"percent", run.percent}});
+      stalled = true;
+      stops.emplace_back(&run, "makes no progress");
+      continue;
+    }
+    if (!worker.draining || !run.profile.checkpointable) continue;
+    const double done = std::max(run.percent, 1);
+    const auto left = std::chrono::duration<double, std::milli>(
+        std::chrono::duration<double, std::milli>(now - run.began).count() *
+        (100.0 - done) / done);
+    if (left > worker.drain_left) stops.emplace_back(&run, "worker leaves");
+  }
+  if (stalled) tracker->OnRunStalled(now);
+  for (const auto& [run, reason] : stops) {
+    RequestStop(worker.id, run->task, run->run, reason);
+  }
+}
+
+// True when the worker itself was forgotten.
+bool WorkerFleet::Lose(const std::string& id, const std::string& reason) {
+  WorkerTracker* tracker = Find(id);
+  const std::vector<RunEndReport> ends = tracker->OnGone();
+  LogEvent(events::kWorkerGone,
+           {{"worker", id}, {"reason", reason}, {"runs", ends.size()}});
+  const bool forget = links_[id].missing_since.has_value();
+  if (forget) {
+    trackers_.erase(id);
+    links_.erase(id);
+  }
+  Deliver(id, ends);
+  handlers_.on_change();
+  return forget;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/worker_fleet.h
@@ -0,0 +1,135 @@
+// Calls the workers: keeps their leases, hears their reports, sends orders.
+//
+// Beliefs are in the WorkerTracker of each worker; this object turns them into
+// calls and the answers into events for its owner.
+#ifndef THORNPLANK_COORDINATION_WORKER_FLEET_H_
+#define THORNPLANK_COORDINATION_WORKER_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/time.h"
+#include "coordination/formats.h"
+#include "coordination/worker_calls.h"
+#include "workload/worker_tracker.h"
+
+namespace thornplank {
+
+struct WorkerFleetSettings {
+  int64_t epoch = 0;
+  // Of the lease that a report renews. Long enough that a new leader (2.3 s of
+  // silence, 0.5 s to load) finds the work alive; a worker that is lost holds
+  // its tasks back for as long.
+  Milliseconds lease_term{6500};
+  // An order that arrives later than this does nothing. Above the timeout.
+  Milliseconds start_term{1500};
+  Milliseconds call_timeout{900};
+  // How long a report waits for an end; below the lease term by far.
+  Milliseconds report_wait{1900};
+  // Between reports that don't wait.
+  Milliseconds report_retry{250};
+  // A worker that is not listed any more, while the store answered all along,
+  // is gone: entries that lapsed with the store are back within 2 s.
+  Milliseconds missing_grace{2600};
+  // A run whose percentage stands still for longer is stopped: the slowest
+  // seen, 6.5 times slowed and far from its data, moves every 2.2 s.
+  Milliseconds stall_after{5000};
+};
+
+class WorkerFleet {
+ public:
+  struct Handlers {
+    std::function<void(const std::string& worker, const RunEndReport&)> on_end;
+    std::function<void(const RunReport&)> on_progress;
+    // Resources that a run takes which nobody here decided on.
+    std::function<RunProfile(const TaskRef&)> profile_of;
+    // Something changed that may let tasks start.
+    std::function<void()> on_change;
+    // A worker obeys a higher epoch.
+    std::function<void()> on_fenced;
+  };
+
+  WorkerFleet(WorkerCalls& calls, const Formats& formats,
+              WorkerFleetSettings settings, Handlers handlers);
+  ~WorkerFleet();
+
+  void OnDirectoryRecord(const KeyedRecord& record, Time now);
+  // The directory was read anew and lists just these.
+  void OnDirectorySnapshot(const std::set<std::string>& ids, Time now);
+  // The directory was read up to its end.
+  void OnDirectoryContact(Time now);
+
+  const std::map<std::string, WorkerTracker>& trackers() const {
+    return trackers_;
+  }
+
+  // A run that a predecessor recorded.
+  void Inherit(const std::string& worker, const TaskRef& task, int run,
+               const RunProfile& profile, Time now, Time lease_bound);
+  // A run that is decided and not yet recorded.
+  void Add(const std::string& worker, const TaskRef& task, int run,
+           const RunProfile& profile, Time now);
+  // Sends the order for a recorded run.
+  void SendStart(const std::string& worker, const TaskRef& task, int run,
+                 const std::string& payload, const std::string& checkpoint);
+  void RequestStop(const std::string& worker, const TaskRef& task, int run,
+                   const std::string& reason);
+  // Ends of that worker up to `number` are recorded.
+  void OnEndsRecorded(const std::string& worker, int64_t number);
+
+  // Renews, retries and judges; several times a second. Leases are renewed
+  // only while the owner may still lead.
+  void Tick(Time now, bool may_renew);
+
+  struct Counts {
+    uint64_t starts = 0;
+    uint64_t stops = 0;
+    uint64_t reports = 0;
+    uint64_t failed_calls = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Link {
+    bool reporting = false;
+    bool extra_report = false;
+    Time next_report{};
+    // The worker's lease surely lasts until then.
+    Time leased_until{};
+    int64_t told_ends = 0;
+    std::optional<Time> missing_since;
+  };
+
+  void Drive(const std::string& id, Time now);
+  void Report(const std::string& id, Milliseconds wait, bool extra);
+  void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
+                int64_t recorded, bool renewed, bool extra);
+  void SendStops(const std::string& id, Time now);
+  void Deliver(const std::string& id, const std::vector<RunEndReport>& ends);
+  void Judge(const std::string& id, Time now);
+  void JudgeRuns(WorkerTracker* tracker, Time now);
+  bool Lose(const std::string& id, const std::string& reason);
+  WorkerTracker* Find(const std::string& id);
+
+  WorkerCalls& calls_;
+  const Formats& formats_;
+  const WorkerFleetSettings settings_;
+  const Handlers handlers_;
+  std::map<std::string, WorkerTracker> trackers_;
+  std::map<std::string, Link> links_;
+  bool may_renew_ = true;
+  // Since when the directory has answered without a gap.
+  Time contact_since_{};
+  Time contact_{};
+  Counts counts_;
+  // Callbacks of calls that outlive this object do nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_WORKER_FLEET_H_
--- /dev/null
+++ b/src/libs/logging/events/coordination_events.h
@@ -0,0 +1,45 @@
+// Events of the scheduler that leads through the platform's store.
+#ifndef THORNPLANK_LOGGING_EVENTS_COORDINATION_EVENTS_H_
+#define THORNPLANK_LOGGING_EVENTS_COORDINATION_EVENTS_H_
+
+#include "logging/event_log.h"
+
+namespace thornplank::events {
+
+inline constexpr Event kLeadClaimed{900, "lead-claimed", Severity::kInfo};
+inline constexpr Event kLeadTaken{901, "lead-taken", Severity::kInfo};
+inline constexpr Event kLeadLost{902, "lead-lost", Severity::kWarning};
+inline constexpr Event kLeadReleased{903, "lead-released", Severity::kInfo};
+inline constexpr Event kLeadRefused{904, "lead-refused", Severity::kInfo};
+inline constexpr Event kStoreLost{905, "store-lost", Severity::kWarning};
+inline constexpr Event kStoreBack{906, "store-back", Severity::kInfo};
+inline constexpr Event kConfigurationInForce{907, "configuration-in-force",
+                                             Severity::kInfo};
+inline constexpr Event kConfigurationUnreadable{908, "configuration-unreadable",
+                                                Severity::kError};
+inline constexpr Event kRecordUnreadable{909, "record-unreadable",
+                                         Severity::kError};
+inline constexpr Event kJobAccepted{910, "job-accepted", Severity::kInfo};
+inline constexpr Event kJobRefused{911, "job-refused", Severity::kInfo};
+inline constexpr Event kJobUndecided{912, "job-undecided", Severity::kWarning};
+inline constexpr Event kJobCancelled{913, "job-cancelled", Severity::kInfo};
+inline constexpr Event kJobState{914, "job-state", Severity::kInfo};
+inline constexpr Event kTasksPlaced{915, "tasks-placed", Severity::kInfo};
+inline constexpr Event kRunStopped{916, "run-stopped", Severity::kInfo};
+inline constexpr Event kRunEnded{917, "run-ended", Severity::kInfo};
+inline constexpr Event kStartUndecided{918, "start-undecided",
+                                       Severity::kWarning};
+inline constexpr Event kStartRefused{919, "start-refused", Severity::kWarning};
+inline constexpr Event kRunUnexpected{920, "run-unexpected",
+                                      Severity::kWarning};
+inline constexpr Event kWorkerSeen{921, "worker-seen", Severity::kInfo};
+inline constexpr Event kWorkerSilent{922, "worker-silent", Severity::kWarning};
+inline constexpr Event kWorkerBack{923, "worker-back", Severity::kInfo};
+inline constexpr Event kWorkerGone{924, "worker-gone", Severity::kWarning};
+inline constexpr Event kWorkerLeaving{925, "worker-leaving", Severity::kInfo};
+inline constexpr Event kRunStalled{926, "run-stalled", Severity::kWarning};
+inline constexpr Event kStateAnswered{927, "state-answered", Severity::kDebug};
+
+}  // namespace thornplank::events
+
+#endif  // THORNPLANK_LOGGING_EVENTS_COORDINATION_EVENTS_H_
--- a/src/libs/logging/events/process_events.h
+++ b/src/libs/logging/events/process_events.h
@@ -12,6 +12,10 @@
                                         Severity::kWarning};
 inline constexpr Event kShutdownBegun{103, "shutdown-begun", Severity::kInfo};
 inline constexpr Event kShutdownDone{104, "shutdown-done", Severity::kInfo};
+inline constexpr Event kSettingsReloaded{105, "settings-reloaded",
+                                         Severity::kInfo};
+inline constexpr Event kSettingsNotReloaded{106, "settings-not-reloaded",
+                                            Severity::kError};
 
 }  // namespace thornplank::events
 
--- a/src/app/thornplank_entry/process_metrics.cc
+++ b/src/libs/metrics/process_metrics.cc
@@ -1,5 +1,5 @@
 // Reads /proc/self/statm and getrusage.
-#include "process_metrics.h"
+#include "metrics/process_metrics.h"
 
 #include <sys/resource.h>
 #include <unistd.h>
--- a/src/app/thornplank_entry/process_metrics.h
+++ b/src/libs/metrics/process_metrics.h
@@ -1,6 +1,6 @@
 // What the process itself costs: memory, processor time, bytes.
-#ifndef THORNPLANK_APP_THORNPLANK_ENTRY_PROCESS_METRICS_H_
-#define THORNPLANK_APP_THORNPLANK_ENTRY_PROCESS_METRICS_H_
+#ifndef THORNPLANK_METRICS_PROCESS_METRICS_H_
+#define THORNPLANK_METRICS_PROCESS_METRICS_H_
 
 #include "metrics/metrics_registry.h"
 
@@ -11,4 +11,4 @@
 
 }  // namespace thornplank
 
-#endif  // THORNPLANK_APP_THORNPLANK_ENTRY_PROCESS_METRICS_H_
+#endif  // THORNPLANK_METRICS_PROCESS_METRICS_H_
--- /dev/null
+++ b/src/libs/settings/hosted_settings.h
@@ -0,0 +1,47 @@
+// The settings file of thornplank_hosted (JSON with comments): an entry on the
+// users' platform, which keeps its state in the platform's store.
+#ifndef THORNPLANK_SETTINGS_HOSTED_SETTINGS_H_
+#define THORNPLANK_SETTINGS_HOSTED_SETTINGS_H_
+
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "logging/event_log.h"
+
+namespace thornplank {
+
+class SettingsReader;
+
+struct HostedSettings {
+  // Unique among the instances.
+  std::string name;
+  std::string failure_domain;
+  // "ip:port", numeric.
+  std::string listen_callers;
+  std::string listen_readiness;
+  // Empty: no metrics are served.
+  std::string listen_metrics;
+  std::string store_address;
+  // Cores that this instance has; those with most lead first.
+  double processor_share = 1;
+  Severity log_level = Severity::kInfo;
+  // From taking a key away until no call with it may run, anywhere.
+  Milliseconds revocation_bound{5000};
+  // How long the state of an ended job can be asked for.
+  Milliseconds state_kept{120000};
+  // From SIGTERM until the process is killed.
+  Milliseconds stop_grace{6000};
+};
+
+void ReadHostedKeys(SettingsReader& reader, HostedSettings* settings);
+
+// nullopt on the first mistake; SettingsErrorLine(*error) is then the line
+// "file: key: found X, allowed Y".
+std::optional<HostedSettings> ReadHostedSettings(const std::string& path,
+                                                 Error* error);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_SETTINGS_HOSTED_SETTINGS_H_
--- /dev/null
+++ b/src/libs/workload/job_ledger.cc
@@ -0,0 +1,326 @@
+// Transitions of jobs, steps and tasks.
+#include "workload/job_ledger.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "base/json.h"
+
+namespace thornplank {
+namespace {
+
+constexpr std::array<std::pair<JobState, std::string_view>, 5> kStateTexts = {{
+    {JobState::kQueued, "queued"},
+    {JobState::kRunning, "running"},
+    {JobState::kCompleted, "completed"},
+    {JobState::kFailed, "failed"},
+    {JobState::kCancelled, "cancelled"},
+}};
+
+std::vector<std::vector<StepProgress>> EmptyProgress(const JobSpec& spec) {
+  std::vector<StepProgress> steps;
+  for (const StepSpec& step : spec.steps) {
+    StepProgress progress;
+    progress.tasks.resize(static_cast<size_t>(step.count));
+    progress.waiting = step.count;
+    steps.push_back(std::move(progress));
+  }
+  return std::vector<std::vector<StepProgress>>(
+      static_cast<size_t>(spec.occurrence_count()), steps);
+}
+
+}  // namespace
+
+Job& JobLedger::Add(const JobSpec& spec, Time now) {
+  std::unique_ptr<Job>& job = jobs_[spec.id];
+  if (job != nullptr) return *job;
+  job = std::make_unique<Job>();
+  job->spec = spec;
+  job->occurrences = EmptyProgress(spec);
+  job->open_steps =
+      static_cast<int>(spec.steps.size()) * spec.occurrence_count();
+  job->known_since = now;
+  return *job;
+}
+
+void JobLedger::Remove(const std::string& job) { jobs_.erase(job); }
+
+Job* JobLedger::Find(const std::string& job) {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const Job* JobLedger::Find(const std::string& job) const {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+StepProgress* JobLedger::FindStep(const StepRef& ref) {
+  return const_cast<StepProgress*>(std::as_const(*this).FindStep(ref));
+}
+
+const StepProgress* JobLedger::FindStep(const StepRef& ref) const {
+  const Job* job = Find(ref.job);
+  if (job == nullptr) return nullptr;
+  const auto occurrence = static_cast<size_t>(ref.occurrence);
+  const auto step = static_cast<size_t>(ref.step);
+  if (occurrence >= job->occurrences.size()) return nullptr;
+  if (step >= job->occurrences[occurrence].size()) return nullptr;
+  return &job->occurrences[occurrence][step];
+}
+
+const StepSpec* JobLedger::FindStepSpec(const StepRef& ref) const {
+  const Job* job = Find(ref.job);
+  if (job == nullptr) return nullptr;
+  const auto step = static_cast<size_t>(ref.step);
+  return step < job->spec.steps.size() ? &job->spec.steps[step] : nullptr;
+}
+
+const TaskStatus* JobLedger::FindTask(const TaskRef& ref) const {
+  const StepProgress* progress = FindStep(ref.step);
+  if (progress == nullptr) return nullptr;
+  const auto index = static_cast<size_t>(ref.index);
+  return index < progress->tasks.size() ? &progress->tasks[index] : nullptr;
+}
+
+bool JobLedger::Restore(const StepRef& ref, StepProgress progress) {
+  StepProgress* present = FindStep(ref);
+  if (present == nullptr) return false;
+  if (present->tasks.size() != progress.tasks.size()) return false;
+  Job* job = Find(ref.job);
+  *present = std::move(progress);
+  if (present->done == static_cast<int>(present->tasks.size())) {
+    --job->open_steps;
+  }
+  if (present->active() + present->done > 0 &&
+      job->state == JobState::kQueued) {
+    job->state = JobState::kRunning;
+  }
+  const StepSpec& spec = job->spec.steps[static_cast<size_t>(ref.step)];
+  const int attempts = job->spec.policy.max_attempts;
+  const bool failed = !spec.long_running &&
+                      (present->gang_failures >= attempts ||
+                       std::any_of(present->tasks.begin(), present->tasks.end(),
+                                   [attempts](const TaskStatus& task) {
+                                     return task.failures >= attempts;
+                                   }));
+  if (IsTerminal(job->state)) return true;
+  if (failed) SetState(job, JobState::kFailed);
+  if (job->open_steps == 0) SetState(job, JobState::kCompleted);
+  return true;
+}
+
+bool JobLedger::Cancel(const std::string& id) {
+  Job* job = Find(id);
+  if (job == nullptr || IsTerminal(job->state)) return false;
+  SetState(job, JobState::kCancelled);
+  return true;
+}
+
+void JobLedger::AdoptState(const std::string& id, JobState state) {
+  Job* job = Find(id);
+  if (job != nullptr && !IsTerminal(job->state)) job->state = state;
+}
+
+int JobLedger::Start(const StepRef& ref,
+                     const std::vector<Assignment>& assignments) {
+  Job* job = Find(ref.job);
+  StepProgress* progress = FindStep(ref);
+  int run = 0;
+  for (const Assignment& assignment : assignments) {
+    const auto index = static_cast<size_t>(assignment.index);
+    run = std::max(run, progress->tasks[index].run);
+  }
+  ++run;
+  for (const Assignment& assignment : assignments) {
+    TaskStatus* task = &progress->tasks[static_cast<size_t>(assignment.index)];
+    task->run = run;
+    task->worker = assignment.worker;
+    SetPhase(progress, task, TaskPhase::kActive);
+  }
+  dirty_steps_.insert(ref);
+  if (job->state == JobState::kQueued) SetState(job, JobState::kRunning);
+  return run;
+}
+
+bool JobLedger::End(const TaskRef& ref, int run, RunEnd end,
+                    const std::string& checkpoint) {
+  Job* job = Find(ref.step.job);
+  StepProgress* progress = FindStep(ref.step);
+  if (job == nullptr || progress == nullptr) return false;
+  const auto index = static_cast<size_t>(ref.index);
+  if (index >= progress->tasks.size()) return false;
+  TaskStatus* task = &progress->tasks[index];
+  const StepSpec& spec = job->spec.steps[static_cast<size_t>(ref.step.step)];
+  const bool current = task->phase == TaskPhase::kActive && task->run == run;
+  const bool late_done = end == RunEnd::kDone && !spec.long_running &&
+                         task->phase != TaskPhase::kDone;
+  if (!current && !late_done) return false;
+  if (!checkpoint.empty()) Checkpoint(ref, run, checkpoint);
+  dirty_steps_.insert(ref.step);
+  if (end == RunEnd::kDone && !spec.long_running) {
+    if (!spec.gang) {
+      OnTaskDone(job, progress, task);
+      return true;
+    }
+    for (TaskStatus& member : progress->tasks) {
+      if (member.phase != TaskPhase::kDone) OnTaskDone(job, progress, &member);
+    }
+    return true;
+  }
+  SetPhase(progress, task, TaskPhase::kWaiting);
+  if (end != RunEnd::kFailed || spec.long_running) return true;
+  int failures = ++task->failures;
+  if (spec.gang) {
+    if (progress->last_failed_run != run) ++progress->gang_failures;
+    progress->last_failed_run = run;
+    failures = progress->gang_failures;
+  }
+  if (failures >= job->spec.policy.max_attempts && !IsTerminal(job->state)) {
+    SetState(job, JobState::kFailed);
+  }
+  return true;
+}
+
+void JobLedger::Checkpoint(const TaskRef& ref, int run,
+                           const std::string& checkpoint) {
+  StepProgress* progress = FindStep(ref.step);
+  if (progress == nullptr || checkpoint.empty()) return;
+  const auto index = static_cast<size_t>(ref.index);
+  if (index >= progress->tasks.size()) return;
+  TaskStatus& task = progress->tasks[index];
+  if (task.run != run) return;
+  task.checkpoint = checkpoint;
+  const StepSpec* spec = FindStepSpec(ref.step);
+  if (!spec->gang) return;
+  // A checkpoint of any member holds for the whole gang.
+  for (TaskStatus& member : progress->tasks) {
+    member.checkpoint = checkpoint;
+  }
+}
+
+bool JobLedger::IsReady(const Job& job, int occurrence, int step) {
+  const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(step)];
+  return std::all_of(
+      spec.depends_on.begin(), spec.depends_on.end(), [&steps](int dependency) {
+        const auto& other = steps[static_cast<size_t>(dependency)];
+        return other.done == static_cast<int>(other.tasks.size());
+      });
+}
+
+std::set<StepRef> JobLedger::TakeDirtySteps() {
+  return std::exchange(dirty_steps_, {});
+}
+
+std::set<std::string> JobLedger::TakeChangedJobs() {
+  return std::exchange(changed_jobs_, {});
+}
+
+void JobLedger::SetPhase(StepProgress* progress, TaskStatus* task,
+                         TaskPhase phase) {
+  if (task->phase == TaskPhase::kWaiting) --progress->waiting;
+  if (task->phase == TaskPhase::kDone) --progress->done;
+  if (phase == TaskPhase::kWaiting) ++progress->waiting;
+  if (phase == TaskPhase::kDone) ++progress->done;
+  task->phase = phase;
+  if (phase != TaskPhase::kActive) task->worker.clear();
+}
+
+void JobLedger::OnTaskDone(Job* job, StepProgress* progress, TaskStatus* task) {
+  SetPhase(progress, task, TaskPhase::kDone);
+  if (progress->done < static_cast<int>(progress->tasks.size())) return;
+  --job->open_steps;
+  if (job->open_steps == 0 && !IsTerminal(job->state)) {
+    SetState(job, JobState::kCompleted);
+  }
+}
+
+void JobLedger::SetState(Job* job, JobState state) {
+  job->state = state;
+  changed_jobs_.insert(job->spec.id);
+}
+
+std::string EncodeProgress(const StepProgress& progress) {
+  Json tasks = Json::array();
+  for (const TaskStatus& task : progress.tasks) {
+    // The common case, a task that was never started, takes one byte.
+    if (task.run == 0) {
+      tasks.push_back(0);
+      continue;
+    }
+    tasks.push_back(Json::array({static_cast<int>(task.phase), task.run,
+                                 task.failures, task.worker, task.checkpoint}));
+  }
+  const Json record = Json::array(
+      {progress.gang_failures, progress.last_failed_run, std::move(tasks)});
+  std::string bytes;
+  Json::to_cbor(record, bytes);
+  return bytes;
+}
+
+std::optional<StepProgress> DecodeProgress(std::string_view bytes,
+                                           Error* error) {
+  const Json record = Json::from_cbor(bytes, /*strict=*/true,
+                                      /*allow_exceptions=*/false);
+  StepProgress progress;
+  // Wrong types throw inside the library; none leaves this function.
+  try {
+    progress.gang_failures = record.at(0).get<int>();
+    progress.last_failed_run = record.at(1).get<int>();
+    for (const Json& row : record.at(2)) {
+      TaskStatus task;
+      if (row.is_array()) {
+        task.phase = static_cast<TaskPhase>(row.at(0).get<int>());
+        task.run = row.at(1).get<int>();
+        task.failures = row.at(2).get<int>();
+        task.worker = row.at(3).get<std::string>();
+        task.checkpoint = row.at(4).get<std::string>();
+      }
+      progress.waiting += task.phase == TaskPhase::kWaiting ? 1 : 0;
+      progress.done += task.phase == TaskPhase::kDone ? 1 : 0;
+      progress.tasks.push_back(std::move(task));
+    }
+  } catch (const Json::exception& fault) {
+    SetError(error, "decode progress", "store", fault.what());
+    return std::nullopt;
+  }
+  return progress;
+}
+
+std::string_view ToText(JobState state) {
+  for (const auto& [value, text] : kStateTexts) {
+    if (value == state) return text;
+  }
+  return "unknown";
+}
+
+std::optional<JobState> JobStateFromText(std::string_view text) {
+  for (const auto& [value, name] : kStateTexts) {
+    if (name == text) return value;
+  }
+  return std::nullopt;
+}
+
+std::string_view ToText(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLeaseLapsed:
+      return "lease-lapsed";
+    case RunEnd::kGangBroken:
+      return "gang-broken";
+    case RunEnd::kGangIncomplete:
+      return "gang-incomplete";
+    case RunEnd::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/job_ledger.h
@@ -0,0 +1,159 @@
+// Every job that the coordinator knows, with the state of each task.
+//
+// The ledger holds facts, not intentions: which run of a task is out on which
+// worker, how runs ended, what was checkpointed. It reads no clock and does no
+// I/O; what changed since the last call is listed as dirty, to be stored.
+#ifndef THORNPLANK_WORKLOAD_JOB_LEDGER_H_
+#define THORNPLANK_WORKLOAD_JOB_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "workload/job_spec.h"
+#include "workload/task_ref.h"
+
+namespace thornplank {
+
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+
+inline bool IsTerminal(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
+
+enum class TaskPhase {
+  // May be started once its turn has come.
+  kWaiting,
+  // A run may be on a worker: recorded, sent, running, stopping or unknown.
+  kActive,
+  kDone,
+};
+
+enum class RunEnd {
+  kDone,
+  // By its own fault or the worker's.
+  kFailed,
+  // By an order of ours.
+  kStopped,
+  kLeaseLapsed,
+  // Another member of the gang ended.
+  kGangBroken,
+  // Waited in vain for the other members.
+  kGangIncomplete,
+  // Proved not to run: never begun, or the worker's life is over.
+  kLost,
+};
+
+struct TaskStatus {
+  TaskPhase phase = TaskPhase::kWaiting;
+  // The number of its last run; 0 before the first.
+  int run = 0;
+  int failures = 0;
+  // Where kActive: the worker's id.
+  std::string worker;
+  // Resumes from here; "" when there is none.
+  std::string checkpoint;
+};
+
+struct StepProgress {
+  std::vector<TaskStatus> tasks;
+  // Of a gang: runs of the whole gang that have failed, and the last of them.
+  int gang_failures = 0;
+  int last_failed_run = 0;
+  // Invariant: the number of tasks in each phase.
+  int waiting = 0;
+  int done = 0;
+
+  int active() const { return static_cast<int>(tasks.size()) - waiting - done; }
+};
+
+struct Job {
+  JobSpec spec;
+  JobState state = JobState::kQueued;
+  // By occurrence, then by step.
+  std::vector<std::vector<StepProgress>> occurrences;
+  // Steps that are not all done, over all occurrences.
+  int open_steps = 0;
+  // When this process heard of it.
+  Time known_since{};
+};
+
+class JobLedger {
+ public:
+  // Takes a job in, or returns the one that is there.
+  Job& Add(const JobSpec& spec, Time now);
+  void Remove(const std::string& job);
+  Job* Find(const std::string& job);
+  const Job* Find(const std::string& job) const;
+  const std::map<std::string, std::unique_ptr<Job>>& jobs() const {
+    return jobs_;
+  }
+
+  // Puts a stored step back; unknown jobs and sizes that differ are ignored.
+  bool Restore(const StepRef& ref, StepProgress progress);
+
+  // A caller took the job back. False when it had ended before.
+  bool Cancel(const std::string& job);
+  // Takes over an end that was published before.
+  void AdoptState(const std::string& job, JobState state);
+
+  // Marks the tasks of one start as active on their workers, all with the same
+  // run number, which is returned.
+  struct Assignment {
+    int index = 0;
+    std::string worker;
+  };
+  int Start(const StepRef& ref, const std::vector<Assignment>& assignments);
+
+  // An end of `run`. Ends of other runs change nothing, but that a done run
+  // counts whenever it comes. True when it was taken.
+  bool End(const TaskRef& ref, int run, RunEnd end,
+           const std::string& checkpoint);
+  // A checkpoint seen in a report of a run that goes on.
+  void Checkpoint(const TaskRef& ref, int run, const std::string& checkpoint);
+
+  StepProgress* FindStep(const StepRef& ref);
+  const StepProgress* FindStep(const StepRef& ref) const;
+  const StepSpec* FindStepSpec(const StepRef& ref) const;
+  const TaskStatus* FindTask(const TaskRef& ref) const;
+
+  // Whether all steps that this one depends on are done.
+  static bool IsReady(const Job& job, int occurrence, int step);
+
+  // Steps to be stored, and jobs whose state has changed, since the last call.
+  std::set<StepRef> TakeDirtySteps();
+  std::set<std::string> TakeChangedJobs();
+  bool has_dirty_steps() const { return !dirty_steps_.empty(); }
+
+ private:
+  void SetPhase(StepProgress* progress, TaskStatus* task, TaskPhase phase);
+  void OnTaskDone(Job* job, StepProgress* progress, TaskStatus* task);
+  void SetState(Job* job, JobState state);
+
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::set<StepRef> dirty_steps_;
+  std::set<std::string> changed_jobs_;
+};
+
+// The stored form of a step's progress (CBOR).
+std::string EncodeProgress(const StepProgress& progress);
+std::optional<StepProgress> DecodeProgress(std::string_view bytes,
+                                           Error* error);
+
+// Short texts for logs and records.
+std::string_view ToText(JobState state);
+std::optional<JobState> JobStateFromText(std::string_view text);
+std::string_view ToText(RunEnd end);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_JOB_LEDGER_H_
--- /dev/null
+++ b/src/libs/workload/job_spec.cc
@@ -0,0 +1,175 @@
+// Checks on a job, and its stored form.
+#include "workload/job_spec.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "base/json.h"
+
+namespace thornplank {
+namespace {
+
+constexpr size_t kJobIdDigits = 16;
+constexpr int64_t kMaxResource = int64_t{1} << 40;
+// Resets on every incompatible change of the stored form.
+constexpr int kFormat = 1;
+
+bool InRange(int64_t value) { return value >= 0 && value <= kMaxResource; }
+
+bool IsValidStep(const StepSpec& step, int index, std::string* reason) {
+  const std::string name = "step " + std::to_string(index) + ": ";
+  if (step.count < 1 || step.count > kMaxTasksPerStep) {
+    *reason = name + "count must be 1 to " + std::to_string(kMaxTasksPerStep);
+    return false;
+  }
+  const Resources& need = step.need;
+  if (!InRange(need.cpu_millis) || !InRange(need.memory_mb) ||
+      !InRange(need.accelerators) || !InRange(step.estimate.count())) {
+    *reason = name + "a size is negative or too large";
+    return false;
+  }
+  if (step.max_per_worker < 0 || step.may_miss < 0) {
+    *reason = name + "a bound is negative";
+    return false;
+  }
+  for (const int dependency : step.depends_on) {
+    if (dependency >= 0 && dependency < index) continue;
+    *reason = name + "depends on a step that is not before it";
+    return false;
+  }
+  return true;
+}
+
+Json EncodeStep(const StepSpec& step) {
+  return Json::array({step.count, step.need.cpu_millis, step.need.memory_mb,
+                      step.need.accelerators, step.estimate.count(),
+                      step.depends_on, step.checkpointable, step.gang,
+                      step.same_rack, step.speculative, step.long_running,
+                      step.fills, step.required_label, step.data_rack,
+                      step.image, step.max_per_worker, step.may_miss});
+}
+
+StepSpec DecodeStep(const Json& row) {
+  StepSpec step;
+  size_t at = 0;
+  step.count = row.at(at++).get<int>();
+  step.need.cpu_millis = row.at(at++).get<int64_t>();
+  step.need.memory_mb = row.at(at++).get<int64_t>();
+  step.need.accelerators = row.at(at++).get<int64_t>();
+  step.estimate = Milliseconds(row.at(at++).get<int64_t>());
+  step.depends_on = row.at(at++).get<std::vector<int>>();
+  step.checkpointable = row.at(at++).get<bool>();
+  step.gang = row.at(at++).get<bool>();
+  step.same_rack = row.at(at++).get<bool>();
+  step.speculative = row.at(at++).get<bool>();
+  step.long_running = row.at(at++).get<bool>();
+  step.fills = row.at(at++).get<bool>();
+  step.required_label = row.at(at++).get<std::string>();
+  step.data_rack = row.at(at++).get<std::string>();
+  step.image = row.at(at++).get<std::string>();
+  step.max_per_worker = row.at(at++).get<int>();
+  step.may_miss = row.at(at++).get<int>();
+  return step;
+}
+
+JobSpec DecodeFields(const Json& record) {
+  JobSpec job;
+  size_t at = 1;
+  job.id = record.at(at++).get<std::string>();
+  job.account = record.at(at++).get<std::string>();
+  job.payload = record.at(at++).get<std::string>();
+  job.policy.queue = record.at(at++).get<std::string>();
+  job.policy.service = record.at(at++).get<std::string>();
+  job.policy.priority = record.at(at++).get<int>();
+  job.policy.max_attempts = record.at(at++).get<int>();
+  job.policy.stretch = record.at(at++).get<double>();
+  job.policy.slack = Milliseconds(record.at(at++).get<int64_t>());
+  job.occurrences = record.at(at++).get<int>();
+  job.first_start = FromUnixMilliseconds(record.at(at++).get<int64_t>());
+  job.interval = Milliseconds(record.at(at++).get<int64_t>());
+  job.accepted = FromUnixMilliseconds(record.at(at++).get<int64_t>());
+  for (const Json& row : record.at(at)) {
+    job.steps.push_back(DecodeStep(row));
+  }
+  return job;
+}
+
+}  // namespace
+
+bool JobSpec::long_running() const {
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const StepSpec& step) { return step.long_running; });
+}
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdDigits &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+           return std::isxdigit(letter) != 0;
+         });
+}
+
+bool IsValidJob(const JobSpec& job, std::string* reason) {
+  if (job.payload.size() > kMaxPayloadBytes) {
+    *reason = "the payload is larger than " + std::to_string(kMaxPayloadBytes) +
+              " bytes";
+    return false;
+  }
+  if (job.steps.empty() || job.steps.size() > kMaxSteps) {
+    *reason = "a job has 1 to " + std::to_string(kMaxSteps) + " steps";
+    return false;
+  }
+  if (job.occurrences < 0 || job.occurrences > kMaxOccurrences ||
+      job.interval.count() < 0) {
+    *reason = "the number of occurrences or their interval is out of range";
+    return false;
+  }
+  int64_t tasks = 0;
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    if (!IsValidStep(job.steps[i], static_cast<int>(i), reason)) return false;
+    tasks += job.steps[i].count;
+  }
+  if (tasks * job.occurrence_count() > kMaxTasksPerJob) {
+    *reason = "a job has at most " + std::to_string(kMaxTasksPerJob) + " tasks";
+    return false;
+  }
+  return true;
+}
+
+std::string EncodeJob(const JobSpec& job) {
+  Json steps = Json::array();
+  for (const StepSpec& step : job.steps) {
+    steps.push_back(EncodeStep(step));
+  }
+  const QueuePolicy& policy = job.policy;
+  const Json record =
+      Json::array({kFormat, job.id, job.account, job.payload, policy.queue,
+                   policy.service, policy.priority, policy.max_attempts,
+                   policy.stretch, policy.slack.count(), job.occurrences,
+                   ToUnixMilliseconds(job.first_start), job.interval.count(),
+                   ToUnixMilliseconds(job.accepted), std::move(steps)});
+  std::string bytes;
+  Json::to_cbor(record, bytes);
+  return bytes;
+}
+
+std::optional<JobSpec> DecodeJob(std::string_view bytes, Error* error) {
+  const Json record = Json::from_cbor(bytes, /*strict=*/true,
+                                      /*allow_exceptions=*/false);
+  if (record.is_array() && !record.empty() && record[0] == kFormat) {
+    // Wrong types throw inside the library; none leaves this function.
+    try {
+      JobSpec job = DecodeFields(record);
+      std::string reason;
+      if (IsValidJob(job, &reason)) return job;
+      SetError(error, "decode job", job.id, reason);
+      return std::nullopt;
+    } catch (const Json::exception& fault) {
+      SetError(error, "decode job", "store", fault.what());
+      return std::nullopt;
+    }
+  }
+  SetError(error, "decode job", "store", "not a job of a known format");
+  return std::nullopt;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/planner.cc
@@ -0,0 +1,582 @@
+// One round of placement.
+#include "workload/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+// A core's worth of an accelerator, as the users price it.
+constexpr int64_t kMillisPerAccelerator = 8000;
+// Keeps workers under suspicion for when nothing else has room.
+constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
+// A rack other than the data's costs more than any gap.
+constexpr int64_t kFarPenalty = int64_t{1} << 30;
+// An urgent gang that finds no room on one rack, even by taking it from others,
+// spreads after this long; it must begin within 2.9 s (published bound).
+constexpr Milliseconds kUrgentRackPatience{1200};
+// Jobs later than this many times their objective earn nothing (published).
+constexpr int kLostAfterObjectives = 3;
+
+int64_t Weight(const Resources& need) {
+  return need.cpu_millis + need.accelerators * kMillisPerAccelerator;
+}
+
+// Counts of a step's room on one worker.
+struct Slot {
+  size_t worker = 0;
+  int64_t tasks = 0;
+  int64_t score = 0;
+};
+
+// The shortest time in which the job can run, going by the caller's estimates.
+Milliseconds LongestChain(const JobSpec& spec) {
+  std::vector<Milliseconds> ends;
+  Milliseconds longest{0};
+  for (const StepSpec& step : spec.steps) {
+    Milliseconds begin{0};
+    for (const int dependency : step.depends_on) {
+      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
+    }
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace
+
+class Planner::Round {
+ public:
+  Round(Planner* planner, const PlanInputs& inputs)
+      : planner_(*planner), inputs_(inputs) {}
+
+  Plan Run() {
+    CollectWorkers();
+    CollectSteps();
+    DropReservations();
+    for (const OpenStep& step : steps_) {
+      PlaceStep(step);
+    }
+    return std::move(plan_);
+  }
+
+ private:
+  struct WorkerRoom {
+    const WorkerTracker* tracker = nullptr;
+    // Free, not kept for anyone.
+    Resources room;
+    // What runs that are being stopped will free.
+    Resources coming;
+    bool usable = false;
+  };
+
+  struct OpenStep {
+    const Job* job = nullptr;
+    StepRef ref;
+    const StepSpec* spec = nullptr;
+    const StepProgress* progress = nullptr;
+    int lateness = 0;
+    std::vector<int> waiting;
+
+    bool urgent() const { return job->spec.policy.priority == 0; }
+  };
+
+  // Room for `gain` more tasks of a step, for the loss of some runs.
+  struct Eviction {
+    size_t worker = 0;
+    int64_t gain = 0;
+    double cost = 0;
+    std::vector<const TrackedRun*> victims;
+  };
+
+  void CollectWorkers() {
+    for (const auto& [id, tracker] : *inputs_.workers) {
+      WorkerRoom room;
+      room.tracker = &tracker;
+      room.room = tracker.room();
+      room.usable = tracker.synchronized() && tracker.reachable() &&
+                    !tracker.missing() && !tracker.registration().draining &&
+                    !tracker.Quarantined(inputs_.now);
+      for (const auto& [task, run] : tracker.runs()) {
+        if (run.stop_wanted) room.coming += run.profile.need;
+        CountUse(run);
+      }
+      index_[id] = rooms_.size();
+      rooms_.push_back(room);
+    }
+    for (const auto& [ref, reservation] : planner_.reservations_) {
+      Reserve(reservation, /*times=*/1);
+    }
+  }
+
+  void CountUse(const TrackedRun& run) {
+    if (run.profile.priority != 0) return;
+    urgent_use_[run.profile.account] += run.profile.need.accelerators;
+  }
+
+  void Reserve(const Reservation& reservation, int times) {
+    for (const auto& [worker, tasks] : reservation.tasks_by_worker) {
+      const auto it = index_.find(worker);
+      if (it == index_.end()) continue;
+      Resources& room = rooms_[it->second].room;
+      for (int i = 0; i < tasks; ++i) {
+        if (times > 0) {
+          room -= reservation.need;
+        } else {
+          room += reservation.need;
+        }
+      }
+    }
+  }
+
+  void CollectSteps() {
+    for (const auto& [id, job] : inputs_.ledger->jobs()) {
+      if (IsTerminal(job->state)) continue;
+      for (int k = 0; k < job->spec.occurrence_count(); ++k) {
+        if (job->spec.scheduled() && job->spec.due(k) > inputs_.wall_now) break;
+        CollectOccurrence(*job, k);
+      }
+    }
+    std::sort(steps_.begin(), steps_.end(),
+              [](const OpenStep& a, const OpenStep& b) {
+                const auto key = [](const OpenStep& step) {
+                  const QueuePolicy& policy = step.job->spec.policy;
+                  return std::make_tuple(policy.priority, step.lateness,
+                                         step.job->spec.accepted);
+                };
+                return key(a) < key(b);
+              });
+  }
+
+  void CollectOccurrence(const Job& job, int occurrence) {
+    const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
+    for (size_t i = 0; i < steps.size(); ++i) {
+      const StepProgress& progress = steps[i];
+      if (progress.waiting == 0) continue;
+      const StepSpec& spec = job.spec.steps[i];
+      const int index = static_cast<int>(i);
+      if (spec.gang && progress.active() > 0) continue;
+      if (!JobLedger::IsReady(job, occurrence, index)) continue;
+      OpenStep step;
+      step.job = &job;
+      step.ref = {job.spec.id, occurrence, index};
+      step.spec = &spec;
+      step.progress = &progress;
+      step.lateness = Lateness(job, occurrence);
+      for (size_t t = 0; t < progress.tasks.size(); ++t) {
+        if (progress.tasks[t].phase != TaskPhase::kWaiting) continue;
+        step.waiting.push_back(static_cast<int>(t));
+      }
+      steps_.push_back(std::move(step));
+    }
+  }
+
+  // 0: may end in time; 1: has missed its objective; 2: earns nothing any more.
+  int Lateness(const Job& job, int occurrence) const {
+    const WallTime from =
+        job.spec.scheduled() ? job.spec.due(occurrence) : job.spec.accepted;
+    const auto age =
+        std::chrono::duration_cast<Milliseconds>(inputs_.wall_now - from);
+    const Milliseconds chain = LongestChain(job.spec);
+    const auto objective =
+        Milliseconds(static_cast<int64_t>(static_cast<double>(chain.count()) *
+                                          job.spec.policy.stretch)) +
+        job.spec.policy.slack;
+    if (age > objective * kLostAfterObjectives) return 2;
+    return age > objective ? 1 : 0;
+  }
+
+  void DropReservations() {
+    std::set<StepRef> open;
+    for (const OpenStep& step : steps_) {
+      open.insert(step.ref);
+    }
+    auto& reservations = planner_.reservations_;
+    for (auto it = reservations.begin(); it != reservations.end();) {
+      const auto current = it++;
+      const bool kept =
+          open.count(current->first) > 0 && current->second.until > inputs_.now;
+      if (kept) continue;
+      Reserve(current->second, /*times=*/-1);
+      reservations.erase(current);
+    }
+  }
+
+  void PlaceStep(const OpenStep& step) {
+    auto& reservations = planner_.reservations_;
+    const auto own = reservations.find(step.ref);
+    if (own != reservations.end()) Reserve(own->second, /*times=*/-1);
+    const bool placed = step.spec->gang ? PlaceGang(step) : PlaceSingles(step);
+    if (own != reservations.end()) {
+      if (placed) {
+        reservations.erase(own);
+      } else {
+        Reserve(own->second, /*times=*/1);
+      }
+      return;
+    }
+    if (!placed && step.urgent()) MakeRoom(step);
+  }
+
+  bool IsEligible(const OpenStep& step, const WorkerRoom& room) const {
+    if (!room.usable) return false;
+    const WorkerRegistration& worker = room.tracker->registration();
+    if (worker.service != step.job->spec.policy.service) return false;
+    const std::string& label = step.spec->required_label;
+    if (!label.empty() && std::find(worker.labels.begin(), worker.labels.end(),
+                                    label) == worker.labels.end()) {
+      return false;
+    }
+    return true;
+  }
+
+  // Whether the step has waited long enough to run away from its data.
+  bool MayLeaveRack(const OpenStep& step) const {
+    const auto waited = std::chrono::duration_cast<Milliseconds>(
+        inputs_.now - step.job->known_since);
+    if (step.urgent()) return waited > kUrgentRackPatience;
+    const double patience = planner_.settings_.rack_patience *
+                            static_cast<double>(step.spec->estimate.count());
+    return static_cast<double>(waited.count()) > patience;
+  }
+
+  // How many more tasks of the step its bound lets a worker have.
+  int64_t BoundLeft(const OpenStep& step, const WorkerTracker& worker) const {
+    if (step.spec->max_per_worker == 0) {
+      return std::numeric_limits<int32_t>::max();
+    }
+    int64_t left = step.spec->max_per_worker;
+    const auto& runs = worker.runs();
+    for (auto it = runs.lower_bound(TaskRef{step.ref, 0});
+         it != runs.end() && it->first.step == step.ref; ++it) {
+      --left;
+    }
+    return std::max<int64_t>(left, 0);
+  }
+
+  Resources Reserved(const OpenStep& step) const {
+    Resources need = step.spec->need;
+    if (step.spec->fills) need.cpu_millis = 0;
+    return need;
+  }
+
+  // Smaller is better: a tight fit near the data on a trusted worker.
+  int64_t Score(const OpenStep& step, const WorkerRoom& room,
+                int64_t tasks) const {
+    const Resources need = Reserved(step);
+    int64_t score = Weight(room.room) - Weight(need) * tasks;
+    const WorkerRegistration& worker = room.tracker->registration();
+    const std::string& rack = step.spec->data_rack;
+    if (!rack.empty() && worker.rack != rack) score += kFarPenalty;
+    if (room.tracker->suspect()) score += kSuspectPenalty;
+    return score;
+  }
+
+  std::vector<Slot> FreeSlots(const OpenStep& step) const {
+    std::vector<Slot> slots;
+    const Resources need = Reserved(step);
+    for (size_t i = 0; i < rooms_.size(); ++i) {
+      const WorkerRoom& room = rooms_[i];
+      if (!IsEligible(step, room)) continue;
+      const int64_t bound = BoundLeft(step, *room.tracker);
+      const int64_t tasks = std::min(
+          bound,
+          need.TimesIn(room.room, static_cast<int64_t>(step.waiting.size())));
+      if (tasks <= 0) continue;
+      slots.push_back({i, tasks, Score(step, room, tasks)});
+    }
+    return slots;
+  }
+
+  bool PlaceSingles(const OpenStep& step) {
+    std::vector<Slot> slots = FreeSlots(step);
+    const bool near_only = !step.spec->data_rack.empty() && !MayLeaveRack(step);
+    std::vector<JobLedger::Assignment> chosen;
+    std::sort(slots.begin(), slots.end(),
+              [](const Slot& a, const Slot& b) { return a.score < b.score; });
+    for (const Slot& slot : slots) {
+      if (near_only && !IsNear(step, slot)) continue;
+      Take(step, slot, &chosen);
+      if (chosen.size() == step.waiting.size()) break;
+    }
+    const bool all = chosen.size() == step.waiting.size();
+    if (!chosen.empty()) Start(step, std::move(chosen), "best fit");
+    return all;
+  }
+
+  bool IsNear(const OpenStep& step, const Slot& slot) const {
+    const auto& worker = rooms_[slot.worker].tracker->registration();
+    return worker.rack == step.spec->data_rack;
+  }
+
+  // Takes what the slot has, as far as tasks are left.
+  void Take(const OpenStep& step, const Slot& slot,
+            std::vector<JobLedger::Assignment>* chosen) {
+    for (int64_t i = 0; i < slot.tasks; ++i) {
+      if (chosen->size() == step.waiting.size()) return;
+      const int index = step.waiting[chosen->size()];
+      chosen->push_back({index, rooms_[slot.worker].tracker->id()});
+    }
+  }
+
+  bool PlaceGang(const OpenStep& step) {
+    const std::vector<Slot> slots = FreeSlots(step);
+    const bool one_rack = step.spec->same_rack && SomeRackCanHold(step);
+    if (one_rack) {
+      if (PlaceOnOneRack(step, slots)) return true;
+      if (!MayLeaveRack(step)) return false;
+    }
+    return PlaceAnywhere(step, slots);
+  }
+
+  // Whether a whole rack, empty, has room for all members.
+  bool SomeRackCanHold(const OpenStep& step) const {
+    std::map<std::string, int64_t> tasks;
+    const Resources need = Reserved(step);
+    const auto members = static_cast<int64_t>(step.waiting.size());
+    for (const WorkerRoom& room : rooms_) {
+      if (!IsEligible(step, room)) continue;
+      const WorkerRegistration& worker = room.tracker->registration();
+      int64_t& sum = tasks[worker.rack];
+      sum += need.TimesIn(worker.capacity, members);
+      if (sum >= members) return true;
+    }
+    return false;
+  }
+
+  bool PlaceOnOneRack(const OpenStep& step, const std::vector<Slot>& slots) {
+    std::map<std::string, std::vector<Slot>> racks;
+    for (const Slot& slot : slots) {
+      racks[rooms_[slot.worker].tracker->registration().rack].push_back(slot);
+    }
+    const bool near_only = !step.spec->data_rack.empty() && !MayLeaveRack(step);
+    std::vector<Slot>* best = nullptr;
+    int64_t best_score = 0;
+    for (auto& [rack, members] : racks) {
+      if (near_only && rack != step.spec->data_rack) continue;
+      int64_t room = 0;
+      int64_t score = rack == step.spec->data_rack ? -kFarPenalty : 0;
+      for (const Slot& slot : members) {
+        room += slot.tasks;
+        score += Weight(rooms_[slot.worker].room);
+      }
+      if (room < static_cast<int64_t>(step.waiting.size())) continue;
+      if (best != nullptr && score >= best_score) continue;
+      best = &members;
+      best_score = score;
+    }
+    if (best == nullptr) return false;
+    return StartGang(step, std::move(*best), "gang on one rack");
+  }
+
+  bool PlaceAnywhere(const OpenStep& step, std::vector<Slot> slots) {
+    int64_t room = 0;
+    const bool near_only = !step.spec->data_rack.empty() && !MayLeaveRack(step);
+    if (near_only) {
+      slots.erase(std::remove_if(slots.begin(), slots.end(),
+                                 [this, &step](const Slot& slot) {
+                                   return !IsNear(step, slot);
+                                 }),
+                  slots.end());
+    }
+    for (const Slot& slot : slots) {
+      room += slot.tasks;
+    }
+    if (room < static_cast<int64_t>(step.waiting.size())) return false;
+    return StartGang(step, std::move(slots), "gang over racks");
+  }
+
+  bool StartGang(const OpenStep& step, std::vector<Slot> slots,
+                 std::string reason) {
+    std::sort(slots.begin(), slots.end(),
+              [](const Slot& a, const Slot& b) { return a.score < b.score; });
+    std::vector<JobLedger::Assignment> chosen;
+    for (const Slot& slot : slots) {
+      Take(step, slot, &chosen);
+    }
+    if (chosen.size() < step.waiting.size()) return false;
+    Start(step, std::move(chosen), std::move(reason));
+    return true;
+  }
+
+  void Start(const OpenStep& step, std::vector<JobLedger::Assignment> chosen,
+             std::string reason) {
+    const Resources need = Reserved(step);
+    for (const JobLedger::Assignment& assignment : chosen) {
+      rooms_[index_[assignment.worker]].room -= need;
+    }
+    plan_.starts.push_back({step.ref, std::move(chosen), std::move(reason)});
+  }
+
+  // Takes room from others for an urgent step.
+  void MakeRoom(const OpenStep& step) {
+    std::vector<Eviction> all;
+    std::map<std::string, std::vector<Eviction>> racks;
+    for (size_t i = 0; i < rooms_.size(); ++i) {
+      if (!IsEligible(step, rooms_[i])) continue;
+      for (Eviction& eviction : Evictions(step, i)) {
+        racks[rooms_[i].tracker->registration().rack].push_back(eviction);
+        all.push_back(std::move(eviction));
+      }
+    }
+    const auto needed = static_cast<int64_t>(step.waiting.size());
+    std::vector<Eviction> best;
+    double best_cost = std::numeric_limits<double>::max();
+    if (step.spec->gang && step.spec->same_rack && SomeRackCanHold(step)) {
+      for (auto& [rack, evictions] : racks) {
+        double cost = 0;
+        std::vector<Eviction> chosen = Cheapest(evictions, needed, &cost);
+        if (chosen.empty() || cost >= best_cost) continue;
+        best = std::move(chosen);
+        best_cost = cost;
+      }
+      if (best.empty() && !MayLeaveRack(step)) return;
+    }
+    if (best.empty()) best = Cheapest(all, needed, &best_cost);
+    if (best.empty()) return;
+    Evict(step, best);
+  }
+
+  // Ways to gain room on one worker, each building on the ones before it.
+  std::vector<Eviction> Evictions(const OpenStep& step, size_t worker) const {
+    const WorkerRoom& room = rooms_[worker];
+    const Resources need = Reserved(step);
+    const auto members = static_cast<int64_t>(step.waiting.size());
+    const int64_t bound = BoundLeft(step, *room.tracker);
+    std::vector<std::pair<double, const TrackedRun*>> victims;
+    for (const auto& [task, run] : room.tracker->runs()) {
+      if (run.stop_wanted || stopped_.count(task) > 0) continue;
+      if (!MayGiveWay(step, run)) continue;
+      victims.emplace_back(Loss(run), &run);
+    }
+    std::sort(victims.begin(), victims.end());
+    Resources available = room.room + room.coming;
+    std::vector<Eviction> evictions;
+    Eviction next;
+    next.worker = worker;
+    int64_t held = std::min(bound, need.TimesIn(available, members));
+    if (held > 0) {
+      evictions.push_back({worker, held, 0, {}});
+    }
+    for (const auto& [cost, run] : victims) {
+      available += run->profile.need;
+      next.cost += cost;
+      next.victims.push_back(run);
+      const int64_t tasks = std::min(bound, need.TimesIn(available, members));
+      if (tasks <= held) continue;
+      next.gain = tasks - held;
+      held = tasks;
+      evictions.push_back(std::move(next));
+      next = Eviction();
+      next.worker = worker;
+    }
+    return evictions;
+  }
+
+  bool MayGiveWay(const OpenStep& step, const TrackedRun& run) const {
+    if (run.profile.long_running) return false;
+    if (run.profile.priority > 0) return true;
+    const std::string& account = step.job->spec.account;
+    if (run.profile.account == account) return false;
+    return IsWithinGuarantee(account, Accelerators(step)) &&
+           !IsWithinGuarantee(run.profile.account, 0);
+  }
+
+  static int64_t Accelerators(const OpenStep& step) {
+    return step.spec->need.accelerators *
+           static_cast<int64_t>(step.waiting.size());
+  }
+
+  bool IsWithinGuarantee(const std::string& account, int64_t more) const {
+    const auto guarantee = inputs_.guarantees->find(account);
+    if (guarantee == inputs_.guarantees->end()) return false;
+    const auto use = urgent_use_.find(account);
+    const int64_t used = use == urgent_use_.end() ? 0 : use->second;
+    return used + more <= guarantee->second;
+  }
+
+  // Work that is thrown away, with the rest of its gang.
+  double Loss(const TrackedRun& run) const {
+    const double seconds =
+        std::chrono::duration<double>(run.unsaved(inputs_.now)).count();
+    double members = 1;
+    if (run.profile.gang) {
+      const StepSpec* spec = inputs_.ledger->FindStepSpec(run.task.step);
+      if (spec != nullptr) members = spec->count;
+    }
+    // A restart costs some time even where all is saved.
+    constexpr double kRestartSeconds = 0.3;
+    return (seconds + kRestartSeconds) * members *
+           static_cast<double>(Weight(run.profile.need));
+  }
+
+  // The cheapest evictions for `needed` tasks; empty when they don't suffice.
+  static std::vector<Eviction> Cheapest(std::vector<Eviction> evictions,
+                                        int64_t needed, double* cost) {
+    // A later eviction on a worker builds on the earlier ones, so its order
+    // there is kept: costs are made to rise along it.
+    std::map<size_t, double> least;
+    std::vector<std::pair<double, size_t>> order;
+    for (size_t i = 0; i < evictions.size(); ++i) {
+      const Eviction& eviction = evictions[i];
+      double& floor = least[eviction.worker];
+      floor =
+          std::max(floor, eviction.cost / static_cast<double>(eviction.gain));
+      order.emplace_back(floor, i);
+    }
+    std::stable_sort(
+        order.begin(), order.end(),
+        [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<Eviction> chosen;
+    *cost = 0;
+    for (const auto& [price, i] : order) {
+      if (needed <= 0) break;
+      needed -= evictions[i].gain;
+      *cost += evictions[i].cost;
+      chosen.push_back(std::move(evictions[i]));
+    }
+    if (needed > 0) chosen.clear();
+    return chosen;
+  }
+
+  void Evict(const OpenStep& step, const std::vector<Eviction>& evictions) {
+    Reservation reservation;
+    reservation.need = Reserved(step);
+    reservation.until = inputs_.now + planner_.settings_.reservation_term;
+    for (const Eviction& eviction : evictions) {
+      WorkerRoom& room = rooms_[eviction.worker];
+      reservation.tasks_by_worker[room.tracker->id()] +=
+          static_cast<int>(eviction.gain);
+      for (const TrackedRun* run : eviction.victims) {
+        room.coming += run->profile.need;
+        plan_.stops.push_back({room.tracker->id(), run->task, run->run,
+                               "gives way to urgent " + step.ref.ToString()});
+        stopped_.insert(run->task);
+      }
+    }
+    Reserve(reservation, /*times=*/1);
+    planner_.reservations_[step.ref] = std::move(reservation);
+  }
+
+  Planner& planner_;
+  const PlanInputs& inputs_;
+  Plan plan_;
+  std::vector<WorkerRoom> rooms_;
+  std::map<std::string, size_t> index_;
+  std::vector<OpenStep> steps_;
+  // Accelerators in use by urgent runs, by account.
+  std::map<std::string, int64_t> urgent_use_;
+  // Runs that this round has already told to stop.
+  std::set<TaskRef> stopped_;
+};
+
+Plan Planner::Decide(const PlanInputs& inputs) {
+  return Round(this, inputs).Run();
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/planner.h
@@ -0,0 +1,82 @@
+// Decides which waiting tasks start where, and which runs give way.
+//
+// Steps are looked at in order of urgency. Each is placed by best fit: gangs as
+// a whole and on one rack where they ask for it, single tasks one by one where
+// they leave the smallest gaps. Urgent jobs (priority 0) that find no room take
+// it from runs of lower priority, those first whose unsaved work is least; the
+// room is kept for them until they start.
+#ifndef THORNPLANK_WORKLOAD_PLANNER_H_
+#define THORNPLANK_WORKLOAD_PLANNER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "workload/job_ledger.h"
+#include "workload/worker_tracker.h"
+
+namespace thornplank {
+
+struct PlannerSettings {
+  // A start on a rack without the step's data takes several times as long
+  // (three, as published), so a step waits for its own rack this long, as a
+  // part of its estimate, before it takes any.
+  double rack_patience = 1.0;
+  // Room that was taken from others is kept for its job this long; it covers a
+  // stop, its report and the next round several times over.
+  Milliseconds reservation_term{2500};
+};
+
+// Accelerators that belong to an account's urgent jobs at all times.
+using Guarantees = std::map<std::string, int64_t>;
+
+struct StartDecision {
+  StepRef step;
+  std::vector<JobLedger::Assignment> assignments;
+  // For the log: what decided.
+  std::string reason;
+};
+
+struct StopDecision {
+  std::string worker;
+  TaskRef task;
+  int run = 0;
+  std::string reason;
+};
+
+struct Plan {
+  std::vector<StartDecision> starts;
+  std::vector<StopDecision> stops;
+};
+
+struct PlanInputs {
+  const JobLedger* ledger = nullptr;
+  const std::map<std::string, WorkerTracker>* workers = nullptr;
+  const Guarantees* guarantees = nullptr;
+  Time now{};
+  WallTime wall_now{};
+};
+
+class Planner {
+ public:
+  explicit Planner(PlannerSettings settings) : settings_(settings) {}
+
+  Plan Decide(const PlanInputs& inputs);
+
+ private:
+  struct Reservation {
+    std::map<std::string, int> tasks_by_worker;
+    Resources need;
+    Time until{};
+  };
+
+  class Round;
+
+  PlannerSettings settings_;
+  std::map<StepRef, Reservation> reservations_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_PLANNER_H_
--- /dev/null
+++ b/src/libs/workload/resources.h
@@ -0,0 +1,53 @@
+// What a task takes of a worker, and what a worker has.
+#ifndef THORNPLANK_WORKLOAD_RESOURCES_H_
+#define THORNPLANK_WORKLOAD_RESOURCES_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace thornplank {
+
+struct Resources {
+  // Thousandths of a core.
+  int64_t cpu_millis = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+
+  bool FitsInto(const Resources& room) const {
+    return cpu_millis <= room.cpu_millis && memory_mb <= room.memory_mb &&
+           accelerators <= room.accelerators;
+  }
+  // How often this fits into `room`; `limit` when it takes nothing.
+  int64_t TimesIn(const Resources& room, int64_t limit) const {
+    int64_t times = limit;
+    if (cpu_millis > 0) times = std::min(times, room.cpu_millis / cpu_millis);
+    if (memory_mb > 0) times = std::min(times, room.memory_mb / memory_mb);
+    if (accelerators > 0) {
+      times = std::min(times, room.accelerators / accelerators);
+    }
+    return std::max<int64_t>(times, 0);
+  }
+  Resources& operator+=(const Resources& other) {
+    cpu_millis += other.cpu_millis;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    cpu_millis -= other.cpu_millis;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+};
+
+inline Resources operator+(Resources left, const Resources& right) {
+  return left += right;
+}
+inline Resources operator-(Resources left, const Resources& right) {
+  return left -= right;
+}
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_RESOURCES_H_
--- /dev/null
+++ b/src/libs/workload/worker_report.h
@@ -0,0 +1,61 @@
+// What a worker says of itself, and what it says of the runs it holds.
+#ifndef THORNPLANK_WORKLOAD_WORKER_REPORT_H_
+#define THORNPLANK_WORKLOAD_WORKER_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "workload/job_ledger.h"
+#include "workload/resources.h"
+#include "workload/task_ref.h"
+
+namespace thornplank {
+
+// An entry of the directory of workers: one life of one worker.
+struct WorkerRegistration {
+  // New for each life.
+  std::string id;
+  std::string address;
+  std::string service;
+  std::string failure_domain;
+  std::string rack;
+  // Everything that a step may require, the rack included.
+  std::vector<std::string> labels;
+  Resources capacity;
+  bool draining = false;
+  // Where draining: at least this long until it leaves.
+  Milliseconds drain_left{0};
+  // The worker's own clock when it wrote the entry.
+  Milliseconds clock{0};
+};
+
+// One run that is on a worker.
+struct RunReport {
+  TaskRef task;
+  int run = 0;
+  std::string checkpoint;
+  // Of its work, 0 to 100.
+  int percent = 0;
+};
+
+// One run that has ended on a worker.
+struct RunEndReport {
+  // Counts the ends of one life of a worker from 1.
+  int64_t number = 0;
+  TaskRef task;
+  int run = 0;
+  RunEnd end = RunEnd::kLost;
+  std::string checkpoint;
+};
+
+struct WorkerStatusReport {
+  Milliseconds clock{0};
+  std::vector<RunReport> running;
+  std::vector<RunEndReport> ended;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_WORKER_REPORT_H_
--- /dev/null
+++ b/src/libs/workload/worker_tracker.cc
@@ -0,0 +1,237 @@
+// Evidence on runs and leases of one worker.
+#include "workload/worker_tracker.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+// A worker's steady clock may run this much slower than ours (published).
+constexpr double kSlowestClock = 0.98;
+// Covers a late timer on the worker and the time that a kill takes there.
+constexpr Milliseconds kLeaseSlack{600};
+// Failures of as many jobs in a row take a worker out: among sound workers 5%
+// of runs fail, so two in a row by chance are 1 in 400.
+constexpr int kFailuresToQuarantine = 2;
+// Long enough to outlast most spells of failure, which last 5 to 7 s; after it
+// one failure takes the worker out again.
+constexpr std::chrono::seconds kQuarantine{6};
+
+RunEndReport Settled(const TrackedRun& run, RunEnd end) {
+  return {0, run.task, run.run, end, run.checkpoint};
+}
+
+}  // namespace
+
+Duration TrackedRun::unsaved(Time now) const {
+  if (began == Time{}) return Duration::zero();
+  const Time from =
+      profile.checkpointable ? std::max(began, checkpointed) : began;
+  return now - from;
+}
+
+WorkerTracker::WorkerTracker(WorkerRegistration registration)
+    : registration_(std::move(registration)) {
+  clock_ = registration_.clock;
+}
+
+void WorkerTracker::Update(WorkerRegistration registration, Time now) {
+  if (registration.clock > clock_) {
+    clock_ = registration.clock;
+    clock_heard_ = now;
+  }
+  registration_ = std::move(registration);
+  missing_since_.reset();
+}
+
+void WorkerTracker::Add(const TaskRef& task, int run, RunProfile profile,
+                        Time now) {
+  TrackedRun tracked;
+  tracked.task = task;
+  tracked.run = run;
+  tracked.profile = std::move(profile);
+  tracked.since = now;
+  used_ += tracked.profile.need;
+  runs_[task] = std::move(tracked);
+}
+
+void WorkerTracker::Inherit(const TaskRef& task, int run, RunProfile profile,
+                            Time now, Time lease_bound) {
+  Add(task, run, std::move(profile), now);
+  runs_[task].stage = RunStage::kInherited;
+  lease_bound_ = std::max(lease_bound_, lease_bound);
+}
+
+TrackedRun* WorkerTracker::Find(const TaskRef& task) {
+  const auto it = runs_.find(task);
+  return it == runs_.end() ? nullptr : &it->second;
+}
+
+Milliseconds WorkerTracker::DeadlineIn(Milliseconds term, Time now) {
+  const auto elapsed =
+      std::chrono::duration_cast<Milliseconds>(now - clock_heard_);
+  const auto longest = Milliseconds(static_cast<int64_t>(
+      static_cast<double>((term + elapsed).count()) / kSlowestClock));
+  lease_bound_ = std::max(lease_bound_, clock_heard_ + longest + kLeaseSlack);
+  return clock_ + elapsed + term;
+}
+
+void WorkerTracker::OnStartSent(const TaskRef& task, int run,
+                                Milliseconds deadline, Time now) {
+  TrackedRun* tracked = Find(task);
+  if (tracked == nullptr || tracked->run != run) return;
+  tracked->stage = RunStage::kSending;
+  tracked->order_deadline = deadline;
+  tracked->since = now;
+}
+
+std::vector<RunEndReport> WorkerTracker::OnStartAnswer(const TaskRef& task,
+                                                       int run,
+                                                       StartOutcome outcome,
+                                                       Time now) {
+  const auto it = runs_.find(task);
+  if (it == runs_.end() || it->second.run != run) return {};
+  TrackedRun& tracked = it->second;
+  switch (outcome) {
+    case StartOutcome::kAccepted:
+      if (tracked.stage == RunStage::kRunning) return {};
+      tracked.stage = RunStage::kRunning;
+      tracked.since = now;
+      tracked.began = now;
+      tracked.progressed = now;
+      return {};
+    case StartOutcome::kNoAnswer:
+      if (tracked.stage == RunStage::kSending) {
+        tracked.stage = RunStage::kUnknown;
+        tracked.since = now;
+      }
+      return {};
+    case StartOutcome::kOtherLife:
+      return OnGone();
+    case StartOutcome::kRefused:
+    case StartOutcome::kFenced:
+      break;
+  }
+  if (tracked.stage == RunStage::kRunning) return {};
+  std::vector<RunEndReport> settled = {Settled(tracked, RunEnd::kLost)};
+  Erase(it);
+  return settled;
+}
+
+void WorkerTracker::OnStopAnswer(const TaskRef& task, int run,
+                                 bool acknowledged, Time now) {
+  TrackedRun* tracked = Find(task);
+  if (tracked == nullptr || tracked->run != run) return;
+  tracked->stop_sending = false;
+  if (acknowledged) tracked->stop_acknowledged = now;
+}
+
+std::vector<RunEndReport> WorkerTracker::OnReport(
+    const WorkerStatusReport& report, Time sent, Time now,
+    std::vector<RunReport>* unexpected) {
+  if (report.clock >= clock_) {
+    clock_ = report.clock;
+    clock_heard_ = now;
+  }
+  failed_reports_ = 0;
+  std::vector<RunEndReport> ended;
+  std::set<TaskRef> present;
+  for (const RunEndReport& end : report.ended) {
+    present.insert(end.task);
+    if (end.number <= processed_ends_) continue;
+    processed_ends_ = end.number;
+    ended.push_back(end);
+    const auto it = runs_.find(end.task);
+    if (it != runs_.end() && it->second.run <= end.run) Erase(it);
+  }
+  for (const RunReport& running : report.running) {
+    present.insert(running.task);
+    TrackedRun* tracked = Find(running.task);
+    if (tracked == nullptr || tracked->run != running.run) {
+      unexpected->push_back(running);
+      continue;
+    }
+    if (tracked->stage != RunStage::kRunning) {
+      tracked->stage = RunStage::kRunning;
+      tracked->since = now;
+      tracked->began = now;
+      tracked->progressed = now;
+    }
+    if (running.percent != tracked->percent) tracked->progressed = now;
+    tracked->percent = running.percent;
+    if (running.checkpoint != tracked->checkpoint) {
+      tracked->checkpoint = running.checkpoint;
+      tracked->checkpointed = now;
+    }
+  }
+  synchronized_ = true;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    const auto run = it++;
+    if (present.count(run->first) > 0) continue;
+    if (!IsSettledByAbsence(run->second, sent, report.clock)) continue;
+    ended.push_back(Settled(run->second, RunEnd::kLost));
+    Erase(run);
+  }
+  return ended;
+}
+
+bool WorkerTracker::IsSettledByAbsence(const TrackedRun& run, Time sent,
+                                       Milliseconds clock) const {
+  if (run.stop_acknowledged && *run.stop_acknowledged <= sent) return true;
+  switch (run.stage) {
+    case RunStage::kInherited:
+      return true;
+    case RunStage::kRunning:
+      return run.since <= sent;
+    case RunStage::kUnknown:
+      return clock > run.order_deadline;
+    case RunStage::kRecording:
+    case RunStage::kSending:
+      return false;
+  }
+  return false;
+}
+
+void WorkerTracker::OnNoReport(Time) { ++failed_reports_; }
+
+std::vector<RunEndReport> WorkerTracker::OnGone() {
+  std::vector<RunEndReport> ended;
+  for (const auto& [task, run] : runs_) {
+    ended.push_back(Settled(run, RunEnd::kLost));
+  }
+  runs_.clear();
+  used_ = Resources();
+  return ended;
+}
+
+void WorkerTracker::OnEndsRecorded(int64_t number) {
+  recorded_ends_ = std::max(recorded_ends_, number);
+}
+
+void WorkerTracker::OnRunFailed(const std::string& job, Time now) {
+  if (job == last_failed_job_) return;
+  last_failed_job_ = job;
+  ++failures_;
+  if (failures_ >= kFailuresToQuarantine) {
+    quarantined_until_ = now + kQuarantine;
+  }
+}
+
+void WorkerTracker::OnRunDone() {
+  failures_ = 0;
+  last_failed_job_.clear();
+}
+
+void WorkerTracker::OnRunStalled(Time now) {
+  failures_ = std::max(failures_ + 1, kFailuresToQuarantine);
+  quarantined_until_ = now + kQuarantine;
+}
+
+void WorkerTracker::Erase(std::map<TaskRef, TrackedRun>::iterator run) {
+  used_ -= run->second.profile.need;
+  runs_.erase(run);
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/worker_tracker.h
@@ -0,0 +1,174 @@
+// What the coordinator believes of one life of a worker: which runs may be on
+// it, when its leases end at the latest, and whether it can be trusted.
+//
+// An order without an answer may be carried out seconds later. A run is
+// therefore settled only by evidence: its end or absence in a report, an
+// acknowledged stop, the end of the worker's life, or the passing of the
+// order's own deadline. Until then it keeps its room and no second run of its
+// task may exist.
+#ifndef THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
+#define THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "workload/worker_report.h"
+
+namespace thornplank {
+
+enum class RunStage {
+  // Decided; the record of it is on its way to the store.
+  kRecording,
+  // The order was sent.
+  kSending,
+  // The order has no answer.
+  kUnknown,
+  // Recorded by a predecessor; this process has no report of it yet.
+  kInherited,
+  kRunning,
+};
+
+// What a run takes and what its loss would cost.
+struct RunProfile {
+  Resources need;
+  int priority = 0;
+  bool checkpointable = false;
+  bool gang = false;
+  bool long_running = false;
+  std::string account;
+  Milliseconds estimate{0};
+};
+
+struct TrackedRun {
+  TaskRef task;
+  int run = 0;
+  RunProfile profile;
+  RunStage stage = RunStage::kRecording;
+  // When the stage began, by this process's clock.
+  Time since{};
+  // When it was first seen at work.
+  Time began{};
+  int percent = 0;
+  // When its percentage last moved.
+  Time progressed{};
+  std::string checkpoint;
+  // When its checkpoint last changed.
+  Time checkpointed{};
+  // On the worker's clock: a start that arrives later does nothing.
+  Milliseconds order_deadline{0};
+  bool stop_wanted = false;
+  std::string stop_reason;
+  // A stop call is under way.
+  bool stop_sending = false;
+  std::optional<Time> stop_acknowledged;
+
+  // Work that would be lost with it, from its last checkpoint on.
+  Duration unsaved(Time now) const;
+};
+
+enum class StartOutcome {
+  kAccepted,
+  // Refused; it has not run and will not run.
+  kRefused,
+  // A coordinator with a higher epoch gives the orders there.
+  kFenced,
+  kNoAnswer,
+  // Another life of the worker answers at its address.
+  kOtherLife,
+};
+
+class WorkerTracker {
+ public:
+  explicit WorkerTracker(WorkerRegistration registration);
+
+  const WorkerRegistration& registration() const { return registration_; }
+  const std::string& id() const { return registration_.id; }
+  void Update(WorkerRegistration registration, Time now);
+  // The directory no longer lists it.
+  void MarkMissing(Time now) { missing_since_ = now; }
+  bool missing() const { return missing_since_.has_value(); }
+
+  // A run that this process decided on.
+  void Add(const TaskRef& task, int run, RunProfile profile, Time now);
+  // A run that a predecessor recorded; its leases end by `lease_bound`.
+  void Inherit(const TaskRef& task, int run, RunProfile profile, Time now,
+               Time lease_bound);
+  TrackedRun* Find(const TaskRef& task);
+  const std::map<TaskRef, TrackedRun>& runs() const { return runs_; }
+  std::map<TaskRef, TrackedRun>& runs() { return runs_; }
+
+  // The deadline on the worker's clock that lies `term` ahead. The lease bound
+  // moves with it, since the order may be carried out.
+  Milliseconds DeadlineIn(Milliseconds term, Time now);
+
+  void OnStartSent(const TaskRef& task, int run, Milliseconds deadline,
+                   Time now);
+  // Runs that are settled by this answer.
+  std::vector<RunEndReport> OnStartAnswer(const TaskRef& task, int run,
+                                          StartOutcome outcome, Time now);
+  void OnStopAnswer(const TaskRef& task, int run, bool acknowledged, Time now);
+
+  // A report whose call was sent at `sent`. Returns what has ended since the
+  // last one, in order; `unexpected` gets runs that nobody here decided on.
+  std::vector<RunEndReport> OnReport(const WorkerStatusReport& report,
+                                     Time sent, Time now,
+                                     std::vector<RunReport>* unexpected);
+  void OnNoReport(Time now);
+  // Its life is over: everything on it has ended.
+  std::vector<RunEndReport> OnGone();
+
+  // The number of the last end that was processed; the worker may forget ends
+  // up to `recorded_ends`.
+  int64_t processed_ends() const { return processed_ends_; }
+  int64_t recorded_ends() const { return recorded_ends_; }
+  void OnEndsRecorded(int64_t number);
+
+  // A report came under this process's epoch, so that no order of a
+  // predecessor can begin anything there.
+  bool synchronized() const { return synchronized_; }
+  bool reachable() const { return failed_reports_ == 0; }
+  int failed_reports() const { return failed_reports_; }
+  // All leases have ended, whatever was carried out.
+  bool LeasesOver(Time now) const { return now > lease_bound_; }
+  Time lease_bound() const { return lease_bound_; }
+
+  // Room that nothing may be using.
+  Resources room() const { return registration_.capacity - used_; }
+
+  // Failures that speak against the worker rather than against its tasks.
+  void OnRunFailed(const std::string& job, Time now);
+  void OnRunDone();
+  void OnRunStalled(Time now);
+  bool Quarantined(Time now) const { return now < quarantined_until_; }
+  bool suspect() const { return failures_ > 0; }
+
+ private:
+  void Erase(std::map<TaskRef, TrackedRun>::iterator run);
+  bool IsSettledByAbsence(const TrackedRun& run, Time sent,
+                          Milliseconds clock) const;
+
+  WorkerRegistration registration_;
+  std::optional<Time> missing_since_;
+  std::map<TaskRef, TrackedRun> runs_;
+  // Invariant: the sum of the needs of runs_.
+  Resources used_;
+  // The worker's clock as last heard, and when.
+  Milliseconds clock_{0};
+  Time clock_heard_{};
+  Time lease_bound_{};
+  bool synchronized_ = false;
+  int failed_reports_ = 0;
+  int64_t processed_ends_ = 0;
+  int64_t recorded_ends_ = 0;
+  // Runs that failed here since the last that was done, by distinct jobs.
+  int failures_ = 0;
+  std::string last_failed_job_;
+  Time quarantined_until_{};
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
