Settle inherited runs of lost workers within 13 s

Ruled out: trusting the directory alone: a worker that is cut off from the store runs on, and its entry lapses all the same. Change: a leader without the store renews for 6 s, the lease is the fleet's own 6.5 s, so a successor waits 13.3 s at most.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -298,7 +298,9 @@
 void ClusterCoordinator::InheritRuns(const StepRef& ref, Time now) {
   const StepProgress* progress = ledger_.FindStep(ref);
   if (progress == nullptr) return;
-  const Time lease_bound = now + settings_.lead_term + settings_.longest_lease;
+  const Time lease_bound =
+      now + settings_.lead_term +
+      WorkerTracker::LongestLease(WorkerFleetSettings().lease_term);
   for (size_t i = 0; i < progress->tasks.size(); ++i) {
     const TaskStatus& task = progress->tasks[i];
     if (task.phase != TaskPhase::kActive) continue;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -40,10 +40,9 @@
   Partition board;
   Partition progress;
   // A leader without the store for longer stops renewing leases; a successor
-  // waits for that where it cannot reach a worker itself.
-  Milliseconds lead_term{20000};
-  // The longest lease that a worker grants.
-  Milliseconds longest_lease{10000};
+  // waits for that, and for a lease, where it cannot reach a worker itself.
+  // With the lease it outlasts outages of the store of 12 s.
+  Milliseconds lead_term{6000};
   // No start is decided on a view of the board that is older: a cancelled job
   // must not start tasks 3 s after the cancellation.
   Milliseconds board_age{1700};
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -69,12 +69,17 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
+Milliseconds WorkerTracker::LongestLease(Milliseconds term) {
+  return Milliseconds(static_cast<int64_t>(static_cast<double>(term.count()) /
+                                           kSlowestClock)) +
+         kLeaseSlack;
+}
+
 Milliseconds WorkerTracker::DeadlineIn(Milliseconds term, Time now) {
   const auto elapsed =
       std::chrono::duration_cast<Milliseconds>(now - clock_heard_);
-  const auto longest = Milliseconds(static_cast<int64_t>(
-      static_cast<double>((term + elapsed).count()) / kSlowestClock));
-  lease_bound_ = std::max(lease_bound_, clock_heard_ + longest + kLeaseSlack);
+  lease_bound_ =
+      std::max(lease_bound_, clock_heard_ + LongestLease(term + elapsed));
   return clock_ + elapsed + term;
 }
 
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -100,6 +100,8 @@
   const std::map<TaskRef, TrackedRun>& runs() const { return runs_; }
   std::map<TaskRef, TrackedRun>& runs() { return runs_; }
 
+  // How long a lease of `term` may last by this process's clock.
+  static Milliseconds LongestLease(Milliseconds term);
   // The deadline on the worker's clock that lies `term` ahead. The lease bound
   // moves with it, since the order may be carried out.
   Milliseconds DeadlineIn(Milliseconds term, Time now);
