--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -113,7 +113,8 @@
     return Respond(call, HttpResponse());
   }
   Error error;
-  std::optional<JobSpec> job = formats_.ReadJob(call->request.body, &error);
+  std::optional<JobDefinition> job =
+      formats_.ReadJob(call->request.body, &error);
   if (!job) return Refuse(call, kMalformed, error.reason);
   job->id = call->job;
   job->account = call->account;
@@ -200,9 +201,9 @@
       [this, alive = alive_, request, tries_left, may_be_stored,
        done = std::move(done)](const AppendResult& result) mutable {
         if (!*alive) return;
-        if (result.outcome == AppendOutcome::kStored) return done(kOk, {});
+        if (result.outcome == StoreOutcome::kStored) return done(kOk, {});
         may_be_stored =
-            may_be_stored || result.outcome == AppendOutcome::kUnknown;
+            may_be_stored || result.outcome == StoreOutcome::kUnknown;
         if (tries_left <= 1) {
           return done(may_be_stored ? kTimedOut : kUnavailable, result.error);
         }
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -128,7 +128,7 @@
 
 void ClusterCoordinator::OnClaimed(int64_t epoch, const AppendResult& result) {
   if (phase_ != Phase::kClaiming) return;
-  if (result.outcome == AppendOutcome::kStored) return BeginLead(epoch);
+  if (result.outcome == StoreOutcome::kStored) return BeginLead(epoch);
   LogEvent(events::kLeadRefused, result.error, {{"epoch", epoch}});
   phase_ = Phase::kFollowing;
   // An unknown claim that was stored shows in the board.
@@ -155,11 +155,11 @@
       [this, generation = generation_,
        current = *generation_](const AppendResult& result) {
         if (*generation != current || phase_ != Phase::kFencing) return;
-        if (result.outcome == AppendOutcome::kFenced) {
+        if (result.outcome == StoreOutcome::kFenced) {
           return StepDown("fenced while taking the lead");
         }
-        const bool stored = result.outcome == AppendOutcome::kStored ||
-                            result.outcome == AppendOutcome::kOutOfSequence;
+        const bool stored = result.outcome == StoreOutcome::kStored ||
+                            result.outcome == StoreOutcome::kOutOfSequence;
         if (stored) {
           phase_ = Phase::kLoading;
           loaded_.clear();
--- a/src/libs/coordination/fenced_writer.cc
+++ b/src/libs/coordination/fenced_writer.cc
@@ -67,21 +67,21 @@
 
   void OnResult(const AppendResult& result) {
     switch (result.outcome) {
-      case AppendOutcome::kStored:
+      case StoreOutcome::kStored:
         ++sequence_;
         last_stored_ = std::chrono::steady_clock::now();
         return OnStored();
-      case AppendOutcome::kFenced:
+      case StoreOutcome::kFenced:
         closed_ = true;
         return on_fenced_();
-      case AppendOutcome::kOutOfSequence:
+      case StoreOutcome::kOutOfSequence:
         return OnOutOfSequence(result.expected_sequence);
-      case AppendOutcome::kConflict:
-      case AppendOutcome::kRefused:
-      case AppendOutcome::kUnknown:
+      case StoreOutcome::kConflict:
+      case StoreOutcome::kRefused:
+      case StoreOutcome::kUnknown:
         break;
     }
-    if (result.outcome == AppendOutcome::kUnknown) first_try_ = false;
+    if (result.outcome == StoreOutcome::kUnknown) first_try_ = false;
     timer_.expires_after(settings_.retry);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& code) {
--- a/src/libs/coordination/formats.h
+++ b/src/libs/coordination/formats.h
@@ -10,8 +10,8 @@
 #include "coordination/record_store.h"
 #include "coordination/serving_configuration.h"
 #include "net/http_message.h"
+#include "workload/job_definition.h"
 #include "workload/job_ledger.h"
-#include "workload/job_spec.h"
 #include "workload/worker_report.h"
 
 namespace thornplank {
@@ -44,8 +44,8 @@
   virtual CallerHeaders ReadHeaders(const HttpRequest& request) const = 0;
   // The body of a submission; id, account, policy and time are the caller's of
   // this function to fill in.
-  virtual std::optional<JobSpec> ReadJob(const std::string& body,
-                                         Error* error) const = 0;
+  virtual std::optional<JobDefinition> ReadJob(const std::string& body,
+                                               Error* error) const = 0;
   virtual HttpResponse JobStateResponse(JobState state) const = 0;
   virtual HttpResponse QueueLengthResponse(int64_t waiting_jobs) const = 0;
 };
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -58,9 +58,9 @@
   BoardJob& job = jobs_[id];
   // A repeated submission is the same job.
   if (job.spec != nullptr) return {};
-  std::optional<JobSpec> spec = DecodeJob(*record.value, nullptr);
+  std::optional<JobDefinition> spec = DecodeJob(*record.value, nullptr);
   if (!spec) return {};
-  job.spec = std::make_shared<const JobSpec>(std::move(*spec));
+  job.spec = std::make_shared<const JobDefinition>(std::move(*spec));
   return {BoardChange::Kind::kSubmitted, id};
 }
 
@@ -111,7 +111,7 @@
   });
 }
 
-KeyedRecord JobBoard::Submission(const JobSpec& job) {
+KeyedRecord JobBoard::Submission(const JobDefinition& job) {
   return {Key(kSubmissionKey, job.id), EncodeJob(job), 0};
 }
 
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -17,14 +17,14 @@
 
 #include "base/time.h"
 #include "coordination/record_store.h"
+#include "workload/job_definition.h"
 #include "workload/job_ledger.h"
-#include "workload/job_spec.h"
 
 namespace thornplank {
 
 struct BoardJob {
   // Null when a state or a cancellation came before the submission.
-  std::shared_ptr<const JobSpec> spec;
+  std::shared_ptr<const JobDefinition> spec;
   bool cancelled = false;
   JobState published = JobState::kQueued;
   // When its end was published.
@@ -65,7 +65,7 @@
   int64_t WaitingJobs(const std::string& queue) const;
 
   // Records to be stored.
-  static KeyedRecord Submission(const JobSpec& job);
+  static KeyedRecord Submission(const JobDefinition& job);
   static KeyedRecord Cancellation(const std::string& job);
   static KeyedRecord State(const std::string& job, JobState state,
                            WallTime when);
--- a/src/libs/coordination/record_store.h
+++ b/src/libs/coordination/record_store.h
@@ -44,7 +44,7 @@
   std::optional<ProducerPosition> producer;
 };
 
-enum class AppendOutcome {
+enum class StoreOutcome {
   kStored,
   // The partition does not end where it was expected to.
   kConflict,
@@ -59,7 +59,7 @@
 };
 
 struct AppendResult {
-  AppendOutcome outcome = AppendOutcome::kUnknown;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
   // Of the first record, where stored.
   int64_t offset = 0;
   int64_t end = 0;
--- a/src/libs/coordination/serving_configuration.h
+++ b/src/libs/coordination/serving_configuration.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "workload/job_spec.h"
+#include "workload/job_definition.h"
 #include "workload/planner.h"
 
 namespace thornplank {
--- a/src/libs/workload/job_spec.cc
+++ b/src/libs/workload/job_definition.cc
@@ -1,5 +1,5 @@
 // Checks on a job, and its stored form.
-#include "workload/job_spec.h"
+#include "workload/job_definition.h"
 
 #include <algorithm>
 #include <cctype>
@@ -72,8 +72,8 @@
   return step;
 }
 
-JobSpec DecodeFields(const Json& record) {
-  JobSpec job;
+JobDefinition DecodeFields(const Json& record) {
+  JobDefinition job;
   size_t at = 1;
   job.id = record.at(at++).get<std::string>();
   job.account = record.at(at++).get<std::string>();
@@ -96,7 +96,7 @@
 
 }  // namespace
 
-bool JobSpec::long_running() const {
+bool JobDefinition::long_running() const {
   return std::any_of(steps.begin(), steps.end(),
                      [](const StepSpec& step) { return step.long_running; });
 }
@@ -108,7 +108,7 @@
          });
 }
 
-bool IsValidJob(const JobSpec& job, std::string* reason) {
+bool IsValidJob(const JobDefinition& job, std::string* reason) {
   if (job.payload.size() > kMaxPayloadBytes) {
     *reason = "the payload is larger than " + std::to_string(kMaxPayloadBytes) +
               " bytes";
@@ -135,7 +135,7 @@
   return true;
 }
 
-std::string EncodeJob(const JobSpec& job) {
+std::string EncodeJob(const JobDefinition& job) {
   Json steps = Json::array();
   for (const StepSpec& step : job.steps) {
     steps.push_back(EncodeStep(step));
@@ -152,13 +152,13 @@
   return bytes;
 }
 
-std::optional<JobSpec> DecodeJob(std::string_view bytes, Error* error) {
+std::optional<JobDefinition> DecodeJob(std::string_view bytes, Error* error) {
   const Json record = Json::from_cbor(bytes, /*strict=*/true,
                                       /*allow_exceptions=*/false);
   if (record.is_array() && !record.empty() && record[0] == kFormat) {
     // Wrong types throw inside the library; none leaves this function.
     try {
-      JobSpec job = DecodeFields(record);
+      JobDefinition job = DecodeFields(record);
       std::string reason;
       if (IsValidJob(job, &reason)) return job;
       SetError(error, "decode job", job.id, reason);
--- a/src/libs/workload/job_spec.h
+++ b/src/libs/workload/job_definition.h
@@ -1,6 +1,6 @@
 // What a caller asks for: a job of steps, each a number of equal tasks.
-#ifndef THORNPLANK_WORKLOAD_JOB_SPEC_H_
-#define THORNPLANK_WORKLOAD_JOB_SPEC_H_
+#ifndef THORNPLANK_WORKLOAD_JOB_DEFINITION_H_
+#define THORNPLANK_WORKLOAD_JOB_DEFINITION_H_
 
 #include <cstdint>
 #include <optional>
@@ -60,7 +60,7 @@
   Milliseconds slack{0};
 };
 
-struct JobSpec {
+struct JobDefinition {
   std::string id;
   std::string account;
   // Passed to the tasks as it is.
@@ -87,12 +87,12 @@
 
 // Whether every bound holds and steps depend on earlier ones only; the reason
 // is for the caller.
-bool IsValidJob(const JobSpec& job, std::string* reason);
+bool IsValidJob(const JobDefinition& job, std::string* reason);
 
 // The stored form (CBOR).
-std::string EncodeJob(const JobSpec& job);
-std::optional<JobSpec> DecodeJob(std::string_view bytes, Error* error);
+std::string EncodeJob(const JobDefinition& job);
+std::optional<JobDefinition> DecodeJob(std::string_view bytes, Error* error);
 
 }  // namespace thornplank
 
-#endif  // THORNPLANK_WORKLOAD_JOB_SPEC_H_
+#endif  // THORNPLANK_WORKLOAD_JOB_DEFINITION_H_
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -18,7 +18,8 @@
     {JobState::kCancelled, "cancelled"},
 }};
 
-std::vector<std::vector<StepProgress>> EmptyProgress(const JobSpec& spec) {
+std::vector<std::vector<StepProgress>> EmptyProgress(
+    const JobDefinition& spec) {
   std::vector<StepProgress> steps;
   for (const StepSpec& step : spec.steps) {
     StepProgress progress;
@@ -32,7 +33,7 @@
 
 }  // namespace
 
-Job& JobLedger::Add(const JobSpec& spec, Time now) {
+Job& JobLedger::Add(const JobDefinition& spec, Time now) {
   std::unique_ptr<Job>& job = jobs_[spec.id];
   if (job != nullptr) return *job;
   job = std::make_unique<Job>();
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -18,7 +18,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
-#include "workload/job_spec.h"
+#include "workload/job_definition.h"
 #include "workload/task_ref.h"
 
 namespace thornplank {
@@ -77,7 +77,7 @@
 };
 
 struct Job {
-  JobSpec spec;
+  JobDefinition spec;
   JobState state = JobState::kQueued;
   // By occurrence, then by step.
   std::vector<std::vector<StepProgress>> occurrences;
@@ -90,7 +90,7 @@
 class JobLedger {
  public:
   // Takes a job in, or returns the one that is there.
-  Job& Add(const JobSpec& spec, Time now);
+  Job& Add(const JobDefinition& spec, Time now);
   void Remove(const std::string& job);
   Job* Find(const std::string& job);
   const Job* Find(const std::string& job) const;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -34,7 +34,7 @@
 };
 
 // The shortest time in which the job can run, going by the caller's estimates.
-Milliseconds LongestChain(const JobSpec& spec) {
+Milliseconds LongestChain(const JobDefinition& spec) {
   std::vector<Milliseconds> ends;
   Milliseconds longest{0};
   for (const StepSpec& step : spec.steps) {
--- /dev/null
+++ b/tests/auto/workload/tst_job_ledger.cc
@@ -0,0 +1,150 @@
+// Transitions of tasks, steps and jobs.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "workload/job_ledger.h"
+#include "workload_fixtures.h"
+
+namespace thornplank::testing {
+namespace {
+
+constexpr char kJob[] = "0123456789abcdef";
+
+StepRef Ref(int step) { return {kJob, 0, step}; }
+TaskRef Task(int step, int index) { return {Ref(step), index}; }
+
+StepSpec Gang(int count) {
+  StepSpec step = MakeStep(count, 1);
+  step.gang = true;
+  return step;
+}
+
+TEST_CASE("how a run's end changes its task and its job") {
+  struct Row {
+    const char* name;
+    RunEnd end;
+    TaskPhase phase;
+    int failures;
+    JobState state;
+  };
+  const std::vector<Row> rows = {
+      {"done", RunEnd::kDone, TaskPhase::kDone, 0, JobState::kCompleted},
+      {"failed", RunEnd::kFailed, TaskPhase::kWaiting, 1, JobState::kRunning},
+      {"stopped", RunEnd::kStopped, TaskPhase::kWaiting, 0, JobState::kRunning},
+      {"lapsed", RunEnd::kLeaseLapsed, TaskPhase::kWaiting, 0,
+       JobState::kRunning},
+      {"lost", RunEnd::kLost, TaskPhase::kWaiting, 0, JobState::kRunning},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    JobLedger ledger;
+    ledger.Add(MakeJob(kJob, {MakeStep(1, 1)}), At(0));
+    CHECK(ledger.Start(Ref(0), {{0, "w"}}) == 1);
+    CHECK(ledger.End(Task(0, 0), 1, row.end, "saved"));
+    const TaskStatus* task = ledger.FindTask(Task(0, 0));
+    CHECK(task->phase == row.phase);
+    CHECK(task->failures == row.failures);
+    CHECK(task->checkpoint == "saved");
+    CHECK(ledger.Find(kJob)->state == row.state);
+    CHECK(ledger.TakeDirtySteps().count(Ref(0)) == 1);
+  }
+}
+
+TEST_CASE("only the run in force counts, but a done one always does") {
+  JobLedger ledger;
+  ledger.Add(MakeJob(kJob, {MakeStep(1, 1)}), At(0));
+  ledger.Start(Ref(0), {{0, "w"}});
+  ledger.End(Task(0, 0), 1, RunEnd::kLost, "");
+  CHECK(ledger.Start(Ref(0), {{0, "v"}}) == 2);
+  CHECK_FALSE(ledger.End(Task(0, 0), 1, RunEnd::kFailed, ""));
+  CHECK(ledger.FindTask(Task(0, 0))->phase == TaskPhase::kActive);
+  CHECK(ledger.End(Task(0, 0), 1, RunEnd::kDone, ""));
+  CHECK(ledger.Find(kJob)->state == JobState::kCompleted);
+  CHECK_FALSE(ledger.End(Task(0, 0), 2, RunEnd::kDone, ""));
+}
+
+TEST_CASE("a job fails after its attempts, a gang counts one for all") {
+  JobLedger ledger;
+  ledger.Add(MakeJob(kJob, {Gang(3)}), At(0));
+  for (int run = 1; run <= 2; ++run) {
+    CHECK(ledger.Find(kJob)->state != JobState::kFailed);
+    CHECK(ledger.Start(Ref(0), {{0, "u"}, {1, "v"}, {2, "w"}}) == run);
+    ledger.End(Task(0, 0), run, RunEnd::kFailed, "");
+    ledger.End(Task(0, 1), run, RunEnd::kFailed, "");
+    ledger.End(Task(0, 2), run, RunEnd::kGangBroken, "");
+  }
+  CHECK(ledger.Find(kJob)->state == JobState::kFailed);
+}
+
+TEST_CASE("one end of a gang stands for all, and so does a checkpoint") {
+  JobLedger ledger;
+  ledger.Add(MakeJob(kJob, {Gang(3)}), At(0));
+  ledger.Start(Ref(0), {{0, "u"}, {1, "v"}, {2, "w"}});
+  ledger.Checkpoint(Task(0, 1), 1, "c1");
+  CHECK(ledger.FindTask(Task(0, 2))->checkpoint == "c1");
+  CHECK(ledger.End(Task(0, 2), 1, RunEnd::kDone, ""));
+  CHECK(ledger.Find(kJob)->state == JobState::kCompleted);
+}
+
+TEST_CASE("a step is ready once all tasks before it are done") {
+  JobLedger ledger;
+  Job& job =
+      ledger.Add(MakeJob(kJob, {MakeStep(2, 1), MakeStep(1, 1, {0})}), At(0));
+  CHECK(JobLedger::IsReady(job, 0, 0));
+  ledger.Start(Ref(0), {{0, "w"}, {1, "w"}});
+  ledger.End(Task(0, 0), 1, RunEnd::kDone, "");
+  CHECK_FALSE(JobLedger::IsReady(job, 0, 1));
+  ledger.End(Task(0, 1), 1, RunEnd::kDone, "");
+  CHECK(JobLedger::IsReady(job, 0, 1));
+}
+
+TEST_CASE("a long-running task is restarted however it ends") {
+  StepSpec step = MakeStep(1, 1);
+  step.long_running = true;
+  JobLedger ledger;
+  ledger.Add(MakeJob(kJob, {step}), At(0));
+  for (const RunEnd end : {RunEnd::kDone, RunEnd::kFailed, RunEnd::kFailed,
+                           RunEnd::kFailed, RunEnd::kLost}) {
+    const int run = ledger.Start(Ref(0), {{0, "w"}});
+    CHECK(ledger.End(Task(0, 0), run, end, ""));
+    CHECK(ledger.FindTask(Task(0, 0))->phase == TaskPhase::kWaiting);
+    CHECK(ledger.Find(kJob)->state == JobState::kRunning);
+  }
+}
+
+TEST_CASE("progress that was stored is taken up by a successor") {
+  JobLedger before;
+  const JobDefinition job =
+      MakeJob(kJob, {MakeStep(3, 1), MakeStep(1, 1, {0})});
+  before.Add(job, At(0));
+  before.Start(Ref(0), {{0, "u"}, {1, "v"}});
+  before.End(Task(0, 0), 1, RunEnd::kDone, "");
+  before.End(Task(0, 1), 1, RunEnd::kFailed, "c");
+  const std::string bytes = EncodeProgress(*before.FindStep(Ref(0)));
+  JobLedger after;
+  after.Add(job, At(0));
+  auto progress = DecodeProgress(bytes, nullptr);
+  REQUIRE(progress.has_value());
+  REQUIRE(after.Restore(Ref(0), std::move(*progress)));
+  CHECK(after.FindTask(Task(0, 0))->phase == TaskPhase::kDone);
+  CHECK(after.FindTask(Task(0, 1))->failures == 1);
+  CHECK(after.FindTask(Task(0, 1))->checkpoint == "c");
+  CHECK(after.Start(Ref(0), {{1, "w"}}) == 2);
+  CHECK(after.Find(kJob)->state == JobState::kRunning);
+  CHECK_FALSE(after.Restore(Ref(1), StepProgress()));
+}
+
+TEST_CASE("a cancelled job stays cancelled when its last task ends") {
+  JobLedger ledger;
+  ledger.Add(MakeJob(kJob, {MakeStep(1, 1)}), At(0));
+  ledger.Start(Ref(0), {{0, "w"}});
+  CHECK(ledger.Cancel(kJob));
+  ledger.End(Task(0, 0), 1, RunEnd::kDone, "");
+  CHECK(ledger.Find(kJob)->state == JobState::kCancelled);
+  CHECK_FALSE(ledger.Cancel(kJob));
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- /dev/null
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -0,0 +1,190 @@
+// Which evidence settles a run, and when a worker's leases are over.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "workload/worker_tracker.h"
+#include "workload_fixtures.h"
+
+namespace thornplank::testing {
+namespace {
+
+const TaskRef kTask{{"0123456789abcdef", 0, 0}, 0};
+
+RunProfile Profile() {
+  RunProfile profile;
+  profile.need = {1000, 1000, 2};
+  return profile;
+}
+
+WorkerStatusReport Report(int64_t clock, bool runs) {
+  WorkerStatusReport report;
+  report.clock = Milliseconds(clock);
+  if (runs) report.running.push_back({kTask, 1, "", 10});
+  return report;
+}
+
+std::vector<RunEndReport> Hear(WorkerTracker* tracker, int64_t sent,
+                               int64_t heard,
+                               const WorkerStatusReport& report) {
+  std::vector<RunReport> unexpected;
+  return tracker->OnReport(report, At(sent), At(heard), &unexpected);
+}
+
+// A run whose order has had no answer until 500.
+WorkerTracker Undecided() {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.Add(kTask, 1, Profile(), At(0));
+  tracker.OnStartSent(kTask, 1, tracker.DeadlineIn(Milliseconds(1500), At(0)),
+                      At(0));
+  tracker.OnStartAnswer(kTask, 1, StartOutcome::kNoAnswer, At(500));
+  return tracker;
+}
+
+TEST_CASE("an order without an answer is settled by evidence alone") {
+  struct Row {
+    const char* name;
+    std::function<std::vector<RunEndReport>(WorkerTracker*)> happens;
+    bool settled;
+  };
+  const std::vector<Row> rows = {
+      {"absent before its deadline",
+       [](WorkerTracker* tracker) {
+         return Hear(tracker, 600, 700, Report(700, false));
+       },
+       false},
+      {"absent after its deadline",
+       [](WorkerTracker* tracker) {
+         return Hear(tracker, 1600, 1700, Report(1700, false));
+       },
+       true},
+      {"seen running",
+       [](WorkerTracker* tracker) {
+         return Hear(tracker, 600, 700, Report(700, true));
+       },
+       false},
+      {"stopped, and absent in a report asked for after that",
+       [](WorkerTracker* tracker) {
+         tracker->OnStopAnswer(kTask, 1, true, At(650));
+         return Hear(tracker, 700, 800, Report(800, false));
+       },
+       true},
+      {"stopped, and absent in a report asked for before",
+       [](WorkerTracker* tracker) {
+         tracker->OnStopAnswer(kTask, 1, true, At(650));
+         return Hear(tracker, 600, 800, Report(800, false));
+       },
+       false},
+      {"the stop has no answer",
+       [](WorkerTracker* tracker) {
+         tracker->OnStopAnswer(kTask, 1, false, At(650));
+         return Hear(tracker, 700, 800, Report(800, false));
+       },
+       false},
+      {"another life answers",
+       [](WorkerTracker* tracker) { return tracker->OnGone(); }, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = Undecided();
+    const std::vector<RunEndReport> ends = row.happens(&tracker);
+    CHECK(ends.size() == (row.settled ? 1 : 0));
+    CHECK((tracker.Find(kTask) == nullptr) == row.settled);
+    CHECK(tracker.room().accelerators == (row.settled ? 8 : 6));
+  }
+}
+
+TEST_CASE("a refused start frees its room at once") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.Add(kTask, 1, Profile(), At(0));
+  tracker.OnStartSent(kTask, 1, Milliseconds(1500), At(0));
+  const auto ends =
+      tracker.OnStartAnswer(kTask, 1, StartOutcome::kRefused, At(10));
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end == RunEnd::kLost);
+  CHECK(tracker.room().accelerators == 8);
+}
+
+TEST_CASE("an answer that a report overtook changes nothing") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.Add(kTask, 1, Profile(), At(0));
+  tracker.OnStartSent(kTask, 1, Milliseconds(1500), At(0));
+  Hear(&tracker, 5, 20, Report(20, true));
+  CHECK(
+      tracker.OnStartAnswer(kTask, 1, StartOutcome::kRefused, At(30)).empty());
+  CHECK(tracker.Find(kTask)->stage == RunStage::kRunning);
+}
+
+TEST_CASE("a running task that a later report lacks is lost") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.Add(kTask, 1, Profile(), At(0));
+  tracker.OnStartSent(kTask, 1, Milliseconds(1500), At(0));
+  tracker.OnStartAnswer(kTask, 1, StartOutcome::kAccepted, At(20));
+  // The worker may have written this report before the start.
+  CHECK(Hear(&tracker, 10, 30, Report(30, false)).empty());
+  CHECK(Hear(&tracker, 40, 50, Report(50, false)).size() == 1);
+}
+
+TEST_CASE("each end is told once") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.Add(kTask, 1, Profile(), At(0));
+  WorkerStatusReport report = Report(100, false);
+  report.ended.push_back({1, kTask, 1, RunEnd::kDone, ""});
+  CHECK(Hear(&tracker, 90, 100, report).size() == 1);
+  CHECK(Hear(&tracker, 110, 120, report).empty());
+  CHECK(tracker.processed_ends() == 1);
+  CHECK(tracker.recorded_ends() == 0);
+  tracker.OnEndsRecorded(1);
+  CHECK(tracker.recorded_ends() == 1);
+}
+
+TEST_CASE("a predecessor's run is believed until the first report") {
+  WorkerTracker tracker(MakeWorker("w", "r1"));
+  tracker.Inherit(kTask, 1, Profile(), At(0), At(9000));
+  CHECK_FALSE(tracker.synchronized());
+  CHECK_FALSE(tracker.LeasesOver(At(8000)));
+  CHECK(tracker.LeasesOver(At(9001)));
+  SUBCASE("it runs") {
+    CHECK(Hear(&tracker, 10, 20, Report(20, true)).empty());
+    CHECK(tracker.Find(kTask)->stage == RunStage::kRunning);
+  }
+  SUBCASE("it does not") {
+    CHECK(Hear(&tracker, 10, 20, Report(20, false)).size() == 1);
+  }
+  CHECK(tracker.synchronized());
+}
+
+TEST_CASE("the bound of leases allows for the slowest clock") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  const Milliseconds deadline = tracker.DeadlineIn(Milliseconds(4900), At(100));
+  CHECK(deadline == Milliseconds(5000));
+  // At 98% of our speed its clock shows 5,000 when ours shows 5,102.
+  CHECK_FALSE(tracker.LeasesOver(At(5102)));
+  CHECK(tracker.LeasesOver(At(5800)));
+}
+
+TEST_CASE("a worker that fails jobs in a row gets nothing for a while") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  tracker.OnRunFailed("job1", At(0));
+  tracker.OnRunFailed("job1", At(10));
+  CHECK_FALSE(tracker.Quarantined(At(20)));
+  CHECK(tracker.suspect());
+  tracker.OnRunFailed("job2", At(30));
+  CHECK(tracker.Quarantined(At(40)));
+  CHECK_FALSE(tracker.Quarantined(At(40 + 6000)));
+  tracker.OnRunDone();
+  CHECK_FALSE(tracker.suspect());
+}
+
+TEST_CASE("runs that nobody decided on are reported") {
+  WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+  std::vector<RunReport> unexpected;
+  tracker.OnReport(Report(10, true), At(5), At(10), &unexpected);
+  REQUIRE(unexpected.size() == 1);
+  CHECK(unexpected[0].task == kTask);
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- /dev/null
+++ b/tests/integration/support/hosted_cluster.cc
@@ -0,0 +1,324 @@
+// Processes, settings and calls of a hosted cluster.
+#include "hosted_cluster.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include "client/api_client.h"
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+constexpr int kStorePort = 9000;
+constexpr int kStoreProxyPort = 9100;
+constexpr int kStoreProxyControlPort = 9200;
+constexpr int kCallerPort = 8000;
+constexpr int kReadinessPort = 8100;
+constexpr int kMetricsPort = 8200;
+constexpr int kExecutorPort = 10000;
+constexpr Milliseconds kPollInterval{20};
+constexpr char kService[] = "claims";
+constexpr char kAccountKey[] = "key-of-north";
+
+std::string LoopbackAddress() {
+  const int id = ::getpid();
+  return "127." + std::to_string(80 + ((id >> 14) & 63)) + "." +
+         std::to_string((id >> 7) & 127) + "." + std::to_string((id & 127) + 1);
+}
+
+Json Route(const std::string& host, int priority) {
+  return {{"name", "queue-" + std::to_string(priority)},
+          {"host", host},
+          {"prefix", HostedCluster::PrefixOf(priority)},
+          {"kind", "non_idempotent"},
+          {"timeout_ms", 3000},
+          {"slo_ms", 1000},
+          {"priority", priority},
+          {"service", kService},
+          {"attempts", 2},
+          {"stretch", 3.0},
+          {"public", false}};
+}
+
+Json JobBody(const TestJob& job) {
+  Json steps = Json::array();
+  for (const TestStep& step : job.steps) {
+    steps.push_back({{"count", step.count},
+                     {"cpu", step.cpu_millis},
+                     {"mem_mb", step.memory_mb},
+                     {"gpu", step.accelerators},
+                     {"estimate_ms", job.work_ms},
+                     {"gang", step.gang},
+                     {"same_rack", step.same_rack},
+                     {"depends_on", step.depends_on}});
+  }
+  // The stand-in reads from the payload what the tasks do and take.
+  Json needs = Json::array();
+  for (const TestStep& step : job.steps) {
+    needs.push_back(
+        Json::array({step.cpu_millis, step.memory_mb, step.accelerators}));
+  }
+  const Json payload = {
+      {"work_ms", job.work_ms}, {"fail", job.fails}, {"needs", needs}};
+  return {{"spec", payload.dump()}, {"steps", std::move(steps)}};
+}
+
+}  // namespace
+
+HostedCluster::HostedCluster(HostedClusterSettings settings)
+    : settings_(settings), ip_(LoopbackAddress()) {
+  folder_ = (std::filesystem::temp_directory_path() /
+             ("thornplank-hosted-" + std::to_string(::getpid()) + "-" +
+              std::to_string(
+                  std::chrono::steady_clock::now().time_since_epoch().count())))
+                .string();
+  std::filesystem::create_directories(folder_);
+  ApiClientSettings api;
+  api.timeout = std::chrono::seconds(4);
+  api_ = std::make_unique<ApiClient>(api);
+  entries_.resize(static_cast<size_t>(settings_.entries));
+  starts_.resize(static_cast<size_t>(settings_.entries));
+}
+
+HostedCluster::~HostedCluster() {
+  entries_.clear();
+  standins_.reset();
+  std::error_code ignored;
+  if (std::getenv("THORNPLANK_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(folder_, ignored);
+  }
+}
+
+std::string HostedCluster::PrefixOf(int priority) {
+  return "/queue" + std::to_string(priority) + "/";
+}
+
+std::string HostedCluster::Key() { return kAccountKey; }
+
+bool HostedCluster::Eventually(const std::function<bool()>& condition,
+                               Duration limit) {
+  const Time end = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return condition();
+}
+
+bool HostedCluster::Start() {
+  std::ofstream(folder_ + "/standins.json") << StandinConfig().dump(1);
+  standins_ = std::make_unique<ChildProcess>(
+      THORNPLANK_STANDIN,
+      std::vector<std::string>{"--config", folder_ + "/standins.json"},
+      folder_ + "/standins.log");
+  if (!Eventually([this] { return ControlStore(Json::object()); })) {
+    return false;
+  }
+  if (!PublishConfiguration()) return false;
+  for (int i = 0; i < settings_.entries; ++i) {
+    StartEntry(i);
+  }
+  for (int i = 0; i < settings_.entries; ++i) {
+    if (!WaitReady(i)) return false;
+  }
+  return true;
+}
+
+void HostedCluster::StartEntry(int entry) {
+  const auto index = static_cast<size_t>(entry);
+  const std::string name = folder_ + "/entry" + std::to_string(entry);
+  std::ofstream(name + ".json") << EntryConfig(entry).dump(1);
+  entries_[index].reset();
+  entries_[index] = std::make_unique<ChildProcess>(
+      THORNPLANK_HOSTED, std::vector<std::string>{"--settings", name + ".json"},
+      name + "-" + std::to_string(starts_[index]++) + ".log");
+}
+
+bool HostedCluster::WaitReady(int entry, Duration limit) {
+  return Eventually(
+      [this, entry] {
+        const auto response =
+            api_->SendTo(Address(kReadinessPort + entry), "GET", "/v1/ready",
+                         "", HttpHeaders(), nullptr);
+        return response.has_value() && response->status == 200;
+      },
+      limit);
+}
+
+bool HostedCluster::PublishConfiguration(bool keyed) {
+  version_ += 3;
+  Json keys = Json::array({"another-key"});
+  if (keyed) keys.push_back(kAccountKey);
+  const Json configuration = {
+      {"version", version_},
+      {"routes", {Route(ip_, 0), Route(ip_, 1), Route(ip_, 2)}},
+      {"services", {{{"name", kService}, {"admission_check", false}}}},
+      {"limits", {{"max_body_bytes", 65536}}},
+      {"tenants",
+       {{{"name", "north"},
+         {"api_keys", keys},
+         {"guaranteed", {{"gpu", 16}}}}}}};
+  return ControlStore({{"put_operator", configuration.dump()}});
+}
+
+std::optional<HttpResponse> HostedCluster::Call(int entry,
+                                                const std::string& method,
+                                                const std::string& target,
+                                                const std::string& body,
+                                                const std::string& key) {
+  HttpHeaders headers;
+  if (!key.empty()) headers.Set("X-Api-Key", key);
+  headers.Set("X-Timeout-Ms", "3000");
+  return api_->SendTo(Address(kCallerPort + entry), method, target, body,
+                      headers, nullptr);
+}
+
+int HostedCluster::Submit(int entry, const TestJob& job) {
+  const auto response = Call(entry, "POST", PrefixOf(job.priority) + job.id,
+                             JobBody(job).dump(), kAccountKey);
+  return response ? response->status : 0;
+}
+
+int HostedCluster::Cancel(int entry, const TestJob& job) {
+  const auto response =
+      Call(entry, "DELETE", PrefixOf(job.priority) + job.id, "", kAccountKey);
+  return response ? response->status : 0;
+}
+
+std::string HostedCluster::State(int entry, const TestJob& job) {
+  const auto response =
+      Call(entry, "GET", PrefixOf(job.priority) + job.id, "", kAccountKey);
+  if (!response) return "";
+  if (response->status == 410) return "gone";
+  if (response->status != 200) return "";
+  const Json body = ParseJson(response->body).value_or(Json::object());
+  return StringField(body, "state").value_or("");
+}
+
+std::string HostedCluster::Metrics(int entry) {
+  const auto response = api_->SendTo(Address(kMetricsPort + entry), "GET",
+                                     "/metrics", "", HttpHeaders(), nullptr);
+  return response ? response->body : "";
+}
+
+bool HostedCluster::Control(const std::string& address, const Json& faults) {
+  const auto response = api_->SendTo(address, "POST", "/control", faults.dump(),
+                                     HttpHeaders(), nullptr);
+  return response.has_value() && response->status < 300;
+}
+
+Json HostedCluster::ControlState(const std::string& address) {
+  const auto response =
+      api_->SendTo(address, "GET", "/control", "", HttpHeaders(), nullptr);
+  if (!response) return Json::object();
+  return ParseJson(response->body).value_or(Json::object());
+}
+
+bool HostedCluster::ControlStore(const Json& faults) {
+  return Control(Address(kStorePort), faults);
+}
+
+bool HostedCluster::ControlExecutor(int executor, const Json& faults) {
+  return Control(Address(kExecutorPort + executor), faults);
+}
+
+bool HostedCluster::ControlStoreProxy(int entry, const Json& faults) {
+  return Control(Address(kStoreProxyControlPort + entry), faults);
+}
+
+std::vector<Json> HostedCluster::Runs() {
+  std::vector<Json> runs;
+  for (int i = 0; i < settings_.executors; ++i) {
+    const Json state = ControlState(Address(kExecutorPort + i));
+    const Json* rows = ArrayField(state, "runs");
+    if (rows == nullptr) continue;
+    runs.insert(runs.end(), rows->begin(), rows->end());
+  }
+  return runs;
+}
+
+std::vector<std::string> HostedCluster::CapacityViolations() {
+  std::vector<std::string> violations;
+  for (int i = 0; i < settings_.executors; ++i) {
+    const Json state = ControlState(Address(kExecutorPort + i));
+    const Json* rows = ArrayField(state, "violations");
+    if (rows == nullptr) continue;
+    for (const Json& row : *rows) {
+      violations.push_back(row.get<std::string>());
+    }
+  }
+  return violations;
+}
+
+std::vector<Json> HostedCluster::Events(int entry, int number) const {
+  std::vector<Json> events;
+  for (int i = 0; i < starts_[static_cast<size_t>(entry)]; ++i) {
+    std::ifstream file(folder_ + "/entry" + std::to_string(entry) + "-" +
+                       std::to_string(i) + ".log");
+    std::string line;
+    while (std::getline(file, line)) {
+      auto event = ParseJson(line);
+      if (event && IntField(*event, "event") == number) {
+        events.push_back(std::move(*event));
+      }
+    }
+  }
+  return events;
+}
+
+int HostedCluster::Leader() {
+  int leader = -1;
+  int64_t epoch = 0;
+  for (int i = 0; i < settings_.entries; ++i) {
+    auto& process = entries_[static_cast<size_t>(i)];
+    if (process == nullptr || !process->running()) continue;
+    for (const Json& event : Events(i, events::kLeadTaken.number)) {
+      const int64_t taken = IntField(event, "epoch").value_or(0);
+      if (taken <= epoch) continue;
+      epoch = taken;
+      leader = i;
+    }
+  }
+  return leader;
+}
+
+Json HostedCluster::StandinConfig() const {
+  Json proxies = Json::array();
+  for (int i = 0; i < settings_.entries; ++i) {
+    proxies.push_back({{"listen", Address(kStoreProxyPort + i)},
+                       {"control", Address(kStoreProxyControlPort + i)},
+                       {"target", "users_store"}});
+  }
+  const Json executors = {{"name_prefix", "x"},
+                          {"count", settings_.executors},
+                          {"first_address", Address(kExecutorPort)},
+                          {"service", kService},
+                          {"accelerators", settings_.accelerators},
+                          {"racks_of", settings_.executors_per_rack},
+                          {"failure_domains", {"a", "b"}}};
+  return {{"threads", 2},
+          {"users_store", {{"listen", Address(kStorePort)}}},
+          {"users_executors", Json::array({executors})},
+          {"proxies", std::move(proxies)}};
+}
+
+Json HostedCluster::EntryConfig(int entry) const {
+  return {{"name", "entry" + std::to_string(entry)},
+          {"failure_domain", "a"},
+          {"listen_callers", Address(kCallerPort + entry)},
+          {"listen_readiness", Address(kReadinessPort + entry)},
+          {"listen_metrics", Address(kMetricsPort + entry)},
+          {"store_address", Address(kStoreProxyPort + entry)}};
+}
+
+std::string HostedCluster::Address(int port) const {
+  return ip_ + ":" + std::to_string(port);
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -0,0 +1,312 @@
+// The whole path of hosted entries: submit, run, complete, cancel, under the
+// loss of entries, of the store, and of answers.
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "hosted_cluster.h"
+#include "run_checker.h"
+
+namespace thornplank {
+namespace {
+
+int64_t ClockMs() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string JobId(int number) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016x", number + 1);
+  return text;
+}
+
+TestStep Step(int count, int accelerators, std::vector<int> depends_on = {}) {
+  TestStep step;
+  step.count = count;
+  step.accelerators = accelerators;
+  step.depends_on = std::move(depends_on);
+  return step;
+}
+
+class Scenario {
+ public:
+  explicit Scenario(HostedClusterSettings settings = HostedClusterSettings())
+      : cluster_(settings) {
+    REQUIRE(cluster_.Start());
+    REQUIRE(
+        HostedCluster::Eventually([this] { return cluster_.Leader() >= 0; }));
+  }
+
+  HostedCluster& cluster() { return cluster_; }
+
+  // Submits at any entry that takes it.
+  TestJob Submit(int number, std::vector<TestStep> steps, int work_ms,
+                 int priority = 1) {
+    TestJob job;
+    job.id = JobId(number);
+    job.steps = std::move(steps);
+    job.work_ms = work_ms;
+    job.priority = priority;
+    JobAccount account;
+    account.job = job;
+    account.accepted = HostedCluster::Eventually([&] {
+      return cluster_.Submit(next_++ % cluster_.settings().entries, job) == 200;
+    });
+    CHECK(account.accepted);
+    jobs_[job.id] = account;
+    return job;
+  }
+
+  void Cancel(const TestJob& job) {
+    CHECK(HostedCluster::Eventually([&] {
+      return cluster_.Cancel(next_++ % cluster_.settings().entries, job) == 200;
+    }));
+    jobs_[job.id].cancelled_ms = ClockMs();
+  }
+
+  // Waits until every job has ended, and checks every promise.
+  void Finish() {
+    for (auto& [id, account] : jobs_) {
+      CAPTURE(id);
+      CHECK(HostedCluster::Eventually(
+          [&, &account = account] {
+            account.final_state = cluster_.State(
+                next_++ % cluster_.settings().entries, account.job);
+            return account.final_state == "completed" ||
+                   account.final_state == "cancelled" ||
+                   account.final_state == "failed";
+          },
+          std::chrono::seconds(40)));
+      if (account.cancelled_ms < 0) CHECK(account.final_state == "completed");
+    }
+    for (const std::string& problem : CheckRuns(cluster_.Runs(), jobs_)) {
+      FAIL_CHECK(problem);
+    }
+    CHECK(cluster_.CapacityViolations().empty());
+  }
+
+ private:
+  HostedCluster cluster_;
+  std::map<std::string, JobAccount> jobs_;
+  int next_ = 0;
+};
+
+TEST_CASE("a job of dependent steps runs in order and is shown as completed") {
+  Scenario scenario;
+  scenario.Submit(1, {Step(4, 1), Step(6, 1, {0}), Step(1, 1, {0, 1})}, 150);
+  TestStep gang = Step(3, 8);
+  gang.gang = true;
+  gang.same_rack = true;
+  scenario.Submit(2, {gang}, 150);
+  scenario.Finish();
+  const std::string metrics = scenario.cluster().Metrics(0);
+  CHECK(metrics.find("thornplank_jobs_known") != std::string::npos);
+}
+
+TEST_CASE("bad input is refused with a reason and changes nothing") {
+  Scenario scenario;
+  struct Row {
+    const char* name;
+    const char* method;
+    std::string target;
+    std::string body;
+    std::string key;
+    int status;
+  };
+  const std::string job = HostedCluster::PrefixOf(1) + JobId(7);
+  const std::string key = HostedCluster::Key();
+  const std::string good = R"({"spec":"","steps":[{"count":1,"cpu":1}]})";
+  const std::vector<Row> rows = {
+      {"unknown queue", "POST", "/nowhere/" + JobId(7), good, key, 404},
+      {"unknown key", "POST", job, good, "stranger", 401},
+      {"no key", "POST", job, good, "", 401},
+      {"not JSON", "POST", job, "{", key, 400},
+      {"no steps", "POST", job, R"({"spec":"x"})", key, 400},
+      {"empty steps", "POST", job, R"({"steps":[]})", key, 400},
+      {"negative count", "POST", job, R"({"steps":[{"count":-1}]})", key, 400},
+      {"huge count", "POST", job, R"({"steps":[{"count":4000000000000}]})", key,
+       400},
+      {"wrong type", "POST", job, R"({"steps":[{"count":"2"}]})", key, 400},
+      {"forward dependency", "POST", job,
+       R"({"steps":[{"count":1,"depends_on":[0]}]})", key, 400},
+      {"payload too large", "POST", job,
+       R"({"spec":")" + std::string(5000, 'x') + R"(","steps":[{"count":1}]})",
+       key, 400},
+      {"body too large", "POST", job, std::string(70000, ' '), key, 413},
+      {"no job's id", "POST", HostedCluster::PrefixOf(1) + "zz", good, key,
+       404},
+      {"unknown job", "GET", job, "", key, 410},
+      {"unknown job", "DELETE", job, "", key, 410},
+      {"other method", "PUT", job, good, key, 405},
+      {"queue length", "GET", HostedCluster::PrefixOf(1), "", key, 200},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const auto response =
+        scenario.cluster().Call(0, row.method, row.target, row.body, row.key);
+    REQUIRE(response.has_value());
+    CHECK(response->status == row.status);
+    if (row.status >= 400) CHECK(!response->body.empty());
+  }
+  CHECK(scenario.cluster().Runs().empty());
+}
+
+TEST_CASE("a key that was taken away is refused at every entry") {
+  Scenario scenario;
+  REQUIRE(scenario.cluster().PublishConfiguration(/*keyed=*/false));
+  for (int entry = 0; entry < 3; ++entry) {
+    TestJob job;
+    job.id = JobId(entry);
+    CHECK(HostedCluster::Eventually(
+        [&] { return scenario.cluster().Submit(entry, job) == 401; }));
+  }
+}
+
+TEST_CASE("jobs go on and none runs twice whatever is lost") {
+  struct Row {
+    const char* name;
+    std::function<void(HostedCluster&)> fault;
+  };
+  const std::vector<Row> rows = {
+      {"the leader is killed",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         cluster.entry(leader).Kill();
+         cluster.StartEntry(leader);
+       }},
+      {"every entry is killed",
+       [](HostedCluster& cluster) {
+         for (int i = 0; i < 3; ++i) cluster.entry(i).Kill();
+         for (int i = 0; i < 3; ++i) cluster.StartEntry(i);
+       }},
+      {"the leader is stopped gracefully",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         cluster.entry(leader).Signal(SIGTERM);
+         CHECK(cluster.entry(leader).Wait(std::chrono::seconds(20)) == 0);
+         cluster.StartEntry(leader);
+       }},
+      {"the leader freezes for four seconds",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         cluster.entry(leader).Freeze();
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(4));
+         cluster.entry(leader).Thaw();
+       }},
+      {"the leader is cut off from the store",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", true}}));
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(4));
+         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", false}}));
+       }},
+      {"the store is silent for three seconds",
+       [](HostedCluster& cluster) {
+         CHECK(cluster.ControlStore({{"mode", "silent"}}));
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(3));
+         CHECK(cluster.ControlStore({{"mode", "up"}}));
+       }},
+      {"the store loses answers, some appends land late",
+       [](HostedCluster& cluster) {
+         CHECK(cluster.ControlStore(
+             {{"lost_percent", 20}, {"late_percent", 10}}));
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(3));
+         CHECK(
+             cluster.ControlStore({{"lost_percent", 0}, {"late_percent", 0}}));
+       }},
+      {"the store drops its history",
+       [](HostedCluster& cluster) {
+         CHECK(cluster.ControlStore({{"drop_history", true}}));
+       }},
+      {"orders are carried out late and not answered",
+       [](HostedCluster& cluster) {
+         for (int i = 0; i < 6; ++i) {
+           CHECK(cluster.ControlExecutor(i, {{"late_percent", 50}}));
+         }
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(2));
+         for (int i = 0; i < 6; ++i) {
+           CHECK(cluster.ControlExecutor(i, {{"late_percent", 0}}));
+         }
+       }},
+      {"an executor begins a new life",
+       [](HostedCluster& cluster) {
+         CHECK(cluster.ControlExecutor(0, {{"crash", true}}));
+       }},
+      {"an executor stands still",
+       [](HostedCluster& cluster) {
+         CHECK(cluster.ControlExecutor(1, {{"stalled", true}}));
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(7));
+         CHECK(cluster.ControlExecutor(1, {{"stalled", false}}));
+       }},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Scenario scenario;
+    for (int i = 0; i < 4; ++i) {
+      scenario.Submit(i, {Step(6, 2), Step(4, 1, {0})}, 900);
+    }
+    row.fault(scenario.cluster());
+    for (int i = 4; i < 8; ++i) {
+      scenario.Submit(i, {Step(6, 2), Step(4, 1, {0})}, 300);
+    }
+    scenario.Finish();
+  }
+}
+
+TEST_CASE("a cancelled job stops, also when the leader dies right after") {
+  for (const bool kill : {false, true}) {
+    CAPTURE(kill);
+    Scenario scenario;
+    const TestJob job = scenario.Submit(1, {Step(8, 1), Step(8, 1, {0})}, 1500);
+    REQUIRE(HostedCluster::Eventually(
+        [&] { return !scenario.cluster().Runs().empty(); }));
+    scenario.Cancel(job);
+    if (kill) scenario.cluster().entry(scenario.cluster().Leader()).Kill();
+    CHECK(HostedCluster::Eventually([&] {
+      for (const Json& run : scenario.cluster().Runs()) {
+        if (IntField(run, "ended_ms").value_or(-1) < 0) return false;
+      }
+      return true;
+    }));
+    if (kill) {
+      for (int i = 0; i < 3; ++i) {
+        if (!scenario.cluster().entry(i).running()) {
+          scenario.cluster().StartEntry(i);
+        }
+      }
+    }
+    scenario.Finish();
+  }
+}
+
+TEST_CASE("an urgent job takes room from others") {
+  Scenario scenario;
+  // Fills all 48 accelerators for a long time.
+  const TestJob filler = scenario.Submit(1, {Step(48, 1)}, 8000, 2);
+  REQUIRE(HostedCluster::Eventually(
+      [&] { return scenario.cluster().Runs().size() >= 48; }));
+  TestStep gang = Step(2, 8);
+  gang.gang = true;
+  const TestJob urgent = scenario.Submit(2, {gang}, 200, 0);
+  CHECK(HostedCluster::Eventually(
+      [&] { return scenario.cluster().State(0, urgent) == "completed"; },
+      std::chrono::seconds(6)));
+  CHECK(scenario.cluster().State(0, filler) == "running");
+  scenario.Cancel(filler);
+  scenario.Finish();
+}
+
+}  // namespace
+}  // namespace thornplank
--- a/tests/standins/standin_config.cc
+++ b/tests/standins/standin_config.cc
@@ -202,6 +202,42 @@
   return true;
 }
 
+bool ParseUsersStore(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "users_store", error);
+  UsersStoreSettings settings;
+  settings.listen = fields.Address("listen");
+  settings.answer_time = fields.Time("answer_ms", settings.answer_time);
+  config->users_store = settings;
+  return fields.Finish();
+}
+
+bool ParseUsersExecutors(const Json& json, StandinConfig* config,
+                         Error* error) {
+  FieldReader fields(json, "users_executors", error);
+  UsersExecutorSettings common;
+  std::string prefix = fields.String("name_prefix");
+  int64_t count = fields.Int("count", 1, 1, kMaxCount);
+  std::string first = fields.Address("first_address");
+  int64_t racks_of = fields.Int("racks_of", 6, 1);
+  std::vector<std::string> domains = fields.Strings("failure_domains");
+  common.service = fields.String("service");
+  common.capacity.cpu_millis = fields.Int("cpu_millis", 64000);
+  common.capacity.memory_mb = fields.Int("memory_mb", 256000);
+  common.capacity.accelerators = fields.Int("accelerators", 8);
+  CheckPorts(first, count, &fields);
+  if (!fields.Finish()) return false;
+  for (int64_t index = 0; index < count; ++index) {
+    UsersExecutorSettings settings = common;
+    int64_t rack = index / racks_of;
+    settings.name = prefix + std::to_string(index);
+    settings.listen = AddressAt(first, index);
+    settings.rack = prefix + "-rack" + std::to_string(rack);
+    settings.failure_domain = DomainAt(domains, rack);
+    config->users_executors.push_back(std::move(settings));
+  }
+  return true;
+}
+
 bool ParseProxy(const Json& json, StandinConfig* config, Error* error) {
   FieldReader fields(json, "proxies", error);
   ProxySettings settings;
@@ -221,12 +257,17 @@
   for (const ExecutorSettings& executor : config.executors) {
     names.insert(executor.name);
   }
+  if (config.users_store) names.insert("users_store");
+  for (const UsersExecutorSettings& executor : config.users_executors) {
+    names.insert(executor.name);
+  }
   return names;
 }
 
 bool CheckNames(const StandinConfig& config, Error* error) {
   std::set<std::string> names = RoleNames(config);
   size_t roles = config.workers.size() + config.executors.size() +
+                 config.users_executors.size() + (config.users_store ? 1 : 0) +
                  (config.log ? 1 : 0) + (config.instance_list ? 1 : 0);
   if (names.size() != roles) {
     SetError(error, "check config", "name_prefix", "two roles have one name");
@@ -253,6 +294,8 @@
   Json instance_list = fields.Object("instance_list");
   Json workers = fields.Array("workers");
   Json executors = fields.Array("executors");
+  Json users_store = fields.Object("users_store");
+  Json users_executors = fields.Array("users_executors");
   Json proxies = fields.Array("proxies");
   if (!fields.Finish()) return std::nullopt;
   if (!log.is_null() && !ParseLog(log, &config, error)) return std::nullopt;
@@ -260,6 +303,12 @@
       !ParseInstanceList(instance_list, &config, error)) {
     return std::nullopt;
   }
+  if (!users_store.is_null() && !ParseUsersStore(users_store, &config, error)) {
+    return std::nullopt;
+  }
+  for (const Json& group : users_executors) {
+    if (!ParseUsersExecutors(group, &config, error)) return std::nullopt;
+  }
   for (const Json& group : workers) {
     if (!ParseWorkers(group, &config, error)) return std::nullopt;
   }
--- a/tests/standins/standin_config.h
+++ b/tests/standins/standin_config.h
@@ -11,6 +11,8 @@
 #include "standins/instance_list_role.h"
 #include "standins/log_role.h"
 #include "standins/tcp_proxy.h"
+#include "standins/users_executor_role.h"
+#include "standins/users_store_role.h"
 #include "standins/worker_role.h"
 
 namespace thornplank::standins {
@@ -22,6 +24,9 @@
   // One entry per worker and executor; groups are expanded.
   std::vector<WorkerSettings> workers;
   std::vector<ExecutorSettings> executors;
+  // The users' platform.
+  std::optional<UsersStoreSettings> users_store;
+  std::vector<UsersExecutorSettings> users_executors;
   std::vector<ProxySettings> proxies;
 };
 
--- a/tests/standins/standin_process.cc
+++ b/tests/standins/standin_process.cc
@@ -56,6 +56,8 @@
           {"instance_list", instance_list_ ? instance_list_->address() : ""},
           {"workers", AddressesOf(workers_)},
           {"executors", AddressesOf(executors_)},
+          {"users_store", users_store_ ? users_store_->address() : ""},
+          {"users_executors", AddressesOf(users_executors_)},
           {"proxies", proxies}};
 }
 
@@ -84,6 +86,25 @@
     if (!OpenRole(NewStrand(), settings, &role, error)) return false;
     role_addresses_[settings.name] = role->address();
   }
+  return OpenUsersPlatform(config, error);
+}
+
+bool StandinProcess::OpenUsersPlatform(const StandinConfig& config,
+                                       Error* error) {
+  if (!config.users_store) return true;
+  if (!OpenRole(NewStrand(), *config.users_store, &users_store_, error)) {
+    return false;
+  }
+  role_addresses_["users_store"] = users_store_->address();
+  for (const UsersExecutorSettings& settings : config.users_executors) {
+    auto& role = users_executors_[settings.name];
+    if (!OpenRole(NewStrand(), settings, &role, error)) return false;
+    role_addresses_[settings.name] = role->address();
+    role->StartHeartbeats(
+        [this](const std::string& id, std::optional<std::string> entry) {
+          users_store_->Publish(id, std::move(entry));
+        });
+  }
   return true;
 }
 
--- a/tests/standins/standin_process.h
+++ b/tests/standins/standin_process.h
@@ -32,6 +32,7 @@
  private:
   boost::asio::any_io_executor NewStrand();
   bool OpenRoles(const StandinConfig& config, Error* error);
+  bool OpenUsersPlatform(const StandinConfig& config, Error* error);
   bool OpenProxies(const StandinConfig& config, Error* error);
   void FillInstanceList(const InstanceListSettings& settings);
 
@@ -41,6 +42,8 @@
   std::unique_ptr<InstanceListRole> instance_list_;
   std::map<std::string, std::unique_ptr<WorkerRole>> workers_;
   std::map<std::string, std::unique_ptr<ExecutorRole>> executors_;
+  std::unique_ptr<UsersStoreRole> users_store_;
+  std::map<std::string, std::unique_ptr<UsersExecutorRole>> users_executors_;
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   // By name of role; the targets that a proxy may name.
   std::map<std::string, std::string> role_addresses_;
--- /dev/null
+++ b/tests/standins/users_executor_model.cc
@@ -0,0 +1,173 @@
+// Runs, leases and ends of one executor.
+#include "standins/users_executor_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace thornplank::standins {
+
+namespace {
+
+// How long a run goes on after its stop.
+constexpr int64_t kStopMs = 60;
+constexpr int64_t kLongestLeaseMs = 10000;
+constexpr int64_t kMillisPerPercent = 100;
+
+Resources NeedOf(const Json& payload, int step) {
+  Resources need;
+  const Json* needs = ArrayField(payload, "needs");
+  const auto index = static_cast<size_t>(step);
+  if (needs == nullptr || index >= needs->size()) return need;
+  const Json& row = (*needs)[index];
+  if (!row.is_array() || row.size() != 3) return need;
+  need.cpu_millis = row[0].get<int64_t>();
+  need.memory_mb = row[1].get<int64_t>();
+  need.accelerators = row[2].get<int64_t>();
+  return need;
+}
+
+}  // namespace
+
+UsersExecutorModel::UsersExecutorModel(std::string name, Resources capacity)
+    : name_(std::move(name)), capacity_(capacity) {}
+
+std::string UsersExecutorModel::id() const {
+  return name_ + "-" + std::to_string(life_);
+}
+
+int64_t UsersExecutorModel::Progress(const Run& run, int64_t now) const {
+  return stalled_ ? 0 : now - run.began;
+}
+
+void UsersExecutorModel::Advance(int64_t now) {
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    const auto run = it++;
+    const int64_t finished = run->second.began + run->second.work_ms;
+    if (run->second.stops_at >= 0 && run->second.stops_at <= now) {
+      End(run, RunEnd::kStopped, run->second.stops_at);
+    } else if (deadline_ <= now) {
+      End(run, RunEnd::kLeaseLapsed, deadline_);
+    } else if (!stalled_ && finished <= now) {
+      End(run, run->second.fails ? RunEnd::kFailed : RunEnd::kDone, finished);
+    }
+  }
+}
+
+void UsersExecutorModel::End(std::map<std::string, Run>::iterator run,
+                             RunEnd end, int64_t now) {
+  RunHistory& history = history_[run->second.history];
+  history.ended_ms = now;
+  history.how = std::string(ToText(end));
+  closed_runs_[run->first] =
+      std::max(closed_runs_[run->first], run->second.run);
+  ended_.push_back({next_number_++, run->second.task, run->second.run, end,
+                    run->second.history});
+  runs_.erase(run);
+}
+
+StartOutcome UsersExecutorModel::Start(const StartOrder& order, int64_t now) {
+  Advance(now);
+  if (order.epoch < fence_) return StartOutcome::kFenced;
+  fence_ = order.epoch;
+  if (order.deadline.count() <= now) return StartOutcome::kRefused;
+  deadline_ = std::max(deadline_,
+                       std::min(order.deadline.count(), now + kLongestLeaseMs));
+  const std::string name = order.task.ToString();
+  const auto present = runs_.find(name);
+  if (present != runs_.end()) {
+    return present->second.run == order.run ? StartOutcome::kAccepted
+                                            : StartOutcome::kRefused;
+  }
+  const auto closed = closed_runs_.find(name);
+  if (closed != closed_runs_.end() && order.run <= closed->second) {
+    return StartOutcome::kRefused;
+  }
+  const Json payload = ParseJson(order.payload).value_or(Json::object());
+  Run run;
+  run.task = order.task;
+  run.run = order.run;
+  run.work_ms = IntField(payload, "work_ms").value_or(100);
+  run.fails = fail_all_ || BoolField(payload, "fail").value_or(false);
+  run.need = NeedOf(payload, order.task.step.step);
+  run.began = now;
+  run.history = history_.size();
+  history_.push_back({id(), name, order.run, now, -1, "", false});
+  Resources used = run.need;
+  for (const auto& [other_name, other] : runs_) {
+    used += other.need;
+  }
+  if (!used.FitsInto(capacity_)) {
+    violations_.push_back(id() + " is over its capacity with " + name);
+  }
+  runs_[name] = run;
+  return StartOutcome::kAccepted;
+}
+
+CallOutcome UsersExecutorModel::Stop(const StopOrder& order, int64_t now) {
+  Advance(now);
+  if (order.epoch < fence_) return CallOutcome::kFenced;
+  fence_ = order.epoch;
+  const std::string name = order.task.ToString();
+  closed_runs_[name] = std::max(closed_runs_[name], order.run);
+  const auto run = runs_.find(name);
+  if (run != runs_.end() && run->second.run <= order.run &&
+      run->second.stops_at < 0) {
+    run->second.stops_at = now + kStopMs;
+  }
+  return CallOutcome::kOk;
+}
+
+CallOutcome UsersExecutorModel::Hold(const StatusQuery& query, int64_t now,
+                                     WorkerStatusReport* report) {
+  Advance(now);
+  if (query.epoch < fence_) return CallOutcome::kFenced;
+  fence_ = query.epoch;
+  if (query.lease_until) {
+    deadline_ = std::max(
+        deadline_, std::min(query.lease_until->count(), now + kLongestLeaseMs));
+  }
+  while (!ended_.empty() && ended_.front().number <= query.recorded_ends) {
+    history_[ended_.front().history].recorded = true;
+    ended_.pop_front();
+  }
+  report->clock = Milliseconds(now);
+  for (const auto& [name, run] : runs_) {
+    const int64_t percent =
+        run.work_ms > 0 ? Progress(run, now) * kMillisPerPercent / run.work_ms
+                        : 0;
+    report->running.push_back(
+        {run.task, run.run, "",
+         static_cast<int>(std::min<int64_t>(percent, kMillisPerPercent))});
+  }
+  for (const Ended& end : ended_) {
+    report->ended.push_back({end.number, end.task, end.run, end.end, ""});
+  }
+  return CallOutcome::kOk;
+}
+
+bool UsersExecutorModel::HasEndBehind(int64_t recorded, int64_t now) {
+  Advance(now);
+  return !ended_.empty() && ended_.back().number > recorded;
+}
+
+void UsersExecutorModel::set_stalled(bool on, int64_t now) {
+  Advance(now);
+  stalled_ = on;
+}
+
+void UsersExecutorModel::Crash(int64_t now) {
+  Advance(now);
+  for (const auto& [name, run] : runs_) {
+    history_[run.history].ended_ms = now;
+    history_[run.history].how = "crashed";
+  }
+  runs_.clear();
+  ended_.clear();
+  closed_runs_.clear();
+  next_number_ = 1;
+  fence_ = 0;
+  deadline_ = 0;
+  ++life_;
+}
+
+}  // namespace thornplank::standins
--- /dev/null
+++ b/tests/standins/users_executor_model.h
@@ -0,0 +1,104 @@
+// One of the users' executors without its transport: runs under leases, ends
+// that are listed until they are recorded, fencing, late orders.
+//
+// What a task does is told by its payload, a JSON object: work_ms, fail, and
+// needs, for each step the thousandths of a core, the megabytes and the
+// accelerators of one task, by which the model sees whether its capacity is
+// kept to.
+#ifndef THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
+#define THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "base/time.h"
+#include "coordination/worker_calls.h"
+#include "workload/resources.h"
+
+namespace thornplank::standins {
+
+// One run, for the checker.
+struct RunHistory {
+  std::string worker;
+  std::string task;
+  int run = 0;
+  int64_t began_ms = 0;
+  // -1 while it runs.
+  int64_t ended_ms = -1;
+  std::string how;
+  // Its end was recorded by the scheduler, or could be.
+  bool recorded = false;
+};
+
+class UsersExecutorModel {
+ public:
+  UsersExecutorModel(std::string name, Resources capacity);
+
+  std::string id() const;
+  const Resources& capacity() const { return capacity_; }
+
+  // Every call takes the present in milliseconds, which is the worker's clock.
+  StartOutcome Start(const StartOrder& order, int64_t now);
+  CallOutcome Stop(const StopOrder& order, int64_t now);
+  CallOutcome Hold(const StatusQuery& query, int64_t now,
+                   WorkerStatusReport* report);
+  // Whether a report would list an end behind `recorded`.
+  bool HasEndBehind(int64_t recorded, int64_t now);
+
+  // Faults.
+  void set_fail_all(bool on) { fail_all_ = on; }
+  void set_stalled(bool on, int64_t now);
+  // Everything ends; a new life begins.
+  void Crash(int64_t now);
+
+  const std::vector<RunHistory>& history() const { return history_; }
+  // Times at which more ran than there is room for.
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  struct Run {
+    TaskRef task;
+    int run = 0;
+    Resources need;
+    int64_t work_ms = 0;
+    bool fails = false;
+    int64_t began = 0;
+    // Set by a stop: when it will be over.
+    int64_t stops_at = -1;
+    size_t history = 0;
+  };
+  struct Ended {
+    int64_t number = 0;
+    TaskRef task;
+    int run = 0;
+    RunEnd end = RunEnd::kLost;
+    size_t history = 0;
+  };
+
+  void Advance(int64_t now);
+  void End(std::map<std::string, Run>::iterator run, RunEnd end, int64_t now);
+  int64_t Progress(const Run& run, int64_t now) const;
+
+  const std::string name_;
+  const Resources capacity_;
+  int life_ = 1;
+  int64_t fence_ = 0;
+  int64_t deadline_ = 0;
+  bool fail_all_ = false;
+  bool stalled_ = false;
+  std::map<std::string, Run> runs_;
+  // The highest run that was stopped or has ended, by task.
+  std::map<std::string, int> closed_runs_;
+  std::deque<Ended> ended_;
+  int64_t next_number_ = 1;
+  std::vector<RunHistory> history_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace thornplank::standins
+
+#endif  // THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
--- /dev/null
+++ b/tests/standins/users_executor_role.cc
@@ -0,0 +1,197 @@
+// Orders, reports and heartbeats of the users' executors.
+#include "standins/users_executor_role.h"
+
+#include <functional>
+#include <utility>
+
+namespace thornplank::standins {
+
+namespace {
+
+constexpr Milliseconds kHoldTick{10};
+constexpr int kMisdirected = 421;
+
+std::string How(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kLeaseLapsed:
+      return "lapsed";
+    case RunEnd::kGangBroken:
+      return "broken";
+    case RunEnd::kGangIncomplete:
+      return "alone";
+    case RunEnd::kStopped:
+    case RunEnd::kLost:
+      break;
+  }
+  return "stopped";
+}
+
+Json ReportBody(const WorkerStatusReport& report) {
+  Json running = Json::array();
+  for (const RunReport& run : report.running) {
+    running.push_back(Json::array(
+        {run.task.ToString(), run.run, run.checkpoint, run.percent, 0}));
+  }
+  Json finished = Json::array();
+  for (const RunEndReport& end : report.ended) {
+    finished.push_back(Json::array({end.number, end.task.ToString(), end.run,
+                                    How(end.end), end.checkpoint}));
+  }
+  return {{"clock_ms", report.clock.count()},
+          {"running", std::move(running)},
+          {"finished", std::move(finished)}};
+}
+
+}  // namespace
+
+UsersExecutorRole::UsersExecutorRole(
+    const boost::asio::any_io_executor& executor,
+    UsersExecutorSettings settings)
+    : Role(executor),
+      settings_(std::move(settings)),
+      model_(settings_.name, settings_.capacity),
+      timer_(executor),
+      random_(static_cast<uint32_t>(std::hash<std::string>()(settings_.name))) {
+}
+
+int64_t UsersExecutorRole::Clock() const {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void UsersExecutorRole::StartHeartbeats(Publish publish) {
+  boost::asio::post(executor(), [this, publish = std::move(publish)] {
+    publish_ = publish;
+    Heartbeat();
+  });
+}
+
+void UsersExecutorRole::Heartbeat() {
+  const Json entry = {{"service", settings_.service},
+                      {"addr", address()},
+                      {"zone", settings_.failure_domain},
+                      {"state", draining_ ? "draining" : "ready"},
+                      {"capacity",
+                       {{"cpu", settings_.capacity.cpu_millis},
+                        {"mem_mb", settings_.capacity.memory_mb},
+                        {"gpu", settings_.capacity.accelerators}}},
+                      {"labels", {"a", settings_.rack}},
+                      {"clock_ms", Clock()},
+                      {"seq", ++beats_}};
+  if (!silent_) publish_(model_.id(), entry.dump());
+  timer_.expires_after(settings_.heartbeat);
+  timer_.async_wait([this](boost::system::error_code code) {
+    if (!code) Heartbeat();
+  });
+}
+
+void UsersExecutorRole::Handle(ExchangePtr exchange) {
+  if (silent_) return;
+  const std::string expected = exchange->Header("X-Expect-Instance");
+  if (!expected.empty() && expected != model_.id()) {
+    return exchange->Answer(ProblemReply(kMisdirected, "another life"));
+  }
+  const std::string path = exchange->path();
+  const Json body =
+      ParseJson(exchange->request().body()).value_or(Json::object());
+  const bool late =
+      std::uniform_real_distribution<double>(0, 1)(random_) < late_share_;
+  if (path == "/v1/hold") {
+    StatusQuery query;
+    query.epoch = IntField(body, "fence").value_or(0);
+    query.recorded_ends = IntField(body, "last_seen").value_or(0);
+    if (const auto deadline = IntField(body, "deadline_ms")) {
+      query.lease_until = Milliseconds(*deadline);
+    }
+    const Milliseconds wait(IntField(body, "wait_ms").value_or(0));
+    return Hold(exchange, query, std::chrono::steady_clock::now() + wait);
+  }
+  if (!late) return exchange->Answer(Order(path, body));
+  RunAfter(executor(), late_by_, [this, path, body] { Order(path, body); });
+}
+
+Reply UsersExecutorRole::Order(const std::string& path, const Json& body) {
+  const auto task = ParseTaskRef(StringField(body, "task").value_or(""));
+  if (!task) return ProblemReply(400, "no such task name");
+  const int run = static_cast<int>(IntField(body, "run").value_or(0));
+  const int64_t epoch = IntField(body, "fence").value_or(0);
+  const Json clock = {{"clock_ms", Clock()}};
+  if (path == "/v1/run-stop") {
+    const CallOutcome outcome = model_.Stop({*task, run, epoch}, Clock());
+    if (outcome == CallOutcome::kOk) return JsonReply(clock);
+    return JsonReply({{"clock_ms", Clock()}, {"reason", "fence"}}, 409);
+  }
+  if (path != "/v1/run-start") return ProblemReply(404, "no such call");
+  StartOrder order;
+  order.task = *task;
+  order.run = run;
+  order.payload = StringField(body, "spec").value_or("");
+  order.checkpoint = StringField(body, "checkpointed").value_or("");
+  order.deadline = Milliseconds(IntField(body, "deadline_ms").value_or(0));
+  order.epoch = epoch;
+  const StartOutcome outcome = model_.Start(order, Clock());
+  if (outcome == StartOutcome::kAccepted) return JsonReply(clock);
+  const char* reason = outcome == StartOutcome::kFenced ? "fence" : "old";
+  return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
+}
+
+void UsersExecutorRole::Hold(const ExchangePtr& exchange,
+                             const StatusQuery& query, Time until) {
+  WorkerStatusReport report;
+  const CallOutcome outcome = model_.Hold(query, Clock(), &report);
+  if (outcome != CallOutcome::kOk) {
+    return exchange->Answer(
+        JsonReply({{"clock_ms", Clock()}, {"reason", "fence"}}, 409));
+  }
+  const bool ready = model_.HasEndBehind(query.recorded_ends, Clock()) ||
+                     std::chrono::steady_clock::now() >= until;
+  if (ready) return exchange->Answer(JsonReply(ReportBody(report)));
+  RunAfter(executor(), kHoldTick, [this, exchange, query, until] {
+    if (!silent_) Hold(exchange, query, until);
+  });
+}
+
+Json UsersExecutorRole::ControlState() {
+  Json runs = Json::array();
+  for (const RunHistory& run : model_.history()) {
+    runs.push_back({{"worker", run.worker},
+                    {"task", run.task},
+                    {"run", run.run},
+                    {"began_ms", run.began_ms},
+                    {"ended_ms", run.ended_ms},
+                    {"how", run.how},
+                    {"recorded", run.recorded}});
+  }
+  return {{"runs", std::move(runs)}, {"violations", model_.violations()}};
+}
+
+bool UsersExecutorRole::ApplyControl(const Json& control, Error* error) {
+  if (!HasOnlyFields(control,
+                     {"silent", "draining", "late_percent", "fail_all",
+                      "stalled", "crash"},
+                     error)) {
+    return false;
+  }
+  ReadField(control, "silent", &silent_);
+  ReadField(control, "draining", &draining_);
+  late_share_ =
+      NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
+  if (const auto on = BoolField(control, "fail_all")) model_.set_fail_all(*on);
+  if (const auto on = BoolField(control, "stalled")) {
+    model_.set_stalled(*on, Clock());
+  }
+  if (BoolField(control, "crash").value_or(false)) {
+    const std::string old = model_.id();
+    model_.Crash(Clock());
+    CloseOtherConnections();
+    if (publish_) publish_(old, std::nullopt);
+  }
+  return true;
+}
+
+}  // namespace thornplank::standins
--- /dev/null
+++ b/tests/standins/users_store_role.cc
@@ -0,0 +1,225 @@
+// Calls of the users' store.
+#include "standins/users_store_role.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/metadata_store.h"
+
+namespace thornplank::standins {
+
+namespace {
+
+constexpr Milliseconds kReaderTick{10};
+constexpr char kExecutorsTopic[] = "keyed.servers";
+constexpr char kOperatorTopic[] = "keyed.op";
+
+std::string QueryText(const HttpRequest& request, const std::string& name) {
+  const std::string target(request.target());
+  const size_t query = target.find('?');
+  if (query == std::string::npos) return "";
+  const std::string text = "&" + target.substr(query + 1) + "&";
+  const size_t at = text.find("&" + name + "=");
+  if (at == std::string::npos) return "";
+  const size_t from = at + name.size() + 2;
+  return text.substr(from, text.find('&', from) - from);
+}
+
+Partition PartitionOf(const Exchange& exchange) {
+  return {QueryText(exchange.request(), "topic"),
+          static_cast<int>(exchange.QueryNumber("part", 0))};
+}
+
+std::string BigEndian(int64_t value, int bytes) {
+  std::string text;
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+    text += static_cast<char>(value >> shift & 0xff);
+  }
+  return text;
+}
+
+// The records in the form of the wire.
+std::vector<KeyedRecord> Decode(const std::string& body) {
+  std::vector<KeyedRecord> records;
+  DecodeRecords(body, 0, &records);
+  return records;
+}
+
+std::string Base64(const std::string& bytes) {
+  constexpr char kLetters[] =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (size_t i = 0; i < bytes.size(); i += 3) {
+    uint32_t group = 0;
+    const size_t count = std::min<size_t>(3, bytes.size() - i);
+    for (size_t j = 0; j < 3; ++j) {
+      group <<= 8;
+      if (j < count) group |= static_cast<unsigned char>(bytes[i + j]);
+    }
+    for (size_t j = 0; j < 4; ++j) {
+      text += j <= count ? kLetters[group >> (18 - 6 * j) & 63] : '=';
+    }
+  }
+  return text;
+}
+
+Reply AppendReply(const AppendResult& result) {
+  switch (result.outcome) {
+    case StoreOutcome::kStored:
+      return JsonReply({{"offset", result.offset}, {"end", result.end}});
+    case StoreOutcome::kConflict:
+      return JsonReply({{"end", result.end}}, 412);
+    case StoreOutcome::kFenced:
+      return JsonReply({{"reason", "fenced"}}, 409);
+    case StoreOutcome::kOutOfSequence:
+      return JsonReply({{"reason", "seq"}, {"seq", result.expected_sequence}},
+                       409);
+    case StoreOutcome::kRefused:
+    case StoreOutcome::kUnknown:
+      break;
+  }
+  return ProblemReply(503, "refused");
+}
+
+}  // namespace
+
+UsersStoreRole::UsersStoreRole(const boost::asio::any_io_executor& executor,
+                               UsersStoreSettings settings)
+    : Role(executor), settings_(std::move(settings)), timer_(executor) {
+  WakeReaders();
+}
+
+void UsersStoreRole::Publish(const std::string& id,
+                             std::optional<std::string> entry) {
+  boost::asio::post(executor(), [this, id, entry = std::move(entry)] {
+    if (mode_ != "up") return;
+    AppendRequest request;
+    request.partition = {kExecutorsTopic, 0};
+    request.records = {{id, entry, 0}};
+    model_.Append(request);
+  });
+}
+
+bool UsersStoreRole::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+void UsersStoreRole::Handle(ExchangePtr exchange) {
+  ++calls_;
+  if (mode_ == "silent") return;
+  if (mode_ == "busy") return exchange->Answer(ProblemReply(503, "busy"));
+  RunAfter(executor(), settings_.answer_time + slow_, [this, exchange] {
+    if (mode_ != "up") return;
+    const std::string path = exchange->path();
+    if (path == "/v1/log-append") return Append(exchange);
+    if (path == "/v1/log-read") return Read(exchange);
+    if (path == "/v1/log-newest") return Newest(exchange);
+    exchange->Answer(ProblemReply(404, "no such call"));
+  });
+}
+
+void UsersStoreRole::Append(const ExchangePtr& exchange) {
+  AppendRequest request;
+  request.partition = PartitionOf(*exchange);
+  request.records = Decode(exchange->request().body());
+  const int64_t expected = exchange->QueryNumber("as_of", -1);
+  if (expected >= 0) request.expected_end = expected;
+  const std::string producer = QueryText(exchange->request(), "producer");
+  if (!producer.empty()) {
+    request.producer =
+        ProducerPosition{producer, exchange->QueryNumber("epoch", 0),
+                         exchange->QueryNumber("seq", 0)};
+  }
+  if (Chance(late_share_)) {
+    return RunAfter(executor(), late_by_,
+                    [this, request] { model_.Append(request); });
+  }
+  const AppendResult result = model_.Append(request);
+  if (Chance(lost_share_)) return;
+  exchange->Answer(AppendReply(result));
+}
+
+void UsersStoreRole::Read(const ExchangePtr& exchange) {
+  const Partition partition = PartitionOf(*exchange);
+  const int64_t from = exchange->QueryNumber("from", 0);
+  const Milliseconds wait(exchange->QueryNumber("wait_ms", 0));
+  if (wait.count() > 0 && model_.end(partition) <= from) {
+    waiting_.push_back(
+        {exchange, partition, from, std::chrono::steady_clock::now() + wait});
+    return;
+  }
+  AnswerRead(exchange, partition, from);
+}
+
+void UsersStoreRole::AnswerRead(const ExchangePtr& exchange,
+                                const Partition& partition, int64_t from) {
+  const ReadResult result = model_.Read(partition, from);
+  if (result.outcome == ReadOutcome::kTrimmed) {
+    return exchange->Answer(JsonReply({{"first", result.end}}, 410));
+  }
+  Reply reply;
+  reply.content_type = "application/octet-stream";
+  reply.body = BigEndian(result.end, 8) + BigEndian(0, 8) +
+               EncodeRecords(result.records);
+  exchange->Answer(std::move(reply));
+}
+
+void UsersStoreRole::WakeReaders() {
+  const Time now = std::chrono::steady_clock::now();
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const auto read = it++;
+    if (mode_ == "silent") continue;
+    const bool ready = model_.end(read->partition) > read->from;
+    if (!ready && now < read->until) continue;
+    AnswerRead(read->exchange, read->partition, read->from);
+    waiting_.erase(read);
+  }
+  timer_.expires_after(kReaderTick);
+  timer_.async_wait([this](boost::system::error_code code) {
+    if (!code) WakeReaders();
+  });
+}
+
+void UsersStoreRole::Newest(const ExchangePtr& exchange) {
+  const NewestPage page = model_.Newest(
+      PartitionOf(*exchange), QueryText(exchange->request(), "depends_on"));
+  Json items = Json::array();
+  for (const KeyedRecord& record : page.records) {
+    items.push_back({{"key", record.key},
+                     {"value", Base64(record.value.value_or(""))},
+                     {"offset", record.offset}});
+  }
+  exchange->Answer(JsonReply({{"items", std::move(items)},
+                              {"has_more", page.has_more},
+                              {"end", page.end}}));
+}
+
+Json UsersStoreRole::ControlState() {
+  return {{"mode", mode_}, {"calls", calls_}};
+}
+
+bool UsersStoreRole::ApplyControl(const Json& control, Error* error) {
+  if (!HasOnlyFields(control,
+                     {"mode", "slow_ms", "lost_percent", "late_percent",
+                      "drop_history", "put_operator", "key"},
+                     error)) {
+    return false;
+  }
+  mode_ = StringField(control, "mode").value_or(mode_);
+  ReadField(control, "slow_ms", &slow_);
+  lost_share_ =
+      NumberField(control, "lost_percent").value_or(lost_share_ * 100) / 100;
+  late_share_ =
+      NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
+  if (BoolField(control, "drop_history").value_or(false)) model_.DropHistory();
+  if (const auto value = StringField(control, "put_operator")) {
+    AppendRequest request;
+    request.partition = {kOperatorTopic, 0};
+    request.records = {
+        {StringField(control, "key").value_or("config"), *value, 0}};
+    model_.Append(request);
+  }
+  return true;
+}
+
+}  // namespace thornplank::standins
