Judge workers by siblings' progress, keep gangs on a rack, mend the stall check

Cause: (1) a gang's member at 100% waits for the rest; after 5 s it was taken for stalled and the whole gang began again. (3) A slowed worker went on getting work.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -54,6 +54,8 @@
 
 void ClusterCoordinator::ApplyStart(const StartDecision& decision, Time now) {
   const int run = ledger_.Start(decision.step, decision.assignments);
+  const Job* job = ledger_.Find(decision.step.job);
+  const StepSpec* spec = ledger_.FindStepSpec(decision.step);
   Json workers = Json::array();
   for (const JobLedger::Assignment& assignment : decision.assignments) {
     const TaskRef task{decision.step, assignment.index};
@@ -69,6 +71,11 @@
             {"run", run},
             {"tasks", std::move(workers)},
             {"reason", decision.reason},
+            {"priority", job->spec.policy.priority},
+            {"data_rack", spec->data_rack},
+            {"same_rack", spec->same_rack},
+            {"accelerators", spec->need.accelerators},
+            {"estimate_ms", spec->estimate.count()},
             {"epoch", epoch_},
             {"board_next", surroundings_.board_next()},
             {"configuration", surroundings_.configuration().version}});
@@ -86,6 +93,7 @@
   profile.gang = spec->gang;
   profile.long_running = spec->long_running;
   profile.account = job->spec.account;
+  profile.data_rack = spec->data_rack;
   profile.estimate = spec->estimate;
   return profile;
 }
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -14,6 +14,14 @@
 constexpr Milliseconds kThinLease{3000};
 // A stop that was acknowledged and shows no end by then is sent again.
 constexpr Milliseconds kStopPatience{900};
+constexpr char kNoProgress[] = "makes no progress";
+constexpr int kWholeWork = 100;
+// Sound workers differ by 0.8 to 1.25, slowed ones run at a quarter and less.
+constexpr double kSlowSpeed = 0.4;
+// A run is moved when it would end this many times sooner elsewhere, a stop and
+// a start included.
+constexpr int kMoveGain = 2;
+constexpr Milliseconds kMoveCost{700};
 // Time between two reads of the directory that counts as an outage.
 constexpr Milliseconds kContactGap{2500};
 
@@ -185,6 +193,7 @@
   for (const auto& [id, tracker] : trackers_) {
     ids.push_back(id);
   }
+  speeds_.Forget(now);
   for (const std::string& id : ids) {
     Judge(id, now);
     if (Find(id) == nullptr) continue;
@@ -205,14 +214,18 @@
   const bool has_runs = !tracker->runs().empty();
   if (tracker->synchronized() && !has_runs && !untold) return;
   bool settling = !tracker->synchronized() || !tracker->reachable();
+  bool young = false;
   for (const auto& [task, run] : tracker->runs()) {
     settling = settling || run.stage == RunStage::kUnknown ||
                run.stop_acknowledged.has_value();
+    young = young || (run.stage == RunStage::kRunning && run.percent == 0);
   }
   // With ends that are not recorded a report would come back at once.
   const bool waits = has_runs && !settling && !unrecorded;
   if (!waits) link.next_report = now + settings_.report_retry;
-  Report(id, waits ? settings_.report_wait : Milliseconds(0), /*extra=*/false);
+  Milliseconds wait{0};
+  if (waits) wait = young ? settings_.first_report : settings_.report_wait;
+  Report(id, wait, /*extra=*/false);
 }
 
 void WorkerFleet::Report(const std::string& id, Milliseconds wait, bool extra) {
@@ -289,6 +302,7 @@
     tracker->Find(run.task)->stage = RunStage::kRunning;
     RequestStop(id, run.task, run.run, "not in force");
   }
+  ObserveSpeeds(tracker, now);
   Deliver(id, ends);
   if (first || !ends.empty()) handlers_.on_change();
   Drive(id, now);
@@ -366,32 +380,64 @@
 }
 
 void WorkerFleet::JudgeRuns(WorkerTracker* tracker, Time now) {
-  const WorkerRegistration& worker = tracker->registration();
+  const std::string id = tracker->id();
+  tracker->set_speed(speeds_.speed(id, now));
   std::vector<std::pair<const TrackedRun*, std::string>> stops;
   bool stalled = false;
   for (const auto& [task, run] : tracker->runs()) {
     if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
     if (run.profile.long_running) continue;
-    if (tracker->reachable() && now - run.progressed > settings_.stall_after) {
-      LogEvent(events::kRunStalled, {{"task", task.ToString()},
-                                     {"run", run.run},
-                                     {"worker", worker.id},
-                                     {"percent", run.percent}});
-      stalled = true;
-      stops.emplace_back(&run, "makes no progress");
-      continue;
-    }
-    if (!worker.draining || !run.profile.checkpointable) continue;
-    const double done = std::max(run.percent, 1);
-    const auto left = std::chrono::duration<double, std::milli>(
-        std::chrono::duration<double, std::milli>(now - run.began).count() *
-        (100.0 - done) / done);
-    if (left > worker.drain_left) stops.emplace_back(&run, "worker leaves");
+    std::string reason = ReasonToStop(*tracker, run, now);
+    if (reason.empty()) continue;
+    stalled = stalled || reason == kNoProgress;
+    stops.emplace_back(&run, std::move(reason));
   }
   if (stalled) tracker->OnRunStalled(now);
   for (const auto& [run, reason] : stops) {
-    RequestStop(worker.id, run->task, run->run, reason);
+    RequestStop(id, run->task, run->run, reason);
+  }
+}
+
+std::string WorkerFleet::ReasonToStop(const WorkerTracker& tracker,
+                                      const TrackedRun& run, Time now) const {
+  // A member that has done its work waits for the rest of its gang.
+  const bool waits = run.profile.gang && run.percent >= kWholeWork;
+  if (waits) return "";
+  if (tracker.reachable() && now - run.progressed > settings_.stall_after) {
+    return kNoProgress;
+  }
+  const Duration left = run.remaining(now);
+  if (tracker.registration().draining && run.profile.checkpointable &&
+      left > tracker.registration().drain_left) {
+    return "worker leaves";
+  }
+  const Duration sound = speeds_.SoundDuration(run.task.step);
+  if (left == Duration::max() || sound == Duration::zero()) return "";
+  if (tracker.speed() > kSlowSpeed) return "";
+  Duration elsewhere = sound;
+  if (run.profile.checkpointable) {
+    elsewhere = sound * (kWholeWork - run.percent) / kWholeWork;
+  }
+  const Duration moved = elsewhere * kMoveGain + Duration(kMoveCost);
+  return left > moved ? "slow worker" : "";
+}
+
+double WorkerFleet::Slowdown(const WorkerTracker& tracker,
+                             const TrackedRun& run) const {
+  const std::string& rack = run.profile.data_rack;
+  const bool near = rack.empty() || rack == tracker.registration().rack;
+  return near ? 1 : settings_.far_slowdown;
+}
+
+void WorkerFleet::ObserveSpeeds(WorkerTracker* tracker, Time now) {
+  for (const auto& [task, run] : tracker->runs()) {
+    if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
+    // Standing at the end says nothing of how long it took to get there.
+    if (run.percent >= kWholeWork) continue;
+    speeds_.Observe(tracker->id(), task.step, run.percent, now - run.began,
+                    Slowdown(*tracker, run), now);
   }
+  tracker->set_speed(speeds_.speed(tracker->id(), now));
 }
 
 // True when the worker itself was forgotten.
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "coordination/formats.h"
 #include "coordination/worker_calls.h"
+#include "workload/speed_book.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
@@ -35,6 +36,11 @@
   // A worker that is not listed any more, while the store answered all along,
   // is gone: entries that lapsed with the store are back within 2 s.
   Milliseconds missing_grace{2600};
+  // The first report after a start: early enough to move an urgent task off a
+  // slow worker in time, late enough for a few percent of progress.
+  Milliseconds first_report{700};
+  // A run away from its data takes this many times as long (published).
+  double far_slowdown = 3;
   // A run whose percentage stands still for longer is stopped: the slowest
   // seen, 6.5 times slowed and far from its data, moves every 2.2 s.
   Milliseconds stall_after{5000};
@@ -112,6 +118,11 @@
   void Deliver(const std::string& id, const std::vector<RunEndReport>& ends);
   void Judge(const std::string& id, Time now);
   void JudgeRuns(WorkerTracker* tracker, Time now);
+  // Why a run should be stopped, "" when it should go on.
+  std::string ReasonToStop(const WorkerTracker& tracker, const TrackedRun& run,
+                           Time now) const;
+  void ObserveSpeeds(WorkerTracker* tracker, Time now);
+  double Slowdown(const WorkerTracker& tracker, const TrackedRun& run) const;
   bool Lose(const std::string& id, const std::string& reason);
   WorkerTracker* Find(const std::string& id);
 
@@ -126,6 +137,7 @@
   Time contact_since_{};
   Time contact_{};
   Counts counts_;
+  SpeedBook speeds_;
   // Callbacks of calls that outlive this object do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -14,6 +14,9 @@
 constexpr int64_t kMillisPerAccelerator = 8000;
 // Keeps workers under suspicion for when nothing else has room.
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
+// Below it a worker is slowed; sound ones differ by 0.8 to 1.25.
+constexpr double kSlowSpeed = 0.5;
+constexpr int64_t kSlowPenalty = int64_t{1} << 31;
 // A rack other than the data's costs more than any gap.
 constexpr int64_t kFarPenalty = int64_t{1} << 30;
 // An urgent gang that finds no room on one rack, even by taking it from others,
@@ -21,6 +24,9 @@
 constexpr Milliseconds kUrgentRackPatience{1200};
 // Jobs later than this many times their objective earn nothing (published).
 constexpr int kLostAfterObjectives = 3;
+constexpr int kEarnsNothing = 2;
+// Below this use, a start away from its rack keeps nobody else waiting.
+constexpr double kIdleShare = 0.45;
 
 int64_t Weight(const Resources& need) {
   return need.cpu_millis + need.accelerators * kMillisPerAccelerator;
@@ -33,6 +39,8 @@
   int64_t score = 0;
 };
 
+bool LessScore(const Slot& a, const Slot& b) { return a.score < b.score; }
+
 // The shortest time in which the job can run, going by the caller's estimates.
 Milliseconds LongestChain(const JobDefinition& spec) {
   std::vector<Milliseconds> ends;
@@ -106,6 +114,9 @@
         if (run.stop_wanted) room.coming += run.profile.need;
         CountUse(run);
       }
+      const int64_t total = tracker.registration().capacity.accelerators;
+      total_accelerators_ += total;
+      used_accelerators_ += total - room.room.accelerators;
       index_[id] = rooms_.size();
       rooms_.push_back(room);
     }
@@ -187,7 +198,7 @@
         Milliseconds(static_cast<int64_t>(static_cast<double>(chain.count()) *
                                           job.spec.policy.stretch)) +
         job.spec.policy.slack;
-    if (age > objective * kLostAfterObjectives) return 2;
+    if (age > objective * kLostAfterObjectives) return kEarnsNothing;
     return age > objective ? 1 : 0;
   }
 
@@ -240,9 +251,13 @@
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->known_since);
     if (step.urgent()) return waited > kUrgentRackPatience;
-    const double patience = planner_.settings_.rack_patience *
-                            static_cast<double>(step.spec->estimate.count());
-    return static_cast<double>(waited.count()) > patience;
+    // Away from its rack it takes three times the room that others need.
+    return waited > planner_.settings_.rack_patience && IsClusterIdle();
+  }
+
+  bool IsClusterIdle() const {
+    return static_cast<double>(used_accelerators_) <
+           kIdleShare * static_cast<double>(total_accelerators_);
   }
 
   // How many more tasks of the step its bound lets a worker have.
@@ -274,6 +289,7 @@
     const std::string& rack = step.spec->data_rack;
     if (!rack.empty() && worker.rack != rack) score += kFarPenalty;
     if (room.tracker->suspect()) score += kSuspectPenalty;
+    if (room.tracker->speed() < kSlowSpeed) score += kSlowPenalty;
     return score;
   }
 
@@ -297,8 +313,7 @@
     std::vector<Slot> slots = FreeSlots(step);
     const bool near_only = !step.spec->data_rack.empty() && !MayLeaveRack(step);
     std::vector<JobLedger::Assignment> chosen;
-    std::sort(slots.begin(), slots.end(),
-              [](const Slot& a, const Slot& b) { return a.score < b.score; });
+    std::sort(slots.begin(), slots.end(), LessScore);
     for (const Slot& slot : slots) {
       if (near_only && !IsNear(step, slot)) continue;
       Take(step, slot, &chosen);
@@ -361,9 +376,11 @@
       if (near_only && rack != step.spec->data_rack) continue;
       int64_t room = 0;
       int64_t score = rack == step.spec->data_rack ? -kFarPenalty : 0;
+      std::sort(members.begin(), members.end(), LessScore);
       for (const Slot& slot : members) {
+        if (room >= static_cast<int64_t>(step.waiting.size())) break;
         room += slot.tasks;
-        score += Weight(rooms_[slot.worker].room);
+        score += slot.score;
       }
       if (room < static_cast<int64_t>(step.waiting.size())) continue;
       if (best != nullptr && score >= best_score) continue;
@@ -393,8 +410,7 @@
 
   bool StartGang(const OpenStep& step, std::vector<Slot> slots,
                  std::string reason) {
-    std::sort(slots.begin(), slots.end(),
-              [](const Slot& a, const Slot& b) { return a.score < b.score; });
+    std::sort(slots.begin(), slots.end(), LessScore);
     std::vector<JobLedger::Assignment> chosen;
     for (const Slot& slot : slots) {
       Take(step, slot, &chosen);
@@ -417,10 +433,14 @@
   void MakeRoom(const OpenStep& step) {
     std::vector<Eviction> all;
     std::map<std::string, std::vector<Eviction>> racks;
+    const std::string& data_rack = step.spec->data_rack;
+    const bool near_only = !data_rack.empty() && !MayLeaveRack(step);
     for (size_t i = 0; i < rooms_.size(); ++i) {
       if (!IsEligible(step, rooms_[i])) continue;
+      const std::string& rack = rooms_[i].tracker->registration().rack;
+      if (near_only && rack != data_rack) continue;
       for (Eviction& eviction : Evictions(step, i)) {
-        racks[rooms_[i].tracker->registration().rack].push_back(eviction);
+        racks[rack].push_back(eviction);
         all.push_back(std::move(eviction));
       }
     }
@@ -571,6 +591,8 @@
   std::vector<OpenStep> steps_;
   // Accelerators in use by urgent runs, by account.
   std::map<std::string, int64_t> urgent_use_;
+  int64_t total_accelerators_ = 0;
+  int64_t used_accelerators_ = 0;
   // Runs that this round has already told to stop.
   std::set<TaskRef> stopped_;
 };
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -19,10 +19,10 @@
 namespace thornplank {
 
 struct PlannerSettings {
-  // A start on a rack without the step's data takes several times as long
-  // (three, as published), so a step waits for its own rack this long, as a
-  // part of its estimate, before it takes any.
-  double rack_patience = 1.0;
+  // A start away from the step's data, or a gang's over several racks, takes
+  // three times as long (published), and as much room. So a step waits for its
+  // rack, and takes another one only after this long in an idle cluster.
+  Milliseconds rack_patience{1000};
   // Room that was taken from others is kept for its job this long; it covers a
   // stop, its report and the next round several times over.
   Milliseconds reservation_term{2500};
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -19,6 +19,10 @@
 // one failure takes the worker out again.
 constexpr std::chrono::seconds kQuarantine{6};
 
+constexpr int kWholeWork = 100;
+// With less done, what is left cannot be told from the time that it took.
+constexpr int kTellingPercent = 5;
+
 RunEndReport Settled(const TrackedRun& run, RunEnd end) {
   return {0, run.task, run.run, end, run.checkpoint};
 }
@@ -32,6 +36,15 @@
   return now - from;
 }
 
+Duration TrackedRun::remaining(Time now) const {
+  if (stage != RunStage::kRunning || percent < kTellingPercent) {
+    return Duration::max();
+  }
+  const Duration spent = progressed - began;
+  const Duration left = spent * (kWholeWork - percent) / percent;
+  return std::max(left - (now - progressed), Duration::zero());
+}
+
 WorkerTracker::WorkerTracker(WorkerRegistration registration)
     : registration_(std::move(registration)) {
   clock_ = registration_.clock;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -39,6 +39,8 @@
   bool gang = false;
   bool long_running = false;
   std::string account;
+  // Elsewhere it takes several times as long; "" for no such rack.
+  std::string data_rack;
   Milliseconds estimate{0};
 };
 
@@ -67,6 +69,9 @@
 
   // Work that would be lost with it, from its last checkpoint on.
   Duration unsaved(Time now) const;
+  // Until it ends, going by its progress so far; Duration::max() when that
+  // tells nothing yet.
+  Duration remaining(Time now) const;
 };
 
 enum class StartOutcome {
@@ -146,6 +151,9 @@
   void OnRunStalled(Time now);
   bool Quarantined(Time now) const { return now < quarantined_until_; }
   bool suspect() const { return failures_ > 0; }
+  // Against a sound worker: 1; set from the progress of its tasks.
+  double speed() const { return speed_; }
+  void set_speed(double speed) { speed_ = speed; }
 
  private:
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
@@ -169,6 +177,7 @@
   int failures_ = 0;
   std::string last_failed_job_;
   Time quarantined_until_{};
+  double speed_ = 1;
 };
 
 }  // namespace thornplank
