--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -131,6 +131,7 @@
   order.checkpoint = checkpoint;
   order.deadline = tracker->DeadlineIn(settings_.start_term, now);
   order.epoch = settings_.epoch;
+  tracked->resumed = !checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
   ++counts_.starts;
   const WorkerAddress address{worker, tracker->registration().address};
@@ -433,8 +434,8 @@
   for (const auto& [task, run] : tracker->runs()) {
     if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
     // Standing at the end says nothing of how long it took to get there.
-    if (run.percent >= kWholeWork) continue;
-    speeds_.Observe(tracker->id(), task.step, run.percent, now - run.began,
+    if (run.percent >= kWholeWork || run.rate() <= 0) continue;
+    speeds_.Observe(tracker->id(), task.step, run.rate(),
                     Slowdown(*tracker, run), now);
   }
   tracker->set_speed(speeds_.speed(tracker->id(), now));
--- a/src/libs/workload/speed_book.cc
+++ b/src/libs/workload/speed_book.cc
@@ -7,9 +7,6 @@
 namespace thornplank {
 namespace {
 
-// Below it, percentages are too coarse to compare.
-constexpr double kMinPercent = 2;
-constexpr Milliseconds kMinElapsed{400};
 // Spells of slowness last 5 to 7 s; a worker without new evidence for as long
 // counts as sound again.
 constexpr std::chrono::seconds kEvidenceLasts{6};
@@ -32,15 +29,10 @@
 }
 
 void SpeedBook::Observe(const std::string& worker, const StepRef& step,
-                        double percent, Duration elapsed, double slowdown,
-                        Time now) {
-  if (elapsed < kMinElapsed) return;
-  const double seconds = std::chrono::duration<double>(elapsed).count();
-  const bool coarse = percent < kMinPercent;
+                        double rate, double slowdown, Time now) {
   Step& siblings = steps_[step];
   siblings.last = now;
-  siblings.rates[worker] =
-      (coarse ? kMinPercent / 2 : percent) / seconds * slowdown;
+  siblings.rates[worker] = rate * slowdown;
   const double sound = SoundRate(siblings);
   if (sound <= 0) return;
   const double ratio = siblings.rates[worker] / sound;
--- a/src/libs/workload/speed_book.h
+++ b/src/libs/workload/speed_book.h
@@ -16,10 +16,10 @@
 
 class SpeedBook {
  public:
-  // A task of `step` on `worker` has done `percent` of its work in `elapsed`,
+  // A task of `step` on `worker` does `rate` percent a second, which takes
   // `slowdown` times longer than near its data. The worker's speed follows.
-  void Observe(const std::string& worker, const StepRef& step, double percent,
-               Duration elapsed, double slowdown, Time now);
+  void Observe(const std::string& worker, const StepRef& step, double rate,
+               double slowdown, Time now);
   // 1 for a sound worker or one of which nothing is known.
   double speed(const std::string& worker, Time now) const;
   // How long a whole task of the step takes on a sound worker near its data;
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -20,8 +20,8 @@
 constexpr std::chrono::seconds kQuarantine{6};
 
 constexpr int kWholeWork = 100;
-// With less done, what is left cannot be told from the time that it took.
-constexpr int kTellingPercent = 5;
+// With less done, a rate is too coarse to go by.
+constexpr int kTellingPercent = 3;
 
 RunEndReport Settled(const TrackedRun& run, RunEnd end) {
   return {0, run.task, run.run, end, run.checkpoint};
@@ -36,12 +36,19 @@
   return now - from;
 }
 
+double TrackedRun::rate() const {
+  const int done = percent - baseline_percent;
+  if (!baseline || done < kTellingPercent) return 0;
+  const double seconds =
+      std::chrono::duration<double>(progressed - *baseline).count();
+  return seconds > 0 ? done / seconds : 0;
+}
+
 Duration TrackedRun::remaining(Time now) const {
-  if (stage != RunStage::kRunning || percent < kTellingPercent) {
-    return Duration::max();
-  }
-  const Duration spent = progressed - began;
-  const Duration left = spent * (kWholeWork - percent) / percent;
+  const double speed = rate();
+  if (stage != RunStage::kRunning || speed <= 0) return Duration::max();
+  const auto left = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>((kWholeWork - percent) / speed));
   return std::max(left - (now - progressed), Duration::zero());
 }
 
@@ -119,6 +126,7 @@
       tracked.since = now;
       tracked.began = now;
       tracked.progressed = now;
+      if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
       if (tracked.stage == RunStage::kSending) {
@@ -171,18 +179,7 @@
       unexpected->push_back(running);
       continue;
     }
-    if (tracked->stage != RunStage::kRunning) {
-      tracked->stage = RunStage::kRunning;
-      tracked->since = now;
-      tracked->began = now;
-      tracked->progressed = now;
-    }
-    if (running.percent != tracked->percent) tracked->progressed = now;
-    tracked->percent = running.percent;
-    if (running.checkpoint != tracked->checkpoint) {
-      tracked->checkpoint = running.checkpoint;
-      tracked->checkpointed = now;
-    }
+    Progress(tracked, running, now);
   }
   synchronized_ = true;
   for (auto it = runs_.begin(); it != runs_.end();) {
@@ -195,6 +192,25 @@
   return ended;
 }
 
+void WorkerTracker::Progress(TrackedRun* run, const RunReport& report,
+                             Time now) {
+  if (run->stage != RunStage::kRunning) {
+    run->stage = RunStage::kRunning;
+    run->since = now;
+    run->began = now;
+    run->progressed = now;
+  }
+  if (report.percent != run->percent) run->progressed = now;
+  run->percent = report.percent;
+  if (!run->baseline) {
+    run->baseline = now;
+    run->baseline_percent = report.percent;
+  }
+  if (report.checkpoint == run->checkpoint) return;
+  run->checkpoint = report.checkpoint;
+  run->checkpointed = now;
+}
+
 bool WorkerTracker::IsSettledByAbsence(const TrackedRun& run, Time sent,
                                        Milliseconds clock) const {
   if (run.stop_acknowledged && *run.stop_acknowledged <= sent) return true;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -56,6 +56,12 @@
   int percent = 0;
   // When its percentage last moved.
   Time progressed{};
+  // Where its progress is measured from: its start, or the first report of one
+  // that resumed or that was taken over.
+  int baseline_percent = 0;
+  std::optional<Time> baseline;
+  // Begins with a checkpoint, so that its first percentage is not its own work.
+  bool resumed = false;
   std::string checkpoint;
   // When its checkpoint last changed.
   Time checkpointed{};
@@ -69,8 +75,9 @@
 
   // Work that would be lost with it, from its last checkpoint on.
   Duration unsaved(Time now) const;
-  // Until it ends, going by its progress so far; Duration::max() when that
-  // tells nothing yet.
+  // Percent a second since the baseline; zero when that tells nothing yet.
+  double rate() const;
+  // Until it ends at that rate; Duration::max() when it tells nothing yet.
   Duration remaining(Time now) const;
 };
 
@@ -156,6 +163,7 @@
   void set_speed(double speed) { speed_ = speed; }
 
  private:
+  void Progress(TrackedRun* run, const RunReport& report, Time now);
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
   bool IsSettledByAbsence(const TrackedRun& run, Time sent,
                           Milliseconds clock) const;
