Claim the lead from an earlier life at once, notice a silent store sooner

Ruled out: shorter silence than 2.0 s: a slowed store answers in 0.5 s, and two heartbeats must fit.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -43,6 +43,10 @@
 // The platform takes an entry out after two probes, a second apart; until then
 // new connections still come and are answered.
 constexpr Milliseconds kStopListeningAfter{2300};
+constexpr Milliseconds kRefreshTimeout{500};
+// An idle board is read as often as a busy one, so that the store's silence is
+// noticed before callers wait for it in vain.
+constexpr Milliseconds kBoardWait{400};
 // For the record with which the lead is given back.
 constexpr Milliseconds kReleaseTimeout{700};
 // How much the instance's size and how much chance decides who leads first.
@@ -159,6 +163,7 @@
   static RecordTailSettings BoardTail() {
     RecordTailSettings settings;
     settings.partition = {kJobStream, kBoardPartition};
+    settings.wait = kBoardWait;
     settings.pace = kFollowerPace;
     return settings;
   }
@@ -266,6 +271,9 @@
     };
     surroundings.board_next = [this] { return board_tail_.next(); };
     surroundings.board_as_of = [this] { return board_tail_.as_of(); };
+    surroundings.refresh_board = [this] {
+      board_tail_.CatchUp(kRefreshTimeout, [](bool) {});
+    };
     return surroundings;
   }
 
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -27,8 +27,9 @@
   // A configuration that was confirmed longer ago may have lost keys since, so
   // calls with a key are refused. Below the bound on revocation (5 s).
   Milliseconds configuration_age{4200};
-  // Without the store for this long a call is refused at once.
-  Milliseconds store_age{2600};
+  // Without the store for this long a call is refused at once. The board is
+  // read twice a second, and an answer of a slowed store takes 0.3 s.
+  Milliseconds store_age{1500};
   // One append. A lost answer is settled by repeating it, which is idempotent.
   Milliseconds append_timeout{650};
   int append_tries = 2;
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -43,7 +43,7 @@
       settings_(std::move(settings)),
       surroundings_(std::move(surroundings)),
       first_sequence_(FirstSequence(settings_.holder)),
-      election_(LeaderElectionSettings(), settings_.rank),
+      election_(LeaderElectionSettings(), settings_.holder, settings_.rank),
       planner_(PlannerSettings()),
       tick_timer_(io),
       planning_timer_(io),
@@ -131,8 +131,10 @@
   if (result.outcome == StoreOutcome::kStored) return BeginLead(epoch);
   LogEvent(events::kLeadRefused, result.error, {{"epoch", epoch}});
   phase_ = Phase::kFollowing;
-  // An unknown claim that was stored shows in the board.
+  // An unknown claim that was stored shows in the board, and so does the one
+  // that was faster.
   next_claim_ = Now() + kClaimRetry;
+  surroundings_.refresh_board();
 }
 
 void ClusterCoordinator::BeginLead(int64_t epoch) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -67,6 +67,8 @@
     // Offset behind the last record of the board that was folded.
     std::function<int64_t()> board_next;
     std::function<BootTime()> board_as_of;
+    // Reads the board at once, outside its pace.
+    std::function<void()> refresh_board;
   };
 
   ClusterCoordinator(boost::asio::io_context& io, RecordStore& store,
--- a/src/libs/coordination/leader_election.h
+++ b/src/libs/coordination/leader_election.h
@@ -15,10 +15,10 @@
 
 struct LeaderElectionSettings {
   // A leader writes at least this often.
-  Milliseconds heartbeat{700};
-  // Silence after which it is replaced: three heartbeats and the longest call
-  // of a store that is slowed 50 times.
-  Milliseconds silence{2300};
+  Milliseconds heartbeat{600};
+  // Silence after which it is replaced: two heartbeats, the longest call of a
+  // store that is slowed 50 times, and a follower's pace of reading.
+  Milliseconds silence{2000};
   // Contact with the store that is broken for longer proves nothing about the
   // leader: its silence counts anew.
   Milliseconds contact_gap{1600};
@@ -28,8 +28,10 @@
 
 class LeaderElection {
  public:
-  // `rank`: 0 for the entry that should lead first, up to 1.
-  LeaderElection(LeaderElectionSettings settings, double rank);
+  // `holder`: this instance and life, "instance/life". `rank`: 0 for the entry
+  // that should lead first, up to 1.
+  LeaderElection(LeaderElectionSettings settings, std::string holder,
+                 double rank);
 
   // The stream was read up to its end.
   void OnContact(Time now);
@@ -39,7 +41,11 @@
   const LeaderElectionSettings& settings() const { return settings_; }
 
  private:
+  // Whether the leader is an earlier life of this instance, and so over.
+  bool IsFormerSelf(const LeaderRecord& leader) const;
+
   const LeaderElectionSettings settings_;
+  const std::string holder_;
   const Milliseconds delay_;
   // Since when the leader, or the lack of one, has been observed in silence.
   Time quiet_since_{};
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -134,6 +134,7 @@
     };
     surroundings.board_next = [this] { return tail_.next(); };
     surroundings.board_as_of = [this] { return tail_.as_of(); };
+    surroundings.refresh_board = [] {};
     return surroundings;
   }
 
--- a/tests/auto/coordination/tst_leader_election.cc
+++ b/tests/auto/coordination/tst_leader_election.cc
@@ -13,6 +13,8 @@
 const LeaderRecord kNobody;
 const LeaderRecord kHeld{"a", 3, false};
 const LeaderRecord kReleased{"a", 3, true};
+const LeaderRecord kFormerSelf{"me/1", 3, false};
+const LeaderRecord kLikeNamed{"me-too/1", 3, false};
 
 TEST_CASE("a claim waits for a silence that was observed") {
   struct Row {
@@ -33,12 +35,14 @@
       {"the leader writes", kHeld, 0, {0, 1000, 2000}, 1900, 2100, false},
       {"the leader is silent", kHeld, 0, {0, 1000, 2000, 2400}, 0, 2450, true},
       {"the lead was given back", kReleased, 0, {0, 1000}, 1000, 1001, true},
+      {"an earlier life of its own led", kFormerSelf, 1, {0}, -1, 10, true},
+      {"one of a like name leads", kLikeNamed, 0, {0}, -1, 10, false},
       {"the store was away as long", kHeld, 0, {0, 2400}, 0, 2450, false},
       {"the store is away now", kHeld, 0, {0, 1000}, 0, 4000, false},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
-    LeaderElection election(LeaderElectionSettings(), row.rank);
+    LeaderElection election(LeaderElectionSettings(), "me/2", row.rank);
     size_t next = 0;
     const auto contact_until = [&](int64_t time) {
       while (next < row.contacts.size() && row.contacts[next] <= time) {
