Judge a leader's silence by the store's latency

Ruled out: a shorter fixed silence: a store slowed 60 times would see its leader replaced at each slow answer.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -184,7 +184,7 @@
     handlers.on_current = [this] {
       board_tail_.set_pace(coordinator_.leading() ? Milliseconds(0)
                                                   : kFollowerPace);
-      coordinator_.OnBoardContact();
+      coordinator_.OnBoardContact(board_tail_.latency());
       NoteStore(std::nullopt);
     };
     handlers.on_failure = [this](const Error& error) { NoteStore(error); };
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -77,7 +77,9 @@
   });
 }
 
-void ClusterCoordinator::OnBoardContact() { election_.OnContact(Now()); }
+void ClusterCoordinator::OnBoardContact(Duration latency) {
+  election_.OnContact(latency, Now());
+}
 
 void ClusterCoordinator::OnBoardChange(const BoardChange& change) {
   switch (change.kind) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -80,8 +80,8 @@
   void Start();
   // After the board has folded a record.
   void OnBoardChange(const BoardChange& change);
-  // The board was read up to its end.
-  void OnBoardContact();
+  // The board was read up to its end by a store that takes `latency`.
+  void OnBoardContact(Duration latency);
   // Gives the lead back, if it is held; `done` runs when that is stored or
   // `timeout` has passed. It takes no lead afterwards.
   void Release(Milliseconds timeout, std::function<void()> done);
--- a/src/libs/coordination/leader_election.cc
+++ b/src/libs/coordination/leader_election.cc
@@ -18,7 +18,8 @@
       delay_(static_cast<int64_t>(
           std::lround(rank * static_cast<double>(settings.spread.count())))) {}
 
-void LeaderElection::OnContact(Time now) {
+void LeaderElection::OnContact(Duration latency, Time now) {
+  latency_ = latency;
   if (!has_contact_ || now - contact_ > settings_.contact_gap) {
     quiet_since_ = now;
   }
@@ -42,7 +43,8 @@
   if (IsFormerSelf(leader)) return true;
   const bool vacant = leader.holder.empty() || leader.released;
   const Duration silence =
-      vacant ? Duration::zero() : Duration(settings_.silence);
+      vacant ? Duration::zero()
+             : settings_.silence + latency_ * settings_.silence_per_latency;
   return now - quiet_since_ >= silence + delay_;
 }
 
--- a/src/libs/coordination/leader_election.h
+++ b/src/libs/coordination/leader_election.h
@@ -15,15 +15,18 @@
 
 struct LeaderElectionSettings {
   // A leader writes at least this often.
-  Milliseconds heartbeat{600};
-  // Silence after which it is replaced: two heartbeats, the longest call of a
-  // store that is slowed 50 times, and a follower's pace of reading.
-  Milliseconds silence{2000};
+  Milliseconds heartbeat{350};
+  // Silence after which it is replaced while the store answers at once: two
+  // heartbeats and a follower's pace of reading. Urgent jobs wait for it.
+  Milliseconds silence{1300};
+  // How much longer for each millisecond that the store takes to answer: the
+  // leader's append, the heartbeat behind it, and the follower's read.
+  int silence_per_latency = 4;
   // Contact with the store that is broken for longer proves nothing about the
   // leader: its silence counts anew.
   Milliseconds contact_gap{1600};
   // Entries wait apart, the largest first, so that one claim is enough.
-  Milliseconds spread{500};
+  Milliseconds spread{250};
 };
 
 class LeaderElection {
@@ -33,8 +36,8 @@
   LeaderElection(LeaderElectionSettings settings, std::string holder,
                  double rank);
 
-  // The stream was read up to its end.
-  void OnContact(Time now);
+  // The stream was read up to its end by a store that takes `latency`.
+  void OnContact(Duration latency, Time now);
   void OnLeaderRecord(const LeaderRecord& leader, Time now);
 
   bool ShouldClaim(const LeaderRecord& leader, Time now) const;
@@ -50,6 +53,7 @@
   // Since when the leader, or the lack of one, has been observed in silence.
   Time quiet_since_{};
   Time contact_{};
+  Duration latency_{};
   bool has_contact_ = false;
 };
 
--- a/src/libs/coordination/record_tail.cc
+++ b/src/libs/coordination/record_tail.cc
@@ -39,6 +39,7 @@
   bool started() const { return started_; }
   int64_t next() const { return next_; }
   BootTime as_of() const { return as_of_; }
+  Duration latency() const { return latency_; }
   void set_pace(Milliseconds pace) { settings_.pace = pace; }
 
  private:
@@ -96,13 +97,24 @@
       handlers_.on_failure(result.error);
       return After(settings_.retry, [this] { Poll(); });
     }
-    Take(result, begun);
     const auto used = std::chrono::duration_cast<Milliseconds>(
         std::chrono::steady_clock::now() - started);
+    NoteLatency(used, result.records.empty());
+    Take(result, begun);
     if (used >= settings_.pace) return Poll();
     After(settings_.pace - used, [this] { Poll(); });
   }
 
+  // A read that brought a record may have waited for it, so it tells only that
+  // the store takes no longer.
+  void NoteLatency(Duration used, bool waited) {
+    if (waited) {
+      latency_ = std::max(used - settings_.wait, Duration::zero());
+    } else {
+      latency_ = std::min(latency_, used);
+    }
+  }
+
   // Reads may overlap: records behind `next_` only.
   void Take(const ReadResult& result, BootTime begun) {
     for (const KeyedRecord& record : result.records) {
@@ -131,6 +143,7 @@
   bool started_ = false;
   int64_t next_ = 0;
   BootTime as_of_{};
+  Duration latency_{};
   std::set<std::string> snapshot_keys_;
   std::optional<int64_t> snapshot_end_;
   BootTime snapshot_begun_{};
@@ -149,6 +162,7 @@
 bool RecordTail::started() const { return impl_->started(); }
 int64_t RecordTail::next() const { return impl_->next(); }
 BootTime RecordTail::as_of() const { return impl_->as_of(); }
+Duration RecordTail::latency() const { return impl_->latency(); }
 void RecordTail::set_pace(Milliseconds pace) { impl_->set_pace(pace); }
 
 }  // namespace thornplank
--- a/src/libs/coordination/record_tail.h
+++ b/src/libs/coordination/record_tail.h
@@ -54,6 +54,8 @@
   int64_t next() const;
   // When the last read began that reached the end.
   BootTime as_of() const;
+  // How long the store takes to answer, beyond what a read waits for a record.
+  Duration latency() const;
   void set_pace(Milliseconds pace);
 
  private:
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -122,7 +122,9 @@
       coordinator_.OnBoardChange(board_.Apply(record));
     };
     handlers.on_snapshot = [](const std::set<std::string>&) {};
-    handlers.on_current = [this] { coordinator_.OnBoardContact(); };
+    handlers.on_current = [this] {
+      coordinator_.OnBoardContact(tail_.latency());
+    };
     handlers.on_failure = [](const Error&) {};
     return handlers;
   }
--- a/tests/auto/coordination/tst_leader_election.cc
+++ b/tests/auto/coordination/tst_leader_election.cc
@@ -26,6 +26,7 @@
     int64_t leader_heard;
     int64_t now;
     bool claims;
+    int64_t latency = 0;
   };
   const std::vector<Row> rows = {
       {"no contact yet", kNobody, 0, {}, -1, 5000, false},
@@ -33,7 +34,30 @@
       {"nobody leads, others go first", kNobody, 1, {0}, -1, 10, false},
       {"nobody leads, the others did not", kNobody, 1, {0, 500}, -1, 510, true},
       {"the leader writes", kHeld, 0, {0, 1000, 2000}, 1900, 2100, false},
-      {"the leader is silent", kHeld, 0, {0, 1000, 2000, 2400}, 0, 2450, true},
+      {"the leader is silent", kHeld, 0, {0, 1000, 1300}, 0, 1350, true},
+      {"the leader is silent, not for long",
+       kHeld,
+       0,
+       {0, 1000},
+       0,
+       1250,
+       false},
+      {"the leader of a slow store",
+       kHeld,
+       0,
+       {0, 1000, 2000},
+       0,
+       2100,
+       false,
+       250},
+      {"the silent leader of a slow store",
+       kHeld,
+       0,
+       {0, 1000, 2000, 2400},
+       0,
+       2450,
+       true,
+       250},
       {"the lead was given back", kReleased, 0, {0, 1000}, 1000, 1001, true},
       {"an earlier life of its own led", kFormerSelf, 1, {0}, -1, 10, true},
       {"one of a like name leads", kLikeNamed, 0, {0}, -1, 10, false},
@@ -46,7 +70,7 @@
     size_t next = 0;
     const auto contact_until = [&](int64_t time) {
       while (next < row.contacts.size() && row.contacts[next] <= time) {
-        election.OnContact(At(row.contacts[next++]));
+        election.OnContact(Milliseconds(row.latency), At(row.contacts[next++]));
       }
     };
     if (row.leader_heard >= 0) {
