Trust a worker again only by runs that began after its failure

Change: a run clears its worker only if it began after the last failure; a task that has failed is not tried on workers under suspicion while most are trusted.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -138,7 +138,8 @@
              {{"in_flight", caller_server_.requests_in_flight()},
               {"leading", coordinator_.leading()}});
     coordinator_.Release(kReleaseTimeout, [] {});
-    stop_timer_.expires_after(kStopListeningAfter);
+    stop_timer_.expires_after(
+        std::min(kStopListeningAfter, settings_.stop_grace / 2));
     stop_timer_.async_wait(
         [this, done = std::move(done)](const boost::system::error_code&) {
           caller_server_.Drain([done] {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -351,7 +351,7 @@
       if (end.end == RunEnd::kFailed) {
         tracker->OnRunFailed(end.task.step.job, Now());
       }
-      if (end.end == RunEnd::kDone) tracker->OnRunDone();
+      if (end.end == RunEnd::kDone) tracker->OnRunDone(end.began);
     }
     handlers_.on_end(id, end);
   }
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -95,6 +95,8 @@
     const StepSpec* spec = nullptr;
     const StepProgress* progress = nullptr;
     int lateness = 0;
+    // Another failure may end the job.
+    bool failed_before = false;
     std::vector<int> waiting;
 
     bool urgent() const { return job->spec.policy.priority == 0; }
@@ -124,6 +126,7 @@
       total_accelerators_ += total;
       used_accelerators_ += total - room.room.accelerators;
       if (room.usable) ++usable_workers_;
+      if (room.usable && tracker.suspect()) ++suspects_;
       if (room.usable && room.IsEmpty()) ++empty_workers_;
       index_[id] = rooms_.size();
       rooms_.push_back(room);
@@ -190,6 +193,8 @@
       if (step.urgent()) planner_.last_urgent_ = inputs_.now;
       for (size_t t = 0; t < progress.tasks.size(); ++t) {
         if (progress.tasks[t].phase != TaskPhase::kWaiting) continue;
+        step.failed_before =
+            step.failed_before || progress.tasks[t].failures > 0;
         step.waiting.push_back(static_cast<int>(t));
       }
       steps_.push_back(std::move(step));
@@ -247,6 +252,9 @@
     if (!room.usable) return false;
     const WorkerRegistration& worker = room.tracker->registration();
     if (worker.service != step.job->spec.policy.service) return false;
+    if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
+      return false;
+    }
     const std::string& label = step.spec->required_label;
     if (!label.empty() && std::find(worker.labels.begin(), worker.labels.end(),
                                     label) == worker.labels.end()) {
@@ -255,6 +263,8 @@
     return true;
   }
 
+  bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
+
   // Whether the step has waited long enough to run away from its data.
   bool MayLeaveRack(const OpenStep& step) const {
     const auto waited = std::chrono::duration_cast<Milliseconds>(
@@ -612,6 +622,7 @@
   // Accelerators in use by urgent runs, by account.
   std::map<std::string, int64_t> urgent_use_;
   int64_t usable_workers_ = 0;
+  int64_t suspects_ = 0;
   int64_t empty_workers_ = 0;
   int64_t total_accelerators_ = 0;
   int64_t used_accelerators_ = 0;
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -48,6 +48,9 @@
   int run = 0;
   RunEnd end = RunEnd::kLost;
   std::string checkpoint;
+  // When it was first seen at work, by this process's clock; filled in by the
+  // tracker.
+  Time began{};
 };
 
 struct WorkerStatusReport {
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -170,7 +170,9 @@
     processed_ends_ = end.number;
     ended.push_back(end);
     const auto it = runs_.find(end.task);
-    if (it != runs_.end() && it->second.run <= end.run) Erase(it);
+    if (it == runs_.end() || it->second.run > end.run) continue;
+    ended.back().began = it->second.began;
+    Erase(it);
   }
   for (const RunReport& running : report.running) {
     present.insert(running.task);
@@ -245,6 +247,7 @@
 }
 
 void WorkerTracker::OnRunFailed(const std::string& job, Time now) {
+  last_failure_ = now;
   if (job == last_failed_job_) return;
   last_failed_job_ = job;
   ++failures_;
@@ -253,13 +256,15 @@
   }
 }
 
-void WorkerTracker::OnRunDone() {
+void WorkerTracker::OnRunDone(Time began) {
+  if (began < last_failure_) return;
   failures_ = 0;
   last_failed_job_.clear();
 }
 
 void WorkerTracker::OnRunStalled(Time now) {
   failures_ = std::max(failures_ + 1, kFailuresToQuarantine);
+  last_failure_ = now;
   quarantined_until_ = now + kQuarantine;
 }
 
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -154,7 +154,9 @@
 
   // Failures that speak against the worker rather than against its tasks.
   void OnRunFailed(const std::string& job, Time now);
-  void OnRunDone();
+  // A run that began before the last failure proves nothing: a worker that
+  // begins to fail what it starts still ends well what it had started.
+  void OnRunDone(Time began);
   void OnRunStalled(Time now);
   bool Quarantined(Time now) const { return now < quarantined_until_; }
   bool suspect() const { return failures_ > 0; }
@@ -184,6 +186,7 @@
   // Runs that failed here since the last that was done, by distinct jobs.
   int failures_ = 0;
   std::string last_failed_job_;
+  Time last_failure_{};
   Time quarantined_until_{};
   double speed_ = 1;
 };
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -200,6 +200,26 @@
   }
 }
 
+TEST_CASE("a task that has failed is not tried where runs fail") {
+  World world(1, 3);
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+  const Plan first = world.Round();
+  REQUIRE(first.starts.size() == 1);
+  const std::string bad = first.starts[0].assignments[0].worker;
+  world.End(bad, {{Id(1), 0, 0}, 0}, RunEnd::kFailed);
+  world.workers.at(bad).OnRunFailed(Id(1), world.now);
+  // Only the worker that failed it has room.
+  for (auto& [id, worker] : world.workers) {
+    if (id == bad) continue;
+    RunProfile all;
+    all.need = worker.room();
+    worker.Add({{Id(9), 0, 0}, 0}, 1, all, world.now);
+  }
+  CHECK(world.Round().starts.empty());
+  world.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), world.now);
+  CHECK(world.Round().starts.size() == 1);
+}
+
 TEST_CASE("small tasks fill gaps and leave whole workers free") {
   World world(1, 3);
   world.ledger.Add(MakeJob(Id(1), {MakeStep(3, 2)}), world.now);
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -174,8 +174,14 @@
   tracker.OnRunFailed("job2", At(30));
   CHECK(tracker.Quarantined(At(40)));
   CHECK_FALSE(tracker.Quarantined(At(40 + 6000)));
-  tracker.OnRunDone();
-  CHECK_FALSE(tracker.suspect());
+  SUBCASE("a run that began after the failure clears it") {
+    tracker.OnRunDone(At(31));
+    CHECK_FALSE(tracker.suspect());
+  }
+  SUBCASE("a run that began before proves nothing") {
+    tracker.OnRunDone(At(29));
+    CHECK(tracker.suspect());
+  }
 }
 
 TEST_CASE("runs that nobody decided on are reported") {
