--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -293,10 +293,10 @@
 
   void AddGauges() {
     AddProcessMetrics(metrics_);
-    metrics_.AddGauge("thornplank_leading", "1 while this entry leads.", {},
+    metrics_.AddGauge("thornplank_is_leader", "1 while this entry leads.", {},
                       [this] { return coordinator_.leading() ? 1.0 : 0.0; });
     metrics_.AddGauge(
-        "thornplank_epoch", "The last epoch led by this entry.", {},
+        "thornplank_lead_epoch", "The last epoch led by this entry.", {},
         [this] { return static_cast<double>(coordinator_.epoch()); });
     metrics_.AddGauge(
         "thornplank_jobs_known", "Jobs on the board, ended ones included.", {},
