--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -81,8 +81,7 @@
 class HostedProcess::Impl {
  public:
   Impl(boost::asio::io_context& io, HostedSettings settings)
-      : io_(io),
-        settings_(std::move(settings)),
+      : settings_(std::move(settings)),
         client_(io, HttpClientLimits()),
         store_(client_, settings_.store_address),
         executors_(client_),
@@ -321,7 +320,6 @@
     });
   }
 
-  boost::asio::io_context& io_;
   HostedSettings settings_;
   MetricsRegistry metrics_;
   HttpClient client_;
--- a/src/libs/base/boot_clock.h
+++ b/src/libs/base/boot_clock.h
@@ -15,7 +15,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now();
 };
--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -190,8 +190,8 @@
 void CallerService::LookAgain(const std::shared_ptr<Call>& call) {
   surroundings_.board_tail->CatchUp(settings_.look_timeout,
                                     [this, alive = alive_, call](bool) {
-                                      if (*alive)
-                                        ShowState(call, /*caught_up=*/true);
+                                      if (!*alive) return;
+                                      ShowState(call, /*caught_up=*/true);
                                     });
 }
 
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -230,9 +230,9 @@
                    [&] { return other.state(kJob) == JobState::kCompleted; }));
   const auto done = cluster.DoneRuns();
   CHECK(done.size() == 8);
-  for (const auto& [task, runs] : done) {
-    CAPTURE(task);
-    CHECK(runs == 1);
+  for (const auto& entry : done) {
+    CAPTURE(entry.first);
+    CHECK(entry.second == 1);
   }
 }
 
@@ -255,9 +255,9 @@
     REQUIRE(RunUntil(cluster.io, [&] {
       return successor.state(kJob) == JobState::kCompleted;
     }));
-    for (const auto& [task, runs] : cluster.DoneRuns()) {
-      CAPTURE(task);
-      CHECK(runs == 1);
+    for (const auto& entry : cluster.DoneRuns()) {
+      CAPTURE(entry.first);
+      CHECK(entry.second == 1);
     }
   }
 }
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -168,6 +168,26 @@
   }
 }
 
+TEST_CASE("an entry without the store takes no key that may be gone") {
+  Scenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  const TestJob job = scenario.Submit(1, {Step(1, 1)}, 50);
+  REQUIRE(HostedCluster::Eventually(
+      [&] { return cluster.State(0, job) == "completed"; }));
+  REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", true}}));
+  REQUIRE(cluster.PublishConfiguration(/*keyed=*/false));
+  // The bound on revocation has passed, and the entry cannot know of it.
+  HostedCluster::Eventually([] { return false; }, std::chrono::seconds(5));
+  const auto answer = cluster.Call(
+      0, "GET", HostedCluster::PrefixOf(1) + job.id, "", HostedCluster::Key());
+  REQUIRE(answer.has_value());
+  CHECK(answer->status == 503);
+  CHECK(answer->headers.Has("Retry-After"));
+  REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", false}}));
+  CHECK(
+      HostedCluster::Eventually([&] { return cluster.Submit(0, job) == 401; }));
+}
+
 TEST_CASE("jobs go on and none runs twice whatever is lost") {
   struct Row {
     const char* name;
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -112,7 +112,10 @@
     return Hold(exchange, query, std::chrono::steady_clock::now() + wait);
   }
   if (!late) return exchange->Answer(Order(path, body));
-  RunAfter(executor(), late_by_, [this, path, body] { Order(path, body); });
+  // What is on its way to a life ends with it.
+  RunAfter(executor(), late_by_, [this, path, body, life = model_.id()] {
+    if (life == model_.id()) Order(path, body);
+  });
 }
 
 Reply UsersExecutorRole::Order(const std::string& path, const Json& body) {
@@ -151,9 +154,11 @@
   const bool ready = model_.HasEndBehind(query.recorded_ends, Clock()) ||
                      std::chrono::steady_clock::now() >= until;
   if (ready) return exchange->Answer(JsonReply(ReportBody(report)));
-  RunAfter(executor(), kHoldTick, [this, exchange, query, until] {
-    if (!silent_) Hold(exchange, query, until);
-  });
+  RunAfter(executor(), kHoldTick,
+           [this, exchange, query, until, life = model_.id()] {
+             if (silent_ || life != model_.id()) return;
+             Hold(exchange, query, until);
+           });
 }
 
 Json UsersExecutorRole::ControlState() {
