Forget a worker's life that is proved to be over

Ruled out: waiting for the directory: it may list a dead life for 4.5 s, and for as long as the store is away. Change: a life that another one answered for is forgotten and not taken up again.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -56,6 +56,7 @@
     return;
   }
   const std::string id = registration->id;
+  if (dead_.count(id) > 0) return;
   WorkerTracker* tracker = Find(id);
   links_[id].missing_since.reset();
   if (tracker == nullptr) {
@@ -154,6 +155,7 @@
           tracker->OnRunFailed(task.step.job, now);
         }
         if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
+        if (answer.outcome == StartOutcome::kOtherLife) return Bury(worker);
         Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
         Link& link = links_[worker];
         if (link.reporting && link.leased_until < now + kThinLease &&
@@ -269,8 +271,7 @@
     case CallOutcome::kFenced:
       return handlers_.on_fenced();
     case CallOutcome::kOtherLife:
-      Lose(id, "another life answers at its address");
-      return;
+      return Bury(id);
     case CallOutcome::kRefused:
     case CallOutcome::kNoAnswer:
       ++counts_.failed_calls;
@@ -441,6 +442,12 @@
   tracker->set_speed(speeds_.speed(tracker->id(), now));
 }
 
+void WorkerFleet::Bury(const std::string& id) {
+  if (!dead_.insert(id).second) return;
+  links_[id].missing_since = Now();
+  Lose(id, "another life answers at its address");
+}
+
 // True when the worker itself was forgotten.
 bool WorkerFleet::Lose(const std::string& id, const std::string& reason) {
   WorkerTracker* tracker = Find(id);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -117,6 +117,8 @@
   void SendStops(const std::string& id, Time now);
   void Deliver(const std::string& id, const std::vector<RunEndReport>& ends);
   void Judge(const std::string& id, Time now);
+  // Another life answers at its address: this one is over for good.
+  void Bury(const std::string& id);
   void JudgeRuns(WorkerTracker* tracker, Time now);
   // Why a run should be stopped, "" when it should go on.
   std::string ReasonToStop(const WorkerTracker& tracker, const TrackedRun& run,
@@ -132,6 +134,8 @@
   const Handlers handlers_;
   std::map<std::string, WorkerTracker> trackers_;
   std::map<std::string, Link> links_;
+  // Lives that are proved to be over; the directory may list them for a while.
+  std::set<std::string> dead_;
   bool may_renew_ = true;
   // Since when the directory has answered without a gap.
   Time contact_since_{};
--- /dev/null
+++ b/tests/auto/coordination/fake_formats.h
@@ -0,0 +1,37 @@
+// Formats without a wire: a worker's entry says nothing but its id.
+#ifndef THORNPLANK_TESTS_AUTO_COORDINATION_FAKE_FORMATS_H_
+#define THORNPLANK_TESTS_AUTO_COORDINATION_FAKE_FORMATS_H_
+
+#include <optional>
+#include <string>
+
+#include "../workload/workload_fixtures.h"
+#include "coordination/formats.h"
+
+namespace thornplank::testing {
+
+class FakeFormats : public Formats {
+ public:
+  PublishedStreams streams() const override {
+    return {{"keyed.op", 0}, "config", {"keyed.servers", 0}};
+  }
+  std::optional<ServingConfiguration> ReadConfiguration(const std::string&,
+                                                        Error*) const override {
+    return ServingConfiguration();
+  }
+  std::optional<WorkerRegistration> ReadWorker(const KeyedRecord& record,
+                                               Error*) const override {
+    return MakeWorker(record.key, "r1");
+  }
+  CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
+  std::optional<JobDefinition> ReadJob(const std::string&,
+                                       Error*) const override {
+    return std::nullopt;
+  }
+  HttpResponse JobStateResponse(JobState) const override { return {}; }
+  HttpResponse QueueLengthResponse(int64_t) const override { return {}; }
+};
+
+}  // namespace thornplank::testing
+
+#endif  // THORNPLANK_TESTS_AUTO_COORDINATION_FAKE_FORMATS_H_
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -9,6 +9,7 @@
 
 #include "../workload/workload_fixtures.h"
 #include "coordination/cluster_coordinator.h"
+#include "fake_formats.h"
 #include "standins/users_executor_model.h"
 #include "store_fixture.h"
 
@@ -61,28 +62,6 @@
   boost::asio::io_context& io_;
 };
 
-class FakeFormats : public Formats {
- public:
-  PublishedStreams streams() const override {
-    return {{"keyed.op", 0}, "config", kWorkers};
-  }
-  std::optional<ServingConfiguration> ReadConfiguration(const std::string&,
-                                                        Error*) const override {
-    return ServingConfiguration();
-  }
-  std::optional<WorkerRegistration> ReadWorker(const KeyedRecord& record,
-                                               Error*) const override {
-    return MakeWorker(record.key, "r1");
-  }
-  CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
-  std::optional<JobDefinition> ReadJob(const std::string&,
-                                       Error*) const override {
-    return std::nullopt;
-  }
-  HttpResponse JobStateResponse(JobState) const override { return {}; }
-  HttpResponse QueueLengthResponse(int64_t) const override { return {}; }
-};
-
 // One entry: its view of the board and its coordinator.
 class Entry {
  public:
--- /dev/null
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -0,0 +1,160 @@
+// Calls of workers: what each kind of answer does to the belief on a worker.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coordination/worker_fleet.h"
+#include "fake_formats.h"
+
+namespace thornplank::testing {
+namespace {
+
+const TaskRef kTask{{"0123456789abcdef", 0, 0}, 0};
+
+// Answers every call at once, as told.
+class ScriptedCalls : public WorkerCalls {
+ public:
+  void Start(const WorkerAddress&, const StartOrder&, Milliseconds,
+             std::function<void(const StartAnswer&)> done) override {
+    ++starts;
+    StartAnswer answer;
+    answer.outcome = start;
+    done(answer);
+  }
+  void Stop(const WorkerAddress&, const StopOrder&, Milliseconds,
+            std::function<void(CallOutcome, const Error&)> done) override {
+    ++stops;
+    done(stop, Error());
+  }
+  void Status(const WorkerAddress&, const StatusQuery& query, Milliseconds,
+              std::function<void(const StatusAnswer&)> done) override {
+    ++reports;
+    renewed = query.lease_until.has_value();
+    if (query.wait.count() > 0 && !answers_waiting) return;
+    StatusAnswer answer;
+    answer.outcome = status;
+    done(answer);
+  }
+
+  StartOutcome start = StartOutcome::kAccepted;
+  CallOutcome stop = CallOutcome::kOk;
+  CallOutcome status = CallOutcome::kOk;
+  // Whether reports that wait for an end are answered.
+  bool answers_waiting = false;
+  int starts = 0;
+  int stops = 0;
+  int reports = 0;
+  bool renewed = false;
+};
+
+class Fixture {
+ public:
+  Fixture() : fleet(calls, formats, WorkerFleetSettings(), MakeHandlers()) {
+    fleet.OnDirectoryRecord({"w1", "listed", 0}, Now());
+  }
+
+  static Time Now() { return std::chrono::steady_clock::now(); }
+
+  WorkerFleet::Handlers MakeHandlers() {
+    WorkerFleet::Handlers handlers;
+    handlers.on_end = [this](const std::string&, const RunEndReport& end) {
+      ends.push_back(end.end);
+    };
+    handlers.on_progress = [](const RunReport&) {};
+    handlers.profile_of = [](const TaskRef&) { return RunProfile(); };
+    handlers.on_change = [] {};
+    handlers.on_fenced = [this] { ++fenced; };
+    return handlers;
+  }
+
+  void Start() {
+    fleet.Add("w1", kTask, 1, RunProfile(), Now());
+    fleet.SendStart("w1", kTask, 1, "", "");
+  }
+
+  bool knows_worker() const { return fleet.trackers().count("w1") > 0; }
+
+  ScriptedCalls calls;
+  FakeFormats formats;
+  std::vector<RunEnd> ends;
+  int fenced = 0;
+  WorkerFleet fleet;
+};
+
+TEST_CASE("what the answer to a start does") {
+  struct Row {
+    const char* name;
+    StartOutcome answer;
+    // Ends as lost.
+    bool settled;
+    bool worker_known;
+    int fenced;
+  };
+  const std::vector<Row> rows = {
+      {"accepted", StartOutcome::kAccepted, false, true, 0},
+      {"refused", StartOutcome::kRefused, true, true, 0},
+      {"no answer", StartOutcome::kNoAnswer, false, true, 0},
+      {"fenced", StartOutcome::kFenced, true, true, 1},
+      {"another life", StartOutcome::kOtherLife, true, false, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.calls.start = row.answer;
+    fixture.Start();
+    CHECK(fixture.ends.size() == (row.settled ? 1 : 0));
+    CHECK(fixture.knows_worker() == row.worker_known);
+    CHECK(fixture.fenced == row.fenced);
+  }
+}
+
+TEST_CASE("a life that is over stays so, though it is still listed") {
+  Fixture fixture;
+  fixture.calls.start = StartOutcome::kOtherLife;
+  fixture.Start();
+  fixture.fleet.OnDirectoryRecord({"w1", "listed", 1}, Fixture::Now());
+  CHECK_FALSE(fixture.knows_worker());
+  fixture.fleet.OnDirectoryRecord({"w2", "listed", 2}, Fixture::Now());
+  CHECK(fixture.fleet.trackers().count("w2") == 1);
+}
+
+TEST_CASE("a worker that does not answer is asked on, but not renewed") {
+  Fixture fixture;
+  fixture.calls.status = CallOutcome::kNoAnswer;
+  fixture.calls.answers_waiting = true;
+  fixture.Start();
+  const int before = fixture.calls.reports;
+  Time now = Fixture::Now();
+  for (int i = 0; i < 5; ++i) {
+    now += Milliseconds(300);
+    fixture.fleet.Tick(now, /*may_renew=*/true);
+    // Only the first, before its silence showed.
+    CHECK(fixture.calls.renewed == (i == 0));
+  }
+  CHECK(fixture.calls.reports == before + 5);
+  CHECK(fixture.ends.empty());
+}
+
+TEST_CASE("nothing is started by one that may lead no more") {
+  Fixture fixture;
+  fixture.fleet.Tick(Fixture::Now(), /*may_renew=*/false);
+  fixture.Start();
+  CHECK(fixture.calls.starts == 0);
+  REQUIRE(fixture.ends.size() == 1);
+  CHECK(fixture.ends[0] == RunEnd::kLost);
+}
+
+TEST_CASE("a stop is sent for a run once, and again only without an end") {
+  Fixture fixture;
+  fixture.Start();
+  fixture.fleet.RequestStop("w1", kTask, 1, "test");
+  fixture.fleet.RequestStop("w1", kTask, 1, "test");
+  CHECK(fixture.calls.stops == 1);
+  fixture.fleet.Tick(Fixture::Now() + Milliseconds(200), /*may_renew=*/true);
+  CHECK(fixture.calls.stops == 1);
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -72,10 +72,11 @@
 
   // Waits until every job has ended, and checks every promise.
   void Finish() {
-    for (auto& [id, account] : jobs_) {
-      CAPTURE(id);
+    for (auto& entry : jobs_) {
+      JobAccount& account = entry.second;
+      CAPTURE(entry.first);
       CHECK(HostedCluster::Eventually(
-          [&, &account = account] {
+          [&] {
             account.final_state = cluster_.State(
                 next_++ % cluster_.settings().entries, account.job);
             return account.final_state == "completed" ||
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -19,6 +19,11 @@
 TEST_CASE("every promise holds under randomized faults") {
   const std::vector<Row> rows = {
       {20261202, 8, "never failed"},
+      {114, 12, "the stand-in carried a report over into a new life"},
+      {127, 12, "work went to a life that was proved to be over"},
+      {128, 12, "the stand-in carried a report over into a new life"},
+      {131, 12, "the stand-in carried a report over into a new life"},
+      {150, 12, "the stand-in carried a report over into a new life"},
   };
   for (const Row& row : rows) {
     CAPTURE(row.seed);
