Check that a successor takes runs over rather than beginning them again

Cause: with the taking over of runs removed, no test failed: the runs were stopped as unexpected and done once in the end. Ruled out: counting done runs only, as before. Conclusion: the case counts every run of a task.

--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -163,6 +163,17 @@
     return count;
   }
 
+  // Runs of each task, however they ended.
+  std::map<std::string, int> AllRuns() const {
+    std::map<std::string, int> runs;
+    for (const auto& [id, model] : calls.models) {
+      for (const auto& run : model.history()) {
+        ++runs[run.task];
+      }
+    }
+    return runs;
+  }
+
   // Runs of each task that were done.
   std::map<std::string, int> DoneRuns() const {
     std::map<std::string, int> done;
@@ -234,7 +245,8 @@
     REQUIRE(RunUntil(cluster.io, [&] {
       return successor.state(kJob) == JobState::kCompleted;
     }));
-    for (const auto& entry : cluster.DoneRuns()) {
+    // What ran was taken over, not begun again.
+    for (const auto& entry : cluster.AllRuns()) {
       CAPTURE(entry.first);
       CHECK(entry.second == 1);
     }
