Split the planner: open steps and evictions by themselves

Ruled out: a header for the whole round: nothing else needs it. Conclusion: no decision changed; appends end before the caller gives up.

--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -1,6 +1,7 @@
 // Routes a caller's request and answers it.
 #include "coordination/caller_service.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
@@ -31,6 +32,8 @@
   std::string job;
   int64_t configuration_version = 0;
   Time begun{};
+  // The caller waits no longer.
+  Time give_up = Time::max();
 };
 
 CallerService::CallerService(boost::asio::io_context& io, RecordStore& store,
@@ -76,6 +79,9 @@
   call->configuration_version = configuration->version;
   const std::string path = call->request.path();
   const CallerHeaders headers = formats_.ReadHeaders(call->request);
+  if (headers.timeout.count() > 0) {
+    call->give_up = call->begun + headers.timeout;
+  }
   const QueueConfiguration* queue =
       configuration->FindQueue(headers.host, path);
   if (queue == nullptr) return Refuse(call, kNotFound, "no such queue");
@@ -123,7 +129,7 @@
   std::string reason;
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
   if (!IsStoreFresh()) return Refuse(call, kUnavailable, "the store is away");
-  Append(JobBoard::Submission(*job),
+  Append(JobBoard::Submission(*job), call->give_up,
          [this, call](int status, const Error& error) {
            if (status != kOk) return Refuse(call, status, error.ToString());
            accepted_.Add();
@@ -160,7 +166,7 @@
   }
   if (job == nullptr) return Refuse(call, kGone, "no such job");
   if (IsTerminal(job->state())) return Respond(call, HttpResponse());
-  Append(JobBoard::Cancellation(call->job),
+  Append(JobBoard::Cancellation(call->job), call->give_up,
          [this, call](int status, const Error& error) {
            if (status != kOk) return Refuse(call, status, error.ToString());
            cancelled_.Add();
@@ -201,21 +207,27 @@
                     call->queue.policy.queue)));
 }
 
-void CallerService::Append(KeyedRecord record,
+void CallerService::Append(KeyedRecord record, Time give_up,
                            std::function<void(int, const Error&)> done) {
   auto request = std::make_shared<AppendRequest>();
   request->partition = settings_.board;
   request->records.push_back(std::move(record));
-  TryAppend(request, settings_.append_tries, /*may_be_stored=*/false,
+  TryAppend(request, give_up, settings_.append_tries, /*may_be_stored=*/false,
             std::move(done));
 }
 
 void CallerService::TryAppend(const std::shared_ptr<AppendRequest>& request,
-                              int tries_left, bool may_be_stored,
+                              Time give_up, int tries_left, bool may_be_stored,
                               std::function<void(int, const Error&)> done) {
+  const auto left = std::chrono::duration_cast<Milliseconds>(
+      give_up - std::chrono::steady_clock::now());
+  if (left < settings_.answer_margin * 2) tries_left = 1;
+  const Milliseconds timeout =
+      std::clamp(left - settings_.answer_margin, settings_.answer_margin,
+                 settings_.append_timeout);
   store_.Append(
-      *request, settings_.append_timeout,
-      [this, alive = alive_, request, tries_left, may_be_stored,
+      *request, timeout,
+      [this, alive = alive_, request, give_up, tries_left, may_be_stored,
        done = std::move(done)](const AppendResult& result) mutable {
         if (!*alive) return;
         if (result.outcome == StoreOutcome::kStored) return done(kOk, {});
@@ -226,11 +238,12 @@
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(
             io_, settings_.append_retry);
-        timer->async_wait([this, alive, timer, request, tries_left,
+        timer->async_wait([this, alive, timer, request, give_up, tries_left,
                            may_be_stored, done = std::move(done)](
                               const boost::system::error_code& code) mutable {
           if (code || !*alive) return;
-          TryAppend(request, tries_left - 1, may_be_stored, std::move(done));
+          TryAppend(request, give_up, tries_left - 1, may_be_stored,
+                    std::move(done));
         });
       });
 }
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -34,6 +34,8 @@
   Milliseconds append_timeout{650};
   int append_tries = 2;
   Milliseconds append_retry{40};
+  // The answer is on its way this long before the caller gives up.
+  Milliseconds answer_margin{60};
   // The last look before a job is said not to exist.
   Milliseconds catch_up_timeout{500};
   // A job that has not ended is looked up again when the view is older: callers
@@ -76,9 +78,10 @@
   void CatchUp(const std::shared_ptr<Call>& call,
                void (CallerService::*then)(const std::shared_ptr<Call>&, bool));
   // Stores one record; `done` gets 200, 503 (not stored) or 504 (unknown).
-  void Append(KeyedRecord record, std::function<void(int, const Error&)> done);
-  void TryAppend(const std::shared_ptr<AppendRequest>& request, int tries_left,
-                 bool may_be_stored,
+  void Append(KeyedRecord record, Time give_up,
+              std::function<void(int, const Error&)> done);
+  void TryAppend(const std::shared_ptr<AppendRequest>& request, Time give_up,
+                 int tries_left, bool may_be_stored,
                  std::function<void(int, const Error&)> done);
   void Refuse(const std::shared_ptr<Call>& call, int status,
               const std::string& reason);
--- /dev/null
+++ b/src/libs/workload/eviction.cc
@@ -0,0 +1,37 @@
+// Choice among evictions by cost for each task gained.
+#include "workload/eviction.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace thornplank {
+
+std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
+                                        int64_t needed, double* cost) {
+  // A later eviction on a worker builds on the earlier ones, so its order
+  // there is kept: costs are made to rise along it.
+  std::map<size_t, double> least;
+  std::vector<std::pair<double, size_t>> order;
+  for (size_t i = 0; i < evictions.size(); ++i) {
+    const Eviction& eviction = evictions[i];
+    double& floor = least[eviction.worker];
+    floor = std::max(floor, eviction.cost / static_cast<double>(eviction.gain));
+    order.emplace_back(floor, i);
+  }
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<Eviction> chosen;
+  *cost = 0;
+  for (const auto& [price, i] : order) {
+    if (needed <= 0) break;
+    needed -= evictions[i].gain;
+    *cost += evictions[i].cost;
+    chosen.push_back(std::move(evictions[i]));
+  }
+  if (needed > 0) chosen.clear();
+  return chosen;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/open_step.cc
@@ -0,0 +1,89 @@
+// Turns and objectives of jobs.
+#include "workload/open_step.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+// Jobs later than this many times their objective earn nothing (published).
+constexpr int kWorthlessAfterObjectives = 3;
+
+// The shortest time in which the job can run, going by the caller's estimates.
+Milliseconds LongestChain(const JobDefinition& spec) {
+  std::vector<Milliseconds> ends;
+  Milliseconds longest{0};
+  for (const StepSpec& step : spec.steps) {
+    Milliseconds begin{0};
+    for (const int dependency : step.depends_on) {
+      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
+    }
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+Lateness LatenessOf(const Job& job, int occurrence, WallTime now) {
+  const JobDefinition& spec = job.spec;
+  const WallTime from = spec.scheduled() ? spec.due(occurrence) : spec.accepted;
+  const auto age = std::chrono::duration_cast<Milliseconds>(now - from);
+  const auto chain = static_cast<double>(LongestChain(spec).count());
+  const auto stretched =
+      Milliseconds(static_cast<int64_t>(chain * spec.policy.stretch));
+  const Milliseconds objective = stretched + spec.policy.slack;
+  if (age > objective * kWorthlessAfterObjectives) return Lateness::kWorthless;
+  return age > objective ? Lateness::kLate : Lateness::kOnTime;
+}
+
+void CollectOccurrence(const Job& job, int occurrence, WallTime now,
+                       std::vector<OpenStep>* open) {
+  const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
+  for (size_t i = 0; i < steps.size(); ++i) {
+    const StepProgress& progress = steps[i];
+    if (progress.waiting == 0) continue;
+    const StepSpec& spec = job.spec.steps[i];
+    const int index = static_cast<int>(i);
+    if (spec.gang && progress.active() > 0) continue;
+    if (!JobLedger::IsReady(job, occurrence, index)) continue;
+    OpenStep step;
+    step.job = &job;
+    step.ref = {job.spec.id, occurrence, index};
+    step.spec = &spec;
+    step.lateness = LatenessOf(job, occurrence, now);
+    for (size_t t = 0; t < progress.tasks.size(); ++t) {
+      const TaskStatus& task = progress.tasks[t];
+      if (task.phase != TaskPhase::kWaiting) continue;
+      step.failed_before = step.failed_before || task.failures > 0;
+      step.waiting.push_back(static_cast<int>(t));
+    }
+    open->push_back(std::move(step));
+  }
+}
+
+bool ComesFirst(const OpenStep& a, const OpenStep& b) {
+  const auto key = [](const OpenStep& step) {
+    const JobDefinition& job = step.job->spec;
+    return std::make_tuple(job.policy.priority, step.lateness, job.accepted);
+  };
+  return key(a) < key(b);
+}
+
+}  // namespace
+
+std::vector<OpenStep> CollectOpenSteps(const JobLedger& ledger, WallTime now) {
+  std::vector<OpenStep> open;
+  for (const auto& [id, job] : ledger.jobs()) {
+    if (IsTerminal(job->state)) continue;
+    for (int k = 0; k < job->spec.occurrence_count(); ++k) {
+      if (job->spec.scheduled() && job->spec.due(k) > now) break;
+      CollectOccurrence(*job, k, now, &open);
+    }
+  }
+  std::sort(open.begin(), open.end(), ComesFirst);
+  return open;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/open_step.h
@@ -0,0 +1,39 @@
+// Steps with tasks whose turn has come, in the order in which they are placed.
+#ifndef THORNPLANK_WORKLOAD_OPEN_STEP_H_
+#define THORNPLANK_WORKLOAD_OPEN_STEP_H_
+
+#include <vector>
+
+#include "base/time.h"
+#include "workload/job_ledger.h"
+
+namespace thornplank {
+
+// How a job stands against its objective.
+enum class Lateness {
+  kOnTime,
+  kLate,
+  // So late that its end earns nothing any more.
+  kWorthless,
+};
+
+struct OpenStep {
+  const Job* job = nullptr;
+  StepRef ref;
+  const StepSpec* spec = nullptr;
+  Lateness lateness = Lateness::kOnTime;
+  // Another failure may end the job.
+  bool failed_before = false;
+  // Indices of its tasks that wait; for a gang all of them.
+  std::vector<int> waiting;
+
+  bool urgent() const { return job->spec.policy.priority == 0; }
+};
+
+// By priority, then the less late, then the older ones first. The pointers are
+// those of the ledger.
+std::vector<OpenStep> CollectOpenSteps(const JobLedger& ledger, WallTime now);
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_OPEN_STEP_H_
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <limits>
 #include <set>
-#include <tuple>
 #include <utility>
 
+#include "workload/eviction.h"
+#include "workload/open_step.h"
+
 namespace thornplank {
 namespace {
 
@@ -22,9 +24,6 @@
 // An urgent gang that finds no room on one rack, even by taking it from others,
 // spreads after this long; it must begin within 2.9 s (published bound).
 constexpr Milliseconds kUrgentRackPatience{1200};
-// Jobs later than this many times their objective earn nothing (published).
-constexpr int kLostAfterObjectives = 3;
-constexpr int kEarnsNothing = 2;
 // Below this use, a start away from its rack keeps nobody else waiting.
 constexpr double kIdleShare = 0.45;
 
@@ -41,21 +40,6 @@
 
 bool LessScore(const Slot& a, const Slot& b) { return a.score < b.score; }
 
-// The shortest time in which the job can run, going by the caller's estimates.
-Milliseconds LongestChain(const JobDefinition& spec) {
-  std::vector<Milliseconds> ends;
-  Milliseconds longest{0};
-  for (const StepSpec& step : spec.steps) {
-    Milliseconds begin{0};
-    for (const int dependency : step.depends_on) {
-      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
-    }
-    ends.push_back(begin + step.estimate);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 }  // namespace
 
 class Planner::Round {
@@ -65,7 +49,8 @@
 
   Plan Run() {
     CollectWorkers();
-    CollectSteps();
+    steps_ = CollectOpenSteps(*inputs_.ledger, inputs_.wall_now);
+    NoteUrgentSteps();
     DropReservations();
     for (const OpenStep& step : steps_) {
       PlaceStep(step);
@@ -89,27 +74,6 @@
     }
   };
 
-  struct OpenStep {
-    const Job* job = nullptr;
-    StepRef ref;
-    const StepSpec* spec = nullptr;
-    const StepProgress* progress = nullptr;
-    int lateness = 0;
-    // Another failure may end the job.
-    bool failed_before = false;
-    std::vector<int> waiting;
-
-    bool urgent() const { return job->spec.policy.priority == 0; }
-  };
-
-  // Room for `gain` more tasks of a step, for the loss of some runs.
-  struct Eviction {
-    size_t worker = 0;
-    int64_t gain = 0;
-    double cost = 0;
-    std::vector<const TrackedRun*> victims;
-  };
-
   void CollectWorkers() {
     for (const auto& [id, tracker] : *inputs_.workers) {
       WorkerRoom room;
@@ -156,64 +120,11 @@
     }
   }
 
-  void CollectSteps() {
-    for (const auto& [id, job] : inputs_.ledger->jobs()) {
-      if (IsTerminal(job->state)) continue;
-      for (int k = 0; k < job->spec.occurrence_count(); ++k) {
-        if (job->spec.scheduled() && job->spec.due(k) > inputs_.wall_now) break;
-        CollectOccurrence(*job, k);
-      }
-    }
-    std::sort(steps_.begin(), steps_.end(),
-              [](const OpenStep& a, const OpenStep& b) {
-                const auto key = [](const OpenStep& step) {
-                  const QueuePolicy& policy = step.job->spec.policy;
-                  return std::make_tuple(policy.priority, step.lateness,
-                                         step.job->spec.accepted);
-                };
-                return key(a) < key(b);
-              });
-  }
-
-  void CollectOccurrence(const Job& job, int occurrence) {
-    const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
-    for (size_t i = 0; i < steps.size(); ++i) {
-      const StepProgress& progress = steps[i];
-      if (progress.waiting == 0) continue;
-      const StepSpec& spec = job.spec.steps[i];
-      const int index = static_cast<int>(i);
-      if (spec.gang && progress.active() > 0) continue;
-      if (!JobLedger::IsReady(job, occurrence, index)) continue;
-      OpenStep step;
-      step.job = &job;
-      step.ref = {job.spec.id, occurrence, index};
-      step.spec = &spec;
-      step.progress = &progress;
-      step.lateness = Lateness(job, occurrence);
-      if (step.urgent()) planner_.last_urgent_ = inputs_.now;
-      for (size_t t = 0; t < progress.tasks.size(); ++t) {
-        if (progress.tasks[t].phase != TaskPhase::kWaiting) continue;
-        step.failed_before =
-            step.failed_before || progress.tasks[t].failures > 0;
-        step.waiting.push_back(static_cast<int>(t));
-      }
-      steps_.push_back(std::move(step));
-    }
-  }
-
-  // 0: may end in time; 1: has missed its objective; 2: earns nothing any more.
-  int Lateness(const Job& job, int occurrence) const {
-    const WallTime from =
-        job.spec.scheduled() ? job.spec.due(occurrence) : job.spec.accepted;
-    const auto age =
-        std::chrono::duration_cast<Milliseconds>(inputs_.wall_now - from);
-    const Milliseconds chain = LongestChain(job.spec);
-    const auto objective =
-        Milliseconds(static_cast<int64_t>(static_cast<double>(chain.count()) *
-                                          job.spec.policy.stretch)) +
-        job.spec.policy.slack;
-    if (age > objective * kLostAfterObjectives) return kEarnsNothing;
-    return age > objective ? 1 : 0;
+  void NoteUrgentSteps() {
+    const bool urgent =
+        std::any_of(steps_.begin(), steps_.end(),
+                    [](const OpenStep& step) { return step.urgent(); });
+    if (urgent) planner_.last_urgent_ = inputs_.now;
   }
 
   void DropReservations() {
@@ -480,14 +391,15 @@
     if (step.spec->gang && step.spec->same_rack && SomeRackCanHold(step)) {
       for (auto& [rack, evictions] : racks) {
         double cost = 0;
-        std::vector<Eviction> chosen = Cheapest(evictions, needed, &cost);
+        std::vector<Eviction> chosen =
+            CheapestEvictions(evictions, needed, &cost);
         if (chosen.empty() || cost >= best_cost) continue;
         best = std::move(chosen);
         best_cost = cost;
       }
       if (best.empty() && !MayLeaveRack(step)) return;
     }
-    if (best.empty()) best = Cheapest(all, needed, &best_cost);
+    if (best.empty()) best = CheapestEvictions(all, needed, &best_cost);
     if (best.empty()) return;
     Evict(step, best);
   }
@@ -565,35 +477,6 @@
            static_cast<double>(Weight(run.profile.need));
   }
 
-  // The cheapest evictions for `needed` tasks; empty when they don't suffice.
-  static std::vector<Eviction> Cheapest(std::vector<Eviction> evictions,
-                                        int64_t needed, double* cost) {
-    // A later eviction on a worker builds on the earlier ones, so its order
-    // there is kept: costs are made to rise along it.
-    std::map<size_t, double> least;
-    std::vector<std::pair<double, size_t>> order;
-    for (size_t i = 0; i < evictions.size(); ++i) {
-      const Eviction& eviction = evictions[i];
-      double& floor = least[eviction.worker];
-      floor =
-          std::max(floor, eviction.cost / static_cast<double>(eviction.gain));
-      order.emplace_back(floor, i);
-    }
-    std::stable_sort(
-        order.begin(), order.end(),
-        [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::vector<Eviction> chosen;
-    *cost = 0;
-    for (const auto& [price, i] : order) {
-      if (needed <= 0) break;
-      needed -= evictions[i].gain;
-      *cost += evictions[i].cost;
-      chosen.push_back(std::move(evictions[i]));
-    }
-    if (needed > 0) chosen.clear();
-    return chosen;
-  }
-
   void Evict(const OpenStep& step, const std::vector<Eviction>& evictions) {
     Reservation reservation;
     reservation.need = Reserved(step);
