--- a/src/libs/logging/event_log.cc
+++ b/src/libs/logging/event_log.cc
@@ -82,7 +82,7 @@
   spdlog::init_thread_pool(kQueuedLines, 1);
   spdlog::sink_ptr sink;
   if (path.empty()) {
-    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
   } else {
     sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
   }
--- a/src/libs/logging/event_log.h
+++ b/src/libs/logging/event_log.h
@@ -30,7 +30,7 @@
 
 using EventField = std::pair<std::string_view, Json>;
 
-// Opens the log on standard error (or on the file `path`), dropping events
+// Opens the log on standard output (or on the file `path`), dropping events
 // below `minimum`. Lines go through a bounded queue that drops the oldest
 // line rather than block a caller. Every line carries `instance`.
 void OpenEventLog(std::string_view instance, Severity minimum,
