--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -49,6 +49,7 @@
       return report_;
     }
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<size_t>(settings_.callers));
     for (int i = 0; i < settings_.callers; ++i) {
       callers.emplace_back([this, i] { CallUntilDone(i); });
     }
