--- a/src/app/thornplank_entry/entry_process.cc
+++ b/src/app/thornplank_entry/entry_process.cc
@@ -23,6 +23,7 @@
 #include "jobs/job_manager.h"
 #include "logging/events/membership_events.h"
 #include "logging/events/process_events.h"
+#include "metrics/log_metrics.h"
 #include "metrics/metrics_registry.h"
 #include "metrics/process_metrics.h"
 #include "net/http_client.h"
@@ -108,6 +109,7 @@
     Connect();
     AddRoutes();
     AddProcessMetrics(metrics_);
+    AddLogMetrics(metrics_);
     AddGauges();
   }
 
--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -14,11 +14,15 @@
 
 #include "coordination/caller_service.h"
 #include "coordination/cluster_coordinator.h"
+#include "coordination/cluster_gauges.h"
 #include "coordination/job_board.h"
+#include "coordination/metered_record_store.h"
+#include "coordination/metered_worker_calls.h"
 #include "coordination/record_tail.h"
 #include "coordination/serving_configuration.h"
 #include "logging/events/coordination_events.h"
 #include "logging/events/process_events.h"
+#include "metrics/log_metrics.h"
 #include "metrics/metrics_registry.h"
 #include "metrics/process_metrics.h"
 #include "net/http_client.h"
@@ -84,15 +88,17 @@
   Impl(boost::asio::io_context& io, HostedSettings settings)
       : settings_(std::move(settings)),
         client_(io, HttpClientLimits()),
-        store_(client_, settings_.store_address),
-        executors_(client_),
+        store_client_(client_, settings_.store_address),
+        store_(store_client_, metrics_),
+        executor_client_(client_),
+        workers_(executor_client_, metrics_),
         board_tail_(io, store_, BoardTail(), BoardHandlers()),
         configuration_tail_(io, store_, ConfigurationTail(),
                             ConfigurationHandlers()),
         callers_(io, store_, formats_, CallerSettings(), CallerSurroundings(),
                  metrics_),
-        coordinator_(io, store_, executors_, formats_, CoordinatorSettings(),
-                     CoordinatorSurroundings()),
+        coordinator_(io, store_, workers_, formats_, CoordinatorSettings(),
+                     CoordinatorSurroundings(), metrics_),
         caller_server_(
             io, CallerLimits(),
             [this](HttpRequest request, HttpServer::Responder respond) {
@@ -122,7 +128,7 @@
         !metrics_server_.Listen(settings_.listen_metrics, error)) {
       return false;
     }
-    AddGauges();
+    AddMetrics();
     board_tail_.Start();
     configuration_tail_.Start();
     coordinator_.Start();
@@ -155,7 +161,7 @@
         {{"log_level_changed", settings.log_level != settings_.log_level},
          {"store_changed", settings.store_address != settings_.store_address}});
     if (settings.log_level != settings_.log_level) {
-      OpenEventLog(settings.name, settings.log_level);
+      SetLogSeverity(settings.log_level);
     }
     settings_.log_level = settings.log_level;
   }
@@ -291,41 +297,19 @@
     return response;
   }
 
-  void AddGauges() {
+  void AddMetrics() {
     AddProcessMetrics(metrics_);
-    metrics_.AddGauge("thornplank_is_leader", "1 while this entry leads.", {},
-                      [this] { return coordinator_.leading() ? 1.0 : 0.0; });
-    metrics_.AddGauge(
-        "thornplank_lead_epoch", "The last epoch led by this entry.", {},
-        [this] { return static_cast<double>(coordinator_.epoch()); });
-    metrics_.AddGauge(
-        "thornplank_jobs_known", "Jobs on the board, ended ones included.", {},
-        [this] { return static_cast<double>(board_.jobs().size()); });
-    AddFleetGauge("thornplank_starts_total", "Start orders sent.",
-                  &WorkerFleet::Counts::starts);
-    AddFleetGauge("thornplank_stops_total", "Stop orders sent.",
-                  &WorkerFleet::Counts::stops);
-    AddFleetGauge("thornplank_reports_total", "Reports asked of workers.",
-                  &WorkerFleet::Counts::reports);
-    AddFleetGauge("thornplank_failed_worker_calls_total",
-                  "Calls of workers without the answer hoped for.",
-                  &WorkerFleet::Counts::failed_calls);
-  }
-
-  void AddFleetGauge(const std::string& name, const std::string& help,
-                     uint64_t WorkerFleet::Counts::*count) {
-    metrics_.AddGauge(name, help, {}, [this, count] {
-      const WorkerFleet* fleet = coordinator_.fleet();
-      return fleet == nullptr ? 0.0
-                              : static_cast<double>(fleet->counts().*count);
-    });
+    AddLogMetrics(metrics_);
+    AddClusterGauges(board_, coordinator_, metrics_);
   }
 
   HostedSettings settings_;
   MetricsRegistry metrics_;
   HttpClient client_;
-  MetadataStore store_;
-  ExecutorClient executors_;
+  MetadataStore store_client_;
+  MeteredRecordStore store_;
+  ExecutorClient executor_client_;
+  MeteredWorkerCalls workers_;
   const WireFormats formats_;
   JobBoard board_;
   std::optional<ServingConfiguration> configuration_;
--- a/src/app/thornplankctl/command.h
+++ b/src/app/thornplankctl/command.h
@@ -52,6 +52,7 @@
 std::vector<Command> JobCommands();
 std::vector<Command> InstanceCommands();
 std::vector<Command> RequestCommands();
+std::vector<Command> LogCommands();
 
 // One call to the system. When it gives an answer of the 2xx class, `*body`
 // holds its JSON and kExitOk comes back; else the reason has been printed and
--- a/src/app/thornplankctl/main.cc
+++ b/src/app/thornplankctl/main.cc
@@ -41,7 +41,7 @@
   std::vector<Command> all;
   for (const std::vector<Command>& group :
        {SettingsCommands(), DocumentCommands(), JobCommands(),
-        InstanceCommands(), RequestCommands()}) {
+        InstanceCommands(), RequestCommands(), LogCommands()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -13,14 +13,39 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kMalformed = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kGone = 410;
-constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
-constexpr int kTimedOut = 504;
+
+// Why a call is not served: the cause is a label of metrics, the text is for
+// the caller and the log.
+constexpr CallerService::Refusal kNotConfigured{kUnavailable, "not_configured",
+                                                "no configuration yet"};
+constexpr CallerService::Refusal kNoQueue{404, "no_queue", "no such queue"};
+constexpr CallerService::Refusal kKeysUnconfirmed{
+    kUnavailable, "keys_unconfirmed", "keys were not confirmed lately"};
+constexpr CallerService::Refusal kUnknownKey{401, "unknown_key", "unknown key"};
+constexpr CallerService::Refusal kTooLarge{413, "too_large",
+                                           "the body is too large"};
+constexpr CallerService::Refusal kQueueIsReadOnly{405, "method",
+                                                  "a queue can only be read"};
+constexpr CallerService::Refusal kWrongMethod{
+    405, "method", "a job takes POST, GET and DELETE"};
+constexpr CallerService::Refusal kWrongId{
+    404, "wrong_id", "a job's id is 16 hexadecimal digits"};
+constexpr CallerService::Refusal kMalformed{400, "malformed",
+                                            "the body cannot be read"};
+constexpr CallerService::Refusal kStoreAway{kUnavailable, "store_away",
+                                            "the store is away"};
+constexpr CallerService::Refusal kNotStored{kUnavailable, "not_stored",
+                                            "the store took it not"};
+// May have been stored; the only one that does not say "it has not run".
+constexpr CallerService::Refusal kUndecided{504, "undecided",
+                                            "the store did not answer"};
+constexpr CallerService::Refusal kNoJob{410, "no_job", "no such job"};
+
+int64_t AgeInMilliseconds(BootTime since) {
+  return std::chrono::duration_cast<Milliseconds>(BootClock::now() - since)
+      .count();
+}
 
 }  // namespace
 
@@ -52,8 +77,8 @@
       cancelled_(metrics.counter("thornplank_jobs_cancelled_total",
                                  "Cancellations that were stored.")),
       acknowledgement_time_(
-          metrics.summary("thornplank_acknowledgement_seconds",
-                          "From a whole submission to its answer.")) {}
+          metrics.histogram("thornplank_acknowledgement_seconds",
+                            "From a whole submission to its answer.")) {}
 
 CallerService::~CallerService() { *alive_ = false; }
 
@@ -74,7 +99,7 @@
   call->respond = std::move(respond);
   const ServingConfiguration* configuration = surroundings_.configuration();
   if (configuration == nullptr) {
-    return Refuse(call, kUnavailable, "no configuration yet");
+    return Refuse(call, kNotConfigured);
   }
   call->configuration_version = configuration->version;
   const std::string path = call->request.path();
@@ -84,34 +109,34 @@
   }
   const QueueConfiguration* queue =
       configuration->FindQueue(headers.host, path);
-  if (queue == nullptr) return Refuse(call, kNotFound, "no such queue");
+  if (queue == nullptr) return Refuse(call, kNoQueue);
   call->queue = *queue;
   call->job = path.substr(queue->prefix.size());
   if (!queue->is_public) {
     const auto age = BootClock::now() - surroundings_.configuration_as_of();
     if (age > settings_.configuration_age) {
-      return Refuse(call, kUnavailable, "keys were not confirmed lately");
+      return Refuse(call, kKeysUnconfirmed);
     }
     const AccountConfiguration* account =
         configuration->FindAccount(headers.key);
-    if (account == nullptr) return Refuse(call, kUnauthorized, "unknown key");
+    if (account == nullptr) return Refuse(call, kUnknownKey);
     call->account = account->name;
   }
   if (call->request.body.size() > configuration->max_body_bytes) {
-    return Refuse(call, kTooLarge, "the body is too large");
+    return Refuse(call, kTooLarge);
   }
   const std::string& method = call->request.method;
   if (call->job.empty()) {
     if (method == "GET") return ShowQueue(call);
-    return Refuse(call, kMethodNotAllowed, "a queue can only be read");
+    return Refuse(call, kQueueIsReadOnly);
   }
   if (!IsJobId(call->job)) {
-    return Refuse(call, kNotFound, "a job's id is 16 hexadecimal digits");
+    return Refuse(call, kWrongId);
   }
   if (method == "POST") return Submit(call);
   if (method == "GET") return ShowState(call, /*caught_up=*/false);
   if (method == "DELETE") return Cancel(call, /*caught_up=*/false);
-  Refuse(call, kMethodNotAllowed, "a job takes POST, GET and DELETE");
+  Refuse(call, kWrongMethod);
 }
 
 void CallerService::Submit(const std::shared_ptr<Call>& call) {
@@ -128,10 +153,12 @@
   job->accepted = std::chrono::system_clock::now();
   std::string reason;
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
-  if (!IsStoreFresh()) return Refuse(call, kUnavailable, "the store is away");
+  if (!IsStoreFresh()) return Refuse(call, kStoreAway);
   Append(JobBoard::Submission(*job), call->give_up,
-         [this, call](int status, const Error& error) {
-           if (status != kOk) return Refuse(call, status, error.ToString());
+         [this, call](StoreOutcome outcome, const Error& error) {
+           if (outcome != StoreOutcome::kStored) {
+             return RefuseUnstored(call, outcome, error);
+           }
            accepted_.Add();
            acknowledgement_time_.Observe(std::chrono::steady_clock::now() -
                                          call->begun);
@@ -150,7 +177,7 @@
   if (job == nullptr && !caught_up) {
     return CatchUp(call, &CallerService::ShowState);
   }
-  if (job == nullptr) return Refuse(call, kGone, "no such job");
+  if (job == nullptr) return Refuse(call, kNoJob);
   if (!caught_up && !IsTerminal(job->state()) && IsViewOld()) {
     return LookAgain(call);
   }
@@ -164,11 +191,13 @@
   if (job == nullptr && !caught_up) {
     return CatchUp(call, &CallerService::Cancel);
   }
-  if (job == nullptr) return Refuse(call, kGone, "no such job");
+  if (job == nullptr) return Refuse(call, kNoJob);
   if (IsTerminal(job->state())) return Respond(call, HttpResponse());
   Append(JobBoard::Cancellation(call->job), call->give_up,
-         [this, call](int status, const Error& error) {
-           if (status != kOk) return Refuse(call, status, error.ToString());
+         [this, call](StoreOutcome outcome, const Error& error) {
+           if (outcome != StoreOutcome::kStored) {
+             return RefuseUnstored(call, outcome, error);
+           }
            cancelled_.Add();
            LogEvent(events::kJobCancelled, {{"job", call->job}});
            Respond(call, HttpResponse());
@@ -183,7 +212,7 @@
       [this, alive = alive_, call, then](bool caught_up) {
         if (!*alive) return;
         if (caught_up) return (this->*then)(call, true);
-        Refuse(call, kUnavailable, "the store is away");
+        Refuse(call, kStoreAway);
       });
 }
 
@@ -202,13 +231,12 @@
 }
 
 void CallerService::ShowQueue(const std::shared_ptr<Call>& call) {
-  if (!IsStoreFresh()) return Refuse(call, kUnavailable, "the store is away");
+  if (!IsStoreFresh()) return Refuse(call, kStoreAway);
   Respond(call, formats_.QueueLengthResponse(surroundings_.board->WaitingJobs(
                     call->queue.policy.queue)));
 }
 
-void CallerService::Append(KeyedRecord record, Time give_up,
-                           std::function<void(int, const Error&)> done) {
+void CallerService::Append(KeyedRecord record, Time give_up, AppendDone done) {
   auto request = std::make_shared<AppendRequest>();
   request->partition = settings_.board;
   request->records.push_back(std::move(record));
@@ -218,7 +246,7 @@
 
 void CallerService::TryAppend(const std::shared_ptr<AppendRequest>& request,
                               Time give_up, int tries_left, bool may_be_stored,
-                              std::function<void(int, const Error&)> done) {
+                              AppendDone done) {
   const auto left = std::chrono::duration_cast<Milliseconds>(
       give_up - std::chrono::steady_clock::now());
   if (left < settings_.answer_margin * 2) tries_left = 1;
@@ -230,11 +258,14 @@
       [this, alive = alive_, request, give_up, tries_left, may_be_stored,
        done = std::move(done)](const AppendResult& result) mutable {
         if (!*alive) return;
-        if (result.outcome == StoreOutcome::kStored) return done(kOk, {});
+        if (result.outcome == StoreOutcome::kStored)
+          return done(result.outcome, {});
         may_be_stored =
             may_be_stored || result.outcome == StoreOutcome::kUnknown;
         if (tries_left <= 1) {
-          return done(may_be_stored ? kTimedOut : kUnavailable, result.error);
+          return done(
+              may_be_stored ? StoreOutcome::kUnknown : StoreOutcome::kRefused,
+              result.error);
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(
             io_, settings_.append_retry);
@@ -248,18 +279,36 @@
       });
 }
 
-void CallerService::Refuse(const std::shared_ptr<Call>& call, int status,
-                           const std::string& reason) {
-  const Event& event =
-      status == kTimedOut ? events::kJobUndecided : events::kJobRefused;
+void CallerService::RefuseUnstored(const std::shared_ptr<Call>& call,
+                                   StoreOutcome outcome, const Error& error) {
+  const bool may_be_stored = outcome == StoreOutcome::kUnknown;
+  Refuse(call, may_be_stored ? kUndecided : kNotStored, error.ToString());
+}
+
+void CallerService::Refuse(const std::shared_ptr<Call>& call,
+                           const Refusal& refusal, const std::string& detail) {
+  const std::string reason = detail.empty() ? refusal.text : detail;
+  const Event& event = refusal.status == kUndecided.status
+                           ? events::kJobUndecided
+                           : events::kJobRefused;
   LogEvent(event, {{"job", call->job},
                    {"method", call->request.method},
-                   {"status", status},
+                   {"status", refusal.status},
+                   {"cause", refusal.cause},
                    {"reason", reason},
-                   {"configuration", call->configuration_version}});
+                   {"configuration", call->configuration_version},
+                   {"configuration_age_ms",
+                    AgeInMilliseconds(surroundings_.configuration_as_of())},
+                   {"board_age_ms",
+                    AgeInMilliseconds(surroundings_.board_tail->as_of())}});
+  metrics_
+      .counter("thornplank_refusals_total",
+               "Calls that were not served, by cause.",
+               {{"cause", refusal.cause}})
+      .Add();
   HttpResponse response =
-      ProblemResponse(status, {"answer", call->request.remote, reason});
-  if (status == kUnavailable) {
+      ProblemResponse(refusal.status, {"answer", call->request.remote, reason});
+  if (refusal.status == kUnavailable) {
     response.headers.Set("Retry-After",
                          std::to_string(settings_.retry_after.count()));
   }
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -56,6 +56,13 @@
     RecordTail* board_tail = nullptr;
   };
 
+  // A final answer to a call that is not served.
+  struct Refusal {
+    int status = 0;
+    const char* cause = "";
+    const char* text = "";
+  };
+
   CallerService(boost::asio::io_context& io, RecordStore& store,
                 const Formats& formats, CallerServiceSettings settings,
                 Surroundings surroundings, MetricsRegistry& metrics);
@@ -67,6 +74,7 @@
 
  private:
   struct Call;
+  using AppendDone = std::function<void(StoreOutcome, const Error&)>;
 
   bool IsStoreFresh() const;
   void Submit(const std::shared_ptr<Call>& call);
@@ -77,14 +85,15 @@
   void ShowQueue(const std::shared_ptr<Call>& call);
   void CatchUp(const std::shared_ptr<Call>& call,
                void (CallerService::*then)(const std::shared_ptr<Call>&, bool));
-  // Stores one record; `done` gets 200, 503 (not stored) or 504 (unknown).
-  void Append(KeyedRecord record, Time give_up,
-              std::function<void(int, const Error&)> done);
+  // Stores one record; `done` gets kStored, kRefused (not stored) or kUnknown.
+  void Append(KeyedRecord record, Time give_up, AppendDone done);
   void TryAppend(const std::shared_ptr<AppendRequest>& request, Time give_up,
-                 int tries_left, bool may_be_stored,
-                 std::function<void(int, const Error&)> done);
-  void Refuse(const std::shared_ptr<Call>& call, int status,
-              const std::string& reason);
+                 int tries_left, bool may_be_stored, AppendDone done);
+  void RefuseUnstored(const std::shared_ptr<Call>& call, StoreOutcome outcome,
+                      const Error& error);
+  // `detail` stands for the refusal's own text where there is more to say.
+  void Refuse(const std::shared_ptr<Call>& call, const Refusal& refusal,
+              const std::string& detail = "");
   void Respond(const std::shared_ptr<Call>& call, HttpResponse response);
 
   boost::asio::io_context& io_;
@@ -95,7 +104,7 @@
   MetricsRegistry& metrics_;
   Counter& accepted_;
   Counter& cancelled_;
-  Summary& acknowledgement_time_;
+  Histogram& acknowledgement_time_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -35,7 +35,8 @@
                                        RecordStore& store, WorkerCalls& calls,
                                        const Formats& formats,
                                        ClusterCoordinatorSettings settings,
-                                       Surroundings surroundings)
+                                       Surroundings surroundings,
+                                       MetricsRegistry& metrics)
     : io_(io),
       store_(store),
       calls_(calls),
@@ -45,6 +46,7 @@
       first_sequence_(FirstSequence(settings_.holder)),
       election_(LeaderElectionSettings(), settings_.holder, settings_.rank),
       planner_(PlannerSettings()),
+      metrics_(metrics),
       tick_timer_(io),
       planning_timer_(io),
       release_timer_(io) {}
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -26,7 +26,9 @@
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
 #include "coordination/record_tail.h"
+#include "coordination/scheduling_metrics.h"
 #include "coordination/worker_fleet.h"
+#include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
 #include "workload/planner.h"
 
@@ -74,7 +76,7 @@
   ClusterCoordinator(boost::asio::io_context& io, RecordStore& store,
                      WorkerCalls& calls, const Formats& formats,
                      ClusterCoordinatorSettings settings,
-                     Surroundings surroundings);
+                     Surroundings surroundings, MetricsRegistry& metrics);
   ~ClusterCoordinator();
 
   void Start();
@@ -109,6 +111,7 @@
   void SchedulePlanning();
   void PlanRound();
   void ApplyStart(const StartDecision& decision, Time now);
+  void MeasureWait(const StartDecision& decision, Time now);
   RunProfile ProfileOf(const TaskRef& task) const;
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
   void StopOutdatedRuns();
@@ -130,6 +133,7 @@
   const int64_t first_sequence_;
   LeaderElection election_;
   Planner planner_;
+  SchedulingMetrics metrics_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer planning_timer_;
   boost::asio::steady_timer release_timer_;
--- /dev/null
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -0,0 +1,101 @@
+// Gauges are worked out when they are read.
+#include "coordination/cluster_gauges.h"
+
+#include <string>
+
+#include "coordination/cluster_coordinator.h"
+#include "coordination/job_board.h"
+
+namespace thornplank {
+namespace {
+
+constexpr char kTasksName[] = "thornplank_tasks";
+constexpr char kTasksHelp[] =
+    "Tasks of jobs that have not ended, by phase; known to the leader.";
+constexpr char kAcceleratorsName[] = "thornplank_accelerators";
+constexpr char kAcceleratorsHelp[] =
+    "Accelerators of known workers, by use; known to the leader.";
+
+double CountTasks(const JobLedger& ledger, int StepProgress::*phase) {
+  int64_t count = 0;
+  for (const auto& [id, job] : ledger.jobs()) {
+    if (IsTerminal(job->state)) continue;
+    for (const auto& steps : job->occurrences) {
+      for (const StepProgress& progress : steps) {
+        count += progress.*phase;
+      }
+    }
+  }
+  return static_cast<double>(count);
+}
+
+double CountActiveTasks(const JobLedger& ledger) {
+  int64_t count = 0;
+  for (const auto& [id, job] : ledger.jobs()) {
+    for (const auto& steps : job->occurrences) {
+      for (const StepProgress& progress : steps) {
+        count += progress.active();
+      }
+    }
+  }
+  return static_cast<double>(count);
+}
+
+double FreeAccelerators(const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return 0;
+  int64_t free = 0;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    free += tracker.room().accelerators;
+  }
+  return static_cast<double>(free);
+}
+
+double HeldAccelerators(const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return 0;
+  int64_t held = 0;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    held += tracker.registration().capacity.accelerators -
+            tracker.room().accelerators;
+  }
+  return static_cast<double>(held);
+}
+
+void AddLeadGauges(const ClusterCoordinator& coordinator,
+                   MetricsRegistry& metrics) {
+  metrics.AddGauge("thornplank_is_leader", "1 while this entry leads.", {},
+                   [&] { return coordinator.leading() ? 1.0 : 0.0; });
+  metrics.AddGauge("thornplank_lead_epoch", "The last epoch led by this entry.",
+                   {},
+                   [&] { return static_cast<double>(coordinator.epoch()); });
+  metrics.AddGauge(
+      "thornplank_workers", "Lives of workers that the leader knows.", {}, [&] {
+        const WorkerFleet* fleet = coordinator.fleet();
+        return fleet == nullptr ? 0.0
+                                : static_cast<double>(fleet->trackers().size());
+      });
+}
+
+}  // namespace
+
+void AddClusterGauges(const JobBoard& board,
+                      const ClusterCoordinator& coordinator,
+                      MetricsRegistry& metrics) {
+  AddLeadGauges(coordinator, metrics);
+  metrics.AddGauge("thornplank_jobs_known",
+                   "Jobs on the board, ended ones included.", {},
+                   [&] { return static_cast<double>(board.jobs().size()); });
+  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "waiting"}}, [&] {
+    return CountTasks(coordinator.ledger(), &StepProgress::waiting);
+  });
+  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "done"}}, [&] {
+    return CountTasks(coordinator.ledger(), &StepProgress::done);
+  });
+  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "active"}},
+                   [&] { return CountActiveTasks(coordinator.ledger()); });
+  metrics.AddGauge(kAcceleratorsName, kAcceleratorsHelp, {{"use", "free"}},
+                   [&] { return FreeAccelerators(coordinator); });
+  metrics.AddGauge(kAcceleratorsName, kAcceleratorsHelp, {{"use", "held"}},
+                   [&] { return HeldAccelerators(coordinator); });
+}
+
+}  // namespace thornplank
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -53,6 +53,7 @@
 }
 
 void ClusterCoordinator::ApplyStart(const StartDecision& decision, Time now) {
+  MeasureWait(decision, now);
   const int run = ledger_.Start(decision.step, decision.assignments);
   const Job* job = ledger_.Find(decision.step.job);
   const StepSpec* spec = ledger_.FindStepSpec(decision.step);
@@ -81,6 +82,22 @@
             {"configuration", surroundings_.configuration().version}});
 }
 
+void ClusterCoordinator::MeasureWait(const StartDecision& decision, Time now) {
+  if (decision.room_taken) {
+    metrics_.OnRoomReclaimed(now - *decision.room_taken);
+  }
+  const Job* job = ledger_.Find(decision.step.job);
+  const int occurrence = decision.step.occurrence;
+  const auto& steps = job->occurrences[static_cast<size_t>(occurrence)];
+  const bool first = std::none_of(
+      steps.begin(), steps.end(), [](const StepProgress& progress) {
+        return progress.done > 0 || progress.active() > 0;
+      });
+  if (!first) return;
+  metrics_.OnFirstPlaced(job->spec, std::chrono::system_clock::now() -
+                                        job->spec.begin(occurrence));
+}
+
 RunProfile ClusterCoordinator::ProfileOf(const TaskRef& task) const {
   RunProfile profile;
   const Job* job = ledger_.Find(task.step.job);
@@ -100,6 +117,12 @@
 void ClusterCoordinator::OnRunEnd(const std::string& worker,
                                   const RunEndReport& end) {
   const bool taken = ledger_.End(end.task, end.run, end.end, end.checkpoint);
+  const StepSpec* spec = ledger_.FindStepSpec(end.task.step);
+  if (spec != nullptr) {
+    std::optional<Duration> lasted;
+    if (end.began != Time{}) lasted = Now() - end.began;
+    metrics_.OnRunEnded(*spec, end.end, lasted);
+  }
   LogEvent(events::kRunEnded, {{"task", end.task.ToString()},
                                {"run", end.run},
                                {"worker", worker},
@@ -199,7 +222,10 @@
     const Job* job = ledger_.Find(id);
     if (job == nullptr) continue;
     records.push_back(JobBoard::State(id, job->state, now));
-    if (IsTerminal(job->state)) ended.push_back(id);
+    if (IsTerminal(job->state)) {
+      ended.push_back(id);
+      metrics_.OnJobEnded(job->spec, job->state, now - job->spec.accepted);
+    }
     LogEvent(events::kJobState,
              {{"job", id}, {"state", std::string(ToText(job->state))}});
   }
--- /dev/null
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -0,0 +1,60 @@
+// Names and labels of the leader's metrics.
+#include "coordination/scheduling_metrics.h"
+
+namespace thornplank {
+namespace {
+
+std::string KindOf(const StepSpec& step) {
+  if (step.long_running) return "long_running";
+  return step.gang ? "gang" : "single";
+}
+
+std::string PriorityOf(const JobDefinition& job) {
+  return std::to_string(job.policy.priority);
+}
+
+}  // namespace
+
+void SchedulingMetrics::OnFirstPlaced(const JobDefinition& job,
+                                      Duration waited) {
+  metrics_
+      .histogram("thornplank_wait_seconds",
+                 "From the acceptance of a job, or the due time of an "
+                 "occurrence, to the placement of its first task.",
+                 {{"priority", PriorityOf(job)}})
+      .Observe(waited);
+}
+
+void SchedulingMetrics::OnRoomReclaimed(Duration waited) {
+  metrics_
+      .histogram("thornplank_reclaim_seconds",
+                 "From the first stop of others' runs to the placement of the "
+                 "urgent step that needed the room.")
+      .Observe(waited);
+}
+
+void SchedulingMetrics::OnRunEnded(const StepSpec& step, RunEnd end,
+                                   std::optional<Duration> lasted) {
+  const MetricLabels labels = {{"kind", KindOf(step)},
+                               {"end", std::string(ToText(end))}};
+  metrics_
+      .counter("thornplank_runs_ended_total", "Runs that have ended.", labels)
+      .Add();
+  if (!lasted) return;
+  metrics_
+      .histogram("thornplank_run_seconds",
+                 "From the first report of a run to its end.", labels)
+      .Observe(*lasted);
+}
+
+void SchedulingMetrics::OnJobEnded(const JobDefinition& job, JobState state,
+                                   Duration lasted) {
+  metrics_
+      .histogram("thornplank_job_seconds",
+                 "From a job's acceptance to its end.",
+                 {{"priority", PriorityOf(job)},
+                  {"state", std::string(ToText(state))}})
+      .Observe(lasted);
+}
+
+}  // namespace thornplank
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -134,7 +134,6 @@
   order.epoch = settings_.epoch;
   tracked->resumed = !checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
-  ++counts_.starts;
   const WorkerAddress address{worker, tracker->registration().address};
   calls_.Start(
       address, order, settings_.call_timeout,
@@ -144,7 +143,6 @@
         if (tracker == nullptr) return;
         const Time now = Now();
         if (answer.outcome != StartOutcome::kAccepted) {
-          ++counts_.failed_calls;
           const Event& event = answer.outcome == StartOutcome::kNoAnswer
                                    ? events::kStartUndecided
                                    : events::kStartRefused;
@@ -173,11 +171,11 @@
   TrackedRun* tracked = tracker->Find(task);
   if (tracked == nullptr || tracked->run != run || tracked->stop_wanted) return;
   tracked->stop_wanted = true;
-  LogEvent(events::kRunStopped, {{"task", task.ToString()},
-                                 {"run", run},
-                                 {"worker", worker},
-                                 {"percent", tracked->percent},
-                                 {"reason", reason}});
+  LogEvent(events::kStopOrdered, {{"task", task.ToString()},
+                                  {"run", run},
+                                  {"worker", worker},
+                                  {"percent", tracked->percent},
+                                  {"reason", reason}});
   SendStops(worker, Now());
 }
 
@@ -245,7 +243,6 @@
     query.lease_until = tracker->DeadlineIn(settings_.lease_term, now);
   }
   (extra ? link.extra_report : link.reporting) = true;
-  ++counts_.reports;
   const WorkerAddress address{id, tracker->registration().address};
   const int64_t recorded = query.recorded_ends;
   calls_.Status(address, query, settings_.call_timeout + wait,
@@ -273,7 +270,6 @@
       return Bury(id);
     case CallOutcome::kRefused:
     case CallOutcome::kNoAnswer:
-      ++counts_.failed_calls;
       if (tracker->reachable()) {
         LogEvent(events::kWorkerSilent, answer.error,
                  {{"worker", id}, {"runs", tracker->runs().size()}});
@@ -320,7 +316,6 @@
       continue;
     }
     run.stop_sending = true;
-    ++counts_.stops;
     const StopOrder order{task, run.run, settings_.epoch};
     calls_.Stop(
         address, order, settings_.call_timeout,
@@ -335,7 +330,6 @@
             Lose(id, "another life answers at its address");
             return;
           }
-          if (outcome != CallOutcome::kOk) ++counts_.failed_calls;
           tracker->OnStopAnswer(order.task, order.run,
                                 outcome == CallOutcome::kOk, Now());
           Drive(id, Now());
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -91,14 +91,6 @@
   // only while the owner may still lead.
   void Tick(Time now, bool may_renew);
 
-  struct Counts {
-    uint64_t starts = 0;
-    uint64_t stops = 0;
-    uint64_t reports = 0;
-    uint64_t failed_calls = 0;
-  };
-  const Counts& counts() const { return counts_; }
-
  private:
   struct Link {
     bool reporting = false;
@@ -140,7 +132,6 @@
   // Since when the directory has answered without a gap.
   Time contact_since_{};
   Time contact_{};
-  Counts counts_;
   SpeedBook speeds_;
   // Callbacks of calls that outlive this object do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/libs/logging/event_log.cc
+++ b/src/libs/logging/event_log.cc
@@ -1,16 +1,22 @@
 // Writes events as JSON lines through an asynchronous spdlog logger.
 #include "logging/event_log.h"
 
+#include <fcntl.h>
 #include <spdlog/async.h>
-#include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "base/time.h"
+#include "logging/bounded_output.h"
+#include "logging/events/process_events.h"
+#include "logging/line_budget.h"
 
 namespace thornplank {
 namespace {
@@ -19,11 +25,6 @@
 // Lines waiting for the writer thread; the oldest goes when it is full.
 constexpr size_t kQueuedLines = 8192;
 
-std::string& InstanceName() {
-  static std::string name;
-  return name;
-}
-
 spdlog::level::level_enum ToLevel(Severity severity) {
   switch (severity) {
     case Severity::kDebug:
@@ -52,25 +53,119 @@
   return "info";
 }
 
-void WriteLine(spdlog::logger& logger, const Event& event, const Error* error,
-               std::initializer_list<EventField> fields) {
-  nlohmann::ordered_json line;
-  line["time_ms"] = ToUnixMilliseconds(std::chrono::system_clock::now());
-  line["level"] = std::string(SeverityName(event.severity));
-  line["instance"] = InstanceName();
-  line["event"] = event.number;
-  line["name"] = std::string(event.name);
-  for (const auto& [name, value] : fields) {
-    line[std::string(name)] = value;
+// Hands lines on to a descriptor; the mutex of the base serialises them.
+class OutputSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  explicit OutputSink(BoundedOutput& output) : output_(output) {}
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    output_.Write(std::string_view(line.data(), line.size()));
+  }
+  void flush_() override {}
+
+ private:
+  BoundedOutput& output_;
+};
+
+// A log that is open. Lock order: `mutex_` before the queue of spdlog.
+class OpenLog {
+ public:
+  OpenLog(std::string_view instance, Severity minimum, int descriptor)
+      : instance_(instance), output_(descriptor) {
+    spdlog::init_thread_pool(kQueuedLines, 1);
+    logger_ = std::make_shared<spdlog::async_logger>(
+        kLoggerName, std::make_shared<OutputSink>(output_),
+        spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    logger_->set_pattern("%v");
+    set_severity(minimum);
   }
-  if (error != nullptr) {
-    line["step"] = error->step;
-    line["peer"] = error->peer;
-    line["reason"] = error->reason;
+
+  ~OpenLog() {
+    for (const LinesLeftOut& left_out : budget_.TakeAllLeftOut()) {
+      TellLeftOut(left_out);
+    }
+    logger_.reset();
+    // Joins the writer thread, which has a bounded time for what is queued.
+    spdlog::shutdown();
+  }
+
+  void set_severity(Severity minimum) { logger_->set_level(ToLevel(minimum)); }
+
+  void Write(const Event& event, const Error* error,
+             std::initializer_list<EventField> fields) {
+    if (!logger_->should_log(ToLevel(event.severity))) return;
+    const Time now = std::chrono::steady_clock::now();
+    bool admitted = false;
+    std::vector<LinesLeftOut> left_out;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      left_out = budget_.TakeLeftOut(now);
+      admitted = budget_.Admits(event.number, now);
+    }
+    for (const LinesLeftOut& entry : left_out) {
+      TellLeftOut(entry);
+    }
+    if (!admitted) return;
+    const size_t bytes = Queue(event, error, fields);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    budget_.Charge(event.number, bytes);
+  }
+
+  LogTotals totals() const {
+    LogTotals totals;
+    totals.lines = output_.written_lines();
+    totals.bytes = output_.written_bytes();
+    totals.dropped =
+        output_.dropped_lines() + spdlog::thread_pool()->overrun_counter();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    totals.over_budget = budget_.left_out_total();
+    return totals;
   }
-  // Bytes that are not UTF-8 come from callers; they must not throw here.
-  logger.log(ToLevel(event.severity),
-             line.dump(-1, ' ', false, Json::error_handler_t::replace));
+
+ private:
+  void TellLeftOut(const LinesLeftOut& left_out) {
+    Queue(events::kLogLinesLeftOut, nullptr,
+          {{"of_event", left_out.event}, {"lines", left_out.lines}});
+  }
+
+  size_t Queue(const Event& event, const Error* error,
+               std::initializer_list<EventField> fields) {
+    nlohmann::ordered_json line;
+    line["time_ms"] = ToUnixMilliseconds(std::chrono::system_clock::now());
+    line["level"] = std::string(SeverityName(event.severity));
+    line["instance"] = instance_;
+    line["event"] = event.number;
+    line["name"] = std::string(event.name);
+    for (const auto& [name, value] : fields) {
+      line[std::string(name)] = value;
+    }
+    if (error != nullptr) {
+      line["step"] = error->step;
+      line["peer"] = error->peer;
+      line["reason"] = error->reason;
+    }
+    // Bytes that are not UTF-8 come from callers; they must not throw here.
+    const std::string text =
+        line.dump(-1, ' ', false, Json::error_handler_t::replace);
+    logger_->log(ToLevel(event.severity), text);
+    return text.size();
+  }
+
+  const std::string instance_;
+  BoundedOutput output_;
+  std::shared_ptr<spdlog::async_logger> logger_;
+  // Guards budget_.
+  mutable std::mutex mutex_;
+  LineBudget budget_{LineBudgetSettings()};
+};
+
+// Opened and closed by the main thread while no other runs; others use it.
+std::unique_ptr<OpenLog>& CurrentLog() {
+  static std::unique_ptr<OpenLog> log;
+  return log;
 }
 
 }  // namespace
@@ -78,26 +173,24 @@
 void OpenEventLog(std::string_view instance, Severity minimum,
                   const std::string& path) {
   CloseEventLog();
-  InstanceName() = std::string(instance);
-  spdlog::init_thread_pool(kQueuedLines, 1);
-  spdlog::sink_ptr sink;
-  if (path.empty()) {
-    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
-  } else {
-    sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
+  std::signal(SIGPIPE, SIG_IGN);
+  int descriptor = STDOUT_FILENO;
+  if (!path.empty()) {
+    // Never closed: a process has one such file, and lines may be on their way.
+    descriptor =
+        ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
   }
-  auto logger = std::make_shared<spdlog::async_logger>(
-      kLoggerName, sink, spdlog::thread_pool(),
-      spdlog::async_overflow_policy::overrun_oldest);
-  logger->set_pattern("%v");
-  logger->set_level(ToLevel(minimum));
-  logger->flush_on(spdlog::level::info);
-  spdlog::register_logger(logger);
+  CurrentLog() = std::make_unique<OpenLog>(instance, minimum, descriptor);
+}
+
+void CloseEventLog() { CurrentLog().reset(); }
+
+void SetLogSeverity(Severity minimum) {
+  if (CurrentLog() != nullptr) CurrentLog()->set_severity(minimum);
 }
 
-void CloseEventLog() {
-  spdlog::drop(kLoggerName);
-  spdlog::shutdown();
+LogTotals log_totals() {
+  return CurrentLog() == nullptr ? LogTotals() : CurrentLog()->totals();
 }
 
 std::optional<Severity> ParseSeverity(std::string_view name) {
@@ -109,16 +202,12 @@
 }
 
 void LogEvent(const Event& event, std::initializer_list<EventField> fields) {
-  const std::shared_ptr<spdlog::logger> logger = spdlog::get(kLoggerName);
-  if (logger == nullptr || !logger->should_log(ToLevel(event.severity))) return;
-  WriteLine(*logger, event, nullptr, fields);
+  if (CurrentLog() != nullptr) CurrentLog()->Write(event, nullptr, fields);
 }
 
 void LogEvent(const Event& event, const Error& error,
               std::initializer_list<EventField> fields) {
-  const std::shared_ptr<spdlog::logger> logger = spdlog::get(kLoggerName);
-  if (logger == nullptr || !logger->should_log(ToLevel(event.severity))) return;
-  WriteLine(*logger, event, &error, fields);
+  if (CurrentLog() != nullptr) CurrentLog()->Write(event, &error, fields);
 }
 
 }  // namespace thornplank
--- a/src/libs/logging/event_log.h
+++ b/src/libs/logging/event_log.h
@@ -3,10 +3,12 @@
 //
 // Numbers by area: 100 process, 200 settings, 300 routing, 400 claims on
 // non-idempotent requests, 500 jobs, 600 membership, 700 platform, 800
-// network. Each area declares its events in logging/events/<area>_events.h.
+// network, 900 the scheduler on the users' platform. Each area declares its
+// events in logging/events/<area>_events.h.
 #ifndef THORNPLANK_LOGGING_EVENT_LOG_H_
 #define THORNPLANK_LOGGING_EVENT_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -32,11 +34,26 @@
 
 // Opens the log on standard output (or on the file `path`), dropping events
 // below `minimum`. Lines go through a bounded queue that drops the oldest
-// line rather than block a caller. Every line carries `instance`.
+// line rather than block a caller; each event has a budget of lines and bytes a
+// second. Every line carries `instance`. From then on the process ignores
+// SIGPIPE: a reader of the log that goes away must not end it.
 void OpenEventLog(std::string_view instance, Severity minimum,
                   const std::string& path = "");
+// Drops events below `minimum` from now on.
+void SetLogSeverity(Severity minimum);
 void CloseEventLog();
 
+// Since the log was opened first.
+struct LogTotals {
+  uint64_t lines = 0;
+  uint64_t bytes = 0;
+  // Beyond the budget of their event.
+  uint64_t over_budget = 0;
+  // The queue was full, or the reader did not read.
+  uint64_t dropped = 0;
+};
+LogTotals log_totals();
+
 // nullopt when `name` is none of debug, info, warning, error.
 std::optional<Severity> ParseSeverity(std::string_view name);
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -25,7 +25,7 @@
 inline constexpr Event kJobCancelled{913, "job-cancelled", Severity::kInfo};
 inline constexpr Event kJobState{914, "job-state", Severity::kInfo};
 inline constexpr Event kTasksPlaced{915, "tasks-placed", Severity::kInfo};
-inline constexpr Event kRunStopped{916, "run-stopped", Severity::kInfo};
+inline constexpr Event kStopOrdered{916, "stop-ordered", Severity::kInfo};
 inline constexpr Event kRunEnded{917, "run-ended", Severity::kInfo};
 inline constexpr Event kStartUndecided{918, "start-undecided",
                                        Severity::kWarning};
--- a/src/libs/logging/events/process_events.h
+++ b/src/libs/logging/events/process_events.h
@@ -16,6 +16,8 @@
                                          Severity::kInfo};
 inline constexpr Event kSettingsNotReloaded{106, "settings-not-reloaded",
                                             Severity::kError};
+inline constexpr Event kLogLinesLeftOut{107, "log-lines-left-out",
+                                        Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- /dev/null
+++ b/src/libs/logging/log_story.cc
@@ -0,0 +1,122 @@
+// Selection and order of lines.
+#include "logging/log_story.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "logging/events/coordination_events.h"
+#include "logging/events/process_events.h"
+
+namespace thornplank {
+namespace {
+
+// What may hold up any job, whoever it is about.
+constexpr std::array<const Event*, 11> kOfEveryone = {
+    &events::kProcessStarted, &events::kShutdownBegun,
+    &events::kLeadClaimed,    &events::kLeadTaken,
+    &events::kLeadLost,       &events::kLeadReleased,
+    &events::kLeadRefused,    &events::kStoreLost,
+    &events::kStoreBack,      &events::kConfigurationInForce,
+    &events::kLogLinesLeftOut};
+
+// What becomes of a worker.
+constexpr std::array<const Event*, 6> kOfWorkers = {
+    &events::kWorkerSeen, &events::kWorkerSilent,  &events::kWorkerBack,
+    &events::kWorkerGone, &events::kWorkerLeaving, &events::kRunStalled};
+
+template <size_t kSize>
+bool IsOneOf(int number, const std::array<const Event*, kSize>& events) {
+  return std::any_of(events.begin(), events.end(),
+                     [number](const Event* e) { return e->number == number; });
+}
+
+bool IsBefore(const StoryLine& a, const StoryLine& b) {
+  return a.time < b.time;
+}
+
+// Fields that every line has, told apart from the rest.
+constexpr std::array<const char*, 5> kCommonFields = {
+    "time_ms", "level", "instance", "event", "name"};
+
+}  // namespace
+
+bool LogStory::Add(std::string_view text) {
+  const size_t brace = text.find('{');
+  if (brace == std::string_view::npos) return false;
+  text.remove_prefix(brace);
+  const bool own = text.find(id_) != std::string_view::npos;
+  std::optional<Json> json = ParseJson(text);
+  if (!json || !json->is_object()) return false;
+  const auto time = IntField(*json, "time_ms");
+  const auto event = IntField(*json, "event");
+  if (!time || !event) return false;
+  StoryLine line;
+  line.time = FromUnixMilliseconds(*time);
+  line.instance = StringField(*json, "instance").value_or("");
+  line.event = static_cast<int>(*event);
+  line.name = StringField(*json, "name").value_or("");
+  line.own = own;
+  for (const char* field : kCommonFields) {
+    json->erase(field);
+  }
+  line.fields = std::move(*json);
+  if (own) {
+    NoteWorkers(line.fields);
+    own_.push_back(std::move(line));
+  } else if (IsOneOf(line.event, kOfEveryone) ||
+             IsOneOf(line.event, kOfWorkers)) {
+    others_.push_back(std::move(line));
+  }
+  return true;
+}
+
+void LogStory::NoteWorkers(const Json& fields) {
+  if (const auto worker = StringField(fields, "worker")) {
+    workers_.insert(*worker);
+  }
+  // Rows of index and worker.
+  const Json* tasks = ArrayField(fields, "tasks");
+  if (tasks == nullptr) return;
+  for (const Json& row : *tasks) {
+    if (!row.is_array() || row.size() < 2 || !row[1].is_string()) continue;
+    workers_.insert(row[1].get<std::string>());
+  }
+}
+
+bool LogStory::Surrounds(const StoryLine& line) const {
+  if (IsOneOf(line.event, kOfEveryone)) return true;
+  const auto worker = StringField(line.fields, "worker");
+  return worker && workers_.count(*worker) > 0;
+}
+
+std::vector<StoryLine> LogStory::Lines() const {
+  std::vector<StoryLine> lines = own_;
+  if (lines.empty()) return lines;
+  std::stable_sort(lines.begin(), lines.end(), IsBefore);
+  const WallTime first = lines.front().time;
+  const WallTime last = lines.back().time;
+  for (const StoryLine& line : others_) {
+    if (line.time < first || line.time > last || !Surrounds(line)) continue;
+    lines.push_back(line);
+  }
+  std::stable_sort(lines.begin(), lines.end(), IsBefore);
+  return lines;
+}
+
+std::optional<StoryGap> LogStory::LongestGap(
+    const std::vector<StoryLine>& lines) {
+  std::optional<StoryGap> longest;
+  std::optional<size_t> last;
+  for (size_t i = 0; i < lines.size(); ++i) {
+    if (!lines[i].own) continue;
+    const std::optional<size_t> before = std::exchange(last, i);
+    if (!before) continue;
+    const Duration length = lines[i].time - lines[*before].time;
+    if (longest && length <= longest->length) continue;
+    longest = StoryGap{length, *before, i};
+  }
+  return longest;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/logging/log_story.h
@@ -0,0 +1,68 @@
+// The story of one job or request, from the logs of all entries.
+//
+// Takes lines of any number of logs and keeps those that name the id, and those
+// that explain a wait: changes of the lead, losses of the store, and what
+// became of the workers that the job was on.
+#ifndef THORNPLANK_LOGGING_LOG_STORY_H_
+#define THORNPLANK_LOGGING_LOG_STORY_H_
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/json.h"
+#include "base/time.h"
+
+namespace thornplank {
+
+struct StoryLine {
+  WallTime time{};
+  std::string instance;
+  int event = 0;
+  std::string name;
+  // Names the id itself; else it is what went on around it.
+  bool own = false;
+  // All other fields of the line.
+  Json fields;
+};
+
+// The longest time in which nothing is told of the id.
+struct StoryGap {
+  Duration length{};
+  // The lines before and after it.
+  size_t from = 0;
+  size_t to = 0;
+};
+
+class LogStory {
+ public:
+  explicit LogStory(std::string id) : id_(std::move(id)) {}
+
+  // One line of a log. Anything before its first brace is skipped, as log
+  // collectors put their own words there. False when it cannot be read.
+  bool Add(std::string_view line);
+
+  // In order of time, from the first to the last that names the id.
+  std::vector<StoryLine> Lines() const;
+  // Between two lines of the id itself; nullopt with less than two.
+  static std::optional<StoryGap> LongestGap(
+      const std::vector<StoryLine>& lines);
+
+ private:
+  void NoteWorkers(const Json& fields);
+  // Whether a line that does not name the id belongs to its surroundings.
+  bool Surrounds(const StoryLine& line) const;
+
+  const std::string id_;
+  std::vector<StoryLine> own_;
+  std::vector<StoryLine> others_;
+  // Workers that the id's tasks were placed on.
+  std::set<std::string> workers_;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_LOGGING_LOG_STORY_H_
--- a/src/libs/metrics/metrics_registry.cc
+++ b/src/libs/metrics/metrics_registry.cc
@@ -1,7 +1,10 @@
-// The registry, and summaries on Boost.Accumulators.
+// The registry, with summaries on Boost.Accumulators and histograms on
+// Boost.Histogram.
 #include "metrics/metrics_registry.h"
 
 #include <array>
+#include <iomanip>
+#include <limits>
 #include <mutex>
 #include <sstream>
 #include <utility>
@@ -10,6 +13,9 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 namespace thornplank {
 namespace {
@@ -18,6 +24,23 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.9, 0.99};
 
+// Upper bounds of the buckets, in seconds: the steps of 1, 2 and 5 over the
+// range of what is measured, from one call of the store to a long task.
+constexpr std::array<double, 15> kBucketBounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
+
+// Bin i of the axis holds what is above bound i - 1 and at most bound i; the
+// axis counts a value on a bound to the next bin, so values are negated.
+using BucketAxis = boost::histogram::axis::variable<double>;
+
+std::vector<double> NegatedBounds() {
+  std::vector<double> edges(kBucketBounds.rbegin(), kBucketBounds.rend());
+  for (double& edge : edges) {
+    edge = -edge;
+  }
+  return edges;
+}
+
 // One per quantile: extended_p_square_quantile, which would hold all three,
 // reads an uninitialised member (Boost 1.74).
 using QuantileAccumulator = accumulators::accumulator_set<
@@ -50,6 +73,21 @@
   return text + "}";
 }
 
+// All digits of whole numbers, as counters and bytes need them.
+std::string NumberText(double value) {
+  std::ostringstream text;
+  text << std::setprecision(std::numeric_limits<double>::max_digits10) << value;
+  return text.str();
+}
+
+std::string Labelled(MetricLabels labels, const std::string& name,
+                     double value) {
+  std::ostringstream text;
+  text << value;
+  labels[name] = text.str();
+  return LabelText(labels);
+}
+
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -112,15 +150,100 @@
   return impl_->quantile(probability);
 }
 
+class Histogram::Impl {
+ public:
+  void Observe(Duration value) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    bins_(-ToSeconds(value));
+    sum_ += value;
+    ++count_;
+  }
+
+  uint64_t count() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return count_;
+  }
+
+  Duration sum() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return sum_;
+  }
+
+  std::vector<Bucket> buckets() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<Bucket> buckets;
+    uint64_t below = 0;
+    // The overflow bin holds the smallest durations.
+    const auto bins = static_cast<int>(kBucketBounds.size());
+    for (int i = 0; i < bins; ++i) {
+      below += static_cast<uint64_t>(bins_.at(bins - 1 - i));
+      buckets.push_back(
+          {FromSeconds(kBucketBounds[static_cast<size_t>(i)]), below});
+    }
+    return buckets;
+  }
+
+ private:
+  // Guards all that follows.
+  mutable std::mutex mutex_;
+  decltype(boost::histogram::make_histogram(
+      BucketAxis(NegatedBounds()))) bins_ =
+      boost::histogram::make_histogram(BucketAxis(NegatedBounds()));
+  Duration sum_ = Duration::zero();
+  uint64_t count_ = 0;
+};
+
+Histogram::Histogram() : impl_(std::make_unique<Impl>()) {}
+Histogram::~Histogram() = default;
+void Histogram::Observe(Duration value) { impl_->Observe(value); }
+uint64_t Histogram::count() const { return impl_->count(); }
+Duration Histogram::sum() const { return impl_->sum(); }
+std::vector<Histogram::Bucket> Histogram::buckets() const {
+  return impl_->buckets();
+}
+
+namespace {
+
+void WriteSumAndCount(const std::string& name, const MetricLabels& labels,
+                      Duration sum, uint64_t count, std::ostream& text) {
+  text << name << "_sum" << LabelText(labels) << ' ' << ToSeconds(sum) << '\n';
+  text << name << "_count" << LabelText(labels) << ' ' << count << '\n';
+}
+
+void WriteSummary(const std::string& name, const MetricLabels& labels,
+                  const Summary& summary, std::ostream& text) {
+  for (const double probability : kQuantiles) {
+    text << name << Labelled(labels, "quantile", probability) << ' '
+         << ToSeconds(summary.quantile(probability)) << '\n';
+  }
+  WriteSumAndCount(name, labels, summary.sum(), summary.count(), text);
+}
+
+void WriteHistogram(const std::string& name, const MetricLabels& labels,
+                    const Histogram& histogram, std::ostream& text) {
+  for (const Histogram::Bucket& bucket : histogram.buckets()) {
+    text << name << "_bucket" << Labelled(labels, "le", ToSeconds(bucket.bound))
+         << ' ' << bucket.count << '\n';
+  }
+  MetricLabels all = labels;
+  all["le"] = "+Inf";
+  text << name << "_bucket" << LabelText(all) << ' ' << histogram.count()
+       << '\n';
+  WriteSumAndCount(name, labels, histogram.sum(), histogram.count(), text);
+}
+
+}  // namespace
+
 class MetricsRegistry::Impl {
  public:
-  // One metric name with all its label sets. Exactly one of the three maps
-  // is used, the one that `type` names.
+  // One metric name with all its label sets. Exactly one of the maps is used,
+  // the one that `type` names; counters kept elsewhere are in `gauges`.
   struct Family {
     std::string help;
     std::string type;
     std::map<MetricLabels, std::unique_ptr<Counter>> counters;
     std::map<MetricLabels, std::unique_ptr<Summary>> summaries;
+    std::map<MetricLabels, std::unique_ptr<Histogram>> histograms;
     std::map<MetricLabels, std::function<double()>> gauges;
   };
 
@@ -167,6 +290,23 @@
   impl_->family(name, help, "gauge").gauges[labels] = std::move(read);
 }
 
+Histogram& MetricsRegistry::histogram(const std::string& name,
+                                      const std::string& help,
+                                      const MetricLabels& labels) {
+  const std::lock_guard<std::mutex> lock(impl_->mutex);
+  auto& slot = impl_->family(name, help, "histogram").histograms[labels];
+  if (slot == nullptr) slot = std::make_unique<Histogram>();
+  return *slot;
+}
+
+void MetricsRegistry::AddCounter(const std::string& name,
+                                 const std::string& help,
+                                 const MetricLabels& labels,
+                                 std::function<double()> read) {
+  const std::lock_guard<std::mutex> lock(impl_->mutex);
+  impl_->family(name, help, "counter").gauges[labels] = std::move(read);
+}
+
 std::string MetricsRegistry::ToText() const {
   const std::lock_guard<std::mutex> lock(impl_->mutex);
   std::ostringstream text;
@@ -177,21 +317,13 @@
       text << name << LabelText(labels) << ' ' << counter->value() << '\n';
     }
     for (const auto& [labels, read] : family.gauges) {
-      text << name << LabelText(labels) << ' ' << read() << '\n';
+      text << name << LabelText(labels) << ' ' << NumberText(read()) << '\n';
     }
     for (const auto& [labels, summary] : family.summaries) {
-      for (double probability : kQuantiles) {
-        MetricLabels with_quantile = labels;
-        std::ostringstream quantile;
-        quantile << probability;
-        with_quantile["quantile"] = quantile.str();
-        text << name << LabelText(with_quantile) << ' '
-             << ToSeconds(summary->quantile(probability)) << '\n';
-      }
-      text << name << "_sum" << LabelText(labels) << ' '
-           << ToSeconds(summary->sum()) << '\n';
-      text << name << "_count" << LabelText(labels) << ' ' << summary->count()
-           << '\n';
+      WriteSummary(name, labels, *summary, text);
+    }
+    for (const auto& [labels, histogram] : family.histograms) {
+      WriteHistogram(name, labels, *histogram, text);
     }
   }
   return text.str();
--- a/src/libs/metrics/metrics_registry.h
+++ b/src/libs/metrics/metrics_registry.h
@@ -1,6 +1,9 @@
-// Counters, gauges and summaries, shown in the Prometheus text format 0.0.4.
+// Counters, gauges, summaries and histograms, shown in the Prometheus text
+// format 0.0.4.
 //
-// Summaries use Boost.Accumulators (P-square quantiles).
+// Summaries use Boost.Accumulators (P-square quantiles), histograms
+// Boost.Histogram. Quantiles of one process are read from a summary;
+// histograms can be added up over processes.
 #ifndef THORNPLANK_METRICS_METRICS_REGISTRY_H_
 #define THORNPLANK_METRICS_METRICS_REGISTRY_H_
 
@@ -10,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 
@@ -43,6 +47,28 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// Distribution of durations over fixed buckets, from a millisecond to a minute.
+class Histogram {
+ public:
+  Histogram();
+  ~Histogram();
+  void Observe(Duration value);
+  uint64_t count() const;
+  Duration sum() const;
+
+  // An upper bound and how many observations were at most that.
+  struct Bucket {
+    Duration bound{};
+    uint64_t count = 0;
+  };
+  // Cumulative, without the one that holds all.
+  std::vector<Bucket> buckets() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
 using MetricLabels = std::map<std::string, std::string>;
 
 class MetricsRegistry {
@@ -56,10 +82,16 @@
                    const MetricLabels& labels = {});
   Summary& summary(const std::string& name, const std::string& help,
                    const MetricLabels& labels = {});
+  Histogram& histogram(const std::string& name, const std::string& help,
+                       const MetricLabels& labels = {});
   // A gauge is read when the text is made.
   void AddGauge(const std::string& name, const std::string& help,
                 const MetricLabels& labels, std::function<double()> read);
 
+  // A counter that is kept elsewhere, read when the text is made.
+  void AddCounter(const std::string& name, const std::string& help,
+                  const MetricLabels& labels, std::function<double()> read);
+
   // The whole registry in text format, sorted by name.
   std::string ToText() const;
 
--- a/src/libs/metrics/process_metrics.cc
+++ b/src/libs/metrics/process_metrics.cc
@@ -35,8 +35,8 @@
 void AddProcessMetrics(MetricsRegistry& metrics) {
   metrics.AddGauge("process_resident_memory_bytes", "Resident memory.", {},
                    ResidentBytes);
-  metrics.AddGauge("process_cpu_seconds_total",
-                   "Processor time, user and system.", {}, CpuSeconds);
+  metrics.AddCounter("process_cpu_seconds_total",
+                     "Processor time, user and system.", {}, CpuSeconds);
 }
 
 }  // namespace thornplank
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -80,6 +80,10 @@
   WallTime due(int occurrence) const {
     return first_start + interval * occurrence;
   }
+  // From when on it may run.
+  WallTime begin(int occurrence) const {
+    return scheduled() ? due(occurrence) : accepted;
+  }
 };
 
 // Sixteen hexadecimal digits.
--- a/src/libs/workload/open_step.cc
+++ b/src/libs/workload/open_step.cc
@@ -28,8 +28,8 @@
 
 Lateness LatenessOf(const Job& job, int occurrence, WallTime now) {
   const JobDefinition& spec = job.spec;
-  const WallTime from = spec.scheduled() ? spec.due(occurrence) : spec.accepted;
-  const auto age = std::chrono::duration_cast<Milliseconds>(now - from);
+  const auto age =
+      std::chrono::duration_cast<Milliseconds>(now - spec.begin(occurrence));
   const auto chain = static_cast<double>(LongestChain(spec).count());
   const auto stretched =
       Milliseconds(static_cast<int64_t>(chain * spec.policy.stretch));
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -155,6 +155,7 @@
     const bool placed = step.spec->gang ? PlaceGang(step) : PlaceSingles(step);
     if (own != reservations.end()) {
       if (placed) {
+        plan_.starts.back().room_taken = own->second.made;
         reservations.erase(own);
       } else {
         Keep(own->second);
@@ -372,7 +373,8 @@
       if (room.IsEmpty()) --empty_workers_;
       room.room -= need;
     }
-    plan_.starts.push_back({step.ref, std::move(chosen), std::move(reason)});
+    plan_.starts.push_back(
+        {step.ref, std::move(chosen), std::move(reason), std::nullopt});
   }
 
   // Takes room from others for an urgent step.
@@ -485,6 +487,7 @@
   void Evict(const OpenStep& step, const std::vector<Eviction>& evictions) {
     Reservation reservation;
     reservation.need = Reserved(step);
+    reservation.made = inputs_.now;
     reservation.until = inputs_.now + planner_.settings_.reservation_term;
     for (const Eviction& eviction : evictions) {
       WorkerRoom& room = rooms_[eviction.worker];
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -9,6 +9,7 @@
 #define THORNPLANK_WORKLOAD_PLANNER_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
   std::vector<JobLedger::Assignment> assignments;
   // For the log: what decided.
   std::string reason;
+  // Where room was taken from others for it: since when it waits for that.
+  std::optional<Time> room_taken;
 };
 
 struct StopDecision {
@@ -74,6 +77,7 @@
   struct Reservation {
     std::map<std::string, int> tasks_by_worker;
     Resources need;
+    Time made{};
     Time until{};
   };
 
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -69,7 +69,7 @@
         FakeWorkerCalls& calls, const std::string& name)
       : tail_(io, store, TailSettings(), Handlers()),
         coordinator_(io, store, calls, formats_, CoordinatorSettings(name),
-                     Surroundings()) {
+                     Surroundings(), metrics_) {
     tail_.Start();
     coordinator_.Start();
   }
@@ -123,6 +123,7 @@
   JobBoard board_;
   ServingConfiguration configuration_;
   RecordTail tail_;
+  MetricsRegistry metrics_;
   ClusterCoordinator coordinator_;
 };
 
--- /dev/null
+++ b/tests/auto/logging/tst_log_story.cc
@@ -0,0 +1,89 @@
+// Which lines make up a story, and in which order.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "logging/log_story.h"
+
+namespace thornplank {
+namespace {
+
+constexpr char kId[] = "5c0e7a21d94b36f8";
+
+std::string Line(int time, int event, const std::string& rest) {
+  return R"({"time_ms":)" + std::to_string(time) +
+         R"(,"level":"info","instance":"e1","event":)" + std::to_string(event) +
+         R"(,"name":"n)" + std::to_string(event) + "\"" +
+         (rest.empty() ? "" : "," + rest) + "}";
+}
+
+std::string Job() { return std::string(R"("job":")") + kId + "\""; }
+
+std::vector<int> Events(const LogStory& story) {
+  std::vector<int> events;
+  for (const StoryLine& line : story.Lines()) {
+    events.push_back(line.event);
+  }
+  return events;
+}
+
+TEST_CASE("a story holds the id's lines and what explains its waits") {
+  struct Row {
+    std::string name;
+    std::string line;
+    bool told;
+  };
+  const std::vector<Row> rows = {
+      {"a change of the lead", Line(150, 901, ""), true},
+      {"a loss of the store", Line(150, 905, ""), true},
+      {"a configuration", Line(150, 907, R"("version":3)"), true},
+      {"its worker falls silent", Line(150, 922, R"("worker":"w1")"), true},
+      {"another worker falls silent", Line(150, 922, R"("worker":"w9")"),
+       false},
+      {"another job", Line(150, 910, R"("job":"0000000000000000")"), false},
+      {"the lead, before its time", Line(50, 901, ""), false},
+      {"the lead, after its time", Line(500, 901, ""), false},
+      {"a task of it",
+       Line(150, 917, std::string(R"("task":")") + kId + R"(.0.0.3")"), true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    LogStory story(kId);
+    CHECK(story.Add(row.line));
+    CHECK(story.Add(Line(300, 914, Job())));
+    CHECK(story.Add(Line(100, 910, Job())));
+    CHECK(story.Add(Line(200, 915, Job() + R"(,"tasks":[[0,"w1"]])")));
+    const std::vector<int> events = Events(story);
+    CHECK(events.size() == (row.told ? 4 : 3));
+    CHECK(events.front() == 910);
+    CHECK(events.back() == 914);
+  }
+}
+
+TEST_CASE("words before the line are skipped, other text is not a line") {
+  LogStory story(kId);
+  CHECK(story.Add("  0.93 edge-1 " + Line(100, 910, Job())));
+  CHECK_FALSE(story.Add("no line at all"));
+  CHECK_FALSE(story.Add("{\"time_ms\":1"));
+  CHECK_FALSE(story.Add("{\"event\":910}"));
+  CHECK(story.Lines().size() == 1);
+}
+
+TEST_CASE("the longest wait lies between two lines of the id itself") {
+  LogStory story(kId);
+  story.Add(Line(100, 910, Job()));
+  story.Add(Line(150, 915, Job()));
+  story.Add(Line(900, 901, ""));
+  story.Add(Line(1200, 917, Job()));
+  const std::vector<StoryLine> lines = story.Lines();
+  const std::optional<StoryGap> gap = LogStory::LongestGap(lines);
+  REQUIRE(gap.has_value());
+  CHECK(gap->length == std::chrono::milliseconds(1050));
+  CHECK(lines[gap->from].event == 915);
+  CHECK(lines[gap->to].event == 917);
+  CHECK_FALSE(LogStory::LongestGap({lines.front()}).has_value());
+}
+
+}  // namespace
+}  // namespace thornplank
--- a/tests/auto/metrics/tst_metrics_registry.cc
+++ b/tests/auto/metrics/tst_metrics_registry.cc
@@ -1,6 +1,9 @@
-// The text form of counters, gauges and summaries.
+// The text form of counters, gauges, summaries and histograms.
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 #include "metrics/metrics_registry.h"
 
 namespace thornplank {
@@ -41,5 +44,63 @@
   CHECK(summary.quantile(0.99) > milliseconds(960));
 }
 
+TEST_CASE("a value on a bound counts to the bucket of that bound") {
+  struct Row {
+    milliseconds value;
+    // The first bucket that holds it; zero for none.
+    milliseconds bound;
+  };
+  const std::vector<Row> rows = {
+      {milliseconds(0), milliseconds(1)},
+      {milliseconds(1), milliseconds(1)},
+      {milliseconds(3), milliseconds(5)},
+      {milliseconds(5), milliseconds(5)},
+      {milliseconds(60000), milliseconds(60000)},
+      {milliseconds(60001), milliseconds(0)},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.value.count());
+    Histogram histogram;
+    histogram.Observe(row.value);
+    CHECK(histogram.count() == 1);
+    CHECK(histogram.sum() == row.value);
+    milliseconds first{0};
+    for (const Histogram::Bucket& bucket : histogram.buckets()) {
+      if (bucket.count == 0) continue;
+      first = std::chrono::round<milliseconds>(bucket.bound);
+      break;
+    }
+    CHECK(first == row.bound);
+  }
+}
+
+TEST_CASE("a histogram shows rising buckets, the sum and the count") {
+  MetricsRegistry registry;
+  Histogram& histogram =
+      registry.histogram("wait_seconds", "Wait.", {{"kind", "gang"}});
+  histogram.Observe(milliseconds(5));
+  histogram.Observe(milliseconds(1500));
+  const std::string text = registry.ToText();
+  for (const char* line :
+       {"# TYPE wait_seconds histogram\n",
+        "wait_seconds_bucket{kind=\"gang\",le=\"0.002\"} 0\n",
+        "wait_seconds_bucket{kind=\"gang\",le=\"0.005\"} 1\n",
+        "wait_seconds_bucket{kind=\"gang\",le=\"2\"} 2\n",
+        "wait_seconds_bucket{kind=\"gang\",le=\"+Inf\"} 2\n",
+        "wait_seconds_sum{kind=\"gang\"} 1.505\n",
+        "wait_seconds_count{kind=\"gang\"} 2\n"}) {
+    CAPTURE(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
+TEST_CASE("counters kept elsewhere show all their digits") {
+  MetricsRegistry registry;
+  registry.AddCounter("bytes_total", "Bytes.", {}, [] { return 123456789.0; });
+  CHECK(registry.ToText() ==
+        "# HELP bytes_total Bytes.\n# TYPE bytes_total counter\n"
+        "bytes_total 123456789\n");
+}
+
 }  // namespace
 }  // namespace thornplank
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -145,7 +145,17 @@
   entries_[index].reset();
   entries_[index] = std::make_unique<ChildProcess>(
       THORNPLANK_HOSTED, std::vector<std::string>{"--settings", name + ".json"},
-      name + "-" + std::to_string(starts_[index]++) + ".log");
+      NextLog(entry));
+  ++starts_[index];
+}
+
+std::string HostedCluster::NextLog(int entry) const {
+  return LogOf(entry, starts_[static_cast<size_t>(entry)]);
+}
+
+std::string HostedCluster::LogOf(int entry, int life) const {
+  return folder_ + "/entry" + std::to_string(entry) + "-" +
+         std::to_string(life) + ".log";
 }
 
 bool HostedCluster::WaitReady(int entry, Duration limit) {
@@ -267,8 +277,7 @@
 std::vector<Json> HostedCluster::Events(int entry, int number) const {
   std::vector<Json> events;
   for (int i = 0; i < starts_[static_cast<size_t>(entry)]; ++i) {
-    std::ifstream file(folder_ + "/entry" + std::to_string(entry) + "-" +
-                       std::to_string(i) + ".log");
+    std::ifstream file(LogOf(entry, i));
     std::string line;
     while (std::getline(file, line)) {
       auto event = ParseJson(line);
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -89,6 +89,8 @@
   std::vector<Json> Runs();
   // Executors that were given more than they have room for.
   std::vector<std::string> CapacityViolations();
+  // Where the entry's next life will write its log.
+  std::string NextLog(int entry) const;
   // Log lines of one event number, of all lives of the entry.
   std::vector<Json> Events(int entry, int number) const;
   // The entry that said last that it leads, and runs; -1 for none.
@@ -105,6 +107,7 @@
  private:
   Json StandinConfig() const;
   Json EntryConfig(int entry) const;
+  std::string LogOf(int entry, int life) const;
   std::string Address(int port) const;
   // A client of the calling thread's own, so that threads don't wait for each
   // other.
--- /dev/null
+++ b/tests/integration/tst_hosted_logs.cc
@@ -0,0 +1,67 @@
+// A standard output that nobody reads, or that is closed, changes nothing for
+// callers, and the end of the process does not wait for it.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <string>
+#include <vector>
+
+#include "hosted_cluster.h"
+#include "metrics_text.h"
+
+namespace thornplank {
+namespace {
+
+// More lines than a pipe holds: each refusal is a line of 200 bytes and more.
+constexpr int kRefusedCalls = 600;
+
+TEST_CASE("an unread log costs lines, not service") {
+  struct Row {
+    std::string name;
+    bool reader_goes;
+  };
+  const std::vector<Row> rows = {
+      {"nobody reads", false},
+      {"the reader goes away", true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    HostedClusterSettings settings;
+    settings.entries = 1;
+    HostedCluster cluster(settings);
+    REQUIRE(cluster.Start());
+    cluster.entry(0).Kill();
+    const std::string pipe = cluster.NextLog(0);
+    REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    const int reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(reader >= 0);
+    cluster.StartEntry(0);
+    if (row.reader_goes) ::close(reader);
+    REQUIRE(cluster.WaitReady(0));
+    for (int i = 0; i < kRefusedCalls; ++i) {
+      const auto answer =
+          cluster.Call(0, "GET", "/nowhere/", "", HostedCluster::Key());
+      REQUIRE(answer.has_value());
+      CHECK(answer->status == 404);
+    }
+    TestJob job;
+    job.id = "00000000000000aa";
+    CHECK(HostedCluster::Eventually(
+        [&] { return cluster.Submit(0, job) == 200; }));
+    CHECK(HostedCluster::Eventually(
+        [&] { return cluster.State(0, job) == "completed"; }));
+    CHECK(HostedCluster::Eventually([&] {
+      return MetricsText(cluster.Metrics(0))
+                 .Sum("thornplank_log_lines_lost_total") > 0;
+    }));
+    cluster.entry(0).Signal(SIGTERM);
+    CHECK(cluster.entry(0).Wait(std::chrono::seconds(20)) == 0);
+    if (!row.reader_goes) ::close(reader);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank
