Say why a step waits; one planner in four parts

Cause: tracing ten late jobs a site by the operations page broke at jobs that waited: no line said why they were not placed; lines of entries without part in the job drowned the rest; how long a run lasted, and whether it ran away from its data, had to be worked out.

--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -28,7 +28,7 @@
   std::cout << "\nlongest wait: " << ToMilliseconds(gap.length) << " ms, from "
             << lines[gap.from].name << " to " << lines[gap.to].name << "\n";
   for (size_t i = gap.from + 1; i < gap.to; ++i) {
-    std::cout << "  meanwhile " << lines[i].name << " at " << lines[i].instance
+    std::cout << "  meanwhile at " << lines[i].instance << ": " << lines[i].name
               << "\n";
   }
 }
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -337,6 +337,7 @@
   progress_writer_.reset();
   ledger_ = JobLedger();
   pending_starts_.clear();
+  told_waits_.clear();
   unrecorded_ends_.clear();
   loaded_.clear();
   next_claim_ = Now() + kClaimRetry;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -111,6 +111,8 @@
   void SchedulePlanning();
   void PlanRound();
   void ApplyStart(const StartDecision& decision, Time now);
+  // Logs why steps wait, once for each reason.
+  void TellWaits(const std::vector<WaitDecision>& waits);
   void MeasureWait(const StartDecision& decision, Time now);
   RunProfile ProfileOf(const TaskRef& task) const;
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
@@ -172,6 +174,8 @@
     std::string checkpoint;
   };
   std::vector<PendingStart> pending_starts_;
+  // Steps that wait, with the reason that was told.
+  std::map<StepRef, WaitReason> told_waits_;
 
   // Callbacks that outlive this object, or this lead, do nothing.
   std::shared_ptr<int64_t> generation_ = std::make_shared<int64_t>(0);
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -48,6 +48,7 @@
     for (const StopDecision& stop : plan.stops) {
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
     }
+    TellWaits(plan.waits);
   }
   Flush();
 }
@@ -58,6 +59,7 @@
   const Job* job = ledger_.Find(decision.step.job);
   const StepSpec* spec = ledger_.FindStepSpec(decision.step);
   Json workers = Json::array();
+  int away = 0;
   for (const JobLedger::Assignment& assignment : decision.assignments) {
     const TaskRef task{decision.step, assignment.index};
     fleet_->Add(assignment.worker, task, run, ProfileOf(task), now);
@@ -65,6 +67,7 @@
     pending_starts_.push_back(
         {assignment.worker, task, run, status->checkpoint});
     workers.push_back(Json::array({assignment.index, assignment.worker}));
+    if (!fleet_->IsNear(assignment.worker, spec->data_rack)) ++away;
   }
   LogEvent(events::kTasksPlaced,
            {{"job", decision.step.job},
@@ -74,6 +77,7 @@
             {"reason", decision.reason},
             {"priority", job->spec.policy.priority},
             {"data_rack", spec->data_rack},
+            {"away_from_data", away},
             {"same_rack", spec->same_rack},
             {"accelerators", spec->need.accelerators},
             {"estimate_ms", spec->estimate.count()},
@@ -82,6 +86,25 @@
             {"configuration", surroundings_.configuration().version}});
 }
 
+void ClusterCoordinator::TellWaits(const std::vector<WaitDecision>& waits) {
+  std::map<StepRef, WaitReason> told;
+  for (const WaitDecision& wait : waits) {
+    told[wait.step] = wait.reason;
+    const auto before = told_waits_.find(wait.step);
+    if (before != told_waits_.end() && before->second == wait.reason) continue;
+    const Job* job = ledger_.Find(wait.step.job);
+    const StepProgress* progress = ledger_.FindStep(wait.step);
+    LogEvent(events::kStepWaits, {{"job", wait.step.job},
+                                  {"step", wait.step.ToString()},
+                                  {"reason", std::string(ToText(wait.reason))},
+                                  {"tasks", progress->waiting},
+                                  {"priority", job->spec.policy.priority},
+                                  {"epoch", epoch_},
+                                  {"board_next", surroundings_.board_next()}});
+  }
+  told_waits_ = std::move(told);
+}
+
 void ClusterCoordinator::MeasureWait(const StartDecision& decision, Time now) {
   if (decision.room_taken) {
     metrics_.OnRoomReclaimed(now - *decision.room_taken);
@@ -118,16 +141,18 @@
                                   const RunEndReport& end) {
   const bool taken = ledger_.End(end.task, end.run, end.end, end.checkpoint);
   const StepSpec* spec = ledger_.FindStepSpec(end.task.step);
-  if (spec != nullptr) {
-    std::optional<Duration> lasted;
-    if (end.began != Time{}) lasted = Now() - end.began;
-    metrics_.OnRunEnded(*spec, end.end, lasted);
-  }
+  std::optional<Duration> lasted;
+  if (end.began != Time{}) lasted = Now() - end.began;
+  if (spec != nullptr) metrics_.OnRunEnded(*spec, end.end, lasted);
+  const auto lasted_ms = std::chrono::duration_cast<Milliseconds>(
+                             lasted.value_or(Duration::zero()))
+                             .count();
   LogEvent(events::kRunEnded, {{"task", end.task.ToString()},
                                {"run", end.run},
                                {"worker", worker},
                                {"end", std::string(ToText(end.end))},
                                {"number", end.number},
+                               {"lasted_ms", lasted_ms},
                                {"in_force", taken}});
   if (end.number > 0) {
     int64_t& number = unrecorded_ends_[worker];
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -417,11 +417,11 @@
   return left > moved ? "slow worker" : "";
 }
 
-double WorkerFleet::Slowdown(const WorkerTracker& tracker,
-                             const TrackedRun& run) const {
-  const std::string& rack = run.profile.data_rack;
-  const bool near = rack.empty() || rack == tracker.registration().rack;
-  return near ? 1 : settings_.far_slowdown;
+bool WorkerFleet::IsNear(const std::string& worker,
+                         const std::string& rack) const {
+  if (rack.empty()) return true;
+  const auto it = trackers_.find(worker);
+  return it != trackers_.end() && it->second.registration().rack == rack;
 }
 
 void WorkerFleet::ObserveSpeeds(WorkerTracker* tracker, Time now) {
@@ -429,8 +429,9 @@
     if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
     // Standing at the end says nothing of how long it took to get there.
     if (run.percent >= kWholeWork || run.rate() <= 0) continue;
+    const bool near = IsNear(tracker->id(), run.profile.data_rack);
     speeds_.Observe(tracker->id(), task.step, run.rate(),
-                    Slowdown(*tracker, run), now);
+                    near ? 1 : settings_.far_slowdown, now);
   }
   tracker->set_speed(speeds_.speed(tracker->id(), now));
 }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -73,6 +73,9 @@
     return trackers_;
   }
 
+  // Whether the worker stands on that rack; true for no rack.
+  bool IsNear(const std::string& worker, const std::string& rack) const;
+
   // A run that a predecessor recorded.
   void Inherit(const std::string& worker, const TaskRef& task, int run,
                const RunProfile& profile, Time now, Time lease_bound);
@@ -116,7 +119,6 @@
   std::string ReasonToStop(const WorkerTracker& tracker, const TrackedRun& run,
                            Time now) const;
   void ObserveSpeeds(WorkerTracker* tracker, Time now);
-  double Slowdown(const WorkerTracker& tracker, const TrackedRun& run) const;
   bool Lose(const std::string& id, const std::string& reason);
   WorkerTracker* Find(const std::string& id);
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -39,6 +39,7 @@
 inline constexpr Event kWorkerLeaving{925, "worker-leaving", Severity::kInfo};
 inline constexpr Event kRunStalled{926, "run-stalled", Severity::kWarning};
 inline constexpr Event kStateAnswered{927, "state-answered", Severity::kDebug};
+inline constexpr Event kStepWaits{928, "step-waits", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/logging/log_story.cc
+++ b/src/libs/logging/log_story.cc
@@ -11,14 +11,15 @@
 namespace thornplank {
 namespace {
 
-// What may hold up any job, whoever it is about.
-constexpr std::array<const Event*, 11> kOfEveryone = {
-    &events::kProcessStarted, &events::kShutdownBegun,
-    &events::kLeadClaimed,    &events::kLeadTaken,
-    &events::kLeadLost,       &events::kLeadReleased,
-    &events::kLeadRefused,    &events::kStoreLost,
-    &events::kStoreBack,      &events::kConfigurationInForce,
-    &events::kLogLinesLeftOut};
+// What may hold up any job, whichever entry it happens at.
+constexpr std::array<const Event*, 4> kOfEveryone = {
+    &events::kLeadTaken, &events::kLeadLost, &events::kLeadReleased,
+    &events::kStoreLost};
+
+// What matters at the entries that had to do with the id.
+constexpr std::array<const Event*, 5> kOfInvolved = {
+    &events::kProcessStarted, &events::kShutdownBegun, &events::kStoreBack,
+    &events::kConfigurationInForce, &events::kLogLinesLeftOut};
 
 // What becomes of a worker.
 constexpr std::array<const Event*, 6> kOfWorkers = {
@@ -63,11 +64,14 @@
   line.fields = std::move(*json);
   if (own) {
     NoteWorkers(line.fields);
+    instances_.insert(line.instance);
     own_.push_back(std::move(line));
-  } else if (IsOneOf(line.event, kOfEveryone) ||
-             IsOneOf(line.event, kOfWorkers)) {
-    others_.push_back(std::move(line));
+    return true;
   }
+  const bool may_surround = IsOneOf(line.event, kOfEveryone) ||
+                            IsOneOf(line.event, kOfInvolved) ||
+                            IsOneOf(line.event, kOfWorkers);
+  if (may_surround) others_.push_back(std::move(line));
   return true;
 }
 
@@ -86,6 +90,9 @@
 
 bool LogStory::Surrounds(const StoryLine& line) const {
   if (IsOneOf(line.event, kOfEveryone)) return true;
+  if (IsOneOf(line.event, kOfInvolved)) {
+    return instances_.count(line.instance) > 0;
+  }
   const auto worker = StringField(line.fields, "worker");
   return worker && workers_.count(*worker) > 0;
 }
--- a/src/libs/logging/log_story.h
+++ b/src/libs/logging/log_story.h
@@ -61,6 +61,8 @@
   std::vector<StoryLine> others_;
   // Workers that the id's tasks were placed on.
   std::set<std::string> workers_;
+  // Instances with lines of the id's.
+  std::set<std::string> instances_;
 };
 
 }  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/cluster_rooms.cc
@@ -0,0 +1,178 @@
+// Sums and conditions over workers.
+#include "workload/cluster_rooms.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace thornplank {
+namespace {
+
+// Keeps workers under suspicion for when nothing else has room.
+constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
+// Below it a worker is slowed; sound ones differ by 0.8 to 1.25.
+constexpr double kSlowSpeed = 0.5;
+constexpr int64_t kSlowPenalty = int64_t{1} << 31;
+// A rack other than the data's costs more than any gap.
+constexpr int64_t kFarPenalty = int64_t{1} << 30;
+
+bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
+  if (label.empty()) return true;
+  const auto& labels = worker.labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+}  // namespace
+
+bool WorkerRoom::IsEmpty() const {
+  const Resources& all = worker().capacity;
+  return room.accelerators == all.accelerators &&
+         room.cpu_millis == all.cpu_millis;
+}
+
+Resources ReservedFor(const StepSpec& step) {
+  Resources need = step.need;
+  if (step.fills) need.cpu_millis = 0;
+  return need;
+}
+
+ClusterRooms::ClusterRooms(const std::map<std::string, WorkerTracker>& workers,
+                           Time now) {
+  for (const auto& [id, tracker] : workers) {
+    index_[id] = rooms_.size();
+    Add(tracker, now);
+  }
+}
+
+void ClusterRooms::Add(const WorkerTracker& tracker, Time now) {
+  WorkerRoom room;
+  room.tracker = &tracker;
+  room.room = tracker.room();
+  room.usable = tracker.synchronized() && tracker.reachable() &&
+                !tracker.missing() && !tracker.registration().draining &&
+                !tracker.Quarantined(now);
+  for (const auto& [task, run] : tracker.runs()) {
+    const RunProfile& profile = run.profile;
+    if (run.stop_wanted) room.coming += profile.need;
+    if (profile.priority != 0) continue;
+    urgent_use_[profile.account] += profile.need.accelerators;
+  }
+  const int64_t total = tracker.registration().capacity.accelerators;
+  total_accelerators_ += total;
+  used_accelerators_ += total - room.room.accelerators;
+  if (room.usable) ++usable_workers_;
+  if (room.usable && tracker.suspect()) ++suspects_;
+  if (room.usable && room.IsEmpty()) ++empty_workers_;
+  rooms_.push_back(room);
+}
+
+int64_t ClusterRooms::UrgentUse(const std::string& account) const {
+  const auto use = urgent_use_.find(account);
+  return use == urgent_use_.end() ? 0 : use->second;
+}
+
+double ClusterRooms::UsedShare() const {
+  if (total_accelerators_ == 0) return 1;
+  return static_cast<double>(used_accelerators_) /
+         static_cast<double>(total_accelerators_);
+}
+
+void ClusterRooms::Keep(const RoomReservation& reservation) {
+  Change(reservation, /*keep=*/true);
+}
+
+void ClusterRooms::GiveBack(const RoomReservation& reservation) {
+  Change(reservation, /*keep=*/false);
+}
+
+void ClusterRooms::Change(const RoomReservation& reservation, bool keep) {
+  for (const auto& [worker, tasks] : reservation.tasks_by_worker) {
+    const auto it = index_.find(worker);
+    if (it == index_.end()) continue;
+    Resources& room = rooms_[it->second].room;
+    for (int i = 0; i < tasks; ++i) {
+      if (keep) {
+        room -= reservation.need;
+      } else {
+        room += reservation.need;
+      }
+    }
+  }
+}
+
+void ClusterRooms::Occupy(const std::string& worker, const Resources& need) {
+  WorkerRoom& room = rooms_[index_.at(worker)];
+  if (room.IsEmpty()) --empty_workers_;
+  room.room -= need;
+}
+
+bool ClusterRooms::IsEligible(const OpenStep& step,
+                              const WorkerRoom& room) const {
+  if (!room.usable) return false;
+  if (room.worker().service != step.job->spec.policy.service) return false;
+  if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
+    return false;
+  }
+  return HasLabel(room.worker(), step.spec->required_label);
+}
+
+int64_t ClusterRooms::BoundLeft(const OpenStep& step,
+                                const WorkerTracker& worker) const {
+  if (step.spec->max_per_worker == 0) {
+    return std::numeric_limits<int32_t>::max();
+  }
+  int64_t left = step.spec->max_per_worker;
+  const auto& runs = worker.runs();
+  for (auto it = runs.lower_bound(TaskRef{step.ref, 0});
+       it != runs.end() && it->first.step == step.ref; ++it) {
+    --left;
+  }
+  return std::max<int64_t>(left, 0);
+}
+
+int64_t ClusterRooms::Score(const OpenStep& step, const WorkerRoom& room,
+                            int64_t tasks) const {
+  const Resources need = ReservedFor(*step.spec);
+  int64_t score = Weight(room.room) - Weight(need) * tasks;
+  const std::string& rack = step.spec->data_rack;
+  if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
+  if (room.tracker->suspect()) score += kSuspectPenalty;
+  if (room.tracker->speed() < kSlowSpeed) score += kSlowPenalty;
+  return score;
+}
+
+std::vector<Slot> ClusterRooms::FreeSlots(const OpenStep& step,
+                                          int64_t headroom) const {
+  std::vector<Slot> slots;
+  const Resources need = ReservedFor(*step.spec);
+  const auto waiting = static_cast<int64_t>(step.waiting.size());
+  int64_t empty_left = empty_workers_ - headroom;
+  for (size_t i = 0; i < rooms_.size(); ++i) {
+    const WorkerRoom& room = rooms_[i];
+    if (!IsEligible(step, room)) continue;
+    if (room.IsEmpty() && empty_left-- <= 0) continue;
+    const int64_t bound = BoundLeft(step, *room.tracker);
+    const int64_t tasks = std::min(bound, need.TimesIn(room.room, waiting));
+    if (tasks <= 0) continue;
+    slots.push_back({i, tasks, Score(step, room, tasks)});
+  }
+  return slots;
+}
+
+bool ClusterRooms::IsNear(const OpenStep& step, const Slot& slot) const {
+  return rooms_[slot.worker].worker().rack == step.spec->data_rack;
+}
+
+bool ClusterRooms::SomeRackCanHold(const OpenStep& step) const {
+  std::map<std::string, int64_t> tasks;
+  const Resources need = ReservedFor(*step.spec);
+  const auto members = static_cast<int64_t>(step.waiting.size());
+  for (const WorkerRoom& room : rooms_) {
+    if (!IsEligible(step, room)) continue;
+    int64_t& sum = tasks[room.worker().rack];
+    sum += need.TimesIn(room.worker().capacity, members);
+    if (sum >= members) return true;
+  }
+  return false;
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/workload/cluster_rooms.h
@@ -0,0 +1,111 @@
+// The room on every worker during one round of placement.
+//
+// Room shrinks as the round places tasks and keeps room for steps that others
+// gave way to; which workers a step may use is decided here as well.
+#ifndef THORNPLANK_WORKLOAD_CLUSTER_ROOMS_H_
+#define THORNPLANK_WORKLOAD_CLUSTER_ROOMS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "workload/open_step.h"
+#include "workload/resources.h"
+#include "workload/worker_tracker.h"
+
+namespace thornplank {
+
+struct WorkerRoom {
+  const WorkerTracker* tracker = nullptr;
+  // Free, not kept for anyone.
+  Resources room;
+  // What runs that are being stopped will free.
+  Resources coming;
+  // May be given new tasks.
+  bool usable = false;
+
+  const WorkerRegistration& worker() const { return tracker->registration(); }
+  bool IsEmpty() const;
+};
+
+// Room for some tasks of a step on one worker.
+struct Slot {
+  // Index of the worker's room.
+  size_t worker = 0;
+  int64_t tasks = 0;
+  // Smaller is better: a tight fit near the data on a trusted worker.
+  int64_t score = 0;
+};
+
+inline bool HasLessScore(const Slot& a, const Slot& b) {
+  return a.score < b.score;
+}
+
+// Room that is kept for a step until it starts there.
+struct RoomReservation {
+  std::map<std::string, int> tasks_by_worker;
+  // Of one task.
+  Resources need;
+  Time made{};
+  Time until{};
+};
+
+// A core's worth of an accelerator, as the users price it.
+inline constexpr int64_t kMillisPerAccelerator = 8000;
+inline int64_t Weight(const Resources& need) {
+  return need.cpu_millis + need.accelerators * kMillisPerAccelerator;
+}
+
+// What one task of the step takes off a worker's room.
+Resources ReservedFor(const StepSpec& step);
+
+class ClusterRooms {
+ public:
+  ClusterRooms(const std::map<std::string, WorkerTracker>& workers, Time now);
+
+  const std::vector<WorkerRoom>& rooms() const { return rooms_; }
+  WorkerRoom& room(size_t index) { return rooms_[index]; }
+  const WorkerRoom& room(size_t index) const { return rooms_[index]; }
+  int64_t usable_workers() const { return usable_workers_; }
+  // Accelerators in use by urgent runs of the account.
+  int64_t UrgentUse(const std::string& account) const;
+  // The share of all accelerators that is not free.
+  double UsedShare() const;
+
+  void Keep(const RoomReservation& reservation);
+  void GiveBack(const RoomReservation& reservation);
+  // A task was placed.
+  void Occupy(const std::string& worker, const Resources& need);
+
+  bool IsEligible(const OpenStep& step, const WorkerRoom& room) const;
+  // Where tasks of the step fit. That many empty workers are left alone.
+  std::vector<Slot> FreeSlots(const OpenStep& step, int64_t headroom) const;
+  // How many more tasks of the step its own bound lets the worker have.
+  int64_t BoundLeft(const OpenStep& step, const WorkerTracker& worker) const;
+  bool IsNear(const OpenStep& step, const Slot& slot) const;
+  // Whether a whole rack, empty, has room for all tasks that wait.
+  bool SomeRackCanHold(const OpenStep& step) const;
+
+ private:
+  void Add(const WorkerTracker& tracker, Time now);
+  bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
+  int64_t Score(const OpenStep& step, const WorkerRoom& room,
+                int64_t tasks) const;
+  void Change(const RoomReservation& reservation, bool keep);
+
+  std::vector<WorkerRoom> rooms_;
+  // Of rooms_, by the worker's id.
+  std::map<std::string, size_t> index_;
+  std::map<std::string, int64_t> urgent_use_;
+  int64_t usable_workers_ = 0;
+  int64_t suspects_ = 0;
+  int64_t empty_workers_ = 0;
+  int64_t total_accelerators_ = 0;
+  int64_t used_accelerators_ = 0;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_CLUSTER_ROOMS_H_
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -11,10 +11,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "workload/cluster_rooms.h"
 #include "workload/job_ledger.h"
+#include "workload/room_reclaim.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
@@ -35,9 +38,6 @@
   Milliseconds reservation_term{2500};
 };
 
-// Accelerators that belong to an account's urgent jobs at all times.
-using Guarantees = std::map<std::string, int64_t>;
-
 struct StartDecision {
   StepRef step;
   std::vector<JobLedger::Assignment> assignments;
@@ -54,9 +54,26 @@
   std::string reason;
 };
 
+// Why a step with tasks whose turn has come is not placed, or not wholly.
+enum class WaitReason {
+  kNoRoom,
+  kNoRoomNearData,
+  kNoRoomOnOneRack,
+  // Others were told to stop for it.
+  kRoomIsMade,
+};
+
+std::string_view ToText(WaitReason reason);
+
+struct WaitDecision {
+  StepRef step;
+  WaitReason reason = WaitReason::kNoRoom;
+};
+
 struct Plan {
   std::vector<StartDecision> starts;
   std::vector<StopDecision> stops;
+  std::vector<WaitDecision> waits;
 };
 
 struct PlanInputs {
@@ -74,13 +91,6 @@
   Plan Decide(const PlanInputs& inputs);
 
  private:
-  struct Reservation {
-    std::map<std::string, int> tasks_by_worker;
-    Resources need;
-    Time made{};
-    Time until{};
-  };
-
   class Round;
 
   // Whether urgent steps came lately.
@@ -88,7 +98,7 @@
 
   PlannerSettings settings_;
   Time last_urgent_{};
-  std::map<StepRef, Reservation> reservations_;
+  std::map<StepRef, RoomReservation> reservations_;
 };
 
 }  // namespace thornplank
--- a/tests/auto/logging/tst_log_story.cc
+++ b/tests/auto/logging/tst_log_story.cc
@@ -11,11 +11,12 @@
 
 constexpr char kId[] = "5c0e7a21d94b36f8";
 
-std::string Line(int time, int event, const std::string& rest) {
+std::string Line(int time, int event, const std::string& rest,
+                 const std::string& instance = "e1") {
   return R"({"time_ms":)" + std::to_string(time) +
-         R"(,"level":"info","instance":"e1","event":)" + std::to_string(event) +
-         R"(,"name":"n)" + std::to_string(event) + "\"" +
-         (rest.empty() ? "" : "," + rest) + "}";
+         R"(,"level":"info","instance":")" + instance + R"(","event":)" +
+         std::to_string(event) + R"(,"name":"n)" + std::to_string(event) +
+         "\"" + (rest.empty() ? "" : "," + rest) + "}";
 }
 
 std::string Job() { return std::string(R"("job":")") + kId + "\""; }
@@ -38,6 +39,8 @@
       {"a change of the lead", Line(150, 901, ""), true},
       {"a loss of the store", Line(150, 905, ""), true},
       {"a configuration", Line(150, 907, R"("version":3)"), true},
+      {"a configuration of an entry that had no part",
+       Line(150, 907, R"("version":3)", "e7"), false},
       {"its worker falls silent", Line(150, 922, R"("worker":"w1")"), true},
       {"another worker falls silent", Line(150, 922, R"("worker":"w9")"),
        false},
