Settings that change without a signal are noticed, and four of them at once

Cause: a changed settings file was read on SIGHUP only, and only the log level took effect; two bounds that a deployment sets (begin of guaranteed work, slowdown away from data) were constants of the code. The start of both programs is one function.

--- a/src/app/thornplank_entry/main.cc
+++ b/src/app/thornplank_entry/main.cc
@@ -11,7 +11,7 @@
 #include "entry_process.h"
 #include "logging/event_log.h"
 #include "settings/entry_settings.h"
-#include "settings/settings_reader.h"
+#include "settings/settings_program.h"
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
 DEFINE_bool(check, false, "checks the settings file and ends");
@@ -52,25 +52,10 @@
   return clean ? kExitOk : kExitUnclean;
 }
 
-int Run() {
-  if (FLAGS_settings.empty()) {
-    std::cerr << "thornplank_entry: --settings=FILE is needed\n";
-    return kExitUsage;
-  }
-  Error error;
-  const std::optional<EntrySettings> settings =
-      ReadEntrySettings(FLAGS_settings, &error);
-  if (!settings.has_value()) {
-    std::cerr << SettingsErrorLine(error) << "\n";
-    return kExitUsage;
-  }
-  if (FLAGS_check) {
-    std::cout << FLAGS_settings << ": ok\n";
-    return kExitOk;
-  }
-  OpenEventLog(settings->name, settings->log.level, LogWriter::kOwnThread,
-               settings->log.file);
-  const int code = RunEntry(*settings);
+int RunLogged(const EntrySettings& settings) {
+  OpenEventLog(settings.name, settings.log.level, LogWriter::kOwnThread,
+               settings.log.file);
+  const int code = RunEntry(settings);
   CloseEventLog();
   return code;
 }
@@ -84,5 +69,7 @@
       "--settings=entry.json\nexit codes: 0 graceful shutdown done, 1 requests "
       "were still in flight at the drain timeout, 2 wrong settings");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
-  return thornplank::Run();
+  return thornplank::RunWithSettings<thornplank::EntrySettings>(
+      "thornplank_entry", FLAGS_settings, FLAGS_check,
+      thornplank::ReadEntrySettings, thornplank::RunLogged);
 }
--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -156,14 +156,17 @@
   }
 
   void Reload(const HostedSettings& settings) {
-    LogEvent(
-        events::kSettingsReloaded,
-        {{"log_level_changed", settings.log_level != settings_.log_level},
-         {"store_changed", settings.store_address != settings_.store_address}});
-    if (settings.log_level != settings_.log_level) {
-      SetLogSeverity(settings.log_level);
-    }
+    const HostedSettingsChange change = Compare(settings_, settings);
+    LogEvent(events::kSettingsReloaded,
+             {{"at_once", change.at_once}, {"at_restart", change.at_restart}});
+    SetLogSeverity(settings.log_level);
+    store_client_.set_address(settings.store_address);
+    callers_.set_configuration_age(settings.revocation_bound -
+                                   kRevocationMargin);
     settings_.log_level = settings.log_level;
+    settings_.store_address = settings.store_address;
+    settings_.revocation_bound = settings.revocation_bound;
+    settings_.stop_grace = settings.stop_grace;
   }
 
  private:
@@ -266,6 +269,8 @@
     settings.board = {kJobStream, kBoardPartition};
     settings.progress = {kJobStream, kProgressPartition};
     settings.state_kept = settings_.state_kept + std::chrono::seconds(30);
+    settings.reclaim_bound = settings_.reclaim_bound;
+    settings.far_slowdown = settings_.far_slowdown;
     return settings;
   }
 
--- a/src/app/thornplank_hosted/main.cc
+++ b/src/app/thornplank_hosted/main.cc
@@ -3,6 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -12,7 +14,8 @@
 #include "logging/event_log.h"
 #include "logging/events/process_events.h"
 #include "settings/hosted_settings.h"
-#include "settings/settings_reader.h"
+#include "settings/settings_program.h"
+#include "settings/settings_watch.h"
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
 DEFINE_bool(check, false, "checks the settings file and ends");
@@ -21,7 +24,8 @@
 namespace {
 
 constexpr int kExitOk = 0;
-constexpr int kExitUsage = 2;
+// Between two looks at the settings file, which may change without a signal.
+constexpr std::chrono::seconds kSettingsLook{1};
 
 // A file that cannot be read leaves the settings in force as they are.
 void Reload(HostedProcess* process) {
@@ -38,13 +42,15 @@
   Error error;
   if (!process.Start(&error)) {
     std::cerr << FLAGS_settings << ": " << error.ToString() << "\n";
-    return kExitUsage;
+    return kExitWrongSettings;
   }
+  SettingsWatch watch(FLAGS_settings);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   std::function<void()> wait = [&] {
     signals.async_wait([&](const boost::system::error_code& code, int signal) {
       if (code) return;
       if (signal == SIGHUP) {
+        watch.Changed();
         Reload(&process);
       } else {
         process.Stop([&io] { io.stop(); });
@@ -53,28 +59,23 @@
     });
   };
   wait();
+  boost::asio::steady_timer look_timer(io);
+  std::function<void()> look = [&] {
+    look_timer.expires_after(kSettingsLook);
+    look_timer.async_wait([&](const boost::system::error_code& code) {
+      if (code) return;
+      if (watch.Changed()) Reload(&process);
+      look();
+    });
+  };
+  look();
   io.run();
   return kExitOk;
 }
 
-int Run() {
-  if (FLAGS_settings.empty()) {
-    std::cerr << "thornplank_hosted: --settings=FILE is needed\n";
-    return kExitUsage;
-  }
-  Error error;
-  const std::optional<HostedSettings> settings =
-      ReadHostedSettings(FLAGS_settings, &error);
-  if (!settings) {
-    std::cerr << SettingsErrorLine(error) << "\n";
-    return kExitUsage;
-  }
-  if (FLAGS_check) {
-    std::cout << FLAGS_settings << ": ok\n";
-    return kExitOk;
-  }
-  OpenEventLog(settings->name, settings->log_level, LogWriter::kCaller);
-  const int code = RunEntry(*settings);
+int RunLogged(const HostedSettings& settings) {
+  OpenEventLog(settings.name, settings.log_level, LogWriter::kCaller);
+  const int code = RunEntry(settings);
   CloseEventLog();
   return code;
 }
@@ -86,8 +87,11 @@
   gflags::SetUsageMessage(
       "one entry of thornplank on the users' platform\nexample: "
       "thornplank_hosted --settings=hosted.json\nsignals: SIGTERM ends it "
-      "gracefully, SIGHUP reads the settings again\nexit codes: 0 graceful "
+      "gracefully, SIGHUP reads the settings again, as a changed file "
+      "does\nexit codes: 0 graceful "
       "shutdown done, 2 wrong settings");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
-  return thornplank::Run();
+  return thornplank::RunWithSettings<thornplank::HostedSettings>(
+      "thornplank_hosted", FLAGS_settings, FLAGS_check,
+      thornplank::ReadHostedSettings, thornplank::RunLogged);
 }
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -69,6 +69,10 @@
   ~CallerService();
 
   void Handle(HttpRequest request, HttpServer::Responder respond);
+  // Of CallerServiceSettings, for calls from now on.
+  void set_configuration_age(Milliseconds age) {
+    settings_.configuration_age = age;
+  }
   // Whether callers should be sent here.
   bool ready() const;
 
@@ -99,7 +103,7 @@
   boost::asio::io_context& io_;
   RecordStore& store_;
   const Formats& formats_;
-  const CallerServiceSettings settings_;
+  CallerServiceSettings settings_;
   const Surroundings surroundings_;
   MetricsRegistry& metrics_;
   Counter& accepted_;
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -29,6 +29,17 @@
                               static_cast<uint64_t>(kSequenceSpan));
 }
 
+// What an urgent gang needs once it may spread: a stop of others (0.4 s), its
+// report, records, and all of that once more where the first try fails.
+constexpr Milliseconds kSpreadBefore{1700};
+
+PlannerSettings PlanningFor(const ClusterCoordinatorSettings& settings) {
+  PlannerSettings planning;
+  planning.urgent_rack_patience =
+      std::max(settings.reclaim_bound - kSpreadBefore, Milliseconds::zero());
+  return planning;
+}
+
 }  // namespace
 
 ClusterCoordinator::ClusterCoordinator(boost::asio::io_context& io,
@@ -45,7 +56,7 @@
       surroundings_(std::move(surroundings)),
       first_sequence_(FirstSequence(settings_.holder)),
       election_(LeaderElectionSettings(), settings_.holder, settings_.rank),
-      planner_(PlannerSettings()),
+      planner_(PlanningFor(settings_)),
       metrics_(metrics),
       tick_timer_(io),
       planning_timer_(io),
@@ -223,6 +234,7 @@
       std::make_unique<FencedWriter>(io_, store_, writer, fenced);
 
   WorkerFleetSettings fleet;
+  fleet.far_slowdown = settings_.far_slowdown;
   fleet.epoch = epoch_;
   WorkerFleet::Handlers handlers;
   handlers.on_end = [this](const std::string& worker, const RunEndReport& end) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -58,6 +58,10 @@
   Milliseconds tick{100};
   // For one call of the store while taking the lead.
   Milliseconds store_timeout{900};
+  // Published: guaranteed work begins within this, and work away from its data
+  // takes so many times as long.
+  Milliseconds reclaim_bound{2900};
+  double far_slowdown = 3;
 };
 
 class ClusterCoordinator {
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -8,6 +8,7 @@
 
 constexpr DurationRange kBoundRange{Milliseconds(500), Milliseconds(3600000)};
 constexpr NumberRange kShareRange{0, 1024, /*above_min=*/true};
+constexpr NumberRange kSlowdownRange{1, 1000};
 
 }  // namespace
 
@@ -38,6 +39,42 @@
                   &settings->state_kept);
   reader.Duration("stop_grace_ms", Presence::kOptional, kBoundRange,
                   &settings->stop_grace);
+  reader.Duration("reclaim_bound_ms", Presence::kOptional, kBoundRange,
+                  &settings->reclaim_bound);
+  reader.Number("far_slowdown", Presence::kOptional, kSlowdownRange,
+                &settings->far_slowdown);
+}
+
+HostedSettingsChange Compare(const HostedSettings& before,
+                             const HostedSettings& after) {
+  HostedSettingsChange change;
+  const auto compare = [](const char* key, const auto& a, const auto& b,
+                          std::vector<std::string>* changed) {
+    if (a != b) changed->emplace_back(key);
+  };
+  std::vector<std::string>* at_once = &change.at_once;
+  compare("log_level", before.log_level, after.log_level, at_once);
+  compare("store_address", before.store_address, after.store_address, at_once);
+  compare("revocation_bound_ms", before.revocation_bound,
+          after.revocation_bound, at_once);
+  compare("stop_grace_ms", before.stop_grace, after.stop_grace, at_once);
+  std::vector<std::string>* at_restart = &change.at_restart;
+  compare("name", before.name, after.name, at_restart);
+  compare("failure_domain", before.failure_domain, after.failure_domain,
+          at_restart);
+  compare("listen_callers", before.listen_callers, after.listen_callers,
+          at_restart);
+  compare("listen_readiness", before.listen_readiness, after.listen_readiness,
+          at_restart);
+  compare("listen_metrics", before.listen_metrics, after.listen_metrics,
+          at_restart);
+  compare("processor_share", before.processor_share, after.processor_share,
+          at_restart);
+  compare("state_kept_ms", before.state_kept, after.state_kept, at_restart);
+  compare("reclaim_bound_ms", before.reclaim_bound, after.reclaim_bound,
+          at_restart);
+  compare("far_slowdown", before.far_slowdown, after.far_slowdown, at_restart);
+  return change;
 }
 
 std::optional<HostedSettings> ReadHostedSettings(const std::string& path,
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "base/time.h"
@@ -33,8 +34,23 @@
   Milliseconds state_kept{120000};
   // From SIGTERM until the process is killed.
   Milliseconds stop_grace{6000};
+  // From the acceptance of guaranteed work until all of its first step must
+  // have begun.
+  Milliseconds reclaim_bound{2900};
+  // How many times as long a task takes away from its data, and a gang over
+  // several racks.
+  double far_slowdown = 3;
 };
 
+// Keys by whether a new value is in force at once or from the next start on.
+struct HostedSettingsChange {
+  std::vector<std::string> at_once;
+  std::vector<std::string> at_restart;
+};
+
+HostedSettingsChange Compare(const HostedSettings& before,
+                             const HostedSettings& after);
+
 void ReadHostedKeys(SettingsReader& reader, HostedSettings* settings);
 
 // nullopt on the first mistake; SettingsErrorLine(*error) is then the line
--- /dev/null
+++ b/src/libs/settings/settings_program.h
@@ -0,0 +1,45 @@
+// What every program with a settings file does before it runs.
+#ifndef THORNPLANK_SETTINGS_SETTINGS_PROGRAM_H_
+#define THORNPLANK_SETTINGS_SETTINGS_PROGRAM_H_
+
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+#include "settings/settings_reader.h"
+
+namespace thornplank {
+
+inline constexpr int kExitSettingsOk = 0;
+inline constexpr int kExitWrongSettings = 2;
+
+// Reads the file `path` with `read` and hands it to `run`, or with `only_check`
+// says whether it is valid. Mistakes go to standard error, one line.
+template <typename Settings>
+int RunWithSettings(
+    const std::string& program, const std::string& path, bool only_check,
+    const std::function<std::optional<Settings>(const std::string&, Error*)>&
+        read,
+    const std::function<int(const Settings&)>& run) {
+  if (path.empty()) {
+    std::cerr << program << ": --settings=FILE is needed\n";
+    return kExitWrongSettings;
+  }
+  Error error;
+  const std::optional<Settings> settings = read(path, &error);
+  if (!settings) {
+    std::cerr << SettingsErrorLine(error) << "\n";
+    return kExitWrongSettings;
+  }
+  if (only_check) {
+    std::cout << path << ": ok\n";
+    return kExitSettingsOk;
+  }
+  return run(*settings);
+}
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_SETTINGS_SETTINGS_PROGRAM_H_
--- /dev/null
+++ b/src/libs/settings/settings_watch.cc
@@ -0,0 +1,28 @@
+// One stat() a look.
+#include "settings/settings_watch.h"
+
+#include <sys/stat.h>
+
+#include <utility>
+
+namespace thornplank {
+
+SettingsWatch::SettingsWatch(std::string path)
+    : path_(std::move(path)), signature_(Signature()) {}
+
+bool SettingsWatch::Changed() {
+  std::string current = Signature();
+  const bool changed = current != signature_;
+  signature_ = std::move(current);
+  return changed;
+}
+
+std::string SettingsWatch::Signature() const {
+  struct stat status {};
+  if (::stat(path_.c_str(), &status) != 0) return "";
+  return std::to_string(status.st_ino) + " " + std::to_string(status.st_size) +
+         " " + std::to_string(status.st_mtim.tv_sec) + "." +
+         std::to_string(status.st_mtim.tv_nsec);
+}
+
+}  // namespace thornplank
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -13,9 +13,6 @@
 namespace thornplank {
 namespace {
 
-// An urgent gang that finds no room on one rack, even by taking it from others,
-// spreads after this long; it must begin within 2.9 s (published bound).
-constexpr Milliseconds kUrgentRackPatience{1200};
 // Below this use, a start away from its rack keeps nobody else waiting.
 constexpr double kIdleShare = 0.45;
 
@@ -92,7 +89,7 @@
   bool MayLeaveRack(const OpenStep& step) const {
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->known_since);
-    if (step.urgent()) return waited > kUrgentRackPatience;
+    if (step.urgent()) return waited > planner_.settings_.urgent_rack_patience;
     // Away from its rack it takes three times the room that others need.
     return waited > planner_.settings_.rack_patience &&
            rooms_.UsedShare() < kIdleShare;
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -27,6 +27,9 @@
   // three times as long (published), and as much room. So a step waits for its
   // rack, and takes another one only after this long in an idle cluster.
   Milliseconds rack_patience{1000};
+  // An urgent gang that finds no room on one rack, even by taking it from
+  // others, spreads after this long.
+  Milliseconds urgent_rack_patience{1200};
   // The share of workers that jobs of lower priority leave empty, so that an
   // urgent job starts without a stop first, which takes 0.5 s of the 1.2 s that
   // it has to spare.
--- /dev/null
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -0,0 +1,117 @@
+// The hosted entry's settings: mistakes, changes, and the watch on the file.
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "settings/hosted_settings.h"
+#include "settings/settings_reader.h"
+#include "settings/settings_watch.h"
+
+namespace thornplank {
+namespace {
+
+void WriteFile(const std::string& path, const std::string& text) {
+  std::ofstream(path) << text;
+}
+
+Json GoodFile() {
+  return Json::parse(R"({
+    "name": "entry-1", "failure_domain": "a",
+    "listen_callers": "127.0.0.1:8001", "listen_readiness": "127.0.0.1:8002",
+    "store_address": "127.0.0.1:9000"})");
+}
+
+TEST_CASE("the sample holds every key at its default") {
+  Error error;
+  const auto settings =
+      ReadHostedSettings(THORNPLANK_HOSTED_SAMPLE_FILE, &error);
+  REQUIRE_MESSAGE(settings, error.ToString());
+  CHECK(settings->reclaim_bound == HostedSettings().reclaim_bound);
+  CHECK(settings->far_slowdown == HostedSettings().far_slowdown);
+  CHECK(settings->stop_grace == HostedSettings().stop_grace);
+}
+
+TEST_CASE("each mistake gives one line") {
+  struct Row {
+    const char* patch;
+    const char* line;
+  };
+  const std::vector<Row> rows = {
+      {R"({"nmae": "x"})", "nmae: found an unknown key, allowed name, "},
+      {R"({"store_address": null})",
+       "store_address: found nothing, allowed a value"},
+      {R"({"far_slowdown": 0.5})",
+       "far_slowdown: found 0.5, allowed a number from 1"},
+      {R"({"reclaim_bound_ms": 10})", "reclaim_bound_ms: found 10, allowed"},
+      {R"({"log_level": "loud"})", "log_level: found \"loud\", allowed one of"},
+  };
+  const std::string path = "tst_hosted_settings_mistakes.json";
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.patch));
+    Json file = GoodFile();
+    file.merge_patch(Json::parse(row.patch));
+    WriteFile(path, file.dump());
+    Error error;
+    CHECK_FALSE(ReadHostedSettings(path, &error).has_value());
+    CAPTURE(SettingsErrorLine(error));
+    CHECK(SettingsErrorLine(error).find(row.line) != std::string::npos);
+  }
+  std::remove(path.c_str());
+}
+
+TEST_CASE("a change is in force at once or at the next start") {
+  struct Row {
+    std::function<void(HostedSettings&)> change;
+    std::string key;
+    bool at_once;
+  };
+  const std::vector<Row> rows = {
+      {[](HostedSettings& s) { s.log_level = Severity::kDebug; }, "log_level",
+       true},
+      {[](HostedSettings& s) { s.store_address = "127.0.0.1:1"; },
+       "store_address", true},
+      {[](HostedSettings& s) { s.revocation_bound = Milliseconds(9000); },
+       "revocation_bound_ms", true},
+      {[](HostedSettings& s) { s.listen_callers = "127.0.0.1:1"; },
+       "listen_callers", false},
+      {[](HostedSettings& s) { s.far_slowdown = 4; }, "far_slowdown", false},
+  };
+  const HostedSettings before;
+  CHECK(Compare(before, before).at_once.empty());
+  CHECK(Compare(before, before).at_restart.empty());
+  for (const Row& row : rows) {
+    CAPTURE(row.key);
+    HostedSettings after = before;
+    row.change(after);
+    const HostedSettingsChange change = Compare(before, after);
+    const std::vector<std::string> expected = {row.key};
+    CHECK((row.at_once ? change.at_once : change.at_restart) == expected);
+    CHECK((row.at_once ? change.at_restart : change.at_once).empty());
+  }
+}
+
+TEST_CASE("the watch tells each change of the file once") {
+  const std::string path = "tst_hosted_settings_watch.json";
+  const std::string other = path + ".new";
+  WriteFile(path, "{}");
+  SettingsWatch watch(path);
+  CHECK_FALSE(watch.Changed());
+  WriteFile(path, "{ }");
+  CHECK(watch.Changed());
+  CHECK_FALSE(watch.Changed());
+  // As many tools write: another file takes its place, of the same size.
+  WriteFile(other, "{ }");
+  std::filesystem::rename(other, path);
+  CHECK(watch.Changed());
+  std::filesystem::remove(path);
+  CHECK(watch.Changed());
+  CHECK_FALSE(watch.Changed());
+}
+
+}  // namespace
+}  // namespace thornplank
--- a/tests/integration/tst_hosted_logs.cc
+++ b/tests/integration/tst_hosted_logs.cc
@@ -1,15 +1,18 @@
 // A standard output that nobody reads, or that is closed, changes nothing for
-// callers, and the end of the process does not wait for it.
+// callers, and the end of the process does not wait for it. A changed settings
+// file is noticed without a signal.
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <string>
 #include <vector>
 
 #include "hosted_cluster.h"
+#include "logging/events/process_events.h"
 #include "metrics_text.h"
 
 namespace thornplank {
@@ -63,5 +66,35 @@
   }
 }
 
+TEST_CASE("a changed settings file is read without a signal") {
+  HostedClusterSettings settings;
+  settings.entries = 1;
+  HostedCluster cluster(settings);
+  REQUIRE(cluster.Start());
+  const std::string path = cluster.folder() + "/entry0.json";
+  Json file = ParseJson([&path] {
+                std::ifstream stream(path);
+                return std::string(std::istreambuf_iterator<char>(stream), {});
+              }())
+                  .value_or(Json());
+  file["log_level"] = "debug";
+  file["state_kept_ms"] = 60000;
+  std::ofstream(path) << file.dump();
+  CHECK(HostedCluster::Eventually([&] {
+    const auto events = cluster.Events(0, events::kSettingsReloaded.number);
+    return !events.empty() &&
+           events.back()["at_once"] == Json::array({"log_level"}) &&
+           events.back()["at_restart"] == Json::array({"state_kept_ms"});
+  }));
+  std::ofstream(path) << "{ broken";
+  CHECK(HostedCluster::Eventually([&] {
+    return !cluster.Events(0, events::kSettingsNotReloaded.number).empty();
+  }));
+  TestJob job;
+  job.id = "00000000000000ab";
+  CHECK(
+      HostedCluster::Eventually([&] { return cluster.Submit(0, job) == 200; }));
+}
+
 }  // namespace
 }  // namespace thornplank
