Steps that need advice: ask which workers may run them, start them with a ticket

Cause: on a queue with an advisor every start would be refused: nothing asked for approval, no start carried a ticket. Change: AdviceBook (verdicts and tickets, no I/O), AdviceDesk (at most eight questions at a time), the call in platform/; the planner takes approved workers only, for room that is free and room that is taken, and names the workers to ask about. Tickets are not stored: a successor asks anew. Ruled out: asking about every worker at once (the time of an answer grows with the number named; a decision is reckoned with 30). After: tst_hosted_jobs with an advisor that goes silent and a leader that dies: every job completed, no start without a ticket.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -27,6 +27,7 @@
 #include "metrics/process_metrics.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "platform/advice_client.h"
 #include "platform/executor_client.h"
 #include "platform/metadata_store.h"
 #include "platform/wire_formats.h"
@@ -92,6 +93,7 @@
         store_(store_client_, metrics_),
         executor_client_(client_),
         workers_(executor_client_, metrics_),
+        advice_client_(client_, settings_.advisor_address),
         board_tail_(io, store_, BoardTail(), BoardHandlers()),
         configuration_tail_(io, store_, ConfigurationTail(),
                             ConfigurationHandlers()),
@@ -286,6 +288,8 @@
     surroundings.refresh_board = [this] {
       board_tail_.CatchUp(kRefreshTimeout, [](bool) {});
     };
+    const bool advised = !settings_.advisor_address.empty();
+    if (advised) surroundings.advisor = &advice_client_;
     return surroundings;
   }
 
@@ -315,6 +319,7 @@
   MeteredRecordStore store_;
   ExecutorClient executor_client_;
   MeteredWorkerCalls workers_;
+  AdviceClient advice_client_;
   const WireFormats formats_;
   JobBoard board_;
   std::optional<ServingConfiguration> configuration_;
--- /dev/null
+++ b/src/libs/coordination/advice_desk.cc
@@ -0,0 +1,74 @@
+// Questions and answers.
+#include "coordination/advice_desk.h"
+
+#include <utility>
+
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+// The service takes up one question of an instance after the other, and turns
+// away more than 32 in all; entries that lead one after the other share that.
+constexpr size_t kMostQuestions = 8;
+// Beyond the time that the questions before it and it itself take.
+constexpr Milliseconds kAnswerSlack{1000};
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+Milliseconds DurationOf(const AdviceTerms& terms, size_t workers) {
+  return terms.decision + terms.each * static_cast<int64_t>(workers);
+}
+
+}  // namespace
+
+AdviceDesk::AdviceDesk(Advisor* advisor, std::function<void()> on_change)
+    : advisor_(advisor), on_change_(std::move(on_change)) {}
+
+AdviceDesk::~AdviceDesk() { *alive_ = false; }
+
+void AdviceDesk::Want(const StepRef& step, const AdviceTerms& terms,
+                      const std::vector<std::string>& candidates) {
+  if (advisor_ == nullptr || book_.questions_out() >= kMostQuestions) return;
+  const Time now = Now();
+  std::vector<std::string> question = book_.NextQuestion(step, candidates, now);
+  if (question.empty()) return;
+  const Milliseconds timeout = DurationOf(terms, question.size()) *
+                                   static_cast<int64_t>(book_.questions_out()) +
+                               kAnswerSlack;
+  advisor_->Ask(
+      step, question, timeout,
+      [this, alive = alive_, step, question, now](const Advice& advice) {
+        if (*alive) OnAnswer(step, question, now, advice);
+      });
+}
+
+void AdviceDesk::OnTicketRefused(const StepRef& step,
+                                 const std::string& worker) {
+  book_.OnTicketRefused(step, worker);
+}
+
+void AdviceDesk::OnAnswer(const StepRef& step,
+                          const std::vector<std::string>& asked, Time sent,
+                          const Advice& advice) {
+  const auto took =
+      std::chrono::duration_cast<Milliseconds>(Now() - sent).count();
+  if (!advice.answered) {
+    LogEvent(events::kAdviceMissing, advice.error,
+             {{"job", step.job},
+              {"step", step.ToString()},
+              {"asked", asked.size()},
+              {"took_ms", took}});
+    return book_.OnNoAnswer(step, Now());
+  }
+  LogEvent(events::kAdviceGiven, {{"job", step.job},
+                                  {"step", step.ToString()},
+                                  {"asked", asked.size()},
+                                  {"approved", advice.approved.size()},
+                                  {"valid_ms", advice.validity.count()},
+                                  {"took_ms", took}});
+  book_.OnAnswer(step, asked, advice.approved, advice.validity, sent);
+  on_change_();
+}
+
+}  // namespace thornplank
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -244,15 +244,21 @@
     ledger_.Checkpoint(run.task, run.run, run.checkpoint);
   };
   handlers.profile_of = [this](const TaskRef& task) { return ProfileOf(task); };
+  handlers.on_ticket_refused = [this](const StepRef& step,
+                                      const std::string& worker) {
+    advice_->OnTicketRefused(step, worker);
+  };
   handlers.on_change = [this] { SchedulePlanning(); };
   handlers.on_fenced = [this] {
     ScheduleStepDown("a worker obeys a higher epoch");
   };
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet, handlers);
+  advice_ = std::make_unique<AdviceDesk>(surroundings_.advisor,
+                                         [this] { SchedulePlanning(); });
 
   phase_ = Phase::kLeading;
   ledger_ = JobLedger();
-  planner_ = Planner(PlannerSettings());
+  planner_ = Planner(PlanningFor(settings_));
   stored_steps_.clear();
   published_ends_.clear();
   finished_.clear();
@@ -345,6 +351,7 @@
   planning_scheduled_ = false;
   directory_.reset();
   fleet_.reset();
+  advice_.reset();
   board_writer_.reset();
   progress_writer_.reset();
   ledger_ = JobLedger();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -21,6 +21,7 @@
 
 #include "base/boot_clock.h"
 #include "base/time.h"
+#include "coordination/advice_desk.h"
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
 #include "coordination/job_board.h"
@@ -75,6 +76,8 @@
     std::function<BootTime()> board_as_of;
     // Reads the board at once, outside its pace.
     std::function<void()> refresh_board;
+    // Null where no queue needs advice.
+    Advisor* advisor = nullptr;
   };
 
   ClusterCoordinator(boost::asio::io_context& io, RecordStore& store,
@@ -117,6 +120,8 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each reason.
   void TellWaits(const std::vector<WaitDecision>& waits);
+  // Asks about the workers that waiting steps may need.
+  void SeekAdvice(const std::vector<WaitDecision>& waits);
   void MeasureWait(const StartDecision& decision, Time now);
   RunProfile ProfileOf(const TaskRef& task) const;
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
@@ -162,6 +167,7 @@
   std::unique_ptr<FencedWriter> progress_writer_;
   std::unique_ptr<WorkerFleet> fleet_;
   std::unique_ptr<RecordTail> directory_;
+  std::unique_ptr<AdviceDesk> advice_;
   // Steps that have a record in the progress partition.
   std::set<StepRef> stored_steps_;
   // Jobs whose end is published, so that their records may go.
@@ -176,6 +182,7 @@
     TaskRef task;
     int run = 0;
     std::string checkpoint;
+    std::string ticket;
   };
   std::vector<PendingStart> pending_starts_;
   // Steps that wait, with the reason that was told.
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -39,6 +39,7 @@
     inputs.ledger = &ledger_;
     inputs.workers = &fleet_->trackers();
     inputs.guarantees = &guarantees;
+    inputs.advice = &advice_->book();
     inputs.now = now;
     inputs.wall_now = std::chrono::system_clock::now();
     const Plan plan = planner_.Decide(inputs);
@@ -49,6 +50,7 @@
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
     }
     TellWaits(plan.waits);
+    SeekAdvice(plan.waits);
   }
   Flush();
 }
@@ -65,7 +67,10 @@
     fleet_->Add(assignment.worker, task, run, ProfileOf(task), now);
     const TaskStatus* status = ledger_.FindTask(task);
     pending_starts_.push_back(
-        {assignment.worker, task, run, status->checkpoint});
+        {assignment.worker, task, run, status->checkpoint,
+         advice_->book()
+             .Ticket(decision.step, assignment.worker, now)
+             .value_or("")});
     workers.push_back(Json::array({assignment.index, assignment.worker}));
     if (!fleet_->IsNear(assignment.worker, spec->data_rack)) ++away;
   }
@@ -105,6 +110,18 @@
   told_waits_ = std::move(told);
 }
 
+void ClusterCoordinator::SeekAdvice(const std::vector<WaitDecision>& waits) {
+  std::set<StepRef> open;
+  for (const WaitDecision& wait : waits) {
+    const Job* job = ledger_.Find(wait.step.job);
+    if (!job->spec.policy.advice) continue;
+    open.insert(wait.step);
+    if (wait.candidates.empty()) continue;
+    advice_->Want(wait.step, *job->spec.policy.advice, wait.candidates);
+  }
+  advice_->Keep(open);
+}
+
 void ClusterCoordinator::MeasureWait(const StartDecision& decision, Time now) {
   if (decision.room_taken) {
     metrics_.OnRoomReclaimed(now - *decision.room_taken);
@@ -224,8 +241,9 @@
         for (const PendingStart& start : starts) {
           const Job* job = ledger_.Find(start.task.step.job);
           if (job == nullptr) continue;
-          fleet_->SendStart(start.worker, start.task, start.run,
-                            job->spec.payload, start.checkpoint);
+          fleet_->SendStart(
+              start.worker, start.task, start.run,
+              {job->spec.payload, start.checkpoint, start.ticket});
         }
         SchedulePlanning();
       });
--- a/src/libs/coordination/metered_worker_calls.cc
+++ b/src/libs/coordination/metered_worker_calls.cc
@@ -14,6 +14,8 @@
       return "accepted";
     case StartOutcome::kRefused:
       return "refused";
+    case StartOutcome::kTicketRefused:
+      return "ticket_refused";
     case StartOutcome::kFenced:
       return "fenced";
     case StartOutcome::kNoAnswer:
--- a/src/libs/coordination/worker_calls.h
+++ b/src/libs/coordination/worker_calls.h
@@ -25,6 +25,8 @@
   int run = 0;
   std::string payload;
   std::string checkpoint;
+  // Shows that the worker is approved for the step; "" where none is needed.
+  std::string ticket;
   // On the worker's clock: later it does nothing, and until then the lease of
   // everything on the worker lasts.
   Milliseconds deadline{0};
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -113,8 +113,7 @@
 }
 
 void WorkerFleet::SendStart(const std::string& worker, const TaskRef& task,
-                            int run, const std::string& payload,
-                            const std::string& checkpoint) {
+                            int run, const StartFields& fields) {
   WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr) return;
   TrackedRun* tracked = tracker->Find(task);
@@ -128,11 +127,12 @@
   StartOrder order;
   order.task = task;
   order.run = run;
-  order.payload = payload;
-  order.checkpoint = checkpoint;
+  order.payload = fields.payload;
+  order.checkpoint = fields.checkpoint;
+  order.ticket = fields.ticket;
   order.deadline = tracker->DeadlineIn(settings_.start_term, now);
   order.epoch = settings_.epoch;
-  tracked->resumed = !checkpoint.empty();
+  tracked->resumed = !fields.checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
   const WorkerAddress address{worker, tracker->registration().address};
   calls_.Start(
@@ -152,6 +152,9 @@
         if (answer.outcome == StartOutcome::kRefused) {
           tracker->OnRunFailed(task.step.job, now);
         }
+        if (answer.outcome == StartOutcome::kTicketRefused) {
+          handlers_.on_ticket_refused(task.step, worker);
+        }
         if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
         if (answer.outcome == StartOutcome::kOtherLife) return Bury(worker);
         Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -53,6 +53,9 @@
     std::function<void(const RunReport&)> on_progress;
     // Resources that a run takes which nobody here decided on.
     std::function<RunProfile(const TaskRef&)> profile_of;
+    // A worker did not take the ticket of a start.
+    std::function<void(const StepRef&, const std::string& worker)>
+        on_ticket_refused;
     // Something changed that may let tasks start.
     std::function<void()> on_change;
     // A worker obeys a higher epoch.
@@ -82,9 +85,14 @@
   // A run that is decided and not yet recorded.
   void Add(const std::string& worker, const TaskRef& task, int run,
            const RunProfile& profile, Time now);
-  // Sends the order for a recorded run.
+  // What the order for a recorded run carries.
+  struct StartFields {
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+  };
   void SendStart(const std::string& worker, const TaskRef& task, int run,
-                 const std::string& payload, const std::string& checkpoint);
+                 const StartFields& fields);
   void RequestStop(const std::string& worker, const TaskRef& task, int run,
                    const std::string& reason);
   // Ends of that worker up to `number` are recorded.
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -40,6 +40,9 @@
 inline constexpr Event kRunStalled{926, "run-stalled", Severity::kWarning};
 inline constexpr Event kStateAnswered{927, "state-answered", Severity::kDebug};
 inline constexpr Event kStepWaits{928, "step-waits", Severity::kInfo};
+inline constexpr Event kAdviceGiven{929, "advice-given", Severity::kInfo};
+inline constexpr Event kAdviceMissing{930, "advice-missing",
+                                      Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -24,6 +24,8 @@
               &settings->listen_metrics);
   reader.Text("store_address", Presence::kRequired, AddressText(),
               &settings->store_address);
+  reader.Text("advisor_address", Presence::kOptional, AddressText(),
+              &settings->advisor_address);
   reader.Number("processor_share", Presence::kOptional, kShareRange,
                 &settings->processor_share);
   reader.Choose("log_level", Presence::kOptional,
@@ -68,6 +70,8 @@
           at_restart);
   compare("listen_metrics", before.listen_metrics, after.listen_metrics,
           at_restart);
+  compare("advisor_address", before.advisor_address, after.advisor_address,
+          at_restart);
   compare("processor_share", before.processor_share, after.processor_share,
           at_restart);
   compare("state_kept_ms", before.state_kept, after.state_kept, at_restart);
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -25,6 +25,8 @@
   // Empty: no metrics are served.
   std::string listen_metrics;
   std::string store_address;
+  // Of the service that approves workers; empty where no queue needs it.
+  std::string advisor_address;
   // Cores that this instance has; those with most lead first.
   double processor_share = 1;
   Severity log_level = Severity::kInfo;
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -12,6 +12,8 @@
 // Below it a worker is slowed; sound ones differ by 0.8 to 1.25.
 constexpr double kSlowSpeed = 0.5;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
+// Asked about last.
+constexpr int64_t kFullPenalty = int64_t{1} << 33;
 // A rack other than the data's costs more than any gap.
 constexpr int64_t kFarPenalty = int64_t{1} << 30;
 
@@ -36,7 +38,8 @@
 }
 
 ClusterRooms::ClusterRooms(const std::map<std::string, WorkerTracker>& workers,
-                           Time now) {
+                           const AdviceBook* advice, Time now)
+    : advice_(advice), now_(now) {
   for (const auto& [id, tracker] : workers) {
     index_[id] = rooms_.size();
     Add(tracker, now);
@@ -107,6 +110,36 @@
 
 bool ClusterRooms::IsEligible(const OpenStep& step,
                               const WorkerRoom& room) const {
+  if (!IsSuited(step, room)) return false;
+  if (!step.job->spec.policy.advice) return true;
+  return advice_ != nullptr &&
+         advice_->Ticket(step.ref, room.tracker->id(), now_).has_value();
+}
+
+std::vector<std::string> ClusterRooms::CandidatesForAdvice(
+    const OpenStep& step) const {
+  const Resources need = ReservedFor(*step.spec);
+  const auto waiting = static_cast<int64_t>(step.waiting.size());
+  std::vector<std::pair<int64_t, const std::string*>> order;
+  for (const WorkerRoom& room : rooms_) {
+    if (!IsSuited(step, room)) continue;
+    if (need.TimesIn(room.worker().capacity, 1) == 0) continue;
+    const int64_t tasks = need.TimesIn(room.room, waiting);
+    // Those without room may be asked about as well: others can give way.
+    const int64_t full = tasks == 0 ? kFullPenalty : 0;
+    order.emplace_back(Score(step, room, tasks) + full, &room.tracker->id());
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::string> workers;
+  workers.reserve(order.size());
+  for (const auto& [score, worker] : order) {
+    workers.push_back(*worker);
+  }
+  return workers;
+}
+
+bool ClusterRooms::IsSuited(const OpenStep& step,
+                            const WorkerRoom& room) const {
   if (!room.usable) return false;
   if (room.worker().service != step.job->spec.policy.service) return false;
   if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/advice_book.h"
 #include "workload/open_step.h"
 #include "workload/resources.h"
 #include "workload/worker_tracker.h"
@@ -63,7 +64,9 @@
 
 class ClusterRooms {
  public:
-  ClusterRooms(const std::map<std::string, WorkerTracker>& workers, Time now);
+  // `advice` may be null; both outlive this object.
+  ClusterRooms(const std::map<std::string, WorkerTracker>& workers,
+               const AdviceBook* advice, Time now);
 
   const std::vector<WorkerRoom>& rooms() const { return rooms_; }
   WorkerRoom& room(size_t index) { return rooms_[index]; }
@@ -80,6 +83,10 @@
   void Occupy(const std::string& worker, const Resources& need);
 
   bool IsEligible(const OpenStep& step, const WorkerRoom& room) const;
+  // The same but for the advice that the step may need.
+  bool IsSuited(const OpenStep& step, const WorkerRoom& room) const;
+  // Workers to seek advice about for the step, the best first.
+  std::vector<std::string> CandidatesForAdvice(const OpenStep& step) const;
   // Where tasks of the step fit. That many empty workers are left alone.
   std::vector<Slot> FreeSlots(const OpenStep& step, int64_t headroom) const;
   // How many more tasks of the step its own bound lets the worker have.
@@ -95,6 +102,8 @@
                 int64_t tasks) const;
   void Change(const RoomReservation& reservation, bool keep);
 
+  const AdviceBook* const advice_;
+  const Time now_;
   std::vector<WorkerRoom> rooms_;
   // Of rooms_, by the worker's id.
   std::map<std::string, size_t> index_;
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -72,6 +72,21 @@
   return step;
 }
 
+Json EncodeAdvice(const std::optional<AdviceTerms>& terms) {
+  if (!terms) return nullptr;
+  return Json::array(
+      {terms->decision.count(), terms->each.count(), terms->validity.count()});
+}
+
+std::optional<AdviceTerms> DecodeAdvice(const Json& row) {
+  if (row.is_null()) return std::nullopt;
+  AdviceTerms terms;
+  terms.decision = Milliseconds(row.at(0).get<int64_t>());
+  terms.each = Milliseconds(row.at(1).get<int64_t>());
+  terms.validity = Milliseconds(row.at(2).get<int64_t>());
+  return terms;
+}
+
 JobDefinition DecodeFields(const Json& record) {
   JobDefinition job;
   size_t at = 1;
@@ -88,9 +103,11 @@
   job.first_start = FromUnixMilliseconds(record.at(at++).get<int64_t>());
   job.interval = Milliseconds(record.at(at++).get<int64_t>());
   job.accepted = FromUnixMilliseconds(record.at(at++).get<int64_t>());
-  for (const Json& row : record.at(at)) {
+  for (const Json& row : record.at(at++)) {
     job.steps.push_back(DecodeStep(row));
   }
+  // Records of before there was advice end here.
+  if (record.size() > at) job.policy.advice = DecodeAdvice(record.at(at));
   return job;
 }
 
@@ -146,7 +163,8 @@
                    policy.service, policy.priority, policy.max_attempts,
                    policy.stretch, policy.slack.count(), job.occurrences,
                    ToUnixMilliseconds(job.first_start), job.interval.count(),
-                   ToUnixMilliseconds(job.accepted), std::move(steps)});
+                   ToUnixMilliseconds(job.accepted), std::move(steps),
+                   EncodeAdvice(policy.advice)});
   std::string bytes;
   Json::to_cbor(record, bytes);
   return bytes;
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -47,6 +47,15 @@
   int may_miss = 0;
 };
 
+// An outside service must approve the workers that run a step. What it takes,
+// and how long its word holds.
+struct AdviceTerms {
+  // For one question, and more for each worker named in it.
+  Milliseconds decision{0};
+  Milliseconds each{0};
+  Milliseconds validity{0};
+};
+
 // The queue's policy when the job was accepted.
 struct QueuePolicy {
   std::string queue;
@@ -58,6 +67,8 @@
   // A job should end within stretch times its longest chain, and `slack`.
   double stretch = 1;
   Milliseconds slack{0};
+  // Without it any worker of the service may run any step.
+  std::optional<AdviceTerms> advice;
 };
 
 struct JobDefinition {
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -23,7 +23,7 @@
   Round(Planner* planner, const PlanInputs& inputs)
       : planner_(*planner),
         inputs_(inputs),
-        rooms_(*inputs.workers, inputs.now) {}
+        rooms_(*inputs.workers, inputs.advice, inputs.now) {}
 
   Plan Run() {
     for (const auto& [ref, reservation] : planner_.reservations_) {
@@ -82,7 +82,17 @@
     } else if (!placed && step.urgent() && MakeRoom(step)) {
       reason = WaitReason::kRoomIsMade;
     }
-    if (!placed) plan_.waits.push_back({step.ref, reason});
+    if (!placed) Wait(step, reason);
+  }
+
+  void Wait(const OpenStep& step, WaitReason reason) {
+    WaitDecision wait{step.ref, reason, {}};
+    const bool advised = step.job->spec.policy.advice.has_value();
+    if (advised && reason != WaitReason::kRoomIsMade) {
+      wait.reason = WaitReason::kNoAdvice;
+      wait.candidates = rooms_.CandidatesForAdvice(step);
+    }
+    plan_.waits.push_back(std::move(wait));
   }
 
   // Whether the step has waited long enough to run away from its data.
@@ -211,6 +221,8 @@
       return "no rack has room for the whole gang";
     case WaitReason::kRoomIsMade:
       return "room is being taken from others";
+    case WaitReason::kNoAdvice:
+      return "no room on the workers that are approved so far";
   }
   return "no room";
 }
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/advice_book.h"
 #include "workload/cluster_rooms.h"
 #include "workload/job_ledger.h"
 #include "workload/room_reclaim.h"
@@ -64,6 +65,8 @@
   kNoRoomOnOneRack,
   // Others were told to stop for it.
   kRoomIsMade,
+  // Of the workers that it is allowed on, as far as known, none has room.
+  kNoAdvice,
 };
 
 std::string_view ToText(WaitReason reason);
@@ -71,6 +74,8 @@
 struct WaitDecision {
   StepRef step;
   WaitReason reason = WaitReason::kNoRoom;
+  // With kNoAdvice: workers to ask about, the best first.
+  std::vector<std::string> candidates;
 };
 
 struct Plan {
@@ -83,6 +88,8 @@
   const JobLedger* ledger = nullptr;
   const std::map<std::string, WorkerTracker>* workers = nullptr;
   const Guarantees* guarantees = nullptr;
+  // May be null where no queue needs advice.
+  const AdviceBook* advice = nullptr;
   Time now{};
   WallTime wall_now{};
 };
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -137,6 +137,7 @@
     case StartOutcome::kOtherLife:
       return OnGone();
     case StartOutcome::kRefused:
+    case StartOutcome::kTicketRefused:
     case StartOutcome::kFenced:
       break;
   }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -83,6 +83,8 @@
   kAccepted,
   // Refused; it has not run and will not run.
   kRefused,
+  // The same, since the worker is not, or no longer, approved for the step.
+  kTicketRefused,
   // A coordinator with a higher epoch gives the orders there.
   kFenced,
   kNoAnswer,
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -71,7 +71,7 @@
 
   void Start() {
     fleet.Add("w1", kTask, 1, RunProfile(), Now());
-    fleet.SendStart("w1", kTask, 1, "", "");
+    fleet.SendStart("w1", kTask, 1, {});
   }
 
   bool knows_worker() const { return fleet.trackers().count("w1") > 0; }
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/advice_client.h"
 #include "platform/executor_client.h"
 #include "platform/metadata_store.h"
 #include "platform/wire_formats.h"
@@ -39,6 +40,7 @@
     formats.ReadConfiguration(bytes, &error);
     formats.ReadWorker({"w", bytes, 0}, &error);
     DecodeStatus(bytes);
+    DecodeAdvice(bytes);
   }));
 }
 
@@ -121,6 +123,40 @@
   }
 }
 
+TEST_CASE("an advisor's answer") {
+  const auto advice = DecodeAdvice(
+      R"({"good":[["i-1","c81e-7a"],["i-2","t"]],"valid_ms":3000})");
+  REQUIRE(advice.has_value());
+  CHECK(advice->answered);
+  CHECK(advice->validity == Milliseconds(3000));
+  REQUIRE(advice->approved.size() == 2);
+  CHECK(advice->approved[0].worker == "i-1");
+  CHECK(advice->approved[0].ticket == "c81e-7a");
+  for (const char* body : {"", "{}", R"({"good":[]})", R"({"valid_ms":1})",
+                           R"({"good":[["i-1"]],"valid_ms":1})",
+                           R"({"good":[[1,2]],"valid_ms":1})"}) {
+    CAPTURE(std::string(body));
+    CHECK_FALSE(DecodeAdvice(body).has_value());
+  }
+}
+
+TEST_CASE("a queue that needs advice") {
+  const WireFormats formats;
+  const auto configuration = formats.ReadConfiguration(
+      R"({"version":1,"routes":[
+          {"host":"h","prefix":"/a/"},
+          {"host":"h","prefix":"/b/",
+           "advice":{"decide_ms":40,"each_ms":2,"valid_ms":3000}}]})",
+      nullptr);
+  REQUIRE(configuration.has_value());
+  CHECK_FALSE(configuration->queues[0].policy.advice.has_value());
+  const auto& terms = configuration->queues[1].policy.advice;
+  REQUIRE(terms.has_value());
+  CHECK(terms->decision == Milliseconds(40));
+  CHECK(terms->each == Milliseconds(2));
+  CHECK(terms->validity == Milliseconds(3000));
+}
+
 TEST_CASE("a job as callers write it") {
   const WireFormats formats;
   const auto job = formats.ReadJob(
--- a/tests/auto/workload/tst_job_definition.cc
+++ b/tests/auto/workload/tst_job_definition.cc
@@ -73,12 +73,16 @@
   job.payload = std::string("a\0b", 3);
   job.occurrences = 4;
   job.interval = Milliseconds(2000);
+  job.policy.advice =
+      AdviceTerms{Milliseconds(40), Milliseconds(2), Milliseconds(3000)};
   const std::string bytes = EncodeJob(job);
   const auto read = DecodeJob(bytes, nullptr);
   REQUIRE(read.has_value());
   CHECK(EncodeJob(*read) == bytes);
   CHECK(read->steps[0].data_rack == "r1");
   CHECK(read->payload == job.payload);
+  REQUIRE(read->policy.advice.has_value());
+  CHECK(read->policy.advice->each == Milliseconds(2));
 }
 
 TEST_CASE("any bytes are refused without harm") {
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -33,6 +33,7 @@
     inputs.ledger = &ledger;
     inputs.workers = &workers;
     inputs.guarantees = &guarantees;
+    inputs.advice = &advice;
     inputs.now = now;
     inputs.wall_now = wall_now;
     Plan plan = planner.Decide(inputs);
@@ -108,6 +109,7 @@
   JobLedger ledger;
   std::map<std::string, WorkerTracker> workers;
   Guarantees guarantees;
+  AdviceBook advice;
   Planner planner{PlannerSettings()};
   Time now = At(0);
   WallTime wall_now = FromUnixMilliseconds(1000100);
@@ -125,6 +127,79 @@
   return step;
 }
 
+TEST_CASE("a step that needs advice starts on approved workers only") {
+  World world(2, 3);
+  JobDefinition job = MakeJob(Id(1), {MakeStep(4, 8)});
+  job.policy.advice = AdviceTerms{};
+  world.ledger.Add(job, world.now);
+  Plan plan = world.Round();
+  CHECK(plan.starts.empty());
+  REQUIRE(plan.waits.size() == 1);
+  CHECK(plan.waits[0].reason == WaitReason::kNoAdvice);
+  CHECK(plan.waits[0].candidates.size() == 6);
+
+  const StepRef step = plan.waits[0].step;
+  const auto asked =
+      world.advice.NextQuestion(step, plan.waits[0].candidates, world.now);
+  world.advice.OnAnswer(step, asked, {{"w0-1", "t1"}, {"w1-2", "t2"}},
+                        Milliseconds(3000), world.now);
+  plan = world.Round();
+  std::set<std::string> used;
+  for (const StartDecision& start : plan.starts) {
+    for (const auto& assignment : start.assignments) {
+      used.insert(assignment.worker);
+    }
+  }
+  CHECK(used == std::set<std::string>{"w0-1", "w1-2"});
+  // Two tasks have no place yet: the rest of the workers may be asked about.
+  REQUIRE(plan.waits.size() == 1);
+  CHECK(plan.waits[0].reason == WaitReason::kNoAdvice);
+}
+
+TEST_CASE("urgent work that needs advice takes room on approved workers only") {
+  World world(1, 3);
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(3, 8)}, 2), world.now);
+  world.Round();
+  JobDefinition urgent = MakeJob(Id(2), {MakeStep(1, 8)}, 0);
+  urgent.policy.advice = AdviceTerms{};
+  world.ledger.Add(urgent, world.now);
+  Plan plan = world.Round();
+  CHECK(plan.stops.empty());
+  const StepRef step{Id(2), 0, 0};
+  const auto asked =
+      world.advice.NextQuestion(step, {"w0-0", "w0-1", "w0-2"}, world.now);
+  world.advice.OnAnswer(step, asked, {{"w0-1", "t"}}, Milliseconds(3000),
+                        world.now);
+  plan = world.Round();
+  REQUIRE(plan.stops.size() == 1);
+  CHECK(plan.stops[0].worker == "w0-1");
+}
+
+TEST_CASE("why a step waits") {
+  struct Row {
+    std::string name;
+    StepSpec step;
+    WaitReason reason;
+  };
+  StepSpec near = MakeStep(1, 8);
+  near.data_rack = "r1";
+  const std::vector<Row> rows = {
+      {"all are full", MakeStep(1, 8), WaitReason::kNoRoom},
+      {"the rack of its data is full", near, WaitReason::kNoRoomNearData},
+      {"no rack is free", Gang(2, 8, true), WaitReason::kNoRoomOnOneRack},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(2, 3);
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(6, 8)}), world.now);
+    REQUIRE(world.Round().waits.empty());
+    world.ledger.Add(MakeJob(Id(2), {row.step}), world.now);
+    const Plan plan = world.Round();
+    REQUIRE(plan.waits.size() == 1);
+    CHECK(plan.waits[0].reason == row.reason);
+  }
+}
+
 TEST_CASE("how many tasks of a step start at once") {
   struct Row {
     const char* name;
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kStorePort = 9000;
+constexpr int kAdvisorPort = 9001;
 constexpr int kStoreProxyPort = 9100;
 constexpr int kStoreProxyControlPort = 9200;
 constexpr int kCallerPort = 8000;
@@ -32,21 +33,7 @@
          std::to_string((id >> 7) & 127) + "." + std::to_string((id & 127) + 1);
 }
 
-Json Route(const std::string& host, int priority) {
-  return {{"name", "queue-" + std::to_string(priority)},
-          {"host", host},
-          {"prefix", HostedCluster::PrefixOf(priority)},
-          {"kind", "non_idempotent"},
-          {"timeout_ms", 3000},
-          {"slo_ms", 1000},
-          {"priority", priority},
-          {"service", kService},
-          {"attempts", 2},
-          {"stretch", 3.0},
-          {"public", false}};
-}
-
-Json JobBody(const TestJob& job) {
+Json JobBody(const TestJob& job, bool advised) {
   Json steps = Json::array();
   for (const TestStep& step : job.steps) {
     steps.push_back({{"count", step.count},
@@ -64,8 +51,10 @@
     needs.push_back(
         Json::array({step.cpu_millis, step.memory_mb, step.accelerators}));
   }
-  const Json payload = {
-      {"work_ms", job.work_ms}, {"fail", job.fails}, {"needs", needs}};
+  const Json payload = {{"work_ms", job.work_ms},
+                        {"fail", job.fails},
+                        {"needs", needs},
+                        {"advised", advised}};
   return {{"spec", payload.dump()}, {"steps", std::move(steps)}};
 }
 
@@ -175,7 +164,7 @@
   if (keyed) keys.push_back(kAccountKey);
   const Json configuration = {
       {"version", version_},
-      {"routes", {Route(ip_, 0), Route(ip_, 1), Route(ip_, 2)}},
+      {"routes", {Route(0), Route(1), Route(2)}},
       {"services", {{{"name", kService}, {"admission_check", false}}}},
       {"limits", {{"max_body_bytes", 65536}}},
       {"tenants",
@@ -198,8 +187,9 @@
 }
 
 int HostedCluster::Submit(int entry, const TestJob& job) {
-  const auto response = Call(entry, "POST", PrefixOf(job.priority) + job.id,
-                             JobBody(job).dump(), kAccountKey);
+  const auto response =
+      Call(entry, "POST", PrefixOf(job.priority) + job.id,
+           JobBody(job, settings_.advised).dump(), kAccountKey);
   return response ? response->status : 0;
 }
 
@@ -246,6 +236,10 @@
   return Control(Address(kExecutorPort + executor), faults);
 }
 
+bool HostedCluster::ControlAdvisor(const Json& faults) {
+  return Control(Address(kAdvisorPort), faults);
+}
+
 bool HostedCluster::ControlStoreProxy(int entry, const Json& faults) {
   return Control(Address(kStoreProxyControlPort + entry), faults);
 }
@@ -305,6 +299,24 @@
   return leader;
 }
 
+Json HostedCluster::Route(int priority) const {
+  Json route = {{"name", "queue-" + std::to_string(priority)},
+                {"host", ip_},
+                {"prefix", PrefixOf(priority)},
+                {"kind", "non_idempotent"},
+                {"timeout_ms", 3000},
+                {"slo_ms", 1000},
+                {"priority", priority},
+                {"service", kService},
+                {"attempts", 2},
+                {"stretch", 3.0},
+                {"public", false}};
+  if (settings_.advised) {
+    route["advice"] = {{"decide_ms", 20}, {"each_ms", 1}, {"valid_ms", 3000}};
+  }
+  return route;
+}
+
 Json HostedCluster::StandinConfig() const {
   Json proxies = Json::array();
   for (int i = 0; i < settings_.entries; ++i) {
@@ -321,6 +333,7 @@
                           {"failure_domains", {"a", "b"}}};
   return {{"threads", 2},
           {"users_store", {{"listen", Address(kStorePort)}}},
+          {"users_advisor", {{"listen", Address(kAdvisorPort)}}},
           {"users_executors", Json::array({executors})},
           {"proxies", std::move(proxies)}};
 }
@@ -331,7 +344,8 @@
           {"listen_callers", Address(kCallerPort + entry)},
           {"listen_readiness", Address(kReadinessPort + entry)},
           {"listen_metrics", Address(kMetricsPort + entry)},
-          {"store_address", Address(kStoreProxyPort + entry)}};
+          {"store_address", Address(kStoreProxyPort + entry)},
+          {"advisor_address", Address(kAdvisorPort)}};
 }
 
 std::string HostedCluster::Address(int port) const {
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -26,6 +26,8 @@
   int executors = 6;
   int executors_per_rack = 3;
   int accelerators = 8;
+  // Steps of all queues need the advisor's word.
+  bool advised = false;
   // How long a caller waits for an answer.
   Milliseconds caller_timeout{4000};
 };
@@ -83,6 +85,7 @@
   // Faults of the stand-ins; false when they were not taken.
   bool ControlStore(const Json& faults);
   bool ControlExecutor(int executor, const Json& faults);
+  bool ControlAdvisor(const Json& faults);
   bool ControlStoreProxy(int entry, const Json& faults);
 
   // Every run that the executors have seen.
@@ -106,6 +109,7 @@
 
  private:
   Json StandinConfig() const;
+  Json Route(int priority) const;
   Json EntryConfig(int entry) const;
   std::string LogOf(int entry, int life) const;
   std::string Address(int port) const;
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -312,6 +312,27 @@
   }
 }
 
+TEST_CASE("steps that need advice run on approved executors, with a ticket") {
+  HostedClusterSettings settings;
+  settings.advised = true;
+  Scenario scenario(settings);
+  HostedCluster& cluster = scenario.cluster();
+  for (int i = 0; i < 4; ++i) {
+    scenario.Submit(i, {Step(4, 2), Step(2, 1, {0})}, 300);
+  }
+  // Without the advisor new steps wait, and begin once it is back; so do those
+  // of a leader that knows nothing of what the one before was told.
+  REQUIRE(cluster.ControlAdvisor({{"silent", true}}));
+  const TestJob waiting = scenario.Submit(4, {Step(2, 1)}, 100);
+  const int leader = cluster.Leader();
+  cluster.entry(leader).Kill();
+  cluster.StartEntry(leader);
+  CHECK(HostedCluster::Eventually(
+      [&] { return cluster.State(0, waiting) == "queued"; }));
+  REQUIRE(cluster.ControlAdvisor({{"silent", false}}));
+  scenario.Finish();
+}
+
 TEST_CASE("an urgent job takes room from others") {
   Scenario scenario;
   // Fills all 48 accelerators for a long time.
--- a/tests/standins/standin_config.cc
+++ b/tests/standins/standin_config.cc
@@ -211,6 +211,17 @@
   return fields.Finish();
 }
 
+bool ParseUsersAdvisor(const Json& json, StandinConfig* config, Error* error) {
+  FieldReader fields(json, "users_advisor", error);
+  UsersAdvisorSettings settings;
+  settings.listen = fields.Address("listen");
+  settings.decision = fields.Time("decision_ms", settings.decision);
+  settings.each = fields.Time("each_ms", settings.each);
+  settings.validity = fields.Time("validity_ms", settings.validity);
+  config->users_advisor = settings;
+  return fields.Finish();
+}
+
 bool ParseUsersExecutors(const Json& json, StandinConfig* config,
                          Error* error) {
   FieldReader fields(json, "users_executors", error);
@@ -296,6 +307,7 @@
   Json executors = fields.Array("executors");
   Json users_store = fields.Object("users_store");
   Json users_executors = fields.Array("users_executors");
+  Json users_advisor = fields.Object("users_advisor");
   Json proxies = fields.Array("proxies");
   if (!fields.Finish()) return std::nullopt;
   if (!log.is_null() && !ParseLog(log, &config, error)) return std::nullopt;
@@ -306,6 +318,10 @@
   if (!users_store.is_null() && !ParseUsersStore(users_store, &config, error)) {
     return std::nullopt;
   }
+  if (!users_advisor.is_null() &&
+      !ParseUsersAdvisor(users_advisor, &config, error)) {
+    return std::nullopt;
+  }
   for (const Json& group : users_executors) {
     if (!ParseUsersExecutors(group, &config, error)) return std::nullopt;
   }
--- a/tests/standins/standin_config.h
+++ b/tests/standins/standin_config.h
@@ -11,6 +11,7 @@
 #include "standins/instance_list_role.h"
 #include "standins/log_role.h"
 #include "standins/tcp_proxy.h"
+#include "standins/users_advisor_role.h"
 #include "standins/users_executor_role.h"
 #include "standins/users_store_role.h"
 #include "standins/worker_role.h"
@@ -27,6 +28,7 @@
   // The users' platform.
   std::optional<UsersStoreSettings> users_store;
   std::vector<UsersExecutorSettings> users_executors;
+  std::optional<UsersAdvisorSettings> users_advisor;
   std::vector<ProxySettings> proxies;
 };
 
--- a/tests/standins/standin_process.cc
+++ b/tests/standins/standin_process.cc
@@ -96,6 +96,10 @@
     return false;
   }
   role_addresses_["users_store"] = users_store_->address();
+  if (config.users_advisor &&
+      !OpenRole(NewStrand(), *config.users_advisor, &users_advisor_, error)) {
+    return false;
+  }
   for (const UsersExecutorSettings& settings : config.users_executors) {
     auto& role = users_executors_[settings.name];
     if (!OpenRole(NewStrand(), settings, &role, error)) return false;
--- a/tests/standins/standin_process.h
+++ b/tests/standins/standin_process.h
@@ -43,6 +43,7 @@
   std::map<std::string, std::unique_ptr<WorkerRole>> workers_;
   std::map<std::string, std::unique_ptr<ExecutorRole>> executors_;
   std::unique_ptr<UsersStoreRole> users_store_;
+  std::unique_ptr<UsersAdvisorRole> users_advisor_;
   std::map<std::string, std::unique_ptr<UsersExecutorRole>> users_executors_;
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   // By name of role; the targets that a proxy may name.
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "standins/users_advisor_role.h"
+
 namespace thornplank::standins {
 
 namespace {
@@ -83,6 +85,12 @@
     return StartOutcome::kRefused;
   }
   const Json payload = ParseJson(order.payload).value_or(Json::object());
+  const std::string step = order.task.step.ToString();
+  const bool advised = BoolField(payload, "advised").value_or(false);
+  if (advised &&
+      (order.ticket != TicketFor(step, id()) || !IsApproved(step, id()))) {
+    return StartOutcome::kTicketRefused;
+  }
   Run run;
   run.task = order.task;
   run.run = order.run;
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -4,7 +4,7 @@
 // What a task does is told by its payload, a JSON object: work_ms, fail, and
 // needs, for each step the thousandths of a core, the megabytes and the
 // accelerators of one task, by which the model sees whether its capacity is
-// kept to.
+// kept to. With "advised": true a start needs the advisor's ticket.
 #ifndef THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 #define THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -135,11 +135,14 @@
   order.run = run;
   order.payload = StringField(body, "spec").value_or("");
   order.checkpoint = StringField(body, "checkpointed").value_or("");
+  order.ticket = StringField(body, "ticket").value_or("");
   order.deadline = Milliseconds(IntField(body, "deadline_ms").value_or(0));
   order.epoch = epoch;
   const StartOutcome outcome = model_.Start(order, Clock());
   if (outcome == StartOutcome::kAccepted) return JsonReply(clock);
-  const char* reason = outcome == StartOutcome::kFenced ? "fence" : "old";
+  const char* reason = "old";
+  if (outcome == StartOutcome::kFenced) reason = "fence";
+  if (outcome == StartOutcome::kTicketRefused) reason = "ticket";
   return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
 }
 
