Slow tasks that fill where they disturb tasks that serve

Cause: tasks that fill were packed on the fullest worker and never slowed: a serving task beside them could stay over its target for good. Change: fillers go where cores are idle; PaceControl (no I/O) follows the worst tail on each worker, PaceKeeper makes the calls; workers with both kinds report twice a second. The stand-in's executors model tails and pace. After: tst_hosted_jobs: a filler that adds 150 ms to a tail of 50 with a target of 100 is slowed to a quarter or less; without a target on the step the test fails.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -149,6 +149,8 @@
   profile.checkpointable = spec->checkpointable;
   profile.gang = spec->gang;
   profile.long_running = spec->long_running;
+  profile.fills = spec->fills;
+  profile.tail_target = spec->tail_target;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
   return profile;
--- a/src/libs/coordination/metered_worker_calls.cc
+++ b/src/libs/coordination/metered_worker_calls.cc
@@ -72,6 +72,17 @@
               });
 }
 
+void MeteredWorkerCalls::Pace(
+    const WorkerAddress& worker, const PaceOrder& order, Milliseconds timeout,
+    std::function<void(CallOutcome, const Error&)> done) {
+  calls_.Pace(worker, order, timeout,
+              [this, begun = Now(), done = std::move(done)](
+                  CallOutcome outcome, const Error& error) {
+                meter_.Note("pace", ToLabel(outcome), begun);
+                done(outcome, error);
+              });
+}
+
 void MeteredWorkerCalls::Status(const WorkerAddress& worker,
                                 const StatusQuery& query, Milliseconds timeout,
                                 std::function<void(const StatusAnswer&)> done) {
--- /dev/null
+++ b/src/libs/coordination/pace_keeper.cc
@@ -0,0 +1,86 @@
+// Turns the pace that is due into calls.
+#include "coordination/pace_keeper.h"
+
+#include <utility>
+#include <vector>
+
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+
+PaceKeeper::PaceKeeper(WorkerCalls& calls, int64_t epoch,
+                       Milliseconds call_timeout, Handlers handlers)
+    : calls_(calls),
+      epoch_(epoch),
+      call_timeout_(call_timeout),
+      handlers_(std::move(handlers)) {}
+
+PaceKeeper::~PaceKeeper() { *alive_ = false; }
+
+bool PaceKeeper::HasBoth(const WorkerTracker& tracker) {
+  bool serves = false;
+  bool fills = false;
+  for (const auto& [task, run] : tracker.runs()) {
+    serves = serves || run.profile.tail_target.count() > 0;
+    fills = fills || run.profile.fills;
+  }
+  return serves && fills;
+}
+
+void PaceKeeper::OnReport(WorkerTracker* tracker, Time now) {
+  std::vector<ServingTail> serving;
+  bool fills = false;
+  for (const auto& [task, run] : tracker->runs()) {
+    fills = fills || run.profile.fills;
+    if (run.stage != RunStage::kRunning) continue;
+    if (run.profile.tail_target.count() == 0) continue;
+    serving.push_back({Milliseconds(run.load), run.profile.tail_target});
+  }
+  if (!fills) return Forget(tracker->id());
+  PaceControl& control = controls_[tracker->id()];
+  const int before = control.pace();
+  control.Observe(serving, now);
+  if (control.pace() != before) {
+    LogEvent(events::kPaceChanged, {{"worker", tracker->id()},
+                                    {"percent", control.pace()},
+                                    {"before", before},
+                                    {"serving", serving.size()}});
+  }
+  for (auto& [task, run] : tracker->runs()) {
+    const bool due = run.profile.fills && run.stage == RunStage::kRunning &&
+                     !run.stop_wanted && !run.pace_sending &&
+                     run.pace != control.pace();
+    if (due) Send(tracker, &run, control.pace());
+  }
+}
+
+void PaceKeeper::Send(WorkerTracker* tracker, TrackedRun* run, int percent) {
+  run->pace_sending = true;
+  const std::string worker = tracker->id();
+  const PaceOrder order{run->task, run->run, percent, epoch_};
+  calls_.Pace({worker, tracker->registration().address}, order, call_timeout_,
+              [this, alive = alive_, worker, order](CallOutcome outcome,
+                                                    const Error& error) {
+                if (!*alive) return;
+                if (outcome == CallOutcome::kFenced) {
+                  return handlers_.on_fenced();
+                }
+                if (outcome != CallOutcome::kOk) {
+                  LogEvent(events::kPaceMissed, error,
+                           {{"task", order.task.ToString()},
+                            {"run", order.run},
+                            {"worker", worker},
+                            {"percent", order.percent}});
+                }
+                WorkerTracker* tracker = handlers_.find(worker);
+                TrackedRun* run =
+                    tracker == nullptr ? nullptr : tracker->Find(order.task);
+                if (run == nullptr || run->run != order.run) return;
+                run->pace_sending = false;
+                // Without an answer it may have either; it is told again.
+                run->pace = std::nullopt;
+                if (outcome == CallOutcome::kOk) run->pace = order.percent;
+              });
+}
+
+}  // namespace thornplank
--- a/src/libs/coordination/worker_calls.h
+++ b/src/libs/coordination/worker_calls.h
@@ -39,6 +39,15 @@
   int64_t epoch = 0;
 };
 
+// How fast a task that fills may work from now on.
+struct PaceOrder {
+  TaskRef task;
+  int run = 0;
+  // Of its full speed; at zero it keeps its memory and does nothing.
+  int percent = 100;
+  int64_t epoch = 0;
+};
+
 struct StatusQuery {
   int64_t epoch = 0;
   // Ends up to here are recorded; the worker forgets them.
@@ -73,6 +82,9 @@
   virtual void Stop(const WorkerAddress& worker, const StopOrder& order,
                     Milliseconds timeout,
                     std::function<void(CallOutcome, const Error&)> done) = 0;
+  virtual void Pace(const WorkerAddress& worker, const PaceOrder& order,
+                    Milliseconds timeout,
+                    std::function<void(CallOutcome, const Error&)> done) = 0;
   virtual void Status(const WorkerAddress& worker, const StatusQuery& query,
                       Milliseconds timeout,
                       std::function<void(const StatusAnswer&)> done) = 0;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -34,7 +34,10 @@
     : calls_(calls),
       formats_(formats),
       settings_(settings),
-      handlers_(std::move(handlers)) {}
+      handlers_(std::move(handlers)),
+      paces_(calls, settings.epoch, settings.call_timeout,
+             {[this](const std::string& id) { return Find(id); },
+              [this] { handlers_.on_fenced(); }}) {}
 
 WorkerFleet::~WorkerFleet() { *alive_ = false; }
 
@@ -228,6 +231,9 @@
   if (!waits) link.next_report = now + settings_.report_retry;
   Milliseconds wait{0};
   if (waits) wait = young ? settings_.first_report : settings_.report_wait;
+  if (waits && PaceKeeper::HasBoth(*tracker)) {
+    wait = std::min(wait, settings_.pace_wait);
+  }
   Report(id, wait, /*extra=*/false);
 }
 
@@ -303,6 +309,7 @@
     RequestStop(id, run.task, run.run, "not in force");
   }
   ObserveSpeeds(tracker, now);
+  paces_.OnReport(tracker, now);
   Deliver(id, ends);
   if (first || !ends.empty()) handlers_.on_change();
   Drive(id, now);
@@ -371,6 +378,7 @@
                {{"worker", id}, {"reason", "no longer listed"}});
       trackers_.erase(id);
       links_.erase(id);
+      paces_.Forget(id);
       return;
     }
   }
@@ -455,6 +463,7 @@
   if (forget) {
     trackers_.erase(id);
     links_.erase(id);
+    paces_.Forget(id);
   }
   Deliver(id, ends);
   handlers_.on_change();
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -14,6 +14,7 @@
 
 #include "base/time.h"
 #include "coordination/formats.h"
+#include "coordination/pace_keeper.h"
 #include "coordination/worker_calls.h"
 #include "workload/speed_book.h"
 #include "workload/worker_tracker.h"
@@ -31,6 +32,9 @@
   Milliseconds call_timeout{900};
   // How long a report waits for an end; below the lease term by far.
   Milliseconds report_wait{1900};
+  // The same where tasks that fill may disturb tasks that serve: their tails
+  // are figures of the last half second.
+  Milliseconds pace_wait{500};
   // Between reports that don't wait.
   Milliseconds report_retry{250};
   // A worker that is not listed any more, while the store answered all along,
@@ -143,6 +147,7 @@
   Time contact_since_{};
   Time contact_{};
   SpeedBook speeds_;
+  PaceKeeper paces_;
   // Callbacks of calls that outlive this object do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -41,6 +41,8 @@
 inline constexpr Event kStateAnswered{927, "state-answered", Severity::kDebug};
 inline constexpr Event kStepWaits{928, "step-waits", Severity::kInfo};
 inline constexpr Event kAdviceGiven{929, "advice-given", Severity::kInfo};
+inline constexpr Event kPaceChanged{931, "pace-changed", Severity::kInfo};
+inline constexpr Event kPaceMissed{932, "pace-missed", Severity::kWarning};
 inline constexpr Event kAdviceMissing{930, "advice-missing",
                                       Severity::kWarning};
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -56,6 +56,7 @@
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) room.coming += profile.need;
+    if (profile.fills) ++room.filling;
     if (profile.priority != 0) continue;
     urgent_use_[profile.account] += profile.need.accelerators;
   }
@@ -166,6 +167,7 @@
                             int64_t tasks) const {
   const Resources need = ReservedFor(*step.spec);
   int64_t score = Weight(room.room) - Weight(need) * tasks;
+  if (step.spec->fills) score = -IdleFor(step, room);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
   if (room.tracker->suspect()) score += kSuspectPenalty;
@@ -173,6 +175,17 @@
   return score;
 }
 
+int64_t ClusterRooms::IdleFor(const OpenStep& step, const WorkerRoom& room) {
+  return room.room.cpu_millis - room.filling * step.spec->need.cpu_millis;
+}
+
+// At least one: where no core is idle now, one may be in a moment.
+int64_t ClusterRooms::FillersThatFit(const OpenStep& step,
+                                     const WorkerRoom& room) {
+  const int64_t each = std::max<int64_t>(step.spec->need.cpu_millis, 1);
+  return std::max<int64_t>(IdleFor(step, room) / each, 1);
+}
+
 std::vector<Slot> ClusterRooms::FreeSlots(const OpenStep& step,
                                           int64_t headroom) const {
   std::vector<Slot> slots;
@@ -184,7 +197,8 @@
     if (!IsEligible(step, room)) continue;
     if (room.IsEmpty() && empty_left-- <= 0) continue;
     const int64_t bound = BoundLeft(step, *room.tracker);
-    const int64_t tasks = std::min(bound, need.TimesIn(room.room, waiting));
+    int64_t tasks = std::min(bound, need.TimesIn(room.room, waiting));
+    if (step.spec->fills) tasks = std::min(tasks, FillersThatFit(step, room));
     if (tasks <= 0) continue;
     slots.push_back({i, tasks, Score(step, room, tasks)});
   }
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -24,6 +24,8 @@
   Resources room;
   // What runs that are being stopped will free.
   Resources coming;
+  // Tasks here that fill.
+  int64_t filling = 0;
   // May be given new tasks.
   bool usable = false;
 
@@ -100,6 +102,9 @@
   bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
   int64_t Score(const OpenStep& step, const WorkerRoom& room,
                 int64_t tasks) const;
+  // Idle cores that tasks of the step, which fills, would find.
+  static int64_t IdleFor(const OpenStep& step, const WorkerRoom& room);
+  static int64_t FillersThatFit(const OpenStep& step, const WorkerRoom& room);
   void Change(const RoomReservation& reservation, bool keep);
 
   const AdviceBook* const advice_;
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -28,7 +28,8 @@
     *reason = name + "a size is negative or too large";
     return false;
   }
-  if (step.max_per_worker < 0 || step.may_miss < 0) {
+  if (step.max_per_worker < 0 || step.may_miss < 0 ||
+      step.tail_target.count() < 0) {
     *reason = name + "a bound is negative";
     return false;
   }
@@ -46,7 +47,8 @@
                       step.depends_on, step.checkpointable, step.gang,
                       step.same_rack, step.speculative, step.long_running,
                       step.fills, step.required_label, step.data_rack,
-                      step.image, step.max_per_worker, step.may_miss});
+                      step.image, step.max_per_worker, step.may_miss,
+                      step.tail_target.count()});
 }
 
 StepSpec DecodeStep(const Json& row) {
@@ -69,6 +71,10 @@
   step.image = row.at(at++).get<std::string>();
   step.max_per_worker = row.at(at++).get<int>();
   step.may_miss = row.at(at++).get<int>();
+  // Records of before there were targets end here.
+  if (row.size() > at) {
+    step.tail_target = Milliseconds(row.at(at).get<int64_t>());
+  }
   return step;
 }
 
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -45,6 +45,9 @@
   int max_per_worker = 0;
   // How many tasks of a long-running step the scheduler may take down at once.
   int may_miss = 0;
+  // The tasks serve users of their own, and the tail of their answers must stay
+  // below this; zero for tasks that don't.
+  Milliseconds tail_target{0};
 };
 
 // An outside service must approve the workers that run a step. What it takes,
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -38,6 +38,9 @@
   std::string checkpoint;
   // Of its work, 0 to 100.
   int percent = 0;
+  // Of a serving task the tail of its answers in milliseconds, of any other the
+  // thousandths of a core that it uses; over the last half second.
+  int64_t load = 0;
 };
 
 // One run that has ended on a worker.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -81,6 +81,7 @@
                             Time now, Time lease_bound) {
   Add(task, run, std::move(profile), now);
   runs_[task].stage = RunStage::kInherited;
+  runs_[task].pace = std::nullopt;
   lease_bound_ = std::max(lease_bound_, lease_bound);
 }
 
@@ -205,6 +206,7 @@
   }
   if (report.percent != run->percent) run->progressed = now;
   run->percent = report.percent;
+  run->load = report.load;
   if (!run->baseline) {
     run->baseline = now;
     run->baseline_percent = report.percent;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/pace_control.h"
 #include "workload/worker_report.h"
 
 namespace thornplank {
@@ -38,6 +39,10 @@
   bool checkpointable = false;
   bool gang = false;
   bool long_running = false;
+  // Its cores are not reserved; it is slowed where it disturbs serving tasks.
+  bool fills = false;
+  // Of a serving task; zero for any other.
+  Milliseconds tail_target{0};
   std::string account;
   // Elsewhere it takes several times as long; "" for no such rack.
   std::string data_rack;
@@ -53,6 +58,11 @@
   // When it was first seen at work.
   Time began{};
   int percent = 0;
+  // As in RunReport.
+  int64_t load = 0;
+  // Percent of full speed that it surely has; nullopt when that is not known.
+  std::optional<int> pace = kFullPace;
+  bool pace_sending = false;
   // When its percentage last moved.
   Time progressed{};
   // Where its progress is measured from: its start, or the first report of one
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/worker_fleet.h"
@@ -28,18 +29,40 @@
     ++stops;
     done(stop, Error());
   }
+  void Pace(const WorkerAddress&, const PaceOrder& order, Milliseconds,
+            std::function<void(CallOutcome, const Error&)> done) override {
+    paces.push_back(order.percent);
+    done(pace, Error());
+  }
   void Status(const WorkerAddress&, const StatusQuery& query, Milliseconds,
               std::function<void(const StatusAnswer&)> done) override {
     ++reports;
     renewed = query.lease_until.has_value();
-    if (query.wait.count() > 0 && !answers_waiting) return;
+    if (query.wait.count() > 0 && !answers_waiting) {
+      waiting = std::move(done);
+      return;
+    }
+    done(Answer());
+  }
+
+  // The report that waits comes now.
+  void AnswerWaiting() {
+    REQUIRE(waiting != nullptr);
+    std::exchange(waiting, nullptr)(Answer());
+  }
+
+  StatusAnswer Answer() const {
     StatusAnswer answer;
     answer.outcome = status;
-    done(answer);
+    answer.report = report;
+    return answer;
   }
 
   StartOutcome start = StartOutcome::kAccepted;
   CallOutcome stop = CallOutcome::kOk;
+  CallOutcome pace = CallOutcome::kOk;
+  std::vector<int> paces;
+  WorkerStatusReport report;
   CallOutcome status = CallOutcome::kOk;
   // Whether reports that wait for an end are answered.
   bool answers_waiting = false;
@@ -47,6 +70,7 @@
   int stops = 0;
   int reports = 0;
   bool renewed = false;
+  std::function<void(const StatusAnswer&)> waiting;
 };
 
 class Fixture {
@@ -110,6 +134,44 @@
   }
 }
 
+TEST_CASE("tasks that fill are slowed beside a serving task in need") {
+  struct Row {
+    std::string name;
+    int64_t tail;
+    CallOutcome answer;
+    std::vector<int> told;
+  };
+  const std::vector<Row> rows = {
+      {"all is well", 40, CallOutcome::kOk, {}},
+      {"the tail is over its target", 150, CallOutcome::kOk, {25, 6, 0}},
+      {"near its target", 95, CallOutcome::kOk, {66, 44, 29}},
+      {"told again until it is confirmed",
+       150,
+       CallOutcome::kNoAnswer,
+       {25, 6, 0}},
+  };
+  const TaskRef serving{{"0123456789abcdef", 0, 1}, 0};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.calls.pace = row.answer;
+    RunProfile filler;
+    filler.fills = true;
+    fixture.fleet.Add("w1", kTask, 1, filler, Fixture::Now());
+    RunProfile server;
+    server.long_running = true;
+    server.tail_target = Milliseconds(100);
+    fixture.fleet.Add("w1", serving, 1, server, Fixture::Now());
+    fixture.calls.report.running = {{kTask, 1, "", 10, 2000},
+                                    {serving, 1, "", 100, row.tail}};
+    for (int i = 0; i < 3; ++i) {
+      fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+      fixture.calls.AnswerWaiting();
+    }
+    CHECK(fixture.calls.paces == row.told);
+  }
+}
+
 TEST_CASE("a life that is over stays so, though it is still listed") {
   Fixture fixture;
   fixture.calls.start = StartOutcome::kOtherLife;
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -175,6 +175,26 @@
   CHECK(plan.stops[0].worker == "w0-1");
 }
 
+TEST_CASE("tasks that fill go where cores are idle, beside full workers too") {
+  World world(1, 3);
+  StepSpec busy = MakeStep(1, 1);
+  busy.need.cpu_millis = 64000;
+  world.ledger.Add(MakeJob(Id(1), {busy}), world.now);
+  REQUIRE(world.Round().starts.size() == 1);
+  StepSpec filler = MakeStep(4, 0);
+  filler.need.cpu_millis = 32000;
+  filler.fills = true;
+  world.ledger.Add(MakeJob(Id(2), {filler}), world.now);
+  const Plan plan = world.Round();
+  REQUIRE(plan.starts.size() == 1);
+  std::map<std::string, int> tasks;
+  for (const auto& assignment : plan.starts[0].assignments) {
+    ++tasks[assignment.worker];
+  }
+  // Two workers have all their cores idle, for two tasks each.
+  CHECK(tasks == std::map<std::string, int>{{"w0-1", 2}, {"w0-2", 2}});
+}
+
 TEST_CASE("why a step waits") {
   struct Row {
     std::string name;
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -43,6 +43,9 @@
                      {"estimate_ms", job.work_ms},
                      {"gang", step.gang},
                      {"same_rack", step.same_rack},
+                     {"long_running", step.long_running},
+                     {"fills", step.fills},
+                     {"target_ms", step.tail_target_ms},
                      {"depends_on", step.depends_on}});
   }
   // The stand-in reads from the payload what the tasks do and take.
@@ -54,6 +57,8 @@
   const Json payload = {{"work_ms", job.work_ms},
                         {"fail", job.fails},
                         {"needs", needs},
+                        {"tail_ms", job.tail_ms},
+                        {"disturbs_ms", job.disturbs_ms},
                         {"advised", advised}};
   return {{"spec", payload.dump()}, {"steps", std::move(steps)}};
 }
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -41,6 +41,12 @@
   bool gang = false;
   bool same_rack = false;
   std::vector<int> depends_on;
+  // Runs until its job is cancelled.
+  bool long_running = false;
+  // Its cores are not reserved, and it may be slowed.
+  bool fills = false;
+  // Of a serving task; 0 for any other.
+  int tail_target_ms = 0;
 };
 
 struct TestJob {
@@ -49,6 +55,9 @@
   std::vector<TestStep> steps = {TestStep()};
   int work_ms = 200;
   bool fails = false;
+  // What the tasks do to tails, as the stand-in has it.
+  int tail_ms = 0;
+  int disturbs_ms = 0;
   // Of which queue; 0 is the urgent one.
   int priority = 1;
 };
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -53,6 +53,11 @@
     job.steps = std::move(steps);
     job.work_ms = work_ms;
     job.priority = priority;
+    Submit(job);
+    return job;
+  }
+
+  void Submit(const TestJob& job) {
     JobAccount account;
     account.job = job;
     account.accepted = HostedCluster::Eventually([&] {
@@ -60,7 +65,6 @@
     });
     CHECK(account.accepted);
     jobs_[job.id] = account;
-    return job;
   }
 
   void Cancel(const TestJob& job) {
@@ -333,6 +337,48 @@
   scenario.Finish();
 }
 
+TEST_CASE("tasks that fill are slowed until a serving task is well") {
+  HostedClusterSettings settings;
+  settings.executors = 1;
+  Scenario scenario(settings);
+  HostedCluster& cluster = scenario.cluster();
+  TestJob server;
+  server.id = JobId(1);
+  server.work_ms = 60000;
+  server.tail_ms = 50;
+  server.steps[0].long_running = true;
+  server.steps[0].tail_target_ms = 100;
+  // At full pace it adds three times what the target leaves.
+  TestJob filler;
+  filler.id = JobId(2);
+  filler.work_ms = 60000;
+  filler.disturbs_ms = 150;
+  filler.steps[0].long_running = true;
+  filler.steps[0].fills = true;
+  filler.steps[0].accelerators = 0;
+  scenario.Submit(server);
+  scenario.Submit(filler);
+  const auto tail_is_well = [&] {
+    for (const Json& run : cluster.Runs()) {
+      const int64_t load = IntField(run, "load").value_or(0);
+      if (run["task"] == server.id + ".0.0.0" && load > 0) return load <= 100;
+    }
+    return false;
+  };
+  const auto filler_is_slowed = [&] {
+    for (const Json& run : cluster.Runs()) {
+      if (run["task"] != filler.id + ".0.0.0") continue;
+      return IntField(run, "pace").value_or(100) <= 25;
+    }
+    return false;
+  };
+  CHECK(HostedCluster::Eventually(
+      [&] { return filler_is_slowed() && tail_is_well(); }));
+  scenario.Cancel(server);
+  scenario.Cancel(filler);
+  scenario.Finish();
+}
+
 TEST_CASE("an urgent job takes room from others") {
   Scenario scenario;
   // Fills all 48 accelerators for a long time.
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -97,9 +97,16 @@
   run.work_ms = IntField(payload, "work_ms").value_or(100);
   run.fails = fail_all_ || BoolField(payload, "fail").value_or(false);
   run.need = NeedOf(payload, order.task.step.step);
+  run.tail_ms = IntField(payload, "tail_ms").value_or(0);
+  run.disturbs_ms = IntField(payload, "disturbs_ms").value_or(0);
   run.began = now;
   run.history = history_.size();
-  history_.push_back({id(), name, order.run, now, -1, "", false});
+  RunHistory history;
+  history.worker = id();
+  history.task = name;
+  history.run = order.run;
+  history.began_ms = now;
+  history_.push_back(std::move(history));
   Resources used = run.need;
   for (const auto& [other_name, other] : runs_) {
     used += other.need;
@@ -125,6 +132,28 @@
   return CallOutcome::kOk;
 }
 
+CallOutcome UsersExecutorModel::Pace(const PaceOrder& order, int64_t now) {
+  Advance(now);
+  if (order.epoch < fence_) return CallOutcome::kFenced;
+  fence_ = order.epoch;
+  const auto run = runs_.find(order.task.ToString());
+  if (run == runs_.end() || run->second.run != order.run) {
+    return CallOutcome::kRefused;
+  }
+  run->second.pace = order.percent;
+  history_[run->second.history].pace = order.percent;
+  return CallOutcome::kOk;
+}
+
+int64_t UsersExecutorModel::Load(const Run& run) const {
+  if (run.tail_ms == 0) return run.need.cpu_millis * run.pace / kFullPace;
+  int64_t tail = run.tail_ms;
+  for (const auto& [name, other] : runs_) {
+    tail += other.disturbs_ms * other.pace / kFullPace;
+  }
+  return tail;
+}
+
 CallOutcome UsersExecutorModel::Hold(const StatusQuery& query, int64_t now,
                                      WorkerStatusReport* report) {
   Advance(now);
@@ -140,12 +169,14 @@
   }
   report->clock = Milliseconds(now);
   for (const auto& [name, run] : runs_) {
+    history_[run.history].load = Load(run);
     const int64_t percent =
         run.work_ms > 0 ? Progress(run, now) * kMillisPerPercent / run.work_ms
                         : 0;
     report->running.push_back(
         {run.task, run.run, "",
-         static_cast<int>(std::min<int64_t>(percent, kMillisPerPercent))});
+         static_cast<int>(std::min<int64_t>(percent, kMillisPerPercent)),
+         Load(run)});
   }
   for (const Ended& end : ended_) {
     report->ended.push_back({end.number, end.task, end.run, end.end, ""});
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -4,7 +4,8 @@
 // What a task does is told by its payload, a JSON object: work_ms, fail, and
 // needs, for each step the thousandths of a core, the megabytes and the
 // accelerators of one task, by which the model sees whether its capacity is
-// kept to. With "advised": true a start needs the advisor's ticket.
+// kept to. tail_ms makes a task serve, disturbs_ms adds to the tails beside it.
+// With "advised": true a start needs the advisor's ticket.
 #ifndef THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 #define THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 
@@ -32,6 +33,9 @@
   std::string how;
   // Its end was recorded by the scheduler, or could be.
   bool recorded = false;
+  // As last reported, and as last ordered.
+  int64_t load = 0;
+  int pace = kFullPace;
 };
 
 class UsersExecutorModel {
@@ -44,6 +48,7 @@
   // Every call takes the present in milliseconds, which is the worker's clock.
   StartOutcome Start(const StartOrder& order, int64_t now);
   CallOutcome Stop(const StopOrder& order, int64_t now);
+  CallOutcome Pace(const PaceOrder& order, int64_t now);
   CallOutcome Hold(const StatusQuery& query, int64_t now,
                    WorkerStatusReport* report);
   // Whether a report would list an end behind `recorded`.
@@ -66,6 +71,11 @@
     Resources need;
     int64_t work_ms = 0;
     bool fails = false;
+    // Of a serving task: the tail of its answers when nothing disturbs it.
+    int64_t tail_ms = 0;
+    // What it adds to the tails of others at full pace.
+    int64_t disturbs_ms = 0;
+    int pace = kFullPace;
     int64_t began = 0;
     // Set by a stop: when it will be over.
     int64_t stops_at = -1;
@@ -82,6 +92,7 @@
   void Advance(int64_t now);
   void End(std::map<std::string, Run>::iterator run, RunEnd end, int64_t now);
   int64_t Progress(const Run& run, int64_t now) const;
+  int64_t Load(const Run& run) const;
 
   const std::string name_;
   const Resources capacity_;
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -34,7 +34,7 @@
   Json running = Json::array();
   for (const RunReport& run : report.running) {
     running.push_back(Json::array(
-        {run.task.ToString(), run.run, run.checkpoint, run.percent, 0}));
+        {run.task.ToString(), run.run, run.checkpoint, run.percent, run.load}));
   }
   Json finished = Json::array();
   for (const RunEndReport& end : report.ended) {
@@ -129,6 +129,15 @@
     if (outcome == CallOutcome::kOk) return JsonReply(clock);
     return JsonReply({{"clock_ms", Clock()}, {"reason", "fence"}}, 409);
   }
+  if (path == "/v1/pace") {
+    const int percent =
+        static_cast<int>(IntField(body, "percent").value_or(kFullPace));
+    const CallOutcome outcome =
+        model_.Pace({*task, run, percent, epoch}, Clock());
+    if (outcome == CallOutcome::kOk) return JsonReply(clock);
+    const char* reason = outcome == CallOutcome::kFenced ? "fence" : "old";
+    return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
+  }
   if (path != "/v1/run-start") return ProblemReply(404, "no such call");
   StartOrder order;
   order.task = *task;
@@ -173,6 +182,8 @@
                     {"began_ms", run.began_ms},
                     {"ended_ms", run.ended_ms},
                     {"how", run.how},
+                    {"load", run.load},
+                    {"pace", run.pace},
                     {"recorded", run.recorded}});
   }
   return {{"runs", std::move(runs)}, {"violations", model_.violations()}};
