--- a/src/libs/metrics/metrics_registry.cc
+++ b/src/libs/metrics/metrics_registry.cc
@@ -97,6 +97,16 @@
       std::chrono::duration<double>(seconds));
 }
 
+struct DurationTotals {
+  Duration sum = Duration::zero();
+  uint64_t count = 0;
+
+  void Add(Duration value) {
+    sum += value;
+    ++count;
+  }
+};
+
 }  // namespace
 
 class Summary::Impl {
@@ -106,23 +116,17 @@
     for (QuantileAccumulator& accumulator : quantiles_) {
       accumulator(ToSeconds(value));
     }
-    sum_ += value;
-    ++count_;
-  }
-
-  uint64_t count() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return count_;
+    totals_.Add(value);
   }
 
-  Duration sum() const {
+  DurationTotals totals() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return sum_;
+    return totals_;
   }
 
   Duration quantile(double probability) const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (count_ == 0) return Duration::zero();
+    if (totals_.count == 0) return Duration::zero();
     for (size_t i = 0; i < kQuantiles.size(); ++i) {
       if (kQuantiles[i] < probability) continue;
       return FromSeconds(accumulators::p_square_quantile(quantiles_[i]));
@@ -137,15 +141,14 @@
   std::array<QuantileAccumulator, kQuantiles.size()> quantiles_ = {
       MakeAccumulator(kQuantiles[0]), MakeAccumulator(kQuantiles[1]),
       MakeAccumulator(kQuantiles[2])};
-  Duration sum_ = Duration::zero();
-  uint64_t count_ = 0;
+  DurationTotals totals_;
 };
 
 Summary::Summary() : impl_(std::make_unique<Impl>()) {}
 Summary::~Summary() = default;
 void Summary::Observe(Duration value) { impl_->Observe(value); }
-uint64_t Summary::count() const { return impl_->count(); }
-Duration Summary::sum() const { return impl_->sum(); }
+uint64_t Summary::count() const { return impl_->totals().count; }
+Duration Summary::sum() const { return impl_->totals().sum; }
 Duration Summary::quantile(double probability) const {
   return impl_->quantile(probability);
 }
@@ -155,18 +158,12 @@
   void Observe(Duration value) {
     const std::lock_guard<std::mutex> lock(mutex_);
     bins_(-ToSeconds(value));
-    sum_ += value;
-    ++count_;
-  }
-
-  uint64_t count() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return count_;
+    totals_.Add(value);
   }
 
-  Duration sum() const {
+  DurationTotals totals() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return sum_;
+    return totals_;
   }
 
   std::vector<Bucket> buckets() const {
@@ -189,15 +186,14 @@
   decltype(boost::histogram::make_histogram(
       BucketAxis(NegatedBounds()))) bins_ =
       boost::histogram::make_histogram(BucketAxis(NegatedBounds()));
-  Duration sum_ = Duration::zero();
-  uint64_t count_ = 0;
+  DurationTotals totals_;
 };
 
 Histogram::Histogram() : impl_(std::make_unique<Impl>()) {}
 Histogram::~Histogram() = default;
 void Histogram::Observe(Duration value) { impl_->Observe(value); }
-uint64_t Histogram::count() const { return impl_->count(); }
-Duration Histogram::sum() const { return impl_->sum(); }
+uint64_t Histogram::count() const { return impl_->totals().count; }
+Duration Histogram::sum() const { return impl_->totals().sum; }
 std::vector<Histogram::Bucket> Histogram::buckets() const {
   return impl_->buckets();
 }
--- a/tests/standins/standin_config.cc
+++ b/tests/standins/standin_config.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <type_traits>
 
 namespace thornplank::standins {
 
@@ -106,6 +107,13 @@
   bool ok_ = true;
 };
 
+// Whether the role stands in a rack.
+template <typename Settings, typename = void>
+struct HasRack : std::false_type {};
+template <typename Settings>
+struct HasRack<Settings, std::void_t<decltype(Settings::rack)>>
+    : std::true_type {};
+
 // The address `index` ports above "ip:port"; port 0 stays 0.
 std::string AddressAt(const std::string& first, int64_t index) {
   auto endpoint = ParseEndpoint(first, nullptr);
@@ -128,6 +136,42 @@
   }
 }
 
+// Equal roles under numbered names, at addresses one after the other.
+struct RoleGroup {
+  std::string prefix;
+  int64_t count = 1;
+  std::string first_address;
+  std::vector<std::string> failure_domains;
+};
+
+RoleGroup ReadGroup(FieldReader* fields) {
+  RoleGroup group;
+  group.prefix = fields->String("name_prefix");
+  group.count = fields->Int("count", 1, 1, kMaxCount);
+  group.first_address = fields->Address("first_address");
+  group.failure_domains = fields->Strings("failure_domains");
+  CheckPorts(group.first_address, group.count, fields);
+  return group;
+}
+
+// One copy of `common` for each of the group; failure domains change with each
+// rack of `racks_of`.
+template <typename Settings>
+void Expand(const RoleGroup& group, const Settings& common, int64_t racks_of,
+            std::vector<Settings>* all) {
+  for (int64_t index = 0; index < group.count; ++index) {
+    Settings settings = common;
+    const int64_t rack = index / racks_of;
+    settings.name = group.prefix + std::to_string(index);
+    settings.listen = AddressAt(group.first_address, index);
+    settings.failure_domain = DomainAt(group.failure_domains, rack);
+    if constexpr (HasRack<Settings>::value) {
+      settings.rack = group.prefix + "-rack" + std::to_string(rack);
+    }
+    all->push_back(std::move(settings));
+  }
+}
+
 bool ParseLog(const Json& json, StandinConfig* config, Error* error) {
   FieldReader fields(json, "log", error);
   LogRoleSettings settings;
@@ -153,52 +197,30 @@
 
 bool ParseWorkers(const Json& json, StandinConfig* config, Error* error) {
   FieldReader fields(json, "workers", error);
+  const RoleGroup group = ReadGroup(&fields);
+  const int64_t racks_of = fields.Int("racks_of", 6, 1);
   WorkerSettings common;
-  std::string prefix = fields.String("name_prefix");
-  int64_t count = fields.Int("count", 1, 1, kMaxCount);
-  std::string first = fields.Address("first_address");
-  int64_t racks_of = fields.Int("racks_of", 6, 1);
-  std::vector<std::string> domains = fields.Strings("failure_domains");
   common.accelerators = fields.Int("accelerators", common.accelerators);
   common.cores = fields.Int("cores", common.cores);
   common.memory_mb = fields.Int("memory_mb", common.memory_mb);
   common.checkpoint_time = fields.Time("checkpoint_ms", common.checkpoint_time);
   common.usage_lag = fields.Time("usage_lag_ms", common.usage_lag);
-  CheckPorts(first, count, &fields);
   if (!fields.Finish()) return false;
-  for (int64_t index = 0; index < count; ++index) {
-    WorkerSettings settings = common;
-    int64_t rack = index / racks_of;
-    settings.name = prefix + std::to_string(index);
-    settings.listen = AddressAt(first, index);
-    settings.rack = prefix + "-rack" + std::to_string(rack);
-    settings.failure_domain = DomainAt(domains, rack);
-    config->workers.push_back(std::move(settings));
-  }
+  Expand(group, common, racks_of, &config->workers);
   return true;
 }
 
 bool ParseExecutors(const Json& json, StandinConfig* config, Error* error) {
   FieldReader fields(json, "executors", error);
+  const RoleGroup group = ReadGroup(&fields);
   ExecutorSettings common;
-  std::string prefix = fields.String("name_prefix");
-  int64_t count = fields.Int("count", 1, 1, kMaxCount);
-  std::string first = fields.Address("first_address");
-  std::vector<std::string> domains = fields.Strings("failure_domains");
   common.service = fields.String("service");
   common.slots = fields.Int("slots", common.slots, 1);
   common.max_connections =
       fields.Int("max_connections", common.max_connections);
   common.service_time = fields.Time("service_time_ms", common.service_time);
-  CheckPorts(first, count, &fields);
   if (!fields.Finish()) return false;
-  for (int64_t index = 0; index < count; ++index) {
-    ExecutorSettings settings = common;
-    settings.name = prefix + std::to_string(index);
-    settings.listen = AddressAt(first, index);
-    settings.failure_domain = DomainAt(domains, index);
-    config->executors.push_back(std::move(settings));
-  }
+  Expand(group, common, /*racks_of=*/1, &config->executors);
   return true;
 }
 
@@ -225,27 +247,15 @@
 bool ParseUsersExecutors(const Json& json, StandinConfig* config,
                          Error* error) {
   FieldReader fields(json, "users_executors", error);
+  const RoleGroup group = ReadGroup(&fields);
+  const int64_t racks_of = fields.Int("racks_of", 6, 1);
   UsersExecutorSettings common;
-  std::string prefix = fields.String("name_prefix");
-  int64_t count = fields.Int("count", 1, 1, kMaxCount);
-  std::string first = fields.Address("first_address");
-  int64_t racks_of = fields.Int("racks_of", 6, 1);
-  std::vector<std::string> domains = fields.Strings("failure_domains");
   common.service = fields.String("service");
   common.capacity.cpu_millis = fields.Int("cpu_millis", 64000);
   common.capacity.memory_mb = fields.Int("memory_mb", 256000);
   common.capacity.accelerators = fields.Int("accelerators", 8);
-  CheckPorts(first, count, &fields);
   if (!fields.Finish()) return false;
-  for (int64_t index = 0; index < count; ++index) {
-    UsersExecutorSettings settings = common;
-    int64_t rack = index / racks_of;
-    settings.name = prefix + std::to_string(index);
-    settings.listen = AddressAt(first, index);
-    settings.rack = prefix + "-rack" + std::to_string(rack);
-    settings.failure_domain = DomainAt(domains, rack);
-    config->users_executors.push_back(std::move(settings));
-  }
+  Expand(group, common, racks_of, &config->users_executors);
   return true;
 }
 
