--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -12,7 +12,6 @@
 namespace thornplank {
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
 // Why a call is not served: the cause is a label of metrics, the text is for
@@ -258,8 +257,9 @@
       [this, alive = alive_, request, give_up, tries_left, may_be_stored,
        done = std::move(done)](const AppendResult& result) mutable {
         if (!*alive) return;
-        if (result.outcome == StoreOutcome::kStored)
+        if (result.outcome == StoreOutcome::kStored) {
           return done(result.outcome, {});
+        }
         may_be_stored =
             may_be_stored || result.outcome == StoreOutcome::kUnknown;
         if (tries_left <= 1) {
--- a/src/libs/coordination/pace_keeper.cc
+++ b/src/libs/coordination/pace_keeper.cc
@@ -56,7 +56,7 @@
 
 void PaceKeeper::Send(WorkerTracker* tracker, TrackedRun* run, int percent) {
   run->pace_sending = true;
-  const std::string worker = tracker->id();
+  const std::string& worker = tracker->id();
   const PaceOrder order{run->task, run->run, percent, epoch_};
   calls_.Pace({worker, tracker->registration().address}, order, call_timeout_,
               [this, alive = alive_, worker, order](CallOutcome outcome,
--- a/tests/auto/workload/tst_advice_book.cc
+++ b/tests/auto/workload/tst_advice_book.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::string> Workers(int count) {
   std::vector<std::string> workers;
+  workers.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     workers.push_back("w" + std::to_string(i));
   }
