A log file that cannot be opened ends the start with its reason

Cause: since the log writes its own lines, a file that could not be opened was passed over in silence; before, the library threw. Change: OpenEventLog says so, thornplank_entry ends with the path and the reason.

--- a/src/app/thornplank_entry/main.cc
+++ b/src/app/thornplank_entry/main.cc
@@ -53,8 +53,12 @@
 }
 
 int RunLogged(const EntrySettings& settings) {
-  OpenEventLog(settings.name, settings.log.level, LogWriter::kOwnThread,
-               settings.log.file);
+  Error error;
+  if (!OpenEventLog(settings.name, settings.log.level, LogWriter::kOwnThread,
+                    settings.log.file, &error)) {
+    std::cerr << FLAGS_settings << ": " << error.ToString() << "\n";
+    return kExitUsage;
+  }
   const int code = RunEntry(settings);
   CloseEventLog();
   return code;
--- a/src/app/thornplank_hosted/main.cc
+++ b/src/app/thornplank_hosted/main.cc
@@ -74,7 +74,9 @@
 }
 
 int RunLogged(const HostedSettings& settings) {
-  OpenEventLog(settings.name, settings.log_level, LogWriter::kCaller);
+  // Standard output is always there.
+  OpenEventLog(settings.name, settings.log_level, LogWriter::kCaller, "",
+               nullptr);
   const int code = RunEntry(settings);
   CloseEventLog();
   return code;
--- a/src/libs/logging/event_log.cc
+++ b/src/libs/logging/event_log.cc
@@ -7,8 +7,10 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <cstring>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -135,7 +137,7 @@
       TellLeftOut(entry);
     }
     if (!admitted) return;
-    const size_t bytes = Queue(event, error, fields);
+    const size_t bytes = WriteLine(event, error, fields);
     const std::lock_guard<std::mutex> lock(mutex_);
     budget_.Charge(event.number, bytes);
   }
@@ -155,12 +157,12 @@
 
  private:
   void TellLeftOut(const LinesLeftOut& left_out) {
-    Queue(events::kLogLinesLeftOut, nullptr,
-          {{"of_event", left_out.event}, {"lines", left_out.lines}});
+    WriteLine(events::kLogLinesLeftOut, nullptr,
+              {{"of_event", left_out.event}, {"lines", left_out.lines}});
   }
 
-  size_t Queue(const Event& event, const Error* error,
-               std::initializer_list<EventField> fields) {
+  size_t WriteLine(const Event& event, const Error* error,
+                   std::initializer_list<EventField> fields) {
     std::string text;
     text.reserve(kUsualLineBytes);
     text += "{\"time_ms\":";
@@ -204,8 +206,8 @@
 
 }  // namespace
 
-void OpenEventLog(std::string_view instance, Severity minimum, LogWriter writer,
-                  const std::string& path) {
+bool OpenEventLog(std::string_view instance, Severity minimum, LogWriter writer,
+                  const std::string& path, Error* error) {
   CloseEventLog();
   std::signal(SIGPIPE, SIG_IGN);
   int descriptor = STDOUT_FILENO;
@@ -213,9 +215,14 @@
     // Never closed: a process has one such file, and lines may be on their way.
     descriptor =
         ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+    if (descriptor < 0) {
+      SetError(error, "open log", path, std::strerror(errno));
+      return false;
+    }
   }
   CurrentLog() =
       std::make_unique<OpenLog>(instance, minimum, writer, descriptor);
+  return true;
 }
 
 void CloseEventLog() { CurrentLog().reset(); }
--- a/src/libs/logging/event_log.h
+++ b/src/libs/logging/event_log.h
@@ -45,9 +45,10 @@
 // Opens the log on standard output (or on the file `path`), dropping events
 // below `minimum`. Each event has a budget of lines and bytes a second. Every
 // line carries `instance`. From then on the process ignores SIGPIPE: a reader
-// of the log that goes away must not end it.
-void OpenEventLog(std::string_view instance, Severity minimum, LogWriter writer,
-                  const std::string& path = "");
+// of the log that goes away must not end it. False when the file cannot be
+// opened; nothing is logged then.
+bool OpenEventLog(std::string_view instance, Severity minimum, LogWriter writer,
+                  const std::string& path, Error* error);
 // Drops events below `minimum` from now on.
 void SetLogSeverity(Severity minimum);
 void CloseEventLog();
