--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -220,13 +220,15 @@
          settings_.state_age;
 }
 
-// Without an answer of the store the state that is known is told.
+// Without an answer of the store a state that is not final is not told: another
+// entry may have shown the job's end already.
 void CallerService::LookAgain(const std::shared_ptr<Call>& call) {
-  surroundings_.board_tail->CatchUp(settings_.look_timeout,
-                                    [this, alive = alive_, call](bool) {
-                                      if (!*alive) return;
-                                      ShowState(call, /*caught_up=*/true);
-                                    });
+  surroundings_.board_tail->CatchUp(
+      settings_.look_timeout, [this, alive = alive_, call](bool caught_up) {
+        if (!*alive) return;
+        if (!caught_up) return Refuse(call, kStoreAway);
+        ShowState(call, /*caught_up=*/true);
+      });
 }
 
 void CallerService::ShowQueue(const std::shared_ptr<Call>& call) {
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -193,6 +193,32 @@
       HostedCluster::Eventually([&] { return cluster.Submit(0, job) == 401; }));
 }
 
+TEST_CASE("an entry without the store tells only states that are final") {
+  Scenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  const TestJob done = scenario.Submit(1, {Step(1, 1)}, 50);
+  const TestJob running = scenario.Submit(2, {Step(1, 1)}, 2000);
+  REQUIRE(HostedCluster::Eventually([&] {
+    return cluster.State(0, done) == "completed" &&
+           cluster.State(0, running) == "running";
+  }));
+  REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", true}}));
+  // The others go on, and show the end; this one must not show less.
+  REQUIRE(HostedCluster::Eventually(
+      [&] { return cluster.State(1, running) == "completed"; }));
+  const auto stale =
+      cluster.Call(0, "GET", HostedCluster::PrefixOf(1) + running.id, "",
+                   HostedCluster::Key());
+  REQUIRE(stale.has_value());
+  CHECK(stale->status == 503);
+  CHECK(stale->headers.Has("Retry-After"));
+  CHECK(cluster.State(0, done) == "completed");
+  REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", false}}));
+  CHECK(HostedCluster::Eventually(
+      [&] { return cluster.State(0, running) == "completed"; }));
+  scenario.Finish();
+}
+
 TEST_CASE("jobs go on and none runs twice whatever is lost") {
   struct Row {
     const char* name;
