--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -24,6 +24,8 @@
       {128, 12, "the stand-in carried a report over into a new life"},
       {131, 12, "the stand-in carried a report over into a new life"},
       {150, 12, "the stand-in carried a report over into a new life"},
+      {332, 12, "an entry without the store told an outdated state"},
+      {354, 12, "an entry without the store told an outdated state"},
   };
   for (const Row& row : rows) {
     CAPTURE(row.seed);
