--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -20,6 +20,7 @@
 #include "coordination/metered_worker_calls.h"
 #include "coordination/record_tail.h"
 #include "coordination/serving_configuration.h"
+#include "coordination/stream_contact.h"
 #include "logging/events/coordination_events.h"
 #include "logging/events/process_events.h"
 #include "metrics/log_metrics.h"
@@ -68,6 +69,11 @@
   return kSizeWeight * (1 - size) + (1 - kSizeWeight) * chance;
 }
 
+// How old the configuration may be for a call with a key.
+Milliseconds ConfigurationAge(const HostedSettings& settings) {
+  return settings.revocation_bound - kRevocationMargin;
+}
+
 std::string Holder(const HostedSettings& settings) {
   const int64_t started = ToUnixMilliseconds(std::chrono::system_clock::now());
   return settings.name + "/" + std::to_string(started) + "-" +
@@ -163,8 +169,7 @@
              {{"at_once", change.at_once}, {"at_restart", change.at_restart}});
     SetLogSeverity(settings.log_level);
     store_client_.set_address(settings.store_address);
-    callers_.set_configuration_age(settings.revocation_bound -
-                                   kRevocationMargin);
+    callers_.set_configuration_age(ConfigurationAge(settings));
     settings_.log_level = settings.log_level;
     settings_.store_address = settings.store_address;
     settings_.revocation_bound = settings.revocation_bound;
@@ -197,9 +202,11 @@
       board_tail_.set_pace(coordinator_.leading() ? Milliseconds(0)
                                                   : kFollowerPace);
       coordinator_.OnBoardContact(board_tail_.latency());
-      NoteStore(std::nullopt);
+      board_contact_.OnContact(board_tail_.next());
+    };
+    handlers.on_failure = [this](const Error& error) {
+      board_contact_.OnFailure(error);
     };
-    handlers.on_failure = [this](const Error& error) { NoteStore(error); };
     return handlers;
   }
 
@@ -209,8 +216,12 @@
       TakeConfiguration(record);
     };
     handlers.on_snapshot = [](const std::set<std::string>&) {};
-    handlers.on_current = [] {};
-    handlers.on_failure = [](const Error&) {};
+    handlers.on_current = [this] {
+      configuration_contact_.OnContact(configuration_tail_.next());
+    };
+    handlers.on_failure = [this](const Error& error) {
+      configuration_contact_.OnFailure(error);
+    };
     return handlers;
   }
 
@@ -234,20 +245,10 @@
     configuration_ = std::move(read);
   }
 
-  void NoteStore(const std::optional<Error>& error) {
-    if (error && !store_lost_) {
-      store_lost_ = true;
-      LogEvent(events::kStoreLost, *error);
-    } else if (!error && store_lost_) {
-      store_lost_ = false;
-      LogEvent(events::kStoreBack, {{"board_next", board_tail_.next()}});
-    }
-  }
-
   CallerServiceSettings CallerSettings() const {
     CallerServiceSettings settings;
     settings.board = {kJobStream, kBoardPartition};
-    settings.configuration_age = settings_.revocation_bound - kRevocationMargin;
+    settings.configuration_age = ConfigurationAge(settings_);
     return settings;
   }
 
@@ -323,6 +324,8 @@
   const WireFormats formats_;
   JobBoard board_;
   std::optional<ServingConfiguration> configuration_;
+  StreamContact board_contact_{"board"};
+  StreamContact configuration_contact_{"configuration"};
   RecordTail board_tail_;
   RecordTail configuration_tail_;
   CallerService callers_;
@@ -333,7 +336,6 @@
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   bool was_ready_ = false;
-  bool store_lost_ = false;
 };
 
 HostedProcess::HostedProcess(boost::asio::io_context& io,
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -99,6 +99,7 @@
     case BoardChange::Kind::kLeader: {
       const LeaderRecord& leader = surroundings_.board->leader();
       election_.OnLeaderRecord(leader, Now());
+      TellLeader(leader);
       const bool mine = leader.holder == settings_.holder;
       if (mine && leader.epoch == claimed_epoch_ && !leader.released &&
           (phase_ == Phase::kFollowing || phase_ == Phase::kClaiming)) {
@@ -123,6 +124,17 @@
   }
 }
 
+void ClusterCoordinator::TellLeader(const LeaderRecord& leader) {
+  const bool known = leader.epoch == told_leader_.epoch &&
+                     leader.released == told_leader_.released;
+  told_leader_ = leader;
+  if (known) return;
+  LogEvent(events::kLeaderSeen, {{"holder", leader.holder},
+                                 {"epoch", leader.epoch},
+                                 {"released", leader.released},
+                                 {"board_next", surroundings_.board_next()}});
+}
+
 // A claim is stored only if the board still ends where this entry has read to,
 // so that neither a word of the leader nor another claim is missed. Followers
 // read a busy board too seldom for that: the board is read just before.
@@ -319,8 +331,14 @@
   directory.on_snapshot = [this](const std::set<std::string>& ids) {
     fleet_->OnDirectorySnapshot(ids, Now());
   };
-  directory.on_current = [this] { fleet_->OnDirectoryContact(Now()); };
-  directory.on_failure = [](const Error&) {};
+  directory_contact_ = StreamContact("directory");
+  directory.on_current = [this] {
+    directory_contact_.OnContact(directory_->next());
+    fleet_->OnDirectoryContact(Now());
+  };
+  directory.on_failure = [this](const Error& error) {
+    directory_contact_.OnFailure(error);
+  };
   directory_ = std::make_unique<RecordTail>(io_, store_, tail, directory);
   directory_->Start();
   StopOutdatedRuns();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -28,6 +28,7 @@
 #include "coordination/leader_election.h"
 #include "coordination/record_tail.h"
 #include "coordination/scheduling_metrics.h"
+#include "coordination/stream_contact.h"
 #include "coordination/worker_fleet.h"
 #include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
@@ -105,6 +106,8 @@
   enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kLeading };
 
   void OnTick();
+  // Logs who leads, once for each change.
+  void TellLeader(const LeaderRecord& leader);
   void Claim();
   void SendClaim();
   void OnClaimed(int64_t epoch, const AppendResult& result);
@@ -159,6 +162,7 @@
   int64_t claimed_epoch_ = 0;
   Time next_claim_{};
   BootTime lead_confirmed_{};
+  LeaderRecord told_leader_;
   Time last_heartbeat_{};
   Time last_cleanup_{};
 
@@ -169,6 +173,7 @@
   std::unique_ptr<FencedWriter> progress_writer_;
   std::unique_ptr<WorkerFleet> fleet_;
   std::unique_ptr<RecordTail> directory_;
+  StreamContact directory_contact_{"directory"};
   std::unique_ptr<AdviceDesk> advice_;
   // Steps that have a record in the progress partition.
   std::set<StepRef> stored_steps_;
--- /dev/null
+++ b/src/libs/coordination/stream_contact.cc
@@ -0,0 +1,20 @@
+// One line when contact is lost, one when it is back.
+#include "coordination/stream_contact.h"
+
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+
+void StreamContact::OnContact(int64_t next) {
+  if (!lost_) return;
+  lost_ = false;
+  LogEvent(events::kStoreBack, {{"stream", stream_}, {"next", next}});
+}
+
+void StreamContact::OnFailure(const Error& error) {
+  if (lost_) return;
+  lost_ = true;
+  LogEvent(events::kStoreLost, error, {{"stream", stream_}});
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/src/libs/coordination/stream_contact.h
@@ -0,0 +1,29 @@
+// Whether one stream of the store can be read, told at each change.
+#ifndef THORNPLANK_COORDINATION_STREAM_CONTACT_H_
+#define THORNPLANK_COORDINATION_STREAM_CONTACT_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "base/error.h"
+
+namespace thornplank {
+
+class StreamContact {
+ public:
+  // `stream` is what the log calls it.
+  explicit StreamContact(std::string stream) : stream_(std::move(stream)) {}
+
+  // It was read up to `next`.
+  void OnContact(int64_t next);
+  void OnFailure(const Error& error);
+
+ private:
+  std::string stream_;
+  bool lost_ = false;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_STREAM_CONTACT_H_
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -327,23 +327,29 @@
     }
     run.stop_sending = true;
     const StopOrder order{task, run.run, settings_.epoch};
-    calls_.Stop(
-        address, order, settings_.call_timeout,
-        [this, alive = alive_, id, order](CallOutcome outcome, const Error&) {
-          if (!*alive) return;
-          WorkerTracker* tracker = Find(id);
-          if (tracker == nullptr) return;
-          if (outcome == CallOutcome::kFenced) {
-            return handlers_.on_fenced();
-          }
-          if (outcome == CallOutcome::kOtherLife) {
-            Lose(id, "another life answers at its address");
-            return;
-          }
-          tracker->OnStopAnswer(order.task, order.run,
-                                outcome == CallOutcome::kOk, Now());
-          Drive(id, Now());
-        });
+    calls_.Stop(address, order, settings_.call_timeout,
+                [this, alive = alive_, id, order](CallOutcome outcome,
+                                                  const Error& error) {
+                  if (!*alive) return;
+                  WorkerTracker* tracker = Find(id);
+                  if (tracker == nullptr) return;
+                  if (outcome == CallOutcome::kFenced) {
+                    return handlers_.on_fenced();
+                  }
+                  if (outcome == CallOutcome::kOtherLife) {
+                    Lose(id, "another life answers at its address");
+                    return;
+                  }
+                  if (outcome != CallOutcome::kOk) {
+                    LogEvent(events::kStopUndecided, error,
+                             {{"task", order.task.ToString()},
+                              {"run", order.run},
+                              {"worker", id}});
+                  }
+                  tracker->OnStopAnswer(order.task, order.run,
+                                        outcome == CallOutcome::kOk, Now());
+                  Drive(id, Now());
+                });
   }
 }
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -43,6 +43,9 @@
 inline constexpr Event kAdviceGiven{929, "advice-given", Severity::kInfo};
 inline constexpr Event kPaceChanged{931, "pace-changed", Severity::kInfo};
 inline constexpr Event kPaceMissed{932, "pace-missed", Severity::kWarning};
+inline constexpr Event kStopUndecided{933, "stop-undecided",
+                                      Severity::kWarning};
+inline constexpr Event kLeaderSeen{934, "leader-seen", Severity::kInfo};
 inline constexpr Event kAdviceMissing{930, "advice-missing",
                                       Severity::kWarning};
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace thornplank {
 namespace {
@@ -14,8 +15,6 @@
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
 // Asked about last.
 constexpr int64_t kFullPenalty = int64_t{1} << 33;
-// A rack other than the data's costs more than any gap.
-constexpr int64_t kFarPenalty = int64_t{1} << 30;
 
 bool HasLabel(const WorkerRegistration& worker, const std::string& label) {
   if (label.empty()) return true;
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -61,6 +61,10 @@
   return need.cpu_millis + need.accelerators * kMillisPerAccelerator;
 }
 
+// What a rack other than the data's costs beside a tighter fit: more than any
+// gap.
+inline constexpr int64_t kFarPenalty = int64_t{1} << 30;
+
 // What one task of the step takes off a worker's room.
 Resources ReservedFor(const StepSpec& step);
 
--- a/src/libs/workload/gang_placement.cc
+++ b/src/libs/workload/gang_placement.cc
@@ -3,15 +3,13 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
 namespace thornplank {
 namespace {
 
-// What the data's own rack is worth beside a tighter fit elsewhere.
-constexpr int64_t kDataRackBonus = int64_t{1} << 30;
-
 std::vector<JobLedger::Assignment> TakeAll(const OpenStep& step,
                                            const ClusterRooms& rooms,
                                            std::vector<Slot> slots) {
@@ -66,7 +64,7 @@
     if (near_only && rack != data_rack) continue;
     std::optional<int64_t> score = ScoreTogether(step, &members);
     if (!score) continue;
-    if (rack == data_rack) *score -= kDataRackBonus;
+    if (rack == data_rack) *score -= kFarPenalty;
     if (best != nullptr && *score >= best_score) continue;
     best = &members;
     best_score = *score;
--- /dev/null
+++ b/tests/auto/coordination/tst_stream_contact.cc
@@ -0,0 +1,49 @@
+// Contact with a stream is told when it is lost and when it is back, once each.
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "coordination/stream_contact.h"
+#include "logging/event_log.h"
+#include "logging/events/coordination_events.h"
+
+namespace thornplank::testing {
+namespace {
+
+TEST_CASE("each loss and each return is one line") {
+  constexpr char kPath[] = "tst_stream_contact.log";
+  std::remove(kPath);
+  Error error;
+  REQUIRE(
+      OpenEventLog("e1", Severity::kInfo, LogWriter::kCaller, kPath, &error));
+  StreamContact contact("directory");
+  contact.OnContact(1);
+  for (int i = 0; i < 3; ++i) {
+    contact.OnFailure({"read", "127.0.0.1:1", "timed out"});
+  }
+  contact.OnContact(7);
+  contact.OnContact(8);
+  contact.OnFailure({"read", "127.0.0.1:1", "status 503"});
+  CloseEventLog();
+  std::vector<Json> lines;
+  std::ifstream file(kPath);
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(ParseJson(line).value_or(Json::object()));
+  }
+  REQUIRE(lines.size() == 3);
+  for (const Json& line : lines) {
+    CHECK(line["stream"] == "directory");
+  }
+  CHECK(lines[0]["event"] == events::kStoreLost.number);
+  CHECK(lines[0]["reason"] == "timed out");
+  CHECK(lines[1]["event"] == events::kStoreBack.number);
+  CHECK(lines[1]["next"] == 7);
+  CHECK(lines[2]["reason"] == "status 503");
+  std::remove(kPath);
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- /dev/null
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -0,0 +1,147 @@
+// Which workers a step may use, and why it waits when none has room.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "planner_world.h"
+
+namespace thornplank::testing {
+namespace {
+
+TEST_CASE("a step that needs advice starts on approved workers only") {
+  World world(2, 3);
+  JobDefinition job = MakeJob(Id(1), {MakeStep(4, 8)});
+  job.policy.advice = AdviceTerms{};
+  world.ledger.Add(job, world.now);
+  Plan plan = world.Round();
+  CHECK(plan.starts.empty());
+  REQUIRE(plan.waits.size() == 1);
+  CHECK(plan.waits[0].reason == WaitReason::kNoAdvice);
+  CHECK(plan.waits[0].candidates.size() == 6);
+
+  const StepRef step = plan.waits[0].step;
+  const auto asked =
+      world.advice.NextQuestion(step, plan.waits[0].candidates, world.now);
+  world.advice.OnAnswer(step, asked, {{"w0-1", "t1"}, {"w1-2", "t2"}},
+                        Milliseconds(3000), world.now);
+  plan = world.Round();
+  std::set<std::string> used;
+  for (const StartDecision& start : plan.starts) {
+    for (const auto& assignment : start.assignments) {
+      used.insert(assignment.worker);
+    }
+  }
+  CHECK(used == std::set<std::string>{"w0-1", "w1-2"});
+  // Two tasks have no place yet: the rest of the workers may be asked about.
+  REQUIRE(plan.waits.size() == 1);
+  CHECK(plan.waits[0].reason == WaitReason::kNoAdvice);
+}
+
+TEST_CASE("urgent work that needs advice takes room on approved workers only") {
+  World world(1, 3);
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(3, 8)}, 2), world.now);
+  world.Round();
+  JobDefinition urgent = MakeJob(Id(2), {MakeStep(1, 8)}, 0);
+  urgent.policy.advice = AdviceTerms{};
+  world.ledger.Add(urgent, world.now);
+  Plan plan = world.Round();
+  CHECK(plan.stops.empty());
+  const StepRef step{Id(2), 0, 0};
+  const auto asked =
+      world.advice.NextQuestion(step, {"w0-0", "w0-1", "w0-2"}, world.now);
+  world.advice.OnAnswer(step, asked, {{"w0-1", "t"}}, Milliseconds(3000),
+                        world.now);
+  plan = world.Round();
+  REQUIRE(plan.stops.size() == 1);
+  CHECK(plan.stops[0].worker == "w0-1");
+}
+
+TEST_CASE("workers that must get nothing get nothing") {
+  struct Row {
+    const char* name;
+    std::function<void(WorkerTracker*)> change;
+  };
+  const std::vector<Row> rows = {
+      {"leaving",
+       [](WorkerTracker* worker) {
+         WorkerRegistration registration = worker->registration();
+         registration.draining = true;
+         worker->Update(registration, At(0));
+       }},
+      {"not listed", [](WorkerTracker* worker) { worker->MarkMissing(At(0)); }},
+      {"silent", [](WorkerTracker* worker) { worker->OnNoReport(At(0)); }},
+      {"failing",
+       [](WorkerTracker* worker) {
+         worker->OnRunFailed("a", At(0));
+         worker->OnRunFailed("b", At(0));
+       }},
+      {"of another service",
+       [](WorkerTracker* worker) {
+         WorkerRegistration registration = worker->registration();
+         registration.service = "other";
+         worker->Update(registration, At(0));
+       }},
+      {"not heard under this epoch",
+       [](WorkerTracker* worker) {
+         *worker = WorkerTracker(worker->registration());
+       }},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(1, 1);
+    row.change(&world.workers.begin()->second);
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+    CHECK(world.Round().starts.empty());
+  }
+}
+
+TEST_CASE("a task that has failed is not tried where runs fail") {
+  World world(1, 3);
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+  const Plan first = world.Round();
+  REQUIRE(first.starts.size() == 1);
+  const std::string bad = first.starts[0].assignments[0].worker;
+  world.End(bad, {{Id(1), 0, 0}, 0}, RunEnd::kFailed);
+  world.workers.at(bad).OnRunFailed(Id(1), world.now);
+  // Only the worker that failed it has room.
+  for (auto& [id, worker] : world.workers) {
+    if (id == bad) continue;
+    RunProfile all;
+    all.need = worker.room();
+    worker.Add({{Id(9), 0, 0}, 0}, 1, all, world.now);
+  }
+  CHECK(world.Round().starts.empty());
+  world.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), world.now);
+  CHECK(world.Round().starts.size() == 1);
+}
+
+TEST_CASE("why a step waits") {
+  struct Row {
+    std::string name;
+    StepSpec step;
+    WaitReason reason;
+  };
+  StepSpec near = MakeStep(1, 8);
+  near.data_rack = "r1";
+  const std::vector<Row> rows = {
+      {"all are full", MakeStep(1, 8), WaitReason::kNoRoom},
+      {"the rack of its data is full", near, WaitReason::kNoRoomNearData},
+      {"no rack is free", Gang(2, 8, true), WaitReason::kNoRoomOnOneRack},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(2, 3);
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(6, 8)}), world.now);
+    REQUIRE(world.Round().waits.empty());
+    world.ledger.Add(MakeJob(Id(2), {row.step}), world.now);
+    const Plan plan = world.Round();
+    REQUIRE(plan.waits.size() == 1);
+    CHECK(plan.waits[0].reason == row.reason);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -3,8 +3,6 @@
 
 #include <unistd.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <thread>
 #include <utility>
@@ -67,12 +65,6 @@
 
 HostedCluster::HostedCluster(HostedClusterSettings settings)
     : settings_(settings), ip_(LoopbackAddress()) {
-  folder_ = (std::filesystem::temp_directory_path() /
-             ("thornplank-hosted-" + std::to_string(::getpid()) + "-" +
-              std::to_string(
-                  std::chrono::steady_clock::now().time_since_epoch().count())))
-                .string();
-  std::filesystem::create_directories(folder_);
   entries_.resize(static_cast<size_t>(settings_.entries));
   starts_.resize(static_cast<size_t>(settings_.entries));
 }
@@ -80,10 +72,6 @@
 HostedCluster::~HostedCluster() {
   entries_.clear();
   standins_.reset();
-  std::error_code ignored;
-  if (std::getenv("THORNPLANK_KEEP_LOGS") == nullptr) {
-    std::filesystem::remove_all(folder_, ignored);
-  }
 }
 
 ApiClient& HostedCluster::api() {
@@ -114,11 +102,11 @@
 }
 
 bool HostedCluster::Start() {
-  std::ofstream(folder_ + "/standins.json") << StandinConfig().dump(1);
+  std::ofstream(folder() + "/standins.json") << StandinConfig().dump(1);
   standins_ = std::make_unique<ChildProcess>(
       THORNPLANK_STANDIN,
-      std::vector<std::string>{"--config", folder_ + "/standins.json"},
-      folder_ + "/standins.log");
+      std::vector<std::string>{"--config", folder() + "/standins.json"},
+      folder() + "/standins.log");
   if (!Eventually([this] { return ControlStore(Json::object()); })) {
     return false;
   }
@@ -134,7 +122,7 @@
 
 void HostedCluster::StartEntry(int entry) {
   const auto index = static_cast<size_t>(entry);
-  const std::string name = folder_ + "/entry" + std::to_string(entry);
+  const std::string name = folder() + "/entry" + std::to_string(entry);
   std::ofstream(name + ".json") << EntryConfig(entry).dump(1);
   entries_[index].reset();
   entries_[index] = std::make_unique<ChildProcess>(
@@ -148,7 +136,7 @@
 }
 
 std::string HostedCluster::LogOf(int entry, int life) const {
-  return folder_ + "/entry" + std::to_string(entry) + "-" +
+  return folder() + "/entry" + std::to_string(entry) + "-" +
          std::to_string(life) + ".log";
 }
 
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "child_process.h"
 #include "net/http_message.h"
+#include "run_folder.h"
 
 namespace thornplank {
 
@@ -109,7 +110,7 @@
   int Leader();
 
   const HostedClusterSettings& settings() const { return settings_; }
-  const std::string& folder() const { return folder_; }
+  const std::string& folder() const { return folder_.path(); }
   static std::string PrefixOf(int priority);
   static std::string Key();
 
@@ -132,7 +133,7 @@
   // Loopback address of this test process.
   const std::string ip_;
   // Temporary folder for settings and logs; removed at the end.
-  std::string folder_;
+  RunFolder folder_{"hosted"};
   int version_ = 0;
   std::mutex api_mutex_;
   // Under api_mutex_.
--- a/tests/integration/support/test_cluster.cc
+++ b/tests/integration/support/test_cluster.cc
@@ -3,7 +3,6 @@
 
 #include <unistd.h>
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -46,12 +45,6 @@
 
 TestCluster::TestCluster(TestClusterSettings settings)
     : settings_(std::move(settings)), ip_(LoopbackAddress()) {
-  folder_ = (std::filesystem::temp_directory_path() /
-             ("thornplank-test-" + std::to_string(::getpid()) + "-" +
-              std::to_string(
-                  std::chrono::steady_clock::now().time_since_epoch().count())))
-                .string();
-  std::filesystem::create_directories(folder_);
   ApiClientSettings api;
   api.token = kOperatorToken;
   api.timeout = std::chrono::seconds(10);
@@ -62,18 +55,14 @@
 TestCluster::~TestCluster() {
   entries_.clear();
   standins_.reset();
-  std::error_code ignored;
-  if (std::getenv("THORNPLANK_KEEP_LOGS") == nullptr) {
-    std::filesystem::remove_all(folder_, ignored);
-  }
 }
 
 bool TestCluster::Start() {
   WriteFile("standins.json", StandinConfig());
   standins_ = std::make_unique<ChildProcess>(
       THORNPLANK_STANDIN,
-      std::vector<std::string>{"--config", folder_ + "/standins.json"},
-      folder_ + "/standins.log");
+      std::vector<std::string>{"--config", folder() + "/standins.json"},
+      folder() + "/standins.log");
   const bool up = Eventually([this] {
     return Control(log_address(), Json::object()) &&
            Control(instance_list_address(), Json::object());
@@ -93,14 +82,14 @@
   WriteFile(name + ".json", config);
   // A log of its own per start, so that Events reads all of them.
   int start = 0;
-  while (std::filesystem::exists(folder_ + "/" + name + "-" +
+  while (std::filesystem::exists(folder() + "/" + name + "-" +
                                  std::to_string(start) + ".log")) {
     ++start;
   }
   entries_[entry] = std::make_unique<ChildProcess>(
       THORNPLANK_ENTRY,
-      std::vector<std::string>{"--settings", folder_ + "/" + name + ".json"},
-      folder_ + "/" + name + "-" + std::to_string(start) + ".log");
+      std::vector<std::string>{"--settings", folder() + "/" + name + ".json"},
+      folder() + "/" + name + "-" + std::to_string(start) + ".log");
 }
 
 bool TestCluster::WaitReady(int entry, Duration limit) {
@@ -230,7 +219,7 @@
 std::vector<Json> TestCluster::Events(int entry, int number) const {
   std::vector<Json> found;
   const std::string prefix = "entry" + std::to_string(entry) + "-";
-  for (const auto& file : std::filesystem::directory_iterator(folder_)) {
+  for (const auto& file : std::filesystem::directory_iterator(folder())) {
     if (file.path().filename().string().rfind(prefix, 0) != 0) continue;
     std::ifstream lines(file.path());
     for (std::string line; std::getline(lines, line);) {
@@ -339,7 +328,7 @@
 
 void TestCluster::WriteFile(const std::string& name,
                             const Json& content) const {
-  std::ofstream(folder_ + "/" + name) << content.dump(2) << "\n";
+  std::ofstream(folder() + "/" + name) << content.dump(2) << "\n";
 }
 
 }  // namespace thornplank
--- a/tests/integration/support/test_cluster.h
+++ b/tests/integration/support/test_cluster.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "child_process.h"
 #include "net/http_message.h"
+#include "run_folder.h"
 
 namespace thornplank {
 
@@ -95,7 +96,7 @@
 
   // The entry's log lines of one event number.
   std::vector<Json> Events(int entry, int number) const;
-  const std::string& folder() const { return folder_; }
+  const std::string& folder() const { return folder_.path(); }
 
  private:
   Json StandinConfig() const;
@@ -107,7 +108,7 @@
   // Loopback address of this test process.
   std::string ip_;
   // Temporary folder for settings and logs; removed at the end.
-  std::string folder_;
+  RunFolder folder_{"test"};
   std::unique_ptr<ApiClient> api_;
   std::unique_ptr<ChildProcess> standins_;
   std::vector<std::unique_ptr<ChildProcess>> entries_;
