An entry of another writer names no worker to use

Cause: others than executors write to the directory. Ruled out: dropping a worker's runs with its entry - the worker may live and writes its own entry anew within a heartbeat.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -274,6 +274,11 @@
     ledger_.Checkpoint(run.task, run.run, run.checkpoint);
   };
   handlers.profile_of = [this](const TaskRef& task) { return ProfileOf(task); };
+  handlers.is_known = [this](const std::string& service) {
+    // Before the first configuration nothing can be told a stray.
+    const ServingConfiguration& configuration = surroundings_.configuration();
+    return configuration.queues.empty() || configuration.KnowsService(service);
+  };
   handlers.on_ticket_refused = [this](const StepRef& step,
                                       const std::string& worker) {
     advice_->OnTicketRefused(step, worker);
--- a/src/libs/coordination/serving_configuration.cc
+++ b/src/libs/coordination/serving_configuration.cc
@@ -29,6 +29,14 @@
   return nullptr;
 }
 
+bool ServingConfiguration::KnowsService(const std::string& service) const {
+  if (services.count(service) > 0) return true;
+  return std::any_of(queues.begin(), queues.end(),
+                     [&service](const QueueConfiguration& queue) {
+                       return queue.policy.service == service;
+                     });
+}
+
 Guarantees ServingConfiguration::guarantees() const {
   Guarantees guarantees;
   for (const AccountConfiguration& account : accounts) {
--- a/src/libs/coordination/serving_configuration.h
+++ b/src/libs/coordination/serving_configuration.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   int64_t version = 0;
   std::vector<QueueConfiguration> queues;
   std::vector<AccountConfiguration> accounts;
+  // Whose workers exist here; an entry of another service is a stray.
+  std::set<std::string> services;
   size_t max_body_bytes = 256 * 1024;
 
   // The queue of that host with the longest prefix of `path`, or null.
@@ -40,6 +43,8 @@
                                       const std::string& path) const;
   // The account that holds the key, or null.
   const AccountConfiguration* FindAccount(const std::string& key) const;
+  // Whether it lists the service, or has a queue for it.
+  bool KnowsService(const std::string& service) const;
   Guarantees guarantees() const;
 };
 
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -56,7 +56,7 @@
       formats_.ReadWorker(record, &error);
   if (!registration) {
     LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
-    return;
+    return OnEntryUnreadable(record.key, now);
   }
   const std::string id = registration->id;
   if (dead_.count(id) > 0) return;
@@ -79,7 +79,17 @@
               {"runs", tracker->runs().size()},
               {"offset", record.offset}});
   }
-  tracker->Update(std::move(*registration), now);
+  tracker->Update(std::move(*registration));
+}
+
+// The entry names no worker to use any more, whatever it was before: nothing
+// new is placed there, and what runs there is settled as for one not listed.
+void WorkerFleet::OnEntryUnreadable(const std::string& id, Time now) {
+  WorkerTracker* tracker = Find(id);
+  if (tracker == nullptr) return;
+  tracker->MarkMissing(now);
+  Link& link = links_[id];
+  if (!link.missing_since) link.missing_since = now;
 }
 
 void WorkerFleet::OnDirectorySnapshot(const std::set<std::string>& ids,
@@ -219,6 +229,8 @@
   const bool untold = tracker->recorded_ends() > link.told_ends;
   const bool has_runs = !tracker->runs().empty();
   if (tracker->synchronized() && !has_runs && !untold) return;
+  const bool stray = !handlers_.is_known(tracker->registration().service);
+  if (stray && !has_runs) return;
   bool settling = !tracker->synchronized() || !tracker->reachable();
   bool young = false;
   for (const auto& [task, run] : tracker->runs()) {
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -57,6 +57,9 @@
     std::function<void(const RunReport&)> on_progress;
     // Resources that a run takes which nobody here decided on.
     std::function<RunProfile(const TaskRef&)> profile_of;
+    // Whether the configuration knows the service. Entries of others are not
+    // even looked at.
+    std::function<bool(const std::string& service)> is_known;
     // A worker did not take the ticket of a start.
     std::function<void(const StepRef&, const std::string& worker)>
         on_ticket_refused;
@@ -117,6 +120,7 @@
     std::optional<Time> missing_since;
   };
 
+  void OnEntryUnreadable(const std::string& id, Time now);
   void Drive(const std::string& id, Time now);
   void Report(const std::string& id, Milliseconds wait, bool extra);
   void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
--- a/src/libs/settings/settings_reader.cc
+++ b/src/libs/settings/settings_reader.cc
@@ -1,21 +1,20 @@
 // Checks of declared keys and the wording of the problems.
 #include "settings/settings_reader.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <cctype>
 #include <fstream>
 #include <set>
 #include <sstream>
 
+#include "base/numeric_address.h"
+
 namespace thornplank {
 namespace {
 
 constexpr size_t kMaxShownBytes = 60;
 constexpr size_t kMaxNameBytes = 64;
 constexpr int kShownDigits = 15;
-constexpr int kMaxPort = 65535;
 
 // The units that end a key, for the hint at a wrong one.
 constexpr std::string_view kUnits[] = {
@@ -42,31 +41,6 @@
   return text.str();
 }
 
-bool IsPort(const std::string& text, int min_port) {
-  if (text.empty() || text.size() > 5) return false;
-  const bool digits = std::all_of(text.begin(), text.end(), [](char c) {
-    return std::isdigit(static_cast<unsigned char>(c)) != 0;
-  });
-  if (!digits) return false;
-  const int port = std::stoi(text);
-  return port >= min_port && port <= kMaxPort;
-}
-
-bool IsNumericAddress(const std::string& text, int min_port) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  if (!IsPort(text.substr(colon + 1), min_port)) return false;
-  std::string host = text.substr(0, colon);
-  in_addr v4;
-  if (inet_pton(AF_INET, host.c_str(), &v4) == 1) return true;
-  if (host.size() < 2 || host.front() != '[' || host.back() != ']') {
-    return false;
-  }
-  host = host.substr(1, host.size() - 2);
-  in6_addr v6;
-  return inet_pton(AF_INET6, host.c_str(), &v6) == 1;
-}
-
 bool IsName(const std::string& text) {
   if (text.empty() || text.size() > kMaxNameBytes) return false;
   if (std::isalnum(static_cast<unsigned char>(text[0])) == 0) return false;
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -27,8 +27,6 @@
   bool draining = false;
   // Where draining: at least this long until it leaves.
   Milliseconds drain_left{0};
-  // The worker's own clock when it wrote the entry.
-  Milliseconds clock{0};
 };
 
 // One run that is on a worker.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -53,15 +53,9 @@
 }
 
 WorkerTracker::WorkerTracker(WorkerRegistration registration)
-    : registration_(std::move(registration)) {
-  clock_ = registration_.clock;
-}
+    : registration_(std::move(registration)) {}
 
-void WorkerTracker::Update(WorkerRegistration registration, Time now) {
-  if (registration.clock > clock_) {
-    clock_ = registration.clock;
-    clock_heard_ = now;
-  }
+void WorkerTracker::Update(WorkerRegistration registration) {
   registration_ = std::move(registration);
   missing_since_.reset();
 }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -108,7 +108,7 @@
 
   const WorkerRegistration& registration() const { return registration_; }
   const std::string& id() const { return registration_.id; }
-  void Update(WorkerRegistration registration, Time now);
+  void Update(WorkerRegistration registration);
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
@@ -185,7 +185,8 @@
   std::map<TaskRef, TrackedRun> runs_;
   // Invariant: the sum of the needs of runs_.
   Resources used_;
-  // The worker's clock as last heard, and when.
+  // The worker's clock as its last report had it, and when. The directory's
+  // entries are older, and others than workers write there too.
   Milliseconds clock_{0};
   Time clock_heard_{};
   Time lease_bound_{};
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -88,6 +88,9 @@
     };
     handlers.on_progress = [](const RunReport&) {};
     handlers.profile_of = [](const TaskRef&) { return RunProfile(); };
+    handlers.is_known = [](const std::string& service) {
+      return service != kStray;
+    };
     handlers.on_change = [] {};
     handlers.on_fenced = [this] { ++fenced; };
     return handlers;
@@ -182,6 +185,61 @@
   CHECK(fixture.fleet.trackers().count("w2") == 1);
 }
 
+TEST_CASE("an entry that cannot be read names no worker, whatever it was") {
+  struct Row {
+    const char* name;
+    std::string key;
+    std::vector<std::string> entries;
+    bool known;
+    bool missing;
+  };
+  const std::vector<Row> rows = {
+      {"a good entry", "w1", {"listed"}, true, false},
+      {"a known worker's entry is overwritten",
+       "w1",
+       {kUnreadable},
+       true,
+       true},
+      {"and written anew by the worker",
+       "w1",
+       {kUnreadable, "listed"},
+       true,
+       false},
+      {"a key that was never a worker", "x", {kUnreadable}, false, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    for (const std::string& entry : row.entries) {
+      fixture.fleet.OnDirectoryRecord({row.key, entry, 1}, Fixture::Now());
+    }
+    const auto& trackers = fixture.fleet.trackers();
+    const auto tracker = trackers.find(row.key);
+    CHECK((tracker != trackers.end()) == row.known);
+    if (tracker == trackers.end()) continue;
+    CHECK(tracker->second.missing() == row.missing);
+  }
+}
+
+TEST_CASE("what runs on a worker whose entry was overwritten goes on") {
+  Fixture fixture;
+  fixture.Start();
+  fixture.fleet.OnDirectoryRecord({"w1", kUnreadable, 1}, Fixture::Now());
+  fixture.calls.report.running = {{kTask, 1, "", 10, 0}};
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  fixture.calls.AnswerWaiting();
+  CHECK(fixture.calls.renewed);
+  CHECK(fixture.ends.empty());
+}
+
+TEST_CASE("a worker of a service that nobody configured is not looked at") {
+  Fixture fixture;
+  const int before = fixture.calls.reports;
+  fixture.fleet.OnDirectoryRecord({"w9", kStray, 1}, Fixture::Now());
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  CHECK(fixture.calls.reports == before);
+}
+
 TEST_CASE("a worker that does not answer is asked on, but not renewed") {
   Fixture fixture;
   fixture.calls.status = CallOutcome::kNoAnswer;
--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hosted_cluster.h"
@@ -316,6 +317,46 @@
   }
 }
 
+TEST_CASE("another writer's entries in the directory change nothing") {
+  Scenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  scenario.Submit(0, {Step(12, 1)}, 300);
+  REQUIRE(HostedCluster::Eventually([&] { return cluster.Runs().size() > 6; }));
+  // Of a worker that serves; it writes its own entry anew within a second.
+  const std::string own = cluster.Runs().front()["worker"].get<std::string>();
+  const std::string stray =
+      R"({"service":"nobody","addr":"127.0.0.1:1","zone":"z","state":"ready",)"
+      R"("capacity":{"cpu":64000,"mem_mb":256000,"gpu":8},"labels":["a","r"]})";
+  const std::vector<std::pair<std::string, std::string>> entries = {
+      {"foreign", "no JSON"},
+      {"foreign-2", "{}"},
+      {"foreign\n3", stray},
+      {"foreign-4", stray},
+      {"foreign-5", R"({"service":7,"addr":[],"state":"asleep"})"},
+      {own, R"({"state":"ready"})"},
+  };
+  const auto publish = [&] {
+    for (const auto& [key, value] : entries) {
+      CHECK(cluster.ControlStore({{"put_directory", value}, {"key", key}}));
+    }
+  };
+  publish();
+  for (int i = 1; i < 4; ++i) {
+    scenario.Submit(i, {Step(12, 2), Step(4, 1, {0})}, 300);
+  }
+  // A successor reads them all at once, as the newest of each key.
+  publish();
+  const int leader = cluster.Leader();
+  cluster.entry(leader).Kill();
+  cluster.StartEntry(leader);
+  scenario.Submit(4, {Step(48, 1)}, 300);
+  scenario.Finish();
+  for (const Json& run : cluster.Runs()) {
+    CHECK(run["worker"].get<std::string>().rfind("foreign", 0) ==
+          std::string::npos);
+  }
+}
+
 TEST_CASE("a cancelled job stops, also when the leader dies right after") {
   for (const bool kill : {false, true}) {
     CAPTURE(kill);
--- a/tests/standins/users_store_role.h
+++ b/tests/standins/users_store_role.h
@@ -31,6 +31,8 @@
   bool ApplyControl(const Json& control, Error* error) override;
 
  private:
+  void Put(const std::string& topic, const std::string& key,
+           const std::string& value);
   // A read that waits for a record.
   struct Waiting {
     ExchangePtr exchange;
