Leases, stops and patience go by the bounds of the deployment

Cause: constants fitted the first two deployments: the lease was 6.5 s where workers cut it to 6 s, a stop's patience assumed 0.4 s, an urgent gang's patience and the age of the board the first bounds on reclaim and cancellation. Change: WorkerBounds holds what the platform promises and works out each figure that must fit; eight bounds come from the settings (longest lease, stop, gang, cancellation, restore, state kept, stop grace, beside the two that did). Ruled out: checkpoint_s and heartbeat_ms reach no decision - a stop saves by itself, and the directory tells a lost worker - so they are not read.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -80,6 +80,18 @@
          std::to_string(::getpid());
 }
 
+WorkerBounds BoundsOf(const HostedSettings& settings) {
+  WorkerBounds bounds;
+  bounds.longest_lease = settings.longest_lease;
+  bounds.stop = settings.stop_bound;
+  bounds.gang_patience = settings.gang_patience;
+  bounds.cancel = settings.cancel_bound;
+  bounds.reclaim = settings.reclaim_bound;
+  bounds.restore = settings.restore_time;
+  bounds.far_slowdown = settings.far_slowdown;
+  return bounds;
+}
+
 HttpServerLimits CallerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = 1024 * 1024;
@@ -282,8 +294,7 @@
     settings.board = {kJobStream, kBoardPartition};
     settings.progress = {kJobStream, kProgressPartition};
     settings.state_kept = settings_.state_kept + std::chrono::seconds(30);
-    settings.reclaim_bound = settings_.reclaim_bound;
-    settings.far_slowdown = settings_.far_slowdown;
+    settings.bounds = BoundsOf(settings_);
     return settings;
   }
 
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -29,14 +29,9 @@
                               static_cast<uint64_t>(kSequenceSpan));
 }
 
-// What an urgent gang needs once it may spread: a stop of others (0.4 s), its
-// report, records, and all of that once more where the first try fails.
-constexpr Milliseconds kSpreadBefore{1700};
-
 PlannerSettings PlanningFor(const ClusterCoordinatorSettings& settings) {
   PlannerSettings planning;
-  planning.urgent_rack_patience =
-      std::max(settings.reclaim_bound - kSpreadBefore, Milliseconds::zero());
+  planning.bounds = settings.bounds;
   return planning;
 }
 
@@ -268,7 +263,7 @@
       std::make_unique<FencedWriter>(io_, store_, writer, fenced);
 
   WorkerFleetSettings fleet;
-  fleet.far_slowdown = settings_.far_slowdown;
+  fleet.bounds = settings_.bounds;
   fleet.epoch = epoch_;
   WorkerFleet::Handlers handlers;
   handlers.on_end = [this](const std::string& worker, const RunEndReport& end) {
@@ -370,7 +365,7 @@
   if (progress == nullptr) return;
   const Time lease_bound =
       now + settings_.lead_term +
-      WorkerTracker::LongestLease(WorkerFleetSettings().lease_term);
+      WorkerTracker::LongestLease(settings_.bounds.lease_term());
   for (size_t i = 0; i < progress->tasks.size(); ++i) {
     const TaskStatus& task = progress->tasks[i];
     if (task.phase != TaskPhase::kActive) continue;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -45,11 +45,8 @@
   Partition progress;
   // A leader without the store for longer stops renewing leases; a successor
   // waits for that, and for a lease, where it cannot reach a worker itself.
-  // With the lease it outlasts outages of the store of 12 s.
+  // With a lease of 6.5 s it outlasts outages of the store of 12 s.
   Milliseconds lead_term{6000};
-  // No start is decided on a view of the board that is older: a cancelled job
-  // must not start tasks 3 s after the cancellation.
-  Milliseconds board_age{1700};
   // Collects events that come together into one round of placement.
   Milliseconds planning_delay{8};
   // Hundreds of workers renew their entries several times a second together; a
@@ -60,10 +57,7 @@
   Milliseconds tick{100};
   // For one call of the store while taking the lead.
   Milliseconds store_timeout{900};
-  // Published: guaranteed work begins within this, and work away from its data
-  // takes so many times as long.
-  Milliseconds reclaim_bound{2900};
-  double far_slowdown = 3;
+  WorkerBounds bounds;
 };
 
 class ClusterCoordinator {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -10,10 +10,6 @@
 namespace thornplank {
 namespace {
 
-// An extra renewal follows a start when less of the lease is left.
-constexpr Milliseconds kThinLease{3000};
-// A stop that was acknowledged and shows no end by then is sent again.
-constexpr Milliseconds kStopPatience{900};
 constexpr char kNoProgress[] = "makes no progress";
 constexpr int kWholeWork = 100;
 // Sound workers differ by 0.8 to 1.25, slowed ones run at a quarter and less.
@@ -21,7 +17,6 @@
 // A run is moved when it would end this many times sooner elsewhere, a stop and
 // a start included.
 constexpr int kMoveGain = 2;
-constexpr Milliseconds kMoveCost{700};
 // Time between two reads of the directory that counts as an outage.
 constexpr Milliseconds kContactGap{2500};
 
@@ -143,7 +138,7 @@
   order.payload = fields.payload;
   order.checkpoint = fields.checkpoint;
   order.ticket = fields.ticket;
-  order.deadline = tracker->DeadlineIn(settings_.start_term, now);
+  order.deadline = tracker->DeadlineIn(settings_.bounds.start_term(), now);
   order.epoch = settings_.epoch;
   tracked->resumed = !fields.checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
@@ -172,7 +167,10 @@
         if (answer.outcome == StartOutcome::kOtherLife) return Bury(worker);
         Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
         Link& link = links_[worker];
-        if (link.reporting && link.leased_until < now + kThinLease &&
+        // The report that is under way may answer only when half of the lease
+        // is gone.
+        const Milliseconds thin = settings_.bounds.lease_term() / 2;
+        if (link.reporting && link.leased_until < now + thin &&
             !link.extra_report) {
           return Report(worker, Milliseconds(0), /*extra=*/true);
         }
@@ -261,7 +259,7 @@
   const bool renew = may_renew_ && tracker->synchronized() &&
                      tracker->reachable() && !tracker->runs().empty();
   if (renew) {
-    query.lease_until = tracker->DeadlineIn(settings_.lease_term, now);
+    query.lease_until = tracker->DeadlineIn(settings_.bounds.lease_term(), now);
   }
   (extra ? link.extra_report : link.reporting) = true;
   const WorkerAddress address{id, tracker->registration().address};
@@ -305,7 +303,7 @@
   }
   const bool first = !tracker->synchronized();
   link.told_ends = std::max(link.told_ends, recorded);
-  if (renewed) link.leased_until = sent + settings_.lease_term;
+  if (renewed) link.leased_until = sent + settings_.bounds.lease_term();
   std::vector<RunReport> unexpected;
   const std::vector<RunEndReport> ends =
       tracker->OnReport(answer.report, sent, now, &unexpected);
@@ -334,9 +332,10 @@
   for (auto& [task, run] : tracker->runs()) {
     if (!run.stop_wanted || run.stop_sending) continue;
     if (run.stage == RunStage::kRecording) continue;
-    if (run.stop_acknowledged && now - *run.stop_acknowledged < kStopPatience) {
-      continue;
-    }
+    const bool ending =
+        run.stop_acknowledged &&
+        now - *run.stop_acknowledged < settings_.bounds.stop_patience();
+    if (ending) continue;
     run.stop_sending = true;
     const StopOrder order{task, run.run, settings_.epoch};
     calls_.Stop(address, order, settings_.call_timeout,
@@ -442,7 +441,7 @@
   if (run.profile.checkpointable) {
     elsewhere = sound * (kWholeWork - run.percent) / kWholeWork;
   }
-  const Duration moved = elsewhere * kMoveGain + Duration(kMoveCost);
+  const Duration moved = elsewhere * kMoveGain + settings_.bounds.move_cost();
   return left > moved ? "slow worker" : "";
 }
 
@@ -460,7 +459,7 @@
     if (run.percent >= kWholeWork || run.rate() <= 0) continue;
     const bool near = IsNear(tracker->id(), run.profile.data_rack);
     speeds_.Observe(tracker->id(), task.step, run.rate(),
-                    near ? 1 : settings_.far_slowdown, now);
+                    near ? 1 : settings_.bounds.far_slowdown, now);
   }
   tracker->set_speed(speeds_.speed(tracker->id(), now));
 }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -17,20 +17,16 @@
 #include "coordination/pace_keeper.h"
 #include "coordination/worker_calls.h"
 #include "workload/speed_book.h"
+#include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
 
 struct WorkerFleetSettings {
   int64_t epoch = 0;
-  // Of the lease that a report renews. Long enough that a new leader (2.3 s of
-  // silence, 0.5 s to load) finds the work alive; a worker that is lost holds
-  // its tasks back for as long.
-  Milliseconds lease_term{6500};
-  // An order that arrives later than this does nothing. Above the timeout.
-  Milliseconds start_term{1500};
+  WorkerBounds bounds;
   Milliseconds call_timeout{900};
-  // How long a report waits for an end; below the lease term by far.
+  // How long a report waits for an end; workers allow 2 s at most.
   Milliseconds report_wait{1900};
   // The same where tasks that fill may disturb tasks that serve: their tails
   // are figures of the last half second.
@@ -43,8 +39,6 @@
   // The first report after a start: early enough to move an urgent task off a
   // slow worker in time, late enough for a few percent of progress.
   Milliseconds first_report{700};
-  // A run away from its data takes this many times as long (published).
-  double far_slowdown = 3;
   // A run whose percentage stands still for longer is stopped: the slowest
   // seen, 6.5 times slowed and far from its data, moves every 2.2 s.
   Milliseconds stall_after{5000};
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -6,7 +6,8 @@
 namespace thornplank {
 namespace {
 
-constexpr DurationRange kBoundRange{Milliseconds(500), Milliseconds(3600000)};
+constexpr DurationRange kBoundRange{Milliseconds(1), Milliseconds(3600000)};
+constexpr DurationRange kShortRange{Milliseconds(0), Milliseconds(60000)};
 constexpr NumberRange kShareRange{0, 1024, /*above_min=*/true};
 constexpr NumberRange kSlowdownRange{1, 1000};
 
@@ -37,12 +38,22 @@
                 &settings->log_level);
   reader.Duration("revocation_bound_ms", Presence::kOptional, kBoundRange,
                   &settings->revocation_bound);
-  reader.Duration("state_kept_ms", Presence::kOptional, kBoundRange,
-                  &settings->state_kept);
-  reader.Duration("stop_grace_ms", Presence::kOptional, kBoundRange,
-                  &settings->stop_grace);
+  reader.Seconds("state_kept_s", Presence::kOptional, kBoundRange,
+                 &settings->state_kept);
+  reader.Seconds("stop_grace_s", Presence::kOptional, kBoundRange,
+                 &settings->stop_grace);
   reader.Duration("reclaim_bound_ms", Presence::kOptional, kBoundRange,
                   &settings->reclaim_bound);
+  reader.Duration("cancel_bound_ms", Presence::kOptional, kBoundRange,
+                  &settings->cancel_bound);
+  reader.Duration("stop_bound_ms", Presence::kOptional, kShortRange,
+                  &settings->stop_bound);
+  reader.Duration("gang_patience_ms", Presence::kOptional, kBoundRange,
+                  &settings->gang_patience);
+  reader.Duration("longest_lease_ms", Presence::kOptional, kBoundRange,
+                  &settings->longest_lease);
+  reader.Duration("restore_time_ms", Presence::kOptional, kShortRange,
+                  &settings->restore_time);
   reader.Number("far_slowdown", Presence::kOptional, kSlowdownRange,
                 &settings->far_slowdown);
 }
@@ -59,7 +70,7 @@
   compare("store_address", before.store_address, after.store_address, at_once);
   compare("revocation_bound_ms", before.revocation_bound,
           after.revocation_bound, at_once);
-  compare("stop_grace_ms", before.stop_grace, after.stop_grace, at_once);
+  compare("stop_grace_s", before.stop_grace, after.stop_grace, at_once);
   std::vector<std::string>* at_restart = &change.at_restart;
   compare("name", before.name, after.name, at_restart);
   compare("failure_domain", before.failure_domain, after.failure_domain,
@@ -74,9 +85,18 @@
           at_restart);
   compare("processor_share", before.processor_share, after.processor_share,
           at_restart);
-  compare("state_kept_ms", before.state_kept, after.state_kept, at_restart);
+  compare("state_kept_s", before.state_kept, after.state_kept, at_restart);
   compare("reclaim_bound_ms", before.reclaim_bound, after.reclaim_bound,
           at_restart);
+  compare("cancel_bound_ms", before.cancel_bound, after.cancel_bound,
+          at_restart);
+  compare("stop_bound_ms", before.stop_bound, after.stop_bound, at_restart);
+  compare("gang_patience_ms", before.gang_patience, after.gang_patience,
+          at_restart);
+  compare("longest_lease_ms", before.longest_lease, after.longest_lease,
+          at_restart);
+  compare("restore_time_ms", before.restore_time, after.restore_time,
+          at_restart);
   compare("far_slowdown", before.far_slowdown, after.far_slowdown, at_restart);
   return change;
 }
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -36,11 +36,14 @@
   Milliseconds state_kept{120000};
   // From SIGTERM until the process is killed.
   Milliseconds stop_grace{6000};
-  // From the acceptance of guaranteed work until all of its first step must
-  // have begun.
+  // What the platform promises of its workers, and asks of those that order
+  // them: WorkerBounds has the same.
   Milliseconds reclaim_bound{2900};
-  // How many times as long a task takes away from its data, and a gang over
-  // several racks.
+  Milliseconds cancel_bound{3000};
+  Milliseconds stop_bound{400};
+  Milliseconds gang_patience{3000};
+  Milliseconds longest_lease{10000};
+  Milliseconds restore_time{600};
   double far_slowdown = 3;
 };
 
--- a/src/libs/settings/settings_reader.cc
+++ b/src/libs/settings/settings_reader.cc
@@ -186,6 +186,16 @@
   if (read) *value = Milliseconds(*read);
 }
 
+void SettingsReader::Seconds(const std::string& key, Presence presence,
+                             DurationRange range, Milliseconds* value) {
+  using DoubleSeconds = std::chrono::duration<double>;
+  double seconds = DoubleSeconds(*value).count();
+  const NumberRange allowed{DoubleSeconds(range.min).count(),
+                            DoubleSeconds(range.max).count()};
+  Number(key, presence, allowed, &seconds);
+  *value = std::chrono::duration_cast<Milliseconds>(DoubleSeconds(seconds));
+}
+
 std::optional<size_t> SettingsReader::ReadChoice(
     const std::string& key, Presence presence,
     const std::vector<std::string>& names) {
--- a/src/libs/settings/settings_reader.h
+++ b/src/libs/settings/settings_reader.h
@@ -88,6 +88,9 @@
   // A whole number of milliseconds; the key ends in "_ms".
   void Duration(const std::string& key, Presence presence, DurationRange range,
                 Milliseconds* value);
+  // A number of seconds, fractions included; the key ends in "_s".
+  void Seconds(const std::string& key, Presence presence, DurationRange range,
+               Milliseconds* value);
   // A list of texts, none twice.
   void TextList(const std::string& key, Presence presence, const TextRule& rule,
                 std::vector<std::string>* value);
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -99,7 +99,9 @@
   bool MayLeaveRack(const OpenStep& step) const {
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->known_since);
-    if (step.urgent()) return waited > planner_.settings_.urgent_rack_patience;
+    if (step.urgent()) {
+      return waited > planner_.settings_.bounds.urgent_rack_patience();
+    }
     // Away from its rack it takes three times the room that others need.
     return waited > planner_.settings_.rack_patience &&
            rooms_.UsedShare() < kIdleShare;
@@ -162,8 +164,12 @@
 
   // Takes room from others for an urgent step; false when that is in vain.
   bool MakeRoom(const OpenStep& step) {
-    const RoomReclaim::Inputs inputs{
-        &rooms_, inputs_.ledger, inputs_.guarantees, &stopped_, inputs_.now};
+    const RoomReclaim::Inputs inputs{&rooms_,
+                                     inputs_.ledger,
+                                     inputs_.guarantees,
+                                     &stopped_,
+                                     planner_.settings_.bounds.restart_cost(),
+                                     inputs_.now};
     const bool one_rack =
         step.spec->gang && step.spec->same_rack && rooms_.SomeRackCanHold(step);
     const std::vector<Eviction> evictions =
@@ -178,7 +184,8 @@
     RoomReservation reservation;
     reservation.need = ReservedFor(*step.spec);
     reservation.made = inputs_.now;
-    reservation.until = inputs_.now + planner_.settings_.reservation_term;
+    reservation.until =
+        inputs_.now + planner_.settings_.bounds.reservation_term();
     for (const Eviction& eviction : evictions) {
       WorkerRoom& room = rooms_.room(eviction.worker);
       reservation.tasks_by_worker[room.tracker->id()] +=
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -19,6 +19,7 @@
 #include "workload/cluster_rooms.h"
 #include "workload/job_ledger.h"
 #include "workload/room_reclaim.h"
+#include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
@@ -28,18 +29,13 @@
   // three times as long (published), and as much room. So a step waits for its
   // rack, and takes another one only after this long in an idle cluster.
   Milliseconds rack_patience{1000};
-  // An urgent gang that finds no room on one rack, even by taking it from
-  // others, spreads after this long.
-  Milliseconds urgent_rack_patience{1200};
   // The share of workers that jobs of lower priority leave empty, so that an
   // urgent job starts without a stop first, which takes 0.5 s of the 1.2 s that
   // it has to spare.
   double headroom = 0.2;
   // Headroom is kept for this long after the last urgent step was seen.
   Milliseconds urgent_memory{5000};
-  // Room that was taken from others is kept for its job this long; it covers a
-  // stop, its report and the next round several times over.
-  Milliseconds reservation_term{2500};
+  WorkerBounds bounds;
 };
 
 struct StartDecision {
--- a/src/libs/workload/room_reclaim.cc
+++ b/src/libs/workload/room_reclaim.cc
@@ -6,12 +6,6 @@
 #include <utility>
 
 namespace thornplank {
-namespace {
-
-// A restart costs some time even where all is saved.
-constexpr double kRestartSeconds = 0.3;
-
-}  // namespace
 
 std::vector<Eviction> RoomReclaim::Choose(bool near_only, bool one_rack,
                                           bool may_spread) const {
@@ -99,15 +93,15 @@
 }
 
 double RoomReclaim::Loss(const TrackedRun& run) const {
-  const double seconds =
-      std::chrono::duration<double>(run.unsaved(inputs_.now)).count();
+  const double seconds = std::chrono::duration<double>(
+                             run.unsaved(inputs_.now) + inputs_.restart_cost)
+                             .count();
   double members = 1;
   if (run.profile.gang) {
     const StepSpec* spec = inputs_.ledger->FindStepSpec(run.task.step);
     if (spec != nullptr) members = spec->count;
   }
-  return (seconds + kRestartSeconds) * members *
-         static_cast<double>(Weight(run.profile.need));
+  return seconds * members * static_cast<double>(Weight(run.profile.need));
 }
 
 }  // namespace thornplank
--- a/src/libs/workload/room_reclaim.h
+++ b/src/libs/workload/room_reclaim.h
@@ -27,6 +27,8 @@
     const Guarantees* guarantees = nullptr;
     // Runs that this round has already told to stop.
     const std::set<TaskRef>* stopped = nullptr;
+    // A stopped run loses this much even where all its work is saved.
+    Milliseconds restart_cost{0};
     Time now{};
   };
 
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -38,6 +38,7 @@
               std::function<void(const StatusAnswer&)> done) override {
     ++reports;
     renewed = query.lease_until.has_value();
+    if (renewed) lease_until = *query.lease_until;
     if (query.wait.count() > 0 && !answers_waiting) {
       waiting = std::move(done);
       return;
@@ -70,17 +71,26 @@
   int stops = 0;
   int reports = 0;
   bool renewed = false;
+  // On the worker's clock, of the last renewal.
+  Milliseconds lease_until{0};
   std::function<void(const StatusAnswer&)> waiting;
 };
 
 class Fixture {
  public:
-  Fixture() : fleet(calls, formats, WorkerFleetSettings(), MakeHandlers()) {
+  explicit Fixture(const WorkerBounds& bounds = WorkerBounds())
+      : fleet(calls, formats, SettingsWith(bounds), MakeHandlers()) {
     fleet.OnDirectoryRecord({"w1", "listed", 0}, Now());
   }
 
   static Time Now() { return std::chrono::steady_clock::now(); }
 
+  static WorkerFleetSettings SettingsWith(const WorkerBounds& bounds) {
+    WorkerFleetSettings settings;
+    settings.bounds = bounds;
+    return settings;
+  }
+
   WorkerFleet::Handlers MakeHandlers() {
     WorkerFleet::Handlers handlers;
     handlers.on_end = [this](const std::string&, const RunEndReport& end) {
@@ -266,6 +276,43 @@
   CHECK(fixture.ends[0] == RunEnd::kLost);
 }
 
+TEST_CASE("leases and stops fit what the workers promise") {
+  struct Row {
+    const char* name;
+    Milliseconds longest_lease;
+    Milliseconds stop;
+  };
+  const std::vector<Row> rows = {
+      {"as by default", Milliseconds(10000), Milliseconds(400)},
+      {"short leases", Milliseconds(3000), Milliseconds(200)},
+      {"slow stops", Milliseconds(6000), Milliseconds(1500)},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerBounds bounds;
+    bounds.longest_lease = row.longest_lease;
+    bounds.stop = row.stop;
+    Fixture fixture(bounds);
+    // The worker's clock, as its first report has it, begins at zero.
+    const Time begin = Fixture::Now();
+    fixture.Start();
+    // Behind the pause after the first report.
+    fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1),
+                       /*may_renew=*/true);
+    REQUIRE(fixture.calls.renewed);
+    const Duration slack = Fixture::Now() - begin + Milliseconds(1);
+    CHECK(fixture.calls.lease_until <= row.longest_lease + slack);
+    fixture.fleet.RequestStop("w1", kTask, 1, "test");
+    REQUIRE(fixture.calls.stops == 1);
+    // A worker that takes its time is not told again before it is over.
+    fixture.fleet.Tick(Fixture::Now() + row.stop, /*may_renew=*/true);
+    CHECK(fixture.calls.stops == 1);
+    fixture.fleet.Tick(Fixture::Now() + row.stop + std::chrono::seconds(1),
+                       /*may_renew=*/true);
+    CHECK(fixture.calls.stops == 2);
+  }
+}
+
 TEST_CASE("a stop is sent for a run once, and again only without an end") {
   Fixture fixture;
   fixture.Start();
--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -34,6 +34,24 @@
   CHECK(settings->reclaim_bound == HostedSettings().reclaim_bound);
   CHECK(settings->far_slowdown == HostedSettings().far_slowdown);
   CHECK(settings->stop_grace == HostedSettings().stop_grace);
+  CHECK(settings->state_kept == HostedSettings().state_kept);
+  CHECK(settings->cancel_bound == HostedSettings().cancel_bound);
+  CHECK(settings->stop_bound == HostedSettings().stop_bound);
+  CHECK(settings->gang_patience == HostedSettings().gang_patience);
+  CHECK(settings->longest_lease == HostedSettings().longest_lease);
+  CHECK(settings->restore_time == HostedSettings().restore_time);
+}
+
+TEST_CASE("seconds may have fractions") {
+  const std::string path = "tst_hosted_settings_seconds.json";
+  Json file = GoodFile();
+  file["stop_grace_s"] = 2.5;
+  WriteFile(path, file.dump());
+  Error error;
+  const auto settings = ReadHostedSettings(path, &error);
+  REQUIRE_MESSAGE(settings, error.ToString());
+  CHECK(settings->stop_grace == Milliseconds(2500));
+  std::remove(path.c_str());
 }
 
 TEST_CASE("each mistake gives one line") {
@@ -47,7 +65,11 @@
        "store_address: found nothing, allowed a value"},
       {R"({"far_slowdown": 0.5})",
        "far_slowdown: found 0.5, allowed a number from 1"},
-      {R"({"reclaim_bound_ms": 10})", "reclaim_bound_ms: found 10, allowed"},
+      {R"({"reclaim_bound_ms": 0})", "reclaim_bound_ms: found 0, allowed"},
+      {R"({"stop_bound_ms": -1})", "stop_bound_ms: found -1, allowed"},
+      {R"({"stop_grace_s": "6"})", "stop_grace_s: found string \"6\", allowed"},
+      {R"({"stop_grace_ms": 6000})",
+       "stop_grace_ms: found a key of another unit, allowed stop_grace_s"},
       {R"({"log_level": "loud"})", "log_level: found \"loud\", allowed one of"},
   };
   const std::string path = "tst_hosted_settings_mistakes.json";
@@ -79,7 +101,11 @@
        "revocation_bound_ms", true},
       {[](HostedSettings& s) { s.listen_callers = "127.0.0.1:1"; },
        "listen_callers", false},
+      {[](HostedSettings& s) { s.stop_grace = Milliseconds(1); },
+       "stop_grace_s", true},
       {[](HostedSettings& s) { s.far_slowdown = 4; }, "far_slowdown", false},
+      {[](HostedSettings& s) { s.longest_lease = Milliseconds(1); },
+       "longest_lease_ms", false},
   };
   const HostedSettings before;
   CHECK(Compare(before, before).at_once.empty());
--- a/tests/auto/workload/planner_world.h
+++ b/tests/auto/workload/planner_world.h
@@ -15,7 +15,9 @@
 // A ledger and workers that do at once what the planner decides.
 class World {
  public:
-  World(int racks, int workers_per_rack) {
+  World(int racks, int workers_per_rack,
+        const WorkerBounds& bounds = WorkerBounds())
+      : planner(SettingsWith(bounds)) {
     for (int rack = 0; rack < racks; ++rack) {
       for (int i = 0; i < workers_per_rack; ++i) {
         const std::string id =
@@ -108,9 +110,16 @@
   std::map<std::string, WorkerTracker> workers;
   Guarantees guarantees;
   AdviceBook advice;
-  Planner planner{PlannerSettings()};
+  Planner planner;
   Time now = At(0);
   WallTime wall_now = FromUnixMilliseconds(1000100);
+
+ private:
+  static PlannerSettings SettingsWith(const WorkerBounds& bounds) {
+    PlannerSettings settings;
+    settings.bounds = bounds;
+    return settings;
+  }
 };
 
 inline std::string Id(int number) {
--- /dev/null
+++ b/tests/auto/workload/tst_worker_bounds.cc
@@ -0,0 +1,103 @@
+// Figures of scheduling that must fit what a deployment promises.
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "planner_world.h"
+#include "workload/worker_bounds.h"
+
+namespace thornplank::testing {
+namespace {
+
+// How long a call of a worker is waited for.
+constexpr Milliseconds kCallTimeout{900};
+
+struct Row {
+  const char* name;
+  WorkerBounds bounds;
+};
+
+WorkerBounds Make(int longest_lease, int stop, int gang, int cancel,
+                  int reclaim, int restore) {
+  WorkerBounds bounds;
+  bounds.longest_lease = Milliseconds(longest_lease);
+  bounds.stop = Milliseconds(stop);
+  bounds.gang_patience = Milliseconds(gang);
+  bounds.cancel = Milliseconds(cancel);
+  bounds.reclaim = Milliseconds(reclaim);
+  bounds.restore = Milliseconds(restore);
+  return bounds;
+}
+
+const std::vector<Row>& Rows() {
+  static const std::vector<Row> kRows = {
+      {"as by default", WorkerBounds()},
+      {"short leases, fast stops", Make(6000, 200, 3000, 3000, 2700, 100)},
+      {"long leases, slow stops", Make(20000, 1200, 5000, 6000, 6000, 2000)},
+      {"tight gangs", Make(4000, 300, 1200, 2000, 1500, 0)},
+  };
+  return kRows;
+}
+
+TEST_CASE("every figure fits the bounds") {
+  for (const Row& row : Rows()) {
+    CAPTURE(row.name);
+    const WorkerBounds& bounds = row.bounds;
+    CHECK(bounds.lease_term() <= bounds.longest_lease);
+    CHECK(bounds.start_term() < bounds.gang_patience);
+    CHECK(bounds.stop_patience() > bounds.stop);
+    CHECK(bounds.move_cost() > bounds.stop);
+    CHECK(bounds.reservation_term() > bounds.stop * 2);
+    CHECK(bounds.urgent_rack_patience() < bounds.reclaim);
+    CHECK(bounds.board_age() < bounds.cancel);
+    CHECK(bounds.restart_cost() >= bounds.restore);
+  }
+  CHECK(WorkerBounds().start_term() > kCallTimeout);
+}
+
+TEST_CASE("room taken from others is used within the bound on reclaim") {
+  for (const Row& row : Rows()) {
+    CAPTURE(row.name);
+    World world(2, 2, row.bounds);
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(32, 1)}, 2), world.now);
+    world.Round();
+    REQUIRE(world.free_accelerators() == 0);
+    const Time submitted = world.now;
+    world.ledger.Add(MakeJob(Id(2), {Gang(2, 8, true)}, 0), world.now);
+    REQUIRE_FALSE(world.Round().stops.empty());
+    // Others of the same urgency come; the room is kept from them.
+    world.ledger.Add(MakeJob(Id(3), {MakeStep(16, 1)}, 0), world.now);
+    world.now += row.bounds.stop;
+    world.CarryOutStops();
+    world.Round();
+    CHECK(world.ledger.Find(Id(2))->occurrences[0][0].waiting == 0);
+    CHECK(world.now - submitted < row.bounds.reclaim);
+  }
+}
+
+TEST_CASE("an urgent gang spreads over racks early enough to begin in time") {
+  for (const Row& row : Rows()) {
+    CAPTURE(row.name);
+    World world(2, 2, row.bounds);
+    // One worker of each rack is held for good; a rack could hold the gang.
+    StepSpec lasting = MakeStep(2, 8);
+    lasting.long_running = true;
+    lasting.max_per_worker = 1;
+    lasting.count = 1;
+    StepSpec other = lasting;
+    lasting.data_rack = "r0";
+    other.data_rack = "r1";
+    world.ledger.Add(MakeJob(Id(1), {lasting, other}, 1), world.now);
+    world.Round();
+    REQUIRE(world.free_accelerators() == 16);
+    const Time submitted = world.now;
+    world.ledger.Add(MakeJob(Id(2), {Gang(2, 8, true)}, 0), world.now);
+    CHECK(world.Round().starts.empty());
+    world.now += row.bounds.urgent_rack_patience() + Milliseconds(1);
+    CHECK(world.Round().starts.size() == 1);
+    CHECK(world.now - submitted < row.bounds.reclaim);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank::testing
--- a/tests/integration/tst_hosted_logs.cc
+++ b/tests/integration/tst_hosted_logs.cc
@@ -78,13 +78,13 @@
               }())
                   .value_or(Json());
   file["log_level"] = "debug";
-  file["state_kept_ms"] = 60000;
+  file["state_kept_s"] = 60;
   std::ofstream(path) << file.dump();
   CHECK(HostedCluster::Eventually([&] {
     const auto events = cluster.Events(0, events::kSettingsReloaded.number);
     return !events.empty() &&
            events.back()["at_once"] == Json::array({"log_level"}) &&
-           events.back()["at_restart"] == Json::array({"state_kept_ms"});
+           events.back()["at_restart"] == Json::array({"state_kept_s"});
   }));
   std::ofstream(path) << "{ broken";
   CHECK(HostedCluster::Eventually([&] {
