A victim that saves its work at the stop loses none of it

Cause: a checkpointable run counted as losing the work since its last checkpoint, though a stop writes one; victims were then chosen among runs that cost nothing and runs that cost all.

--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -30,10 +30,8 @@
 }  // namespace
 
 Duration TrackedRun::unsaved(Time now) const {
-  if (began == Time{}) return Duration::zero();
-  const Time from =
-      profile.checkpointable ? std::max(began, checkpointed) : began;
-  return now - from;
+  if (began == Time{} || profile.checkpointable) return Duration::zero();
+  return now - began;
 }
 
 double TrackedRun::rate() const {
@@ -205,9 +203,7 @@
     run->baseline = now;
     run->baseline_percent = report.percent;
   }
-  if (report.checkpoint == run->checkpoint) return;
   run->checkpoint = report.checkpoint;
-  run->checkpointed = now;
 }
 
 bool WorkerTracker::IsSettledByAbsence(const TrackedRun& run, Time sent,
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -72,8 +72,6 @@
   // Begins with a checkpoint, so that its first percentage is not its own work.
   bool resumed = false;
   std::string checkpoint;
-  // When its checkpoint last changed.
-  Time checkpointed{};
   // On the worker's clock: a start that arrives later does nothing.
   Milliseconds order_deadline{0};
   bool stop_wanted = false;
@@ -81,7 +79,8 @@
   bool stop_sending = false;
   std::optional<Time> stop_acknowledged;
 
-  // Work that would be lost with it, from its last checkpoint on.
+  // Work that is lost when it is told to stop: none where the stop itself
+  // saves it.
   Duration unsaved(Time now) const;
   // Percent a second since the baseline; zero when that tells nothing yet.
   double rate() const;
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -122,6 +122,7 @@
 
 TEST_CASE("urgent jobs take room from those whose loss is least") {
   World world(1, 2);
+  // A stop saves what a checkpointable task has done, at whatever moment.
   StepSpec kept = MakeStep(1, 8);
   StepSpec saved = MakeStep(1, 8);
   saved.checkpointable = true;
@@ -131,7 +132,6 @@
   for (auto& [id, worker] : world.workers) {
     for (auto& [task, run] : worker.runs()) {
       run.began = world.now;
-      run.checkpointed = world.now + std::chrono::seconds(5);
     }
   }
   world.now += std::chrono::seconds(5);
