thornplankctl logs summary: waits by cause and work thrown away, over all jobs

The commands of log files share how a line is read (LogLine) and how files are read. Waits of a step are put down to the reason told last, those without one to the lead's vacancy or the round that has not come; runs without a result are counted by cause, priority and accelerator time.

--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -2,9 +2,12 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <utility>
 
 #include "command.h"
 #include "logging/log_story.h"
+#include "logging/log_summary.h"
 
 namespace thornplank {
 namespace {
@@ -33,25 +36,34 @@
   }
 }
 
-int Explain(const CommandContext& context) {
-  const std::vector<std::string>& arguments = context.arguments;
-  LogStory story(arguments[0]);
+// Gives every line of the files named from argument `first` on to `log`. False
+// when a file cannot be read.
+template <typename Log>
+bool ReadFiles(const std::vector<std::string>& arguments, size_t first,
+               Log* log) {
   size_t unreadable = 0;
-  for (size_t i = 1; i < arguments.size(); ++i) {
+  for (size_t i = first; i < arguments.size(); ++i) {
     std::ifstream file(arguments[i]);
     if (!file) {
       std::cerr << "thornplankctl: cannot read " << arguments[i] << "\n";
-      return kExitUsage;
+      return false;
     }
     for (std::string line; std::getline(file, line);) {
-      if (!story.Add(line)) ++unreadable;
+      if (!log->Add(line)) ++unreadable;
     }
   }
-  const std::vector<StoryLine> lines = story.Lines();
   if (unreadable > 0) {
     std::cerr << "thornplankctl: " << unreadable
               << " lines are not of this log's form and were left out\n";
   }
+  return true;
+}
+
+int Explain(const CommandContext& context) {
+  const std::vector<std::string>& arguments = context.arguments;
+  LogStory story(arguments[0]);
+  if (!ReadFiles(arguments, 1, &story)) return kExitUsage;
+  const std::vector<StoryLine> lines = story.Lines();
   if (lines.empty()) {
     std::cerr << "thornplankctl: no line names " << arguments[0]
               << ": no entry whose log is here took or refused it\n";
@@ -65,6 +77,108 @@
   return kExitOk;
 }
 
+// Of those that completed, so many that waited longest are told.
+constexpr size_t kSlowestTold = 20;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Json ToJson(const WaitsByCause& waits) {
+  Json json = Json::object();
+  for (const auto& [cause, length] : waits) {
+    json[cause] = ToMilliseconds(length);
+  }
+  return json;
+}
+
+Json ToJson(const LogSummaryReport& report) {
+  Json jobs = Json::array();
+  for (const JobSummary& job : report.jobs) {
+    jobs.push_back({{"job", job.job},
+                    {"priority", job.priority ? Json(*job.priority) : Json()},
+                    {"state", job.state},
+                    {"lasted_ms", ToMilliseconds(job.lasted)},
+                    {"waits_ms", ToJson(job.waits)}});
+  }
+  Json discarded = Json::array();
+  for (const DiscardedRuns& runs : report.discarded) {
+    discarded.push_back(
+        {{"cause", runs.cause},
+         {"priority", runs.priority},
+         {"runs", runs.runs},
+         {"accelerator_ms", ToMilliseconds(runs.accelerator_time)}});
+  }
+  return {{"jobs", std::move(jobs)}, {"discarded", std::move(discarded)}};
+}
+
+void PrintCounts(const LogSummaryReport& report) {
+  std::map<std::string, size_t> states;
+  for (const JobSummary& job : report.jobs) {
+    ++states[job.state.empty() ? "state not known" : job.state];
+  }
+  std::cout << report.jobs.size() << " jobs accepted:";
+  for (const auto& [state, count] : states) {
+    std::cout << "  " << state << " " << count;
+  }
+  std::cout << "\n";
+}
+
+void PrintWaits(const LogSummaryReport& report) {
+  std::map<std::pair<std::string, int64_t>, Duration> sums;
+  for (const JobSummary& job : report.jobs) {
+    for (const auto& [cause, length] : job.waits) {
+      sums[{cause, job.priority.value_or(-1)}] += length;
+    }
+  }
+  std::cout << "\nsteps waited, s  priority  for\n";
+  for (const auto& [key, length] : sums) {
+    std::cout << std::setw(15) << ToSeconds(length) << std::setw(10)
+              << (key.second < 0 ? "?" : std::to_string(key.second)) << "  "
+              << key.first << "\n";
+  }
+}
+
+void PrintDiscarded(const LogSummaryReport& report) {
+  std::cout << "\nthrown away, accelerator s   runs  priority  cause\n";
+  for (const DiscardedRuns& runs : report.discarded) {
+    std::cout << std::setw(26) << ToSeconds(runs.accelerator_time)
+              << std::setw(7) << runs.runs << std::setw(10) << runs.priority
+              << "  " << runs.cause << "\n";
+  }
+}
+
+void PrintJobs(const LogSummaryReport& report) {
+  std::cout << "\nnot completed, and those that waited longest\n";
+  size_t completed = 0;
+  for (const JobSummary& job : report.jobs) {
+    if (job.completed() && ++completed > kSlowestTold) break;
+    std::cout << job.job << "  "
+              << (job.state.empty() ? "state not known" : job.state)
+              << "  lasted " << ToSeconds(job.lasted) << " s";
+    for (const auto& [cause, length] : job.waits) {
+      std::cout << "; " << ToSeconds(length) << " s " << cause;
+    }
+    std::cout << "\n";
+  }
+}
+
+int Summarize(const CommandContext& context) {
+  LogSummary summary;
+  if (!ReadFiles(context.arguments, 0, &summary)) return kExitUsage;
+  const LogSummaryReport report = summary.Report();
+  if (context.json) {
+    PrintJson(ToJson(report));
+    return kExitOk;
+  }
+  std::cout << std::fixed << std::setprecision(2);
+  PrintCounts(report);
+  PrintWaits(report);
+  PrintDiscarded(report);
+  PrintJobs(report);
+  return kExitOk;
+}
+
 }  // namespace
 
 std::vector<Command> LogCommands() {
@@ -73,6 +187,11 @@
        "Tells the story of a job or request from the logs of all entries, in "
        "order; lines with ~ are what went on around it. Calls no entry.",
        "thornplankctl logs explain 5c0e7a21d94b36f8 logs/*", 2, Explain},
+      {"logs", "summary", "FILE...",
+       "Tells from the logs of all entries for what the steps of all jobs "
+       "waited, which work was thrown away and why, and which jobs did not "
+       "complete or waited longest. Calls no entry.",
+       "thornplankctl logs summary logs/*", 1, Summarize},
   };
 }
 
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -174,8 +174,9 @@
           handlers_.on_ticket_refused(task.step, worker);
         }
         if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
-        if (answer.outcome == StartOutcome::kOtherLife)
+        if (answer.outcome == StartOutcome::kOtherLife) {
           return Bury(worker, kOtherLife);
+        }
         Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
         Link& link = links_[worker];
         // The report that is under way may answer only when half of the lease
--- a/src/libs/logging/log_story.cc
+++ b/src/libs/logging/log_story.cc
@@ -36,32 +36,13 @@
   return a.time < b.time;
 }
 
-// Fields that every line has, told apart from the rest.
-constexpr std::array<const char*, 5> kCommonFields = {
-    "time_ms", "level", "instance", "event", "name"};
-
 }  // namespace
 
 bool LogStory::Add(std::string_view text) {
-  const size_t brace = text.find('{');
-  if (brace == std::string_view::npos) return false;
-  text.remove_prefix(brace);
+  std::optional<LogLine> read = ReadLogLine(text);
+  if (!read) return false;
   const bool own = text.find(id_) != std::string_view::npos;
-  std::optional<Json> json = ParseJson(text);
-  if (!json || !json->is_object()) return false;
-  const auto time = IntField(*json, "time_ms");
-  const auto event = IntField(*json, "event");
-  if (!time || !event) return false;
-  StoryLine line;
-  line.time = FromUnixMilliseconds(*time);
-  line.instance = StringField(*json, "instance").value_or("");
-  line.event = static_cast<int>(*event);
-  line.name = StringField(*json, "name").value_or("");
-  line.own = own;
-  for (const char* field : kCommonFields) {
-    json->erase(field);
-  }
-  line.fields = std::move(*json);
+  StoryLine line{std::move(*read), own};
   if (own) {
     NoteWorkers(line.fields);
     instances_.insert(line.instance);
--- a/src/libs/logging/log_story.h
+++ b/src/libs/logging/log_story.h
@@ -15,18 +15,13 @@
 
 #include "base/json.h"
 #include "base/time.h"
+#include "logging/log_line.h"
 
 namespace thornplank {
 
-struct StoryLine {
-  WallTime time{};
-  std::string instance;
-  int event = 0;
-  std::string name;
+struct StoryLine : LogLine {
   // Names the id itself; else it is what went on around it.
   bool own = false;
-  // All other fields of the line.
-  Json fields;
 };
 
 // The longest time in which nothing is told of the id.
@@ -41,8 +36,7 @@
  public:
   explicit LogStory(std::string id) : id_(std::move(id)) {}
 
-  // One line of a log. Anything before its first brace is skipped, as log
-  // collectors put their own words there. False when it cannot be read.
+  // One line of a log; false when it cannot be read.
   bool Add(std::string_view line);
 
   // In order of time, from the first to the last that names the id.
