A start order without an answer is sent again at once

Cause: of orders that a worker leaves unanswered (and carries out seconds later) each was waited for 0.9 s and settled after its deadline, 1.5 s.

An order is idempotent at the worker: a run begins once, none after the deadline that all copies carry. So the same order goes out again after 0.25 s, three times at most and within half of its term. A refusal of a later copy settles nothing, since the first may have run.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -18,6 +18,9 @@
 // A run is moved when it would end this many times sooner elsewhere, a stop and
 // a start included.
 constexpr int kMoveGain = 2;
+// Of one start order. Where a third of all orders gets no answer, one in 30
+// gets none three times.
+constexpr int kMostCopies = 3;
 // Time between two reads of the directory that counts as an outage.
 constexpr Milliseconds kContactGap{2500};
 
@@ -152,42 +155,79 @@
   order.epoch = settings_.epoch;
   tracked->resumed = !fields.checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
-  const WorkerAddress address{worker, tracker->registration().address};
-  calls_.Start(
-      address, order, settings_.call_timeout,
-      [this, alive = alive_, worker, task, run](const StartAnswer& answer) {
-        if (!*alive) return;
-        WorkerTracker* tracker = Find(worker);
-        if (tracker == nullptr) return;
-        const Time now = Now();
-        if (answer.outcome != StartOutcome::kAccepted) {
-          const Event& event = answer.outcome == StartOutcome::kNoAnswer
-                                   ? events::kStartUndecided
-                                   : events::kStartRefused;
-          LogEvent(event, answer.error,
-                   {{"task", task.ToString()}, {"run", run}});
-        }
-        if (answer.outcome == StartOutcome::kRefused) {
-          tracker->OnRunFailed(task.step.job, now);
-        }
-        if (answer.outcome == StartOutcome::kTicketRefused) {
-          handlers_.on_ticket_refused(task.step, worker);
-        }
-        if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
-        if (answer.outcome == StartOutcome::kOtherLife) {
-          return Bury(worker, kOtherLife);
-        }
-        Deliver(worker, tracker->OnStartAnswer(task, run, answer.outcome, now));
-        Link& link = links_[worker];
-        // The report that is under way may answer only when half of the lease
-        // is gone.
-        const Milliseconds thin = settings_.bounds.lease_term() / 2;
-        if (link.reporting && link.leased_until < now + thin &&
-            !link.extra_report) {
-          return Report(worker, Milliseconds(0), /*extra=*/true);
-        }
-        Drive(worker, now);
-      });
+  SendOrder({worker, std::move(order), now, 0});
+}
+
+void WorkerFleet::SendOrder(SentStart start) {
+  ++start.copies;
+  const WorkerAddress address{start.worker,
+                              Find(start.worker)->registration().address};
+  const StartOrder order = start.order;
+  calls_.Start(address, order, settings_.order_timeout,
+               [this, alive = alive_,
+                start = std::move(start)](const StartAnswer& answer) {
+                 if (*alive) OnStartAnswer(start, answer);
+               });
+}
+
+bool WorkerFleet::MayRepeat(const SentStart& start, Time now) {
+  WorkerTracker* tracker = Find(start.worker);
+  const TrackedRun* run = tracker->Find(start.order.task);
+  return run != nullptr && run->run == start.order.run && !run->stop_wanted &&
+         run->stage == RunStage::kSending && may_renew_ &&
+         start.copies < kMostCopies &&
+         now - start.first_sent < settings_.bounds.start_term() / 2;
+}
+
+// A worker begins a run once, however many orders for it arrive, and none after
+// the deadline that all of them carry. So an order without an answer is sent
+// again, and what is said of a later one settles nothing of the first.
+void WorkerFleet::OnStartAnswer(const SentStart& start,
+                                const StartAnswer& answer) {
+  WorkerTracker* tracker = Find(start.worker);
+  if (tracker == nullptr) return;
+  const Time now = Now();
+  const TaskRef& task = start.order.task;
+  const int run = start.order.run;
+  StartOutcome outcome = answer.outcome;
+  if (outcome == StartOutcome::kNoAnswer && MayRepeat(start, now)) {
+    LogEvent(events::kStartRepeated, answer.error,
+             {{"task", task.ToString()},
+              {"run", run},
+              {"worker", start.worker},
+              {"copies", start.copies}});
+    return SendOrder(start);
+  }
+  const bool refused = outcome == StartOutcome::kRefused ||
+                       outcome == StartOutcome::kTicketRefused;
+  if (refused && start.copies > 1) outcome = StartOutcome::kNoAnswer;
+  if (outcome != StartOutcome::kAccepted) {
+    const Event& event = outcome == StartOutcome::kNoAnswer
+                             ? events::kStartUndecided
+                             : events::kStartRefused;
+    LogEvent(
+        event, answer.error,
+        {{"task", task.ToString()}, {"run", run}, {"copies", start.copies}});
+  }
+  if (outcome == StartOutcome::kRefused) {
+    tracker->OnRunFailed(task.step.job, now);
+  }
+  if (answer.outcome == StartOutcome::kTicketRefused) {
+    handlers_.on_ticket_refused(task.step, start.worker);
+  }
+  if (outcome == StartOutcome::kFenced) handlers_.on_fenced();
+  if (outcome == StartOutcome::kOtherLife) {
+    return Bury(start.worker, kOtherLife);
+  }
+  Deliver(start.worker, tracker->OnStartAnswer(task, run, outcome, now));
+  Link& link = links_[start.worker];
+  // The report that is under way may answer only when half of the lease
+  // is gone.
+  const Milliseconds thin = settings_.bounds.lease_term() / 2;
+  if (link.reporting && link.leased_until < now + thin && !link.extra_report) {
+    return Report(start.worker, Milliseconds(0), /*extra=*/true);
+  }
+  Drive(start.worker, now);
 }
 
 void WorkerFleet::RequestStop(const std::string& worker, const TaskRef& task,
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -27,6 +27,10 @@
   int64_t epoch = 0;
   WorkerBounds bounds;
   Milliseconds call_timeout{900};
+  // A start that is not answered by then is sent again. Answers take 2 ms in a
+  // zone and 0.1 s between regions; a gang of which one member has not begun
+  // loses 2 s.
+  Milliseconds order_timeout{250};
   // How long a report waits for an end; workers allow 2 s at most.
   Milliseconds report_wait{1900};
   // The same where tasks that fill may disturb tasks that serve: their tails
@@ -118,6 +122,17 @@
     DepartureWatch departure;
   };
 
+  // A start order that is on its way, maybe more than once.
+  struct SentStart {
+    std::string worker;
+    StartOrder order;
+    Time first_sent{};
+    int copies = 0;
+  };
+
+  void SendOrder(SentStart start);
+  bool MayRepeat(const SentStart& start, Time now);
+  void OnStartAnswer(const SentStart& start, const StartAnswer& answer);
   void OnEntryRemoved(const std::string& id, Time now);
   void OnEntryUnreadable(const std::string& id, Time now);
   void Drive(const std::string& id, Time now);
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -48,6 +48,7 @@
 inline constexpr Event kLeaderSeen{934, "leader-seen", Severity::kInfo};
 inline constexpr Event kAdviceMissing{930, "advice-missing",
                                       Severity::kWarning};
+inline constexpr Event kStartRepeated{935, "start-repeated", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -20,9 +20,12 @@
  public:
   void Start(const WorkerAddress&, const StartOrder&, Milliseconds,
              std::function<void(const StartAnswer&)> done) override {
-    ++starts;
     StartAnswer answer;
     answer.outcome = start;
+    if (static_cast<size_t>(starts) < first_starts.size()) {
+      answer.outcome = first_starts[static_cast<size_t>(starts)];
+    }
+    ++starts;
     done(answer);
   }
   void Stop(const WorkerAddress&, const StopOrder&, Milliseconds,
@@ -61,6 +64,8 @@
   }
 
   StartOutcome start = StartOutcome::kAccepted;
+  // Of the first orders; `start` of those after them.
+  std::vector<StartOutcome> first_starts;
   CallOutcome stop = CallOutcome::kOk;
   CallOutcome pace = CallOutcome::kOk;
   std::vector<int> paces;
@@ -102,6 +107,7 @@
     handlers.is_known = [](const std::string& service) {
       return service != kStray;
     };
+    handlers.on_ticket_refused = [](const StepRef&, const std::string&) {};
     handlers.on_change = [] {};
     handlers.on_fenced = [this] { ++fenced; };
     return handlers;
@@ -121,6 +127,43 @@
   WorkerFleet fleet;
 };
 
+// Workers that answer a part of their orders late or never: the run begins with
+// the copy that arrives first, and nothing is held for one that had no answer.
+TEST_CASE("a start order without an answer is sent again") {
+  constexpr StartOutcome kNone = StartOutcome::kNoAnswer;
+  struct Row {
+    const char* name;
+    std::vector<StartOutcome> answers;
+    int copies;
+    // Known to run; else nothing is known until a report.
+    bool runs;
+  };
+  const std::vector<Row> rows = {
+      {"answered", {StartOutcome::kAccepted}, 1, true},
+      {"the second is answered", {kNone, StartOutcome::kAccepted}, 2, true},
+      {"the third is", {kNone, kNone, StartOutcome::kAccepted}, 3, true},
+      {"none is", {kNone, kNone, kNone, kNone}, 3, false},
+      {"the first may have run when the second is refused",
+       {kNone, StartOutcome::kRefused},
+       2,
+       false},
+      {"or has no ticket", {kNone, StartOutcome::kTicketRefused}, 2, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.calls.first_starts = row.answers;
+    fixture.calls.status = CallOutcome::kNoAnswer;
+    fixture.Start();
+    CHECK(fixture.calls.starts == row.copies);
+    CHECK(fixture.ends.empty());
+    const auto& runs = fixture.fleet.trackers().at("w1").runs();
+    REQUIRE(runs.size() == 1);
+    CHECK(runs.begin()->second.stage ==
+          (row.runs ? RunStage::kRunning : RunStage::kUnknown));
+  }
+}
+
 TEST_CASE("what the answer to a start does") {
   struct Row {
     const char* name;
