Progress of steps lies on the board: one partition of the store, not two

Change: progress is written to the board's partition under keys of its own and by a producer of its own, so that neither kind of append waits for the other. Other entries pass over it.

Ruled out: the other partition as a fallback, which needs an order between two records of one task.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -40,7 +40,6 @@
 // progress of tasks belongs to the leader.
 constexpr char kJobStream[] = "keyed.thornplank";
 constexpr int kBoardPartition = 0;
-constexpr int kProgressPartition = 1;
 // A follower reads a busy board at most this often.
 constexpr Milliseconds kFollowerPace{500};
 // Keys are refused this long before the bound on their revocation: the time
@@ -293,7 +292,6 @@
     settings.holder = Holder(settings_);
     settings.rank = Rank(settings_);
     settings.board = {kJobStream, kBoardPartition};
-    settings.progress = {kJobStream, kProgressPartition};
     settings.state_kept = settings_.state_kept + std::chrono::seconds(30);
     settings.bounds = BoundsOf(settings_);
     return settings;
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr char kProducer[] = "leader";
+// Apart from the other, so that neither waits for the other's answers.
+constexpr char kProgressProducer[] = "progress";
 // Bounds the first sequence number, so that it never overflows.
 constexpr int64_t kSequenceSpan = int64_t{1} << 40;
 // After a claim that did not succeed.
@@ -190,12 +192,13 @@
   FenceProgress();
 }
 
-// From here on nothing of a predecessor is stored in the progress partition,
-// so that what is read next is its last state.
+// From here on no progress of a predecessor is stored, so that what is read
+// next is its last state.
 void ClusterCoordinator::FenceProgress() {
   AppendRequest request;
-  request.partition = settings_.progress;
-  request.producer = ProducerPosition{kProducer, epoch_, first_sequence_};
+  request.partition = settings_.board;
+  request.producer =
+      ProducerPosition{kProgressProducer, epoch_, first_sequence_};
   store_.Append(
       request, settings_.store_timeout,
       [this, generation = generation_,
@@ -209,7 +212,7 @@
         if (stored) {
           phase_ = Phase::kLoading;
           loaded_.clear();
-          return LoadProgress("");
+          return LoadProgress(JobBoard::BeforeProgress());
         }
         release_timer_.expires_after(kStoreRetry);
         release_timer_.async_wait([this](const boost::system::error_code& c) {
@@ -220,7 +223,7 @@
 
 void ClusterCoordinator::LoadProgress(const std::string& after_key) {
   store_.Newest(
-      settings_.progress, after_key, settings_.store_timeout,
+      settings_.board, after_key, settings_.store_timeout,
       [this, after_key, generation = generation_,
        current = *generation_](const NewestPage& page) {
         if (*generation != current || phase_ != Phase::kLoading) return;
@@ -235,7 +238,7 @@
         for (const KeyedRecord& record : page.records) {
           if (!record.value) continue;
           Error error;
-          const auto ref = ParseStepRef(record.key);
+          const auto ref = JobBoard::StepOf(record.key);
           auto progress = DecodeProgress(*record.value, &error);
           if (!ref || !progress) {
             LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
@@ -258,7 +261,7 @@
   writer.first_sequence = first_sequence_ + 1;
   writer.partition = settings_.board;
   board_writer_ = std::make_unique<FencedWriter>(io_, store_, writer, fenced);
-  writer.partition = settings_.progress;
+  writer.producer = kProgressProducer;
   progress_writer_ =
       std::make_unique<FencedWriter>(io_, store_, writer, fenced);
 
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -1,11 +1,11 @@
 // One entry's part in scheduling: it claims the lead when that is vacant, and
 // while it leads it places tasks and orders workers.
 //
-// Two partitions of one stream hold what must last. The board is open to every
-// entry: submissions, cancellations, states, the leader. The progress partition
-// is the leader's alone: which run of a task is where. A start is recorded
-// there before it is sent, and an end before the worker may forget it. The
-// leader's epoch fences both partitions and every worker.
+// One partition, the board, holds what must last. Every entry writes
+// submissions and cancellations; the leader alone writes who leads, the states
+// of jobs, and the progress of their steps: which run of a task is where. A
+// start is recorded before it is sent, and an end before the worker may forget
+// it. The leader's epoch fences what it writes, and every worker.
 #ifndef THORNPLANK_COORDINATION_CLUSTER_COORDINATOR_H_
 #define THORNPLANK_COORDINATION_CLUSTER_COORDINATOR_H_
 
@@ -42,7 +42,6 @@
   // Where it stands among the entries: 0 should lead first, 1 last.
   double rank = 0;
   Partition board;
-  Partition progress;
   // A leader without the store for longer stops renewing leases; a successor
   // waits for that, and for a lease, where it cannot reach a worker itself.
   // With a lease of 6.5 s it outlasts outages of the store of 12 s.
@@ -172,7 +171,7 @@
   std::unique_ptr<RecordTail> directory_;
   StreamContact directory_contact_{"directory"};
   std::unique_ptr<AdviceDesk> advice_;
-  // Steps that have a record in the progress partition.
+  // Steps that have a record of their progress on the board.
   std::set<StepRef> stored_steps_;
   // Jobs that began and have not ended; told when their start is stored.
   std::set<std::string> begun_jobs_;
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -246,7 +246,7 @@
   for (const StepRef& ref : ledger_.TakeDirtySteps()) {
     const StepProgress* progress = ledger_.FindStep(ref);
     if (progress == nullptr) continue;
-    records.push_back({ref.ToString(), EncodeProgress(*progress), 0});
+    records.push_back(JobBoard::Progress(ref, EncodeProgress(*progress)));
     stored_steps_.insert(ref);
   }
   const std::set<std::string> published = published_ends_;
@@ -331,7 +331,7 @@
   }
   for (auto it = stored_steps_.lower_bound(StepRef{id, 0, 0});
        it != stored_steps_.end() && it->job == id;) {
-    records->push_back({it->ToString(), std::nullopt, 0});
+    records->push_back(JobBoard::Progress(*it, std::nullopt));
     it = stored_steps_.erase(it);
   }
   published_ends_.erase(id);
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -14,6 +14,8 @@
 constexpr char kCancellationKey = 'c';
 constexpr char kStateKey = 's';
 constexpr char kLeaderKey[] = "leader";
+// Above all others: a new leader reads from here to the end.
+constexpr char kProgressKey = 't';
 // A record needs a value, or it would drop its key.
 constexpr char kPresent[] = "1";
 
@@ -132,6 +134,18 @@
   return {kLeaderKey, ToBytes(fields), 0};
 }
 
+KeyedRecord JobBoard::Progress(const StepRef& step,
+                               std::optional<std::string> value) {
+  return {Key(kProgressKey, step.ToString()), std::move(value), 0};
+}
+
+std::optional<StepRef> JobBoard::StepOf(const std::string& key) {
+  if (key.empty() || key[0] != kProgressKey) return std::nullopt;
+  return ParseStepRef(key.substr(1));
+}
+
+std::string JobBoard::BeforeProgress() { return std::string(1, kProgressKey); }
+
 std::vector<KeyedRecord> JobBoard::Drop(const std::string& job) {
   return {{Key(kStateKey, job), std::nullopt, 0},
           {Key(kCancellationKey, job), std::nullopt, 0},
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -1,9 +1,10 @@
 // What every entry knows of jobs: the fold of the shared stream.
 //
 // The stream holds, by key: a submission, a cancellation, a state for each job,
-// and the leader. Whatever the order in which records come, the fold gives the
-// same answer: a job that was cancelled before its end was published stays
-// cancelled, and a published end stays.
+// and the leader; and the progress of steps, which only a leader reads.
+// Whatever the order in which records come, the fold gives the same answer: a
+// job that was cancelled before its end was published stays cancelled, and a
+// published end stays.
 #ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
 #define THORNPLANK_COORDINATION_JOB_BOARD_H_
 
@@ -19,6 +20,7 @@
 #include "coordination/record_store.h"
 #include "workload/job_definition.h"
 #include "workload/job_ledger.h"
+#include "workload/task_ref.h"
 
 namespace thornplank {
 
@@ -70,7 +72,15 @@
   static KeyedRecord State(const std::string& job, JobState state,
                            WallTime when);
   static KeyedRecord Leader(const LeaderRecord& leader);
-  // Records that drop all keys of a job.
+  // How far the tasks of a step are; no value drops it. Other entries than the
+  // leader pass over it.
+  static KeyedRecord Progress(const StepRef& step,
+                              std::optional<std::string> value);
+  // The step whose progress the key holds; nullopt for any other key.
+  static std::optional<StepRef> StepOf(const std::string& key);
+  // Of all keys just those of progress come after it.
+  static std::string BeforeProgress();
+  // Records that drop all keys of a job but those of its progress.
   static std::vector<KeyedRecord> Drop(const std::string& job);
 
  private:
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -93,6 +93,36 @@
   CHECK(board.leader().released);
 }
 
+TEST_CASE("progress lies behind all other keys and changes no board") {
+  const StepRef step{"0123456789abcdef", 2, 7};
+  const KeyedRecord progress = JobBoard::Progress(step, "any bytes");
+  CHECK(JobBoard::StepOf(progress.key) == step);
+  CHECK(progress.value == "any bytes");
+  CHECK_FALSE(JobBoard::Progress(step, std::nullopt).value.has_value());
+  CHECK(progress.key > JobBoard::BeforeProgress());
+  JobBoard board;
+  CHECK(board.Apply(progress).kind == BoardChange::Kind::kNone);
+  CHECK(board.jobs().empty());
+
+  std::vector<KeyedRecord> others = {
+      JobBoard::Cancellation("ffffffffffffffff"),
+      JobBoard::State("ffffffffffffffff", JobState::kRunning, WallTime()),
+      JobBoard::Leader({"a", 3, false})};
+  for (const KeyedRecord& record : JobBoard::Drop("ffffffffffffffff")) {
+    others.push_back(record);
+  }
+  for (const KeyedRecord& record : others) {
+    CAPTURE(record.key);
+    CHECK(record.key < JobBoard::BeforeProgress());
+    CHECK_FALSE(JobBoard::StepOf(record.key).has_value());
+  }
+  for (const char* key :
+       {"", "t", "t0123456789abcdef", "0123456789abcdef.0.0"}) {
+    CAPTURE(key);
+    CHECK_FALSE(JobBoard::StepOf(key).has_value());
+  }
+}
+
 TEST_CASE("records that cannot be read are passed over") {
   JobBoard board;
   for (const char* key : {"j", "", "jx", "sx", "leader", "zz"}) {
