--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -117,7 +117,7 @@
   for (const JobSummary& job : report.jobs) {
     ++states[job.state.empty() ? "state not known" : job.state];
   }
-  std::cout << report.jobs.size() << " jobs accepted:";
+  std::cout << report.jobs.size() << " jobs:";
   for (const auto& [state, count] : states) {
     std::cout << "  " << state << " " << count;
   }
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -101,7 +101,18 @@
     int64_t accelerators = 0;
   };
 
-  // The job, if its acceptance is in the logs and its end is not yet.
+  // The job, from the first line that accepts or places it. A leader may place
+  // it just before the entry that took it tells so. Null after its end.
+  JobStory* Begin(const std::string& id, WallTime time) {
+    const auto [found, first] = jobs_.try_emplace(id);
+    if (first) {
+      found->second.summary.job = id;
+      found->second.accepted = time;
+    }
+    return Open(id, time);
+  }
+
+  // The job, if its begin is in the logs and its end is not yet.
   JobStory* Open(const std::string& id, WallTime time) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || found->second.ended) return nullptr;
@@ -124,11 +135,8 @@
   }
 
   void OnAccepted(const std::string& id, WallTime time) {
-    JobStory& job = jobs_[id];
-    job.summary.job = id;
-    job.accepted = time;
-    job.last = time;
-    job.waits[""] = {time, leaderless_ ? kNoLeader : kNotDecided};
+    if (jobs_.count(id) > 0) return;
+    Begin(id, time)->waits[""] = {time, leaderless_ ? kNoLeader : kNotDecided};
   }
 
   void OnState(const std::string& id, const std::string& state, WallTime time) {
@@ -159,7 +167,7 @@
 
   void OnStepWaits(const LogLine& line) {
     const std::string step = TextOf(line, "step");
-    JobStory* job = Open(JobOf(step), line.time);
+    JobStory* job = Begin(JobOf(step), line.time);
     if (job == nullptr) return;
     job->summary.priority = IntField(line.fields, "priority");
     EndWait(job, step, line.time);
@@ -170,7 +178,7 @@
     const std::string step = TextOf(line, "step");
     needs_[step] = {IntField(line.fields, "priority").value_or(0),
                     IntField(line.fields, "accelerators").value_or(0)};
-    JobStory* job = Open(JobOf(step), line.time);
+    JobStory* job = Begin(JobOf(step), line.time);
     if (job == nullptr) return;
     job->summary.priority = needs_[step].priority;
     EndWait(job, step, line.time);
--- a/src/libs/workload/open_step.cc
+++ b/src/libs/workload/open_step.cc
@@ -26,7 +26,8 @@
   return longest;
 }
 
-Lateness LatenessOf(const Job& job, int occurrence, WallTime now) {
+// Whether it is too late for the job to be worth anything.
+bool IsWorthless(const Job& job, int occurrence, WallTime now) {
   const JobDefinition& spec = job.spec;
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - spec.begin(occurrence));
@@ -34,8 +35,7 @@
   const auto stretched =
       Milliseconds(static_cast<int64_t>(chain * spec.policy.stretch));
   const Milliseconds objective = stretched + spec.policy.slack;
-  if (age > objective * kWorthlessAfterObjectives) return Lateness::kWorthless;
-  return age > objective ? Lateness::kLate : Lateness::kOnTime;
+  return age > objective * kWorthlessAfterObjectives;
 }
 
 void CollectOccurrence(const Job& job, int occurrence, WallTime now,
@@ -52,7 +52,7 @@
     step.job = &job;
     step.ref = {job.spec.id, occurrence, index};
     step.spec = &spec;
-    step.lateness = LatenessOf(job, occurrence, now);
+    step.worthless = IsWorthless(job, occurrence, now);
     for (size_t t = 0; t < progress.tasks.size(); ++t) {
       const TaskStatus& task = progress.tasks[t];
       if (task.phase != TaskPhase::kWaiting) continue;
@@ -66,7 +66,7 @@
 bool ComesFirst(const OpenStep& a, const OpenStep& b) {
   const auto key = [](const OpenStep& step) {
     const JobDefinition& job = step.job->spec;
-    return std::make_tuple(job.policy.priority, step.lateness, job.accepted);
+    return std::make_tuple(job.policy.priority, job.accepted);
   };
   return key(a) < key(b);
 }
--- a/src/libs/workload/open_step.h
+++ b/src/libs/workload/open_step.h
@@ -9,19 +9,12 @@
 
 namespace thornplank {
 
-// How a job stands against its objective.
-enum class Lateness {
-  kOnTime,
-  kLate,
-  // So late that its end earns nothing any more.
-  kWorthless,
-};
-
 struct OpenStep {
   const Job* job = nullptr;
   StepRef ref;
   const StepSpec* spec = nullptr;
-  Lateness lateness = Lateness::kOnTime;
+  // So late that its end earns nothing any more: it keeps no room from others.
+  bool worthless = false;
   // Another failure may end the job.
   bool failed_before = false;
   // Indices of its tasks that wait; for a gang all of them.
@@ -31,8 +24,7 @@
   bool urgent() const { return priority() == 0; }
 };
 
-// By priority, then the less late, then the older ones first. The pointers are
-// those of the ledger.
+// By priority, then the older ones first. The pointers are those of the ledger.
 std::vector<OpenStep> CollectOpenSteps(const JobLedger& ledger, WallTime now);
 
 }  // namespace thornplank
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -96,7 +96,7 @@
   void NoteDemand(const OpenStep& step) {
     if (!step.spec->gang) return;
     if (planner_.reservations_.count(step.ref) > 0) return;
-    if (step.lateness == Lateness::kWorthless) return;
+    if (step.worthless) return;
     waiting_demand_.Add(step.priority(), ReservedFor(*step.spec),
                         static_cast<int64_t>(step.waiting.size()));
   }
