--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -199,7 +199,8 @@
     return SendOrder(start);
   }
   const bool refused = outcome == StartOutcome::kRefused ||
-                       outcome == StartOutcome::kTicketRefused;
+                       outcome == StartOutcome::kTicketRefused ||
+                       outcome == StartOutcome::kFenced;
   if (refused && start.copies > 1) outcome = StartOutcome::kNoAnswer;
   if (outcome != StartOutcome::kAccepted) {
     const Event& event = outcome == StartOutcome::kNoAnswer
@@ -215,7 +216,7 @@
   if (answer.outcome == StartOutcome::kTicketRefused) {
     handlers_.on_ticket_refused(task.step, start.worker);
   }
-  if (outcome == StartOutcome::kFenced) handlers_.on_fenced();
+  if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
   if (outcome == StartOutcome::kOtherLife) {
     return Bury(start.worker, kOtherLife);
   }
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -148,6 +148,7 @@
        2,
        false},
       {"or has no ticket", {kNone, StartOutcome::kTicketRefused}, 2, false},
+      {"or is fenced", {kNone, StartOutcome::kFenced}, 2, false},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
