Room is kept and workers are left empty by service

Cause: the sums over free, kept and empty room counted all workers.

Change: sums, waiting demand and the memory of urgent steps go by service; a step is kept from room only while more than half of its service is in use (before: 0.45 of the cluster).

Test: tst_planner_load, a full service keeps nothing from another; fails without.

--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -60,11 +60,13 @@
     urgent_use_[profile.account] += profile.need.accelerators;
   }
   const int64_t total = tracker.registration().capacity.accelerators;
-  total_accelerators_ += total;
-  used_accelerators_ += total - room.room.accelerators;
+  ServiceSums& sums = services_[tracker.registration().service];
+  sums.total_accelerators += total;
+  sums.used_accelerators += total - room.room.accelerators;
   if (room.usable) ++usable_workers_;
   if (room.usable && tracker.suspect()) ++suspects_;
-  if (room.usable && room.IsEmpty()) ++empty_workers_;
+  if (room.usable) ++sums.usable_workers;
+  if (room.usable && room.IsEmpty()) ++sums.empty_workers;
   rooms_.push_back(room);
 }
 
@@ -73,24 +75,38 @@
   return use == urgent_use_.end() ? 0 : use->second;
 }
 
-double ClusterRooms::UsedShare() const {
-  if (total_accelerators_ == 0) return 1;
-  return static_cast<double>(used_accelerators_) /
-         static_cast<double>(total_accelerators_);
+const ClusterRooms::ServiceSums& ClusterRooms::SumsOf(
+    const std::string& service) const {
+  static const ServiceSums kNothing;
+  const auto sums = services_.find(service);
+  return sums == services_.end() ? kNothing : sums->second;
 }
 
-Resources ClusterRooms::FreeRoom() const {
+int64_t ClusterRooms::usable_workers(const std::string& service) const {
+  return SumsOf(service).usable_workers;
+}
+
+double ClusterRooms::UsedShare(const std::string& service) const {
+  const ServiceSums& sums = SumsOf(service);
+  if (sums.total_accelerators == 0) return 1;
+  return static_cast<double>(sums.used_accelerators) /
+         static_cast<double>(sums.total_accelerators);
+}
+
+Resources ClusterRooms::FreeRoom(const std::string& service) const {
   Resources sum;
   for (const WorkerRoom& room : rooms_) {
+    if (room.worker().service != service) continue;
     // What is kept for someone may be more than what is free yet.
     if (room.usable) sum += Most(room.room, Resources());
   }
   return sum;
 }
 
-Resources ClusterRooms::Capacity() const {
+Resources ClusterRooms::Capacity(const std::string& service) const {
   Resources sum;
   for (const WorkerRoom& room : rooms_) {
+    if (room.worker().service != service) continue;
     if (room.usable) sum += room.worker().capacity;
   }
   return sum;
@@ -121,7 +137,7 @@
 
 void ClusterRooms::Occupy(const std::string& worker, const Resources& need) {
   WorkerRoom& room = rooms_[index_.at(worker)];
-  if (room.IsEmpty()) --empty_workers_;
+  if (room.IsEmpty()) --services_[room.worker().service].empty_workers;
   room.room -= need;
 }
 
@@ -158,7 +174,7 @@
 bool ClusterRooms::IsSuited(const OpenStep& step,
                             const WorkerRoom& room) const {
   if (!room.usable) return false;
-  if (room.worker().service != step.job->spec.policy.service) return false;
+  if (room.worker().service != step.service()) return false;
   if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
     return false;
   }
@@ -207,7 +223,7 @@
   std::vector<Slot> slots;
   const Resources need = ReservedFor(*step.spec);
   const auto waiting = static_cast<int64_t>(step.waiting.size());
-  int64_t empty_left = empty_workers_ - headroom;
+  int64_t empty_left = SumsOf(step.service()).empty_workers - headroom;
   for (size_t i = 0; i < rooms_.size(); ++i) {
     const WorkerRoom& room = rooms_[i];
     if (!IsEligible(step, room)) continue;
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -77,14 +77,14 @@
   const std::vector<WorkerRoom>& rooms() const { return rooms_; }
   WorkerRoom& room(size_t index) { return rooms_[index]; }
   const WorkerRoom& room(size_t index) const { return rooms_[index]; }
-  int64_t usable_workers() const { return usable_workers_; }
+  int64_t usable_workers(const std::string& service) const;
   // Accelerators in use by urgent runs of the account.
   int64_t UrgentUse(const std::string& account) const;
-  // The share of all accelerators that is not free.
-  double UsedShare() const;
-  // Of all workers that may be given new tasks.
-  Resources FreeRoom() const;
-  Resources Capacity() const;
+  // The share of the service's accelerators that is not free.
+  double UsedShare(const std::string& service) const;
+  // Of the workers of the service that may be given new tasks.
+  Resources FreeRoom(const std::string& service) const;
+  Resources Capacity(const std::string& service) const;
 
   void Keep(const RoomReservation& reservation);
   void GiveBack(const RoomReservation& reservation);
@@ -105,7 +105,16 @@
   bool SomeRackCanHold(const OpenStep& step) const;
 
  private:
+  // Work of one service cannot use what is free for another.
+  struct ServiceSums {
+    int64_t usable_workers = 0;
+    int64_t empty_workers = 0;
+    int64_t total_accelerators = 0;
+    int64_t used_accelerators = 0;
+  };
+
   void Add(const WorkerTracker& tracker, Time now);
+  const ServiceSums& SumsOf(const std::string& service) const;
   bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
   int64_t Score(const OpenStep& step, const WorkerRoom& room,
                 int64_t tasks) const;
@@ -122,9 +131,7 @@
   std::map<std::string, int64_t> urgent_use_;
   int64_t usable_workers_ = 0;
   int64_t suspects_ = 0;
-  int64_t empty_workers_ = 0;
-  int64_t total_accelerators_ = 0;
-  int64_t used_accelerators_ = 0;
+  std::map<std::string, ServiceSums> services_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/open_step.h
+++ b/src/libs/workload/open_step.h
@@ -2,6 +2,7 @@
 #ifndef THORNPLANK_WORKLOAD_OPEN_STEP_H_
 #define THORNPLANK_WORKLOAD_OPEN_STEP_H_
 
+#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -22,6 +23,7 @@
 
   int priority() const { return job->spec.policy.priority; }
   bool urgent() const { return priority() == 0; }
+  const std::string& service() const { return job->spec.policy.service; }
 };
 
 // By priority, then the older ones first. The pointers are those of the ledger.
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -16,6 +16,9 @@
 
 // Below this use, no start keeps anybody else waiting.
 constexpr double kIdleShare = 0.45;
+// Above this use steps give way to those before them in line. A step that waits
+// while less than half of its service is in use is one that is not served.
+constexpr double kCrowdedShare = 0.5;
 
 }  // namespace
 
@@ -45,7 +48,7 @@
   void NoteUrgentSteps() {
     for (const OpenStep& step : steps_) {
       if (!step.urgent()) continue;
-      planner_.last_urgent_ = inputs_.now;
+      planner_.last_urgent_[step.service()] = inputs_.now;
       urgent_demand_[step.job->spec.account] +=
           step.spec->need.accelerators *
           static_cast<int64_t>(step.waiting.size());
@@ -97,7 +100,8 @@
     if (!step.spec->gang) return;
     if (planner_.reservations_.count(step.ref) > 0) return;
     if (step.worthless) return;
-    waiting_demand_.Add(step.priority(), ReservedFor(*step.spec),
+    waiting_demand_.Add(step.service(), step.priority(),
+                        ReservedFor(*step.spec),
                         static_cast<int64_t>(step.waiting.size()));
   }
 
@@ -123,7 +127,7 @@
       return waited > planner_.settings_.bounds.urgent_rack_patience();
     }
     return waited > planner_.settings_.rack_patience &&
-           rooms_.UsedShare() < kIdleShare;
+           rooms_.UsedShare(step.service()) < kIdleShare;
   }
 
   // Whether all that the account's urgent jobs need lies within its guarantee.
@@ -142,9 +146,11 @@
 
   // Workers kept empty for urgent jobs to come.
   int64_t Headroom(const OpenStep& step) const {
-    if (step.urgent() || !planner_.ExpectsUrgent(inputs_.now)) return 0;
-    return static_cast<int64_t>(planner_.settings_.headroom *
-                                static_cast<double>(rooms_.usable_workers()));
+    if (step.urgent()) return 0;
+    if (!planner_.ExpectsUrgent(step.service(), inputs_.now)) return 0;
+    return static_cast<int64_t>(
+        planner_.settings_.headroom *
+        static_cast<double>(rooms_.usable_workers(step.service())));
   }
 
   // How many tasks of the step may start beside what steps of higher priority
@@ -154,16 +160,20 @@
   int64_t AllowedTasks(const OpenStep& step) const {
     const auto waiting = static_cast<int64_t>(step.waiting.size());
     // Where most is idle, it is not these that keep others waiting.
-    if (step.urgent() || rooms_.UsedShare() < kIdleShare) return waiting;
+    const std::string& service = step.service();
+    if (step.urgent() || rooms_.UsedShare(service) < kCrowdedShare) {
+      return waiting;
+    }
     const PlannerSettings& settings = planner_.settings_;
-    const Resources all = rooms_.Capacity();
-    Resources kept = Least(waiting_demand_.Before(step.priority()),
+    const Resources all = rooms_.Capacity(service);
+    Resources kept = Least(waiting_demand_.Before(service, step.priority()),
                            ShareOf(all, settings.most_kept));
     if (kept.IsNothing()) return waiting;
-    if (planner_.ExpectsUrgent(inputs_.now)) {
+    if (planner_.ExpectsUrgent(service, inputs_.now)) {
       kept += ShareOf(all, settings.headroom);
     }
-    return ReservedFor(*step.spec).TimesIn(rooms_.FreeRoom() - kept, waiting);
+    return ReservedFor(*step.spec)
+        .TimesIn(rooms_.FreeRoom(service) - kept, waiting);
   }
 
   bool PlaceSingles(const OpenStep& step, WaitReason* reason) {
@@ -274,8 +284,10 @@
   std::set<TaskRef> stopped_;
 };
 
-bool Planner::ExpectsUrgent(Time now) const {
-  return last_urgent_ != Time{} && now - last_urgent_ < settings_.urgent_memory;
+bool Planner::ExpectsUrgent(const std::string& service, Time now) const {
+  const auto last = last_urgent_.find(service);
+  return last != last_urgent_.end() &&
+         now - last->second < settings_.urgent_memory;
 }
 
 Plan Planner::Decide(const PlanInputs& inputs) {
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -105,11 +105,12 @@
  private:
   class Round;
 
-  // Whether urgent steps came lately.
-  bool ExpectsUrgent(Time now) const;
+  // Whether urgent steps of the service came lately.
+  bool ExpectsUrgent(const std::string& service, Time now) const;
 
   PlannerSettings settings_;
-  Time last_urgent_{};
+  // When urgent steps were seen last, by service.
+  std::map<std::string, Time> last_urgent_;
   std::map<StepRef, RoomReservation> reservations_;
 };
 
--- a/src/libs/workload/waiting_demand.cc
+++ b/src/libs/workload/waiting_demand.cc
@@ -1,15 +1,19 @@
-// Sums by priority.
+// Sums by service and priority.
 #include "workload/waiting_demand.h"
 
 namespace thornplank {
 
-void WaitingDemand::Add(int priority, const Resources& need, int64_t tasks) {
-  by_priority_[priority] += need * tasks;
+void WaitingDemand::Add(const std::string& service, int priority,
+                        const Resources& need, int64_t tasks) {
+  needs_[service][priority] += need * tasks;
 }
 
-Resources WaitingDemand::Before(int priority) const {
+Resources WaitingDemand::Before(const std::string& service,
+                                int priority) const {
   Resources sum;
-  for (const auto& [other, need] : by_priority_) {
+  const auto by_priority = needs_.find(service);
+  if (by_priority == needs_.end()) return sum;
+  for (const auto& [other, need] : by_priority->second) {
     if (other >= priority) break;
     sum += need;
   }
--- a/src/libs/workload/waiting_demand.h
+++ b/src/libs/workload/waiting_demand.h
@@ -1,4 +1,4 @@
-// What steps that found no room need, by priority.
+// What steps that found no room need, by service and priority.
 //
 // Small tasks of low priority fit into every gap, a gang only where much is
 // free at one moment. Were they placed as they fit, gangs before them in line
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "workload/resources.h"
 
@@ -15,12 +16,14 @@
 
 class WaitingDemand {
  public:
-  void Add(int priority, const Resources& need, int64_t tasks);
-  // Of all steps that come before this priority.
-  Resources Before(int priority) const;
+  void Add(const std::string& service, int priority, const Resources& need,
+           int64_t tasks);
+  // Of all steps of the service that come before this priority.
+  Resources Before(const std::string& service, int priority) const;
 
  private:
-  std::map<int, Resources> by_priority_;
+  // By service, then by priority.
+  std::map<std::string, std::map<int, Resources>> needs_;
 };
 
 }  // namespace thornplank
--- a/tests/auto/workload/tst_planner_load.cc
+++ b/tests/auto/workload/tst_planner_load.cc
@@ -124,5 +124,44 @@
   }
 }
 
+// Two services that share no workers, one of them full: what waits there, and
+// the room that its urgent work is given, must keep nothing idle in the other.
+TEST_CASE("a full service keeps nothing from another") {
+  struct Row {
+    const char* name;
+    int waiting_priority;
+    // Tasks of the other service, of half a worker each, that may start.
+    int started;
+  };
+  const std::vector<Row> rows = {
+      {"a gang waits there", 1, 8},
+      {"urgent work waits there", 0, 8},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(1, 4);
+    for (int i = 0; i < 4; ++i) {
+      WorkerRegistration other = MakeWorker("x" + std::to_string(i), "r9");
+      other.service = "letters";
+      world.workers.emplace(other.id, MakeTracker(other));
+    }
+    // Fills the first service by urgent work, which gives way to nobody.
+    world.ledger.Add(MakeJob(Id(1), {Gang(4, 8, true)}, 0), world.now);
+    REQUIRE(world.Round().starts.size() == 1);
+    JobDefinition waiting =
+        MakeJob(Id(2), {Gang(4, 8, true)}, row.waiting_priority);
+    waiting.policy.slack = std::chrono::seconds(60);
+    world.ledger.Add(waiting, world.now);
+    JobDefinition small = MakeJob(Id(3), {MakeStep(8, 4)}, 2);
+    small.policy.service = "letters";
+    world.ledger.Add(small, world.now);
+    size_t started = 0;
+    for (const StartDecision& start : world.Round().starts) {
+      if (start.step.job == Id(3)) started += start.assignments.size();
+    }
+    CHECK(started == static_cast<size_t>(row.started));
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
