A job of which nothing runs gets one task, though gangs wait

By reading: that rule could hold a job back of which nothing runs, at 0.5 and more of the accelerators in use, however few cores are; so the cause is likely, not traced.

Change: a job of which nothing runs gets one task; a gang starts where half of the cores or of the accelerators is free.

Tests: two of tst_planner_load, both fail without.

--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -63,6 +63,9 @@
   ServiceSums& sums = services_[tracker.registration().service];
   sums.total_accelerators += total;
   sums.used_accelerators += total - room.room.accelerators;
+  const int64_t cores = tracker.registration().capacity.cpu_millis;
+  sums.total_cpu_millis += cores;
+  sums.used_cpu_millis += cores - room.room.cpu_millis;
   if (room.usable) ++usable_workers_;
   if (room.usable && tracker.suspect()) ++suspects_;
   if (room.usable) ++sums.usable_workers;
@@ -93,6 +96,14 @@
          static_cast<double>(sums.total_accelerators);
 }
 
+double ClusterRooms::LeastUsedShare(const std::string& service) const {
+  const ServiceSums& sums = SumsOf(service);
+  if (sums.total_cpu_millis == 0) return UsedShare(service);
+  const double cores = static_cast<double>(sums.used_cpu_millis) /
+                       static_cast<double>(sums.total_cpu_millis);
+  return std::min(cores, UsedShare(service));
+}
+
 Resources ClusterRooms::FreeRoom(const std::string& service) const {
   Resources sum;
   for (const WorkerRoom& room : rooms_) {
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -82,6 +82,8 @@
   int64_t UrgentUse(const std::string& account) const;
   // The share of the service's accelerators that is not free.
   double UsedShare(const std::string& service) const;
+  // The same of its cores, where that is less.
+  double LeastUsedShare(const std::string& service) const;
   // Of the workers of the service that may be given new tasks.
   Resources FreeRoom(const std::string& service) const;
   Resources Capacity(const std::string& service) const;
@@ -111,6 +113,8 @@
     int64_t empty_workers = 0;
     int64_t total_accelerators = 0;
     int64_t used_accelerators = 0;
+    int64_t total_cpu_millis = 0;
+    int64_t used_cpu_millis = 0;
   };
 
   void Add(const WorkerTracker& tracker, Time now);
--- a/src/libs/workload/open_step.cc
+++ b/src/libs/workload/open_step.cc
@@ -73,6 +73,15 @@
 
 }  // namespace
 
+bool OpenStep::job_runs() const {
+  for (const auto& steps : job->occurrences) {
+    for (const StepProgress& progress : steps) {
+      if (progress.active() > 0) return true;
+    }
+  }
+  return false;
+}
+
 std::vector<OpenStep> CollectOpenSteps(const JobLedger& ledger, WallTime now) {
   std::vector<OpenStep> open;
   for (const auto& [id, job] : ledger.jobs()) {
--- a/src/libs/workload/open_step.h
+++ b/src/libs/workload/open_step.h
@@ -23,6 +23,8 @@
 
   int priority() const { return job->spec.policy.priority; }
   bool urgent() const { return priority() == 0; }
+  // Something of its job runs already.
+  bool job_runs() const;
   const std::string& service() const { return job->spec.policy.service; }
 };
 
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -16,8 +16,8 @@
 
 // Below this use, no start keeps anybody else waiting.
 constexpr double kIdleShare = 0.45;
-// Above this use steps give way to those before them in line. A step that waits
-// while less than half of its service is in use is one that is not served.
+// Above this use steps give way to those before them in line. A job of which
+// nothing runs, while less than half of its service is in use, is not served.
 constexpr double kCrowdedShare = 0.5;
 
 }  // namespace
@@ -164,6 +164,9 @@
     if (step.urgent() || rooms_.UsedShare(service) < kCrowdedShare) {
       return waiting;
     }
+    // Which resource the half is of is not said; a gang is all or nothing.
+    const bool idle = rooms_.LeastUsedShare(service) < kCrowdedShare;
+    if (step.spec->gang && idle) return waiting;
     const PlannerSettings& settings = planner_.settings_;
     const Resources all = rooms_.Capacity(service);
     Resources kept = Least(waiting_demand_.Before(service, step.priority()),
@@ -172,8 +175,12 @@
     if (planner_.ExpectsUrgent(service, inputs_.now)) {
       kept += ShareOf(all, settings.headroom);
     }
-    return ReservedFor(*step.spec)
-        .TimesIn(rooms_.FreeRoom(service) - kept, waiting);
+    const int64_t allowed =
+        ReservedFor(*step.spec)
+            .TimesIn(rooms_.FreeRoom(service) - kept, waiting);
+    // Any job goes on with one task at a time at least, where that fits.
+    if (allowed <= 0 && !step.spec->gang && !step.job_runs()) return 1;
+    return allowed;
   }
 
   bool PlaceSingles(const OpenStep& step, WaitReason* reason) {
--- a/tests/auto/workload/tst_planner_load.cc
+++ b/tests/auto/workload/tst_planner_load.cc
@@ -124,6 +124,38 @@
   }
 }
 
+// A job of which nothing runs, while most is free, is one that nobody serves:
+// gangs that cannot start may slow it, not stop it.
+TEST_CASE("a job gets one task though gangs wait for the room") {
+  Backlog backlog(1000);
+  JobDefinition gangs = MakeJob(Id(2), {Gang(100, 8, false)}, 1);
+  gangs.policy.slack = std::chrono::seconds(600);
+  backlog.world.ledger.Add(gangs, backlog.world.now);
+  for (int i = 0; i < 10; ++i) backlog.Turn(Id(2));
+  backlog.world.ledger.Add(MakeJob(Id(3), {MakeStep(5, 1)}, 2),
+                           backlog.world.now);
+  CHECK(backlog.Turn(Id(3)));
+  const Job* job = backlog.world.ledger.Find(Id(3));
+  CHECK(job->occurrences[0][0].active() == 1);
+}
+
+// Where cores are scarce, few accelerators are in use, and the other way round.
+TEST_CASE("gangs start in a service of which one resource is mostly free") {
+  World world(1, 4);
+  StepSpec held = MakeStep(4, 6);
+  held.need.cpu_millis = 1000;
+  world.ledger.Add(MakeJob(Id(1), {held}, 0), world.now);
+  REQUIRE(world.Round().starts.size() == 1);
+  // Waits for a rack that is not there, and keeps the rest.
+  JobDefinition gangs = MakeJob(Id(2), {Gang(100, 8, false)}, 1);
+  gangs.policy.slack = std::chrono::seconds(600);
+  world.ledger.Add(gangs, world.now);
+  world.ledger.Add(MakeJob(Id(3), {Gang(2, 1, false)}, 2), world.now);
+  const Plan plan = world.Round();
+  REQUIRE(plan.starts.size() == 1);
+  CHECK(plan.starts[0].step.job == Id(3));
+}
+
 // Two services that share no workers, one of them full: what waits there, and
 // the room that its urgent work is given, must keep nothing idle in the other.
 TEST_CASE("a full service keeps nothing from another") {
