The review of runs and the sending of starts get places of their own

Which runs should stop is a decision without I/O and stood in the carrier.

No decision changes: the tests of the fleet are untouched, tst_run_review adds eight rows.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -11,19 +11,15 @@
 namespace {
 
 constexpr char kOtherLife[] = "another life answers at its address";
-constexpr char kNoProgress[] = "makes no progress";
-constexpr int kWholeWork = 100;
-// Sound workers differ by 0.8 to 1.25, slowed ones run at a quarter and less.
-constexpr double kSlowSpeed = 0.4;
-// A run is moved when it would end this many times sooner elsewhere, a stop and
-// a start included.
-constexpr int kMoveGain = 2;
-// Of one start order. Where a third of all orders gets no answer, one in 30
-// gets none three times.
-constexpr int kMostCopies = 3;
 // Time between two reads of the directory that counts as an outage.
 constexpr Milliseconds kContactGap{2500};
 
+StartSenderSettings SenderFor(const WorkerBounds& bounds) {
+  StartSenderSettings settings;
+  settings.repeats_for = bounds.start_term() / 2;
+  return settings;
+}
+
 Time Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -34,6 +30,8 @@
       formats_(formats),
       settings_(settings),
       handlers_(std::move(handlers)),
+      review_({settings.bounds}),
+      starts_(calls, SenderFor(settings.bounds)),
       paces_(calls, settings.epoch, settings.call_timeout,
              {[this](const std::string& id) { return Find(id); },
               [this] { handlers_.on_fenced(); }}) {}
@@ -155,80 +153,51 @@
   order.epoch = settings_.epoch;
   tracked->resumed = !fields.checkpoint.empty();
   tracker->OnStartSent(task, run, order.deadline, now);
-  SendOrder({worker, std::move(order), now, 0});
-}
-
-void WorkerFleet::SendOrder(SentStart start) {
-  ++start.copies;
-  const WorkerAddress address{start.worker,
-                              Find(start.worker)->registration().address};
-  const StartOrder order = start.order;
-  calls_.Start(address, order, settings_.order_timeout,
-               [this, alive = alive_,
-                start = std::move(start)](const StartAnswer& answer) {
-                 if (*alive) OnStartAnswer(start, answer);
-               });
+  StartSender::Handlers handlers;
+  handlers.may_repeat = [this, worker, task, run] {
+    return MayRepeatStart(worker, task, run);
+  };
+  handlers.done = [this, worker, task, run](const StartResult& result) {
+    OnStartResult(worker, task, run, result);
+  };
+  starts_.Send({worker, tracker->registration().address}, order,
+               std::move(handlers));
 }
 
-bool WorkerFleet::MayRepeat(const SentStart& start, Time now) {
-  WorkerTracker* tracker = Find(start.worker);
-  const TrackedRun* run = tracker->Find(start.order.task);
-  return run != nullptr && run->run == start.order.run && !run->stop_wanted &&
-         run->stage == RunStage::kSending && may_renew_ &&
-         start.copies < kMostCopies &&
-         now - start.first_sent < settings_.bounds.start_term() / 2;
+// Nothing of the run is known, and it is still wanted.
+bool WorkerFleet::MayRepeatStart(const std::string& worker, const TaskRef& task,
+                                 int run) {
+  WorkerTracker* tracker = Find(worker);
+  const TrackedRun* tracked =
+      tracker == nullptr ? nullptr : tracker->Find(task);
+  return tracked != nullptr && tracked->run == run && !tracked->stop_wanted &&
+         tracked->stage == RunStage::kSending && may_renew_;
 }
 
-// A worker begins a run once, however many orders for it arrive, and none after
-// the deadline that all of them carry. So an order without an answer is sent
-// again, and what is said of a later one settles nothing of the first.
-void WorkerFleet::OnStartAnswer(const SentStart& start,
-                                const StartAnswer& answer) {
-  WorkerTracker* tracker = Find(start.worker);
+void WorkerFleet::OnStartResult(const std::string& worker, const TaskRef& task,
+                                int run, const StartResult& result) {
+  WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr) return;
   const Time now = Now();
-  const TaskRef& task = start.order.task;
-  const int run = start.order.run;
-  StartOutcome outcome = answer.outcome;
-  if (outcome == StartOutcome::kNoAnswer && MayRepeat(start, now)) {
-    LogEvent(events::kStartRepeated, answer.error,
-             {{"task", task.ToString()},
-              {"run", run},
-              {"worker", start.worker},
-              {"copies", start.copies}});
-    return SendOrder(start);
-  }
-  const bool refused = outcome == StartOutcome::kRefused ||
-                       outcome == StartOutcome::kTicketRefused ||
-                       outcome == StartOutcome::kFenced;
-  if (refused && start.copies > 1) outcome = StartOutcome::kNoAnswer;
-  if (outcome != StartOutcome::kAccepted) {
-    const Event& event = outcome == StartOutcome::kNoAnswer
-                             ? events::kStartUndecided
-                             : events::kStartRefused;
-    LogEvent(
-        event, answer.error,
-        {{"task", task.ToString()}, {"run", run}, {"copies", start.copies}});
-  }
-  if (outcome == StartOutcome::kRefused) {
+  if (result.outcome == StartOutcome::kRefused) {
     tracker->OnRunFailed(task.step.job, now);
   }
-  if (answer.outcome == StartOutcome::kTicketRefused) {
-    handlers_.on_ticket_refused(task.step, start.worker);
+  if (result.last_answer == StartOutcome::kTicketRefused) {
+    handlers_.on_ticket_refused(task.step, worker);
   }
-  if (answer.outcome == StartOutcome::kFenced) handlers_.on_fenced();
-  if (outcome == StartOutcome::kOtherLife) {
-    return Bury(start.worker, kOtherLife);
+  if (result.last_answer == StartOutcome::kFenced) handlers_.on_fenced();
+  if (result.outcome == StartOutcome::kOtherLife) {
+    return Bury(worker, kOtherLife);
   }
-  Deliver(start.worker, tracker->OnStartAnswer(task, run, outcome, now));
-  Link& link = links_[start.worker];
-  // The report that is under way may answer only when half of the lease
-  // is gone.
+  Deliver(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
+  Link& link = links_[worker];
+  // The report that is under way may answer only when half of the lease is
+  // gone.
   const Milliseconds thin = settings_.bounds.lease_term() / 2;
   if (link.reporting && link.leased_until < now + thin && !link.extra_report) {
-    return Report(start.worker, Milliseconds(0), /*extra=*/true);
+    return Report(worker, Milliseconds(0), /*extra=*/true);
   }
-  Drive(start.worker, now);
+  Drive(worker, now);
 }
 
 void WorkerFleet::RequestStop(const std::string& worker, const TaskRef& task,
@@ -260,7 +229,7 @@
   for (const auto& [id, tracker] : trackers_) {
     ids.push_back(id);
   }
-  speeds_.Forget(now);
+  review_.Forget(now);
   for (const std::string& id : ids) {
     Judge(id, now);
     if (Find(id) == nullptr) continue;
@@ -371,7 +340,7 @@
     tracker->Find(run.task)->stage = RunStage::kRunning;
     RequestStop(id, run.task, run.run, "not in force");
   }
-  ObserveSpeeds(tracker, now);
+  review_.Observe(tracker, now);
   paces_.OnReport(tracker, now);
   Deliver(id, ends);
   if (first || !ends.empty()) handlers_.on_change();
@@ -452,50 +421,9 @@
       return;
     }
   }
-  JudgeRuns(tracker, now);
-}
-
-void WorkerFleet::JudgeRuns(WorkerTracker* tracker, Time now) {
-  const std::string id = tracker->id();
-  tracker->set_speed(speeds_.speed(id, now));
-  std::vector<std::pair<const TrackedRun*, std::string>> stops;
-  bool stalled = false;
-  for (const auto& [task, run] : tracker->runs()) {
-    if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
-    if (run.profile.long_running) continue;
-    std::string reason = ReasonToStop(*tracker, run, now);
-    if (reason.empty()) continue;
-    stalled = stalled || reason == kNoProgress;
-    stops.emplace_back(&run, std::move(reason));
+  for (const RunVerdict& verdict : review_.Judge(tracker, now)) {
+    RequestStop(id, verdict.task, verdict.run, verdict.reason);
   }
-  if (stalled) tracker->OnRunStalled(now);
-  for (const auto& [run, reason] : stops) {
-    RequestStop(id, run->task, run->run, reason);
-  }
-}
-
-std::string WorkerFleet::ReasonToStop(const WorkerTracker& tracker,
-                                      const TrackedRun& run, Time now) const {
-  // A member that has done its work waits for the rest of its gang.
-  const bool waits = run.profile.gang && run.percent >= kWholeWork;
-  if (waits) return "";
-  if (tracker.reachable() && now - run.progressed > settings_.stall_after) {
-    return kNoProgress;
-  }
-  const Duration left = run.remaining(now);
-  if (tracker.registration().draining && run.profile.checkpointable &&
-      left > tracker.registration().drain_left) {
-    return "worker leaves";
-  }
-  const Duration sound = speeds_.SoundDuration(run.task.step);
-  if (left == Duration::max() || sound == Duration::zero()) return "";
-  if (tracker.speed() > kSlowSpeed) return "";
-  Duration elsewhere = sound;
-  if (run.profile.checkpointable) {
-    elsewhere = sound * (kWholeWork - run.percent) / kWholeWork;
-  }
-  const Duration moved = elsewhere * kMoveGain + settings_.bounds.move_cost();
-  return left > moved ? "slow worker" : "";
 }
 
 bool WorkerFleet::IsNear(const std::string& worker,
@@ -505,18 +433,6 @@
   return it != trackers_.end() && it->second.registration().rack == rack;
 }
 
-void WorkerFleet::ObserveSpeeds(WorkerTracker* tracker, Time now) {
-  for (const auto& [task, run] : tracker->runs()) {
-    if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
-    // Standing at the end says nothing of how long it took to get there.
-    if (run.percent >= kWholeWork || run.rate() <= 0) continue;
-    const bool near = IsNear(tracker->id(), run.profile.data_rack);
-    speeds_.Observe(tracker->id(), task.step, run.rate(),
-                    near ? 1 : settings_.bounds.far_slowdown, now);
-  }
-  tracker->set_speed(speeds_.speed(tracker->id(), now));
-}
-
 void WorkerFleet::Bury(const std::string& id, const std::string& reason) {
   if (!dead_.insert(id).second) return;
   links_[id].missing_since = Now();
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -15,9 +15,10 @@
 #include "base/time.h"
 #include "coordination/formats.h"
 #include "coordination/pace_keeper.h"
+#include "coordination/start_sender.h"
 #include "coordination/worker_calls.h"
 #include "workload/departure_watch.h"
-#include "workload/speed_book.h"
+#include "workload/run_review.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -27,10 +28,6 @@
   int64_t epoch = 0;
   WorkerBounds bounds;
   Milliseconds call_timeout{900};
-  // A start that is not answered by then is sent again. Answers take 2 ms in a
-  // zone and 0.1 s between regions; a gang of which one member has not begun
-  // loses 2 s.
-  Milliseconds order_timeout{250};
   // How long a report waits for an end; workers allow 2 s at most.
   Milliseconds report_wait{1900};
   // The same where tasks that fill may disturb tasks that serve: their tails
@@ -44,9 +41,6 @@
   // The first report after a start: early enough to move an urgent task off a
   // slow worker in time, late enough for a few percent of progress.
   Milliseconds first_report{700};
-  // A run whose percentage stands still for longer is stopped: the slowest
-  // seen, 6.5 times slowed and far from its data, moves every 2.2 s.
-  Milliseconds stall_after{5000};
 };
 
 class WorkerFleet {
@@ -122,17 +116,9 @@
     DepartureWatch departure;
   };
 
-  // A start order that is on its way, maybe more than once.
-  struct SentStart {
-    std::string worker;
-    StartOrder order;
-    Time first_sent{};
-    int copies = 0;
-  };
-
-  void SendOrder(SentStart start);
-  bool MayRepeat(const SentStart& start, Time now);
-  void OnStartAnswer(const SentStart& start, const StartAnswer& answer);
+  bool MayRepeatStart(const std::string& worker, const TaskRef& task, int run);
+  void OnStartResult(const std::string& worker, const TaskRef& task, int run,
+                     const StartResult& result);
   void OnEntryRemoved(const std::string& id, Time now);
   void OnEntryUnreadable(const std::string& id, Time now);
   void Drive(const std::string& id, Time now);
@@ -144,11 +130,6 @@
   void Judge(const std::string& id, Time now);
   // The life is proved to be over for good.
   void Bury(const std::string& id, const std::string& reason);
-  void JudgeRuns(WorkerTracker* tracker, Time now);
-  // Why a run should be stopped, "" when it should go on.
-  std::string ReasonToStop(const WorkerTracker& tracker, const TrackedRun& run,
-                           Time now) const;
-  void ObserveSpeeds(WorkerTracker* tracker, Time now);
   bool Lose(const std::string& id, const std::string& reason);
   WorkerTracker* Find(const std::string& id);
 
@@ -164,7 +145,8 @@
   // Since when the directory has answered without a gap.
   Time contact_since_{};
   Time contact_{};
-  SpeedBook speeds_;
+  RunReview review_;
+  StartSender starts_;
   PaceKeeper paces_;
   // Callbacks of calls that outlive this object do nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/libs/workload/run_review.cc
@@ -0,0 +1,74 @@
+// Progress against time, siblings and what the worker announces.
+#include "workload/run_review.h"
+
+#include <utility>
+
+namespace thornplank {
+namespace {
+
+constexpr char kNoProgress[] = "makes no progress";
+constexpr int kWholeWork = 100;
+// Sound workers differ by 0.8 to 1.25, slowed ones run at a quarter and less.
+constexpr double kSlowSpeed = 0.4;
+// A run is moved when it would end this many times sooner elsewhere, a stop and
+// a start included.
+constexpr int kMoveGain = 2;
+
+}  // namespace
+
+void RunReview::Observe(WorkerTracker* worker, Time now) {
+  const WorkerRegistration& registration = worker->registration();
+  for (const auto& [task, run] : worker->runs()) {
+    if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
+    // Standing at the end says nothing of how long it took to get there.
+    if (run.percent >= kWholeWork || run.rate() <= 0) continue;
+    const std::string& data_rack = run.profile.data_rack;
+    const bool near = data_rack.empty() || registration.rack == data_rack;
+    speeds_.Observe(registration.id, task.step, run.rate(),
+                    near ? 1 : settings_.bounds.far_slowdown, now);
+  }
+  worker->set_speed(speeds_.speed(registration.id, now));
+}
+
+std::vector<RunVerdict> RunReview::Judge(WorkerTracker* worker,
+                                         Time now) const {
+  worker->set_speed(speeds_.speed(worker->id(), now));
+  std::vector<RunVerdict> verdicts;
+  bool stalled = false;
+  for (const auto& [task, run] : worker->runs()) {
+    if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
+    if (run.profile.long_running) continue;
+    std::string reason = ReasonToStop(*worker, run, now);
+    if (reason.empty()) continue;
+    stalled = stalled || reason == kNoProgress;
+    verdicts.push_back({task, run.run, std::move(reason)});
+  }
+  if (stalled) worker->OnRunStalled(now);
+  return verdicts;
+}
+
+std::string RunReview::ReasonToStop(const WorkerTracker& worker,
+                                    const TrackedRun& run, Time now) const {
+  // A member that has done its work waits for the rest of its gang.
+  const bool waits = run.profile.gang && run.percent >= kWholeWork;
+  if (waits) return "";
+  if (worker.reachable() && now - run.progressed > settings_.stall_after) {
+    return kNoProgress;
+  }
+  const Duration left = run.remaining(now);
+  if (worker.registration().draining && run.profile.checkpointable &&
+      left > worker.registration().drain_left) {
+    return "worker leaves";
+  }
+  const Duration sound = speeds_.SoundDuration(run.task.step);
+  if (left == Duration::max() || sound == Duration::zero()) return "";
+  if (worker.speed() > kSlowSpeed) return "";
+  Duration elsewhere = sound;
+  if (run.profile.checkpointable) {
+    elsewhere = sound * (kWholeWork - run.percent) / kWholeWork;
+  }
+  const Duration moved = elsewhere * kMoveGain + settings_.bounds.move_cost();
+  return left > moved ? "slow worker" : "";
+}
+
+}  // namespace thornplank
--- /dev/null
+++ b/tests/auto/workload/tst_run_review.cc
@@ -0,0 +1,99 @@
+// Which runs are told to stop, and which go on.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "workload/run_review.h"
+#include "workload_fixtures.h"
+
+namespace thornplank::testing {
+namespace {
+
+const TaskRef kTask{{"0123456789abcdef", 0, 0}, 0};
+const TaskRef kSibling{{"0123456789abcdef", 0, 0}, 1};
+
+// A worker with one run that begins at once.
+WorkerTracker Running(const std::string& id, const TaskRef& task,
+                      const RunProfile& profile) {
+  WorkerTracker worker = MakeTracker(MakeWorker(id, "r0"));
+  worker.Add(task, 1, profile, At(0));
+  worker.OnStartAnswer(task, 1, StartOutcome::kAccepted, At(0));
+  return worker;
+}
+
+void Report(WorkerTracker* worker, const TaskRef& task, int percent,
+            int64_t when) {
+  WorkerStatusReport report;
+  report.running.push_back({task, 1, "", percent});
+  std::vector<RunReport> unexpected;
+  worker->OnReport(report, At(when), At(when), &unexpected);
+}
+
+TEST_CASE("a run stops for what it or its worker shows") {
+  struct Row {
+    const char* name;
+    bool gang;
+    bool long_running;
+    bool checkpointable;
+    int percent;
+    // Of its sibling on another worker, after as long; none if zero.
+    int sibling_percent;
+    bool draining;
+    // Since the report.
+    int64_t later;
+    std::string reason;
+  };
+  const std::vector<Row> rows = {
+      {"works", false, false, false, 20, 0, false, 1000, ""},
+      {"stands still", false, false, false, 20, 0, false, 5001,
+       "makes no progress"},
+      {"a member that is done waits", true, false, false, 100, 0, false, 9000,
+       ""},
+      {"a task that lasts has no end", false, true, false, 20, 0, false, 9000,
+       ""},
+      {"its worker leaves, its work is saved", false, false, true, 20, 0, true,
+       100, "worker leaves"},
+      {"its worker leaves, nothing is saved", false, false, false, 20, 0, true,
+       100, ""},
+      {"slower than its sibling by 5", false, false, false, 10, 50, false, 100,
+       "slow worker"},
+      {"slower than its sibling by a quarter", false, false, false, 40, 50,
+       false, 100, ""},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RunReview review{RunReviewSettings()};
+    RunProfile profile;
+    profile.gang = row.gang;
+    profile.long_running = row.long_running;
+    profile.checkpointable = row.checkpointable;
+    WorkerTracker worker = Running("w1", kTask, profile);
+    Report(&worker, kTask, row.percent, 2000);
+    review.Observe(&worker, At(2000));
+    if (row.sibling_percent > 0) {
+      WorkerTracker sibling = Running("w2", kSibling, profile);
+      Report(&sibling, kSibling, row.sibling_percent, 2000);
+      review.Observe(&sibling, At(2000));
+      review.Observe(&worker, At(2000));
+    }
+    if (row.draining) {
+      WorkerRegistration leaving = MakeWorker("w1", "r0");
+      leaving.draining = true;
+      leaving.drain_left = Milliseconds(500);
+      worker.Update(leaving);
+    }
+    const std::vector<RunVerdict> verdicts =
+        review.Judge(&worker, At(2000 + row.later));
+    REQUIRE(verdicts.size() == (row.reason.empty() ? 0 : 1));
+    if (verdicts.empty()) continue;
+    CHECK(verdicts[0].task == kTask);
+    CHECK(verdicts[0].run == 1);
+    CHECK(verdicts[0].reason == row.reason);
+    const bool stalled = row.reason == "makes no progress";
+    CHECK(worker.Quarantined(At(2000 + row.later)) == stalled);
+  }
+}
+
+}  // namespace
+}  // namespace thornplank::testing
