--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -1,7 +1,9 @@
 // Gauges are worked out when they are read.
 #include "coordination/cluster_gauges.h"
 
+#include <map>
 #include <string>
+#include <vector>
 
 #include "coordination/cluster_coordinator.h"
 #include "coordination/job_board.h"
@@ -60,6 +62,24 @@
   return static_cast<double>(held);
 }
 
+std::vector<MetricsRegistry::GaugeRow> WorkersByBelief(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  const Time now = std::chrono::steady_clock::now();
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const MetricLabels labels = {
+        {"service", tracker.registration().service},
+        {"belief", std::string(ToText(tracker.belief(now)))}};
+    ++counts[labels];
+  }
+  std::vector<MetricsRegistry::GaugeRow> rows;
+  for (const auto& [labels, count] : counts) {
+    rows.push_back({labels, count});
+  }
+  return rows;
+}
+
 void AddLeadGauges(const ClusterCoordinator& coordinator,
                    MetricsRegistry& metrics) {
   metrics.AddGauge("thornplank_is_leader", "1 while this entry leads.", {},
@@ -73,6 +93,17 @@
         return fleet == nullptr ? 0.0
                                 : static_cast<double>(fleet->trackers().size());
       });
+  metrics.AddGauges("thornplank_workers_by_belief",
+                    "The same by service and by whether they may be given "
+                    "tasks, or why not.",
+                    [&] { return WorkersByBelief(coordinator); });
+  metrics.AddGauge(
+      "thornplank_directory_entries_refused",
+      "Entries of the directory that name no worker to use.", {}, [&] {
+        const WorkerFleet* fleet = coordinator.fleet();
+        return fleet == nullptr ? 0.0
+                                : static_cast<double>(fleet->refused_entries());
+      });
 }
 
 }  // namespace
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -49,9 +49,10 @@
   std::optional<WorkerRegistration> registration =
       formats_.ReadWorker(record, &error);
   if (!registration) {
-    LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
+    refused_.Note(record.key, error);
     return OnEntryUnreadable(record.key, now);
   }
+  refused_.Forget(record.key);
   const std::string id = registration->id;
   if (dead_.count(id) > 0) return;
   WorkerTracker* tracker = Find(id);
@@ -79,6 +80,7 @@
 }
 
 void WorkerFleet::OnEntryRemoved(const std::string& id, Time now) {
+  refused_.Forget(id);
   if (Find(id) == nullptr) return;
   Link& link = links_[id];
   link.missing_since = now;
@@ -100,6 +102,7 @@
 
 void WorkerFleet::OnDirectorySnapshot(const std::set<std::string>& ids,
                                       Time now) {
+  refused_.Keep(ids);
   for (const auto& [id, tracker] : trackers_) {
     if (ids.count(id) > 0) continue;
     Link& link = links_[id];
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "coordination/formats.h"
 #include "coordination/pace_keeper.h"
+#include "coordination/refused_entries.h"
 #include "coordination/start_sender.h"
 #include "coordination/worker_calls.h"
 #include "workload/departure_watch.h"
@@ -76,6 +77,9 @@
     return trackers_;
   }
 
+  // Entries of the directory that name no worker to use.
+  size_t refused_entries() const { return refused_.size(); }
+
   // Whether the worker stands on that rack; true for no rack.
   bool IsNear(const std::string& worker, const std::string& rack) const;
 
@@ -141,6 +145,7 @@
   std::map<std::string, Link> links_;
   // Lives that are proved to be over; the directory may list them for a while.
   std::set<std::string> dead_;
+  RefusedEntries refused_;
   bool may_renew_ = true;
   // Since when the directory has answered without a gap.
   Time contact_since_{};
--- a/src/libs/metrics/metrics_registry.cc
+++ b/src/libs/metrics/metrics_registry.cc
@@ -241,6 +241,7 @@
     std::map<MetricLabels, std::unique_ptr<Summary>> summaries;
     std::map<MetricLabels, std::unique_ptr<Histogram>> histograms;
     std::map<MetricLabels, std::function<double()>> gauges;
+    std::function<std::vector<GaugeRow>()> gauge_rows;
   };
 
   Family& family(const std::string& name, const std::string& help,
@@ -286,6 +287,13 @@
   impl_->family(name, help, "gauge").gauges[labels] = std::move(read);
 }
 
+void MetricsRegistry::AddGauges(const std::string& name,
+                                const std::string& help,
+                                std::function<std::vector<GaugeRow>()> read) {
+  const std::lock_guard<std::mutex> lock(impl_->mutex);
+  impl_->family(name, help, "gauge").gauge_rows = std::move(read);
+}
+
 Histogram& MetricsRegistry::histogram(const std::string& name,
                                       const std::string& help,
                                       const MetricLabels& labels) {
@@ -315,6 +323,12 @@
     for (const auto& [labels, read] : family.gauges) {
       text << name << LabelText(labels) << ' ' << NumberText(read()) << '\n';
     }
+    if (family.gauge_rows) {
+      for (const GaugeRow& row : family.gauge_rows()) {
+        text << name << LabelText(row.labels) << ' ' << NumberText(row.value)
+             << '\n';
+      }
+    }
     for (const auto& [labels, summary] : family.summaries) {
       WriteSummary(name, labels, *summary, text);
     }
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -49,9 +49,7 @@
   WorkerRoom room;
   room.tracker = &tracker;
   room.room = tracker.room();
-  room.usable = tracker.synchronized() && tracker.reachable() &&
-                !tracker.missing() && !tracker.registration().draining &&
-                !tracker.Quarantined(now);
+  room.usable = tracker.belief(now) == WorkerBelief::kUsable;
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) room.coming += profile.need;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -107,6 +107,11 @@
 
   void Wait(const OpenStep& step, WaitReason reason) {
     WaitDecision wait{step.ref, reason, {}};
+    if (rooms_.usable_workers(step.service()) == 0) {
+      wait.reason = WaitReason::kNoUsableWorker;
+      plan_.waits.push_back(std::move(wait));
+      return;
+    }
     const bool advised = step.job->spec.policy.advice.has_value();
     if (advised && reason != WaitReason::kRoomIsMade) {
       wait.reason = WaitReason::kNoAdvice;
@@ -303,6 +308,8 @@
 
 std::string_view ToText(WaitReason reason) {
   switch (reason) {
+    case WaitReason::kNoUsableWorker:
+      return "no usable worker";
     case WaitReason::kNoRoom:
       return "no room";
     case WaitReason::kNoRoomNearData:
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -60,6 +60,8 @@
 
 // Why a step with tasks whose turn has come is not placed, or not wholly.
 enum class WaitReason {
+  // The service has no worker that may be given tasks.
+  kNoUsableWorker,
   kNoRoom,
   kNoRoomNearData,
   kNoRoomOnOneRack,
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -225,6 +225,14 @@
 
 void WorkerTracker::OnNoReport(Time) { ++failed_reports_; }
 
+WorkerBelief WorkerTracker::belief(Time now) const {
+  if (!synchronized()) return WorkerBelief::kNotHeardYet;
+  if (!reachable()) return WorkerBelief::kSilent;
+  if (missing()) return WorkerBelief::kNotListed;
+  if (registration_.draining) return WorkerBelief::kLeaving;
+  return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
+}
+
 std::vector<RunEndReport> WorkerTracker::OnGone() {
   std::vector<RunEndReport> ended;
   for (const auto& [task, run] : runs_) {
@@ -261,6 +269,24 @@
   quarantined_until_ = now + kQuarantine;
 }
 
+std::string_view ToText(WorkerBelief belief) {
+  switch (belief) {
+    case WorkerBelief::kUsable:
+      return "usable";
+    case WorkerBelief::kNotHeardYet:
+      return "not heard yet";
+    case WorkerBelief::kSilent:
+      return "silent";
+    case WorkerBelief::kNotListed:
+      return "not listed";
+    case WorkerBelief::kLeaving:
+      return "leaving";
+    case WorkerBelief::kQuarantined:
+      return "quarantined";
+  }
+  return "unknown";
+}
+
 void WorkerTracker::Erase(std::map<TaskRef, TrackedRun>::iterator run) {
   used_ -= run->second.profile.need;
   runs_.erase(run);
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -101,6 +102,22 @@
   kOtherLife,
 };
 
+// Whether a worker may be given tasks, and if not, why.
+enum class WorkerBelief {
+  kUsable,
+  // No report has come since this process leads.
+  kNotHeardYet,
+  // Its reports have no answer.
+  kSilent,
+  // The directory lists it no more, or with an entry that cannot be read.
+  kNotListed,
+  kLeaving,
+  // It failed what it was given.
+  kQuarantined,
+};
+
+std::string_view ToText(WorkerBelief belief);
+
 class WorkerTracker {
  public:
   explicit WorkerTracker(WorkerRegistration registration);
@@ -153,6 +170,7 @@
   // predecessor can begin anything there.
   bool synchronized() const { return synchronized_; }
   bool reachable() const { return failed_reports_ == 0; }
+  WorkerBelief belief(Time now) const;
   int failed_reports() const { return failed_reports_; }
   // All leases have ended, whatever was carried out.
   bool LeasesOver(Time now) const { return now > lease_bound_; }
--- a/tests/auto/metrics/tst_metrics_registry.cc
+++ b/tests/auto/metrics/tst_metrics_registry.cc
@@ -33,6 +33,19 @@
         std::string::npos);
 }
 
+TEST_CASE("gauges whose labels change are made anew for each text") {
+  MetricsRegistry registry;
+  std::vector<MetricsRegistry::GaugeRow> rows;
+  registry.AddGauges("workers", "Workers.", [&rows] { return rows; });
+  CHECK(registry.ToText() == "# HELP workers Workers.\n# TYPE workers gauge\n");
+  rows = {{{{"belief", "silent"}}, 2}, {{{"belief", "usable"}}, 7}};
+  CHECK(registry.ToText() ==
+        "# HELP workers Workers.\n"
+        "# TYPE workers gauge\n"
+        "workers{belief=\"silent\"} 2\n"
+        "workers{belief=\"usable\"} 7\n");
+}
+
 TEST_CASE("a summary gives count, sum and quantiles") {
   Summary summary;
   CHECK(summary.quantile(0.5) == Duration::zero());
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -62,29 +62,32 @@
 TEST_CASE("workers that must get nothing get nothing") {
   struct Row {
     const char* name;
+    WorkerBelief belief;
     std::function<void(WorkerTracker*)> change;
   };
   const std::vector<Row> rows = {
-      {"leaving",
+      {"leaving", WorkerBelief::kLeaving,
        [](WorkerTracker* worker) {
          WorkerRegistration registration = worker->registration();
          registration.draining = true;
          worker->Update(registration);
        }},
-      {"not listed", [](WorkerTracker* worker) { worker->MarkMissing(At(0)); }},
-      {"silent", [](WorkerTracker* worker) { worker->OnNoReport(At(0)); }},
-      {"failing",
+      {"not listed", WorkerBelief::kNotListed,
+       [](WorkerTracker* worker) { worker->MarkMissing(At(0)); }},
+      {"silent", WorkerBelief::kSilent,
+       [](WorkerTracker* worker) { worker->OnNoReport(At(0)); }},
+      {"failing", WorkerBelief::kQuarantined,
        [](WorkerTracker* worker) {
          worker->OnRunFailed("a", At(0));
          worker->OnRunFailed("b", At(0));
        }},
-      {"of another service",
+      {"of another service", WorkerBelief::kUsable,
        [](WorkerTracker* worker) {
          WorkerRegistration registration = worker->registration();
          registration.service = "other";
          worker->Update(registration);
        }},
-      {"not heard under this epoch",
+      {"not heard under this epoch", WorkerBelief::kNotHeardYet,
        [](WorkerTracker* worker) {
          *worker = WorkerTracker(worker->registration());
        }},
@@ -92,9 +95,15 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     World world(1, 1);
-    row.change(&world.workers.begin()->second);
+    WorkerTracker& worker = world.workers.begin()->second;
+    row.change(&worker);
+    CHECK(worker.belief(world.now) == row.belief);
     world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
-    CHECK(world.Round().starts.empty());
+    const Plan plan = world.Round();
+    CHECK(plan.starts.empty());
+    // Somebody who waits in vain hears that it is not for want of room.
+    REQUIRE(plan.waits.size() == 1);
+    CHECK(plan.waits[0].reason == WaitReason::kNoUsableWorker);
   }
 }
 
--- a/tests/standins/standin_config.cc
+++ b/tests/standins/standin_config.cc
@@ -122,8 +122,12 @@
          std::to_string(endpoint->port() + index);
 }
 
+// Platforms name a failure domain for every instance, so a group without any
+// stands in one.
+constexpr char kOnlyDomain[] = "a";
+
 std::string DomainAt(const std::vector<std::string>& domains, int64_t index) {
-  if (domains.empty()) return "";
+  if (domains.empty()) return kOnlyDomain;
   return domains[static_cast<size_t>(index) % domains.size()];
 }
 
--- a/tests/standins/tst_standin.cc
+++ b/tests/standins/tst_standin.cc
@@ -389,6 +389,31 @@
   }
 }
 
+TEST_CASE("config: every instance stands in a failure domain") {
+  struct Row {
+    Json domains;
+    std::vector<std::string> expected;
+  };
+  const std::vector<Row> rows = {
+      {Json::array(), {"a", "a"}},
+      {{"north"}, {"north", "north"}},
+      {{"north", "south"}, {"north", "south"}},
+  };
+  for (const Row& row : rows) {
+    const Json group = {
+        {"name_prefix", "u"},  {"count", 2},
+        {"racks_of", 1},       {"first_address", "127.0.0.1:1000"},
+        {"service", "claims"}, {"failure_domains", row.domains}};
+    const auto config = ParseStandinConfig({{"users_executors", {group}}},
+                                           /*error=*/nullptr);
+    REQUIRE(config);
+    REQUIRE(config->users_executors.size() == 2);
+    for (size_t i = 0; i < row.expected.size(); ++i) {
+      CHECK(config->users_executors[i].failure_domain == row.expected[i]);
+    }
+  }
+}
+
 TEST_CASE("config: what is wrong is refused") {
   struct Row {
     const char* name;
