Workers taken away at short notice are settled by their heartbeats, not their leases

Cause: a worker that goes 2 s after its notice leaves its entry in the directory, so its runs counted as alive until their leases ended.

Ruled out: the refused connection alone as evidence. A network may refuse connections for a worker that lives; such a worker still writes its entry. So three things together: its time is up as announced, nothing listens at its address, and a heartbeat of its entry is missing while the directory is read. A worker without an announcement is still settled by its leases.

HttpFailure tells a refused connection from others; DepartureWatch decides.

Tests fail without it: tst_departure_watch "still listed and found gone", tst_worker_fleet "found gone after its notice".

--- a/src/libs/coordination/worker_calls.h
+++ b/src/libs/coordination/worker_calls.h
@@ -63,7 +63,15 @@
   Error error;
 };
 
-enum class CallOutcome { kOk, kFenced, kOtherLife, kRefused, kNoAnswer };
+enum class CallOutcome {
+  kOk,
+  kFenced,
+  kOtherLife,
+  kRefused,
+  // Its host says that nothing listens at the worker's address.
+  kNobodyThere,
+  kNoAnswer,
+};
 
 struct StatusAnswer {
   CallOutcome outcome = CallOutcome::kNoAnswer;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -312,6 +312,9 @@
       return handlers_.on_fenced();
     case CallOutcome::kOtherLife:
       return Bury(id, kOtherLife);
+    case CallOutcome::kNobodyThere:
+      link.departure.OnNobodyThere(now);
+      [[fallthrough]];
     case CallOutcome::kRefused:
     case CallOutcome::kNoAnswer:
       if (tracker->reachable()) {
@@ -326,6 +329,7 @@
     LogEvent(events::kWorkerBack,
              {{"worker", id}, {"failed_reports", tracker->failed_reports()}});
   }
+  link.departure.OnAnswer();
   const bool first = !tracker->synchronized();
   link.told_ends = std::max(link.told_ends, recorded);
   if (renewed) link.leased_until = sent + settings_.bounds.lease_term();
@@ -408,6 +412,10 @@
   Link& link = links_[id];
   const bool unreachable =
       !tracker->reachable() || tracker->registration().address.empty();
+  if (unreachable &&
+      link.departure.HasLeft(settings_.bounds.heartbeat, contact_, now)) {
+    return Bury(id, "it has left as announced");
+  }
   if (unreachable && !tracker->runs().empty() && tracker->LeasesOver(now)) {
     if (Lose(id, "its leases have ended")) return;
   }
--- a/src/libs/net/client_connection.cc
+++ b/src/libs/net/client_connection.cc
@@ -54,7 +54,7 @@
 
 void ClientConnection::Connect(
     const boost::asio::ip::tcp::endpoint& endpoint, Duration timeout,
-    std::function<void(std::optional<Error>)> handler) {
+    std::function<void(std::optional<HttpFailure>)> handler) {
   connect_timer_.expires_after(timeout);
   connect_timer_.async_wait(
       [self = shared_from_this()](const error_code& code) {
@@ -70,7 +70,12 @@
         if (code || !open || self->state_ != State::kConnecting) {
           const std::string reason = open ? code.message() : "timed out";
           self->CloseSocket();
-          return handler(Error{"connect", self->peer_, reason});
+          HttpFailure failure;
+          failure.error = {"connect", self->peer_, reason};
+          failure.progress = SendProgress::kNotSent;
+          failure.nobody_listens =
+              code == boost::asio::error::connection_refused;
+          return handler(std::move(failure));
         }
         error_code ignored;
         self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
--- a/src/libs/net/client_connection.h
+++ b/src/libs/net/client_connection.h
@@ -38,7 +38,7 @@
 
   // `handler` gets nullopt once connected. Nothing else before that.
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint, Duration timeout,
-               std::function<void(std::optional<Error>)> handler);
+               std::function<void(std::optional<HttpFailure>)> handler);
 
   // Asks the socket itself: open, and neither closed by the peer nor holding
   // bytes that nobody asked for.
--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -149,18 +149,18 @@
   connections_.insert(connection);
   connection_count_ = connections_.size();
   ++connecting_;
-  connection->Connect(
-      *endpoint, limits_.connect_timeout,
-      [self = shared_from_this(), connection](std::optional<Error> failure) {
-        self->OnConnected(connection, failure);
-      });
+  connection->Connect(*endpoint, limits_.connect_timeout,
+                      [self = shared_from_this(),
+                       connection](const std::optional<HttpFailure>& failure) {
+                        self->OnConnected(connection, failure);
+                      });
 }
 
 void ClientPool::OnConnected(const ConnectionPointer& connection,
-                             const std::optional<Error>& error) {
+                             const std::optional<HttpFailure>& failure) {
   --connecting_;
   if (closed_) return connection->Close("client closed");
-  if (!error && connection->IsUsable()) {
+  if (!failure && connection->IsUsable()) {
     Release(connection);
     return Pump();
   }
@@ -171,8 +171,9 @@
   if (queue_.empty()) return;
   const PendingPointer pending = queue_.front();
   queue_.pop_front();
-  Fail(pending, {error.value_or(Error{"connect", peer_, "refused by the peer"}),
-                 SendProgress::kNotSent});
+  const HttpFailure refused = {{"connect", peer_, "refused by the peer"},
+                               SendProgress::kNotSent};
+  Fail(pending, failure.value_or(refused));
   Pump();
 }
 
--- a/src/libs/net/client_pool.h
+++ b/src/libs/net/client_pool.h
@@ -42,7 +42,7 @@
   ConnectionPointer TakeIdle();
   void Open();
   void OnConnected(const ConnectionPointer& connection,
-                   const std::optional<Error>& error);
+                   const std::optional<HttpFailure>& failure);
 
   bool IsProvedLive(const ConnectionPointer& connection) const;
   void Begin(const PendingPointer& pending,
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -34,6 +34,8 @@
 struct HttpFailure {
   Error error;
   SendProgress progress = SendProgress::kUnknown;
+  // The peer's host answered that nothing listens at the address.
+  bool nobody_listens = false;
 };
 
 struct HttpClientLimits {
--- a/src/libs/workload/departure_watch.cc
+++ b/src/libs/workload/departure_watch.cc
@@ -26,4 +26,12 @@
   return prompt && now - last_entry_ < heartbeat * 3 / 2;
 }
 
+bool DepartureWatch::HasLeft(Milliseconds heartbeat, Time contact,
+                             Time now) const {
+  const bool gone = leaves_ && nobody_there_ && *nobody_there_ >= *leaves_;
+  if (!gone) return false;
+  const bool followed = now - contact < heartbeat;
+  return followed && now - last_entry_ > heartbeat * 3 / 2;
+}
+
 }  // namespace thornplank
--- a/src/libs/workload/departure_watch.h
+++ b/src/libs/workload/departure_watch.h
@@ -1,9 +1,12 @@
-// Whether a worker whose entry is taken out of the directory has left for good.
+// Whether a worker that announced to leave has left for good. All that ran
+// there has ended then, leases or not.
 //
-// An entry goes when its worker has left, and also when nothing was heard of it
-// for three heartbeats, though it may run on. The first is told from the second
-// by time: a worker that leaves as announced has written its entry anew just
-// before. All that ran there has ended then, leases or not.
+// An entry is taken out of the directory when its worker has left, and also
+// when nothing was heard of it for three heartbeats, though it may run on. The
+// first is told from the second by time: a worker that leaves as announced has
+// written its entry anew just before. One that is taken away at short notice
+// leaves its entry behind; its heartbeats end, and nothing listens at its
+// address.
 #ifndef THORNPLANK_WORKLOAD_DEPARTURE_WATCH_H_
 #define THORNPLANK_WORKLOAD_DEPARTURE_WATCH_H_
 
@@ -22,12 +25,21 @@
   // The same of its removal. `heartbeat`: between two entries of a worker.
   bool IsDeparture(Milliseconds heartbeat, Time contact, Time now) const;
 
+  // What came of a call to it: an answer, or word that nothing listens there.
+  void OnAnswer() { nobody_there_.reset(); }
+  void OnNobodyThere(Time now) { nobody_there_ = now; }
+  // Whether it has left, though it is still listed. A worker that is only cut
+  // off, by a network that refuses connections for it, still writes its entry.
+  bool HasLeft(Milliseconds heartbeat, Time contact, Time now) const;
+
  private:
   Time last_entry_{};
   // How old the last entry was at most when it was seen.
   Duration entry_lag_{};
   // When the worker leaves at the earliest, where it has announced that.
   std::optional<Time> leaves_;
+  // The last call found nobody, then.
+  std::optional<Time> nobody_there_;
 };
 
 }  // namespace thornplank
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -305,6 +305,31 @@
   }
 }
 
+// Many workers are taken away at two seconds' notice: what ran there begins
+// elsewhere when their heartbeats end, not when their leases do, 5 s later.
+TEST_CASE(
+    "what runs on a worker that is found gone after its notice has ended") {
+  for (const bool announced : {true, false}) {
+    CAPTURE(announced);
+    Fixture fixture;
+    fixture.Start();
+    Time now = Fixture::Now();
+    fixture.fleet.OnDirectoryContact(now);
+    fixture.fleet.OnDirectoryRecord({"w1", announced ? kLeaving : "listed", 1},
+                                    now);
+    fixture.calls.status = CallOutcome::kNobodyThere;
+    fixture.calls.answers_waiting = true;
+    for (int i = 0; i < 24; ++i) {
+      now += Milliseconds(100);
+      fixture.fleet.OnDirectoryContact(now);
+      fixture.fleet.Tick(now, /*may_renew=*/true);
+    }
+    REQUIRE(fixture.ends.size() == (announced ? 1 : 0));
+    if (announced) CHECK(fixture.ends[0] == RunEnd::kLost);
+    CHECK(fixture.knows_worker() == !announced);
+  }
+}
+
 TEST_CASE("a stop that finds nobody is repeated after a pause") {
   Fixture fixture;
   fixture.Start();
--- a/tests/auto/net/tst_http_client.cc
+++ b/tests/auto/net/tst_http_client.cc
@@ -149,21 +149,23 @@
     std::string peer;
     HttpRequest request;
     HttpSendOptions options;
+    bool nobody_listens;
   };
   ScriptedPeer idle({Reply(Answer("unused"))});
   const std::vector<Case> cases = {
-      {"connect refused", "127.0.0.1:1", Get(), {}},
-      {"not an address", "localhost", Get(), {}},
+      {"connect refused", "127.0.0.1:1", Get(), {}, true},
+      {"not an address", "localhost", Get(), {}, false},
       {"timed out in the queue", silent.address(), Get(),
-       Within(Milliseconds(50))},
-      {"the holder takes it back", idle.address(), Get(), refused},
-      {"malformed target", idle.address(), split, {}},
+       Within(Milliseconds(50)), false},
+      {"the holder takes it back", idle.address(), Get(), refused, false},
+      {"malformed target", idle.address(), split, {}, false},
   };
   for (const Case& c : cases) {
     CAPTURE(c.name);
     const SendResult result = fixture.Send(c.peer, c.request, c.options);
     CHECK_FALSE(result.response);
     CHECK(result.failure.progress == SendProgress::kNotSent);
+    CHECK(result.failure.nobody_listens == c.nobody_listens);
     CHECK_FALSE(result.failure.error.step.empty());
     CHECK(result.failure.error.peer == c.peer);
   }
--- a/tests/auto/workload/tst_departure_watch.cc
+++ b/tests/auto/workload/tst_departure_watch.cc
@@ -52,6 +52,50 @@
   }
 }
 
+// Taken away at short notice, a worker leaves its entry behind.
+TEST_CASE("a worker that is still listed and found gone") {
+  struct Row {
+    const char* name;
+    bool draining;
+    // Left, as the last entry has it.
+    int64_t left;
+    // When a call found nobody, since the last entry; -1: none did.
+    int64_t nobody;
+    // A later call was answered.
+    bool answered;
+    // Since the last entry.
+    int64_t silent;
+    // Since the directory was read.
+    int64_t lag;
+    bool left_for_good;
+  };
+  const std::vector<Row> rows = {
+      {"as announced", true, 1900, 2100, false, 2300, 200, true},
+      {"read late, as by a new leader", true, 100, 300, false, 2300, 200, true},
+      {"a heartbeat may still come", true, 500, 600, false, 2200, 200, false},
+      {"before its time", true, 4000, 2100, false, 2300, 200, false},
+      {"found gone before its time only", true, 2200, 2100, false, 2300, 200,
+       false},
+      {"nobody was called", true, 1900, -1, false, 2300, 200, false},
+      {"it answers again", true, 1900, 2100, true, 2300, 200, false},
+      {"without a word", false, 0, 2100, false, 9000, 200, false},
+      {"the directory is away", true, 1900, 2100, false, 9000, 8000, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    DepartureWatch watch;
+    WorkerRegistration entry = MakeWorker("w1", "r1");
+    entry.draining = row.draining;
+    entry.drain_left = Milliseconds(row.left);
+    watch.OnEntry(entry, At(0), At(0));
+    if (row.nobody >= 0) watch.OnNobodyThere(At(row.nobody));
+    if (row.answered) watch.OnAnswer();
+    const Time now = At(row.silent);
+    CHECK(watch.HasLeft(kHeartbeat, now - Milliseconds(row.lag), now) ==
+          row.left_for_good);
+  }
+}
+
 TEST_CASE("a worker that comes back has announced nothing") {
   DepartureWatch watch;
   WorkerRegistration entry = MakeWorker("w1", "r1");
