A gang is judged as a whole: leaving workers, members that stand still, slow workers

Ruled out: finding slow workers sooner (tried, no effect).

Change: GangReview takes all members of a gang together. RunReview keeps single tasks. One constant says from which speed on a worker is slowed (0.5; it was 0.4 and 0.5).

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -20,6 +20,12 @@
   return settings;
 }
 
+GangReviewSettings GangReviewFor(const WorkerBounds& bounds) {
+  GangReviewSettings settings;
+  settings.bounds = bounds;
+  return settings;
+}
+
 Time Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -31,6 +37,7 @@
       settings_(settings),
       handlers_(std::move(handlers)),
       review_({settings.bounds}),
+      gang_review_(GangReviewFor(settings.bounds)),
       starts_(calls, SenderFor(settings.bounds)),
       paces_(calls, settings.epoch, settings.call_timeout,
              {[this](const std::string& id) { return Find(id); },
@@ -64,7 +71,9 @@
                                    {"address", registration->address},
                                    {"rack", registration->rack},
                                    {"offset", record.offset}});
-    trackers_.emplace(id, WorkerTracker(std::move(*registration)));
+    WorkerTracker fresh(*registration);
+    fresh.Update(std::move(*registration), now);
+    trackers_.emplace(id, std::move(fresh));
     return Drive(id, now);
   }
   const bool leaves =
@@ -76,7 +85,7 @@
               {"runs", tracker->runs().size()},
               {"offset", record.offset}});
   }
-  tracker->Update(std::move(*registration));
+  tracker->Update(std::move(*registration), now);
 }
 
 void WorkerFleet::OnEntryRemoved(const std::string& id, Time now) {
@@ -233,6 +242,7 @@
     ids.push_back(id);
   }
   review_.Forget(now);
+  JudgeGangs(now);
   for (const std::string& id : ids) {
     Judge(id, now);
     if (Find(id) == nullptr) continue;
@@ -407,6 +417,14 @@
   }
 }
 
+void WorkerFleet::JudgeGangs(Time now) {
+  for (const GangVerdict& verdict :
+       gang_review_.Judge(trackers_, review_.speeds(), now)) {
+    RequestStop(verdict.worker, verdict.task, verdict.run, verdict.reason);
+    if (verdict.stalled) Find(verdict.worker)->OnRunStalled(now);
+  }
+}
+
 void WorkerFleet::Judge(const std::string& id, Time now) {
   WorkerTracker* tracker = Find(id);
   Link& link = links_[id];
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -19,6 +19,7 @@
 #include "coordination/start_sender.h"
 #include "coordination/worker_calls.h"
 #include "workload/departure_watch.h"
+#include "workload/gang_review.h"
 #include "workload/run_review.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
@@ -132,6 +133,7 @@
   void SendStops(const std::string& id, Time now);
   void Deliver(const std::string& id, const std::vector<RunEndReport>& ends);
   void Judge(const std::string& id, Time now);
+  void JudgeGangs(Time now);
   // The life is proved to be over for good.
   void Bury(const std::string& id, const std::string& reason);
   bool Lose(const std::string& id, const std::string& reason);
@@ -151,6 +153,7 @@
   Time contact_since_{};
   Time contact_{};
   RunReview review_;
+  GangReview gang_review_;
   StartSender starts_;
   PaceKeeper paces_;
   // Callbacks of calls that outlive this object do nothing.
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -11,8 +11,6 @@
 
 // Keeps workers under suspicion for when nothing else has room.
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
-// Below it a worker is slowed; sound ones differ by 0.8 to 1.25.
-constexpr double kSlowSpeed = 0.5;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
 // For each tenth of the usual time that a worker takes longer: more than any
 // gap. A gang of five on workers of which a third takes 1.3 times as long has a
@@ -223,7 +221,7 @@
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
   if (room.tracker->suspect()) score += kSuspectPenalty;
-  if (room.tracker->speed() < kSlowSpeed) score += kSlowPenalty;
+  if (room.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
   // Fast workers for those whose slowest member decides, and for those in a
   // hurry; the others leave them free.
   const bool wants_speed = step.spec->gang || step.urgent();
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -8,8 +8,6 @@
 
 constexpr char kNoProgress[] = "makes no progress";
 constexpr int kWholeWork = 100;
-// Sound workers differ by 0.8 to 1.25, slowed ones run at a quarter and less.
-constexpr double kSlowSpeed = 0.4;
 // A run is moved when it would end this many times sooner elsewhere, a stop and
 // a start included.
 constexpr int kMoveGain = 2;
@@ -32,13 +30,13 @@
     pace.slowdown = near ? 1 : settings_.bounds.far_slowdown;
     speeds_.Observe(registration.id, pace, now);
   }
-  worker->set_speed(speeds_.speed(registration.id, now));
+  worker->SetSpeed(speeds_.speed(registration.id, now), now);
   worker->set_steady_speed(speeds_.steady_speed(registration.id));
 }
 
 std::vector<RunVerdict> RunReview::Judge(WorkerTracker* worker,
                                          Time now) const {
-  worker->set_speed(speeds_.speed(worker->id(), now));
+  worker->SetSpeed(speeds_.speed(worker->id(), now), now);
   std::vector<RunVerdict> verdicts;
   bool stalled = false;
   for (const auto& [task, run] : worker->runs()) {
@@ -61,6 +59,8 @@
   if (worker.reachable() && now - run.progressed > settings_.stall_after) {
     return kNoProgress;
   }
+  // Gangs are judged as a whole.
+  if (run.profile.gang) return "";
   const Duration left = run.remaining(now);
   if (worker.registration().draining && run.profile.checkpointable &&
       left > worker.registration().drain_left) {
@@ -68,7 +68,7 @@
   }
   const Duration sound = speeds_.SoundDuration(run.task.step);
   if (left == Duration::max() || sound == Duration::zero()) return "";
-  if (worker.speed() > kSlowSpeed) return "";
+  if (worker.speed() > kSlowedSpeed) return "";
   Duration elsewhere = sound;
   if (run.profile.checkpointable) {
     elsewhere = sound * (kWholeWork - run.percent) / kWholeWork;
--- a/src/libs/workload/run_review.h
+++ b/src/libs/workload/run_review.h
@@ -41,6 +41,8 @@
   // Drops what is too old to matter.
   void Forget(Time now) { speeds_.Forget(now); }
 
+  const SpeedBook& speeds() const { return speeds_; }
+
  private:
   // "" when it should go on.
   std::string ReasonToStop(const WorkerTracker& worker, const TrackedRun& run,
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -53,9 +53,20 @@
 WorkerTracker::WorkerTracker(WorkerRegistration registration)
     : registration_(std::move(registration)) {}
 
-void WorkerTracker::Update(WorkerRegistration registration) {
+void WorkerTracker::Update(WorkerRegistration registration, Time now) {
   registration_ = std::move(registration);
   missing_since_.reset();
+  leaves_.reset();
+  if (registration_.draining) leaves_ = now + registration_.drain_left;
+}
+
+void WorkerTracker::SetSpeed(double speed, Time now) {
+  speed_ = speed;
+  if (speed > kSlowedSpeed) {
+    slow_since_.reset();
+  } else if (!slow_since_) {
+    slow_since_ = now;
+  }
 }
 
 void WorkerTracker::Add(const TaskRef& task, int run, RunProfile profile,
@@ -197,6 +208,7 @@
     run->progressed = now;
   }
   if (report.percent != run->percent) run->progressed = now;
+  run->reported = now;
   run->percent = report.percent;
   run->load = report.load;
   if (!run->baseline) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -33,6 +33,10 @@
   kRunning,
 };
 
+// At this speed and below a worker is slowed for a while: sound ones differ by
+// 0.8 to 1.3, slowed ones run at a quarter and less.
+inline constexpr double kSlowedSpeed = 0.5;
+
 // What a run takes and what its loss would cost.
 struct RunProfile {
   Resources need;
@@ -64,8 +68,9 @@
   // Percent of full speed that it surely has; nullopt when that is not known.
   std::optional<int> pace = kFullPace;
   bool pace_sending = false;
-  // When its percentage last moved.
+  // When its percentage last moved, and when a report last showed it.
   Time progressed{};
+  Time reported{};
   // Where its progress is measured from: its start, or the first report of one
   // that resumed or that was taken over.
   int baseline_percent = 0;
@@ -124,7 +129,9 @@
 
   const WorkerRegistration& registration() const { return registration_; }
   const std::string& id() const { return registration_.id; }
-  void Update(WorkerRegistration registration);
+  void Update(WorkerRegistration registration, Time now);
+  // Where it has announced that: the earliest time at which it leaves.
+  std::optional<Time> leaves() const { return leaves_; }
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
@@ -189,7 +196,9 @@
   bool suspect() const { return failures_ > 0; }
   // Against a sound worker: 1; set from the progress of its tasks.
   double speed() const { return speed_; }
-  void set_speed(double speed) { speed_ = speed; }
+  void SetSpeed(double speed, Time now);
+  // Since when it runs far below its usual speed; nullopt: it does not.
+  std::optional<Time> slow_since() const { return slow_since_; }
   // The same for good, but for spells in which it is slowed.
   double steady_speed() const { return steady_speed_; }
   void set_steady_speed(double speed) { steady_speed_ = speed; }
@@ -201,6 +210,7 @@
                           Milliseconds clock) const;
 
   WorkerRegistration registration_;
+  std::optional<Time> leaves_;
   std::optional<Time> missing_since_;
   std::map<TaskRef, TrackedRun> runs_;
   // Invariant: the sum of the needs of runs_.
@@ -220,6 +230,7 @@
   Time last_failure_{};
   Time quarantined_until_{};
   double speed_ = 1;
+  std::optional<Time> slow_since_;
   double steady_speed_ = 1;
 };
 
