A failure domain that operators close takes no new work

Cause: nothing read `evacuate/ZONE` of the operators' stream.

Change: every entry follows the record (ClosedDomains: changes count by their offset, so that a read which is behind opens nothing), tells it (937, 938), and the leader's fleet takes no start there: not placed, not sent although recorded, not sent again.

Not done of that issue: a command of thornplankctl (the hosted entry has no administration address yet), loss and partition of a whole domain.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -36,6 +36,7 @@
 #include "platform/executor_client.h"
 #include "platform/metadata_store.h"
 #include "platform/wire_formats.h"
+#include "workload/closed_domains.h"
 
 namespace thornplank {
 namespace {
@@ -267,9 +268,11 @@
   RecordTail::Handlers ConfigurationHandlers() {
     RecordTail::Handlers handlers;
     handlers.on_record = [this](const KeyedRecord& record) {
-      TakeConfiguration(record);
+      TakeOperatorRecord(record);
+    };
+    handlers.on_snapshot = [this](const std::set<std::string>& keys) {
+      TakeOperatorSnapshot(keys);
     };
-    handlers.on_snapshot = [](const std::set<std::string>&) {};
     handlers.on_current = [this] {
       if (configuration_contact_.OnContact(configuration_tail_.next())) {
         WakeStreams();
@@ -289,6 +292,31 @@
     coordinator_.OnStoreBack();
   }
 
+  void TakeOperatorRecord(const KeyedRecord& record) {
+    const std::string domain = formats_.ClosedDomainOf(record.key);
+    if (domain.empty()) return TakeConfiguration(record);
+    const bool closed = record.value.has_value();
+    if (!closed_domains_.Apply(domain, closed, record.offset)) return;
+    LogEvent(closed ? events::kDomainClosed : events::kDomainOpened,
+             {{"failure_domain", domain}, {"offset", record.offset}});
+    coordinator_.OnDomainsChanged();
+  }
+
+  // The operators' stream was read anew; keys outside the set are gone.
+  void TakeOperatorSnapshot(const std::set<std::string>& keys) {
+    std::set<std::string> closed;
+    for (const std::string& key : keys) {
+      const std::string domain = formats_.ClosedDomainOf(key);
+      if (!domain.empty()) closed.insert(domain);
+    }
+    const int64_t next = configuration_tail_.next();
+    for (const std::string& domain : closed_domains_.OnSnapshot(closed, next)) {
+      LogEvent(events::kDomainOpened,
+               {{"failure_domain", domain}, {"offset", next}});
+    }
+    coordinator_.OnDomainsChanged();
+  }
+
   // A version that was seen once is never left for an older one.
   void TakeConfiguration(const KeyedRecord& record) {
     if (record.key != formats_.streams().configuration_key) return;
@@ -349,6 +377,9 @@
       static const ServingConfiguration kNone;
       return configuration_ ? *configuration_ : kNone;
     };
+    surroundings.closed_domains = [this]() -> const std::set<std::string>& {
+      return closed_domains_.closed();
+    };
     surroundings.board_next = [this] { return board_tail_.next(); };
     surroundings.board_as_of = [this] { return board_tail_.as_of(); };
     surroundings.refresh_board = [this](std::function<void(bool)> done) {
@@ -389,6 +420,7 @@
   const WireFormats formats_;
   JobBoard board_;
   std::optional<ServingConfiguration> configuration_;
+  ClosedDomains closed_domains_;
   EntryClient entry_client_;
   EntryRoll roll_;
   OutlookSurvey survey_;
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -91,6 +91,12 @@
   election_.OnContact(latency, Now());
 }
 
+void ClusterCoordinator::OnDomainsChanged() {
+  if (!fleet_) return;
+  fleet_->CloseDomains(surroundings_.closed_domains());
+  SchedulePlanning();
+}
+
 void ClusterCoordinator::OnStoreBack() {
   if (directory_) directory_->Wake(settings_.store_timeout);
 }
@@ -291,6 +297,7 @@
     ScheduleStepDown("a worker obeys a higher epoch");
   };
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet, handlers);
+  fleet_->CloseDomains(surroundings_.closed_domains());
   advice_ = std::make_unique<AdviceDesk>(surroundings_.advisor,
                                          [this] { SchedulePlanning(); });
 
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -65,6 +65,8 @@
   struct Surroundings {
     const JobBoard* board = nullptr;
     std::function<const ServingConfiguration&()> configuration;
+    // Failure domains that take no new work.
+    std::function<const std::set<std::string>&()> closed_domains;
     // Offset behind the last record of the board that was folded.
     std::function<int64_t()> board_next;
     std::function<BootTime()> board_as_of;
@@ -86,6 +88,8 @@
   void OnBoardChange(const BoardChange& change);
   // The board was read up to its end by a store that takes `latency`.
   void OnBoardContact(Duration latency);
+  // Another set of failure domains takes no new work.
+  void OnDomainsChanged();
   // A stream of the store could be read again after a loss.
   void OnStoreBack();
   // Gives the lead back, if it is held; `done` runs when that is stored or
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -62,6 +62,15 @@
   return static_cast<double>(held);
 }
 
+std::vector<MetricsRegistry::GaugeRow> ToRows(
+    const std::map<MetricLabels, double>& counts) {
+  std::vector<MetricsRegistry::GaugeRow> rows;
+  for (const auto& [labels, count] : counts) {
+    rows.push_back({labels, count});
+  }
+  return rows;
+}
+
 std::vector<MetricsRegistry::GaugeRow> WorkersByBelief(
     const ClusterCoordinator& coordinator) {
   if (coordinator.fleet() == nullptr) return {};
@@ -73,11 +82,20 @@
         {"belief", std::string(ToText(tracker.belief(now)))}};
     ++counts[labels];
   }
-  std::vector<MetricsRegistry::GaugeRow> rows;
-  for (const auto& [labels, count] : counts) {
-    rows.push_back({labels, count});
+  return ToRows(counts);
+}
+
+std::vector<MetricsRegistry::GaugeRow> RunsByDomain(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const MetricLabels labels = {
+        {"failure_domain", tracker.registration().failure_domain},
+        {"work", tracker.domain_closed() ? "closed" : "taken"}};
+    counts[labels] += static_cast<double>(tracker.runs().size());
   }
-  return rows;
+  return ToRows(counts);
 }
 
 void AddLeadGauges(const ClusterCoordinator& coordinator,
@@ -97,6 +115,10 @@
                     "The same by service and by whether they may be given "
                     "tasks, or why not.",
                     [&] { return WorkersByBelief(coordinator); });
+  metrics.AddGauges("thornplank_domain_runs",
+                    "Runs on the workers of a failure domain, and whether it "
+                    "takes new work; known to the leader.",
+                    [&] { return RunsByDomain(coordinator); });
   metrics.AddGauge(
       "thornplank_directory_entries_refused",
       "Entries of the directory that name no worker to use.", {}, [&] {
--- a/src/libs/coordination/formats.h
+++ b/src/libs/coordination/formats.h
@@ -39,6 +39,9 @@
   virtual PublishedStreams streams() const = 0;
   virtual std::optional<ServingConfiguration> ReadConfiguration(
       const std::string& value, Error* error) const = 0;
+  // The failure domain that a record of the configuration's stream closes, or
+  // opens where it has no value; "" for any other key.
+  virtual std::string ClosedDomainOf(const std::string& key) const = 0;
   virtual std::optional<WorkerRegistration> ReadWorker(
       const KeyedRecord& record, Error* error) const = 0;
   virtual CallerHeaders ReadHeaders(const HttpRequest& request) const = 0;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -73,6 +73,7 @@
                                    {"offset", record.offset}});
     WorkerTracker fresh(*registration);
     fresh.Update(std::move(*registration), now);
+    fresh.set_domain_closed(IsClosed(fresh));
     trackers_.emplace(id, std::move(fresh));
     return Drive(id, now);
   }
@@ -86,6 +87,7 @@
               {"offset", record.offset}});
   }
   tracker->Update(std::move(*registration), now);
+  tracker->set_domain_closed(IsClosed(*tracker));
 }
 
 void WorkerFleet::OnEntryRemoved(const std::string& id, Time now) {
@@ -124,6 +126,17 @@
   contact_ = now;
 }
 
+void WorkerFleet::CloseDomains(const std::set<std::string>& domains) {
+  closed_domains_ = domains;
+  for (auto& [id, tracker] : trackers_) {
+    tracker.set_domain_closed(IsClosed(tracker));
+  }
+}
+
+bool WorkerFleet::IsClosed(const WorkerTracker& tracker) const {
+  return closed_domains_.count(tracker.registration().failure_domain) > 0;
+}
+
 void WorkerFleet::Inherit(const std::string& worker, const TaskRef& task,
                           int run, const RunProfile& profile, Time now,
                           Time lease_bound) {
@@ -150,7 +163,7 @@
   TrackedRun* tracked = tracker->Find(task);
   if (tracked == nullptr || tracked->run != run) return;
   const Time now = Now();
-  if (tracked->stop_wanted || !may_renew_) {
+  if (tracked->stop_wanted || !may_renew_ || tracker->domain_closed()) {
     // Never sent: settled without a call.
     return Deliver(
         worker, tracker->OnStartAnswer(task, run, StartOutcome::kRefused, now));
@@ -183,7 +196,8 @@
   const TrackedRun* tracked =
       tracker == nullptr ? nullptr : tracker->Find(task);
   return tracked != nullptr && tracked->run == run && !tracked->stop_wanted &&
-         tracked->stage == RunStage::kSending && may_renew_;
+         tracked->stage == RunStage::kSending && may_renew_ &&
+         !tracker->domain_closed();
 }
 
 void WorkerFleet::OnStartResult(const std::string& worker, const TaskRef& task,
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -73,6 +73,8 @@
   void OnDirectorySnapshot(const std::set<std::string>& ids, Time now);
   // The directory was read up to its end.
   void OnDirectoryContact(Time now);
+  // Failure domains that take no new work from now on.
+  void CloseDomains(const std::set<std::string>& domains);
 
   const std::map<std::string, WorkerTracker>& trackers() const {
     return trackers_;
@@ -121,6 +123,7 @@
     DepartureWatch departure;
   };
 
+  bool IsClosed(const WorkerTracker& tracker) const;
   bool MayRepeatStart(const std::string& worker, const TaskRef& task, int run);
   void OnStartResult(const std::string& worker, const TaskRef& task, int run,
                      const StartResult& result);
@@ -148,6 +151,7 @@
   // Lives that are proved to be over; the directory may list them for a while.
   std::set<std::string> dead_;
   RefusedEntries refused_;
+  std::set<std::string> closed_domains_;
   bool may_renew_ = true;
   // Since when the directory has answered without a gap.
   Time contact_since_{};
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -50,6 +50,8 @@
                                       Severity::kWarning};
 inline constexpr Event kStartRepeated{935, "start-repeated", Severity::kInfo};
 inline constexpr Event kStoreOutlook{936, "store-outlook", Severity::kInfo};
+inline constexpr Event kDomainClosed{937, "domain-closed", Severity::kWarning};
+inline constexpr Event kDomainOpened{938, "domain-opened", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -242,6 +242,7 @@
   if (!reachable()) return WorkerBelief::kSilent;
   if (missing()) return WorkerBelief::kNotListed;
   if (registration_.draining) return WorkerBelief::kLeaving;
+  if (domain_closed_) return WorkerBelief::kDomainClosed;
   return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
 }
 
@@ -293,6 +294,8 @@
       return "not listed";
     case WorkerBelief::kLeaving:
       return "leaving";
+    case WorkerBelief::kDomainClosed:
+      return "domain closed";
     case WorkerBelief::kQuarantined:
       return "quarantined";
   }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -117,6 +117,8 @@
   // The directory lists it no more, or with an entry that cannot be read.
   kNotListed,
   kLeaving,
+  // Its failure domain takes no new work.
+  kDomainClosed,
   // It failed what it was given.
   kQuarantined,
 };
@@ -135,6 +137,9 @@
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
+  // Its failure domain takes no new work.
+  void set_domain_closed(bool closed) { domain_closed_ = closed; }
+  bool domain_closed() const { return domain_closed_; }
 
   // A run that this process decided on.
   void Add(const TaskRef& task, int run, RunProfile profile, Time now);
@@ -212,6 +217,7 @@
   WorkerRegistration registration_;
   std::optional<Time> leaves_;
   std::optional<Time> missing_since_;
+  bool domain_closed_ = false;
   std::map<TaskRef, TrackedRun> runs_;
   // Invariant: the sum of the needs of runs_.
   Resources used_;
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -14,6 +14,7 @@
 inline constexpr char kUnreadable[] = "unreadable";
 inline constexpr char kStray[] = "stray";
 inline constexpr char kLeaving[] = "leaving";
+inline constexpr char kInDomainB[] = "in domain b";
 
 class FakeFormats : public Formats {
  public:
@@ -24,12 +25,14 @@
                                                         Error*) const override {
     return ServingConfiguration();
   }
+  std::string ClosedDomainOf(const std::string&) const override { return ""; }
   std::optional<WorkerRegistration> ReadWorker(const KeyedRecord& record,
                                                Error*) const override {
     if (record.value == kUnreadable) return std::nullopt;
     WorkerRegistration worker = MakeWorker(record.key, "r1");
     if (record.value == kStray) worker.service = kStray;
     worker.draining = record.value == kLeaving;
+    worker.failure_domain = record.value == kInDomainB ? "b" : "a";
     return worker;
   }
   CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -118,6 +118,10 @@
     surroundings.configuration = [this]() -> const ServingConfiguration& {
       return configuration_;
     };
+    surroundings.closed_domains = []() -> const std::set<std::string>& {
+      static const std::set<std::string> kNone;
+      return kNone;
+    };
     surroundings.board_next = [this] { return tail_.next(); };
     surroundings.board_as_of = [this] { return tail_.as_of(); };
     surroundings.refresh_board = [this](std::function<void(bool)> done) {
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,7 @@
       answer.outcome = first_starts[static_cast<size_t>(starts)];
     }
     ++starts;
+    if (on_start) on_start();
     done(answer);
   }
   void Stop(const WorkerAddress&, const StopOrder&, Milliseconds,
@@ -64,6 +66,8 @@
   }
 
   StartOutcome start = StartOutcome::kAccepted;
+  // Happens before the answer.
+  std::function<void()> on_start;
   // Of the first orders; `start` of those after them.
   std::vector<StartOutcome> first_starts;
   CallOutcome stop = CallOutcome::kOk;
@@ -342,6 +346,51 @@
   CHECK(fixture.calls.stops == 2);
 }
 
+TEST_CASE("nothing begins in a failure domain that takes no new work") {
+  struct Row {
+    const char* name;
+    // Closed before the order is sent, or while it has no answer.
+    bool before;
+    std::set<std::string> closed;
+    int orders;
+  };
+  const std::vector<Row> rows = {
+      {"another one is closed", true, {"b"}, 3},
+      {"closed after the decision", true, {"a"}, 0},
+      {"closed while the order has no answer", false, {"a"}, 1},
+      {"with another", true, {"a", "b"}, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.fleet.OnDirectoryRecord({"w1", "listed", 1}, Fixture::Now());
+    fixture.calls.start = StartOutcome::kNoAnswer;
+    fixture.fleet.Add("w1", kTask, 1, RunProfile(), Fixture::Now());
+    if (row.before) {
+      fixture.fleet.CloseDomains(row.closed);
+    } else {
+      fixture.calls.on_start = [&] { fixture.fleet.CloseDomains(row.closed); };
+    }
+    fixture.fleet.SendStart("w1", kTask, 1, {});
+    CHECK(fixture.calls.starts == row.orders);
+    // What was never sent is settled; what may have begun is not.
+    CHECK(fixture.ends.size() == (row.orders == 0 ? 1 : 0));
+  }
+}
+
+TEST_CASE("a worker that moves is judged by the domain where it stands") {
+  Fixture fixture;
+  fixture.fleet.CloseDomains({"b"});
+  const auto belief = [&fixture] {
+    return fixture.fleet.trackers().at("w1").domain_closed();
+  };
+  CHECK_FALSE(belief());
+  fixture.fleet.OnDirectoryRecord({"w1", kInDomainB, 1}, Fixture::Now());
+  CHECK(belief());
+  fixture.fleet.CloseDomains({});
+  CHECK_FALSE(belief());
+}
+
 TEST_CASE("a worker of a service that nobody configured is not looked at") {
   Fixture fixture;
   const int before = fixture.calls.reports;
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -308,5 +308,24 @@
   CHECK(job->steps[1].depends_on == std::vector<int>{0});
 }
 
+TEST_CASE("which failure domain an operator's record closes") {
+  struct Row {
+    const char* key;
+    std::string domain;
+  };
+  const std::vector<Row> rows = {
+      {"evacuate/regensburg-a", "regensburg-a"},
+      {"evacuate/", ""},
+      {"evacuate", ""},
+      {"config", ""},
+      {"wave/evacuate/a", ""},
+  };
+  const WireFormats formats;
+  for (const Row& row : rows) {
+    CAPTURE(row.key);
+    CHECK(formats.ClosedDomainOf(row.key) == row.domain);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -76,6 +76,8 @@
        [](WorkerTracker* worker) { worker->MarkMissing(At(0)); }},
       {"silent", WorkerBelief::kSilent,
        [](WorkerTracker* worker) { worker->OnNoReport(At(0)); }},
+      {"in a domain that takes no new work", WorkerBelief::kDomainClosed,
+       [](WorkerTracker* worker) { worker->set_domain_closed(true); }},
       {"failing", WorkerBelief::kQuarantined,
        [](WorkerTracker* worker) {
          worker->OnRunFailed("a", At(0));
--- a/tests/standins/users_store_role.cc
+++ b/tests/standins/users_store_role.cc
@@ -199,10 +199,11 @@
 }
 
 bool UsersStoreRole::ApplyControl(const Json& control, Error* error) {
-  if (!HasOnlyFields(control,
-                     {"mode", "slow_ms", "lost_percent", "late_percent",
-                      "drop_history", "put_operator", "put_directory", "key"},
-                     error)) {
+  if (!HasOnlyFields(
+          control,
+          {"mode", "slow_ms", "lost_percent", "late_percent", "drop_history",
+           "put_operator", "drop_operator", "put_directory", "key"},
+          error)) {
     return false;
   }
   mode_ = StringField(control, "mode").value_or(mode_);
@@ -216,6 +217,9 @@
   if (const auto value = StringField(control, "put_operator")) {
     Put(kOperatorTopic, key, *value);
   }
+  if (const auto dropped = StringField(control, "drop_operator")) {
+    Put(kOperatorTopic, *dropped, std::nullopt);
+  }
   if (const auto value = StringField(control, "put_directory")) {
     Put(kExecutorsTopic, key, *value);
   }
@@ -223,7 +227,7 @@
 }
 
 void UsersStoreRole::Put(const std::string& topic, const std::string& key,
-                         const std::string& value) {
+                         const std::optional<std::string>& value) {
   AppendRequest request;
   request.partition = {topic, 0};
   request.records = {{key, value, 0}};
--- a/tests/standins/users_store_role.h
+++ b/tests/standins/users_store_role.h
@@ -32,7 +32,7 @@
 
  private:
   void Put(const std::string& topic, const std::string& key,
-           const std::string& value);
+           const std::optional<std::string>& value);
   // A read that waits for a record.
   struct Waiting {
     ExchangePtr exchange;
