--- a/src/libs/jobs/job_manager_access.cc
+++ b/src/libs/jobs/job_manager_access.cc
@@ -14,8 +14,6 @@
 // A caller waits this much longer than its record, so that the fate of the
 // record is known first.
 constexpr Milliseconds kFoldMargin{500};
-// Appends that fail for this long mean that the log is down.
-constexpr Milliseconds kAppendFailingBound{500};
 
 JobChangeResult NotRun(const std::string& reason) {
   return {Outcome::kNotRun, JobPhase::kWaiting, reason};
@@ -30,7 +28,8 @@
   bool log_down = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    log_down = LogDown(now);
+    const LogTrouble trouble = JudgeLog(now);
+    log_down = trouble != LogTrouble::kNone;
     if (!fold_.complete()) {
       result = NotRun("the job stream is not folded yet");
     } else if (fold_.jobs().Knows(job.spec.id)) {
@@ -38,7 +37,8 @@
     } else if (draining_) {
       result = NotRun("this entry is stopping");
     } else if (log_down && job.spec.priority != Priority::kUrgent) {
-      result = NotRun("the log is down; only urgent jobs are taken");
+      result = NotRun("the log is down (" + std::string(ToText(trouble)) +
+                      "); only urgent jobs are taken");
     } else if (!log_down) {
       waiters_.Add({record_id, job, false,
                     now + settings_.submit_timeout + kFoldMargin, callback});
@@ -256,17 +256,11 @@
   return true;
 }
 
-bool JobManager::Impl::LogDown(Time now) {
-  if (!follower_) return true;
-  if (writer_.healthy() || writer_.pending() == 0) {
-    append_failing_since_.reset();
-  } else if (!append_failing_since_) {
-    append_failing_since_ = now;
-  }
-  const std::optional<Time> read_at = follower_->last_success();
-  if (!read_at || now - *read_at > settings_.log_down_after) return true;
-  return append_failing_since_ &&
-         now - *append_failing_since_ > kAppendFailingBound;
+LogTrouble JobManager::Impl::JudgeLog(Time now) const {
+  if (!follower_) return LogTrouble::kNotRead;
+  const std::optional<Time> failing =
+      writer_.pending() == 0 ? std::nullopt : writer_.failing_since();
+  return log_health_.Judge(follower_->last_success(), failing, now);
 }
 
 // The submission is appended before the scheduler sees the job: the record of
@@ -311,8 +305,16 @@
 }
 
 std::string JobManager::Impl::NewRecordId() {
-  return settings_.name + "-" + settings_.incarnation + "-" +
-         std::to_string(next_id_.fetch_add(1));
+  return RecordIdPrefix() + std::to_string(next_id_.fetch_add(1));
+}
+
+std::string JobManager::Impl::RecordIdPrefix() const {
+  return settings_.name + "-" + settings_.incarnation + "-";
+}
+
+bool JobManager::Impl::IsOwnRecord(const std::string& record_id) const {
+  const std::string prefix = RecordIdPrefix();
+  return record_id.compare(0, prefix.size(), prefix) == 0;
 }
 
 }  // namespace thornplank
--- a/src/libs/jobs/job_manager_impl.cc
+++ b/src/libs/jobs/job_manager_impl.cc
@@ -32,6 +32,7 @@
       log_(log),
       workers_(http),
       writer_(io, log, settings_.stream, settings_.writer),
+      log_health_(settings_.log_down_after),
       placements_(metrics.counter("thornplank_gangs_placed_total",
                                   "Gangs that this entry placed.")),
       epochs_won_(metrics.counter("thornplank_epochs_won_total",
@@ -170,7 +171,9 @@
   JobWaiters::Answers answers;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    HandleChange(fold_.Fold(record), Clock::now(), &answers);
+    const Time now = Clock::now();
+    if (IsOwnRecord(record.id)) log_health_.OnOwnRecord(now);
+    HandleChange(fold_.Fold(record), now, &answers);
   }
   for (const auto& answer : answers) answer();
   SchedulePump();
--- a/src/libs/jobs/job_manager_impl.h
+++ b/src/libs/jobs/job_manager_impl.h
@@ -20,6 +20,7 @@
 #include "jobs/job_access.h"
 #include "jobs/job_manager.h"
 #include "jobs/job_waiters.h"
+#include "jobs/log_health.h"
 #include "jobs/snapshot_schedule.h"
 #include "jobs/urgent_jobs.h"
 #include "metrics/metrics_registry.h"
@@ -110,8 +111,10 @@
       const std::shared_ptr<std::vector<SnapshotPartRecord>>& parts,
       size_t next);
 
-  // Whether the log cannot be used now. With mutex_ held.
-  bool LogDown(Time now);
+  // Whether the log cannot be used now, and why. With mutex_ held.
+  LogTrouble JudgeLog(Time now) const;
+  bool LogDown(Time now) const { return JudgeLog(now) != LogTrouble::kNone; }
+  bool IsOwnRecord(const std::string& record_id) const;
   void AppendSubmission(const JobRequest& job, const std::string& record_id,
                         Time deadline);
   void SubmissionFailed(const std::string& job, const std::string& record_id,
@@ -122,6 +125,7 @@
   void HoldUrgent(const JobRequest& job);
   JobEntry HeldEntry(const JobRequest& job) const;
   std::string NewRecordId();
+  std::string RecordIdPrefix() const;
 
   const JobManagerSettings settings_;
   boost::asio::io_context& io_;
@@ -130,6 +134,8 @@
   LogClient& log_;
   WorkerClient workers_;
   StreamWriter writer_;
+  // With mutex_ held.
+  LogHealth log_health_;
   std::unique_ptr<StreamFollower> follower_;
   std::shared_ptr<UrgentJobs> urgent_;
   Counter& placements_;
@@ -158,7 +164,6 @@
   JobWaiters waiters_;
   // Urgent jobs that the stream does not have yet.
   std::map<std::string, JobRequest> held_;
-  std::optional<Time> append_failing_since_;
   // After a pause nothing is sent to workers until the stream was asked for a
   // newer epoch and its answer, up to this offset, was folded.
   bool verifying_ = false;
--- a/src/libs/platform/stream_writer.cc
+++ b/src/libs/platform/stream_writer.cc
@@ -67,6 +67,10 @@
 
   size_t pending() const { return pending_; }
   bool healthy() const { return healthy_; }
+  std::optional<Time> failing_since() const {
+    if (healthy_) return std::nullopt;
+    return failing_since_.load();
+  }
 
  private:
   struct Entry {
@@ -134,7 +138,9 @@
                  const LogAppendOutcome& outcome) {
     in_flight_ = false;
     if (stopped_) return;
-    healthy_ = outcome.result.has_value();
+    const bool confirmed = outcome.result.has_value();
+    if (healthy_ && !confirmed) failing_since_ = Now();
+    healthy_ = confirmed;
     if (outcome.result) {
       OnConfirmed(batch, outcome.result->first_offset);
     } else {
@@ -230,6 +236,8 @@
   const StreamWriterSettings settings_;
   std::atomic<size_t> pending_{0};
   std::atomic<bool> healthy_{true};
+  // Means nothing while healthy_.
+  std::atomic<Time> failing_since_{};
   std::atomic<bool> stopped_{false};
 
   // Everything below is used on the strand only.
@@ -263,5 +271,8 @@
 }
 size_t StreamWriter::pending() const { return impl_->pending(); }
 bool StreamWriter::healthy() const { return impl_->healthy(); }
+std::optional<Time> StreamWriter::failing_since() const {
+  return impl_->failing_since();
+}
 
 }  // namespace thornplank
--- a/src/libs/platform/stream_writer.h
+++ b/src/libs/platform/stream_writer.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -61,6 +62,8 @@
   size_t pending() const;
   // True when the last attempt succeeded, or none was made yet.
   bool healthy() const;
+  // When the first of the attempts failed that have since the last success.
+  std::optional<Time> failing_since() const;
 
  private:
   class Impl;
--- a/tests/auto/platform/tst_stream_writer.cc
+++ b/tests/auto/platform/tst_stream_writer.cc
@@ -141,6 +141,7 @@
     CHECK(fate.offset == 7);
     CHECK(fixture.attempts() == std::vector<Ids>{{"a"}, {"a"}});
     CHECK(fixture.writer().healthy());
+    CHECK_FALSE(fixture.writer().failing_since().has_value());
     CHECK(fixture.writer().pending() == 0);
   }
 }
@@ -197,6 +198,7 @@
     fixture.Append("a", Milliseconds(60));
     CHECK(fixture.FateOf("a").state == AppendState::kUnknown);
     CHECK_FALSE(fixture.writer().healthy());
+    CHECK(fixture.writer().failing_since().has_value());
   }
   SUBCASE("unknown stays unknown after a later refusal by the rate cap") {
     Fixture fixture([](size_t n, const HttpServer::Responder& respond) {
