What checkpoints keep of a run is told; a lost member takes back no later checkpoint

Cause: event 917 told how long a run had lasted, not what a checkpoint keeps of that, and of a lost run not even its time (its begin was dropped), so nobody could say whether work was thrown away or only moved. Beside it, found by reading: members of a gang share each other's checkpoints, and a member that was lost with its worker brought the one of its own last report, up to 2 s old, back over what others had shown since. The gang began again from there.

Change: TrackedRun notes when a report first showed a checkpoint of its own; 917 says `kept_ms`, `logs summary` prints thrown away and kept apart. A run that is settled without a report of its own brings no checkpoint: reports had told it.

Ruled out: a gang that begins from nothing though it was saved; no path loses the value. Tests first: "a lost member of a gang takes back no later checkpoint" failed (first for second); table of what eight kinds of ends keep.

--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -107,7 +107,8 @@
         {{"cause", runs.cause},
          {"priority", runs.priority},
          {"runs", runs.runs},
-         {"accelerator_ms", ToMilliseconds(runs.accelerator_time)}});
+         {"accelerator_ms", ToMilliseconds(runs.accelerator_time)},
+         {"kept_accelerator_ms", ToMilliseconds(runs.kept)}});
   }
   return {{"jobs", std::move(jobs)}, {"discarded", std::move(discarded)}};
 }
@@ -140,11 +141,13 @@
 }
 
 void PrintDiscarded(const LogSummaryReport& report) {
-  std::cout << "\nthrown away, accelerator s   runs  priority  cause\n";
+  std::cout
+      << "\nthrown away, accelerator s       kept   runs  priority  cause\n";
   for (const DiscardedRuns& runs : report.discarded) {
     std::cout << std::setw(26) << ToSeconds(runs.accelerator_time)
-              << std::setw(7) << runs.runs << std::setw(10) << runs.priority
-              << "  " << runs.cause << "\n";
+              << std::setw(11) << ToSeconds(runs.kept) << std::setw(7)
+              << runs.runs << std::setw(10) << runs.priority << "  "
+              << runs.cause << "\n";
   }
 }
 
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -168,12 +168,15 @@
   const auto lasted_ms = std::chrono::duration_cast<Milliseconds>(
                              lasted.value_or(Duration::zero()))
                              .count();
+  const auto kept_ms =
+      std::chrono::duration_cast<Milliseconds>(end.kept).count();
   LogEvent(events::kRunEnded, {{"task", end.task.ToString()},
                                {"run", end.run},
                                {"worker", worker},
                                {"end", std::string(ToText(end.end))},
                                {"number", end.number},
                                {"lasted_ms", lasted_ms},
+                               {"kept_ms", kept_ms},
                                {"in_force", taken}});
   if (end.number > 0) {
     int64_t& number = unrecorded_ends_[worker];
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -485,7 +485,7 @@
 // True when the worker itself was forgotten.
 bool WorkerFleet::Lose(const std::string& id, const std::string& reason) {
   WorkerTracker* tracker = Find(id);
-  const std::vector<RunEndReport> ends = tracker->OnGone();
+  const std::vector<RunEndReport> ends = tracker->OnGone(Now());
   LogEvent(events::kWorkerGone,
            {{"worker", id}, {"reason", reason}, {"runs", ends.size()}});
   const bool forget = links_[id].missing_since.has_value();
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -203,9 +203,10 @@
     runs.cause = cause;
     runs.priority = need.priority;
     ++runs.runs;
-    runs.accelerator_time +=
-        Milliseconds(IntField(line.fields, "lasted_ms").value_or(0)) *
-        need.accelerators;
+    const int64_t lasted = IntField(line.fields, "lasted_ms").value_or(0);
+    const int64_t kept = IntField(line.fields, "kept_ms").value_or(0);
+    runs.accelerator_time += Milliseconds(lasted - kept) * need.accelerators;
+    runs.kept += Milliseconds(kept) * need.accelerators;
     JobStory* job = Open(JobOf(task), line.time);
     if (job == nullptr) return;
     job->waits.insert({step, {line.time, "again: " + cause}});
--- a/src/libs/logging/log_summary.h
+++ b/src/libs/logging/log_summary.h
@@ -39,9 +39,10 @@
   std::string cause;
   int64_t priority = 0;
   int64_t runs = 0;
-  // Times the accelerators that they held. What checkpoints have saved of it
-  // is not in the logs.
+  // Times the accelerators that they held, without what checkpoints kept.
   Duration accelerator_time{};
+  // What checkpoints kept of their time, times the accelerators.
+  Duration kept{};
 };
 
 struct LogSummaryReport {
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -52,6 +52,8 @@
   // When it was first seen at work, by this process's clock; filled in by the
   // tracker.
   Time began{};
+  // Of the time since then, what a checkpoint keeps; filled in there as well.
+  Duration kept{};
 };
 
 struct WorkerStatusReport {
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -23,8 +23,13 @@
 // With less done, a rate is too coarse to go by.
 constexpr int kTellingPercent = 3;
 
-RunEndReport Settled(const TrackedRun& run, RunEnd end) {
-  return {0, run.task, run.run, end, run.checkpoint};
+// What it had saved was told when a report showed it. Of a gang another member
+// may have told of a later checkpoint since, which holds for this one too.
+RunEndReport Settled(const TrackedRun& run, RunEnd end, Time now) {
+  RunEndReport settled{0, run.task, run.run, end, ""};
+  settled.began = run.began;
+  settled.kept = run.kept("", now);
+  return settled;
 }
 
 }  // namespace
@@ -34,6 +39,14 @@
   return now - began;
 }
 
+Duration TrackedRun::kept(const std::string& made, Time now) const {
+  if (began == Time{}) return Duration::zero();
+  // Made by the end itself, which comes as soon as it is there.
+  const bool made_now = !made.empty() && made != checkpoint;
+  if (made_now) return now - began;
+  return saved == Time{} ? Duration::zero() : saved - began;
+}
+
 double TrackedRun::rate() const {
   const int done = percent - baseline_percent;
   if (!baseline || done < kTellingPercent) return 0;
@@ -139,14 +152,14 @@
       }
       return {};
     case StartOutcome::kOtherLife:
-      return OnGone();
+      return OnGone(now);
     case StartOutcome::kRefused:
     case StartOutcome::kTicketRefused:
     case StartOutcome::kFenced:
       break;
   }
   if (tracked.stage == RunStage::kRunning) return {};
-  std::vector<RunEndReport> settled = {Settled(tracked, RunEnd::kLost)};
+  std::vector<RunEndReport> settled = {Settled(tracked, RunEnd::kLost, now)};
   Erase(it);
   return settled;
 }
@@ -177,6 +190,7 @@
     const auto it = runs_.find(end.task);
     if (it == runs_.end() || it->second.run > end.run) continue;
     ended.back().began = it->second.began;
+    ended.back().kept = it->second.kept(end.checkpoint, now);
     Erase(it);
   }
   for (const RunReport& running : report.running) {
@@ -193,7 +207,7 @@
     const auto run = it++;
     if (present.count(run->first) > 0) continue;
     if (!IsSettledByAbsence(run->second, sent, report.clock)) continue;
-    ended.push_back(Settled(run->second, RunEnd::kLost));
+    ended.push_back(Settled(run->second, RunEnd::kLost, now));
     Erase(run);
   }
   return ended;
@@ -215,6 +229,9 @@
     run->baseline = now;
     run->baseline_percent = report.percent;
   }
+  const bool resumes_from_it = run->resumed && run->checkpoint.empty();
+  const bool is_new = report.checkpoint != run->checkpoint && !resumes_from_it;
+  if (is_new) run->saved = now;
   run->checkpoint = report.checkpoint;
 }
 
@@ -246,10 +263,11 @@
   return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
 }
 
-std::vector<RunEndReport> WorkerTracker::OnGone() {
+std::vector<RunEndReport> WorkerTracker::OnGone(Time now) {
   std::vector<RunEndReport> ended;
+  ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
-    ended.push_back(Settled(run, RunEnd::kLost));
+    ended.push_back(Settled(run, RunEnd::kLost, now));
   }
   runs_.clear();
   used_ = Resources();
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -78,6 +78,8 @@
   // Begins with a checkpoint, so that its first percentage is not its own work.
   bool resumed = false;
   std::string checkpoint;
+  // When a report first showed that checkpoint, where this run made it.
+  Time saved{};
   // On the worker's clock: a start that arrives later does nothing.
   Milliseconds order_deadline{0};
   bool stop_wanted = false;
@@ -88,6 +90,9 @@
   // Work that is lost when it is told to stop: none where the stop itself
   // saves it.
   Duration unsaved(Time now) const;
+  // Of the time that it has worked, what is not lost when it ends so; `made` is
+  // the checkpoint that its end brought.
+  Duration kept(const std::string& made, Time now) const;
   // Percent a second since the baseline; zero when that tells nothing yet.
   double rate() const;
   // Until it ends at that rate; Duration::max() when it tells nothing yet.
@@ -170,7 +175,7 @@
                                      std::vector<RunReport>* unexpected);
   void OnNoReport(Time now);
   // Its life is over: everything on it has ended.
-  std::vector<RunEndReport> OnGone();
+  std::vector<RunEndReport> OnGone(Time now);
 
   // The number of the last end that was processed; the worker may forget ends
   // up to `recorded_ends`.
--- a/tests/auto/logging/tst_log_summary.cc
+++ b/tests/auto/logging/tst_log_summary.cc
@@ -159,6 +159,17 @@
   }
 }
 
+TEST_CASE("what a checkpoint kept is not thrown away") {
+  const std::string ended = Line(
+      500, 917,
+      R"("task":"a.0.0.3","run":1,"lasted_ms":400,"kept_ms":300,"end":"lost",)"
+      R"("in_force":true)");
+  const LogSummaryReport report = ReportOf({Placed(100), ended});
+  REQUIRE(report.discarded.size() == 1);
+  CHECK(report.discarded[0].accelerator_time == Milliseconds(200));
+  CHECK(report.discarded[0].kept == Milliseconds(600));
+}
+
 TEST_CASE("jobs that are not completed come first, then the longest waits") {
   const LogSummaryReport report = ReportOf(
       {Accepted(100, "b"), Placed(110, "b.0.0"),
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -84,7 +84,7 @@
        },
        false},
       {"another life answers",
-       [](WorkerTracker* tracker) { return tracker->OnGone(); }, true},
+       [](WorkerTracker* tracker) { return tracker->OnGone(At(600)); }, true},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -140,6 +140,80 @@
   CHECK(tracker.recorded_ends() == 1);
 }
 
+TEST_CASE("what a run's end keeps of its work") {
+  struct Row {
+    const char* name;
+    // The run began with it.
+    const char* resumed_from;
+    // Of the reports at 1000, 2000 and 3000.
+    std::vector<const char*> reported;
+    // At 4000; null where its worker is gone instead.
+    const char* at_end;
+    int64_t kept_ms;
+  };
+  const std::vector<Row> rows = {
+      {"never saved", "", {"", "", ""}, "", 0},
+      {"saved once", "", {"", "a", "a"}, "a", 2000},
+      {"saved again by its end", "", {"", "a", "a"}, "b", 4000},
+      {"saved by its end alone", "", {"", "", ""}, "a", 4000},
+      {"its worker is gone", "", {"", "a", "b"}, nullptr, 3000},
+      {"its worker is gone before it saved", "", {"", "", ""}, nullptr, 0},
+      {"resumed, saved nothing itself", "a", {"a", "a", "a"}, "a", 0},
+      {"resumed and saved", "a", {"a", "b", "b"}, "b", 2000},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+    tracker.Add(kTask, 1, Profile(), At(0));
+    tracker.Find(kTask)->resumed = row.resumed_from[0] != '\0';
+    tracker.OnStartSent(kTask, 1, Milliseconds(1500), At(0));
+    tracker.OnStartAnswer(kTask, 1, StartOutcome::kAccepted, At(0));
+    int64_t now = 0;
+    for (const char* checkpoint : row.reported) {
+      now += 1000;
+      WorkerStatusReport report = Report(now, false);
+      report.running.push_back({kTask, 1, checkpoint, 10});
+      Hear(&tracker, now, now, report);
+    }
+    std::vector<RunEndReport> ends;
+    if (row.at_end == nullptr) {
+      ends = tracker.OnGone(At(4000));
+    } else {
+      WorkerStatusReport report = Report(4000, false);
+      report.ended.push_back({1, kTask, 1, RunEnd::kStopped, row.at_end});
+      ends = Hear(&tracker, 4000, 4000, report);
+    }
+    REQUIRE(ends.size() == 1);
+    CHECK(ends[0].kept == Milliseconds(row.kept_ms));
+    CHECK(ends[0].began == At(0));
+  }
+}
+
+// Members save at the same points of their work, but their reports come at
+// different times: the last that one member showed may be older than what
+// another has shown since.
+TEST_CASE("a lost member of a gang takes back no later checkpoint") {
+  const StepRef step{"0123456789abcdef", 0, 0};
+  StepSpec spec = MakeStep(2, 1);
+  spec.gang = true;
+  spec.checkpointable = true;
+  JobLedger ledger;
+  ledger.Add(MakeJob(step.job, {spec}), At(0));
+  ledger.Start(step, {{0, "w"}, {1, "v"}});
+  WorkerTracker lost = MakeTracker(MakeWorker("w", "r1"));
+  lost.Add({step, 0}, 1, Profile(), At(0));
+  WorkerStatusReport report = Report(1000, false);
+  report.running.push_back({{step, 0}, 1, "first", 10});
+  Hear(&lost, 1000, 1000, report);
+  ledger.Checkpoint({step, 0}, 1, "first");
+  ledger.Checkpoint({step, 1}, 1, "second");
+  for (const RunEndReport& end : lost.OnGone(At(2000))) {
+    ledger.End(end.task, end.run, end.end, end.checkpoint);
+  }
+  CHECK(ledger.FindTask({step, 0})->checkpoint == "second");
+  CHECK(ledger.FindTask({step, 1})->checkpoint == "second");
+}
+
 TEST_CASE("a predecessor's run is believed until the first report") {
   WorkerTracker tracker(MakeWorker("w", "r1"));
   tracker.Inherit(kTask, 1, Profile(), At(0), At(9000));
