--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -291,10 +291,58 @@
            CHECK(cluster.ControlExecutor(i, {{"late_percent", 0}}));
          }
        }},
+      {"orders are carried out and their answers lost",
+       [](HostedCluster& cluster) {
+         for (int i = 0; i < 6; ++i) {
+           CHECK(cluster.ControlExecutor(i, {{"lost_percent", 50}}));
+         }
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(2));
+         for (int i = 0; i < 6; ++i) {
+           CHECK(cluster.ControlExecutor(i, {{"lost_percent", 0}}));
+         }
+       }},
+      {"connections to executors are reset again and again",
+       [](HostedCluster& cluster) {
+         for (int round = 0; round < 20; ++round) {
+           for (int i = 0; i < 6; ++i) {
+             CHECK(cluster.ControlExecutor(i, {{"reset", true}}));
+           }
+           HostedCluster::Eventually([] { return false; }, Milliseconds(100));
+         }
+       }},
       {"an executor begins a new life",
        [](HostedCluster& cluster) {
          CHECK(cluster.ControlExecutor(0, {{"crash", true}}));
        }},
+      {"a failure domain with the leader loses power",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         cluster.entry(leader).Kill();
+         for (int i = 0; i < 6; i += 2) {
+           CHECK(cluster.ControlExecutor(i, {{"silent", true}}));
+         }
+         HostedCluster::Eventually([] { return false; }, Milliseconds(1500));
+         for (int i = 0; i < 6; i += 2) {
+           CHECK(cluster.ControlExecutor(i,
+                                         {{"crash", true}, {"silent", false}}));
+         }
+         cluster.StartEntry(leader);
+       }},
+      {"a failure domain with the leader is cut off and works on",
+       [](HostedCluster& cluster) {
+         const int leader = cluster.Leader();
+         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", true}}));
+         for (int i = 0; i < 6; i += 2) {
+           CHECK(cluster.ControlExecutor(i, {{"silent", true}}));
+         }
+         HostedCluster::Eventually([] { return false; },
+                                   std::chrono::seconds(4));
+         for (int i = 0; i < 6; i += 2) {
+           CHECK(cluster.ControlExecutor(i, {{"silent", false}}));
+         }
+         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", false}}));
+       }},
       {"an executor stands still",
        [](HostedCluster& cluster) {
          CHECK(cluster.ControlExecutor(1, {{"stalled", true}}));
@@ -317,6 +365,33 @@
   }
 }
 
+// Two tasks fit on an executor, so the step takes the three that are there.
+// Sound ones end in two seconds, the slow one would work for 40 s.
+TEST_CASE("long work leaves a slow executor when empty ones are added") {
+  Scenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  for (int i = 3; i < 6; ++i) {
+    REQUIRE(cluster.ControlExecutor(i, {{"draining", true}}));
+  }
+  REQUIRE(cluster.ControlExecutor(0, {{"slowdown", 20}}));
+  HostedCluster::Eventually([] { return false; }, std::chrono::seconds(1));
+  scenario.Submit(1, {Step(6, 4)}, 2000);
+  REQUIRE(
+      HostedCluster::Eventually([&] { return cluster.Runs().size() == 6; }));
+  for (int i = 3; i < 6; ++i) {
+    REQUIRE(cluster.ControlExecutor(i, {{"draining", false}}));
+  }
+  scenario.Finish();
+  int moved = 0;
+  for (const Json& run : cluster.Runs()) {
+    const std::string worker = run["worker"];
+    const bool is_slow = worker.compare(0, 2, "x0") == 0;
+    if (is_slow) CHECK(run["how"] == "stopped");
+    if (IntField(run, "run") == 2) ++moved;
+  }
+  CHECK(moved == 2);
+}
+
 TEST_CASE("another writer's entries in the directory change nothing") {
   Scenario scenario;
   HostedCluster& cluster = scenario.cluster();
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -38,7 +38,9 @@
 }
 
 int64_t UsersExecutorModel::Progress(const Run& run, int64_t now) const {
-  return stalled_ ? 0 : now - run.began;
+  if (stalled_) return 0;
+  const double worked = static_cast<double>(now - run.since) / slowdown_;
+  return run.done_ms + static_cast<int64_t>(worked);
 }
 
 void UsersExecutorModel::Advance(int64_t now) {
@@ -52,7 +54,8 @@
 
 std::pair<int64_t, RunEnd> UsersExecutorModel::NextEnd(const Run& run) const {
   std::pair<int64_t, RunEnd> next{deadline_, RunEnd::kLeaseLapsed};
-  const int64_t finished = run.began + run.work_ms;
+  const double left = static_cast<double>(run.work_ms - run.done_ms);
+  const int64_t finished = run.since + static_cast<int64_t>(left * slowdown_);
   if (!stalled_ && finished <= next.first) {
     next = {finished, run.fails ? RunEnd::kFailed : RunEnd::kDone};
   }
@@ -107,6 +110,7 @@
   run.tail_ms = IntField(payload, "tail_ms").value_or(0);
   run.disturbs_ms = IntField(payload, "disturbs_ms").value_or(0);
   run.began = now;
+  run.since = now;
   run.history = history_.size();
   RunHistory history;
   history.worker = id();
@@ -201,6 +205,15 @@
   stalled_ = on;
 }
 
+void UsersExecutorModel::set_slowdown(double factor, int64_t now) {
+  Advance(now);
+  for (auto& [name, run] : runs_) {
+    run.done_ms = Progress(run, now);
+    run.since = now;
+  }
+  slowdown_ = factor;
+}
+
 void UsersExecutorModel::Crash(int64_t now) {
   Advance(now);
   for (const auto& [name, run] : runs_) {
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -58,6 +58,8 @@
   // Faults.
   void set_fail_all(bool on) { fail_all_ = on; }
   void set_stalled(bool on, int64_t now);
+  // From now on work takes this many times as long.
+  void set_slowdown(double factor, int64_t now);
   // Everything ends; a new life begins.
   void Crash(int64_t now);
 
@@ -78,6 +80,9 @@
     int64_t disturbs_ms = 0;
     int pace = kFullPace;
     int64_t began = 0;
+    // Work that was done by `since`, when the executor's pace last changed.
+    int64_t done_ms = 0;
+    int64_t since = 0;
     // Set by a stop: when it will be over.
     int64_t stops_at = -1;
     size_t history = 0;
@@ -104,6 +109,7 @@
   int64_t deadline_ = 0;
   bool fail_all_ = false;
   bool stalled_ = false;
+  double slowdown_ = 1;
   std::map<std::string, Run> runs_;
   // The highest run that was stopped or has ended, by task.
   std::map<std::string, int> closed_runs_;
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -111,7 +111,13 @@
     const Milliseconds wait(IntField(body, "wait_ms").value_or(0));
     return Hold(exchange, query, std::chrono::steady_clock::now() + wait);
   }
-  if (!late) return exchange->Answer(Order(path, body));
+  if (!late) {
+    const Reply reply = Order(path, body);
+    const bool lost =
+        std::uniform_real_distribution<double>(0, 1)(random_) < lost_share_;
+    if (!lost) exchange->Answer(reply);
+    return;
+  }
   // What is on its way to a life ends with it.
   RunAfter(executor(), late_by_, [this, path, body, life = model_.id()] {
     if (life == model_.id()) Order(path, body);
@@ -191,8 +197,8 @@
 
 bool UsersExecutorRole::ApplyControl(const Json& control, Error* error) {
   if (!HasOnlyFields(control,
-                     {"silent", "draining", "late_percent", "fail_all",
-                      "stalled", "crash"},
+                     {"silent", "draining", "late_percent", "lost_percent",
+                      "fail_all", "stalled", "slowdown", "reset", "crash"},
                      error)) {
     return false;
   }
@@ -200,6 +206,12 @@
   ReadField(control, "draining", &draining_);
   late_share_ =
       NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
+  lost_share_ =
+      NumberField(control, "lost_percent").value_or(lost_share_ * 100) / 100;
+  if (BoolField(control, "reset").value_or(false)) CloseOtherConnections();
+  if (const auto factor = NumberField(control, "slowdown")) {
+    model_.set_slowdown(*factor, Clock());
+  }
   if (const auto on = BoolField(control, "fail_all")) model_.set_fail_all(*on);
   if (const auto on = BoolField(control, "stalled")) {
     model_.set_stalled(*on, Clock());
--- a/tests/standins/users_executor_role.h
+++ b/tests/standins/users_executor_role.h
@@ -54,6 +54,8 @@
   bool draining_ = false;
   // Share of the orders that get no answer and are carried out later.
   double late_share_ = 0;
+  // Share of the orders that are carried out and get no answer.
+  double lost_share_ = 0;
   Milliseconds late_by_{2500};
   int64_t beats_ = 0;
 };
