--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -1,110 +1,20 @@
-// The whole path of hosted entries: submit, run, complete, cancel, under the
-// loss of entries, of the store, and of answers.
+// The whole path of hosted entries: submit, run, complete, cancel, and what an
+// entry without the store may say.
 #include <doctest/doctest.h>
 
 #include <csignal>
-#include <cstdio>
 #include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "hosted_cluster.h"
-#include "run_checker.h"
+#include "hosted_scenario.h"
 
 namespace thornplank {
 namespace {
 
-int64_t ClockMs() {
-  return std::chrono::duration_cast<Milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
-std::string JobId(int number) {
-  char text[17];
-  std::snprintf(text, sizeof(text), "%016x", number + 1);
-  return text;
-}
-
-TestStep Step(int count, int accelerators, std::vector<int> depends_on = {}) {
-  TestStep step;
-  step.count = count;
-  step.accelerators = accelerators;
-  step.depends_on = std::move(depends_on);
-  return step;
-}
-
-class Scenario {
- public:
-  explicit Scenario(HostedClusterSettings settings = HostedClusterSettings())
-      : cluster_(settings) {
-    REQUIRE(cluster_.Start());
-    REQUIRE(
-        HostedCluster::Eventually([this] { return cluster_.Leader() >= 0; }));
-  }
-
-  HostedCluster& cluster() { return cluster_; }
-
-  // Submits at any entry that takes it.
-  TestJob Submit(int number, std::vector<TestStep> steps, int work_ms,
-                 int priority = 1) {
-    TestJob job;
-    job.id = JobId(number);
-    job.steps = std::move(steps);
-    job.work_ms = work_ms;
-    job.priority = priority;
-    Submit(job);
-    return job;
-  }
-
-  void Submit(const TestJob& job) {
-    JobAccount account;
-    account.job = job;
-    account.accepted = HostedCluster::Eventually([&] {
-      return cluster_.Submit(next_++ % cluster_.settings().entries, job) == 200;
-    });
-    CHECK(account.accepted);
-    jobs_[job.id] = account;
-  }
-
-  void Cancel(const TestJob& job) {
-    CHECK(HostedCluster::Eventually([&] {
-      return cluster_.Cancel(next_++ % cluster_.settings().entries, job) == 200;
-    }));
-    jobs_[job.id].cancelled_ms = ClockMs();
-  }
-
-  // Waits until every job has ended, and checks every promise.
-  void Finish() {
-    for (auto& entry : jobs_) {
-      JobAccount& account = entry.second;
-      CAPTURE(entry.first);
-      CHECK(HostedCluster::Eventually(
-          [&] {
-            account.final_state = cluster_.State(
-                next_++ % cluster_.settings().entries, account.job);
-            return account.final_state == "completed" ||
-                   account.final_state == "cancelled" ||
-                   account.final_state == "failed";
-          },
-          std::chrono::seconds(40)));
-      if (account.cancelled_ms < 0) CHECK(account.final_state == "completed");
-    }
-    for (const std::string& problem : CheckRuns(cluster_.Runs(), jobs_)) {
-      FAIL_CHECK(problem);
-    }
-    CHECK(cluster_.CapacityViolations().empty());
-  }
-
- private:
-  HostedCluster cluster_;
-  std::map<std::string, JobAccount> jobs_;
-  int next_ = 0;
-};
-
 TEST_CASE("a job of dependent steps runs in order and is shown as completed") {
-  Scenario scenario;
+  HostedScenario scenario;
   scenario.Submit(1, {Step(4, 1), Step(6, 1, {0}), Step(1, 1, {0, 1})}, 150);
   TestStep gang = Step(3, 8);
   gang.gang = true;
@@ -116,7 +26,7 @@
 }
 
 TEST_CASE("bad input is refused with a reason and changes nothing") {
-  Scenario scenario;
+  HostedScenario scenario;
   struct Row {
     const char* name;
     const char* method;
@@ -164,7 +74,7 @@
 }
 
 TEST_CASE("a key that was taken away is refused at every entry") {
-  Scenario scenario;
+  HostedScenario scenario;
   REQUIRE(scenario.cluster().PublishConfiguration(/*keyed=*/false));
   for (int entry = 0; entry < 3; ++entry) {
     TestJob job;
@@ -175,7 +85,7 @@
 }
 
 TEST_CASE("an entry without the store takes no key that may be gone") {
-  Scenario scenario;
+  HostedScenario scenario;
   HostedCluster& cluster = scenario.cluster();
   const TestJob job = scenario.Submit(1, {Step(1, 1)}, 50);
   REQUIRE(HostedCluster::Eventually(
@@ -195,7 +105,7 @@
 }
 
 TEST_CASE("an entry without the store tells only states that are final") {
-  Scenario scenario;
+  HostedScenario scenario;
   HostedCluster& cluster = scenario.cluster();
   const TestJob done = scenario.Submit(1, {Step(1, 1)}, 50);
   const TestJob running = scenario.Submit(2, {Step(1, 1)}, 2000);
@@ -220,180 +130,8 @@
   scenario.Finish();
 }
 
-TEST_CASE("jobs go on and none runs twice whatever is lost") {
-  struct Row {
-    const char* name;
-    std::function<void(HostedCluster&)> fault;
-  };
-  const std::vector<Row> rows = {
-      {"the leader is killed",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         cluster.entry(leader).Kill();
-         cluster.StartEntry(leader);
-       }},
-      {"every entry is killed",
-       [](HostedCluster& cluster) {
-         for (int i = 0; i < 3; ++i) cluster.entry(i).Kill();
-         for (int i = 0; i < 3; ++i) cluster.StartEntry(i);
-       }},
-      {"the leader is stopped gracefully",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         cluster.entry(leader).Signal(SIGTERM);
-         CHECK(cluster.entry(leader).Wait(std::chrono::seconds(20)) == 0);
-         cluster.StartEntry(leader);
-       }},
-      {"the leader freezes for four seconds",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         cluster.entry(leader).Freeze();
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(4));
-         cluster.entry(leader).Thaw();
-       }},
-      {"the leader is cut off from the store",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", true}}));
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(4));
-         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", false}}));
-       }},
-      {"the store is silent for three seconds",
-       [](HostedCluster& cluster) {
-         CHECK(cluster.ControlStore({{"mode", "silent"}}));
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(3));
-         CHECK(cluster.ControlStore({{"mode", "up"}}));
-       }},
-      {"the store loses answers, some appends land late",
-       [](HostedCluster& cluster) {
-         CHECK(cluster.ControlStore(
-             {{"lost_percent", 20}, {"late_percent", 10}}));
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(3));
-         CHECK(
-             cluster.ControlStore({{"lost_percent", 0}, {"late_percent", 0}}));
-       }},
-      {"the store drops its history",
-       [](HostedCluster& cluster) {
-         CHECK(cluster.ControlStore({{"drop_history", true}}));
-       }},
-      {"orders are carried out late and not answered",
-       [](HostedCluster& cluster) {
-         for (int i = 0; i < 6; ++i) {
-           CHECK(cluster.ControlExecutor(i, {{"late_percent", 50}}));
-         }
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(2));
-         for (int i = 0; i < 6; ++i) {
-           CHECK(cluster.ControlExecutor(i, {{"late_percent", 0}}));
-         }
-       }},
-      {"orders are carried out and their answers lost",
-       [](HostedCluster& cluster) {
-         for (int i = 0; i < 6; ++i) {
-           CHECK(cluster.ControlExecutor(i, {{"lost_percent", 50}}));
-         }
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(2));
-         for (int i = 0; i < 6; ++i) {
-           CHECK(cluster.ControlExecutor(i, {{"lost_percent", 0}}));
-         }
-       }},
-      {"connections to executors are reset again and again",
-       [](HostedCluster& cluster) {
-         for (int round = 0; round < 20; ++round) {
-           for (int i = 0; i < 6; ++i) {
-             CHECK(cluster.ControlExecutor(i, {{"reset", true}}));
-           }
-           HostedCluster::Eventually([] { return false; }, Milliseconds(100));
-         }
-       }},
-      {"an executor begins a new life",
-       [](HostedCluster& cluster) {
-         CHECK(cluster.ControlExecutor(0, {{"crash", true}}));
-       }},
-      {"a failure domain with the leader loses power",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         cluster.entry(leader).Kill();
-         for (int i = 0; i < 6; i += 2) {
-           CHECK(cluster.ControlExecutor(i, {{"silent", true}}));
-         }
-         HostedCluster::Eventually([] { return false; }, Milliseconds(1500));
-         for (int i = 0; i < 6; i += 2) {
-           CHECK(cluster.ControlExecutor(i,
-                                         {{"crash", true}, {"silent", false}}));
-         }
-         cluster.StartEntry(leader);
-       }},
-      {"a failure domain with the leader is cut off and works on",
-       [](HostedCluster& cluster) {
-         const int leader = cluster.Leader();
-         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", true}}));
-         for (int i = 0; i < 6; i += 2) {
-           CHECK(cluster.ControlExecutor(i, {{"silent", true}}));
-         }
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(4));
-         for (int i = 0; i < 6; i += 2) {
-           CHECK(cluster.ControlExecutor(i, {{"silent", false}}));
-         }
-         CHECK(cluster.ControlStoreProxy(leader, {{"freeze", false}}));
-       }},
-      {"an executor stands still",
-       [](HostedCluster& cluster) {
-         CHECK(cluster.ControlExecutor(1, {{"stalled", true}}));
-         HostedCluster::Eventually([] { return false; },
-                                   std::chrono::seconds(7));
-         CHECK(cluster.ControlExecutor(1, {{"stalled", false}}));
-       }},
-  };
-  for (const Row& row : rows) {
-    CAPTURE(row.name);
-    Scenario scenario;
-    for (int i = 0; i < 4; ++i) {
-      scenario.Submit(i, {Step(6, 2), Step(4, 1, {0})}, 900);
-    }
-    row.fault(scenario.cluster());
-    for (int i = 4; i < 8; ++i) {
-      scenario.Submit(i, {Step(6, 2), Step(4, 1, {0})}, 300);
-    }
-    scenario.Finish();
-  }
-}
-
-// Two tasks fit on an executor, so the step takes the three that are there.
-// Sound ones end in two seconds, the slow one would work for 40 s.
-TEST_CASE("long work leaves a slow executor when empty ones are added") {
-  Scenario scenario;
-  HostedCluster& cluster = scenario.cluster();
-  for (int i = 3; i < 6; ++i) {
-    REQUIRE(cluster.ControlExecutor(i, {{"draining", true}}));
-  }
-  REQUIRE(cluster.ControlExecutor(0, {{"slowdown", 20}}));
-  HostedCluster::Eventually([] { return false; }, std::chrono::seconds(1));
-  scenario.Submit(1, {Step(6, 4)}, 2000);
-  REQUIRE(
-      HostedCluster::Eventually([&] { return cluster.Runs().size() == 6; }));
-  for (int i = 3; i < 6; ++i) {
-    REQUIRE(cluster.ControlExecutor(i, {{"draining", false}}));
-  }
-  scenario.Finish();
-  int moved = 0;
-  for (const Json& run : cluster.Runs()) {
-    const std::string worker = run["worker"];
-    const bool is_slow = worker.compare(0, 2, "x0") == 0;
-    if (is_slow) CHECK(run["how"] == "stopped");
-    if (IntField(run, "run") == 2) ++moved;
-  }
-  CHECK(moved == 2);
-}
-
 TEST_CASE("another writer's entries in the directory change nothing") {
-  Scenario scenario;
+  HostedScenario scenario;
   HostedCluster& cluster = scenario.cluster();
   scenario.Submit(0, {Step(12, 1)}, 300);
   REQUIRE(HostedCluster::Eventually([&] { return cluster.Runs().size() > 6; }));
@@ -435,7 +173,7 @@
 TEST_CASE("a cancelled job stops, also when the leader dies right after") {
   for (const bool kill : {false, true}) {
     CAPTURE(kill);
-    Scenario scenario;
+    HostedScenario scenario;
     const TestJob job = scenario.Submit(1, {Step(8, 1), Step(8, 1, {0})}, 1500);
     REQUIRE(HostedCluster::Eventually(
         [&] { return !scenario.cluster().Runs().empty(); }));
@@ -461,7 +199,7 @@
 TEST_CASE("steps that need advice run on approved executors, with a ticket") {
   HostedClusterSettings settings;
   settings.advised = true;
-  Scenario scenario(settings);
+  HostedScenario scenario(settings);
   HostedCluster& cluster = scenario.cluster();
   for (int i = 0; i < 4; ++i) {
     scenario.Submit(i, {Step(4, 2), Step(2, 1, {0})}, 300);
@@ -482,7 +220,7 @@
 TEST_CASE("tasks that fill are slowed until a serving task is well") {
   HostedClusterSettings settings;
   settings.executors = 1;
-  Scenario scenario(settings);
+  HostedScenario scenario(settings);
   HostedCluster& cluster = scenario.cluster();
   TestJob server;
   server.id = JobId(1);
@@ -522,7 +260,7 @@
 }
 
 TEST_CASE("an urgent job takes room from others") {
-  Scenario scenario;
+  HostedScenario scenario;
   // Fills all 48 accelerators for a long time.
   const TestJob filler = scenario.Submit(1, {Step(48, 1)}, 8000, 2);
   REQUIRE(HostedCluster::Eventually(
