A gang of which one member gives way to an urgent step is stopped as a whole

Change: who takes room from one member tells all of them to stop, which saves their work and frees their room at once.

Test: tst_cluster_coordinator, "a gang of which one member gives way"; fails without (one stop for two).

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -121,6 +121,7 @@
 
   void SchedulePlanning();
   void PlanRound();
+  void StopRestOfGang(const StopDecision& stop);
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each reason.
   void TellWaits(const std::vector<WaitDecision>& waits);
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -50,6 +50,7 @@
     }
     for (const StopDecision& stop : plan.stops) {
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
+      StopRestOfGang(stop);
     }
     TellWaits(plan.waits);
     SeekAdvice(plan.waits);
@@ -57,6 +58,20 @@
   Flush();
 }
 
+// A gang that loses a member ends as a whole. A member that is told to stop saves
+// its work, one that finds another gone does not, and its room is free later.
+void ClusterCoordinator::StopRestOfGang(const StopDecision& stop) {
+  const StepSpec* spec = ledger_.FindStepSpec(stop.task.step);
+  if (spec == nullptr || !spec->gang) return;
+  const StepProgress* progress = ledger_.FindStep(stop.task.step);
+  for (size_t i = 0; i < progress->tasks.size(); ++i) {
+    const TaskStatus& member = progress->tasks[i];
+    if (member.phase != TaskPhase::kActive || member.run != stop.run) continue;
+    const TaskRef task{stop.task.step, static_cast<int>(i)};
+    fleet_->RequestStop(member.worker, task, stop.run, stop.reason);
+  }
+}
+
 void ClusterCoordinator::ApplyStart(const StartDecision& decision, Time now) {
   MeasureWait(decision, now);
   const int run = ledger_.Start(decision.step, decision.assignments);
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -39,6 +39,7 @@
   }
   void Stop(const WorkerAddress& worker, const StopOrder& order, Milliseconds,
             std::function<void(CallOutcome, const Error&)> done) override {
+    stopped.push_back(order.task);
     const CallOutcome outcome = models.at(worker.id).Stop(order, ClockMs());
     boost::asio::post(
         io_, [done = std::move(done), outcome] { done(outcome, Error()); });
@@ -62,6 +63,8 @@
   }
 
   std::map<std::string, standins::UsersExecutorModel> models;
+  // By orders, in their order.
+  std::vector<TaskRef> stopped;
 
  private:
   boost::asio::io_context& io_;
@@ -155,8 +158,9 @@
     store.model.Append(request);
   }
 
-  void Submit(std::vector<StepSpec> steps, int work_ms) {
-    JobDefinition job = MakeJob(kJob, std::move(steps));
+  void Submit(std::vector<StepSpec> steps, int work_ms,
+              const std::string& id = kJob, int priority = 1) {
+    JobDefinition job = MakeJob(id, std::move(steps), priority);
     job.accepted = std::chrono::system_clock::now();
     job.payload = Json({{"work_ms", work_ms}}).dump();
     Append(kBoard, JobBoard::Submission(job));
@@ -343,6 +347,27 @@
   CHECK(RunUntil(cluster.io, [&] { return !entry.coordinator().leading(); }));
 }
 
+// The members that are not told would end unsaved, and later.
+TEST_CASE("a gang of which one member gives way is stopped as a whole") {
+  Cluster cluster;
+  Entry& entry = cluster.Add("a");
+  REQUIRE(RunUntil(cluster.io, [&] { return entry.coordinator().leading(); }));
+  StepSpec gang = MakeStep(2, 5);
+  gang.gang = true;
+  gang.checkpointable = true;
+  cluster.Submit({gang}, 60000);
+  REQUIRE(RunUntil(cluster.io, [&] { return cluster.AllRuns().size() == 2; }));
+  cluster.Submit({MakeStep(1, 8)}, 50, "fedcba9876543210", 0);
+  REQUIRE(RunUntil(cluster.io, [&] { return !cluster.calls.stopped.empty(); }));
+  REQUIRE(cluster.calls.stopped.size() == 2);
+  CHECK(cluster.calls.stopped[0].step.job == kJob);
+  CHECK(cluster.calls.stopped[1].step.job == kJob);
+  CHECK(cluster.calls.stopped[0].index != cluster.calls.stopped[1].index);
+  CHECK(RunUntil(cluster.io, [&] {
+    return entry.state("fedcba9876543210") == JobState::kCompleted;
+  }));
+}
+
 TEST_CASE("a cancelled job's runs are stopped and none starts any more") {
   Cluster cluster;
   Entry& entry = cluster.Add("a");
