--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -170,7 +170,9 @@
 
 std::optional<ProgressBlockRef> JobBoard::BlockOf(const std::string& key) {
   if (key.empty() || key[0] != kProgressKey) return std::nullopt;
-  return ParseProgressBlockRef(std::string_view(key).substr(1));
+  std::string_view name = key;
+  name.remove_prefix(1);
+  return ParseProgressBlockRef(name);
 }
 
 std::string JobBoard::BeforeProgress() { return std::string(1, kProgressKey); }
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -172,6 +172,7 @@
     }
   };
   std::vector<JobLedger::Assignment> all;
+  all.reserve(kTasks);
   for (int index = 0; index < kTasks; ++index) {
     all.push_back({index, "i-3f4300f850"});
   }
--- a/tests/integration/support/hosted_scenario.cc
+++ b/tests/integration/support/hosted_scenario.cc
@@ -68,9 +68,9 @@
 }
 
 void HostedScenario::Finish() {
-  for (auto& [id, account] : jobs_) {
-    CAPTURE(id);
-    JobAccount& job = account;
+  for (auto& entry : jobs_) {
+    CAPTURE(entry.first);
+    JobAccount& job = entry.second;
     CHECK(HostedCluster::Eventually(
         [&] {
           job.final_state = cluster_.State(NextEntry(), job.job);
