Soak: an end whose lease lapsed before it was recorded counts for nothing

So the order of things is the one that the users' rule allows: an end is noted when the scheduler records it, "unless the executor's lease lapsed between the two; that stands for good".

--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -32,7 +32,9 @@
   // -1 while it runs.
   int64_t ended_ms = -1;
   std::string how;
-  // Its end was recorded by the scheduler, or could be.
+  // Its end was recorded by the scheduler, under a lease that had not lapsed
+  // since. After a lapse the scheduler may have begun the task again, so that
+  // the end counts for nothing, for good (the users' rule).
   bool recorded = false;
   // As last reported, and as last ordered.
   int64_t load = 0;
@@ -89,6 +91,9 @@
   };
   struct Ended {
     int64_t number = 0;
+    int64_t time = 0;
+    // The lease lapsed after it, before it was recorded.
+    bool lapsed = false;
     TaskRef task;
     int run = 0;
     RunEnd end = RunEnd::kLost;
@@ -96,6 +101,8 @@
   };
 
   void Advance(int64_t now);
+  // Ends that nobody has recorded when the lease lapses.
+  void NoteLapse();
   // How the run ends if nothing else happens to it, and when.
   std::pair<int64_t, RunEnd> NextEnd(const Run& run) const;
   void End(std::map<std::string, Run>::iterator run, RunEnd end, int64_t now);
