--- a/src/libs/workload/progress_block.h
+++ b/src/libs/workload/progress_block.h
@@ -22,8 +22,9 @@
 namespace thornplank {
 
 // Of tasks that are no gang. A record has 30 bytes beside them, an active task
-// about 18: with 2 to 4 of them a task's life takes some 100 bytes, with 8 a
-// third more, and each further record costs all entries a key to pass over.
+// about 18: worked out from these, a task's life takes some 100 bytes with 2 to
+// 4 of them and a third more with 8, while each further record costs all
+// entries a key to pass over.
 inline constexpr int kTasksPerBlock = 4;
 
 struct ProgressBlockRef {
