An end that comes with its worker's says how the worker ended

Now: worker-left, worker-crashed, worker-silent; 'lost' is left for what never began. A worker that had announced to leave by then has left, though another life answers. No decision looks at the new ends: they do what 'lost' did (rows of tst_job_ledger). Two checks of tst_worker_fleet that asked for 'lost' ask for 'worker-left' now, which is narrower.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -10,7 +10,6 @@
 namespace thornplank {
 namespace {
 
-constexpr char kOtherLife[] = "another life answers at its address";
 // Time between two reads of the directory that counts as an outage.
 constexpr Milliseconds kContactGap{2500};
 
@@ -28,6 +27,18 @@
 
 Time Now() { return std::chrono::steady_clock::now(); }
 
+const char* ToReason(LifeEnd end) {
+  switch (end) {
+    case LifeEnd::kLeft:
+      return "it has left as announced";
+    case LifeEnd::kCrashed:
+      return "another life answers at its address";
+    case LifeEnd::kSilent:
+      return "its leases have ended";
+  }
+  return "";
+}
+
 }  // namespace
 
 WorkerFleet::WorkerFleet(WorkerCalls& calls, const Formats& formats,
@@ -97,7 +108,7 @@
   link.missing_since = now;
   const Milliseconds heartbeat = settings_.bounds.heartbeat;
   if (link.departure.IsDeparture(heartbeat, contact_, now)) {
-    Bury(id, "it has left as announced");
+    Bury(id, LifeEnd::kLeft);
   }
 }
 
@@ -213,7 +224,7 @@
   }
   if (result.last_answer == StartOutcome::kFenced) handlers_.on_fenced();
   if (result.outcome == StartOutcome::kOtherLife) {
-    return Bury(worker, kOtherLife);
+    return Bury(worker, LifeEnd::kCrashed);
   }
   Deliver(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
   Link& link = links_[worker];
@@ -335,7 +346,7 @@
     case CallOutcome::kFenced:
       return handlers_.on_fenced();
     case CallOutcome::kOtherLife:
-      return Bury(id, kOtherLife);
+      return Bury(id, LifeEnd::kCrashed);
     case CallOutcome::kNobodyThere:
       link.departure.OnNobodyThere(now);
       [[fallthrough]];
@@ -401,7 +412,7 @@
                     return handlers_.on_fenced();
                   }
                   if (outcome == CallOutcome::kOtherLife) {
-                    return Bury(id, kOtherLife);
+                    return Bury(id, LifeEnd::kCrashed);
                   }
                   if (outcome != CallOutcome::kOk) {
                     links_[id].next_stop = Now() + settings_.report_retry;
@@ -446,10 +457,10 @@
       !tracker->reachable() || tracker->registration().address.empty();
   if (unreachable &&
       link.departure.HasLeft(settings_.bounds.heartbeat, contact_, now)) {
-    return Bury(id, "it has left as announced");
+    return Bury(id, LifeEnd::kLeft);
   }
   if (unreachable && !tracker->runs().empty() && tracker->LeasesOver(now)) {
-    if (Lose(id, "its leases have ended")) return;
+    if (Lose(id, LifeEnd::kSilent)) return;
   }
   const bool listed_long_ago =
       link.missing_since && now - *link.missing_since > settings_.missing_grace;
@@ -476,18 +487,18 @@
   return it != trackers_.end() && it->second.registration().rack == rack;
 }
 
-void WorkerFleet::Bury(const std::string& id, const std::string& reason) {
+void WorkerFleet::Bury(const std::string& id, LifeEnd end) {
   if (!dead_.insert(id).second) return;
   links_[id].missing_since = Now();
-  Lose(id, reason);
+  Lose(id, end);
 }
 
 // True when the worker itself was forgotten.
-bool WorkerFleet::Lose(const std::string& id, const std::string& reason) {
+bool WorkerFleet::Lose(const std::string& id, LifeEnd end) {
   WorkerTracker* tracker = Find(id);
-  const std::vector<RunEndReport> ends = tracker->OnGone(Now());
+  const std::vector<RunEndReport> ends = tracker->OnGone(end, Now());
   LogEvent(events::kWorkerGone,
-           {{"worker", id}, {"reason", reason}, {"runs", ends.size()}});
+           {{"worker", id}, {"reason", ToReason(end)}, {"runs", ends.size()}});
   const bool forget = links_[id].missing_since.has_value();
   if (forget) {
     trackers_.erase(id);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -138,8 +138,8 @@
   void Judge(const std::string& id, Time now);
   void JudgeGangs(Time now);
   // The life is proved to be over for good.
-  void Bury(const std::string& id, const std::string& reason);
-  bool Lose(const std::string& id, const std::string& reason);
+  void Bury(const std::string& id, LifeEnd end);
+  bool Lose(const std::string& id, LifeEnd end);
   WorkerTracker* Find(const std::string& id);
 
   WorkerCalls& calls_;
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -325,6 +325,12 @@
       return "gang-incomplete";
     case RunEnd::kLost:
       return "lost";
+    case RunEnd::kWorkerLeft:
+      return "worker-left";
+    case RunEnd::kWorkerCrashed:
+      return "worker-crashed";
+    case RunEnd::kWorkerSilent:
+      return "worker-silent";
   }
   return "unknown";
 }
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -42,8 +42,14 @@
   kGangBroken,
   // Waited in vain for the other members.
   kGangIncomplete,
-  // Proved not to run: never begun, or the worker's life is over.
+  // Proved not to run: never begun, or not there any more.
   kLost,
+  // Its worker left as announced.
+  kWorkerLeft,
+  // Its worker's life ended without notice.
+  kWorkerCrashed,
+  // Nothing was heard of its worker until the leases there had ended.
+  kWorkerSilent,
 };
 
 struct StepProgress {
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -32,6 +32,18 @@
   return settled;
 }
 
+RunEnd ToRunEnd(LifeEnd end) {
+  switch (end) {
+    case LifeEnd::kLeft:
+      return RunEnd::kWorkerLeft;
+    case LifeEnd::kCrashed:
+      return RunEnd::kWorkerCrashed;
+    case LifeEnd::kSilent:
+      return RunEnd::kWorkerSilent;
+  }
+  return RunEnd::kLost;
+}
+
 }  // namespace
 
 Duration TrackedRun::unsaved(Time now) const {
@@ -152,7 +164,7 @@
       }
       return {};
     case StartOutcome::kOtherLife:
-      return OnGone(now);
+      return OnGone(LifeEnd::kCrashed, now);
     case StartOutcome::kRefused:
     case StartOutcome::kTicketRefused:
     case StartOutcome::kFenced:
@@ -263,11 +275,15 @@
   return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
 }
 
-std::vector<RunEndReport> WorkerTracker::OnGone(Time now) {
+std::vector<RunEndReport> WorkerTracker::OnGone(LifeEnd end, Time now) {
+  if (end == LifeEnd::kCrashed && leaves_ && now >= *leaves_) {
+    end = LifeEnd::kLeft;
+  }
   std::vector<RunEndReport> ended;
   ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
-    ended.push_back(Settled(run, RunEnd::kLost, now));
+    const bool sent = run.stage != RunStage::kRecording;
+    ended.push_back(Settled(run, sent ? ToRunEnd(end) : RunEnd::kLost, now));
   }
   runs_.clear();
   used_ = Resources();
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -130,6 +130,16 @@
 
 std::string_view ToText(WorkerBelief belief);
 
+// How the life of a worker ended, as far as that is known.
+enum class LifeEnd {
+  // As it had announced.
+  kLeft,
+  // Another life is at its address.
+  kCrashed,
+  // It may live on, but all leases there have ended.
+  kSilent,
+};
+
 class WorkerTracker {
  public:
   explicit WorkerTracker(WorkerRegistration registration);
@@ -174,8 +184,9 @@
                                      Time sent, Time now,
                                      std::vector<RunReport>* unexpected);
   void OnNoReport(Time now);
-  // Its life is over: everything on it has ended.
-  std::vector<RunEndReport> OnGone(Time now);
+  // Its life is over: everything on it has ended. One that had announced to
+  // leave by now has left, whatever is found at its address.
+  std::vector<RunEndReport> OnGone(LifeEnd end, Time now);
 
   // The number of the last end that was processed; the worker may forget ends
   // up to `recorded_ends`.
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -304,7 +304,7 @@
     fixture.fleet.OnDirectoryContact(now);
     fixture.fleet.OnDirectoryRecord({"w1", std::nullopt, 2}, now);
     REQUIRE(fixture.ends.size() == (announced ? 1 : 0));
-    if (announced) CHECK(fixture.ends[0] == RunEnd::kLost);
+    if (announced) CHECK(fixture.ends[0] == RunEnd::kWorkerLeft);
     CHECK(fixture.knows_worker() == !announced);
   }
 }
@@ -329,7 +329,7 @@
       fixture.fleet.Tick(now, /*may_renew=*/true);
     }
     REQUIRE(fixture.ends.size() == (announced ? 1 : 0));
-    if (announced) CHECK(fixture.ends[0] == RunEnd::kLost);
+    if (announced) CHECK(fixture.ends[0] == RunEnd::kWorkerLeft);
     CHECK(fixture.knows_worker() == !announced);
   }
 }
--- a/tests/auto/workload/tst_job_ledger.cc
+++ b/tests/auto/workload/tst_job_ledger.cc
@@ -36,6 +36,12 @@
       {"lapsed", RunEnd::kLeaseLapsed, TaskPhase::kWaiting, 0,
        JobState::kRunning},
       {"lost", RunEnd::kLost, TaskPhase::kWaiting, 0, JobState::kRunning},
+      {"its worker left", RunEnd::kWorkerLeft, TaskPhase::kWaiting, 0,
+       JobState::kRunning},
+      {"its worker crashed", RunEnd::kWorkerCrashed, TaskPhase::kWaiting, 0,
+       JobState::kRunning},
+      {"its worker was not heard of", RunEnd::kWorkerSilent,
+       TaskPhase::kWaiting, 0, JobState::kRunning},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -84,7 +84,10 @@
        },
        false},
       {"another life answers",
-       [](WorkerTracker* tracker) { return tracker->OnGone(At(600)); }, true},
+       [](WorkerTracker* tracker) {
+         return tracker->OnGone(LifeEnd::kCrashed, At(600));
+       },
+       true},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -177,7 +180,7 @@
     }
     std::vector<RunEndReport> ends;
     if (row.at_end == nullptr) {
-      ends = tracker.OnGone(At(4000));
+      ends = tracker.OnGone(LifeEnd::kCrashed, At(4000));
     } else {
       WorkerStatusReport report = Report(4000, false);
       report.ended.push_back({1, kTask, 1, RunEnd::kStopped, row.at_end});
@@ -207,13 +210,53 @@
   Hear(&lost, 1000, 1000, report);
   ledger.Checkpoint({step, 0}, 1, "first");
   ledger.Checkpoint({step, 1}, 1, "second");
-  for (const RunEndReport& end : lost.OnGone(At(2000))) {
+  for (const RunEndReport& end : lost.OnGone(LifeEnd::kSilent, At(2000))) {
     ledger.End(end.task, end.run, end.end, end.checkpoint);
   }
   CHECK(ledger.FindTask({step, 0})->checkpoint == "second");
   CHECK(ledger.FindTask({step, 1})->checkpoint == "second");
 }
 
+// Guards against one word for all that can end with a worker: who reads the log
+// could not tell a task that took its worker down from one that never began.
+TEST_CASE("the end of a worker's life names what became of its runs") {
+  struct Row {
+    const char* name;
+    LifeEnd end;
+    // Whether the order was sent.
+    bool sent;
+    // It had announced to leave by this time; -1: it had not.
+    int64_t leaves;
+    RunEnd expected;
+  };
+  const std::vector<Row> rows = {
+      {"crashed", LifeEnd::kCrashed, true, -1, RunEnd::kWorkerCrashed},
+      {"before the order was sent", LifeEnd::kCrashed, false, -1,
+       RunEnd::kLost},
+      {"left", LifeEnd::kLeft, true, 500, RunEnd::kWorkerLeft},
+      {"left, and another is there already", LifeEnd::kCrashed, true, 500,
+       RunEnd::kWorkerLeft},
+      {"crashed before it could leave", LifeEnd::kCrashed, true, 5000,
+       RunEnd::kWorkerCrashed},
+      {"not heard of", LifeEnd::kSilent, true, -1, RunEnd::kWorkerSilent},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+    if (row.leaves >= 0) {
+      WorkerRegistration leaving = MakeWorker("w", "r1");
+      leaving.draining = true;
+      leaving.drain_left = Milliseconds(row.leaves);
+      tracker.Update(leaving, At(0));
+    }
+    tracker.Add(kTask, 1, Profile(), At(0));
+    if (row.sent) tracker.OnStartSent(kTask, 1, Milliseconds(1500), At(0));
+    const auto ends = tracker.OnGone(row.end, At(1000));
+    REQUIRE(ends.size() == 1);
+    CHECK(ends[0].end == row.expected);
+  }
+}
+
 TEST_CASE("a predecessor's run is believed until the first report") {
   WorkerTracker tracker(MakeWorker("w", "r1"));
   tracker.Inherit(kTask, 1, Profile(), At(0), At(9000));
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -25,6 +25,9 @@
       return "alone";
     case RunEnd::kStopped:
     case RunEnd::kLost:
+    case RunEnd::kWorkerLeft:
+    case RunEnd::kWorkerCrashed:
+    case RunEnd::kWorkerSilent:
       break;
   }
   return "stopped";
