Failing test: a task that crashes its workers is started for ever

The stand-in of the users' executors learns it: a payload with crash_after_ms takes its executor down so long after the start; the next life answers 0.3 s later under a new id, and the old entry lapses three heartbeats after the crash. The checker knows the rule: no task that crashes its executors is started three times more after three of them.

--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -53,12 +53,14 @@
     needs.push_back(
         Json::array({step.cpu_millis, step.memory_mb, step.accelerators}));
   }
-  const Json payload = {{"work_ms", job.work_ms},
-                        {"fail", job.fails},
-                        {"needs", needs},
-                        {"tail_ms", job.tail_ms},
-                        {"disturbs_ms", job.disturbs_ms},
-                        {"advised", advised}};
+  Json payload = {{"work_ms", job.work_ms},
+                  {"fail", job.fails},
+                  {"needs", needs},
+                  {"tail_ms", job.tail_ms},
+                  {"disturbs_ms", job.disturbs_ms},
+                  {"advised", advised}};
+  if (job.crashes()) payload["crash_after_ms"] = job.crash_after_ms;
+  if (job.crash_task >= 0) payload["crash_task"] = job.crash_task;
   return {{"spec", payload.dump()}, {"steps", std::move(steps)}};
 }
 
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -56,11 +56,18 @@
   std::vector<TestStep> steps = {TestStep()};
   int work_ms = 200;
   bool fails = false;
+  // Each executor that starts one of its tasks crashes so much later; -1: none
+  // does.
+  int crash_after_ms = -1;
+  // The one task of each step that does so; -1: all do.
+  int crash_task = -1;
   // What the tasks do to tails, as the stand-in has it.
   int tail_ms = 0;
   int disturbs_ms = 0;
   // Of which queue; 0 is the urgent one.
   int priority = 1;
+
+  bool crashes() const { return crash_after_ms >= 0; }
 };
 
 class HostedCluster {
--- a/tests/integration/support/hosted_scenario.cc
+++ b/tests/integration/support/hosted_scenario.cc
@@ -77,7 +77,8 @@
           return IsFinal(job.final_state);
         },
         std::chrono::seconds(40)));
-    if (job.cancelled_ms < 0) CHECK(job.final_state == "completed");
+    const char* const expected = job.job.crashes() ? "failed" : "completed";
+    if (job.cancelled_ms < 0) CHECK(job.final_state == expected);
   }
   for (const std::string& problem : CheckRuns(cluster_.Runs(), jobs_)) {
     FAIL_CHECK(problem);
--- a/tests/integration/support/run_checker.cc
+++ b/tests/integration/support/run_checker.cc
@@ -17,6 +17,11 @@
 // Clocks of the test and of the stand-in are the same; a report takes a while.
 constexpr int64_t kSlackMs = 5;
 
+// Of a task that crashes the executors that start it: from how many crashes on
+// its starts count, and how many of these break the promise.
+constexpr int kCrashesToCount = 3;
+constexpr int kStartsTooMany = 3;
+
 struct Run {
   TaskRef task;
   int number = 0;
@@ -67,6 +72,24 @@
   }
 }
 
+// Only a task that crashes its executors by itself is bound by this.
+void CheckCrashes(const TestJob& job, const std::vector<Run>& runs,
+                  std::vector<std::string>* problems) {
+  const TaskRef& task = runs.front().task;
+  const bool culprit = job.crash_task < 0 || job.crash_task == task.index;
+  if (!job.crashes() || !culprit) return;
+  int crashes = 0;
+  int starts_after = 0;
+  for (const Run& run : runs) {
+    if (crashes >= kCrashesToCount) ++starts_after;
+    if (run.how == "crashed") ++crashes;
+  }
+  if (starts_after < kStartsTooMany) return;
+  problems->push_back(task.ToString() + " was started " +
+                      std::to_string(starts_after) +
+                      " times after three executors had crashed under it");
+}
+
 // When all tasks of a step had a run that was done; nullopt-like max if not.
 int64_t DoneAt(const RunsByTask& runs, const std::string& job, int step,
                const TestStep& spec) {
@@ -132,8 +155,11 @@
   std::vector<std::string> problems;
   const RunsByTask runs = Group(rows);
   for (const auto& [task, list] : runs) {
-    if (jobs.count(task.step.job) == 0) {
+    const auto job = jobs.find(task.step.job);
+    if (job == jobs.end()) {
       problems.push_back(task.ToString() + " ran and nobody submitted it");
+    } else {
+      CheckCrashes(job->second.job, list, &problems);
     }
     CheckTask(list, &problems);
   }
--- a/tests/integration/support/run_checker.h
+++ b/tests/integration/support/run_checker.h
@@ -24,8 +24,9 @@
 
 // Sentences on what was broken; empty when all holds: no task runs twice at a
 // time or again once it was done and recorded, none before the steps that it
-// depends on, none after its job's cancellation, none of a refused job, and a
-// completed job has all tasks done.
+// depends on, none after its job's cancellation, none of a refused job, none
+// three times more after three executors have crashed under it, and a completed
+// job has all tasks done.
 std::vector<std::string> CheckRuns(
     const std::vector<Json>& runs,
     const std::map<std::string, JobAccount>& jobs);
--- /dev/null
+++ b/tests/integration/tst_hosted_crashes.cc
@@ -0,0 +1,130 @@
+// Hosted entries beside tasks that crash the executors that start them: these
+// are given up in time, and all other jobs end.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "hosted_scenario.h"
+
+namespace thornplank {
+namespace {
+
+// Starts of one task from which on it is known that it is not given up.
+constexpr int kEndlessStarts = 6;
+
+TestJob Crashing(int number, int count, bool gang = false) {
+  TestJob job;
+  job.id = JobId(number);
+  job.steps = {Step(count, 2)};
+  job.steps[0].gang = gang;
+  job.work_ms = 500;
+  job.crash_after_ms = 10;
+  return job;
+}
+
+bool IsEndless(HostedCluster* cluster) {
+  for (const Json& run : cluster->Runs()) {
+    if (IntField(run, "run").value_or(0) >= kEndlessStarts) return true;
+  }
+  return false;
+}
+
+int Crashes(HostedCluster* cluster) {
+  int crashes = 0;
+  for (const Json& run : cluster->Runs()) {
+    if (StringField(run, "how") == "crashed") ++crashes;
+  }
+  return crashes;
+}
+
+void AwaitCrash(HostedCluster* cluster) {
+  CHECK(HostedCluster::Eventually([&] { return Crashes(cluster) > 0; }));
+}
+
+// Guards against a task that takes down one worker after the other for ever:
+// runs that were lost with their workers counted nowhere.
+TEST_CASE("a task that crashes its workers is given up in time") {
+  struct Row {
+    const char* name;
+    std::vector<TestJob> jobs;
+    std::function<void(HostedCluster*)> fault;
+  };
+  const auto nothing = [](HostedCluster*) {};
+  std::vector<TestJob> many;
+  for (int i = 10; i < 16; ++i) {
+    many.push_back(Crashing(i, 1));
+  }
+  TestJob one_member = Crashing(10, 3, /*gang=*/true);
+  one_member.crash_task = 1;
+  const std::vector<Row> rows = {
+      {"one task", {Crashing(10, 1)}, nothing},
+      {"one member of a gang", {one_member}, nothing},
+      {"every task of a wide step", {Crashing(10, 6)}, nothing},
+      {"many, with three workers left", many,
+       [](HostedCluster* cluster) {
+         for (int i = 3; i < 6; ++i) {
+           CHECK(cluster->ControlExecutor(i, {{"draining", true}}));
+         }
+       }},
+      {"the leader is killed after a crash",
+       {Crashing(10, 1)},
+       [](HostedCluster* cluster) {
+         AwaitCrash(cluster);
+         const int leader = cluster->Leader();
+         cluster->entry(leader).Kill();
+         cluster->StartEntry(leader);
+       }},
+      {"every entry is killed after a crash",
+       {Crashing(10, 1)},
+       [](HostedCluster* cluster) {
+         AwaitCrash(cluster);
+         for (int i = 0; i < 3; ++i) cluster->entry(i).Kill();
+         for (int i = 0; i < 3; ++i) cluster->StartEntry(i);
+       }},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    HostedScenario scenario;
+    HostedCluster& cluster = scenario.cluster();
+    for (const TestJob& job : row.jobs) {
+      scenario.Submit(job);
+    }
+    for (int i = 0; i < 3; ++i) {
+      scenario.Submit(i, {Step(4, 2)}, 300);
+    }
+    row.fault(&cluster);
+    const auto given_up = [&] {
+      for (const TestJob& job : row.jobs) {
+        if (cluster.State(0, job) != "failed") return false;
+      }
+      return true;
+    };
+    HostedCluster::Eventually([&] { return given_up() || IsEndless(&cluster); },
+                              std::chrono::seconds(60));
+    REQUIRE_FALSE(IsEndless(&cluster));
+    scenario.Finish();
+  }
+}
+
+// Guards against giving up work for crashes that are none of its fault.
+TEST_CASE("work whose workers lose power twice is not given up") {
+  HostedScenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  scenario.Submit(1, {Step(12, 2)}, 2500);
+  for (int round = 0; round < 2; ++round) {
+    const int before = Crashes(&cluster);
+    // Long enough for a report of each run.
+    HostedCluster::Eventually([] { return false; },
+                              std::chrono::milliseconds(1700));
+    for (int i = 0; i < 6; ++i) {
+      CHECK(cluster.ControlExecutor(i, {{"crash", true}}));
+    }
+    CHECK(Crashes(&cluster) > before);
+  }
+  scenario.Finish();
+}
+
+}  // namespace
+}  // namespace thornplank
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -242,4 +242,14 @@
   ++life_;
 }
 
+std::optional<Milliseconds> UsersExecutorModel::CrashDelay(
+    const StartOrder& order) {
+  const Json payload = ParseJson(order.payload).value_or(Json::object());
+  const auto delay = IntField(payload, "crash_after_ms");
+  if (!delay) return std::nullopt;
+  const auto index = IntField(payload, "crash_task");
+  if (index && *index != order.task.index) return std::nullopt;
+  return Milliseconds(*delay);
+}
+
 }  // namespace thornplank::standins
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -5,13 +5,16 @@
 // needs, for each step the thousandths of a core, the megabytes and the
 // accelerators of one task, by which the model sees whether its capacity is
 // kept to. tail_ms makes a task serve, disturbs_ms adds to the tails beside it.
-// With "advised": true a start needs the advisor's ticket.
+// With "advised": true a start needs the advisor's ticket. crash_after_ms: the
+// executor crashes so long after it has started the task; crash_task names the
+// one task of each step that does so, without it all do.
 #ifndef THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 #define THORNPLANK_TESTS_STANDINS_USERS_EXECUTOR_MODEL_H_
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,6 +67,9 @@
   void set_slowdown(double factor, int64_t now);
   // Everything ends; a new life begins.
   void Crash(int64_t now);
+  // How long after its start the ordered task crashes its executor; nullopt for
+  // a task that does not.
+  static std::optional<Milliseconds> CrashDelay(const StartOrder& order);
 
   const std::vector<RunHistory>& history() const { return history_; }
   // Times at which more ran than there is room for.
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Milliseconds kHoldTick{10};
+// From a crash until the next life answers.
+constexpr Milliseconds kRestart{300};
+// Heartbeats that are missed before an entry lapses.
+constexpr int kMissedBeats = 3;
 constexpr int kMisdirected = 421;
 
 std::string How(RunEnd end) {
@@ -86,7 +90,7 @@
                       {"labels", {"a", settings_.rack}},
                       {"clock_ms", Clock()},
                       {"seq", ++beats_}};
-  if (!silent_) publish_(model_.id(), entry.dump());
+  if (!silent_ && !down_) publish_(model_.id(), entry.dump());
   timer_.expires_after(settings_.heartbeat);
   timer_.async_wait([this](boost::system::error_code code) {
     if (!code) Heartbeat();
@@ -95,6 +99,7 @@
 
 void UsersExecutorRole::Handle(ExchangePtr exchange) {
   if (silent_) return;
+  if (down_) return CloseOtherConnections();
   const std::string expected = exchange->Header("X-Expect-Instance");
   if (!expected.empty() && expected != model_.id()) {
     return exchange->Answer(ProblemReply(kMisdirected, "another life"));
@@ -157,13 +162,35 @@
   order.deadline = Milliseconds(IntField(body, "deadline_ms").value_or(0));
   order.epoch = epoch;
   const StartOutcome outcome = model_.Start(order, Clock());
-  if (outcome == StartOutcome::kAccepted) return JsonReply(clock);
+  if (outcome == StartOutcome::kAccepted) {
+    CrashUnder(order);
+    return JsonReply(clock);
+  }
   const char* reason = "old";
   if (outcome == StartOutcome::kFenced) reason = "fence";
   if (outcome == StartOutcome::kTicketRefused) reason = "ticket";
   return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
 }
 
+void UsersExecutorRole::CrashUnder(const StartOrder& order) {
+  const auto delay = UsersExecutorModel::CrashDelay(order);
+  if (!delay) return;
+  RunAfter(executor(), *delay, [this, life = model_.id()] {
+    if (life == model_.id()) CrashSilently();
+  });
+}
+
+void UsersExecutorRole::CrashSilently() {
+  const std::string old = model_.id();
+  model_.Crash(Clock());
+  down_ = true;
+  CloseOtherConnections();
+  RunAfter(executor(), kRestart, [this] { down_ = false; });
+  RunAfter(executor(), settings_.heartbeat * kMissedBeats, [this, old] {
+    if (publish_) publish_(old, std::nullopt);
+  });
+}
+
 void UsersExecutorRole::Hold(const ExchangePtr& exchange,
                              const StatusQuery& query, Time until) {
   WorkerStatusReport report;
--- a/tests/standins/users_executor_role.h
+++ b/tests/standins/users_executor_role.h
@@ -44,6 +44,11 @@
   void Heartbeat();
   void Hold(const ExchangePtr& exchange, const StatusQuery& query, Time until);
   Reply Order(const std::string& path, const Json& body);
+  // The task that was just started takes the executor down, if it does so.
+  void CrashUnder(const StartOrder& order);
+  // Everything ends. The next life answers a moment later; the entry of this
+  // one lapses.
+  void CrashSilently();
 
   const UsersExecutorSettings settings_;
   UsersExecutorModel model_;
@@ -51,6 +56,8 @@
   Publish publish_;
   std::mt19937 random_;
   bool silent_ = false;
+  // Between two lives: nobody listens.
+  bool down_ = false;
   bool draining_ = false;
   // Share of the orders that get no answer and are carried out later.
   double late_share_ = 0;
