A task that crashes the workers that start it is given up

Cause: a run that is lost with its worker is no failed end, so that neither the attempts of the queue nor anything else counted it; the task was placed anew at once, for ever. Class: a retry without a bound on one of its ways to fail. Ruled out: copies of orders, changes of leader.

Why this works: each task keeps the workers that were lost under it (CrashRecord), stored with its progress, so that the count outlives leaders and entries.

So that a sound task is not given up with a bad one beside it: a task under which a worker was lost starts only where all other runs have been reported, and until it is reported itself nothing else starts there; it goes where least runs.

The caller hears the reason with the state; 914, 917 and the new 939 name the workers; thornplank_tasks_given_up_total counts.

--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -191,9 +191,11 @@
   if (!caught_up && !IsTerminal(job->state()) && IsViewOld()) {
     return LookAgain(call);
   }
+  const JobState state = job->state();
   LogEvent(events::kStateAnswered,
-           {{"job", call->job}, {"state", std::string(ToText(job->state()))}});
-  Respond(call, formats_.JobStateResponse(job->state()));
+           {{"job", call->job}, {"state", std::string(ToText(state))}});
+  const std::string failure = state == JobState::kFailed ? job->failure : "";
+  Respond(call, formats_.JobStateResponse(state, failure));
 }
 
 void CallerService::Cancel(const std::shared_ptr<Call>& call, bool caught_up) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -129,6 +129,9 @@
   void SeekAdvice(const std::vector<WaitDecision>& waits);
   void MeasureWait(const StartDecision& decision, Time now);
   RunProfile ProfileOf(const TaskRef& task) const;
+  size_t WorkersLostUnder(const TaskRef& task) const;
+  // Logs it where the task is to be started no more.
+  void TellGivenUp(const TaskRef& task);
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
   void StopOutdatedRuns();
   void Flush();
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -14,6 +14,16 @@
 
 Time Now() { return std::chrono::steady_clock::now(); }
 
+LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
+  LostRun run;
+  run.worker = worker;
+  run.crashed = end.end == RunEnd::kWorkerCrashed;
+  run.began = end.began != Time{};
+  run.seen = end.worked.has_value();
+  run.worked = end.worked.value_or(Duration::zero());
+  return run;
+}
+
 }  // namespace
 
 void ClusterCoordinator::SchedulePlanning() {
@@ -171,12 +181,14 @@
   profile.tail_target = spec->tail_target;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
+  profile.on_probation = WorkersLostUnder(task) > 0;
   return profile;
 }
 
 void ClusterCoordinator::OnRunEnd(const std::string& worker,
                                   const RunEndReport& end) {
-  const bool taken = ledger_.End(end.task, end.run, end.end, end.checkpoint);
+  const bool taken = ledger_.End(end.task, end.run, end.end, end.checkpoint,
+                                 ToLostRun(worker, end));
   const StepSpec* spec = ledger_.FindStepSpec(end.task.step);
   std::optional<Duration> lasted;
   if (end.began != Time{}) lasted = Now() - end.began;
@@ -193,7 +205,9 @@
                                {"number", end.number},
                                {"lasted_ms", lasted_ms},
                                {"kept_ms", kept_ms},
-                               {"in_force", taken}});
+                               {"in_force", taken},
+                               {"workers_lost", WorkersLostUnder(end.task)}});
+  if (taken) TellGivenUp(end.task);
   if (end.number > 0) {
     int64_t& number = unrecorded_ends_[worker];
     number = std::max(number, end.number);
@@ -201,6 +215,21 @@
   SchedulePlanning();
 }
 
+void ClusterCoordinator::TellGivenUp(const TaskRef& task) {
+  const TaskStatus* status = ledger_.FindTask(task);
+  if (status == nullptr || !status->crashes.IsToBlame()) return;
+  LogEvent(events::kTaskGivenUp, {{"job", task.step.job},
+                                  {"task", task.ToString()},
+                                  {"workers", status->crashes.workers},
+                                  {"at_start", status->crashes.at_start}});
+  metrics_.OnTaskGivenUp();
+}
+
+size_t ClusterCoordinator::WorkersLostUnder(const TaskRef& task) const {
+  const TaskStatus* status = ledger_.FindTask(task);
+  return status == nullptr ? 0 : status->crashes.workers.size();
+}
+
 // Runs that the ledger does not count on are stopped: of cancelled or failed
 // jobs, of gangs that lost a member, of tasks that are done.
 void ClusterCoordinator::StopOutdatedRuns() {
@@ -317,13 +346,17 @@
   for (const std::string& id : changed) {
     const Job* job = ledger_.Find(id);
     if (job == nullptr) continue;
+    if (!job->failure.empty()) {
+      records.push_back(JobBoard::Failure(id, job->failure));
+    }
     records.push_back(JobBoard::State(id, job->state, now));
     if (IsTerminal(job->state)) {
       ended.push_back(id);
       metrics_.OnJobEnded(job->spec, job->state, now - job->spec.accepted);
     }
-    LogEvent(events::kJobState,
-             {{"job", id}, {"state", std::string(ToText(job->state))}});
+    LogEvent(events::kJobState, {{"job", id},
+                                 {"state", std::string(ToText(job->state))},
+                                 {"reason", job->failure}});
   }
   last_heartbeat_ = Now();
   records.push_back(JobBoard::Leader({settings_.holder, epoch_, released_}));
@@ -368,7 +401,7 @@
   for (const auto& [id, job] : surroundings_.board->jobs()) {
     if (!IsTerminal(job.published)) continue;
     if (wall_now - job.ended < settings_.state_kept) continue;
-    for (KeyedRecord& record : JobBoard::Drop(id)) {
+    for (KeyedRecord& record : JobBoard::Drop(id, job)) {
       records.push_back(std::move(record));
     }
   }
--- a/src/libs/coordination/formats.h
+++ b/src/libs/coordination/formats.h
@@ -49,7 +49,9 @@
   // this function to fill in.
   virtual std::optional<JobDefinition> ReadJob(const std::string& body,
                                                Error* error) const = 0;
-  virtual HttpResponse JobStateResponse(JobState state) const = 0;
+  // `failure`: why a job has failed; "" for any other state.
+  virtual HttpResponse JobStateResponse(JobState state,
+                                        const std::string& failure) const = 0;
   virtual HttpResponse QueueLengthResponse(int64_t waiting_jobs) const = 0;
 };
 
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -13,6 +13,7 @@
 constexpr char kSubmissionKey = 'j';
 constexpr char kCancellationKey = 'c';
 constexpr char kStateKey = 's';
+constexpr char kFailureKey = 'f';
 // Followed by the instance's name.
 constexpr char kEntryKey = 'e';
 constexpr char kLeaderKey[] = "leader";
@@ -48,6 +49,9 @@
       return {BoardChange::Kind::kCancelled, id};
     case kStateKey:
       return ApplyState(id, record);
+    case kFailureKey:
+      if (record.value) jobs_[id].failure = *record.value;
+      return {};
     case kEntryKey:
       return ApplyEntry(id, record);
     default:
@@ -149,6 +153,11 @@
   return {Key(kStateKey, job), ToBytes(fields), 0};
 }
 
+KeyedRecord JobBoard::Failure(const std::string& job,
+                              const std::string& reason) {
+  return {Key(kFailureKey, job), reason, 0};
+}
+
 KeyedRecord JobBoard::Leader(const LeaderRecord& leader) {
   const Json fields =
       Json::array({leader.holder, leader.epoch, leader.released});
@@ -177,10 +186,16 @@
 
 std::string JobBoard::BeforeProgress() { return std::string(1, kProgressKey); }
 
-std::vector<KeyedRecord> JobBoard::Drop(const std::string& job) {
-  return {{Key(kStateKey, job), std::nullopt, 0},
-          {Key(kCancellationKey, job), std::nullopt, 0},
-          {Key(kSubmissionKey, job), std::nullopt, 0}};
+std::vector<KeyedRecord> JobBoard::Drop(const std::string& id,
+                                        const BoardJob& job) {
+  std::vector<KeyedRecord> records = {
+      {Key(kStateKey, id), std::nullopt, 0},
+      {Key(kCancellationKey, id), std::nullopt, 0},
+      {Key(kSubmissionKey, id), std::nullopt, 0}};
+  if (!job.failure.empty()) {
+    records.push_back({Key(kFailureKey, id), std::nullopt, 0});
+  }
+  return records;
 }
 
 }  // namespace thornplank
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -1,11 +1,10 @@
 // What every entry knows of jobs: the fold of the shared stream.
 //
 // The stream holds, by key: a submission, a cancellation, a state for each job,
-// the leader, and the entries; and the progress of steps, which only a leader
-// reads.
-// Whatever the order in which records come, the fold gives the same answer: a
-// job that was cancelled before its end was published stays cancelled, and a
-// published end stays.
+// why it failed, the leader, and the entries; and the progress of steps, which
+// only a leader reads. Whatever the order in which records come, the fold gives
+// the same answer: a job that was cancelled before its end was published stays
+// cancelled, and a published end stays.
 #ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
 #define THORNPLANK_COORDINATION_JOB_BOARD_H_
 
@@ -33,6 +32,8 @@
   JobState published = JobState::kQueued;
   // When its end was published.
   WallTime ended{};
+  // Where it has failed: why.
+  std::string failure;
 
   JobState state() const {
     if (IsTerminal(published)) return published;
@@ -90,6 +91,8 @@
   static KeyedRecord Cancellation(const std::string& job);
   static KeyedRecord State(const std::string& job, JobState state,
                            WallTime when);
+  // Why a job has failed; stored beside its state.
+  static KeyedRecord Failure(const std::string& job, const std::string& reason);
   static KeyedRecord Leader(const LeaderRecord& leader);
   // No value drops it.
   static KeyedRecord Entry(const std::string& instance,
@@ -103,7 +106,8 @@
   // Of all keys just those of progress come after it.
   static std::string BeforeProgress();
   // Records that drop all keys of a job but those of its progress.
-  static std::vector<KeyedRecord> Drop(const std::string& job);
+  static std::vector<KeyedRecord> Drop(const std::string& id,
+                                       const BoardJob& job);
 
  private:
   BoardChange ApplySubmission(const std::string& id, const KeyedRecord& record);
--- a/src/libs/coordination/scheduling_metrics.cc
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -47,6 +47,14 @@
       .Observe(*lasted);
 }
 
+void SchedulingMetrics::OnTaskGivenUp() {
+  metrics_
+      .counter("thornplank_tasks_given_up_total",
+               "Tasks that are not started again, since workers were lost "
+               "under them.")
+      .Add();
+}
+
 void SchedulingMetrics::OnJobEnded(const JobDefinition& job, JobState state,
                                    Duration lasted) {
   metrics_
--- a/src/libs/coordination/scheduling_metrics.h
+++ b/src/libs/coordination/scheduling_metrics.h
@@ -24,6 +24,8 @@
   // never seen.
   void OnRunEnded(const StepSpec& step, RunEnd end,
                   std::optional<Duration> lasted);
+  // A task is not started again, for the workers that it took down.
+  void OnTaskGivenUp();
   // A job has ended, this long after it was accepted.
   void OnJobEnded(const JobDefinition& job, JobState state, Duration lasted);
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -52,6 +52,7 @@
 inline constexpr Event kStoreOutlook{936, "store-outlook", Severity::kInfo};
 inline constexpr Event kDomainClosed{937, "domain-closed", Severity::kWarning};
 inline constexpr Event kDomainOpened{938, "domain-opened", Severity::kInfo};
+inline constexpr Event kTaskGivenUp{939, "task-given-up", Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -63,6 +63,9 @@
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) room.coming += profile.need;
     if (profile.fills) ++room.filling;
+    room.unproven = room.unproven || !run.is_proven();
+    room.on_probation =
+        room.on_probation || (profile.on_probation && !run.is_proven());
     if (profile.priority != 0) continue;
     urgent_use_[profile.account] += profile.need.accelerators;
   }
@@ -153,10 +156,12 @@
   }
 }
 
-void ClusterRooms::Occupy(const std::string& worker, const Resources& need) {
+void ClusterRooms::Occupy(const std::string& worker, const OpenStep& step) {
   WorkerRoom& room = rooms_[index_.at(worker)];
   if (room.IsEmpty()) --services_[room.worker().service].empty_workers;
-  room.room -= need;
+  room.room -= ReservedFor(*step.spec);
+  room.unproven = true;
+  room.on_probation = room.on_probation || step.on_probation;
 }
 
 bool ClusterRooms::IsEligible(const OpenStep& step,
@@ -193,6 +198,8 @@
                             const WorkerRoom& room) const {
   if (!room.usable) return false;
   if (room.worker().service != step.service()) return false;
+  if (room.on_probation) return false;
+  if (step.on_probation && room.unproven) return false;
   if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
     return false;
   }
@@ -218,6 +225,8 @@
   const Resources need = ReservedFor(*step.spec);
   int64_t score = Weight(room.room) - Weight(need) * tasks;
   if (step.spec->fills) score = -IdleFor(step, room);
+  // Where the least is lost if it takes the worker down.
+  if (step.on_probation) score = -Weight(room.room);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
   if (room.tracker->suspect()) score += kSuspectPenalty;
--- a/src/libs/workload/cluster_rooms.h
+++ b/src/libs/workload/cluster_rooms.h
@@ -28,6 +28,11 @@
   int64_t filling = 0;
   // May be given new tasks.
   bool usable = false;
+  // A run here has not been seen at work yet.
+  bool unproven = false;
+  // So it is with a run on probation: if the worker crashes now, it shall be
+  // known under what, and nothing else shall be lost.
+  bool on_probation = false;
 
   const WorkerRegistration& worker() const { return tracker->registration(); }
   bool IsEmpty() const;
@@ -92,8 +97,8 @@
 
   void Keep(const RoomReservation& reservation);
   void GiveBack(const RoomReservation& reservation);
-  // A task was placed.
-  void Occupy(const std::string& worker, const Resources& need);
+  // A task of the step was placed.
+  void Occupy(const std::string& worker, const OpenStep& step);
 
   bool IsEligible(const OpenStep& step, const WorkerRoom& room) const;
   // The same but for the advice that the step may need.
--- /dev/null
+++ b/src/libs/workload/crash_record.h
@@ -0,0 +1,51 @@
+// Which workers crashed under a task, and whether the task is to blame.
+//
+// A task may crash each worker that starts it. One that crashes has taken down
+// all that ran there, and none of these is told from the culprit by the crash
+// alone. What tells them apart is time: a run that reports have shown at work
+// had been borne by its worker.
+#ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
+#define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
+
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace thornplank {
+
+// What is known of a run whose worker's life ended.
+struct LostRun {
+  std::string worker;
+  // The worker is proved to have crashed; else it was not heard of for long.
+  bool crashed = false;
+  // The worker had taken the order.
+  bool began = false;
+  // A report had shown it at work.
+  bool seen = false;
+  // From its begin to the last report that showed it.
+  Duration worked{};
+};
+
+struct CrashRecord {
+  // Workers that were lost under the task, the oldest first.
+  std::vector<std::string> workers;
+  // Crashes of a worker that had taken the order and never reported the run, in
+  // a row.
+  int at_start = 0;
+
+  bool empty() const { return workers.empty(); }
+  // `long_running`: the task runs until it is cancelled. In time it loses many
+  // workers, so that one that had borne it for a while clears it.
+  void OnLost(const LostRun& run, bool long_running);
+  // A run of it ended while its worker lived on.
+  void OnEnded() { at_start = 0; }
+  // No worker should start it any more.
+  bool IsToBlame() const;
+  // For callers and operators.
+  std::string ToText() const;
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_WORKLOAD_CRASH_RECORD_H_
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -16,6 +16,21 @@
     {JobState::kCancelled, "cancelled"},
 }};
 
+// What the end of a run tells of its task: nothing where it never began.
+void NoteCrash(RunEnd end, const LostRun& lost, bool long_running,
+               CrashRecord* crashes) {
+  if (end == RunEnd::kLost) return;
+  const bool with_worker =
+      end == RunEnd::kWorkerCrashed || end == RunEnd::kWorkerSilent;
+  if (!with_worker) return crashes->OnEnded();
+  crashes->OnLost(lost, long_running);
+}
+
+std::string FailedOften(const StepRef& step, int failures) {
+  return "step " + step.ToString() + " failed " + std::to_string(failures) +
+         " times";
+}
+
 std::vector<std::vector<StepProgress>> EmptyProgress(
     const JobDefinition& spec) {
   std::vector<StepProgress> steps;
@@ -108,14 +123,14 @@
   }
   const StepSpec& spec = job->spec.steps[static_cast<size_t>(ref.step)];
   const int attempts = job->spec.policy.max_attempts;
-  const bool failed = !spec.long_running &&
-                      (present->gang_failures >= attempts ||
-                       std::any_of(present->tasks.begin(), present->tasks.end(),
-                                   [attempts](const TaskStatus& task) {
-                                     return task.failures >= attempts;
-                                   }));
   if (IsTerminal(job->state)) return true;
-  if (failed) SetState(job, JobState::kFailed);
+  int failures = spec.long_running ? 0 : present->gang_failures;
+  for (size_t i = 0; i < present->tasks.size(); ++i) {
+    const TaskStatus& task = present->tasks[i];
+    JudgeTask({ref, static_cast<int>(i)}, job, task);
+    if (!spec.long_running) failures = std::max(failures, task.failures);
+  }
+  if (failures >= attempts) Fail(job, FailedOften(ref, failures));
   if (job->open_steps == 0) SetState(job, JobState::kCompleted);
   return true;
 }
@@ -194,7 +209,7 @@
 }
 
 bool JobLedger::End(const TaskRef& ref, int run, RunEnd end,
-                    const std::string& checkpoint) {
+                    const std::string& checkpoint, const LostRun& lost) {
   Job* job = Find(ref.step.job);
   StepProgress* progress = FindStep(ref.step);
   if (job == nullptr || progress == nullptr) return false;
@@ -219,6 +234,8 @@
     return true;
   }
   SetPhase(progress, task, TaskPhase::kWaiting);
+  NoteCrash(end, lost, spec.long_running, &task->crashes);
+  JudgeTask(ref, job, *task);
   if (end != RunEnd::kFailed || spec.long_running) return true;
   int failures = ++task->failures;
   if (spec.gang) {
@@ -226,12 +243,25 @@
     progress->last_failed_run = run;
     failures = progress->gang_failures;
   }
-  if (failures >= job->spec.policy.max_attempts && !IsTerminal(job->state)) {
-    SetState(job, JobState::kFailed);
+  if (failures >= job->spec.policy.max_attempts) {
+    Fail(job, FailedOften(ref.step, failures));
   }
   return true;
 }
 
+void JobLedger::JudgeTask(const TaskRef& ref, Job* job,
+                          const TaskStatus& task) {
+  if (task.phase == TaskPhase::kDone || !task.crashes.IsToBlame()) return;
+  Fail(job,
+       "task " + ref.ToString() + " was given up: " + task.crashes.ToText());
+}
+
+void JobLedger::Fail(Job* job, std::string reason) {
+  if (IsTerminal(job->state)) return;
+  job->failure = std::move(reason);
+  SetState(job, JobState::kFailed);
+}
+
 void JobLedger::Checkpoint(const TaskRef& ref, int run,
                            const std::string& checkpoint) {
   StepProgress* progress = FindStep(ref.step);
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -67,6 +67,8 @@
 struct Job {
   JobDefinition spec;
   JobState state = JobState::kQueued;
+  // Where it has failed: why, for callers and operators.
+  std::string failure;
   // By occurrence, then by step.
   std::vector<std::vector<StepProgress>> occurrences;
   // Steps that are not all done, over all occurrences.
@@ -103,9 +105,10 @@
   int Start(const StepRef& ref, const std::vector<Assignment>& assignments);
 
   // An end of `run`. Ends of other runs change nothing, but that a done run
-  // counts whenever it comes. True when it was taken.
+  // counts whenever it comes. `lost` tells of a run that ended with its worker.
+  // True when it was taken.
   bool End(const TaskRef& ref, int run, RunEnd end,
-           const std::string& checkpoint);
+           const std::string& checkpoint, const LostRun& lost = LostRun());
   // A checkpoint seen in a report of a run that goes on.
   void Checkpoint(const TaskRef& ref, int run, const std::string& checkpoint);
 
@@ -127,6 +130,9 @@
  private:
   void SetPhase(StepProgress* progress, TaskStatus* task, TaskPhase phase);
   void OnTaskDone(Job* job, StepProgress* progress, TaskStatus* task);
+  // Fails the job for its task, if that must not be started again.
+  void JudgeTask(const TaskRef& ref, Job* job, const TaskStatus& task);
+  void Fail(Job* job, std::string reason);
   void SetState(Job* job, JobState state);
   void MarkDirty(const StepSpec& spec, const TaskRef& ref);
   // Copies one stored block; false where its size is another.
--- a/src/libs/workload/open_step.cc
+++ b/src/libs/workload/open_step.cc
@@ -57,6 +57,7 @@
       const TaskStatus& task = progress.tasks[t];
       if (task.phase != TaskPhase::kWaiting) continue;
       step.failed_before = step.failed_before || task.failures > 0;
+      step.on_probation = step.on_probation || !task.crashes.empty();
       step.waiting.push_back(static_cast<int>(t));
     }
     open->push_back(std::move(step));
--- a/src/libs/workload/open_step.h
+++ b/src/libs/workload/open_step.h
@@ -18,6 +18,8 @@
   bool worthless = false;
   // Another failure may end the job.
   bool failed_before = false;
+  // Workers were lost under one of its waiting tasks.
+  bool on_probation = false;
   // Indices of its tasks that wait; for a gang all of them.
   std::vector<int> waiting;
 
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -243,9 +243,8 @@
   }
 
   void Start(const OpenStep& step, Assignments chosen, std::string reason) {
-    const Resources need = ReservedFor(*step.spec);
     for (const JobLedger::Assignment& assignment : chosen) {
-      rooms_.Occupy(assignment.worker, need);
+      rooms_.Occupy(assignment.worker, step);
     }
     plan_.starts.push_back(
         {step.ref, std::move(chosen), std::move(reason), std::nullopt});
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -18,11 +18,16 @@
   if (task.run == 0) return 0;
   const bool plain = task.phase == TaskPhase::kDone && task.failures == 0;
   if (plain) return task.run;
-  return Json::array({static_cast<int>(task.phase), task.run, task.failures,
-                      task.worker, task.checkpoint});
+  Json row = Json::array({static_cast<int>(task.phase), task.run, task.failures,
+                          task.worker, task.checkpoint});
+  if (!task.crashes.empty()) {
+    row.push_back(task.crashes.at_start);
+    row.push_back(task.crashes.workers);
+  }
+  return row;
 }
 
-// Throws where the row has another form.
+// Throws where the row has another form. Entries of before wrote no crashes.
 TaskStatus FromRow(const Json& row) {
   TaskStatus task;
   if (row.is_array()) {
@@ -31,6 +36,10 @@
     task.failures = row.at(2).get<int>();
     task.worker = row.at(3).get<std::string>();
     task.checkpoint = row.at(4).get<std::string>();
+    if (row.size() > 5) {
+      task.crashes.at_start = row.at(5).get<int>();
+      task.crashes.workers = row.at(6).get<std::vector<std::string>>();
+    }
     return task;
   }
   task.run = row.get<int>();
--- a/src/libs/workload/task_status.h
+++ b/src/libs/workload/task_status.h
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "workload/crash_record.h"
+
 namespace thornplank {
 
 enum class TaskPhase {
@@ -23,6 +25,7 @@
   std::string worker;
   // Resumes from here; "" when there is none.
   std::string checkpoint;
+  CrashRecord crashes{};
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -3,6 +3,7 @@
 #define THORNPLANK_WORKLOAD_WORKER_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,9 @@
   Time began{};
   // Of the time since then, what a checkpoint keeps; filled in there as well.
   Duration kept{};
+  // From then to the last report that showed it; nullopt: none did. Filled in
+  // there for a run that ended with its worker.
+  std::optional<Duration> worked = std::nullopt;
 };
 
 struct WorkerStatusReport {
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -26,9 +26,13 @@
 // What it had saved was told when a report showed it. Of a gang another member
 // may have told of a later checkpoint since, which holds for this one too.
 RunEndReport Settled(const TrackedRun& run, RunEnd end, Time now) {
-  RunEndReport settled{0, run.task, run.run, end, ""};
+  RunEndReport settled;
+  settled.task = run.task;
+  settled.run = run.run;
+  settled.end = end;
   settled.began = run.began;
   settled.kept = run.kept("", now);
+  if (run.reported != Time{}) settled.worked = run.reported - run.began;
   return settled;
 }
 
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -51,6 +51,8 @@
   std::string account;
   // Elsewhere it takes several times as long; "" for no such rack.
   std::string data_rack;
+  // Workers were lost under its task.
+  bool on_probation = false;
 };
 
 struct TrackedRun {
@@ -90,6 +92,8 @@
   // Work that is lost when it is told to stop: none where the stop itself
   // saves it.
   Duration unsaved(Time now) const;
+  // A report has shown that the worker bears it.
+  bool is_proven() const { return reported != Time{}; }
   // Of the time that it has worked, what is not lost when it ends so; `made` is
   // the checkpoint that its end brought.
   Duration kept(const std::string& made, Time now) const;
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -40,7 +40,9 @@
                                        Error*) const override {
     return std::nullopt;
   }
-  HttpResponse JobStateResponse(JobState) const override { return {}; }
+  HttpResponse JobStateResponse(JobState, const std::string&) const override {
+    return {};
+  }
   HttpResponse QueueLengthResponse(int64_t) const override { return {}; }
 };
 
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -109,12 +109,29 @@
 TEST_CASE("a dropped job is forgotten") {
   JobBoard board;
   board.Apply(JobBoard::Submission(Definition()));
-  for (const KeyedRecord& record : JobBoard::Drop(kJob)) {
+  for (const KeyedRecord& record : JobBoard::Drop(kJob, *board.Find(kJob))) {
     board.Apply(record);
   }
   CHECK(board.jobs().empty());
 }
 
+TEST_CASE("why a job failed is kept beside its state, and goes with it") {
+  JobBoard board;
+  board.Apply(JobBoard::Submission(Definition()));
+  board.Apply(JobBoard::Failure(kJob, "why"));
+  board.Apply(JobBoard::State(kJob, JobState::kFailed, WallTime()));
+  REQUIRE(board.Find(kJob) != nullptr);
+  CHECK(board.Find(kJob)->state() == JobState::kFailed);
+  CHECK(board.Find(kJob)->failure == "why");
+  for (const KeyedRecord& record : JobBoard::Drop(kJob, *board.Find(kJob))) {
+    CHECK_FALSE(record.value.has_value());
+    board.Apply(record);
+  }
+  CHECK(board.jobs().empty());
+  // A job that has not failed has no such record to drop.
+  CHECK(JobBoard::Drop(kJob, BoardJob()).size() == 3);
+}
+
 TEST_CASE("an older leader's record changes nothing") {
   JobBoard board;
   board.Apply(JobBoard::Leader({"b", 4, false}));
@@ -137,11 +154,14 @@
   CHECK(board.Apply(progress).kind == BoardChange::Kind::kNone);
   CHECK(board.jobs().empty());
 
+  BoardJob failed;
+  failed.failure = "why";
   std::vector<KeyedRecord> others = {
+      JobBoard::Failure("ffffffffffffffff", "why"),
       JobBoard::Cancellation("ffffffffffffffff"),
       JobBoard::State("ffffffffffffffff", JobState::kRunning, WallTime()),
       JobBoard::Leader({"a", 3, false})};
-  for (const KeyedRecord& record : JobBoard::Drop("ffffffffffffffff")) {
+  for (const KeyedRecord& record : JobBoard::Drop("ffffffffffffffff", failed)) {
     others.push_back(record);
   }
   for (const KeyedRecord& record : others) {
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -129,6 +129,88 @@
   CHECK(world.Round().starts.size() == 1);
 }
 
+// Marks the waiting task of the job as one under which a worker was lost.
+void PutOnProbation(World* world, const std::string& job) {
+  const StepRef step{job, 0, 0};
+  const int run = world->ledger.Start(step, {{0, "gone"}});
+  LostRun lost;
+  lost.worker = "gone";
+  lost.crashed = true;
+  lost.began = true;
+  world->ledger.End({step, 0}, run, RunEnd::kWorkerCrashed, "", lost);
+}
+
+// Guards against two tasks that lose their workers together time after time, so
+// that the sound one is given up with the other.
+TEST_CASE(
+    "a task under which a worker was lost starts beside proven runs only") {
+  struct Row {
+    const char* name;
+    // Whether the task that is there is on probation, and the one that comes.
+    bool present;
+    bool coming;
+    // Whether a report has shown the one that is there.
+    bool proven;
+    bool starts;
+  };
+  const std::vector<Row> rows = {
+      {"sound tasks", false, false, false, true},
+      {"beside one that is not proven yet", false, true, false, false},
+      {"beside a proven one", false, true, true, true},
+      {"a sound one beside one on probation", true, false, false, false},
+      {"a sound one beside one that the worker bore", true, false, true, true},
+      {"two on probation", true, true, false, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(1, 1);
+    WorkerTracker& worker = world.workers.begin()->second;
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+    world.Round();
+    const TaskRef present{{Id(1), 0, 0}, 0};
+    REQUIRE(worker.Find(present) != nullptr);
+    worker.Find(present)->profile.on_probation = row.present;
+    if (row.proven) {
+      WorkerStatusReport report;
+      report.running.push_back({present, 1, "", 5});
+      std::vector<RunReport> unexpected;
+      worker.OnReport(report, world.now, world.now, &unexpected);
+    }
+    world.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), world.now);
+    if (row.coming) PutOnProbation(&world, Id(2));
+    CHECK(world.Round().starts.size() == (row.starts ? 1 : 0));
+  }
+}
+
+TEST_CASE("two tasks on probation do not start together in one round") {
+  World world(1, 1);
+  for (const int job : {1, 2}) {
+    world.ledger.Add(MakeJob(Id(job), {MakeStep(1, 1)}), world.now);
+    PutOnProbation(&world, Id(job));
+  }
+  CHECK(world.Round().starts.size() == 1);
+  CHECK(world.Round().starts.empty());
+}
+
+TEST_CASE("a task under which a worker was lost goes where least runs") {
+  World world(1, 3);
+  for (const std::string id : {"w0-0", "w0-1"}) {
+    RunProfile some;
+    some.need = {1000, 1000, 4};
+    WorkerTracker& worker = world.workers.at(id);
+    worker.Add({{Id(9), 0, 0}, 0}, 1, some, world.now);
+    WorkerStatusReport report;
+    report.running.push_back({{{Id(9), 0, 0}, 0}, 1, "", 5});
+    std::vector<RunReport> unexpected;
+    worker.OnReport(report, world.now, world.now, &unexpected);
+  }
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+  PutOnProbation(&world, Id(1));
+  const Plan plan = world.Round();
+  REQUIRE(plan.starts.size() == 1);
+  CHECK(plan.starts[0].assignments[0].worker == "w0-2");
+}
+
 TEST_CASE("why a step waits") {
   struct Row {
     std::string name;
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -30,7 +30,9 @@
 
 bool Same(const TaskStatus& a, const TaskStatus& b) {
   return a.phase == b.phase && a.run == b.run && a.failures == b.failures &&
-         a.worker == b.worker && a.checkpoint == b.checkpoint;
+         a.worker == b.worker && a.checkpoint == b.checkpoint &&
+         a.crashes.workers == b.crashes.workers &&
+         a.crashes.at_start == b.crashes.at_start;
 }
 
 TEST_CASE("which tasks a block holds") {
@@ -75,6 +77,12 @@
       {"waits again",
        {TaskPhase::kWaiting, 3, 1, "", "saved"},
        {TaskPhase::kWaiting, 3, 1, "", "saved"}},
+      {"waits again after crashes",
+       {TaskPhase::kWaiting, 3, 0, "", "", {{"w1", "w2"}, 1}},
+       {TaskPhase::kWaiting, 3, 0, "", "", {{"w1", "w2"}, 1}}},
+      {"at work after a crash, as by now without failures",
+       {TaskPhase::kActive, 2, 0, "w3", "", {{"w1"}, 0}},
+       {TaskPhase::kActive, 2, 0, "w3", "", {{"w1"}, 0}}},
       {"done, without what nobody needs",
        {TaskPhase::kDone, 3, 0, "", "saved"},
        {TaskPhase::kDone, 3, 0, "", ""}},
