A worker that has shrunk is given no more than fits into the rest

Found by reading for it, with tests that failed first.

Cause: capacity was looked at when a start was decided, not when its order or a copy of it went out, a record in the store later. And a worker that held more than its new capacity took tasks that need none of the resource in which it was overdrawn. Class: a belief that is checked once and used later.

Now each order asks again what closed domains and a lost lead ask already (event 940 says why a start is withheld), and an overdrawn worker gets nothing. 941 tells each change of a capacity.

Before: tst_worker_fleet 2 rows of 4, tst_planner_eligibility 1 row of 7 failed.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -97,8 +97,23 @@
               {"runs", tracker->runs().size()},
               {"offset", record.offset}});
   }
+  const bool resized =
+      registration->capacity != tracker->registration().capacity;
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
+  if (resized) TellCapacity(*tracker, record.offset);
+}
+
+void WorkerFleet::TellCapacity(const WorkerTracker& worker,
+                               int64_t offset) const {
+  const Resources& capacity = worker.registration().capacity;
+  LogEvent(events::kWorkerResized, {{"worker", worker.id()},
+                                    {"cpu_millis", capacity.cpu_millis},
+                                    {"memory_mb", capacity.memory_mb},
+                                    {"accelerators", capacity.accelerators},
+                                    {"overdrawn", worker.room().IsOverdrawn()},
+                                    {"runs", worker.runs().size()},
+                                    {"offset", offset}});
 }
 
 void WorkerFleet::OnEntryRemoved(const std::string& id, Time now) {
@@ -174,7 +189,11 @@
   TrackedRun* tracked = tracker->Find(task);
   if (tracked == nullptr || tracked->run != run) return;
   const Time now = Now();
-  if (tracked->stop_wanted || !may_renew_ || tracker->domain_closed()) {
+  if (const char* reason = ReasonToWithhold(*tracker, *tracked)) {
+    LogEvent(events::kStartWithheld, {{"task", task.ToString()},
+                                      {"run", run},
+                                      {"worker", worker},
+                                      {"reason", reason}});
     // Never sent: settled without a call.
     return Deliver(
         worker, tracker->OnStartAnswer(task, run, StartOutcome::kRefused, now));
@@ -200,15 +219,27 @@
                std::move(handlers));
 }
 
+// Between the decision and the order, and between copies of the order, all of
+// this may have changed. Null: the order may be sent.
+const char* WorkerFleet::ReasonToWithhold(const WorkerTracker& worker,
+                                          const TrackedRun& run) const {
+  if (run.stop_wanted) return "no longer wanted";
+  if (!may_renew_) return "this entry may lead no more";
+  if (worker.domain_closed()) return "the failure domain takes no new work";
+  // The run itself is counted already.
+  if (worker.room().IsOverdrawn()) return "the worker has shrunk";
+  return nullptr;
+}
+
 // Nothing of the run is known, and it is still wanted.
 bool WorkerFleet::MayRepeatStart(const std::string& worker, const TaskRef& task,
                                  int run) {
   WorkerTracker* tracker = Find(worker);
   const TrackedRun* tracked =
       tracker == nullptr ? nullptr : tracker->Find(task);
-  return tracked != nullptr && tracked->run == run && !tracked->stop_wanted &&
-         tracked->stage == RunStage::kSending && may_renew_ &&
-         !tracker->domain_closed();
+  return tracked != nullptr && tracked->run == run &&
+         tracked->stage == RunStage::kSending &&
+         ReasonToWithhold(*tracker, *tracked) == nullptr;
 }
 
 void WorkerFleet::OnStartResult(const std::string& worker, const TaskRef& task,
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -124,6 +124,9 @@
   };
 
   bool IsClosed(const WorkerTracker& tracker) const;
+  void TellCapacity(const WorkerTracker& worker, int64_t offset) const;
+  const char* ReasonToWithhold(const WorkerTracker& worker,
+                               const TrackedRun& run) const;
   bool MayRepeatStart(const std::string& worker, const TaskRef& task, int run);
   void OnStartResult(const std::string& worker, const TaskRef& task, int run,
                      const StartResult& result);
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -53,6 +53,8 @@
 inline constexpr Event kDomainClosed{937, "domain-closed", Severity::kWarning};
 inline constexpr Event kDomainOpened{938, "domain-opened", Severity::kInfo};
 inline constexpr Event kTaskGivenUp{939, "task-given-up", Severity::kWarning};
+inline constexpr Event kStartWithheld{940, "start-withheld", Severity::kInfo};
+inline constexpr Event kWorkerResized{941, "worker-resized", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -256,7 +256,7 @@
   const auto waiting = static_cast<int64_t>(step.waiting.size());
   for (size_t i = 0; i < rooms_.size(); ++i) {
     const WorkerRoom& room = rooms_[i];
-    if (!IsEligible(step, room)) continue;
+    if (!IsEligible(step, room) || room.tracker->room().IsOverdrawn()) continue;
     const int64_t bound = BoundLeft(step, *room.tracker);
     int64_t tasks = std::min(bound, need.TimesIn(room.room, waiting));
     if (step.spec->fills) tasks = std::min(tasks, FillersThatFit(step, room));
--- a/src/libs/workload/resources.h
+++ b/src/libs/workload/resources.h
@@ -17,6 +17,10 @@
     return cpu_millis <= room.cpu_millis && memory_mb <= room.memory_mb &&
            accelerators <= room.accelerators;
   }
+  // More is taken of one of them than there is.
+  bool IsOverdrawn() const {
+    return cpu_millis < 0 || memory_mb < 0 || accelerators < 0;
+  }
   bool IsNothing() const {
     return cpu_millis == 0 && memory_mb == 0 && accelerators == 0;
   }
@@ -44,6 +48,14 @@
   }
 };
 
+inline bool operator==(const Resources& a, const Resources& b) {
+  return a.cpu_millis == b.cpu_millis && a.memory_mb == b.memory_mb &&
+         a.accelerators == b.accelerators;
+}
+inline bool operator!=(const Resources& a, const Resources& b) {
+  return !(a == b);
+}
+
 // Of each the smaller one.
 inline Resources Least(const Resources& a, const Resources& b) {
   return {std::min(a.cpu_millis, b.cpu_millis),
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -208,7 +208,8 @@
   bool LeasesOver(Time now) const { return now > lease_bound_; }
   Time lease_bound() const { return lease_bound_; }
 
-  // Room that nothing may be using.
+  // Room that nothing may be using. A worker that has shrunk may hold more than
+  // it has capacity for: the room is overdrawn then, and nothing may begin.
   Resources room() const { return registration_.capacity - used_; }
 
   // Failures that speak against the worker rather than against its tasks.
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -1,5 +1,6 @@
 // Formats without a wire: a worker's entry says nothing but its id, that it is
-// unreadable, that it leaves, or the name of another service.
+// unreadable, that it leaves, that it has shrunk, or the name of another
+// service.
 #ifndef THORNPLANK_TESTS_AUTO_COORDINATION_FAKE_FORMATS_H_
 #define THORNPLANK_TESTS_AUTO_COORDINATION_FAKE_FORMATS_H_
 
@@ -15,6 +16,8 @@
 inline constexpr char kStray[] = "stray";
 inline constexpr char kLeaving[] = "leaving";
 inline constexpr char kInDomainB[] = "in domain b";
+// Has two accelerators instead of eight.
+inline constexpr char kShrunk[] = "shrunk";
 
 class FakeFormats : public Formats {
  public:
@@ -33,6 +36,7 @@
     if (record.value == kStray) worker.service = kStray;
     worker.draining = record.value == kLeaving;
     worker.failure_domain = record.value == kInDomainB ? "b" : "a";
+    if (record.value == kShrunk) worker.capacity.accelerators = 2;
     return worker;
   }
   CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -378,6 +378,43 @@
   }
 }
 
+// Guards against starts that were decided while the worker was larger: between
+// the decision and the order lies a record in the store.
+TEST_CASE("nothing begins on a worker that has shrunk below what it holds") {
+  struct Row {
+    const char* name;
+    // Its entries before the order is sent, and while it has no answer.
+    std::vector<std::string> before;
+    std::vector<std::string> during;
+    int orders;
+  };
+  const std::vector<Row> rows = {
+      {"as it was", {"listed"}, {}, 3},
+      {"shrunk after the decision", {kShrunk}, {}, 0},
+      {"shrunk, and grown again", {kShrunk, "listed"}, {}, 3},
+      {"shrunk while the order has no answer", {}, {kShrunk}, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.calls.start = StartOutcome::kNoAnswer;
+    RunProfile profile;
+    profile.need.accelerators = 4;
+    fixture.fleet.Add("w1", kTask, 1, profile, Fixture::Now());
+    for (const std::string& entry : row.before) {
+      fixture.fleet.OnDirectoryRecord({"w1", entry, 1}, Fixture::Now());
+    }
+    fixture.calls.on_start = [&] {
+      for (const std::string& entry : row.during) {
+        fixture.fleet.OnDirectoryRecord({"w1", entry, 2}, Fixture::Now());
+      }
+    };
+    fixture.fleet.SendStart("w1", kTask, 1, {});
+    CHECK(fixture.calls.starts == row.orders);
+    CHECK(fixture.ends.size() == (row.orders == 0 ? 1 : 0));
+  }
+}
+
 TEST_CASE("a worker that moves is judged by the domain where it stands") {
   Fixture fixture;
   fixture.fleet.CloseDomains({"b"});
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -109,6 +109,71 @@
   }
 }
 
+// Guards against a start on a worker whose capacity has shrunk under its runs.
+TEST_CASE("a worker that has shrunk takes what fits into the rest") {
+  struct Row {
+    const char* name;
+    // Of the worker, whose run holds 4 accelerators and 4 cores.
+    Resources capacity;
+    // That run was told to stop.
+    bool stopping;
+    // Of the task that waits.
+    Resources need;
+    bool starts;
+  };
+  const Resources whole = {64000, 256000, 8};
+  const Resources small = {64000, 256000, 2};
+  const Resources accelerators = {1000, 1000, 1};
+  const Resources cores = {1000, 1000, 0};
+  const std::vector<Row> rows = {
+      {"as it was", whole, false, accelerators, true},
+      {"room is left", {64000, 256000, 5}, false, accelerators, true},
+      {"just full", {64000, 256000, 4}, false, accelerators, false},
+      {"held more than it has now", small, false, accelerators, false},
+      {"what is being stopped still counts", small, true, accelerators, false},
+      {"of another kind than the task needs", small, false, cores, false},
+      {"less memory", {64000, 3000, 8}, false, accelerators, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(1, 1);
+    WorkerTracker& worker = world.workers.begin()->second;
+    RunProfile profile;
+    profile.need = {4000, 4000, 4};
+    const TaskRef present{{Id(9), 0, 0}, 0};
+    worker.Add(present, 1, profile, world.now);
+    worker.Find(present)->stop_wanted = row.stopping;
+    WorkerRegistration registration = worker.registration();
+    registration.capacity = row.capacity;
+    worker.Update(registration, world.now);
+    StepSpec step = MakeStep(1, 0);
+    step.need = row.need;
+    world.ledger.Add(MakeJob(Id(1), {step}), world.now);
+    CHECK(world.Round().starts.size() == (row.starts ? 1 : 0));
+  }
+}
+
+TEST_CASE(
+    "urgent work takes room on a worker that has shrunk, no more than fits") {
+  World world(1, 1);
+  world.ledger.Add(MakeJob(Id(1), {MakeStep(4, 2)}, 2), world.now);
+  world.Round();
+  WorkerTracker& worker = world.workers.begin()->second;
+  WorkerRegistration registration = worker.registration();
+  registration.capacity.accelerators = 4;
+  worker.Update(registration, world.now);
+  world.ledger.Add(MakeJob(Id(2), {MakeStep(1, 2)}, 0), world.now);
+  // Three of the four make way: two for what the worker lost, one for the task.
+  Plan plan = world.Round();
+  CHECK(plan.stops.size() == 3);
+  CHECK(plan.starts.empty());
+  world.CarryOutStops();
+  plan = world.Round();
+  REQUIRE(plan.starts.size() == 1);
+  CHECK(plan.starts[0].step.job == Id(2));
+  CHECK(worker.room().accelerators == 0);
+}
+
 TEST_CASE("a task that has failed is not tried where runs fail") {
   World world(1, 3);
   world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
--- a/tests/integration/tst_hosted_faults.cc
+++ b/tests/integration/tst_hosted_faults.cc
@@ -156,6 +156,27 @@
   }
 }
 
+// Guards against starts beyond a capacity that has shrunk while work runs.
+TEST_CASE("executors that shrink and grow again are never given too much") {
+  HostedScenario scenario;
+  HostedCluster& cluster = scenario.cluster();
+  // 288 tasks, of which 24 fit at a time, and 6 on shrunk executors: either way
+  // many begin when the smaller capacity must be kept to.
+  for (int i = 0; i < 12; ++i) {
+    scenario.Submit(i, {Step(24, 2)}, 400);
+  }
+  const auto resize = [&cluster](int percent) {
+    for (int i = 0; i < 6; ++i) {
+      CHECK(cluster.ControlExecutor(i, {{"capacity_percent", percent}}));
+    }
+  };
+  resize(25);
+  HostedCluster::Eventually([] { return false; }, std::chrono::seconds(5));
+  resize(100);
+  scenario.Finish();
+  CHECK(cluster.Events(cluster.Leader(), 941).size() >= 12);
+}
+
 // Two tasks fit on an executor, so the step takes the three that are there.
 // Sound ones end in two seconds, the slow one would work for 40 s.
 TEST_CASE("long work leaves a slow executor when empty ones are added") {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,9 @@
   int entries = 4;
   int executors = 8;
   int callers = 2;
+  // Also: tasks that crash their executors, executors that shrink and grow.
+  // These are drawn apart, so that a seed's other draws stay as they were.
+  bool crashes = true;
 };
 
 struct SoakReport {
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -14,11 +14,14 @@
   int seconds;
   // What the seed showed when it failed.
   const char* cause;
+  // Of the soak with tasks that crash executors.
+  bool crashes = false;
 };
 
 TEST_CASE("every promise holds under randomized faults") {
   const std::vector<Row> rows = {
       {20261202, 8, "never failed"},
+      {20261203, 10, "never failed", true},
       {114, 12, "the stand-in carried a report over into a new life"},
       {127, 12, "work went to a life that was proved to be over"},
       {128, 12, "the stand-in carried a report over into a new life"},
@@ -34,6 +37,7 @@
     SoakSettings settings;
     settings.seed = row.seed;
     settings.length = std::chrono::seconds(row.seconds);
+    settings.crashes = row.crashes;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
