What runs hold is told by what is known of them; a worker's return by its clock

thornplank_accelerators_held by stage and by whether the worker is heard; 923 carries the worker's clock and the number of the last end, before and now. No decision changes.

--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -86,6 +86,22 @@
   return ToRows(counts);
 }
 
+std::vector<MetricsRegistry::GaugeRow> HeldByStage(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const char* const heard = tracker.reachable() ? "yes" : "no";
+    for (const auto& [task, run] : tracker.runs()) {
+      const std::string stage =
+          run.stop_wanted ? "stopping" : std::string(ToText(run.stage));
+      counts[{{"stage", stage}, {"heard", heard}}] +=
+          static_cast<double>(run.profile.need.accelerators);
+    }
+  }
+  return ToRows(counts);
+}
+
 std::vector<MetricsRegistry::GaugeRow> RunsByDomain(
     const ClusterCoordinator& coordinator) {
   if (coordinator.fleet() == nullptr) return {};
@@ -116,6 +132,10 @@
                     "The same by service and by whether they may be given "
                     "tasks, or why not.",
                     [&] { return WorkersByBelief(coordinator); });
+  metrics.AddGauges("thornplank_accelerators_held",
+                    "Accelerators that runs hold, by what is known of the run "
+                    "and whether its worker answers; known to the leader.",
+                    [&] { return HeldByStage(coordinator); });
   metrics.AddGauges("thornplank_domain_runs",
                     "Runs on the workers of a failure domain, and whether it "
                     "takes new work; known to the leader.",
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -393,7 +393,11 @@
   }
   if (!tracker->reachable()) {
     LogEvent(events::kWorkerBack,
-             {{"worker", id}, {"failed_reports", tracker->failed_reports()}});
+             {{"worker", id},
+              {"failed_reports", tracker->failed_reports()},
+              {"clock_ms", answer.report.clock.count()},
+              {"clock_before_ms", tracker->clock().count()},
+              {"ends_before", tracker->processed_ends()}});
   }
   link.departure.OnAnswer();
   const bool first = !tracker->synchronized();
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -320,6 +320,22 @@
   quarantined_until_ = now + kQuarantine;
 }
 
+std::string_view ToText(RunStage stage) {
+  switch (stage) {
+    case RunStage::kRecording:
+      return "recording";
+    case RunStage::kSending:
+      return "sending";
+    case RunStage::kUnknown:
+      return "undecided";
+    case RunStage::kInherited:
+      return "inherited";
+    case RunStage::kRunning:
+      return "running";
+  }
+  return "unknown";
+}
+
 std::string_view ToText(WorkerBelief belief) {
   switch (belief) {
     case WorkerBelief::kUsable:
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -33,6 +33,8 @@
   kRunning,
 };
 
+std::string_view ToText(RunStage stage);
+
 // At this speed and below a worker is slowed for a while: sound ones differ by
 // 0.8 to 1.3, slowed ones run at a quarter and less.
 inline constexpr double kSlowedSpeed = 0.5;
@@ -204,6 +206,8 @@
   bool reachable() const { return failed_reports_ == 0; }
   WorkerBelief belief(Time now) const;
   int failed_reports() const { return failed_reports_; }
+  // The worker's clock as its last report had it.
+  Milliseconds clock() const { return clock_; }
   // All leases have ended, whatever was carried out.
   bool LeasesOver(Time now) const { return now > lease_bound_; }
   Time lease_bound() const { return lease_bound_; }
