Failing test: workers that restart under their ids

The stand-in's executors learn it: control 'restart' takes an executor down for restart_ms and brings it back under its id, without runs, fencing token and ends, with seq, numbers of ends and clock from the start, and a new born, which its entry and its lists of runs carry. keeps_id does the same for tasks that crash their executors. Histories stay on one clock, so that they compare.

tst_hosted_restarts on the code as it is: 'runs again after it was done' for five and more tasks of the first row, and no end within 180 s.

--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -40,7 +40,7 @@
       former_(capacity) {}
 
 std::string UsersExecutorModel::id() const {
-  return name_ + "-" + std::to_string(life_);
+  return name_ + "-" + std::to_string(named_life_);
 }
 
 int64_t UsersExecutorModel::Progress(const Run& run, int64_t now) const {
@@ -245,6 +245,16 @@
 }
 
 void UsersExecutorModel::Crash(int64_t now) {
+  EndLife(now);
+  named_life_ = ++life_;
+}
+
+void UsersExecutorModel::Restart(int64_t now) {
+  EndLife(now);
+  ++life_;
+}
+
+void UsersExecutorModel::EndLife(int64_t now) {
   Advance(now);
   for (const auto& [name, run] : runs_) {
     history_[run.history].ended_ms = now;
@@ -256,7 +266,6 @@
   next_number_ = 1;
   fence_ = 0;
   deadline_ = 0;
-  ++life_;
 }
 
 std::optional<Milliseconds> UsersExecutorModel::CrashDelay(
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -49,6 +49,8 @@
   UsersExecutorModel(std::string name, Resources capacity);
 
   std::string id() const;
+  // Counts its lives, also those under one id.
+  int life() const { return life_; }
   // As it is now.
   const Resources& capacity() const { return capacity_; }
 
@@ -69,8 +71,10 @@
   // From now on it has that share of its first capacity. Who starts something
   // may go by the larger one for a while (the users' rule).
   void set_capacity_percent(int64_t percent, int64_t now);
-  // Everything ends; a new life begins.
+  // Everything ends; a new life begins, under a new id.
   void Crash(int64_t now);
+  // The same under the id that it had.
+  void Restart(int64_t now);
   // How long after its start the ordered task crashes its executor; nullopt for
   // a task that does not.
   static std::optional<Milliseconds> CrashDelay(const StartOrder& order);
@@ -110,6 +114,8 @@
     size_t history = 0;
   };
 
+  // Everything ends.
+  void EndLife(int64_t now);
   void Advance(int64_t now);
   // Ends that nobody has recorded when the lease lapses.
   void NoteLapse();
@@ -129,6 +135,8 @@
   Resources former_;
   int64_t resized_at_ = 0;
   int life_ = 1;
+  // Of the life that took its id.
+  int named_life_ = 1;
   int64_t fence_ = 0;
   int64_t deadline_ = 0;
   bool fail_all_ = false;
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -9,12 +9,14 @@
 namespace {
 
 constexpr Milliseconds kHoldTick{10};
-// From a crash until the next life answers.
-constexpr Milliseconds kRestart{300};
 // Heartbeats that are missed before an entry lapses.
 constexpr int kMissedBeats = 3;
 constexpr int kMisdirected = 421;
 
+int64_t UnixNow() {
+  return ToUnixMilliseconds(std::chrono::system_clock::now());
+}
+
 std::string How(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
@@ -37,7 +39,7 @@
   return "stopped";
 }
 
-Json ReportBody(const WorkerStatusReport& report) {
+Json ReportBody(const WorkerStatusReport& report, int64_t born) {
   Json running = Json::array();
   for (const RunReport& run : report.running) {
     running.push_back(Json::array(
@@ -49,6 +51,7 @@
                                     How(end.end), end.checkpoint}));
   }
   return {{"clock_ms", report.clock.count()},
+          {"born", born},
           {"running", std::move(running)},
           {"finished", std::move(finished)}};
 }
@@ -62,7 +65,14 @@
       settings_(std::move(settings)),
       model_(settings_.name, settings_.capacity),
       timer_(executor),
-      random_(static_cast<uint32_t>(std::hash<std::string>()(settings_.name))) {
+      random_(static_cast<uint32_t>(std::hash<std::string>()(settings_.name))),
+      born_(UnixNow()) {}
+
+// All that an executor counts begins anew.
+void UsersExecutorRole::BeginLife() {
+  life_began_ = Clock();
+  born_ = UnixNow();
+  beats_ = 0;
 }
 
 int64_t UsersExecutorRole::Clock() const {
@@ -88,7 +98,8 @@
                         {"mem_mb", model_.capacity().memory_mb},
                         {"gpu", model_.capacity().accelerators}}},
                       {"labels", {"a", settings_.rack}},
-                      {"clock_ms", Clock()},
+                      {"clock_ms", OwnClock()},
+                      {"born", born_},
                       {"seq", ++beats_}};
   if (!silent_ && !down_) publish_(model_.id(), entry.dump());
   timer_.expires_after(settings_.heartbeat);
@@ -114,7 +125,7 @@
     query.epoch = IntField(body, "fence").value_or(0);
     query.recorded_ends = IntField(body, "last_seen").value_or(0);
     if (const auto deadline = IntField(body, "deadline_ms")) {
-      query.lease_until = Milliseconds(*deadline);
+      query.lease_until = Milliseconds(*deadline + life_began_);
     }
     const Milliseconds wait(IntField(body, "wait_ms").value_or(0));
     return Hold(exchange, query, std::chrono::steady_clock::now() + wait);
@@ -127,8 +138,8 @@
     return;
   }
   // What is on its way to a life ends with it.
-  RunAfter(executor(), late_by_, [this, path, body, life = model_.id()] {
-    if (life == model_.id()) Order(path, body);
+  RunAfter(executor(), late_by_, [this, path, body, life = model_.life()] {
+    if (life == model_.life()) Order(path, body);
   });
 }
 
@@ -137,11 +148,11 @@
   if (!task) return ProblemReply(400, "no such task name");
   const int run = static_cast<int>(IntField(body, "run").value_or(0));
   const int64_t epoch = IntField(body, "fence").value_or(0);
-  const Json clock = {{"clock_ms", Clock()}};
+  const Json clock = {{"clock_ms", OwnClock()}};
   if (path == "/v1/run-stop") {
     const CallOutcome outcome = model_.Stop({*task, run, epoch}, Clock());
     if (outcome == CallOutcome::kOk) return JsonReply(clock);
-    return JsonReply({{"clock_ms", Clock()}, {"reason", "fence"}}, 409);
+    return JsonReply({{"clock_ms", OwnClock()}, {"reason", "fence"}}, 409);
   }
   if (path == "/v1/pace") {
     const int percent =
@@ -150,7 +161,7 @@
         model_.Pace({*task, run, percent, epoch}, Clock());
     if (outcome == CallOutcome::kOk) return JsonReply(clock);
     const char* reason = outcome == CallOutcome::kFenced ? "fence" : "old";
-    return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
+    return JsonReply({{"clock_ms", OwnClock()}, {"reason", reason}}, 409);
   }
   if (path != "/v1/run-start") return ProblemReply(404, "no such call");
   StartOrder order;
@@ -159,7 +170,8 @@
   order.payload = StringField(body, "spec").value_or("");
   order.checkpoint = StringField(body, "checkpointed").value_or("");
   order.ticket = StringField(body, "ticket").value_or("");
-  order.deadline = Milliseconds(IntField(body, "deadline_ms").value_or(0));
+  order.deadline =
+      Milliseconds(IntField(body, "deadline_ms").value_or(0) + life_began_);
   order.epoch = epoch;
   const StartOutcome outcome = model_.Start(order, Clock());
   if (outcome == StartOutcome::kAccepted) {
@@ -169,23 +181,32 @@
   const char* reason = "old";
   if (outcome == StartOutcome::kFenced) reason = "fence";
   if (outcome == StartOutcome::kTicketRefused) reason = "ticket";
-  return JsonReply({{"clock_ms", Clock()}, {"reason", reason}}, 409);
+  return JsonReply({{"clock_ms", OwnClock()}, {"reason", reason}}, 409);
 }
 
 void UsersExecutorRole::CrashUnder(const StartOrder& order) {
   const auto delay = UsersExecutorModel::CrashDelay(order);
   if (!delay) return;
-  RunAfter(executor(), *delay, [this, life = model_.id()] {
-    if (life == model_.id()) CrashSilently();
+  RunAfter(executor(), *delay, [this, life = model_.life()] {
+    if (life == model_.life()) CrashSilently(keeps_id_);
   });
 }
 
-void UsersExecutorRole::CrashSilently() {
+void UsersExecutorRole::CrashSilently(bool keep_id) {
   const std::string old = model_.id();
-  model_.Crash(Clock());
+  if (keep_id) {
+    model_.Restart(Clock());
+  } else {
+    model_.Crash(Clock());
+  }
   down_ = true;
   CloseOtherConnections();
-  RunAfter(executor(), kRestart, [this] { down_ = false; });
+  RunAfter(executor(), restart_, [this, life = model_.life()] {
+    if (life != model_.life()) return;
+    down_ = false;
+    BeginLife();
+  });
+  if (keep_id) return;
   RunAfter(executor(), settings_.heartbeat * kMissedBeats, [this, old] {
     if (publish_) publish_(old, std::nullopt);
   });
@@ -197,14 +218,15 @@
   const CallOutcome outcome = model_.Hold(query, Clock(), &report);
   if (outcome != CallOutcome::kOk) {
     return exchange->Answer(
-        JsonReply({{"clock_ms", Clock()}, {"reason", "fence"}}, 409));
+        JsonReply({{"clock_ms", OwnClock()}, {"reason", "fence"}}, 409));
   }
+  report.clock -= Milliseconds(life_began_);
   const bool ready = model_.HasEndBehind(query.recorded_ends, Clock()) ||
                      std::chrono::steady_clock::now() >= until;
-  if (ready) return exchange->Answer(JsonReply(ReportBody(report)));
+  if (ready) return exchange->Answer(JsonReply(ReportBody(report, born_)));
   RunAfter(executor(), kHoldTick,
-           [this, exchange, query, until, life = model_.id()] {
-             if (silent_ || life != model_.id()) return;
+           [this, exchange, query, until, life = model_.life()] {
+             if (silent_ || life != model_.life()) return;
              Hold(exchange, query, until);
            });
 }
@@ -226,11 +248,11 @@
 }
 
 bool UsersExecutorRole::ApplyControl(const Json& control, Error* error) {
-  if (!HasOnlyFields(
-          control,
-          {"silent", "draining", "late_percent", "lost_percent", "fail_all",
-           "stalled", "slowdown", "reset", "crash", "capacity_percent"},
-          error)) {
+  if (!HasOnlyFields(control,
+                     {"silent", "draining", "late_percent", "lost_percent",
+                      "fail_all", "stalled", "slowdown", "reset", "crash",
+                      "capacity_percent", "restart", "restart_ms", "keeps_id"},
+                     error)) {
     return false;
   }
   ReadField(control, "silent", &silent_);
@@ -243,6 +265,11 @@
   if (const auto factor = NumberField(control, "slowdown")) {
     model_.set_slowdown(*factor, Clock());
   }
+  ReadField(control, "restart_ms", &restart_);
+  ReadField(control, "keeps_id", &keeps_id_);
+  if (BoolField(control, "restart").value_or(false)) {
+    CrashSilently(/*keep_id=*/true);
+  }
   if (const auto percent = IntField(control, "capacity_percent")) {
     model_.set_capacity_percent(*percent, Clock());
   }
@@ -253,6 +280,7 @@
   if (BoolField(control, "crash").value_or(false)) {
     const std::string old = model_.id();
     model_.Crash(Clock());
+    BeginLife();
     CloseOtherConnections();
     if (publish_) publish_(old, std::nullopt);
   }
--- a/tests/standins/users_executor_role.h
+++ b/tests/standins/users_executor_role.h
@@ -40,15 +40,19 @@
   bool ApplyControl(const Json& control, Error* error) override;
 
  private:
+  // The model's time, in which histories of all executors compare.
   int64_t Clock() const;
+  // What the executor's own clock shows: it begins anew with each life.
+  int64_t OwnClock() const { return Clock() - life_began_; }
   void Heartbeat();
   void Hold(const ExchangePtr& exchange, const StatusQuery& query, Time until);
   Reply Order(const std::string& path, const Json& body);
   // The task that was just started takes the executor down, if it does so.
   void CrashUnder(const StartOrder& order);
-  // Everything ends. The next life answers a moment later; the entry of this
-  // one lapses.
-  void CrashSilently();
+  // Everything ends. The next life answers a moment later, under a new id,
+  // where the entry of this one lapses, or under the same.
+  void CrashSilently(bool keep_id);
+  void BeginLife();
 
   const UsersExecutorSettings settings_;
   UsersExecutorModel model_;
@@ -65,6 +69,15 @@
   double lost_share_ = 0;
   Milliseconds late_by_{2500};
   int64_t beats_ = 0;
+  // What its clock, which begins anew with each life, is behind the model's.
+  // The first life is that of a machine which was up for long.
+  int64_t life_began_ = 0;
+  // In Unix milliseconds.
+  int64_t born_ = 0;
+  // It is back under its id after a crash by a task.
+  bool keeps_id_ = false;
+  // From a crash until the next life answers.
+  Milliseconds restart_{300};
 };
 
 }  // namespace thornplank::standins
