A worker that restarts under its id is known by its birth

Cause, of both: a life of a worker was known by its id alone, and all that belongs to a life was kept beyond it. Class: state that outlives the identity it belongs to. - The number of the last recorded end: smaller numbers of the new life were passed over, and told as recorded, so that the worker forgot ends that nobody had noted; the run was absent, and the task started again.

Why this works: born is read from entries and reports (platform/born_field) and judged in WorkerLife; the tracker begins anew with each life; ends carry the life that counted them up to the store and back. What may still reach the new life is stopped there.

The soak draws restarts under the same id.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -102,6 +102,11 @@
   const WorkerFleet* fleet() const { return fleet_.get(); }
 
  private:
+  // The last end of a worker's life, by its number.
+  struct EndMark {
+    int life = 0;
+    int64_t number = 0;
+  };
   enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kLeading };
 
   void OnTick();
@@ -137,7 +142,7 @@
   void Flush();
   void PublishEnds();
   void OnFlushed(const std::vector<std::string>& begun,
-                 const std::map<std::string, int64_t>& ends);
+                 const std::map<std::string, EndMark>& ends);
   void Publish(const std::vector<std::string>& changed);
   void DropRecords(const std::string& job, std::vector<KeyedRecord>* records);
   void ForgetOldJobs();
@@ -189,7 +194,7 @@
   // of it later and must not bring them back.
   std::set<std::string> finished_;
   // Ends that the next flush covers, by worker.
-  std::map<std::string, int64_t> unrecorded_ends_;
+  std::map<std::string, EndMark> unrecorded_ends_;
   struct PendingStart {
     std::string worker;
     TaskRef task;
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -209,8 +209,9 @@
                                {"workers_lost", WorkersLostUnder(end.task)}});
   if (taken) TellGivenUp(end.task);
   if (end.number > 0) {
-    int64_t& number = unrecorded_ends_[worker];
-    number = std::max(number, end.number);
+    EndMark& mark = unrecorded_ends_[worker];
+    if (end.life != mark.life) mark = {end.life, 0};
+    mark.number = std::max(mark.number, end.number);
   }
   SchedulePlanning();
 }
@@ -304,7 +305,7 @@
   }
   const std::set<std::string> begun_jobs = std::exchange(begun_jobs_, {});
   std::vector<std::string> begun(begun_jobs.begin(), begun_jobs.end());
-  std::map<std::string, int64_t> ends = std::exchange(unrecorded_ends_, {});
+  std::map<std::string, EndMark> ends = std::exchange(unrecorded_ends_, {});
   if (records.empty()) return OnFlushed(begun, ends);
   std::vector<PendingStart> starts = std::exchange(pending_starts_, {});
   progress_writer_->Write(
@@ -325,9 +326,9 @@
 }
 
 void ClusterCoordinator::OnFlushed(const std::vector<std::string>& begun,
-                                   const std::map<std::string, int64_t>& ends) {
-  for (const auto& [worker, number] : ends) {
-    fleet_->OnEndsRecorded(worker, number);
+                                   const std::map<std::string, EndMark>& ends) {
+  for (const auto& [worker, mark] : ends) {
+    fleet_->OnEndsRecorded(worker, mark.life, mark.number);
   }
   // Those that have ended meanwhile are told already.
   std::vector<std::string> running;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -72,7 +72,12 @@
   }
   refused_.Forget(record.key);
   const std::string id = registration->id;
-  if (dead_.count(id) > 0) return;
+  const auto dead = dead_.find(id);
+  if (dead != dead_.end()) {
+    if (dead->second == registration->birth.born) return;
+    dead_.erase(dead);
+  }
+  TellBirthFault(id, registration->birth);
   WorkerTracker* tracker = Find(id);
   Link& link = links_[id];
   link.missing_since.reset();
@@ -102,6 +107,15 @@
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
   if (resized) TellCapacity(*tracker, record.offset);
+  if (!tracker->synchronized()) Drive(id, now);
+}
+
+void WorkerFleet::TellBirthFault(const std::string& id,
+                                 const BirthMark& birth) {
+  std::string& told = links_[id].birth_fault;
+  if (birth.fault.empty() || birth.fault == told) return;
+  told = birth.fault;
+  LogEvent(events::kBirthUnreadable, {{"worker", id}, {"reason", birth.fault}});
 }
 
 void WorkerFleet::TellCapacity(const WorkerTracker& worker,
@@ -226,6 +240,7 @@
   if (run.stop_wanted) return "no longer wanted";
   if (!may_renew_) return "this entry may lead no more";
   if (worker.domain_closed()) return "the failure domain takes no new work";
+  if (!worker.synchronized()) return "the worker has restarted";
   // The run itself is counted already.
   if (worker.room().IsOverdrawn()) return "the worker has shrunk";
   return nullptr;
@@ -283,10 +298,11 @@
   SendStops(worker, Now());
 }
 
-void WorkerFleet::OnEndsRecorded(const std::string& worker, int64_t number) {
+void WorkerFleet::OnEndsRecorded(const std::string& worker, int life,
+                                 int64_t number) {
   WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr) return;
-  tracker->OnEndsRecorded(number);
+  tracker->OnEndsRecorded(life, number);
   Drive(worker, Now());
 }
 
@@ -338,13 +354,22 @@
   Report(id, wait, /*extra=*/false);
 }
 
+// Nothing that it knows already, and nothing after a silence: a worker that has
+// restarted meanwhile would forget ends of its new life by the numbers of the
+// old one.
+int64_t WorkerFleet::EndsToTell(const WorkerTracker& tracker,
+                                const Link& link) const {
+  const bool news = tracker.recorded_ends() > link.told_ends;
+  return news && tracker.reachable() ? tracker.recorded_ends() : 0;
+}
+
 void WorkerFleet::Report(const std::string& id, Milliseconds wait, bool extra) {
   WorkerTracker* tracker = Find(id);
   Link& link = links_[id];
   const Time now = Now();
   StatusQuery query;
   query.epoch = settings_.epoch;
-  query.recorded_ends = tracker->recorded_ends();
+  query.recorded_ends = EndsToTell(*tracker, link);
   query.wait = wait;
   // A worker that does not answer is not renewed: its leases must end.
   const bool renew = may_renew_ && tracker->synchronized() &&
@@ -399,13 +424,17 @@
               {"clock_before_ms", tracker->clock().count()},
               {"ends_before", tracker->processed_ends()}});
   }
+  TellBirthFault(id, answer.report.birth);
+  if (tracker->IsOfFormerLife(answer.report, sent)) return Drive(id, now);
   link.departure.OnAnswer();
   const bool first = !tracker->synchronized();
   link.told_ends = std::max(link.told_ends, recorded);
   if (renewed) link.leased_until = sent + settings_.bounds.lease_term();
+  const int life = tracker->life();
   std::vector<RunReport> unexpected;
   const std::vector<RunEndReport> ends =
       tracker->OnReport(answer.report, sent, now, &unexpected);
+  if (tracker->life() != life) OnRestart(id, ends, now);
   for (const RunReport& run : answer.report.running) {
     handlers_.on_progress(run);
   }
@@ -424,6 +453,31 @@
   Drive(id, now);
 }
 
+void WorkerFleet::OnRestart(const std::string& id,
+                            const std::vector<RunEndReport>& ends, Time now) {
+  WorkerTracker* tracker = Find(id);
+  Link& link = links_[id];
+  link.told_ends = 0;
+  link.leased_until = Time{};
+  link.departure = DepartureWatch();
+  LogEvent(events::kWorkerRestarted,
+           {{"worker", id},
+            {"born_ms", ToUnixMilliseconds(*tracker->born())},
+            {"ended", ends.size()},
+            {"runs", tracker->runs().size()}});
+  // Deadlines of the life before lie far ahead on the clock of this one.
+  tracker->AllowLease(settings_.bounds.longest_lease, now);
+  std::vector<std::pair<TaskRef, int>> undecided;
+  for (const auto& [task, run] : tracker->runs()) {
+    const bool sent =
+        run.stage == RunStage::kSending || run.stage == RunStage::kUnknown;
+    if (sent) undecided.emplace_back(task, run.run);
+  }
+  for (const auto& [task, run] : undecided) {
+    RequestStop(id, task, run, "ordered from the life before");
+  }
+}
+
 void WorkerFleet::SendStops(const std::string& id, Time now) {
   WorkerTracker* tracker = Find(id);
   const WorkerAddress address{id, tracker->registration().address};
@@ -523,7 +577,8 @@
 }
 
 void WorkerFleet::Bury(const std::string& id, LifeEnd end) {
-  if (!dead_.insert(id).second) return;
+  const std::optional<WallTime>& born = Find(id)->registration().birth.born;
+  if (!dead_.emplace(id, born).second) return;
   links_[id].missing_since = Now();
   Lose(id, end);
 }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -102,8 +102,8 @@
                  const StartFields& fields);
   void RequestStop(const std::string& worker, const TaskRef& task, int run,
                    const std::string& reason);
-  // Ends of that worker up to `number` are recorded.
-  void OnEndsRecorded(const std::string& worker, int64_t number);
+  // Ends of that life of the worker up to `number` are recorded.
+  void OnEndsRecorded(const std::string& worker, int life, int64_t number);
 
   // Renews, retries and judges; several times a second. Leases are renewed
   // only while the owner may still lead.
@@ -121,6 +121,8 @@
     Time next_stop{};
     std::optional<Time> missing_since;
     DepartureWatch departure;
+    // What was told last of a birth that cannot be read.
+    std::string birth_fault;
   };
 
   bool IsClosed(const WorkerTracker& tracker) const;
@@ -136,6 +138,12 @@
   void Report(const std::string& id, Milliseconds wait, bool extra);
   void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
                 int64_t recorded, bool renewed, bool extra);
+  // The worker has restarted under its id; `life` was the one before.
+  void OnRestart(const std::string& id, const std::vector<RunEndReport>& ends,
+                 Time now);
+  void TellBirthFault(const std::string& id, const BirthMark& birth);
+  // What a report may tell the worker to forget.
+  int64_t EndsToTell(const WorkerTracker& tracker, const Link& link) const;
   void SendStops(const std::string& id, Time now);
   void Deliver(const std::string& id, const std::vector<RunEndReport>& ends);
   void Judge(const std::string& id, Time now);
@@ -151,8 +159,9 @@
   const Handlers handlers_;
   std::map<std::string, WorkerTracker> trackers_;
   std::map<std::string, Link> links_;
-  // Lives that are proved to be over; the directory may list them for a while.
-  std::set<std::string> dead_;
+  // Lives that are proved to be over, by the worker's id, with what they said
+  // of their birth; the directory may list them for a while.
+  std::map<std::string, std::optional<WallTime>> dead_;
   RefusedEntries refused_;
   std::set<std::string> closed_domains_;
   bool may_renew_ = true;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -56,6 +56,11 @@
 inline constexpr Event kStartWithheld{940, "start-withheld", Severity::kInfo};
 inline constexpr Event kWorkerResized{941, "worker-resized", Severity::kInfo};
 
+inline constexpr Event kWorkerRestarted{942, "worker-restarted",
+                                        Severity::kWarning};
+inline constexpr Event kBirthUnreadable{943, "birth-unreadable",
+                                        Severity::kWarning};
+
 }  // namespace thornplank::events
 
 #endif  // THORNPLANK_LOGGING_EVENTS_COORDINATION_EVENTS_H_
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -14,10 +14,18 @@
 
 namespace thornplank {
 
+// When the life of a worker began, as it says itself.
+struct BirthMark {
+  std::optional<WallTime> born = std::nullopt;
+  // Why it cannot be told; "" where it can.
+  std::string fault = "";
+};
+
 // An entry of the directory of workers: one life of one worker.
 struct WorkerRegistration {
-  // New for each life.
+  // A worker that has restarted may have the id of the life before.
   std::string id;
+  BirthMark birth;
   std::string address;
   std::string service;
   std::string failure_domain;
@@ -58,10 +66,14 @@
   // From then to the last report that showed it; nullopt: none did. Filled in
   // there for a run that ended with its worker.
   std::optional<Duration> worked = std::nullopt;
+  // Which of the lives that were seen under the worker's id; filled in there.
+  int life = 0;
 };
 
 struct WorkerStatusReport {
+  // Begins anew with each life.
   Milliseconds clock{0};
+  BirthMark birth;
   std::vector<RunReport> running;
   std::vector<RunEndReport> ended;
 };
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -83,6 +83,10 @@
     : registration_(std::move(registration)) {}
 
 void WorkerTracker::Update(WorkerRegistration registration, Time now) {
+  const std::optional<WallTime>& born = registration.birth.born;
+  const bool is_news = born && born != registration_.birth.born;
+  // Until a report tells, nothing is known of the life that has begun.
+  if (is_news && life_.born() && born != life_.born()) synchronized_ = false;
   registration_ = std::move(registration);
   missing_since_.reset();
   leaves_.reset();
@@ -188,21 +192,79 @@
   if (acknowledged) tracked->stop_acknowledged = now;
 }
 
+bool WorkerTracker::IsOfFormerLife(const WorkerStatusReport& report,
+                                   Time sent) const {
+  return life_.Judge(report.birth.born, sent) == WorkerLife::Verdict::kFormer;
+}
+
+bool WorkerTracker::OutlivesRestart(const TrackedRun& run,
+                                    const WorkerStatusReport& report,
+                                    Time sent) const {
+  const auto is_it = [&run](const auto& told) {
+    return told.task == run.task && told.run == run.run;
+  };
+  const bool told =
+      std::any_of(report.running.begin(), report.running.end(), is_it) ||
+      std::any_of(report.ended.begin(), report.ended.end(), is_it);
+  if (told) return true;
+  switch (run.stage) {
+    case RunStage::kRecording:
+    case RunStage::kSending:
+    case RunStage::kUnknown:
+      return true;
+    case RunStage::kRunning:
+      // The new life may have taken the order after it wrote the report.
+      return run.since > sent;
+    case RunStage::kInherited:
+      return false;
+  }
+  return false;
+}
+
+std::vector<RunEndReport> WorkerTracker::BeginLife(
+    const WorkerStatusReport& report, Time sent, Time now) {
+  const RunEnd end = RunEndFor(LifeEnd::kCrashed, now);
+  std::vector<RunEndReport> ended;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    const auto run = it++;
+    if (OutlivesRestart(run->second, report, sent)) {
+      // The deadline was one on the clock of the life before.
+      run->second.order_deadline = Milliseconds::max();
+      continue;
+    }
+    ended.push_back(Settled(run->second, end, now));
+    Erase(run);
+  }
+  ++life_number_;
+  clock_ = Milliseconds::zero();
+  processed_ends_ = 0;
+  recorded_ends_ = 0;
+  failures_ = 0;
+  last_failed_job_.clear();
+  quarantined_until_ = Time{};
+  return ended;
+}
+
 std::vector<RunEndReport> WorkerTracker::OnReport(
     const WorkerStatusReport& report, Time sent, Time now,
     std::vector<RunReport>* unexpected) {
+  const WorkerLife::Verdict life = life_.Judge(report.birth.born, sent);
+  if (life == WorkerLife::Verdict::kFormer) return {};
+  std::vector<RunEndReport> ended;
+  if (life == WorkerLife::Verdict::kNext) ended = BeginLife(report, sent, now);
+  life_.Note(report.birth.born, now);
   if (report.clock >= clock_) {
     clock_ = report.clock;
     clock_heard_ = now;
   }
   failed_reports_ = 0;
-  std::vector<RunEndReport> ended;
   std::set<TaskRef> present;
   for (const RunEndReport& end : report.ended) {
     present.insert(end.task);
     if (end.number <= processed_ends_) continue;
     processed_ends_ = end.number;
     ended.push_back(end);
+    ended.back().life = life_number_;
     const auto it = runs_.find(end.task);
     if (it == runs_.end() || it->second.run > end.run) continue;
     ended.back().began = it->second.began;
@@ -279,23 +341,31 @@
   return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
 }
 
+RunEnd WorkerTracker::RunEndFor(LifeEnd end, Time now) const {
+  const bool left = end == LifeEnd::kCrashed && leaves_ && now >= *leaves_;
+  return ToRunEnd(left ? LifeEnd::kLeft : end);
+}
+
 std::vector<RunEndReport> WorkerTracker::OnGone(LifeEnd end, Time now) {
-  if (end == LifeEnd::kCrashed && leaves_ && now >= *leaves_) {
-    end = LifeEnd::kLeft;
-  }
+  const RunEnd run_end = RunEndFor(end, now);
   std::vector<RunEndReport> ended;
   ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
     const bool sent = run.stage != RunStage::kRecording;
-    ended.push_back(Settled(run, sent ? ToRunEnd(end) : RunEnd::kLost, now));
+    ended.push_back(Settled(run, sent ? run_end : RunEnd::kLost, now));
   }
   runs_.clear();
   used_ = Resources();
   return ended;
 }
 
-void WorkerTracker::OnEndsRecorded(int64_t number) {
-  recorded_ends_ = std::max(recorded_ends_, number);
+void WorkerTracker::OnEndsRecorded(int life, int64_t number) {
+  if (life != life_number_) return;
+  recorded_ends_ = std::max(recorded_ends_, std::min(number, processed_ends_));
+}
+
+void WorkerTracker::AllowLease(Milliseconds term, Time now) {
+  lease_bound_ = std::max(lease_bound_, now + LongestLease(term));
 }
 
 void WorkerTracker::OnRunFailed(const std::string& job, Time now) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -1,5 +1,5 @@
-// What the coordinator believes of one life of a worker: which runs may be on
-// it, when its leases end at the latest, and whether it can be trusted.
+// What the coordinator believes of one worker, life by life: which runs may be
+// on it, when its leases end at the latest, and whether it can be trusted.
 //
 // An order without an answer may be carried out seconds later. A run is
 // therefore settled only by evidence: its end or absence in a report, an
@@ -17,6 +17,7 @@
 
 #include "base/time.h"
 #include "workload/pace_control.h"
+#include "workload/worker_life.h"
 #include "workload/worker_report.h"
 
 namespace thornplank {
@@ -184,8 +185,13 @@
                                           StartOutcome outcome, Time now);
   void OnStopAnswer(const TaskRef& task, int run, bool acknowledged, Time now);
 
+  // Whether the report comes from a life that is over: nothing of it counts.
+  bool IsOfFormerLife(const WorkerStatusReport& report, Time sent) const;
   // A report whose call was sent at `sent`. Returns what has ended since the
   // last one, in order; `unexpected` gets runs that nobody here decided on.
+  // Where it is the first of another life, all that ran in the life before has
+  // ended. An order without an answer may yet reach the new one, and is settled
+  // there by a stop alone.
   std::vector<RunEndReport> OnReport(const WorkerStatusReport& report,
                                      Time sent, Time now,
                                      std::vector<RunReport>* unexpected);
@@ -198,7 +204,14 @@
   // up to `recorded_ends`.
   int64_t processed_ends() const { return processed_ends_; }
   int64_t recorded_ends() const { return recorded_ends_; }
-  void OnEndsRecorded(int64_t number);
+  // Ends up to `number` of that life.
+  void OnEndsRecorded(int life, int64_t number);
+  // The life that is told of now, of those that were seen under its id.
+  int life() const { return life_number_; }
+  // Nullopt: it does not say.
+  const std::optional<WallTime>& born() const { return life_.born(); }
+  // Something may hold a lease as long as `term` from now.
+  void AllowLease(Milliseconds term, Time now);
 
   // A report came under this process's epoch, so that no order of a
   // predecessor can begin anything there.
@@ -236,10 +249,19 @@
  private:
   void Progress(TrackedRun* run, const RunReport& report, Time now);
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
+  // A report shows that the life before is over.
+  std::vector<RunEndReport> BeginLife(const WorkerStatusReport& report,
+                                      Time sent, Time now);
+  bool OutlivesRestart(const TrackedRun& run, const WorkerStatusReport& report,
+                       Time sent) const;
+  // What the end of its life is, after what it had announced.
+  RunEnd RunEndFor(LifeEnd end, Time now) const;
   bool IsSettledByAbsence(const TrackedRun& run, Time sent,
                           Milliseconds clock) const;
 
   WorkerRegistration registration_;
+  WorkerLife life_;
+  int life_number_ = 0;
   std::optional<Time> leaves_;
   std::optional<Time> missing_since_;
   bool domain_closed_ = false;
@@ -253,6 +275,7 @@
   Time lease_bound_{};
   bool synchronized_ = false;
   int failed_reports_ = 0;
+  // Of this life; invariant: what is recorded was processed.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
   // Runs that failed here since the last that was done, by distinct jobs.
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -18,6 +18,8 @@
 inline constexpr char kInDomainB[] = "in domain b";
 // Has two accelerators instead of eight.
 inline constexpr char kShrunk[] = "shrunk";
+// Followed by its birth in Unix milliseconds.
+inline constexpr char kBornAt[] = "born at ";
 
 class FakeFormats : public Formats {
  public:
@@ -37,6 +39,10 @@
     worker.draining = record.value == kLeaving;
     worker.failure_domain = record.value == kInDomainB ? "b" : "a";
     if (record.value == kShrunk) worker.capacity.accelerators = 2;
+    if (record.value->rfind(kBornAt, 0) == 0) {
+      const std::string born = record.value->substr(sizeof(kBornAt) - 1);
+      worker.birth.born = FromUnixMilliseconds(std::stoll(born));
+    }
     return worker;
   }
   CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -43,6 +43,7 @@
   void Status(const WorkerAddress&, const StatusQuery& query, Milliseconds,
               std::function<void(const StatusAnswer&)> done) override {
     ++reports;
+    recorded_ends.push_back(query.recorded_ends);
     renewed = query.lease_until.has_value();
     if (renewed) lease_until = *query.lease_until;
     if (query.wait.count() > 0 && !answers_waiting) {
@@ -80,6 +81,8 @@
   int starts = 0;
   int stops = 0;
   int reports = 0;
+  // As each report was asked for.
+  std::vector<int64_t> recorded_ends;
   bool renewed = false;
   // On the worker's clock, of the last renewal.
   Milliseconds lease_until{0};
@@ -234,6 +237,79 @@
   }
 }
 
+// Guards against a worker that is dead by its id for as long as its leader
+// leads.
+TEST_CASE(
+    "a life that is over stays so; another one under its id is a new one") {
+  struct Row {
+    const char* name;
+    const char* entry;
+    bool known;
+  };
+  const std::vector<Row> rows = {
+      {"listed as it was", "born at 5000", false},
+      {"born anew", "born at 9000", true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.fleet.OnDirectoryRecord({"w1", "born at 5000", 1}, Fixture::Now());
+    fixture.calls.start = StartOutcome::kOtherLife;
+    fixture.Start();
+    REQUIRE_FALSE(fixture.knows_worker());
+    fixture.fleet.OnDirectoryRecord({"w1", row.entry, 2}, Fixture::Now());
+    CHECK(fixture.knows_worker() == row.known);
+  }
+}
+
+// Guards against ends that a worker forgets by the numbers of its last life.
+TEST_CASE("ends are told as recorded once, and to the life that counted them") {
+  Fixture fixture;
+  fixture.calls.answers_waiting = true;
+  fixture.calls.report.birth.born = FromUnixMilliseconds(5000);
+  fixture.calls.report.ended = {{7, kTask, 1, RunEnd::kDone, ""}};
+  fixture.Start();
+  Time now = Fixture::Now();
+  const auto tick = [&fixture, &now] {
+    now += std::chrono::seconds(1);
+    fixture.fleet.Tick(now, /*may_renew=*/true);
+  };
+  tick();
+  fixture.fleet.OnEndsRecorded("w1", 0, 7);
+  tick();
+  CHECK(fixture.calls.recorded_ends.back() == 7);
+  // Another run, so that the worker is asked on: the number is known there.
+  fixture.fleet.Add("w1", kTask, 2, RunProfile(), now);
+  fixture.fleet.SendStart("w1", kTask, 2, {});
+  tick();
+  CHECK(fixture.calls.recorded_ends.back() == 0);
+  fixture.calls.report.birth.born = FromUnixMilliseconds(9000);
+  fixture.calls.report.ended.clear();
+  tick();
+  CHECK(fixture.fleet.trackers().at("w1").life() == 1);
+  fixture.fleet.OnEndsRecorded("w1", 0, 7);
+  tick();
+  CHECK(fixture.calls.recorded_ends.back() == 0);
+}
+
+TEST_CASE("orders of the life before are stopped in the next one") {
+  Fixture fixture;
+  fixture.calls.report.birth.born = FromUnixMilliseconds(5000);
+  fixture.fleet.OnDirectoryRecord({"w2", "born at 5000", 1}, Fixture::Now());
+  fixture.fleet.Add("w2", kTask, 1, RunProfile(), Fixture::Now());
+  fixture.calls.start = StartOutcome::kNoAnswer;
+  fixture.fleet.SendStart("w2", kTask, 1, {});
+  fixture.calls.report.birth.born = FromUnixMilliseconds(9000);
+  Time now = Fixture::Now();
+  for (int i = 0; i < 3; ++i) {
+    now += Milliseconds(300);
+    fixture.fleet.Tick(now, /*may_renew=*/true);
+  }
+  CHECK(fixture.calls.stops == 1);
+  REQUIRE(fixture.ends.size() == 1);
+  CHECK(fixture.ends[0] == RunEnd::kLost);
+}
+
 TEST_CASE("a life that is over stays so, though it is still listed") {
   Fixture fixture;
   fixture.calls.start = StartOutcome::kOtherLife;
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -48,6 +48,51 @@
   }));
 }
 
+// Guards against restarts that go unnoticed, and against a field of another
+// type that takes the worker or its report with it.
+TEST_CASE("when an executor's life began is read, or refused with a reason") {
+  struct Row {
+    const char* name;
+    // As JSON; "" where the field is missing.
+    const char* value;
+    int64_t born;
+    const char* fault;
+  };
+  const std::vector<Row> rows = {
+      {"a time", "1796290960874", 1796290960874, ""},
+      {"a time in the future", "4102444800000", 4102444800000, ""},
+      {"missing", "", 0, "born is missing"},
+      {"null", "null", 0, "born is no whole number"},
+      {"a text", R"("1796290960874")", 0, "born is no whole number"},
+      {"a fraction", "1796290960874.5", 0, "born is no whole number"},
+      {"a list", "[1]", 0, "born is no whole number"},
+      {"zero", "0", 0, "born is no time"},
+      {"negative", "-5", 0, "born is no time"},
+      {"beyond all times", "18446744073709551615", 0, "born is no time"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const std::string value = row.value;
+    const std::string field = value.empty() ? "" : ",\"born\":" + value;
+    const auto report = DecodeStatus("{\"clock_ms\":5" + field + "}");
+    const auto worker = WireFormats().ReadWorker(
+        {"w",
+         R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",)"
+         R"("capacity":{"cpu":1},"labels":["a"])" +
+             field + "}",
+         0},
+        nullptr);
+    REQUIRE(report.has_value());
+    REQUIRE(worker.has_value());
+    for (const BirthMark& birth : {report->birth, worker->birth}) {
+      CHECK(birth.fault == row.fault);
+      CHECK(birth.born.has_value() == (row.born > 0));
+      if (!birth.born) continue;
+      CHECK(ToUnixMilliseconds(*birth.born) == row.born);
+    }
+  }
+}
+
 TEST_CASE("a configuration's queues and accounts") {
   const WireFormats formats;
   const auto configuration = formats.ReadConfiguration(
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -139,7 +139,7 @@
   CHECK(Hear(&tracker, 110, 120, report).empty());
   CHECK(tracker.processed_ends() == 1);
   CHECK(tracker.recorded_ends() == 0);
-  tracker.OnEndsRecorded(1);
+  tracker.OnEndsRecorded(0, 1);
   CHECK(tracker.recorded_ends() == 1);
 }
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -61,6 +61,11 @@
     for (int i = 0; i < settings_.callers; ++i) {
       callers.emplace_back([this, i] { CallUntilDone(i); });
     }
+    if (settings_.crashes) {
+      for (int i = 0; i < settings_.executors; ++i) {
+        cluster_.ControlExecutor(i, {{"keeps_id", i % 2 == 0}});
+      }
+    }
     InjectFaults();
     done_ = true;
     for (std::thread& caller : callers) {
@@ -225,6 +230,7 @@
         InjectFault();
       }
       if (settings_.crashes) Resize();
+      if (settings_.crashes) Restart();
       std::this_thread::sleep_for(Milliseconds(200 + Draw(2500)));
       EndSomeFaults();
     }
@@ -297,6 +303,21 @@
     }
   }
 
+  // Some or all, of which some are away for longer than their leases.
+  void Restart() {
+    const uint32_t draw = crash_random_();
+    if (draw % 2 == 0) return;
+    const int restart_ms = draw % 5 == 0 ? 8000 : 300;
+    const uint32_t share = draw % 3 + 1;
+    Note("a share of the executors restarts, within " +
+         std::to_string(restart_ms) + " ms");
+    for (int i = 0; i < settings_.executors; ++i) {
+      if (crash_random_() % share != 0) continue;
+      cluster_.ControlExecutor(i,
+                               {{"restart_ms", restart_ms}, {"restart", true}});
+    }
+  }
+
   void Resize() {
     const uint32_t draw = crash_random_();
     if (draw % 2 == 0) return;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,7 +22,8 @@
   int entries = 4;
   int executors = 8;
   int callers = 2;
-  // Also: tasks that crash their executors, executors that shrink and grow.
+  // Also: tasks that crash their executors, executors that shrink and grow, and
+  // such that restart under their ids.
   // These are drawn apart, so that a seed's other draws stay as they were.
   bool crashes = true;
 };
