Work is not given up for workers that crash a while after its start

Cause: a run counted as lost at its start when no report had shown it. A report waits for an end, for up to two seconds, and goes down with the worker. Class: absence of news taken for news.

Now the time counts until the worker fell silent: a broken connection tells that at once. Below 0.5 s it is the start; a worker that bore it longer is proven for the placement of others too, report or not. Where a worker goes dark without a word the silence shows only after the call's time, and the crash counts as a later one: four of these are allowed.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -19,8 +19,7 @@
   run.worker = worker;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
-  run.seen = end.worked.has_value();
-  run.worked = end.worked.value_or(Duration::zero());
+  run.borne = end.borne;
   return run;
 }
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -63,9 +63,9 @@
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) room.coming += profile.need;
     if (profile.fills) ++room.filling;
-    room.unproven = room.unproven || !run.is_proven();
-    room.on_probation =
-        room.on_probation || (profile.on_probation && !run.is_proven());
+    const bool unproven = !run.is_proven(now);
+    room.unproven = room.unproven || unproven;
+    room.on_probation = room.on_probation || (unproven && profile.on_probation);
     if (profile.priority != 0) continue;
     urgent_use_[profile.account] += profile.need.accelerators;
   }
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -4,8 +4,8 @@
 namespace thornplank {
 namespace {
 
-// Workers that crash before they report the run: the task, not chance. Tasks
-// may be given up from two crashes on (published).
+// Workers that crash as they start the task: the task, not chance. Tasks may be
+// given up from two crashes on (published).
 constexpr int kMostCrashesAtStart = 2;
 // Of any kind. Not more than five starts are allowed, two after the third crash
 // (published); one is left for a crash that a change of leader has hidden.
@@ -15,12 +15,12 @@
 }  // namespace
 
 void CrashRecord::OnLost(const LostRun& run, bool long_running) {
-  if (long_running && run.worked >= kProvenWork) {
+  if (long_running && run.borne >= kProvenWork) {
     *this = CrashRecord();
     return;
   }
   workers.push_back(run.worker);
-  const bool at_once = run.crashed && run.began && !run.seen;
+  const bool at_once = run.crashed && run.began && run.borne < kStartPhase;
   at_start = at_once ? at_start + 1 : 0;
 }
 
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -2,8 +2,8 @@
 //
 // A task may crash each worker that starts it. One that crashes has taken down
 // all that ran there, and none of these is told from the culprit by the crash
-// alone. What tells them apart is time: a run that reports have shown at work
-// had been borne by its worker.
+// alone. What tells them apart is time: a worker that bore a run for a while
+// did not crash for its start.
 #ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 #define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 
@@ -14,6 +14,10 @@
 
 namespace thornplank {
 
+// A worker that is alive so long after it has taken an order has borne its
+// start.
+inline constexpr Milliseconds kStartPhase{500};
+
 // What is known of a run whose worker's life ended.
 struct LostRun {
   std::string worker;
@@ -21,17 +25,14 @@
   bool crashed = false;
   // The worker had taken the order.
   bool began = false;
-  // A report had shown it at work.
-  bool seen = false;
-  // From its begin to the last report that showed it.
-  Duration worked{};
+  // From its begin until the worker fell silent.
+  Duration borne{};
 };
 
 struct CrashRecord {
   // Workers that were lost under the task, the oldest first.
   std::vector<std::string> workers;
-  // Crashes of a worker that had taken the order and never reported the run, in
-  // a row.
+  // Crashes of a worker that had just taken the order, in a row.
   int at_start = 0;
 
   bool empty() const { return workers.empty(); }
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -63,9 +63,9 @@
   Time began{};
   // Of the time since then, what a checkpoint keeps; filled in there as well.
   Duration kept{};
-  // From then to the last report that showed it; nullopt: none did. Filled in
-  // there for a run that ended with its worker.
-  std::optional<Duration> worked = std::nullopt;
+  // From then until its worker fell silent; filled in there for a run that
+  // ended with its worker.
+  Duration borne{};
   // Which of the lives that were seen under the worker's id; filled in there.
   int life = 0;
 };
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -32,7 +32,6 @@
   settled.end = end;
   settled.began = run.began;
   settled.kept = run.kept("", now);
-  if (run.reported != Time{}) settled.worked = run.reported - run.began;
   return settled;
 }
 
@@ -55,6 +54,11 @@
   return now - began;
 }
 
+bool TrackedRun::is_proven(Time now) const {
+  if (reported != Time{}) return true;
+  return stage == RunStage::kRunning && now - began >= kStartPhase;
+}
+
 Duration TrackedRun::kept(const std::string& made, Time now) const {
   if (began == Time{}) return Duration::zero();
   // Made by the end itself, which comes as soon as it is there.
@@ -232,7 +236,7 @@
       run->second.order_deadline = Milliseconds::max();
       continue;
     }
-    ended.push_back(Settled(run->second, end, now));
+    ended.push_back(LostWithLife(run->second, end, now));
     Erase(run);
   }
   ++life_number_;
@@ -258,6 +262,7 @@
     clock_heard_ = now;
   }
   failed_reports_ = 0;
+  silent_since_.reset();
   std::set<TaskRef> present;
   for (const RunEndReport& end : report.ended) {
     present.insert(end.task);
@@ -330,7 +335,10 @@
   return false;
 }
 
-void WorkerTracker::OnNoReport(Time) { ++failed_reports_; }
+void WorkerTracker::OnNoReport(Time now) {
+  ++failed_reports_;
+  if (!silent_since_) silent_since_ = now;
+}
 
 WorkerBelief WorkerTracker::belief(Time now) const {
   if (!synchronized()) return WorkerBelief::kNotHeardYet;
@@ -346,13 +354,20 @@
   return ToRunEnd(left ? LifeEnd::kLeft : end);
 }
 
+RunEndReport WorkerTracker::LostWithLife(const TrackedRun& run, RunEnd end,
+                                         Time now) const {
+  RunEndReport lost = Settled(run, end, now);
+  if (run.began != Time{}) lost.borne = silent_since_.value_or(now) - run.began;
+  return lost;
+}
+
 std::vector<RunEndReport> WorkerTracker::OnGone(LifeEnd end, Time now) {
   const RunEnd run_end = RunEndFor(end, now);
   std::vector<RunEndReport> ended;
   ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
     const bool sent = run.stage != RunStage::kRecording;
-    ended.push_back(Settled(run, sent ? run_end : RunEnd::kLost, now));
+    ended.push_back(LostWithLife(run, sent ? run_end : RunEnd::kLost, now));
   }
   runs_.clear();
   used_ = Resources();
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -95,8 +95,8 @@
   // Work that is lost when it is told to stop: none where the stop itself
   // saves it.
   Duration unsaved(Time now) const;
-  // A report has shown that the worker bears it.
-  bool is_proven() const { return reported != Time{}; }
+  // Its worker, which lives, has borne its start.
+  bool is_proven(Time now) const;
   // Of the time that it has worked, what is not lost when it ends so; `made` is
   // the checkpoint that its end brought.
   Duration kept(const std::string& made, Time now) const;
@@ -256,6 +256,8 @@
                        Time sent) const;
   // What the end of its life is, after what it had announced.
   RunEnd RunEndFor(LifeEnd end, Time now) const;
+  // The end of a run that ends with the life.
+  RunEndReport LostWithLife(const TrackedRun& run, RunEnd end, Time now) const;
   bool IsSettledByAbsence(const TrackedRun& run, Time sent,
                           Milliseconds clock) const;
 
@@ -275,6 +277,8 @@
   Time lease_bound_{};
   bool synchronized_ = false;
   int failed_reports_ = 0;
+  // Since when it has not answered; nullopt while it does.
+  std::optional<Time> silent_since_;
   // Of this life; invariant: what is recorded was processed.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
--- a/tests/auto/workload/tst_crash_record.cc
+++ b/tests/auto/workload/tst_crash_record.cc
@@ -17,15 +17,15 @@
 struct RunCase {
   RunEnd end = RunEnd::kWorkerCrashed;
   bool began = true;
-  // Of reports that showed it; -1: none did.
-  int64_t worked_ms = -1;
+  // Until its worker fell silent.
+  int64_t borne_ms = 20;
 };
 
 constexpr RunCase kAtStart{};
 constexpr RunCase kAtWork{RunEnd::kWorkerCrashed, true, 900};
-constexpr RunCase kNoAnswer{RunEnd::kWorkerCrashed, false, -1};
+constexpr RunCase kNoAnswer{RunEnd::kWorkerCrashed, false, 0};
 constexpr RunCase kSilent{RunEnd::kWorkerSilent, true, 900};
-constexpr RunCase kNeverBegan{RunEnd::kLost, false, -1};
+constexpr RunCase kNeverBegan{RunEnd::kLost, false, 0};
 constexpr RunCase kStopped{RunEnd::kStopped, true, 900};
 constexpr RunCase kLeft{RunEnd::kWorkerLeft, true, 900};
 constexpr RunCase kLong{RunEnd::kWorkerCrashed, true, 5000};
@@ -35,8 +35,7 @@
   lost.worker = "w" + std::to_string(number);
   lost.crashed = run.end == RunEnd::kWorkerCrashed;
   lost.began = run.began;
-  lost.seen = run.worked_ms >= 0;
-  if (lost.seen) lost.worked = Milliseconds(run.worked_ms);
+  lost.borne = Milliseconds(run.borne_ms);
   return lost;
 }
 
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -247,6 +247,19 @@
   }
 }
 
+TEST_CASE("a start that a worker has borne for a while is proven") {
+  for (const int after_ms : {499, 500}) {
+    CAPTURE(after_ms);
+    World world(1, 1);
+    world.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), world.now);
+    world.Round();
+    world.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), world.now);
+    PutOnProbation(&world, Id(2));
+    world.now += Milliseconds(after_ms);
+    CHECK(world.Round().starts.size() == (after_ms == 500 ? 1 : 0));
+  }
+}
+
 TEST_CASE("two tasks on probation do not start together in one round") {
   World world(1, 1);
   for (const int job : {1, 2}) {
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -257,6 +257,35 @@
   }
 }
 
+// Guards against work that is given up since its workers lost power before a
+// report showed it: a report may wait for seconds, a broken connection tells.
+TEST_CASE("how long a worker bore a run is told by when it fell silent") {
+  struct Row {
+    const char* name;
+    // When a call failed first; -1: none did.
+    int64_t silent;
+    int64_t borne_ms;
+  };
+  const std::vector<Row> rows = {
+      {"at the start", 20, 20},
+      {"later, though no report has shown the run", 1000, 1000},
+      {"nobody asked", -1, 3000},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+    tracker.Add(kTask, 1, Profile(), At(0));
+    tracker.OnStartAnswer(kTask, 1, StartOutcome::kAccepted, At(0));
+    if (row.silent >= 0) {
+      tracker.OnNoReport(At(row.silent));
+      tracker.OnNoReport(At(2000));
+    }
+    const auto ends = tracker.OnGone(LifeEnd::kCrashed, At(3000));
+    REQUIRE(ends.size() == 1);
+    CHECK(ends[0].borne == Milliseconds(row.borne_ms));
+  }
+}
+
 TEST_CASE("a predecessor's run is believed until the first report") {
   WorkerTracker tracker(MakeWorker("w", "r1"));
   tracker.Inherit(kTask, 1, Profile(), At(0), At(9000));
--- a/tests/integration/tst_hosted_crashes.cc
+++ b/tests/integration/tst_hosted_crashes.cc
@@ -115,9 +115,9 @@
   scenario.Submit(1, {Step(12, 2)}, 2500);
   for (int round = 0; round < 2; ++round) {
     const int before = Crashes(&cluster);
-    // Long enough for a report of each run.
+    // Less than the time until a report shows each run.
     HostedCluster::Eventually([] { return false; },
-                              std::chrono::milliseconds(1700));
+                              std::chrono::milliseconds(1200));
     for (int i = 0; i < 6; ++i) {
       CHECK(cluster.ControlExecutor(i, {{"crash", true}}));
     }
