A silent worker with nothing on it is asked again when its entry is written

Cause: only workers with runs, or with ends to be told, were asked. One that fell silent lost its runs with its leases; if its entry did not lapse (it was cut off from the leader alone, or was back in time), it stayed silent for this leader, got no runs, and was never asked. Class: a belief that nothing is left to change.

Now an entry that a silent worker writes anew has it asked once. A dead worker writes none, so that it costs nothing.

Before: tst_worker_fleet, a silent worker with nothing on it: belief 'silent' for a worker that answers. After: passes, all three rows.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -107,7 +107,8 @@
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
   if (resized) TellCapacity(*tracker, record.offset);
-  if (!tracker->synchronized()) Drive(id, now);
+  link.look_again = !tracker->reachable();
+  if (!tracker->synchronized() || link.look_again) Drive(id, now);
 }
 
 void WorkerFleet::TellBirthFault(const std::string& id,
@@ -333,7 +334,8 @@
   const bool unrecorded = tracker->processed_ends() > tracker->recorded_ends();
   const bool untold = tracker->recorded_ends() > link.told_ends;
   const bool has_runs = !tracker->runs().empty();
-  if (tracker->synchronized() && !has_runs && !untold) return;
+  const bool needless = tracker->synchronized() && !has_runs && !untold;
+  if (needless && !link.look_again) return;
   const bool stray = !handlers_.is_known(tracker->registration().service);
   if (stray && !has_runs) return;
   bool settling = !tracker->synchronized() || !tracker->reachable();
@@ -377,6 +379,7 @@
   if (renew) {
     query.lease_until = tracker->DeadlineIn(settings_.bounds.lease_term(), now);
   }
+  link.look_again = false;
   (extra ? link.extra_report : link.reporting) = true;
   const WorkerAddress address{id, tracker->registration().address};
   const int64_t recorded = query.recorded_ends;
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -113,6 +113,8 @@
   struct Link {
     bool reporting = false;
     bool extra_report = false;
+    // It is silent and has nothing to tell, but its entry was written anew.
+    bool look_again = false;
     Time next_report{};
     // The worker's lease surely lasts until then.
     Time leased_until{};
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -410,6 +410,49 @@
   }
 }
 
+// Guards against a worker that fell silent, lost its runs, and is never asked
+// again: only those with runs or ends were, and a silent one gets no runs.
+TEST_CASE(
+    "a silent worker with nothing on it is asked again when it is listed") {
+  struct Row {
+    const char* name;
+    bool listed_again;
+    bool answers;
+    WorkerBelief belief;
+  };
+  const std::vector<Row> rows = {
+      {"it answers", true, true, WorkerBelief::kUsable},
+      {"it does not", true, false, WorkerBelief::kSilent},
+      {"nothing is heard of it", false, true, WorkerBelief::kSilent},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.calls.answers_waiting = true;
+    fixture.Start();
+    fixture.calls.status = CallOutcome::kNoAnswer;
+    Time now = Fixture::Now();
+    const auto tick = [&fixture, &now](int times) {
+      for (int i = 0; i < times; ++i) {
+        now += Milliseconds(300);
+        fixture.fleet.Tick(now, /*may_renew=*/true);
+      }
+    };
+    tick(30);
+    REQUIRE(fixture.ends.size() == 1);
+    CHECK(fixture.ends[0] == RunEnd::kWorkerSilent);
+    if (row.answers) fixture.calls.status = CallOutcome::kOk;
+    const int asked = fixture.calls.reports;
+    if (row.listed_again) {
+      fixture.fleet.OnDirectoryRecord({"w1", "listed", 2}, now);
+    }
+    tick(5);
+    CHECK(fixture.fleet.trackers().at("w1").belief(now) == row.belief);
+    // Once for each entry: a worker that is gone is not asked for ever.
+    CHECK(fixture.calls.reports == asked + (row.listed_again ? 1 : 0));
+  }
+}
+
 TEST_CASE("a stop that finds nobody is repeated after a pause") {
   Fixture fixture;
   fixture.Start();
