A stored record or frame of an absurd length ends no process

Cause: the JSON library throws for CBOR arrays and objects longer than memory, also with allow_exceptions=false; the exception left DecodeJob, DecodeBlock, JobBoard and DecodeMessage, and would have ended an entry that reads such a record or frame. Class: a promise of a library taken at its word.

ParseCbor catches it in one place; all four use it.

--- a/src/libs/base/json.cc
+++ b/src/libs/base/json.cc
@@ -36,6 +36,19 @@
   return value;
 }
 
+std::optional<Json> ParseCbor(std::string_view bytes) {
+  // Of lengths that no container can have the library tells by an exception,
+  // also where it is told to throw none.
+  try {
+    Json value = Json::from_cbor(bytes.begin(), bytes.end(), /*strict=*/true,
+                                 /*allow_exceptions=*/false);
+    if (value.is_discarded()) return std::nullopt;
+    return value;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 bool IsDeeperThan(const Json& value, int levels) {
   if (!value.is_structured()) return false;
   if (levels <= 0) return true;
--- a/src/libs/base/json.h
+++ b/src/libs/base/json.h
@@ -23,6 +23,9 @@
 // deeper than kMaxJsonDepth.
 std::optional<Json> ParseJson(std::string_view text);
 
+// Reads one value from CBOR; nullopt when malformed.
+std::optional<Json> ParseCbor(std::string_view bytes);
+
 // Whether `value` has more than `levels` objects and arrays inside each other.
 bool IsDeeperThan(const Json& value, int levels);
 
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -31,7 +31,7 @@
 }
 
 Json FromBytes(const std::string& bytes) {
-  return Json::from_cbor(bytes, /*strict=*/true, /*allow_exceptions=*/false);
+  return ParseCbor(bytes).value_or(Json());
 }
 
 }  // namespace
--- a/src/libs/protocol/message.cc
+++ b/src/libs/protocol/message.cc
@@ -33,8 +33,7 @@
                        Json::input_format_t::cbor)) {
     return Refuse(error, "not CBOR, or too deep");
   }
-  Json envelope = Json::from_cbor(frame.begin(), frame.end(), /*strict=*/true,
-                                  /*allow_exceptions=*/false);
+  Json envelope = ParseCbor(frame).value_or(Json());
   if (!envelope.is_object()) return Refuse(error, "not a CBOR map");
   const std::optional<int64_t> version = IntField(envelope, "v");
   if (version != kProtocolVersion) {
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -177,8 +177,7 @@
 }
 
 std::optional<JobDefinition> DecodeJob(std::string_view bytes, Error* error) {
-  const Json record = Json::from_cbor(bytes, /*strict=*/true,
-                                      /*allow_exceptions=*/false);
+  const Json record = ParseCbor(bytes).value_or(Json());
   if (record.is_array() && !record.empty() && record[0] == kFormat) {
     // Wrong types throw inside the library; none leaves this function.
     try {
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -97,8 +97,7 @@
 }
 
 std::optional<ProgressBlock> DecodeBlock(std::string_view bytes, Error* error) {
-  const Json record = Json::from_cbor(bytes, /*strict=*/true,
-                                      /*allow_exceptions=*/false);
+  const Json record = ParseCbor(bytes).value_or(Json());
   ProgressBlock block;
   // Wrong types throw inside the library; none leaves this function.
   try {
--- a/tests/auto/base/tst_json.cc
+++ b/tests/auto/base/tst_json.cc
@@ -12,6 +12,35 @@
   return std::string(levels, '[') + std::string(levels, ']');
 }
 
+// Guards against a record with an absurd length, which ended the process: the
+// library throws there, also when it is told not to.
+TEST_CASE("bytes that are no CBOR are refused, whatever they announce") {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    bool read;
+  };
+  const Case cases[] = {
+      {"a number", "\x05", true},
+      {"an array of one", "\x81\x05", true},
+      {"nothing", "", false},
+      {"an array that ends early", "\x82\x05", false},
+      {"an array longer than memory",
+       "\x9b"
+       "aaaaaaaa",
+       false},
+      {"an object longer than memory",
+       "\xbb"
+       "aaaaaaaa",
+       false},
+      {"more than one value", "\x05\x05", false},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    CHECK(ParseCbor(c.bytes).has_value() == c.read);
+  }
+}
+
 TEST_CASE("a text is read up to the greatest depth and no further") {
   struct Case {
     std::string name;
--- a/tests/auto/workload/tst_job_definition.cc
+++ b/tests/auto/workload/tst_job_definition.cc
@@ -90,6 +90,13 @@
     Error error;
     if (!DecodeJob(bytes, &error)) RC_ASSERT(!error.reason.empty());
   }));
+  // An array longer than memory.
+  Error error;
+  CHECK_FALSE(DecodeJob("\x9b"
+                        "aaaaaaaa",
+                        &error)
+                  .has_value());
+  CHECK_FALSE(error.reason.empty());
   const std::string good =
       EncodeJob(MakeJob("0123456789abcdef", {MakeStep(1, 1)}));
   CHECK(rc::check([&good] {
