A run that never began is not counted among the crashes under its task

Cause: with a worker's life all that was ordered there counted as lost under it, also an order that the next life refused by its id, and one that went out to a worker which was silent already. Four of these would end a job that never ran.

Now an order without an answer counts only if the worker fell silent after it went out. Before: tst_worker_tracker, the end of a worker's life, 2 rows of 11 ('before the order came', 'the order found the next life') say worker-crashed for lost. After: it passes, with tst_worker_restart and tst_worker_fleet. The table replaces the one of six rows: its row of an order that was sent and not answered is two rows now, by when the worker fell silent.

--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -150,6 +150,7 @@
   if (tracked == nullptr || tracked->run != run) return;
   tracked->stage = RunStage::kSending;
   tracked->order_deadline = deadline;
+  tracked->sent = now;
   tracked->since = now;
 }
 
@@ -354,9 +355,18 @@
   return ToRunEnd(left ? LifeEnd::kLeft : end);
 }
 
+// An order without an answer was not taken by a worker that was silent before
+// it went out, nor by one that was never silent: the next life refused it.
+bool WorkerTracker::MayHaveBegun(const TrackedRun& run) const {
+  if (run.stage == RunStage::kRecording) return false;
+  const bool known = run.began != Time{} || run.stage == RunStage::kInherited;
+  return known || (silent_since_ && *silent_since_ >= run.sent);
+}
+
 RunEndReport WorkerTracker::LostWithLife(const TrackedRun& run, RunEnd end,
                                          Time now) const {
-  RunEndReport lost = Settled(run, end, now);
+  RunEndReport lost =
+      Settled(run, MayHaveBegun(run) ? end : RunEnd::kLost, now);
   if (run.began != Time{}) lost.borne = silent_since_.value_or(now) - run.began;
   return lost;
 }
@@ -366,8 +376,7 @@
   std::vector<RunEndReport> ended;
   ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
-    const bool sent = run.stage != RunStage::kRecording;
-    ended.push_back(LostWithLife(run, sent ? run_end : RunEnd::kLost, now));
+    ended.push_back(LostWithLife(run, run_end, now));
   }
   runs_.clear();
   used_ = Resources();
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -65,6 +65,8 @@
   RunStage stage = RunStage::kRecording;
   // When the stage began, by this process's clock.
   Time since{};
+  // When its order went out first.
+  Time sent{};
   // When it was first seen at work.
   Time began{};
   int percent = 0;
@@ -256,8 +258,9 @@
                        Time sent) const;
   // What the end of its life is, after what it had announced.
   RunEnd RunEndFor(LifeEnd end, Time now) const;
-  // The end of a run that ends with the life.
+  // The end of a run that ends with the life: `end`, if it may have begun.
   RunEndReport LostWithLife(const TrackedRun& run, RunEnd end, Time now) const;
+  bool MayHaveBegun(const TrackedRun& run) const;
   bool IsSettledByAbsence(const TrackedRun& run, Time sent,
                           Milliseconds clock) const;
 
