A run that may have ended unheard is no crash at its start

The runs had ended before the crashes, and their ends went down with the workers: a report that is not due for 250 ms was not asked for.

Cause: half a second counted as the start, whatever the task's length. Now 0.2 s, and half of the estimate if that is less (estimates may be off by two): so early that it cannot have ended. A connection that breaks is noticed within tens of milliseconds; a crash that is noticed later counts as a later one, of which four are borne.

Before: tst_crash_record, 'so late that it may have ended unheard' and 'a quarter of a second after its start', 4 checks. After: it passes, with tst_hosted_crashes, tst_hosted_restarts, tst_planner_eligibility.

--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -1,6 +1,8 @@
 // Bounds on the workers that a task may take down.
 #include "workload/crash_record.h"
 
+#include <algorithm>
+
 namespace thornplank {
 namespace {
 
@@ -12,16 +14,27 @@
 constexpr size_t kMostWorkersLost = 4;
 constexpr std::chrono::seconds kProvenWork{5};
 
+// Estimates may be off by a factor of two.
+constexpr int kEstimateError = 2;
+
+// Whether it was lost so early that it cannot have ended unheard.
+bool IsAtStart(const LostRun& run, const StepSpec& step) {
+  Duration phase = kStartPhase;
+  if (step.estimate > Milliseconds::zero()) {
+    phase = std::min<Duration>(phase, step.estimate / kEstimateError);
+  }
+  return run.crashed && run.began && run.borne < phase;
+}
+
 }  // namespace
 
-void CrashRecord::OnLost(const LostRun& run, bool long_running) {
-  if (long_running && run.borne >= kProvenWork) {
+void CrashRecord::OnLost(const LostRun& run, const StepSpec& step) {
+  if (step.long_running && run.borne >= kProvenWork) {
     *this = CrashRecord();
     return;
   }
   workers.push_back(run.worker);
-  const bool at_once = run.crashed && run.began && run.borne < kStartPhase;
-  at_start = at_once ? at_start + 1 : 0;
+  at_start = IsAtStart(run, step) ? at_start + 1 : 0;
 }
 
 bool CrashRecord::IsToBlame() const {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -11,12 +11,13 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/job_definition.h"
 
 namespace thornplank {
 
 // A worker that is alive so long after it has taken an order has borne its
 // start.
-inline constexpr Milliseconds kStartPhase{500};
+inline constexpr Milliseconds kStartPhase{200};
 
 // What is known of a run whose worker's life ended.
 struct LostRun {
@@ -36,9 +37,9 @@
   int at_start = 0;
 
   bool empty() const { return workers.empty(); }
-  // `long_running`: the task runs until it is cancelled. In time it loses many
-  // workers, so that one that had borne it for a while clears it.
-  void OnLost(const LostRun& run, bool long_running);
+  // A task that lasts loses many workers in time, so that one that had borne it
+  // for a while clears it.
+  void OnLost(const LostRun& run, const StepSpec& step);
   // A run of it ended while its worker lived on.
   void OnEnded() { at_start = 0; }
   // No worker should start it any more.
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -17,13 +17,13 @@
 }};
 
 // What the end of a run tells of its task: nothing where it never began.
-void NoteCrash(RunEnd end, const LostRun& lost, bool long_running,
+void NoteCrash(RunEnd end, const LostRun& lost, const StepSpec& step,
                CrashRecord* crashes) {
   if (end == RunEnd::kLost) return;
   const bool with_worker =
       end == RunEnd::kWorkerCrashed || end == RunEnd::kWorkerSilent;
   if (!with_worker) return crashes->OnEnded();
-  crashes->OnLost(lost, long_running);
+  crashes->OnLost(lost, step);
 }
 
 std::string FailedOften(const StepRef& step, int failures) {
@@ -234,7 +234,7 @@
     return true;
   }
   SetPhase(progress, task, TaskPhase::kWaiting);
-  NoteCrash(end, lost, spec.long_running, &task->crashes);
+  NoteCrash(end, lost, spec, &task->crashes);
   JudgeTask(ref, job, *task);
   if (end != RunEnd::kFailed || spec.long_running) return true;
   int failures = ++task->failures;
--- a/tests/auto/workload/tst_crash_record.cc
+++ b/tests/auto/workload/tst_crash_record.cc
@@ -22,6 +22,7 @@
 };
 
 constexpr RunCase kAtStart{};
+constexpr RunCase kSoon{RunEnd::kWorkerCrashed, true, 250};
 constexpr RunCase kAtWork{RunEnd::kWorkerCrashed, true, 900};
 constexpr RunCase kNoAnswer{RunEnd::kWorkerCrashed, false, 0};
 constexpr RunCase kSilent{RunEnd::kWorkerSilent, true, 900};
@@ -66,6 +67,7 @@
     std::vector<RunCase> runs;
     // The runs after which its job has failed; 0: none.
     size_t failed_after;
+    int64_t estimate_ms = 1000;
   };
   const std::vector<Row> rows = {
       {"each start crashes its worker", false, {kAtStart, kAtStart}, 2},
@@ -87,6 +89,13 @@
        false,
        {kAtStart, kNeverBegan, kNeverBegan, kAtStart},
        4},
+      {"so late that it may have ended unheard",
+       false,
+       {kAtStart, kAtStart},
+       0,
+       30},
+      {"of a task without an estimate", false, {kAtStart, kAtStart}, 2, 0},
+      {"a quarter of a second after its start", false, {kSoon, kSoon}, 0},
       {"workers that are never heard of again",
        false,
        {kSilent, kSilent, kSilent, kSilent},
@@ -108,6 +117,7 @@
       CAPTURE(leaders_change);
       StepSpec step = MakeStep(1, 1);
       step.long_running = row.long_running;
+      step.estimate = Milliseconds(row.estimate_ms);
       JobLedger ledger = LedgerWith(step);
       for (size_t i = 0; i < row.runs.size(); ++i) {
         CAPTURE(i);
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -29,6 +29,8 @@
       {150, 12, "the stand-in carried a report over into a new life"},
       {332, 12, "an entry without the store told an outdated state"},
       {354, 12, "an entry without the store told an outdated state"},
+      {623, 15, "a sound job was given up for crashes", true},
+      {649, 15, "a sound job was given up for crashes", true},
       {502, 15, "the checker counted ends that a lapsed lease had made void"},
   };
   for (const Row& row : rows) {
