--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -111,11 +111,10 @@
   if (!tracker->synchronized() || link.look_again) Drive(id, now);
 }
 
+// Where no worker says it, one line tells as much as one for each.
 void WorkerFleet::TellBirthFault(const std::string& id,
                                  const BirthMark& birth) {
-  std::string& told = links_[id].birth_fault;
-  if (birth.fault.empty() || birth.fault == told) return;
-  told = birth.fault;
+  if (birth.fault.empty() || !birth_faults_.insert(birth.fault).second) return;
   LogEvent(events::kBirthUnreadable, {{"worker", id}, {"reason", birth.fault}});
 }
 
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -123,8 +123,6 @@
     Time next_stop{};
     std::optional<Time> missing_since;
     DepartureWatch departure;
-    // What was told last of a birth that cannot be read.
-    std::string birth_fault;
   };
 
   bool IsClosed(const WorkerTracker& tracker) const;
@@ -165,6 +163,8 @@
   // of their birth; the directory may list them for a while.
   std::map<std::string, std::optional<WallTime>> dead_;
   RefusedEntries refused_;
+  // Why births cannot be read, as far as it was told.
+  std::set<std::string> birth_faults_;
   std::set<std::string> closed_domains_;
   bool may_renew_ = true;
   // Since when the directory has answered without a gap.
