Orders of the fleet in a file of their own; a given-up job's reason is tested

No logic changes. tst_hosted_crashes asks as a caller why its job failed, tst_log_story that 939 belongs to a job's story.

--- /dev/null
+++ b/src/libs/coordination/fleet_orders.cc
@@ -0,0 +1,155 @@
+// Orders to workers: starts, copies of starts, stops.
+#include <utility>
+
+#include "coordination/worker_fleet.h"
+#include "logging/events/coordination_events.h"
+
+namespace thornplank {
+namespace {
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+void WorkerFleet::SendStart(const std::string& worker, const TaskRef& task,
+                            int run, const StartFields& fields) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  TrackedRun* tracked = tracker->Find(task);
+  if (tracked == nullptr || tracked->run != run) return;
+  const Time now = Now();
+  if (const char* reason = ReasonToWithhold(*tracker, *tracked)) {
+    LogEvent(events::kStartWithheld, {{"task", task.ToString()},
+                                      {"run", run},
+                                      {"worker", worker},
+                                      {"reason", reason}});
+    // Never sent: settled without a call.
+    return Deliver(
+        worker, tracker->OnStartAnswer(task, run, StartOutcome::kRefused, now));
+  }
+  StartOrder order;
+  order.task = task;
+  order.run = run;
+  order.payload = fields.payload;
+  order.checkpoint = fields.checkpoint;
+  order.ticket = fields.ticket;
+  order.deadline = tracker->DeadlineIn(settings_.bounds.start_term(), now);
+  order.epoch = settings_.epoch;
+  tracked->resumed = !fields.checkpoint.empty();
+  tracker->OnStartSent(task, run, order.deadline, now);
+  StartSender::Handlers handlers;
+  handlers.may_repeat = [this, worker, task, run] {
+    return MayRepeatStart(worker, task, run);
+  };
+  handlers.done = [this, worker, task, run](const StartResult& result) {
+    OnStartResult(worker, task, run, result);
+  };
+  starts_.Send({worker, tracker->registration().address}, order,
+               std::move(handlers));
+}
+
+// Between the decision and the order, and between copies of the order, all of
+// this may have changed. Null: the order may be sent.
+const char* WorkerFleet::ReasonToWithhold(const WorkerTracker& worker,
+                                          const TrackedRun& run) const {
+  if (run.stop_wanted) return "no longer wanted";
+  if (!may_renew_) return "this entry may lead no more";
+  if (worker.domain_closed()) return "the failure domain takes no new work";
+  if (!worker.synchronized()) return "the worker has restarted";
+  // The run itself is counted already.
+  if (worker.room().IsOverdrawn()) return "the worker has shrunk";
+  return nullptr;
+}
+
+// Nothing of the run is known, and it is still wanted.
+bool WorkerFleet::MayRepeatStart(const std::string& worker, const TaskRef& task,
+                                 int run) {
+  WorkerTracker* tracker = Find(worker);
+  const TrackedRun* tracked =
+      tracker == nullptr ? nullptr : tracker->Find(task);
+  return tracked != nullptr && tracked->run == run &&
+         tracked->stage == RunStage::kSending &&
+         ReasonToWithhold(*tracker, *tracked) == nullptr;
+}
+
+void WorkerFleet::OnStartResult(const std::string& worker, const TaskRef& task,
+                                int run, const StartResult& result) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  const Time now = Now();
+  if (result.outcome == StartOutcome::kRefused) {
+    tracker->OnRunFailed(task.step.job, now);
+  }
+  if (result.last_answer == StartOutcome::kTicketRefused) {
+    handlers_.on_ticket_refused(task.step, worker);
+  }
+  if (result.last_answer == StartOutcome::kFenced) handlers_.on_fenced();
+  if (result.outcome == StartOutcome::kOtherLife) {
+    return Bury(worker, LifeEnd::kCrashed);
+  }
+  Deliver(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
+  Link& link = links_[worker];
+  // The report that is under way may answer only when half of the lease is
+  // gone.
+  const Milliseconds thin = settings_.bounds.lease_term() / 2;
+  if (link.reporting && link.leased_until < now + thin && !link.extra_report) {
+    return Report(worker, Milliseconds(0), /*extra=*/true);
+  }
+  Drive(worker, now);
+}
+
+void WorkerFleet::RequestStop(const std::string& worker, const TaskRef& task,
+                              int run, const std::string& reason) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  TrackedRun* tracked = tracker->Find(task);
+  if (tracked == nullptr || tracked->run != run || tracked->stop_wanted) return;
+  tracked->stop_wanted = true;
+  LogEvent(events::kStopOrdered, {{"task", task.ToString()},
+                                  {"run", run},
+                                  {"worker", worker},
+                                  {"percent", tracked->percent},
+                                  {"reason", reason}});
+  SendStops(worker, Now());
+}
+
+void WorkerFleet::SendStops(const std::string& id, Time now) {
+  WorkerTracker* tracker = Find(id);
+  const WorkerAddress address{id, tracker->registration().address};
+  if (address.address.empty() || now < links_[id].next_stop) return;
+  for (auto& [task, run] : tracker->runs()) {
+    if (!run.stop_wanted || run.stop_sending) continue;
+    if (run.stage == RunStage::kRecording) continue;
+    const bool ending =
+        run.stop_acknowledged &&
+        now - *run.stop_acknowledged < settings_.bounds.stop_patience();
+    if (ending) continue;
+    run.stop_sending = true;
+    const StopOrder order{task, run.run, settings_.epoch};
+    calls_.Stop(address, order, settings_.call_timeout,
+                [this, alive = alive_, id, order](CallOutcome outcome,
+                                                  const Error& error) {
+                  if (!*alive) return;
+                  WorkerTracker* tracker = Find(id);
+                  if (tracker == nullptr) return;
+                  if (outcome == CallOutcome::kFenced) {
+                    return handlers_.on_fenced();
+                  }
+                  if (outcome == CallOutcome::kOtherLife) {
+                    return Bury(id, LifeEnd::kCrashed);
+                  }
+                  if (outcome != CallOutcome::kOk) {
+                    links_[id].next_stop = Now() + settings_.report_retry;
+                    LogEvent(events::kStopUndecided, error,
+                             {{"task", order.task.ToString()},
+                              {"run", order.run},
+                              {"worker", id}});
+                  }
+                  tracker->OnStopAnswer(order.task, order.run,
+                                        outcome == CallOutcome::kOk, Now());
+                  Drive(id, Now());
+                });
+  }
+}
+
+}  // namespace thornplank
--- a/tests/auto/logging/tst_log_story.cc
+++ b/tests/auto/logging/tst_log_story.cc
@@ -47,6 +47,8 @@
       {"another job", Line(150, 910, R"("job":"0000000000000000")"), false},
       {"the lead, before its time", Line(50, 901, ""), false},
       {"the lead, after its time", Line(500, 901, ""), false},
+      {"a task of it is given up",
+       Line(150, 939, std::string(R"("task":")") + kId + R"(.0.0.3")"), true},
       {"a task of it",
        Line(150, 917, std::string(R"("task":")") + kId + R"(.0.0.3")"), true},
   };
--- a/tests/integration/tst_hosted_crashes.cc
+++ b/tests/integration/tst_hosted_crashes.cc
@@ -39,6 +39,16 @@
   return crashes;
 }
 
+// What the caller of a failed job is told.
+std::string ReasonOf(HostedCluster* cluster, const TestJob& job) {
+  const auto response =
+      cluster->Call(0, "GET", HostedCluster::PrefixOf(job.priority) + job.id,
+                    "", HostedCluster::Key());
+  if (!response) return "";
+  const Json body = ParseJson(response->body).value_or(Json::object());
+  return StringField(body, "reason").value_or("");
+}
+
 void AwaitCrash(HostedCluster* cluster) {
   CHECK(HostedCluster::Eventually([&] { return Crashes(cluster) > 0; }));
 }
@@ -104,6 +114,9 @@
     HostedCluster::Eventually([&] { return given_up() || IsEndless(&cluster); },
                               std::chrono::seconds(60));
     REQUIRE_FALSE(IsEndless(&cluster));
+    for (const TestJob& job : row.jobs) {
+      CHECK(ReasonOf(&cluster, job).find("was given up") != std::string::npos);
+    }
     scenario.Finish();
   }
 }
