Ends are told by reports that don't wait

Traced by its log: x0-1 restarted unnoticed, with no report under way, since an end waited for its record; then a report that told end 1 of the life before was taken by the new life and waited there for 0.5 s. When the task ended as number 1 of the new life, the worker forgot it; the report came back with number 2 alone.

Now a report that tells ends does not wait, so that it can reach ends of a new life only if they were there before it; the next one waits. It costs a report for each batch of ends.

Before: tst_worker_fleet, ends are told as recorded, counts a report that waits and tells.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -243,8 +243,11 @@
     young = young || (run.stage == RunStage::kRunning && run.percent == 0);
   }
   // With ends that are not recorded a report would come back at once.
-  const bool waits = has_runs && !settling && !unrecorded;
-  if (!waits) link.next_report = now + settings_.report_retry;
+  const bool calm = has_runs && !settling && !unrecorded;
+  if (!calm) link.next_report = now + settings_.report_retry;
+  // A worker that has restarted unnoticed would forget by these numbers what
+  // ends there while it waits.
+  const bool waits = calm && EndsToTell(*tracker, link) == 0;
   Milliseconds wait{0};
   if (waits) wait = young ? settings_.first_report : settings_.report_wait;
   if (waits && PaceKeeper::HasBoth(*tracker)) {
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -44,6 +44,7 @@
               std::function<void(const StatusAnswer&)> done) override {
     ++reports;
     recorded_ends.push_back(query.recorded_ends);
+    if (query.recorded_ends > 0 && query.wait.count() > 0) ++waits_that_tell;
     renewed = query.lease_until.has_value();
     if (renewed) lease_until = *query.lease_until;
     if (query.wait.count() > 0 && !answers_waiting) {
@@ -83,6 +84,9 @@
   int reports = 0;
   // As each report was asked for.
   std::vector<int64_t> recorded_ends;
+  // Reports that wait and tell ends: a worker that has restarted meanwhile
+  // would forget what ends there while they wait.
+  int waits_that_tell = 0;
   bool renewed = false;
   // On the worker's clock, of the last renewal.
   Milliseconds lease_until{0};
@@ -283,6 +287,16 @@
   fixture.fleet.SendStart("w1", kTask, 2, {});
   tick();
   CHECK(fixture.calls.recorded_ends.back() == 0);
+  // An end of its while another run goes on.
+  fixture.calls.report.ended = {{8, kTask, 2, RunEnd::kDone, ""}};
+  fixture.fleet.Add("w1", {kTask.step, 1}, 1, RunProfile(), now);
+  fixture.fleet.SendStart("w1", {kTask.step, 1}, 1, {});
+  fixture.calls.report.running = {{{kTask.step, 1}, 1, "", 5, 0}};
+  tick();
+  fixture.fleet.OnEndsRecorded("w1", 0, 8);
+  tick();
+  CHECK(fixture.calls.waits_that_tell == 0);
+  fixture.calls.report.running.clear();
   fixture.calls.report.birth.born = FromUnixMilliseconds(9000);
   fixture.calls.report.ended.clear();
   tick();
