--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -30,6 +30,8 @@
       {332, 12, "an entry without the store told an outdated state"},
       {354, 12, "an entry without the store told an outdated state"},
       {623, 15, "a sound job was given up for crashes", true},
+      {645, 15, "a sound job was given up for crashes", true},
+      {650, 15, "a new life forgot its ends by the numbers of the last", true},
       {649, 15, "a sound job was given up for crashes", true},
       {502, 15, "the checker counted ends that a lapsed lease had made void"},
   };
