--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -138,7 +138,7 @@
   void Report(const std::string& id, Milliseconds wait, bool extra);
   void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
                 int64_t recorded, bool renewed, bool extra);
-  // The worker has restarted under its id; `life` was the one before.
+  // The worker has restarted under its id; `ends` are those of the life before.
   void OnRestart(const std::string& id, const std::vector<RunEndReport>& ends,
                  Time now);
   void TellBirthFault(const std::string& id, const BirthMark& birth);
