Workers that fell silent a moment ago are used last

Cause: a tenth of the workers goes down and up every 1.5 s. One that had just come back fitted as well as any other, got a member of a gang, reset the order, and the gang began again 1.8 s later, often with the same worker once more (i-25df1da50f three times in 5 s). Ruled out: a ban (a cut between the leader and many workers would leave none); the penalty is that of a worker whose last run failed, and counts for nothing when all have been silent. The test failed before: w0-0, silent half a second ago, got a member.

--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -229,7 +229,9 @@
   if (step.on_probation) score = -Weight(room.room);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
-  if (room.tracker->suspect()) score += kSuspectPenalty;
+  const bool doubtful =
+      room.tracker->suspect() || room.tracker->WasSilentLately(now_);
+  if (doubtful) score += kSuspectPenalty;
   if (room.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
   // Fast workers for those whose slowest member decides, and for those in a
   // hurry; the others leave them free.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -19,6 +19,9 @@
 // one failure takes the worker out again.
 constexpr std::chrono::seconds kQuarantine{6};
 
+// One that goes down and up by turns does so within two or three seconds.
+constexpr std::chrono::seconds kSilenceRemembered{6};
+
 constexpr int kWholeWork = 100;
 // With less done, a rate is too coarse to go by.
 constexpr int kTellingPercent = 3;
@@ -171,6 +174,7 @@
       if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
+      last_silence_ = now;
       if (tracked.stage == RunStage::kSending) {
         tracked.stage = RunStage::kUnknown;
         tracked.since = now;
@@ -338,9 +342,14 @@
 
 void WorkerTracker::OnNoReport(Time now) {
   ++failed_reports_;
+  last_silence_ = now;
   if (!silent_since_) silent_since_ = now;
 }
 
+bool WorkerTracker::WasSilentLately(Time now) const {
+  return last_silence_ && now - *last_silence_ < kSilenceRemembered;
+}
+
 WorkerBelief WorkerTracker::belief(Time now) const {
   if (!synchronized()) return WorkerBelief::kNotHeardYet;
   if (!reachable()) return WorkerBelief::kSilent;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -239,6 +239,8 @@
   void OnRunStalled(Time now);
   bool Quarantined(Time now) const { return now < quarantined_until_; }
   bool suspect() const { return failures_ > 0; }
+  // Left a call without an answer a moment ago, though it answers now.
+  bool WasSilentLately(Time now) const;
   // Against a sound worker: 1; set from the progress of its tasks.
   double speed() const { return speed_; }
   void SetSpeed(double speed, Time now);
@@ -282,6 +284,7 @@
   int failed_reports_ = 0;
   // Since when it has not answered; nullopt while it does.
   std::optional<Time> silent_since_;
+  std::optional<Time> last_silence_;
   // Of this life; invariant: what is recorded was processed.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -11,6 +11,12 @@
 namespace thornplank::testing {
 namespace {
 
+RunProfile HalfOfAWorker() {
+  RunProfile profile;
+  profile.need = MakeStep(1, 4).need;
+  return profile;
+}
+
 TEST_CASE("a step that needs advice starts on approved workers only") {
   World world(2, 3);
   JobDefinition job = MakeJob(Id(1), {MakeStep(4, 8)});
@@ -40,6 +46,49 @@
   CHECK(plan.waits[0].reason == WaitReason::kNoAdvice);
 }
 
+// A tenth of the workers went down and up every 1.5 s: those that had just come
+// back got members of gangs, and each such gang began again two seconds later.
+TEST_CASE("workers that fall silent by turns are used last") {
+  struct Row {
+    const char* name;
+    std::set<std::string> silent;
+    int64_t later_ms;
+    // Whether w0-0, the best fit, gets a member.
+    bool used;
+  };
+  const std::vector<Row> rows = {
+      {"none", {}, 500, true},
+      {"one, a moment ago", {"w0-0"}, 500, false},
+      {"one, long ago", {"w0-0"}, 7000, true},
+      {"all", {"w0-0", "w0-1", "w0-2"}, 500, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    World world(1, 3);
+    // Fits best: half of it is in use.
+    world.workers.at("w0-0").Add({{Id(9), 0, 0}, 0}, 1, HalfOfAWorker(),
+                                 world.now);
+    for (const std::string& id : row.silent) {
+      world.workers.at(id).OnNoReport(world.now);
+    }
+    world.now += Milliseconds(row.later_ms);
+    for (const std::string& id : row.silent) {
+      std::vector<RunReport> unexpected;
+      world.workers.at(id).OnReport(WorkerStatusReport(), world.now, world.now,
+                                    &unexpected);
+    }
+    world.ledger.Add(MakeJob(Id(1), {Gang(2, 4, true)}, 0), world.now);
+    std::set<std::string> used;
+    for (const StartDecision& start : world.Round().starts) {
+      for (const auto& assignment : start.assignments) {
+        used.insert(assignment.worker);
+      }
+    }
+    CHECK_FALSE(used.empty());
+    CHECK((used.count("w0-0") > 0) == row.used);
+  }
+}
+
 TEST_CASE("urgent work that needs advice takes room on approved workers only") {
   World world(1, 3);
   world.ledger.Add(MakeJob(Id(1), {MakeStep(3, 8)}, 2), world.now);
