Late jobs by their first cause in thornplankctl logs summary

Cause: the summary told for what steps waited, not why a caller's job was late: refusals before the acceptance and runs that began again were in no sum. Each job counts once, at the first thing that took a tenth of its objective, from the caller's first try on. Entries tell the objective with 910; it is worked out in one place now, which the planner's check for worthless steps used alone before. Ruled out: the end's own cause (gang-broken) for members that ended with another; the longest delay in place of the first.

--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -110,7 +110,18 @@
          {"accelerator_ms", ToMilliseconds(runs.accelerator_time)},
          {"kept_accelerator_ms", ToMilliseconds(runs.kept)}});
   }
-  return {{"jobs", std::move(jobs)}, {"discarded", std::move(discarded)}};
+  Json late = Json::array();
+  for (const LateByCause& jobs_late : report.late) {
+    late.push_back({{"cause", jobs_late.cause},
+                    {"priority", jobs_late.priority},
+                    {"jobs", jobs_late.jobs},
+                    {"late_ms", ToMilliseconds(jobs_late.late)},
+                    {"accounts", jobs_late.accounts},
+                    {"entries", jobs_late.entries}});
+  }
+  return {{"jobs", std::move(jobs)},
+          {"discarded", std::move(discarded)},
+          {"late", std::move(late)}};
 }
 
 void PrintCounts(const LogSummaryReport& report) {
@@ -140,6 +151,15 @@
   }
 }
 
+void PrintLate(const LogSummaryReport& report) {
+  std::cout << "\nlate jobs  by s, together  priority  first cause\n";
+  for (const LateByCause& jobs : report.late) {
+    std::cout << std::setw(9) << jobs.jobs << std::setw(16)
+              << ToSeconds(jobs.late) << std::setw(10) << jobs.priority << "  "
+              << jobs.cause << "\n";
+  }
+}
+
 void PrintDiscarded(const LogSummaryReport& report) {
   std::cout
       << "\nthrown away, accelerator s       kept   runs  priority  cause\n";
@@ -176,6 +196,7 @@
   }
   std::cout << std::fixed << std::setprecision(2);
   PrintCounts(report);
+  PrintLate(report);
   PrintWaits(report);
   PrintDiscarded(report);
   PrintJobs(report);
@@ -191,8 +212,9 @@
        "order; lines with ~ are what went on around it. Calls no entry.",
        "thornplankctl logs explain 5c0e7a21d94b36f8 logs/*", 2, Explain},
       {"logs", "summary", "FILE...",
-       "Tells from the logs of all entries for what the steps of all jobs "
-       "waited, which work was thrown away and why, and which jobs did not "
+       "Tells from the logs of all entries which jobs were late and what made "
+       "them so first, for what the steps of all jobs waited, which work was "
+       "thrown away and why, and which jobs did not "
        "complete or waited longest. Calls no entry.",
        "thornplankctl logs summary logs/*", 1, Summarize},
   };
--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -164,8 +164,9 @@
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
   if (!IsStoreFresh()) return Refuse(call, kStoreAway);
   if (RefuseForAnother(call)) return;
+  const Milliseconds objective = job->objective();
   Append(JobBoard::Submission(*job), call->give_up,
-         [this, call](StoreOutcome outcome, const Error& error) {
+         [this, call, objective](StoreOutcome outcome, const Error& error) {
            if (outcome != StoreOutcome::kStored) {
              return RefuseUnstored(call, outcome, error);
            }
@@ -176,6 +177,7 @@
                     {{"job", call->job},
                      {"account", call->account},
                      {"queue", call->queue.policy.queue},
+                     {"objective_ms", objective.count()},
                      {"configuration", call->configuration_version}});
            Respond(call, HttpResponse());
          });
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -10,11 +10,11 @@
 namespace thornplank {
 namespace {
 
-constexpr std::array<const Event*, 10> kWanted = {
+constexpr std::array<const Event*, 12> kWanted = {
     &events::kLeadTaken,   &events::kLeadLost,     &events::kLeadReleased,
     &events::kJobAccepted, &events::kJobCancelled, &events::kJobState,
     &events::kTasksPlaced, &events::kStopOrdered,  &events::kRunEnded,
-    &events::kStepWaits};
+    &events::kStepWaits,   &events::kJobRefused,   &events::kJobUndecided};
 
 // Causes that no line names.
 constexpr char kNotDecided[] = "not yet decided";
@@ -52,7 +52,11 @@
     if (event == events::kStopOrdered.number) return OnStopOrdered(line);
     if (event == events::kRunEnded.number) return OnRunEnded(line);
     const std::string job = TextOf(line, "job");
-    if (event == events::kJobAccepted.number) return OnAccepted(job, line.time);
+    if (event == events::kJobRefused.number ||
+        event == events::kJobUndecided.number) {
+      return OnRefused(job, line);
+    }
+    if (event == events::kJobAccepted.number) return OnAccepted(job, line);
     if (event == events::kJobState.number) {
       return OnState(job, TextOf(line, "state"), line.time);
     }
@@ -80,6 +84,7 @@
                      [](const DiscardedRuns& a, const DiscardedRuns& b) {
                        return a.accelerator_time > b.accelerator_time;
                      });
+    report.late = late_.Report();
     return report;
   }
 
@@ -120,12 +125,13 @@
     return &found->second;
   }
 
-  static void Count(JobStory* job, const Wait& wait, WallTime until) {
+  void Count(JobStory* job, const Wait& wait, WallTime until) {
     if (until <= wait.since) return;
     job->summary.waits[wait.cause] += until - wait.since;
+    late_.OnDelay(job->summary.job, wait.cause, until - wait.since);
   }
 
-  static void EndWait(JobStory* job, const std::string& step, WallTime time) {
+  void EndWait(JobStory* job, const std::string& step, WallTime time) {
     for (const std::string& key : {std::string(), step}) {
       const auto wait = job->waits.find(key);
       if (wait == job->waits.end()) continue;
@@ -134,9 +140,19 @@
     }
   }
 
-  void OnAccepted(const std::string& id, WallTime time) {
+  void OnRefused(const std::string& id, const LogLine& line) {
+    if (TextOf(line, "method") != "POST") return;
+    late_.OnRefused(id, TextOf(line, "cause"), line.time);
+  }
+
+  void OnAccepted(const std::string& id, const LogLine& line) {
+    const Milliseconds objective(
+        IntField(line.fields, "objective_ms").value_or(0));
+    late_.OnAccepted(id, TextOf(line, "account"), line.instance, objective,
+                     line.time);
     if (jobs_.count(id) > 0) return;
-    Begin(id, time)->waits[""] = {time, leaderless_ ? kNoLeader : kNotDecided};
+    Begin(id, line.time)->waits[""] = {line.time,
+                                       leaderless_ ? kNoLeader : kNotDecided};
   }
 
   void OnState(const std::string& id, const std::string& state, WallTime time) {
@@ -149,6 +165,8 @@
     }
     job->waits.clear();
     job->ended = true;
+    if (!job->summary.completed()) return;
+    late_.OnCompleted(id, job->summary.priority.value_or(0), time);
   }
 
   // Who waits while nobody leads waits for that, whatever was told before. A
@@ -209,10 +227,13 @@
     runs.kept += Milliseconds(kept) * need.accelerators;
     JobStory* job = Open(JobOf(task), line.time);
     if (job == nullptr) return;
+    late_.OnRunLost(JobOf(task), step, IntField(line.fields, "run").value_or(0),
+                    cause, Milliseconds(lasted - kept));
     job->waits.insert({step, {line.time, "again: " + cause}});
   }
 
   bool leaderless_ = false;
+  LateJobs late_;
   std::map<std::string, JobStory> jobs_;
   std::map<std::string, StepNeed> needs_;
   // Why a run was told to stop, by task and run.
--- a/src/libs/logging/log_summary.h
+++ b/src/libs/logging/log_summary.h
@@ -13,6 +13,7 @@
 
 #include "base/json.h"
 #include "base/time.h"
+#include "logging/late_jobs.h"
 #include "logging/log_line.h"
 
 namespace thornplank {
@@ -50,6 +51,8 @@
   std::vector<JobSummary> jobs;
   // The most accelerator time first.
   std::vector<DiscardedRuns> discarded;
+  // The most jobs first.
+  std::vector<LateByCause> late;
 };
 
 class LogSummary {
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -117,8 +117,29 @@
   return job;
 }
 
+// The shortest time in which the job can run, going by the caller's estimates.
+Milliseconds LongestChain(const JobDefinition& spec) {
+  std::vector<Milliseconds> ends;
+  Milliseconds longest{0};
+  for (const StepSpec& step : spec.steps) {
+    Milliseconds begin{0};
+    for (const int dependency : step.depends_on) {
+      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
+    }
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
 }  // namespace
 
+Milliseconds JobDefinition::objective() const {
+  const auto chain = static_cast<double>(LongestChain(*this).count());
+  return policy.slack +
+         Milliseconds(static_cast<int64_t>(chain * policy.stretch));
+}
+
 bool JobDefinition::long_running() const {
   return std::any_of(steps.begin(), steps.end(),
                      [](const StepSpec& step) { return step.long_running; });
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -98,6 +98,9 @@
   WallTime begin(int occurrence) const {
     return scheduled() ? due(occurrence) : accepted;
   }
+  // How long it may take from there on to be in time, going by the caller's
+  // estimates.
+  Milliseconds objective() const;
 };
 
 // Sixteen hexadecimal digits.
--- a/src/libs/workload/open_step.cc
+++ b/src/libs/workload/open_step.cc
@@ -11,31 +11,12 @@
 // Jobs later than this many times their objective earn nothing (published).
 constexpr int kWorthlessAfterObjectives = 3;
 
-// The shortest time in which the job can run, going by the caller's estimates.
-Milliseconds LongestChain(const JobDefinition& spec) {
-  std::vector<Milliseconds> ends;
-  Milliseconds longest{0};
-  for (const StepSpec& step : spec.steps) {
-    Milliseconds begin{0};
-    for (const int dependency : step.depends_on) {
-      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
-    }
-    ends.push_back(begin + step.estimate);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 // Whether it is too late for the job to be worth anything.
 bool IsWorthless(const Job& job, int occurrence, WallTime now) {
   const JobDefinition& spec = job.spec;
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - spec.begin(occurrence));
-  const auto chain = static_cast<double>(LongestChain(spec).count());
-  const auto stretched =
-      Milliseconds(static_cast<int64_t>(chain * spec.policy.stretch));
-  const Milliseconds objective = stretched + spec.policy.slack;
-  return age > objective * kWorthlessAfterObjectives;
+  return age > spec.objective() * kWorthlessAfterObjectives;
 }
 
 void CollectOccurrence(const Job& job, int occurrence, WallTime now,
