Trust in a worker is an object of its own; comments tell no tuning

Failures in a row, quarantine and silence are WorkerTrust now. Ruled out: nothing; no decision changed, the tests moved their calls only.

--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -43,10 +43,8 @@
   Milliseconds state_age{60};
   // Beside the time that the store takes to answer.
   Milliseconds look_timeout{300};
-  // When a refused caller may come back. Where another entry is served by the
-  // store at once: the next try reaches another one. On a day on which a third
-  // of 97 entries lost it twice, the jobs that were told late by the second of
-  // waiting were 7% of all urgent ones.
+  // When a refused caller may come back; at once where the store serves other
+  // entries, since the next try reaches another one.
   std::chrono::seconds retry_after{1};
 };
 
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -387,9 +387,9 @@
     WorkerTracker* tracker = Find(id);
     if (tracker != nullptr) {
       if (end.end == RunEnd::kFailed) {
-        tracker->OnRunFailed(end.task.step.job, Now());
+        tracker->trust().OnRunFailed(end.task.step.job, Now());
       }
-      if (end.end == RunEnd::kDone) tracker->OnRunDone(end.began);
+      if (end.end == RunEnd::kDone) tracker->trust().OnRunDone(end.began);
     }
     handlers_.on_end(id, end);
   }
@@ -399,7 +399,7 @@
   for (const GangVerdict& verdict :
        gang_review_.Judge(trackers_, review_.speeds(), now)) {
     RequestStop(verdict.worker, verdict.task, verdict.run, verdict.reason);
-    if (verdict.stalled) Find(verdict.worker)->OnRunStalled(now);
+    if (verdict.stalled) Find(verdict.worker)->trust().OnRunStalled(now);
   }
 }
 
--- a/src/libs/workload/cluster_rooms.cc
+++ b/src/libs/workload/cluster_rooms.cc
@@ -13,8 +13,7 @@
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
 // For each tenth of the usual time that a worker takes longer: more than any
-// gap. A gang of five on workers of which a third takes 1.3 times as long has a
-// slow one in seven cases of eight, and works at its pace.
+// gap, since a gang works at the pace of its slowest member.
 constexpr int64_t kSlownessStep = int64_t{1} << 21;
 // Asked about last.
 constexpr int64_t kFullPenalty = int64_t{1} << 33;
@@ -77,7 +76,7 @@
   sums.total_cpu_millis += cores;
   sums.used_cpu_millis += cores - room.room.cpu_millis;
   if (room.usable) ++usable_workers_;
-  if (room.usable && tracker.suspect()) ++suspects_;
+  if (room.usable && tracker.trust().suspect()) ++suspects_;
   if (room.usable) ++sums.usable_workers;
   if (room.usable && room.IsEmpty()) ++sums.empty_workers;
   rooms_.push_back(room);
@@ -200,7 +199,8 @@
   if (room.worker().service != step.service()) return false;
   if (room.on_probation) return false;
   if (step.on_probation && room.unproven) return false;
-  if (step.failed_before && room.tracker->suspect() && MostAreTrusted()) {
+  if (step.failed_before && room.tracker->trust().suspect() &&
+      MostAreTrusted()) {
     return false;
   }
   return HasLabel(room.worker(), step.spec->required_label);
@@ -229,8 +229,8 @@
   if (step.on_probation) score = -Weight(room.room);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && room.worker().rack != rack) score += kFarPenalty;
-  const bool doubtful =
-      room.tracker->suspect() || room.tracker->WasSilentLately(now_);
+  const bool doubtful = room.tracker->trust().suspect() ||
+                        room.tracker->trust().WasSilentLately(now_);
   if (doubtful) score += kSuspectPenalty;
   if (room.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
   // Fast workers for those whose slowest member decides, and for those in a
--- a/src/libs/workload/gang_review.h
+++ b/src/libs/workload/gang_review.h
@@ -20,8 +20,8 @@
 struct GangReviewSettings {
   WorkerBounds bounds;
   // A member stands still when it does nothing for as long as others need for
-  // this share of the gang's work. One on the slowest worker seen, 6.5 times
-  // slowed, does 4% of it meanwhile.
+  // this share of the gang's work. One that is slowed tenfold does 3% of it
+  // meanwhile.
   double stall_share = 0.3;
   // But no sooner: progress is told in whole percents, and members begin a
   // little apart.
@@ -31,8 +31,8 @@
   // on for nothing, and it would begin elsewhere only when the worker is gone.
   Milliseconds late_leave{500};
   // A gang on a slow worker begins anew elsewhere only when the worker has been
-  // slow for longer than spells of slowness last (5 to 7 s). Sooner it would
-  // throw away what all members have done, and mostly be no earlier.
+  // slow for longer than a spell of slowness lasts. Sooner it would throw away
+  // what all members have done, and mostly be no earlier.
   std::chrono::seconds spell{8};
 };
 
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -121,10 +121,9 @@
   }
 
   // Whether the step has waited long enough to run away from its data, or over
-  // several racks. There it takes several times the room, and ends late. So it
-  // does in an idle cluster, and for guaranteed work, which must begin in time:
-  // a burst of urgent gangs that spread took a fifth of all that urgent work
-  // used, and kept as much of it waiting.
+  // several racks. There it takes several times the room, and ends late: others
+  // wait for that room. So this is for an idle cluster, and for guaranteed
+  // work, which must begin in time.
   bool MayLeaveRack(const OpenStep& step) const {
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->known_since);
@@ -167,9 +166,8 @@
   }
 
   // How many tasks of the step may start beside what steps of higher priority
-  // wait for. Before, small tasks of priority 2 held 30 to 50% of 350 workers
-  // while gangs of priority 1, which had 2 to 10%, waited for 11 s in the
-  // median; a third of them was never served.
+  // wait for. Small tasks fit into every gap as it opens, so that a gang would
+  // see room at one moment never.
   int64_t AllowedTasks(const OpenStep& step) const {
     const auto waiting = static_cast<int64_t>(step.waiting.size());
     // Where most is idle, it is not these that keep others waiting.
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -29,13 +29,10 @@
   // takes others in an idle cluster. Long enough for a few tasks to end.
   Milliseconds rack_patience{1000};
   // The share of workers that jobs of lower priority leave empty, so that an
-  // urgent job starts without a stop first, which takes 0.5 s of the 1.2 s that
-  // it has to spare.
+  // urgent job starts without a stop first.
   double headroom = 0.2;
   // The share of each resource that waiting steps keep from those of lower
-  // priority, beyond the headroom. From 0.3 up it made no difference on 350
-  // workers and on 48, with 0.15 priority 1 waited longer there; what is left
-  // is for the steps behind.
+  // priority, beyond the headroom. What is left is for the steps behind.
   double most_kept = 0.3;
   // Headroom is kept for this long after the last urgent step was seen.
   Milliseconds urgent_memory{5000};
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -47,7 +47,7 @@
     stalled = stalled || reason == kNoProgress;
     verdicts.push_back({task, run.run, std::move(reason)});
   }
-  if (stalled) worker->OnRunStalled(now);
+  if (stalled) worker->trust().OnRunStalled(now);
   return verdicts;
 }
 
--- a/src/libs/workload/run_review.h
+++ b/src/libs/workload/run_review.h
@@ -18,8 +18,8 @@
 
 struct RunReviewSettings {
   WorkerBounds bounds;
-  // A run whose percentage stands still for longer is stopped: the slowest
-  // seen, 6.5 times slowed and far from its data, moves every 2.2 s.
+  // A run whose percentage stands still for longer is stopped: one that is
+  // slowed and far from its data still moves every two or three seconds.
   Milliseconds stall_after{5000};
 };
 
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -12,16 +12,6 @@
 constexpr double kSlowestClock = 0.98;
 // Covers a late timer on the worker and the time that a kill takes there.
 constexpr Milliseconds kLeaseSlack{600};
-// Failures of as many jobs in a row take a worker out: among sound workers 5%
-// of runs fail, so two in a row by chance are 1 in 400.
-constexpr int kFailuresToQuarantine = 2;
-// Long enough to outlast most spells of failure, which last 5 to 7 s; after it
-// one failure takes the worker out again.
-constexpr std::chrono::seconds kQuarantine{6};
-
-// One that goes down and up by turns does so within two or three seconds.
-constexpr std::chrono::seconds kSilenceRemembered{6};
-
 constexpr int kWholeWork = 100;
 // With less done, a rate is too coarse to go by.
 constexpr int kTellingPercent = 3;
@@ -174,7 +164,7 @@
       if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
-      last_silence_ = now;
+      trust_.OnSilence(now);
       if (tracked.stage == RunStage::kSending) {
         tracked.stage = RunStage::kUnknown;
         tracked.since = now;
@@ -248,9 +238,7 @@
   clock_ = Milliseconds::zero();
   processed_ends_ = 0;
   recorded_ends_ = 0;
-  failures_ = 0;
-  last_failed_job_.clear();
-  quarantined_until_ = Time{};
+  trust_.OnRestart();
   return ended;
 }
 
@@ -342,21 +330,18 @@
 
 void WorkerTracker::OnNoReport(Time now) {
   ++failed_reports_;
-  last_silence_ = now;
+  trust_.OnSilence(now);
   if (!silent_since_) silent_since_ = now;
 }
 
-bool WorkerTracker::WasSilentLately(Time now) const {
-  return last_silence_ && now - *last_silence_ < kSilenceRemembered;
-}
-
 WorkerBelief WorkerTracker::belief(Time now) const {
   if (!synchronized()) return WorkerBelief::kNotHeardYet;
   if (!reachable()) return WorkerBelief::kSilent;
   if (missing()) return WorkerBelief::kNotListed;
   if (registration_.draining) return WorkerBelief::kLeaving;
   if (domain_closed_) return WorkerBelief::kDomainClosed;
-  return Quarantined(now) ? WorkerBelief::kQuarantined : WorkerBelief::kUsable;
+  return trust_.Quarantined(now) ? WorkerBelief::kQuarantined
+                                 : WorkerBelief::kUsable;
 }
 
 RunEnd WorkerTracker::RunEndFor(LifeEnd end, Time now) const {
@@ -401,28 +386,6 @@
   lease_bound_ = std::max(lease_bound_, now + LongestLease(term));
 }
 
-void WorkerTracker::OnRunFailed(const std::string& job, Time now) {
-  last_failure_ = now;
-  if (job == last_failed_job_) return;
-  last_failed_job_ = job;
-  ++failures_;
-  if (failures_ >= kFailuresToQuarantine) {
-    quarantined_until_ = now + kQuarantine;
-  }
-}
-
-void WorkerTracker::OnRunDone(Time began) {
-  if (began < last_failure_) return;
-  failures_ = 0;
-  last_failed_job_.clear();
-}
-
-void WorkerTracker::OnRunStalled(Time now) {
-  failures_ = std::max(failures_ + 1, kFailuresToQuarantine);
-  last_failure_ = now;
-  quarantined_until_ = now + kQuarantine;
-}
-
 std::string_view ToText(RunStage stage) {
   switch (stage) {
     case RunStage::kRecording:
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -19,6 +19,7 @@
 #include "workload/pace_control.h"
 #include "workload/worker_life.h"
 #include "workload/worker_report.h"
+#include "workload/worker_trust.h"
 
 namespace thornplank {
 
@@ -231,16 +232,9 @@
   // it has capacity for: the room is overdrawn then, and nothing may begin.
   Resources room() const { return registration_.capacity - used_; }
 
-  // Failures that speak against the worker rather than against its tasks.
-  void OnRunFailed(const std::string& job, Time now);
-  // A run that began before the last failure proves nothing: a worker that
-  // begins to fail what it starts still ends well what it had started.
-  void OnRunDone(Time began);
-  void OnRunStalled(Time now);
-  bool Quarantined(Time now) const { return now < quarantined_until_; }
-  bool suspect() const { return failures_ > 0; }
-  // Left a call without an answer a moment ago, though it answers now.
-  bool WasSilentLately(Time now) const;
+  // By what became of work there.
+  WorkerTrust& trust() { return trust_; }
+  const WorkerTrust& trust() const { return trust_; }
   // Against a sound worker: 1; set from the progress of its tasks.
   double speed() const { return speed_; }
   void SetSpeed(double speed, Time now);
@@ -284,15 +278,10 @@
   int failed_reports_ = 0;
   // Since when it has not answered; nullopt while it does.
   std::optional<Time> silent_since_;
-  std::optional<Time> last_silence_;
   // Of this life; invariant: what is recorded was processed.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
-  // Runs that failed here since the last that was done, by distinct jobs.
-  int failures_ = 0;
-  std::string last_failed_job_;
-  Time last_failure_{};
-  Time quarantined_until_{};
+  WorkerTrust trust_;
   double speed_ = 1;
   std::optional<Time> slow_since_;
   double steady_speed_ = 1;
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -129,8 +129,8 @@
        [](WorkerTracker* worker) { worker->set_domain_closed(true); }},
       {"failing", WorkerBelief::kQuarantined,
        [](WorkerTracker* worker) {
-         worker->OnRunFailed("a", At(0));
-         worker->OnRunFailed("b", At(0));
+         worker->trust().OnRunFailed("a", At(0));
+         worker->trust().OnRunFailed("b", At(0));
        }},
       {"of another service", WorkerBelief::kUsable,
        [](WorkerTracker* worker) {
@@ -230,7 +230,7 @@
   REQUIRE(first.starts.size() == 1);
   const std::string bad = first.starts[0].assignments[0].worker;
   world.End(bad, {{Id(1), 0, 0}, 0}, RunEnd::kFailed);
-  world.workers.at(bad).OnRunFailed(Id(1), world.now);
+  world.workers.at(bad).trust().OnRunFailed(Id(1), world.now);
   // Only the worker that failed it has room.
   for (auto& [id, worker] : world.workers) {
     if (id == bad) continue;
--- a/tests/auto/workload/tst_run_review.cc
+++ b/tests/auto/workload/tst_run_review.cc
@@ -93,7 +93,7 @@
     CHECK(verdicts[0].run == 1);
     CHECK(verdicts[0].reason == row.reason);
     const bool stalled = row.reason == "makes no progress";
-    CHECK(worker.Quarantined(At(2000 + row.later)) == stalled);
+    CHECK(worker.trust().Quarantined(At(2000 + row.later)) == stalled);
   }
 }
 
--- a/tests/auto/workload/tst_worker_restart.cc
+++ b/tests/auto/workload/tst_worker_restart.cc
@@ -203,12 +203,12 @@
 
 TEST_CASE("failures of the life before are not held against the new one") {
   WorkerTracker tracker = FirstLife();
-  tracker.OnRunFailed("job1", At(100));
-  tracker.OnRunFailed("job2", At(110));
-  REQUIRE(tracker.Quarantined(At(200)));
+  tracker.trust().OnRunFailed("job1", At(100));
+  tracker.trust().OnRunFailed("job2", At(110));
+  REQUIRE(tracker.trust().Quarantined(At(200)));
   Hear(&tracker, 500, 520, Report(kSecondBorn, 40));
-  CHECK_FALSE(tracker.Quarantined(At(530)));
-  CHECK_FALSE(tracker.suspect());
+  CHECK_FALSE(tracker.trust().Quarantined(At(530)));
+  CHECK_FALSE(tracker.trust().suspect());
 }
 
 }  // namespace
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -338,20 +338,20 @@
 
 TEST_CASE("a worker that fails jobs in a row gets nothing for a while") {
   WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
-  tracker.OnRunFailed("job1", At(0));
-  tracker.OnRunFailed("job1", At(10));
-  CHECK_FALSE(tracker.Quarantined(At(20)));
-  CHECK(tracker.suspect());
-  tracker.OnRunFailed("job2", At(30));
-  CHECK(tracker.Quarantined(At(40)));
-  CHECK_FALSE(tracker.Quarantined(At(40 + 6000)));
+  tracker.trust().OnRunFailed("job1", At(0));
+  tracker.trust().OnRunFailed("job1", At(10));
+  CHECK_FALSE(tracker.trust().Quarantined(At(20)));
+  CHECK(tracker.trust().suspect());
+  tracker.trust().OnRunFailed("job2", At(30));
+  CHECK(tracker.trust().Quarantined(At(40)));
+  CHECK_FALSE(tracker.trust().Quarantined(At(40 + 6000)));
   SUBCASE("a run that began after the failure clears it") {
-    tracker.OnRunDone(At(31));
-    CHECK_FALSE(tracker.suspect());
+    tracker.trust().OnRunDone(At(31));
+    CHECK_FALSE(tracker.trust().suspect());
   }
   SUBCASE("a run that began before proves nothing") {
-    tracker.OnRunDone(At(29));
-    CHECK(tracker.suspect());
+    tracker.trust().OnRunDone(At(29));
+    CHECK(tracker.trust().suspect());
   }
 }
 
