The end of a run that stops is told as it comes

Cause: while a stop was under way a worker was asked every 0.25 s, with reports that don't wait, so room that was taken for an urgent gang stood free for up to that long. Workers answer a waiting report at once when a run ends. Ruled out: a longer wait than 0.25 s (a run that never began there has no end and is settled by the next report). The test failed before: no report waited.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -237,9 +237,10 @@
   if (stray && !has_runs) return;
   bool settling = !tracker->synchronized() || !tracker->reachable();
   bool young = false;
+  bool ending = false;
   for (const auto& [task, run] : tracker->runs()) {
-    settling = settling || run.stage == RunStage::kUnknown ||
-               run.stop_acknowledged.has_value();
+    settling = settling || run.stage == RunStage::kUnknown;
+    ending = ending || run.stop_acknowledged.has_value();
     young = young || (run.stage == RunStage::kRunning && run.percent == 0);
   }
   // With ends that are not recorded a report would come back at once.
@@ -250,6 +251,9 @@
   const bool waits = calm && EndsToTell(*tracker, link) == 0;
   Milliseconds wait{0};
   if (waits) wait = young ? settings_.first_report : settings_.report_wait;
+  // The end of a run that stops is told as it comes; one that never began there
+  // has none, and is settled by the report that follows this one.
+  if (waits && ending) wait = settings_.report_retry;
   if (waits && PaceKeeper::HasBoth(*tracker)) {
     wait = std::min(wait, settings_.pace_wait);
   }
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -176,6 +176,30 @@
   }
 }
 
+// An urgent gang waited up to a quarter of a second for room that was free: the
+// ends of runs that were told to stop were asked for in that pace.
+TEST_CASE("the end of a run that stops is told as it comes") {
+  Fixture fixture;
+  fixture.calls.report.running = {{kTask, 1, "", 10}};
+  fixture.calls.answers_waiting = true;
+  fixture.Start();
+  fixture.calls.answers_waiting = false;
+  fixture.fleet.RequestStop("w1", kTask, 1, "gives way");
+  CHECK(fixture.calls.stops == 1);
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  REQUIRE(fixture.calls.waiting != nullptr);
+  CHECK(fixture.ends.empty());
+  fixture.calls.report.running.clear();
+  RunEndReport end;
+  end.number = 1;
+  end.task = kTask;
+  end.run = 1;
+  end.end = RunEnd::kStopped;
+  fixture.calls.report.ended = {end};
+  fixture.calls.AnswerWaiting();
+  CHECK(fixture.ends == std::vector<RunEnd>{RunEnd::kStopped});
+}
+
 TEST_CASE("what the answer to a start does") {
   struct Row {
     const char* name;
