Ends alone are recorded ten times a second at most

Starts wait for their record; ends can wait a moment, since workers keep them until they are recorded.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -26,6 +26,7 @@
 #include "coordination/formats.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
+#include "coordination/record_pace.h"
 #include "coordination/record_tail.h"
 #include "coordination/scheduling_metrics.h"
 #include "coordination/stream_contact.h"
@@ -54,6 +55,8 @@
   // How long an ended job is remembered.
   Milliseconds state_kept{150000};
   Milliseconds tick{100};
+  // Between two records of ends alone.
+  Milliseconds ends_gap{100};
   // For one call of the store while taking the lead.
   Milliseconds store_timeout{900};
   WorkerBounds bounds;
@@ -158,6 +161,7 @@
   const int64_t first_sequence_;
   LeaderElection election_;
   Planner planner_;
+  RecordPace record_pace_;
   SchedulingMetrics metrics_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer planning_timer_;
--- /dev/null
+++ b/src/libs/coordination/record_pace.h
@@ -0,0 +1,32 @@
+// When the leader records the progress of tasks.
+//
+// A start waits for its record, so that is written at once. Ends alone can wait
+// a moment: workers keep them until they are recorded. Hundreds of tasks end
+// one by one every second, and each record is a call of the store, and one more
+// to read it back.
+#ifndef THORNPLANK_COORDINATION_RECORD_PACE_H_
+#define THORNPLANK_COORDINATION_RECORD_PACE_H_
+
+#include "base/time.h"
+
+namespace thornplank {
+
+class RecordPace {
+ public:
+  explicit RecordPace(Milliseconds gap) : gap_(gap) {}
+
+  bool IsDue(bool starts_wait, Time now) const {
+    return starts_wait || now - last_ >= gap_;
+  }
+  void OnRecorded(Time now) { last_ = now; }
+
+ private:
+  // Between two records of ends alone.
+  const Milliseconds gap_;
+  // The clock's epoch before the first.
+  Time last_{};
+};
+
+}  // namespace thornplank
+
+#endif  // THORNPLANK_COORDINATION_RECORD_PACE_H_
