--- a/tests/auto/workload/tst_worker_bounds.cc
+++ b/tests/auto/workload/tst_worker_bounds.cc
@@ -35,6 +35,8 @@
       {"short leases, fast stops", Make(6000, 200, 3000, 3000, 2700, 100)},
       {"long leases, slow stops", Make(20000, 1200, 5000, 6000, 6000, 2000)},
       {"tight gangs", Make(4000, 300, 1200, 2000, 1500, 0)},
+      {"stops of a quarter of the reclaim",
+       Make(10000, 900, 4000, 4000, 3400, 100)},
   };
   return kRows;
 }
