--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -164,7 +164,11 @@
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
   if (!IsStoreFresh()) return Refuse(call, kStoreAway);
   if (RefuseForAnother(call)) return;
-  const Milliseconds objective = job->objective();
+  // Jobs that recur are judged by each time that they are due, those that last
+  // have no end.
+  const bool ends_once = !job->scheduled() && !job->long_running();
+  const Milliseconds objective =
+      ends_once ? job->objective() : Milliseconds::zero();
   Append(JobBoard::Submission(*job), call->give_up,
          [this, call, objective](StoreOutcome outcome, const Error& error) {
            if (outcome != StoreOutcome::kStored) {
