--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -1,5 +1,5 @@
-// Constructs the components of a hosted entry and defines their order of start
-// and shutdown.
+// Constructs the components of a hosted entry, defines their order of start and
+// shutdown, and switches between a replica and a gateway.
 #include "hosted_process.h"
 
 #include <unistd.h>
@@ -9,20 +9,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 
-#include "coordination/caller_service.h"
-#include "coordination/cluster_coordinator.h"
 #include "coordination/cluster_gauges.h"
-#include "coordination/entry_registration.h"
-#include "coordination/job_board.h"
 #include "coordination/metered_record_store.h"
 #include "coordination/metered_worker_calls.h"
-#include "coordination/record_tail.h"
-#include "coordination/serving_configuration.h"
-#include "coordination/stream_reachability.h"
 #include "logging/events/coordination_events.h"
 #include "logging/events/process_events.h"
 #include "metrics/log_metrics.h"
@@ -35,61 +27,62 @@
 #include "platform/metadata_store.h"
 #include "platform/wire_formats.h"
 #include "reachability/entry_client.h"
-#include "reachability/reachability_poller.h"
-#include "reachability/store_age_route.h"
-#include "workload/closed_domains.h"
+#include "replicas/board_replica.h"
+#include "replicas/call_forwarder.h"
+#include "replicas/entry_role.h"
+#include "replicas/entry_routes.h"
+#include "replicas/http_entry_calls.h"
+#include "replicas/replica_finder.h"
+#include "replicas/replica_selector.h"
 
 namespace thornplank {
 namespace {
 
 // The stream of thornplank in the store. Its partition is the board, which all
-// entries read; the progress of tasks in it concerns the leader only.
+// replicas read; the progress of tasks in it concerns the leader only.
 constexpr char kJobStream[] = "keyed.thornplank";
 constexpr int kBoardPartition = 0;
-// Minimum time between two reads of a busy board by a follower.
-constexpr Milliseconds kFollowerReadInterval{500};
 // Calls with an API key are refused once the configuration is older than the
 // revocation bound less this margin, the time that a call may wait for its
-// answer from the store.
-constexpr Milliseconds kRevocationMargin{800};
+// answer from the store. The same for calls that the configuration refuses, and
+// the bound on its changes.
+constexpr Milliseconds kConfigurationMargin{800};
 // The platform stops routing to an entry after two failed readiness probes, one
 // second apart. Until then new connections still arrive and are served.
 constexpr Milliseconds kStopListeningDelay{2300};
-constexpr Milliseconds kRefreshTimeout{500};
-// How long a read of an idle board waits for records. An idle board is read as
-// often as a busy one, so that an unreachable store is detected before callers
-// wait for it.
-constexpr Milliseconds kBoardLongPollWait{400};
 // For appending the record that releases leadership.
 constexpr Milliseconds kReleaseTimeout{700};
-// Maximum retry delay of an unreadable stream, per entry on the board. Limits
-// the retries of all entries together to about 670 a second; up to 100 entries
-// retry every 0.15 s each.
-constexpr std::chrono::microseconds kRetryDelayPerEntry{1500};
+// Between two checks whether this entry should be a replica.
+constexpr Milliseconds kModeCheckInterval{100};
+// A replica that has become a gateway still answers the calls that it has.
+constexpr Milliseconds kRetirementDelay{5000};
 // Weight of the instance's size in its leadership rank; the rest is random.
 constexpr double kSizeWeight = 0.9;
-// Cores that suffice to lead 350 workers; more don't improve the rank. A leader
-// with 0.12 cores was late with half of the urgent jobs that a leader with 0.5
-// cores started in time.
-constexpr double kSufficientCores = 0.25;
+// Cores that suffice to lead thousands of workers; more don't improve the rank.
+constexpr double kSufficientCores = 1;
 
 // Differs between entries, so that their random choices differ too.
 uint32_t SeedFromName(const HostedSettings& settings) {
   return static_cast<uint32_t>(std::hash<std::string>()(settings.name));
 }
 
+// From 0 to 1, different for each entry.
+double ChanceFromName(const HostedSettings& settings) {
+  std::mt19937 random(SeedFromName(settings));
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 // From 0 for the entry that should lead first to 1.
 double LeadershipRank(const HostedSettings& settings) {
   const double size =
       std::min(settings.processor_share / kSufficientCores, 1.0);
-  std::mt19937 random(SeedFromName(settings));
-  const double chance = std::uniform_real_distribution<double>(0, 1)(random);
-  return kSizeWeight * (1 - size) + (1 - kSizeWeight) * chance;
+  return kSizeWeight * (1 - size) +
+         (1 - kSizeWeight) * ChanceFromName(settings);
 }
 
 // Maximum age of the configuration for a call with an API key.
 Milliseconds MaxConfigurationAge(const HostedSettings& settings) {
-  return settings.revocation_bound - kRevocationMargin;
+  return settings.revocation_bound - kConfigurationMargin;
 }
 
 // "instance/incarnation", unique to this process.
@@ -112,6 +105,10 @@
   return bounds;
 }
 
+ReplicaAddress ThisEntry(const HostedSettings& settings) {
+  return {settings.name, settings.listen_entries, settings.failure_domain};
+}
+
 HttpServerLimits CallerServerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = 1024 * 1024;
@@ -125,7 +122,9 @@
 class HostedProcess::Impl {
  public:
   Impl(boost::asio::io_context& io, HostedSettings settings)
-      : settings_(std::move(settings)),
+      : io_(io),
+        settings_(std::move(settings)),
+        holder_(MakeHolder(settings_)),
         client_(io, HttpClientLimits()),
         store_client_(client_, settings_.store_address),
         store_(store_client_, metrics_),
@@ -133,31 +132,29 @@
         worker_calls_(executor_client_, metrics_),
         advice_client_(client_, settings_.advisor_address),
         entry_client_(client_),
-        registration_(io, store_, board_, RegistrationSettings()),
-        reachability_poller_(io, entry_client_, PollerSettings(),
-                             [this] { return registration_.PeerAddresses(); }),
-        board_tail_(io, store_, BoardTailSettings(), BoardTailHandlers()),
-        configuration_tail_(io, store_, ConfigurationTailSettings(),
-                            ConfigurationTailHandlers()),
-        caller_service_(io, store_, formats_, CallerSettings(),
-                        CallerDependencies(), metrics_),
-        coordinator_(io, store_, worker_calls_, formats_, CoordinatorSettings(),
-                     CoordinatorDependencies(), metrics_),
+        entry_calls_(client_),
+        role_(RoleSettings()),
+        selector_({settings_.name, settings_.failure_domain}),
+        finder_(io, store_, entry_calls_, role_, selector_, FinderSettings(),
+                FinderHandlers()),
+        forwarder_(io, entry_calls_, entry_client_, formats_, selector_,
+                   CallForwarderSettings(), ForwarderHandlers(), metrics_),
+        routes_(RouteDependencies()),
         caller_server_(
             io, CallerServerLimits(),
             [this](HttpRequest request, HttpServer::Responder respond) {
-              caller_service_.Handle(std::move(request), std::move(respond));
+              HandleCall(std::move(request), std::move(respond));
+            }),
+        readiness_server_(
+            io, HttpServerLimits(),
+            [this](const HttpRequest&, const HttpServer::Responder& respond) {
+              respond(HandleReadinessRequest());
+            }),
+        entry_server_(
+            io, EntryServerLimits(),
+            [this](HttpRequest request, const HttpServer::Responder& respond) {
+              routes_.Handle(std::move(request), respond);
             }),
-        readiness_server_(io, HttpServerLimits(),
-                          [this](const HttpRequest& request,
-                                 const HttpServer::Responder& respond) {
-                            respond(HandleReadinessRequest(request));
-                          }),
-        entry_server_(io, HttpServerLimits(),
-                      [this](const HttpRequest& request,
-                             const HttpServer::Responder& respond) {
-                        respond(HandleStoreAgeRequest(request, StoreAge()));
-                      }),
         metrics_server_(
             io, HttpServerLimits(),
             [this](const HttpRequest&, const HttpServer::Responder& respond) {
@@ -166,6 +163,8 @@
               response.body = metrics_.ToText();
               respond(std::move(response));
             }),
+        mode_timer_(io),
+        retirement_timer_(io),
         stop_timer_(io) {}
 
   bool Start(Error* error) {
@@ -182,9 +181,8 @@
       return false;
     }
     AddMetrics();
-    board_tail_.Start();
-    configuration_tail_.Start();
-    coordinator_.Start();
+    finder_.Start();
+    CheckMode();
     LogEvent(events::kProcessStarted,
              {{"callers", settings_.listen_callers},
               {"failure_domain", settings_.failure_domain}});
@@ -193,17 +191,20 @@
 
   void Stop(std::function<void()> done) {
     if (std::exchange(stopping_, true)) return;
+    const bool leading = replica_ != nullptr && replica_->leading();
     LogEvent(events::kShutdownBegun,
              {{"in_flight", caller_server_.requests_in_flight()},
-              {"leading", coordinator_.leading()}});
-    coordinator_.Release(kReleaseTimeout, [] {});
+              {"leading", leading}});
+    if (replica_ != nullptr) replica_->Release(kReleaseTimeout, [] {});
     stop_timer_.expires_after(
         std::min(kStopListeningDelay, settings_.stop_grace / 2));
     stop_timer_.async_wait(
         [this, done = std::move(done)](const boost::system::error_code&) {
-          caller_server_.Drain([done] {
-            LogEvent(events::kShutdownDone, {});
-            done();
+          caller_server_.Drain([this, done] {
+            entry_server_.Drain([done] {
+              LogEvent(events::kShutdownDone, {});
+              done();
+            });
           });
         });
   }
@@ -214,222 +215,194 @@
              {{"at_once", change.at_once}, {"at_restart", change.at_restart}});
     SetLogSeverity(settings.log_level);
     store_client_.set_address(settings.store_address);
-    caller_service_.set_max_configuration_age(MaxConfigurationAge(settings));
     settings_.log_level = settings.log_level;
     settings_.store_address = settings.store_address;
     settings_.revocation_bound = settings.revocation_bound;
     settings_.stop_grace = settings.stop_grace;
+    if (replica_ == nullptr) return;
+    replica_->set_max_configuration_age(MaxConfigurationAge(settings_));
   }
 
  private:
-  RecordTailSettings BoardTailSettings() const {
-    RecordTailSettings settings;
-    settings.partition = {kJobStream, kBoardPartition};
-    settings.long_poll_wait = kBoardLongPollWait;
-    settings.min_read_interval = kFollowerReadInterval;
-    settings.seed = SeedFromName(settings_);
-    return settings;
-  }
+  Partition Board() const { return {kJobStream, kBoardPartition}; }
 
-  EntryRegistrationSettings RegistrationSettings() const {
-    EntryRegistrationSettings settings;
-    settings.board = {kJobStream, kBoardPartition};
-    settings.instance = settings_.name;
-    settings.address = settings_.listen_entries;
-    settings.seed = SeedFromName(settings_);
-    return settings;
+  static HttpServerLimits EntryServerLimits() {
+    HttpServerLimits limits = CallerServerLimits();
+    limits.max_connections = 4096;
+    return limits;
   }
 
-  ReachabilityPollerSettings PollerSettings() const {
-    ReachabilityPollerSettings settings;
-    settings.seed = SeedFromName(settings_);
+  EntryRoleSettings RoleSettings() const {
+    EntryRoleSettings settings;
+    settings.name = settings_.name;
+    settings.rank = LeadershipRank(settings_);
+    settings.chance = ChanceFromName(settings_);
     return settings;
   }
 
-  // Time since the last complete read of the board began; nullopt before the
-  // first.
-  std::optional<Milliseconds> StoreAge() const {
-    if (!board_tail_.has_snapshot()) return std::nullopt;
-    return std::chrono::duration_cast<Milliseconds>(BootClock::now() -
-                                                    board_tail_.as_of());
-  }
-
-  RecordTailSettings ConfigurationTailSettings() const {
-    RecordTailSettings settings;
-    settings.partition = formats_.streams().configuration;
-    settings.seed = SeedFromName(settings_) + 1;
+  ReplicaFinderSettings FinderSettings() const {
+    ReplicaFinderSettings settings;
+    settings.board = Board();
+    settings.entry = ThisEntry(settings_);
+    settings.rank = LeadershipRank(settings_);
+    settings.seed = SeedFromName(settings_) + 2;
     return settings;
   }
 
-  RecordTail::Handlers BoardTailHandlers() {
-    RecordTail::Handlers handlers;
-    handlers.on_record = [this](const KeyedRecord& record) {
-      const BoardChange change = board_.Apply(record);
-      coordinator_.OnBoardChange(change);
-    };
-    handlers.on_snapshot = [](const std::set<std::string>&) {};
-    handlers.on_caught_up = [this] {
-      board_tail_.set_min_read_interval(
-          coordinator_.leading() ? Milliseconds(0) : kFollowerReadInterval);
-      UpdateRetryDelays();
-      coordinator_.OnBoardCaughtUp(board_tail_.latency());
-      if (board_reachability_.OnReadSucceeded(board_tail_.next_offset())) {
-        RetryLostStreams();
-      }
-      reachability_poller_.OnReadSucceeded();
-      registration_.OnBoardCaughtUp();
+  ReplicaFinder::Handlers FinderHandlers() {
+    ReplicaFinder::Handlers handlers;
+    handlers.on_roster = [this](const ReplicaRoster& roster) {
+      OnRoster(roster);
     };
-    handlers.on_failure = [this](const Error& error) {
-      board_reachability_.OnReadFailed(error);
-      reachability_poller_.OnReadFailed();
+    handlers.on_no_roster = [this] { role_.OnNoRoster(Now()); };
+    handlers.on_answered = [this] { OnReplicaAnswered(); };
+    handlers.on_silent = [this] { OnReplicasSilent(); };
+    return handlers;
+  }
+
+  CallForwarder::Handlers ForwarderHandlers() {
+    CallForwarder::Handlers handlers;
+    handlers.on_answered = [this] { OnReplicaAnswered(); };
+    // The finder then asks all replicas.
+    handlers.on_silent = [this] { finder_.Hurry(); };
+    handlers.is_isolated = [this] {
+      return role_.replicas_silent() && finder_.store_unreachable();
     };
     return handlers;
   }
 
-  RecordTail::Handlers ConfigurationTailHandlers() {
-    RecordTail::Handlers handlers;
-    handlers.on_record = [this](const KeyedRecord& record) {
-      HandleOperatorRecord(record);
+  EntryRoutes::Dependencies RouteDependencies() {
+    EntryRoutes::Dependencies dependencies;
+    dependencies.service = [this]() -> CallerService* {
+      return replica_ == nullptr || stopping_ ? nullptr : &replica_->service();
     };
-    handlers.on_snapshot = [this](const std::set<std::string>& keys) {
-      HandleOperatorSnapshot(keys);
+    dependencies.on_introduction =
+        [this](const EntryIntroduction& introduction) {
+          replica_->OnIntroduction(introduction);
+        };
+    dependencies.on_roster = [this](const ReplicaRoster& roster) {
+      OnRoster(roster);
     };
-    handlers.on_caught_up = [this] {
-      if (configuration_reachability_.OnReadSucceeded(
-              configuration_tail_.next_offset())) {
-        RetryLostStreams();
-      }
+    dependencies.roster = [this]() -> const std::optional<ReplicaRoster>& {
+      return role_.roster();
     };
-    handlers.on_failure = [this](const Error& error) {
-      configuration_reachability_.OnReadFailed(error);
+    dependencies.store_age = [this]() -> std::optional<Milliseconds> {
+      return replica_ == nullptr ? std::nullopt : replica_->StoreAge();
     };
-    return handlers;
+    return dependencies;
   }
 
-  // Adapts the retry rate of each entry to the number of entries on the board.
-  void UpdateRetryDelays() {
-    const auto max_delay = std::chrono::duration_cast<Milliseconds>(
-        kRetryDelayPerEntry * board_.entries().size());
-    board_tail_.set_max_retry_delay(max_delay);
-    configuration_tail_.set_max_retry_delay(max_delay);
-  }
+  static Time Now() { return std::chrono::steady_clock::now(); }
 
-  // The store answers again. Reads each stream that is still lost at once,
-  // since callers are refused until both can be read.
-  void RetryLostStreams() {
-    board_tail_.RetryIfLost(kRefreshTimeout);
-    configuration_tail_.RetryIfLost(kRefreshTimeout);
-    coordinator_.OnStoreRecovered();
+  void OnRoster(const ReplicaRoster& roster) {
+    if (!role_.OnRoster(roster, Now())) return;
+    selector_.SetReplicas(roster);
+    LogEvent(events::kRosterSeen, {{"epoch", roster.epoch},
+                                   {"number", roster.number},
+                                   {"entries", roster.entries},
+                                   {"replicas", roster.replicas.size()},
+                                   {"listed", role_.listed()}});
   }
 
-  void HandleOperatorRecord(const KeyedRecord& record) {
-    const std::string domain = formats_.ClosedDomainOf(record.key);
-    if (domain.empty()) return HandleConfigurationRecord(record);
-    const bool closed = record.value.has_value();
-    if (!closed_domains_.Apply(domain, closed, record.offset)) return;
-    LogEvent(closed ? events::kDomainClosed : events::kDomainOpened,
-             {{"failure_domain", domain}, {"offset", record.offset}});
-    coordinator_.OnClosedDomainsChanged();
+  void OnReplicaAnswered() {
+    if (role_.replicas_silent()) LogEvent(events::kReplicasBack, {});
+    role_.OnReplicaAnswered(Now());
   }
 
-  // The operators' stream was read again from its start; keys that are not in
-  // `keys` no longer exist.
-  void HandleOperatorSnapshot(const std::set<std::string>& keys) {
-    std::set<std::string> closed;
-    for (const std::string& key : keys) {
-      const std::string domain = formats_.ClosedDomainOf(key);
-      if (!domain.empty()) closed.insert(domain);
-    }
-    const int64_t next = configuration_tail_.next_offset();
-    for (const std::string& domain : closed_domains_.OnSnapshot(closed, next)) {
-      LogEvent(events::kDomainOpened,
-               {{"failure_domain", domain}, {"offset", next}});
+  void OnReplicasSilent() {
+    if (!role_.replicas_silent()) {
+      LogEvent(events::kReplicasSilent,
+               {{"store_unreachable", finder_.store_unreachable()}});
     }
-    coordinator_.OnClosedDomainsChanged();
+    role_.OnReplicasSilent(Now());
   }
 
-  // Ignores versions that are not newer than the one in force.
-  void HandleConfigurationRecord(const KeyedRecord& record) {
-    if (record.key != formats_.streams().configuration_key) return;
-    if (!record.value) return;
-    Error error;
-    std::optional<ServingConfiguration> read =
-        formats_.ReadConfiguration(*record.value, &error);
-    if (!read) {
-      return LogEvent(events::kConfigurationUnreadable, error,
-                      {{"offset", record.offset}});
+  void CheckMode() {
+    const EntryMode mode = role_.Decide(Now());
+    if (mode != mode_) {
+      LogEvent(events::kModeChanged, {{"from", std::string(ToText(mode_))},
+                                      {"to", std::string(ToText(mode))},
+                                      {"listed", role_.listed()}});
+      mode_ = mode;
     }
-    if (configuration_ && read->version <= configuration_->version) return;
-    LogEvent(events::kConfigurationInForce,
-             {{"version", read->version},
-              {"offset", record.offset},
-              {"queues", read->queues.size()},
-              {"accounts", read->accounts.size()}});
-    configuration_ = std::move(read);
+    if (mode == EntryMode::kReplica) StartReplica();
+    if (mode == EntryMode::kGateway) RetireReplica();
+    mode_timer_.expires_after(kModeCheckInterval);
+    mode_timer_.async_wait([this](const boost::system::error_code& code) {
+      if (!code) CheckMode();
+    });
   }
 
-  CallerServiceSettings CallerSettings() const {
-    CallerServiceSettings settings;
-    settings.board = {kJobStream, kBoardPartition};
-    settings.max_configuration_age = MaxConfigurationAge(settings_);
-    return settings;
+  void StartReplica() {
+    if (replica_ != nullptr || stopping_) return;
+    replica_ = std::make_unique<BoardReplica>(
+        io_, ReplicaSettings(),
+        BoardReplica::Dependencies{
+            store_, worker_calls_, formats_,
+            settings_.advisor_address.empty() ? nullptr : &advice_client_,
+            entry_client_, entry_calls_, metrics_,
+            [this](const ReplicaRoster& roster) { OnRoster(roster); }});
+    replica_->Start();
   }
 
-  CallerService::Dependencies CallerDependencies() {
-    CallerService::Dependencies dependencies;
-    dependencies.configuration = [this]() -> const ServingConfiguration* {
-      return configuration_ ? &*configuration_ : nullptr;
-    };
-    dependencies.configuration_as_of = [this] {
-      return configuration_tail_.as_of();
-    };
-    dependencies.board = &board_;
-    dependencies.board_tail = &board_tail_;
-    dependencies.served_elsewhere = [this] {
-      return reachability_poller_.ReachableElsewhere();
-    };
-    return dependencies;
+  // The leader keeps its replica until another entry leads.
+  void RetireReplica() {
+    if (replica_ == nullptr || !replica_->following() || stopping_) return;
+    replica_->Release(kReleaseTimeout, [] {});
+    retired_replica_ = std::move(replica_);
+    retirement_timer_.expires_after(kRetirementDelay);
+    retirement_timer_.async_wait([this](const boost::system::error_code& code) {
+      if (!code) retired_replica_.reset();
+    });
   }
 
-  ClusterCoordinatorSettings CoordinatorSettings() const {
-    ClusterCoordinatorSettings settings;
-    settings.holder = MakeHolder(settings_);
+  BoardReplicaSettings ReplicaSettings() const {
+    BoardReplicaSettings settings;
+    settings.entry = ThisEntry(settings_);
+    settings.holder = holder_;
+    settings.board = Board();
     settings.rank = LeadershipRank(settings_);
-    settings.board = {kJobStream, kBoardPartition};
-    settings.job_retention = settings_.state_kept + std::chrono::seconds(30);
+    settings.seed = SeedFromName(settings_);
+    settings.max_configuration_age = MaxConfigurationAge(settings_);
+    settings.max_unconfirmed_age =
+        settings_.configuration_bound - kConfigurationMargin;
+    settings.state_kept = settings_.state_kept;
     settings.bounds = ToWorkerBounds(settings_);
+    settings.min_replicas = static_cast<size_t>(settings_.min_replicas);
     return settings;
   }
 
-  ClusterCoordinator::Dependencies CoordinatorDependencies() {
-    ClusterCoordinator::Dependencies dependencies;
-    dependencies.board = &board_;
-    dependencies.configuration = [this]() -> const ServingConfiguration& {
-      static const ServingConfiguration kNone;
-      return configuration_ ? *configuration_ : kNone;
-    };
-    dependencies.closed_domains = [this]() -> const std::set<std::string>& {
-      return closed_domains_.closed();
-    };
-    dependencies.board_next_offset = [this] {
-      return board_tail_.next_offset();
-    };
-    dependencies.board_as_of = [this] { return board_tail_.as_of(); };
-    dependencies.refresh_board = [this](std::function<void(bool)> done) {
-      board_tail_.CatchUp(kRefreshTimeout, std::move(done));
-    };
-    const bool advised = !settings_.advisor_address.empty();
-    if (advised) dependencies.advisor = &advice_client_;
-    return dependencies;
+  // A replica that is not ready forwards as a gateway does, unless it knows no
+  // other replica.
+  void HandleCall(HttpRequest request, HttpServer::Responder respond) {
+    const bool serves = replica_ != nullptr && replica_->service().ready();
+    const bool forwards = replica_ == nullptr || (!serves && CanForward());
+    if (forwards) {
+      return forwarder_.Forward(std::move(request), std::move(respond));
+    }
+    replica_->service().Handle(std::move(request), std::move(respond));
+  }
+
+  bool CanForward() const {
+    return mode_ == EntryMode::kGateway && !selector_.empty();
+  }
+
+  bool IsReady() const {
+    if (stopping_) return false;
+    if (replica_ != nullptr && replica_->service().ready()) return true;
+    return CanForward() && !role_.replicas_silent() && role_.answered();
   }
 
-  HttpResponse HandleReadinessRequest(const HttpRequest&) {
-    const bool ready = caller_service_.ready() && !stopping_;
+  HttpResponse HandleReadinessRequest() {
+    const bool ready = IsReady();
     if (ready != was_ready_) {
       was_ready_ = ready;
+      const bool configured =
+          replica_ != nullptr && replica_->has_configuration();
       LogEvent(ready ? events::kProcessReady : events::kProcessNotReady,
                {{"stopping", stopping_},
-                {"configured", configuration_.has_value()}});
+                {"mode", std::string(ToText(mode_))},
+                {"configured", configured}});
     }
     HttpResponse response;
     response.status = ready ? 200 : 503;
@@ -439,10 +412,20 @@
   void AddMetrics() {
     AddProcessMetrics(metrics_);
     AddLogMetrics(metrics_);
-    AddClusterGauges(board_, coordinator_, metrics_);
+    AddClusterGauges(
+        [this]() -> std::optional<ClusterView> {
+          if (replica_ == nullptr) return std::nullopt;
+          return replica_->view();
+        },
+        metrics_);
+    metrics_.AddGauge("thornplank_is_replica",
+                      "1 while this entry follows the board.", {},
+                      [this] { return replica_ == nullptr ? 0.0 : 1.0; });
   }
 
+  boost::asio::io_context& io_;
   HostedSettings settings_;
+  const std::string holder_;
   MetricsRegistry metrics_;
   HttpClient client_;
   MetadataStore store_client_;
@@ -451,22 +434,24 @@
   MeteredWorkerCalls worker_calls_;
   AdviceClient advice_client_;
   const WireFormats formats_;
-  JobBoard board_;
-  std::optional<ServingConfiguration> configuration_;
-  ClosedDomains closed_domains_;
   EntryClient entry_client_;
-  EntryRegistration registration_;
-  ReachabilityPoller reachability_poller_;
-  StreamReachability board_reachability_{"board"};
-  StreamReachability configuration_reachability_{"configuration"};
-  RecordTail board_tail_;
-  RecordTail configuration_tail_;
-  CallerService caller_service_;
-  ClusterCoordinator coordinator_;
+  HttpEntryCalls entry_calls_;
+  EntryRole role_;
+  EntryMode mode_ = EntryMode::kUndecided;
+  ReplicaSelector selector_;
+  ReplicaFinder finder_;
+  CallForwarder forwarder_;
+  EntryRoutes routes_;
+  // Set while this entry is a replica.
+  std::unique_ptr<BoardReplica> replica_;
+  // Answers its last calls.
+  std::unique_ptr<BoardReplica> retired_replica_;
   HttpServer caller_server_;
   HttpServer readiness_server_;
   HttpServer entry_server_;
   HttpServer metrics_server_;
+  boost::asio::steady_timer mode_timer_;
+  boost::asio::steady_timer retirement_timer_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   bool was_ready_ = false;
--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -16,10 +16,13 @@
 
 // Reasons for not serving a call.
 constexpr CallerService::Refusal kNotConfigured{kUnavailable, "not_configured",
-                                                "no configuration yet"};
+                                                "no configuration yet", true};
 constexpr CallerService::Refusal kNoQueue{404, "no_queue", "no such queue"};
 constexpr CallerService::Refusal kKeysUnconfirmed{
-    kUnavailable, "keys_unconfirmed", "keys were not confirmed lately"};
+    kUnavailable, "keys_unconfirmed", "keys were not confirmed lately", true};
+constexpr CallerService::Refusal kConfigurationUnconfirmed{
+    kUnavailable, "configuration_unconfirmed",
+    "the configuration was not confirmed lately", true};
 constexpr CallerService::Refusal kUnknownKey{401, "unknown_key", "unknown key"};
 constexpr CallerService::Refusal kTooLarge{413, "too_large",
                                            "the body is too large"};
@@ -32,7 +35,7 @@
 constexpr CallerService::Refusal kMalformed{400, "malformed",
                                             "the body cannot be read"};
 constexpr CallerService::Refusal kStoreUnavailable{kUnavailable, "store_away",
-                                                   "the store is away"};
+                                                   "the store is away", true};
 constexpr CallerService::Refusal kNotStored{kUnavailable, "not_stored",
                                             "the store took it not"};
 // The only refusal after which the record may be stored; all others guarantee
@@ -45,6 +48,12 @@
 // store is not taken for one that does not answer.
 constexpr int kRefreshLatencyFactor = 2;
 
+RecordAppenderSettings AppenderSettings(const Partition& board) {
+  RecordAppenderSettings settings;
+  settings.partition = board;
+  return settings;
+}
+
 int64_t AgeInMilliseconds(BootTime since) {
   return std::chrono::duration_cast<Milliseconds>(BootClock::now() - since)
       .count();
@@ -54,14 +63,18 @@
 
 struct CallerService::Call {
   HttpRequest request;
-  HttpServer::Responder respond;
+  AnswerCallback answer;
+  CallerHeaders headers;
+  // Of a forwarded call; otherwise 0.
+  int64_t min_configuration = 0;
+  bool forwarded = false;
   QueueConfiguration queue;
   std::string account;
   std::string job;
   int64_t configuration_version = 0;
   Time received{};
   // When the caller's own time-out expires.
-  Time deadline = Time::max();
+  Time deadline{};
 };
 
 CallerService::CallerService(boost::asio::io_context& io, RecordStore& store,
@@ -69,11 +82,11 @@
                              CallerServiceSettings settings,
                              Dependencies dependencies,
                              MetricsRegistry& metrics)
-    : io_(io),
-      store_(store),
-      formats_(formats),
+    : formats_(formats),
       settings_(std::move(settings)),
       dependencies_(std::move(dependencies)),
+      appender_(io, store, AppenderSettings(settings_.board),
+                [this](int64_t end) { dependencies_.board_tail->Expect(end); }),
       metrics_(metrics),
       accepted_(metrics.counter("thornplank_jobs_accepted_total",
                                 "Submissions that were stored.")),
@@ -104,35 +117,91 @@
 
 void CallerService::Handle(HttpRequest request, HttpServer::Responder respond) {
   auto call = std::make_shared<Call>();
-  call->received = std::chrono::steady_clock::now();
   call->request = std::move(request);
-  call->respond = std::move(respond);
-  const ServingConfiguration* configuration = dependencies_.configuration();
-  if (configuration == nullptr) {
+  call->answer = [respond = std::move(respond)](CallAnswer answer) {
+    respond(std::move(answer.response));
+  };
+  call->received = std::chrono::steady_clock::now();
+  call->headers = formats_.ReadHeaders(call->request);
+  const bool has_timeout = call->headers.timeout.count() > 0;
+  call->deadline = call->received + (has_timeout ? call->headers.timeout
+                                                 : settings_.default_timeout);
+  Begin(call);
+}
+
+void CallerService::HandleForwarded(ForwardedCall forwarded,
+                                    AnswerCallback answer) {
+  auto call = std::make_shared<Call>();
+  call->request = std::move(forwarded.request);
+  call->answer = std::move(answer);
+  call->received = std::chrono::steady_clock::now();
+  call->headers = formats_.ReadHeaders(call->request);
+  call->deadline = call->received + forwarded.time_left;
+  call->forwarded = true;
+  call->min_configuration = forwarded.min_configuration;
+  Begin(call);
+}
+
+void CallerService::Begin(const std::shared_ptr<Call>& call) {
+  if (dependencies_.configuration() == nullptr) {
     return Refuse(call, kNotConfigured);
   }
-  call->configuration_version = configuration->version;
+  Route(call, /*confirmed=*/false);
+}
+
+void CallerService::Route(const std::shared_ptr<Call>& call, bool confirmed) {
+  const ServingConfiguration& configuration = *dependencies_.configuration();
+  call->configuration_version = configuration.version;
   const std::string path = call->request.path();
-  const CallerHeaders headers = formats_.ReadHeaders(call->request);
-  if (headers.timeout.count() > 0) {
-    call->deadline = call->received + headers.timeout;
-  }
   const QueueConfiguration* queue =
-      configuration->FindQueue(headers.host, path);
-  if (queue == nullptr) return Refuse(call, kNoQueue);
-  call->queue = *queue;
-  call->job = path.substr(queue->prefix.size());
-  if (!queue->is_public) {
-    const auto age = BootClock::now() - dependencies_.configuration_as_of();
-    if (age > settings_.max_configuration_age) {
-      return Refuse(call, kKeysUnconfirmed);
-    }
-    const AccountConfiguration* account =
-        configuration->FindAccount(headers.key);
-    if (account == nullptr) return Refuse(call, kUnknownKey);
-    call->account = account->name;
+      configuration.FindQueue(call->headers.host, path);
+  const Refusal* refusal = queue == nullptr ? &kNoQueue : nullptr;
+  if (queue != nullptr) {
+    call->queue = *queue;
+    call->job = path.substr(queue->prefix.size());
+    refusal = FindAccount(call, configuration);
+  }
+  const bool is_old = NeedsConfirmation(*call, configuration);
+  if (is_old && (refusal != nullptr || call->forwarded)) {
+    if (!confirmed) return ConfirmConfiguration(call);
+    return Refuse(call, kConfigurationUnconfirmed);
   }
-  if (call->request.body.size() > configuration->max_body_bytes) {
+  if (refusal != nullptr) return Refuse(call, *refusal);
+  Serve(call, configuration.max_body_bytes);
+}
+
+bool CallerService::NeedsConfirmation(
+    const Call& call, const ServingConfiguration& configuration) const {
+  const auto age = BootClock::now() - dependencies_.configuration_as_of();
+  return age > settings_.max_unconfirmed_age ||
+         configuration.version < call.min_configuration;
+}
+
+void CallerService::ConfirmConfiguration(const std::shared_ptr<Call>& call) {
+  dependencies_.refresh_configuration(
+      [this, alive = alive_, call](bool is_current) {
+        if (!*alive) return;
+        if (!is_current) return Refuse(call, kConfigurationUnconfirmed);
+        Route(call, /*confirmed=*/true);
+      });
+}
+
+const CallerService::Refusal* CallerService::FindAccount(
+    const std::shared_ptr<Call>& call,
+    const ServingConfiguration& configuration) const {
+  if (call->queue.is_public) return nullptr;
+  const auto age = BootClock::now() - dependencies_.configuration_as_of();
+  if (age > settings_.max_configuration_age) return &kKeysUnconfirmed;
+  const AccountConfiguration* account =
+      configuration.FindAccount(call->headers.key);
+  if (account == nullptr) return &kUnknownKey;
+  call->account = account->name;
+  return nullptr;
+}
+
+void CallerService::Serve(const std::shared_ptr<Call>& call,
+                          size_t max_body_bytes) {
+  if (call->request.body.size() > max_body_bytes) {
     return Refuse(call, kTooLarge);
   }
   const std::string& method = call->request.method;
@@ -170,7 +239,7 @@
   const bool ends_once = !job->scheduled() && !job->long_running();
   const Milliseconds objective =
       ends_once ? job->objective() : Milliseconds::zero();
-  Append(JobBoard::Submission(*job), call->deadline,
+  Append(JobBoard::Submission(*job), *call,
          [this, call, objective](StoreOutcome outcome, const Error& error) {
            if (outcome != StoreOutcome::kStored) {
              return RefuseUnstored(call, outcome, error);
@@ -213,7 +282,7 @@
   if (job == nullptr) return Refuse(call, kNoJob);
   if (IsTerminal(job->state())) return Respond(call, HttpResponse());
   if (RefuseIfServedElsewhere(call)) return;
-  Append(JobBoard::Cancellation(call->job), call->deadline,
+  Append(JobBoard::Cancellation(call->job), *call,
          [this, call](StoreOutcome outcome, const Error& error) {
            if (outcome != StoreOutcome::kStored) {
              return RefuseUnstored(call, outcome, error);
@@ -264,48 +333,10 @@
                     call->queue.policy.queue)));
 }
 
-void CallerService::Append(KeyedRecord record, Time deadline, AppendDone done) {
-  auto request = std::make_shared<AppendRequest>();
-  request->partition = settings_.board;
-  request->records.push_back(std::move(record));
-  TryAppend(request, deadline, settings_.max_append_attempts,
-            /*may_be_stored=*/false, std::move(done));
-}
-
-void CallerService::TryAppend(const std::shared_ptr<AppendRequest>& request,
-                              Time deadline, int attempts_left,
-                              bool may_be_stored, AppendDone done) {
-  const auto time_left = std::chrono::duration_cast<Milliseconds>(
-      deadline - std::chrono::steady_clock::now());
-  if (time_left < settings_.response_margin * 2) attempts_left = 1;
-  const Milliseconds timeout =
-      std::clamp(time_left - settings_.response_margin,
-                 settings_.response_margin, settings_.append_timeout);
-  store_.Append(
-      *request, timeout,
-      [this, alive = alive_, request, deadline, attempts_left, may_be_stored,
-       done = std::move(done)](const AppendResult& result) mutable {
-        if (!*alive) return;
-        if (result.outcome == StoreOutcome::kStored) {
-          return done(result.outcome, {});
-        }
-        may_be_stored =
-            may_be_stored || result.outcome == StoreOutcome::kUnknown;
-        if (attempts_left <= 1) {
-          return done(
-              may_be_stored ? StoreOutcome::kUnknown : StoreOutcome::kRefused,
-              result.error);
-        }
-        auto timer = std::make_shared<boost::asio::steady_timer>(
-            io_, settings_.append_retry_delay);
-        timer->async_wait([this, alive, timer, request, deadline, attempts_left,
-                           may_be_stored, done = std::move(done)](
-                              const boost::system::error_code& code) mutable {
-          if (code || !*alive) return;
-          TryAppend(request, deadline, attempts_left - 1, may_be_stored,
-                    std::move(done));
-        });
-      });
+void CallerService::Append(KeyedRecord record, const Call& call,
+                           AppendDone done) {
+  appender_.Append(std::move(record), call.deadline - settings_.response_margin,
+                   std::move(done));
 }
 
 void CallerService::RefuseUnstored(const std::shared_ptr<Call>& call,
@@ -342,17 +373,22 @@
                                                        : settings_.retry_after;
     response.headers.Set("Retry-After", std::to_string(wait.count()));
   }
-  Respond(call, std::move(response));
+  Respond(call, std::move(response), &refusal);
 }
 
 void CallerService::Respond(const std::shared_ptr<Call>& call,
-                            HttpResponse response) {
+                            HttpResponse response, const Refusal* refusal) {
   metrics_
       .counter("thornplank_caller_answers_total", "Answers to callers.",
                {{"method", call->request.method},
                 {"status", std::to_string(response.status)}})
       .Add();
-  call->respond(std::move(response));
+  CallAnswer answer;
+  answer.response = std::move(response);
+  answer.configuration = call->configuration_version;
+  answer.try_next = refusal != nullptr && refusal->only_here;
+  answer.store_lost = answer.try_next && !IsStoreFresh();
+  call->answer(std::move(answer));
 }
 
 }  // namespace thornplank
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -19,6 +19,7 @@
 #include "base/time.h"
 #include "coordination/formats.h"
 #include "coordination/job_board.h"
+#include "coordination/record_appender.h"
 #include "coordination/record_tail.h"
 #include "metrics/metrics_registry.h"
 #include "net/http_message.h"
@@ -35,13 +36,14 @@
   // refused at once. The board is read twice a second, and a slow store takes
   // 0.3 s to answer.
   Milliseconds max_store_age{1500};
-  // For one append attempt. After a lost answer the append is repeated, which
-  // is idempotent.
-  Milliseconds append_timeout{650};
-  int max_append_attempts = 2;
-  Milliseconds append_retry_delay{40};
+  // With an older configuration no call is answered by what is missing in it,
+  // and no call of a gateway is served: a newer one may be in force. It is read
+  // again first.
+  Milliseconds max_unconfirmed_age{1200};
   // The response is sent this long before the caller's time-out.
   Milliseconds response_margin{60};
+  // For a caller that states no time-out.
+  Milliseconds default_timeout{3000};
   // For the read of the board that precedes the answer that a job is unknown.
   Milliseconds catch_up_timeout{500};
   // If the board was last read longer ago, it is read again before the state of
@@ -55,12 +57,38 @@
   std::chrono::seconds retry_after{1};
 };
 
+// A call that a gateway has forwarded for its caller.
+struct ForwardedCall {
+  HttpRequest request;
+  // Until the caller's time-out.
+  Milliseconds time_left{0};
+  // The gateway has served calls by this version of the configuration; an older
+  // one must not serve it any more.
+  int64_t min_configuration = 0;
+};
+
+// The answer to a call.
+struct CallAnswer {
+  HttpResponse response;
+  // Version of the configuration that decided; 0 before the first.
+  int64_t configuration = 0;
+  // The call was not served, and another replica may serve it.
+  bool try_next = false;
+  // The reason is that the replica has lost the store.
+  bool store_lost = false;
+};
+
 class CallerService {
  public:
+  using AnswerCallback = std::function<void(CallAnswer)>;
+
   struct Dependencies {
     // Returns null before the first configuration.
     std::function<const ServingConfiguration*()> configuration;
     std::function<BootTime()> configuration_as_of;
+    // Reads the configuration at once. The callback gets whether all that was
+    // stored before was read.
+    std::function<void(std::function<void(bool)>)> refresh_configuration;
     const JobBoard* board = nullptr;
     RecordTail* board_tail = nullptr;
     // Whether this entry has lost the store while another entry can reach it.
@@ -75,6 +103,8 @@
     const char* cause = "";
     // For the caller and the log.
     const char* text = "";
+    // It concerns this entry alone: another replica may serve the call.
+    bool only_here = false;
   };
 
   CallerService(boost::asio::io_context& io, RecordStore& store,
@@ -82,7 +112,9 @@
                 Dependencies dependencies, MetricsRegistry& metrics);
   ~CallerService();
 
+  // A call of a caller of this entry.
   void Handle(HttpRequest request, HttpServer::Responder respond);
+  void HandleForwarded(ForwardedCall forwarded, AnswerCallback answer);
   // Changes CallerServiceSettings::max_configuration_age for later calls.
   void set_max_configuration_age(Milliseconds age) {
     settings_.max_configuration_age = age;
@@ -92,9 +124,21 @@
 
  private:
   struct Call;
-  using AppendDone = std::function<void(StoreOutcome, const Error&)>;
+  using AppendDone = RecordAppender::Done;
 
   bool IsStoreFresh() const;
+  void Begin(const std::shared_ptr<Call>& call);
+  // Finds the queue and the account by the configuration. `confirmed`: the
+  // configuration was read for this call.
+  void Route(const std::shared_ptr<Call>& call, bool confirmed);
+  bool NeedsConfirmation(const Call& call,
+                         const ServingConfiguration& configuration) const;
+  void ConfirmConfiguration(const std::shared_ptr<Call>& call);
+  // Sets the account of a call whose key is valid; returns the reason to refuse
+  // any other call.
+  const Refusal* FindAccount(const std::shared_ptr<Call>& call,
+                             const ServingConfiguration& configuration) const;
+  void Serve(const std::shared_ptr<Call>& call, size_t max_body_bytes);
   // Refuses the call and returns true if only another entry can serve it.
   bool RefuseIfServedElsewhere(const std::shared_ptr<Call>& call);
   void Submit(const std::shared_ptr<Call>& call);
@@ -105,23 +149,20 @@
   void AnswerQueueLength(const std::shared_ptr<Call>& call);
   void CatchUp(const std::shared_ptr<Call>& call,
                void (CallerService::*then)(const std::shared_ptr<Call>&, bool));
-  // Stores one record. `done` gets kStored, kRefused (certainly not stored) or
-  // kUnknown.
-  void Append(KeyedRecord record, Time deadline, AppendDone done);
-  void TryAppend(const std::shared_ptr<AppendRequest>& request, Time deadline,
-                 int attempts_left, bool may_be_stored, AppendDone done);
+  void Append(KeyedRecord record, const Call& call, AppendDone done);
   void RefuseUnstored(const std::shared_ptr<Call>& call, StoreOutcome outcome,
                       const Error& error);
   // `detail` replaces the text of the refusal unless it is empty.
   void Refuse(const std::shared_ptr<Call>& call, const Refusal& refusal,
               const std::string& detail = "");
-  void Respond(const std::shared_ptr<Call>& call, HttpResponse response);
+  // `refusal` is null for a call that was served.
+  void Respond(const std::shared_ptr<Call>& call, HttpResponse response,
+               const Refusal* refusal = nullptr);
 
-  boost::asio::io_context& io_;
-  RecordStore& store_;
   const Formats& formats_;
   CallerServiceSettings settings_;
   const Dependencies dependencies_;
+  RecordAppender appender_;
   MetricsRegistry& metrics_;
   Counter& accepted_;
   Counter& cancelled_;
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -18,8 +18,10 @@
 constexpr char kProgressProducer[] = "progress";
 // Bounds the first sequence number, so that it never overflows.
 constexpr int64_t kSequenceRange = int64_t{1} << 40;
-// After a claim that did not succeed.
-constexpr Milliseconds kClaimRetry{200};
+// After a claim that did not succeed. Doubled by each further one, since a
+// store that refuses claims is overloaded.
+constexpr Milliseconds kMinClaimRetry{200};
+constexpr Milliseconds kMaxClaimRetry{1600};
 constexpr Milliseconds kStoreRetry{120};
 
 Time Now() { return std::chrono::steady_clock::now(); }
@@ -54,7 +56,7 @@
       settings_(std::move(settings)),
       dependencies_(std::move(dependencies)),
       first_sequence_(FirstSequence(settings_.holder)),
-      election_(LeaderElectionSettings(), settings_.holder, settings_.rank),
+      election_(LeaderElectionSettings(), settings_.holder),
       planner_(PlannerSettingsFor(settings_)),
       progress_write_limiter_(settings_.end_record_interval),
       metrics_(metrics),
@@ -62,7 +64,10 @@
       planning_timer_(io),
       release_timer_(io) {}
 
-ClusterCoordinator::~ClusterCoordinator() { ++*generation_; }
+ClusterCoordinator::~ClusterCoordinator() {
+  *alive_ = false;
+  ++*generation_;
+}
 
 void ClusterCoordinator::Start() { OnTick(); }
 
@@ -78,17 +83,20 @@
         boot_now - leadership_confirmed_ < settings_.leadership_timeout;
     fleet_->Tick(now, may_renew);
     StopOutdatedRuns();
-    const auto heartbeat = election_.settings().heartbeat_interval;
-    if (board_writer_->idle() && now - last_heartbeat_ >= heartbeat) {
-      WriteHeartbeat(/*released=*/false, nullptr);
-    }
     DropExpiredRecords();
     SchedulePlanning();
   }
+  const auto heartbeat = election_.settings().heartbeat_interval;
+  const bool holds_lead = board_writer_ != nullptr;
+  if (holds_lead && board_writer_->idle() &&
+      now - last_heartbeat_ >= heartbeat) {
+    WriteHeartbeat(released_, nullptr);
+  }
   tick_timer_.expires_after(settings_.tick_interval);
-  tick_timer_.async_wait([this](const boost::system::error_code& code) {
-    if (!code) OnTick();
-  });
+  tick_timer_.async_wait(
+      [this, alive = alive_](const boost::system::error_code& code) {
+        if (!code && *alive) OnTick();
+      });
 }
 
 void ClusterCoordinator::OnBoardCaughtUp(Duration latency) {
@@ -110,6 +118,7 @@
     case BoardChange::Kind::kLeader: {
       const LeaderRecord& leader = dependencies_.board->leader();
       election_.OnLeaderRecord(leader, Now());
+      claim_retry_ = Milliseconds(0);
       LogLeader(leader);
       const bool is_own = leader.holder == settings_.holder;
       if (is_own && leader.epoch == claimed_epoch_ && !leader.released &&
@@ -131,6 +140,7 @@
     case BoardChange::Kind::kState:
     case BoardChange::Kind::kDropped:
     case BoardChange::Kind::kEntry:
+    case BoardChange::Kind::kRoster:
     case BoardChange::Kind::kNone:
       return;
   }
@@ -161,7 +171,7 @@
         election_.ShouldClaim(dependencies_.board->leader(), Now());
     if (still_vacant) return SendClaim();
     phase_ = Phase::kFollowing;
-    if (!is_current) next_claim_time_ = Now() + kClaimRetry;
+    if (!is_current) DelayNextClaim();
   });
 }
 
@@ -204,45 +214,53 @@
   phase_ = Phase::kFollowing;
   // If the outcome is unknown, the board shows whether this claim or a
   // competing one was stored.
-  next_claim_time_ = Now() + kClaimRetry;
+  DelayNextClaim();
   dependencies_.refresh_board([](bool) {});
 }
 
+void ClusterCoordinator::DelayNextClaim() {
+  claim_retry_ = std::clamp(claim_retry_ * 2, kMinClaimRetry, kMaxClaimRetry);
+  next_claim_time_ = Now() + claim_retry_;
+}
+
 void ClusterCoordinator::BeginLeadership(int64_t epoch) {
   phase_ = Phase::kFencing;
   // The record of the same claim must not start leadership a second time.
   claimed_epoch_ = 0;
   epoch_ = epoch;
   leadership_confirmed_ = BootClock::now();
+  last_heartbeat_ = Now();
+  CreateWriters();
   FenceProgress();
 }
 
-// Once the new epoch is stored, the store rejects progress writes of a
-// predecessor, so that the progress read afterwards is final.
+// Both writers exist from the claim on: an entry that is taking leadership says
+// so as often as a leader does, or others would claim it meanwhile.
+void ClusterCoordinator::CreateWriters() {
+  const auto fenced = [this] { ScheduleStepDown("fenced by the store"); };
+  FencedWriterSettings writer;
+  writer.producer = kProducer;
+  writer.epoch = epoch_;
+  // The claim had the first sequence number.
+  writer.first_sequence = first_sequence_ + 1;
+  writer.partition = settings_.board;
+  board_writer_ = std::make_unique<FencedWriter>(io_, store_, writer, fenced);
+  writer.producer = kProgressProducer;
+  writer.first_sequence = first_sequence_;
+  progress_writer_ =
+      std::make_unique<FencedWriter>(io_, store_, writer, fenced);
+}
+
+// Once a record is stored under the new epoch, the store rejects progress
+// writes of a predecessor, so that the progress read afterwards is final.
 void ClusterCoordinator::FenceProgress() {
-  AppendRequest request;
-  request.partition = settings_.board;
-  request.producer =
-      ProducerPosition{kProgressProducer, epoch_, first_sequence_};
-  store_.Append(
-      request, settings_.store_timeout,
-      [this, generation = generation_,
-       current = *generation_](const AppendResult& result) {
+  progress_writer_->Write(
+      {JobBoard::Leader({settings_.holder, epoch_, false})},
+      [this, generation = generation_, current = *generation_] {
         if (*generation != current || phase_ != Phase::kFencing) return;
-        if (result.outcome == StoreOutcome::kFenced) {
-          return StepDown("fenced while taking leadership");
-        }
-        const bool stored = result.outcome == StoreOutcome::kStored ||
-                            result.outcome == StoreOutcome::kOutOfSequence;
-        if (stored) {
-          phase_ = Phase::kLoading;
-          loaded_progress_.clear();
-          return LoadProgress(JobBoard::ProgressKeyPrefix());
-        }
-        release_timer_.expires_after(kStoreRetry);
-        release_timer_.async_wait([this](const boost::system::error_code& c) {
-          if (!c && phase_ == Phase::kFencing) FenceProgress();
-        });
+        phase_ = Phase::kLoading;
+        loaded_progress_.clear();
+        LoadProgress(JobBoard::ProgressKeyPrefix());
       });
 }
 
@@ -254,14 +272,15 @@
         if (*generation != current || phase_ != Phase::kLoading) return;
         if (!page.ok) {
           release_timer_.expires_after(kStoreRetry);
-          release_timer_.async_wait(
-              [this, after_key](const boost::system::error_code& code) {
-                if (!code && phase_ == Phase::kLoading) LoadProgress(after_key);
-              });
+          release_timer_.async_wait([this, after_key, alive = alive_](
+                                        const boost::system::error_code& code) {
+            if (code || !*alive) return;
+            if (phase_ == Phase::kLoading) LoadProgress(after_key);
+          });
           return;
         }
         for (const KeyedRecord& record : page.records) {
-          if (!record.value) continue;
+          if (!record.value || JobBoard::ParseRoster(record)) continue;
           Error error;
           const auto ref = JobBoard::ParseProgressKey(record.key);
           auto block = DecodeBlock(*record.value, &error);
@@ -279,17 +298,6 @@
 }
 
 void ClusterCoordinator::OnProgressLoaded() {
-  const auto fenced = [this] { ScheduleStepDown("fenced by the store"); };
-  FencedWriterSettings writer;
-  writer.producer = kProducer;
-  writer.epoch = epoch_;
-  writer.first_sequence = first_sequence_ + 1;
-  writer.partition = settings_.board;
-  board_writer_ = std::make_unique<FencedWriter>(io_, store_, writer, fenced);
-  writer.producer = kProgressProducer;
-  progress_writer_ =
-      std::make_unique<FencedWriter>(io_, store_, writer, fenced);
-
   WorkerFleetSettings fleet;
   fleet.bounds = settings_.bounds;
   fleet.epoch = epoch_;
@@ -437,7 +445,8 @@
   logged_waits_.clear();
   unrecorded_ends_.clear();
   loaded_progress_.clear();
-  next_claim_time_ = Now() + kClaimRetry;
+  claim_retry_ = Milliseconds(0);
+  DelayNextClaim();
 }
 
 void ClusterCoordinator::Release(Milliseconds timeout,
@@ -445,8 +454,8 @@
   released_ = true;
   if (phase_ != Phase::kLeading) return done();
   auto once = std::make_shared<std::function<void()>>(std::move(done));
-  const auto finish = [this, once] {
-    if (!*once) return;
+  const auto finish = [this, once, alive = alive_] {
+    if (!*once || !*alive) return;
     release_timer_.cancel();
     const auto callback = std::exchange(*once, nullptr);
     LogEvent(events::kLeadershipReleased, {{"epoch", epoch_}});
@@ -461,18 +470,26 @@
   WriteHeartbeat(/*released=*/true, finish);
 }
 
+void ClusterCoordinator::WriteAsLeader(KeyedRecord record) {
+  if (phase_ != Phase::kLeading) return;
+  std::vector<KeyedRecord> records;
+  records.push_back(std::move(record));
+  board_writer_->Write(std::move(records), nullptr);
+}
+
 void ClusterCoordinator::WriteHeartbeat(bool released,
                                         FencedWriter::StoredCallback stored) {
   last_heartbeat_ = Now();
   const BootTime sent_at = BootClock::now();
-  board_writer_->Write({JobBoard::Leader({settings_.holder, epoch_, released})},
-                       [this, sent_at, generation = generation_,
-                        current = *generation_, stored = std::move(stored)] {
-                         if (*generation != current) return;
-                         leadership_confirmed_ =
-                             std::max(leadership_confirmed_, sent_at);
-                         if (stored) stored();
-                       });
+  board_writer_->Write(
+      {JobBoard::Leader({settings_.holder, epoch_, released})},
+      [this, sent_at, generation = generation_, current = *generation_,
+       stored = std::move(stored)] {
+        if (*generation != current) return;
+        leadership_confirmed_ = std::max(leadership_confirmed_, sent_at);
+        dependencies_.expect_board(board_writer_->stored_end());
+        if (stored) stored();
+      });
 }
 
 }  // namespace thornplank
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -44,8 +44,6 @@
 struct ClusterCoordinatorSettings {
   // "instance/incarnation" of this entry; never used again by another process.
   std::string holder;
-  // Preference of this entry for leadership: 0 is first, 1 is last.
-  double rank = 0;
   Partition board;
   // A leader whose last stored heartbeat is older stops renewing leases. A
   // successor that cannot reach a worker waits for this time and for a lease
@@ -64,8 +62,10 @@
   Milliseconds tick_interval{100};
   // Least time between two progress writes that contain no start.
   Milliseconds end_record_interval{100};
-  // For one call to the store while leadership is being taken.
-  Milliseconds store_timeout{900};
+  // For one call to the store while leadership is being taken. A store that is
+  // slow must be able to answer, since a call that is given up is queued there
+  // all the same.
+  Milliseconds store_timeout{2500};
   WorkerBounds bounds;
 };
 
@@ -81,6 +81,8 @@
     std::function<int64_t()> board_next_offset;
     // When the last read of the board that reached its end began.
     std::function<BootTime()> board_as_of;
+    // The board has records up to this offset.
+    std::function<void(int64_t)> expect_board;
     // Reads the board at once, regardless of its read interval. The callback
     // gets whether the end was reached.
     std::function<void(std::function<void(bool)>)> refresh_board;
@@ -103,11 +105,18 @@
   void OnClosedDomainsChanged();
   // A stream of the store could be read again after failed reads.
   void OnStoreRecovered();
+  // The place of this entry in the order of succession, from 0.
+  void set_place(int place) { election_.set_place(place); }
+  // Stores a record under the epoch of this leader; does nothing unless it
+  // leads.
+  void WriteAsLeader(KeyedRecord record);
   // Gives up leadership if this entry leads, and never claims it again. `done`
   // runs when the release is stored or `timeout` has passed.
   void Release(Milliseconds timeout, std::function<void()> done);
 
   bool leading() const { return phase_ == Phase::kLeading; }
+  // Neither leads nor is about to.
+  bool following() const { return phase_ == Phase::kFollowing; }
   // The last epoch in which this entry led; 0 before the first.
   int64_t epoch() const { return epoch_; }
   // Empty unless this entry leads.
@@ -133,7 +142,9 @@
   void BeginClaim();
   void SendClaim();
   void OnClaimResult(int64_t epoch, const AppendResult& result);
+  void DelayNextClaim();
   void BeginLeadership(int64_t epoch);
+  void CreateWriters();
   void FenceProgress();
   void LoadProgress(const std::string& after_key);
   void OnProgressLoaded();
@@ -181,7 +192,7 @@
   SchedulingMetrics metrics_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer planning_timer_;
-  // Time-out of Release; before that, delays retries while leadership is taken.
+  // Time-out of Release; before that, delays retries while progress is loaded.
   boost::asio::steady_timer release_timer_;
 
   Phase phase_ = Phase::kFollowing;
@@ -194,6 +205,8 @@
   // The last claim met a record that it had not read.
   bool claim_conflicted_ = false;
   Time next_claim_time_{};
+  // Before the next claim, after one that failed.
+  Milliseconds claim_retry_{0};
   // When the claim was stored; later, when the last leader record that is known
   // to be stored was sent.
   BootTime leadership_confirmed_{};
@@ -240,6 +253,9 @@
   // Incremented on each loss of leadership and on destruction. Callbacks that
   // captured another value do nothing.
   std::shared_ptr<int64_t> generation_ = std::make_shared<int64_t>(0);
+  // False once this object is destroyed; timers that have expired by then do
+  // nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/cluster_coordinator.h"
@@ -115,64 +116,136 @@
   return ToRows(counts);
 }
 
-void AddLeadGauges(const ClusterCoordinator& coordinator,
-                   MetricsRegistry& metrics) {
-  metrics.AddGauge("thornplank_is_leader", "1 while this entry leads.", {},
-                   [&] { return coordinator.leading() ? 1.0 : 0.0; });
-  metrics.AddGauge("thornplank_lead_epoch", "The last epoch led by this entry.",
-                   {},
-                   [&] { return static_cast<double>(coordinator.epoch()); });
-  metrics.AddGauge(
-      "thornplank_workers", "Lives of workers that the leader knows.", {}, [&] {
-        const WorkerFleet* fleet = coordinator.fleet();
+using ViewSource = std::function<std::optional<ClusterView>()>;
+
+// Adds a gauge that is zero without a view.
+void AddGauge(const ViewSource& view, const std::string& name,
+              const std::string& help, const MetricLabels& labels,
+              std::function<double(const ClusterView&)> read,
+              MetricsRegistry& metrics) {
+  metrics.AddGauge(name, help, labels, [view, read = std::move(read)] {
+    const std::optional<ClusterView> current = view();
+    return current ? read(*current) : 0.0;
+  });
+}
+
+using Samples = std::vector<MetricsRegistry::GaugeSample>;
+
+void AddGauges(const ViewSource& view, const std::string& name,
+               const std::string& help,
+               Samples (*read)(const ClusterCoordinator&),
+               MetricsRegistry& metrics) {
+  metrics.AddGauges(name, help, [view, read] {
+    const std::optional<ClusterView> current = view();
+    return current ? read(current->coordinator) : Samples();
+  });
+}
+
+void AddLeadGauges(const ViewSource& view, MetricsRegistry& metrics) {
+  AddGauge(
+      view, "thornplank_is_leader", "1 while this entry leads.", {},
+      [](const ClusterView& current) {
+        return current.coordinator.leading() ? 1.0 : 0.0;
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_lead_epoch", "The last epoch led by this entry.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(current.coordinator.epoch());
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_workers", "Lives of workers that the leader knows.", {},
+      [](const ClusterView& current) {
+        const WorkerFleet* fleet = current.coordinator.fleet();
         return fleet == nullptr ? 0.0
                                 : static_cast<double>(fleet->trackers().size());
-      });
-  metrics.AddGauges("thornplank_workers_by_belief",
-                    "The same by service and by whether they may be given "
-                    "tasks, or why not.",
-                    [&] { return WorkersByBelief(coordinator); });
-  metrics.AddGauges("thornplank_accelerators_held",
-                    "Accelerators that runs hold, by what is known of the run "
-                    "and whether its worker answers; known to the leader.",
-                    [&] { return HeldByStage(coordinator); });
-  metrics.AddGauges("thornplank_domain_runs",
-                    "Runs on the workers of a failure domain, and whether it "
-                    "takes new work; known to the leader.",
-                    [&] { return RunsByDomain(coordinator); });
-  metrics.AddGauge(
-      "thornplank_directory_entries_refused",
-      "Entries of the directory that name no worker to use.", {}, [&] {
-        const WorkerFleet* fleet = coordinator.fleet();
+      },
+      metrics);
+  AddGauges(view, "thornplank_workers_by_belief",
+            "The same by service and by whether they may be given tasks, or "
+            "why not.",
+            WorkersByBelief, metrics);
+  AddGauges(view, "thornplank_accelerators_held",
+            "Accelerators that runs hold, by what is known of the run and "
+            "whether its worker answers; known to the leader.",
+            HeldByStage, metrics);
+  AddGauges(view, "thornplank_domain_runs",
+            "Runs on the workers of a failure domain, and whether it takes new "
+            "work; known to the leader.",
+            RunsByDomain, metrics);
+  AddGauge(
+      view, "thornplank_directory_entries_refused",
+      "Entries of the directory that name no worker to use.", {},
+      [](const ClusterView& current) {
+        const WorkerFleet* fleet = current.coordinator.fleet();
         return fleet == nullptr ? 0.0
                                 : static_cast<double>(fleet->refused_entries());
-      });
+      },
+      metrics);
+}
+
+void AddTaskGauges(const ViewSource& view, MetricsRegistry& metrics) {
+  AddGauge(
+      view, kTasksName, kTasksHelp, {{"phase", "waiting"}},
+      [](const ClusterView& current) {
+        return CountTasks(current.coordinator.ledger(), &StepProgress::waiting);
+      },
+      metrics);
+  AddGauge(
+      view, kTasksName, kTasksHelp, {{"phase", "done"}},
+      [](const ClusterView& current) {
+        return CountTasks(current.coordinator.ledger(), &StepProgress::done);
+      },
+      metrics);
+  AddGauge(
+      view, kTasksName, kTasksHelp, {{"phase", "active"}},
+      [](const ClusterView& current) {
+        return CountActiveTasks(current.coordinator.ledger());
+      },
+      metrics);
 }
 
 }  // namespace
 
-void AddClusterGauges(const JobBoard& board,
-                      const ClusterCoordinator& coordinator,
+void AddClusterGauges(std::function<std::optional<ClusterView>()> view,
                       MetricsRegistry& metrics) {
-  AddLeadGauges(coordinator, metrics);
-  metrics.AddGauge("thornplank_jobs_known",
-                   "Jobs on the board, ended ones included.", {},
-                   [&] { return static_cast<double>(board.jobs().size()); });
-  metrics.AddGauge("thornplank_entries_known",
-                   "Entries on the board, this one included.", {},
-                   [&] { return static_cast<double>(board.entries().size()); });
-  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "waiting"}}, [&] {
-    return CountTasks(coordinator.ledger(), &StepProgress::waiting);
-  });
-  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "done"}}, [&] {
-    return CountTasks(coordinator.ledger(), &StepProgress::done);
-  });
-  metrics.AddGauge(kTasksName, kTasksHelp, {{"phase", "active"}},
-                   [&] { return CountActiveTasks(coordinator.ledger()); });
-  metrics.AddGauge(kAcceleratorsName, kAcceleratorsHelp, {{"use", "free"}},
-                   [&] { return FreeAccelerators(coordinator); });
-  metrics.AddGauge(kAcceleratorsName, kAcceleratorsHelp, {{"use", "held"}},
-                   [&] { return HeldAccelerators(coordinator); });
+  AddLeadGauges(view, metrics);
+  AddTaskGauges(view, metrics);
+  AddGauge(
+      view, "thornplank_jobs_known", "Jobs on the board, ended ones included.",
+      {},
+      [](const ClusterView& current) {
+        return static_cast<double>(current.board.jobs().size());
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_entries_known",
+      "Entries on the board, this one included.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(current.board.entries().size());
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_replicas_known",
+      "Entries that the roster names as replicas.", {},
+      [](const ClusterView& current) {
+        const auto& roster = current.board.roster();
+        return roster ? static_cast<double>(roster->replicas.size()) : 0.0;
+      },
+      metrics);
+  AddGauge(
+      view, kAcceleratorsName, kAcceleratorsHelp, {{"use", "free"}},
+      [](const ClusterView& current) {
+        return FreeAccelerators(current.coordinator);
+      },
+      metrics);
+  AddGauge(
+      view, kAcceleratorsName, kAcceleratorsHelp, {{"use", "held"}},
+      [](const ClusterView& current) {
+        return HeldAccelerators(current.coordinator);
+      },
+      metrics);
 }
 
 }  // namespace thornplank
--- a/src/libs/coordination/cluster_gauges.h
+++ b/src/libs/coordination/cluster_gauges.h
@@ -5,15 +5,24 @@
 
 #include "metrics/metrics_registry.h"
 
+#include <functional>
+#include <optional>
+
 namespace thornplank {
 
 class ClusterCoordinator;
 class JobBoard;
 
-// `board` and `coordinator` must outlive `metrics`. Tasks and capacity are
-// known to the leader only; other entries report zero.
-void AddClusterGauges(const JobBoard& board,
-                      const ClusterCoordinator& coordinator,
+// What an entry knows of the cluster.
+struct ClusterView {
+  const JobBoard& board;
+  const ClusterCoordinator& coordinator;
+};
+
+// `view` returns nullopt while this entry does not follow the board; the gauges
+// are then zero or absent. Tasks and capacity are known to the leader only;
+// other entries report zero.
+void AddClusterGauges(std::function<std::optional<ClusterView>()> view,
                       MetricsRegistry& metrics);
 
 }  // namespace thornplank
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "coordination/cluster_coordinator.h"
-#include "coordination/entry_registration.h"
+#include "coordination/entry_registrar.h"
 #include "logging/events/coordination_events.h"
 
 namespace thornplank {
@@ -30,11 +30,12 @@
   if (planning_scheduled_ || phase_ != Phase::kLeading) return;
   planning_scheduled_ = true;
   planning_timer_.expires_after(settings_.planning_delay);
-  planning_timer_.async_wait([this](const boost::system::error_code& code) {
-    if (code || phase_ != Phase::kLeading) return;
-    planning_scheduled_ = false;
-    RunPlanningRound();
-  });
+  planning_timer_.async_wait(
+      [this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive || phase_ != Phase::kLeading) return;
+        planning_scheduled_ = false;
+        RunPlanningRound();
+      });
 }
 
 void ClusterCoordinator::RunPlanningRound() {
--- a/src/libs/coordination/fenced_writer.cc
+++ b/src/libs/coordination/fenced_writer.cc
@@ -1,11 +1,22 @@
 // The queue of a FencedWriter and its retries.
 #include "coordination/fenced_writer.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <utility>
 
 namespace thornplank {
+namespace {
+
+// Weight of a new latency in the moving average.
+constexpr int kLatencyShare = 4;
+// An append and its repetition.
+constexpr int kMaxInFlight = 2;
+
+Time Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
 
 class FencedWriter::Impl : public std::enable_shared_from_this<Impl> {
  public:
@@ -30,6 +41,7 @@
 
   bool idle() const { return !sending_ && queue_.empty(); }
   Time last_stored() const { return last_stored_; }
+  int64_t stored_end() const { return stored_end_; }
 
  private:
   struct Batch {
@@ -59,17 +71,47 @@
   void Send() {
     request_.producer =
         ProducerPosition{settings_.producer, settings_.epoch, sequence_};
+    ++in_flight_;
     store_.Append(request_, settings_.append_timeout,
-                  [self = shared_from_this()](const AppendResult& result) {
-                    if (!self->closed_) self->OnResult(result);
+                  [self = shared_from_this(), sequence = sequence_,
+                   sent = Now()](const AppendResult& result) {
+                    self->OnAttemptEnded(sequence, sent, result);
                   });
+    if (in_flight_ < kMaxInFlight) ScheduleRepetition();
+  }
+
+  void ScheduleRepetition() {
+    const auto latency =
+        std::chrono::duration_cast<Milliseconds>(usual_latency_);
+    timer_.expires_after(settings_.min_repeat_delay +
+                         latency * settings_.repeat_per_latency);
+    timer_.async_wait([self = shared_from_this(), sequence = sequence_](
+                          const boost::system::error_code& code) {
+      const bool pending = self->sending_ && self->sequence_ == sequence;
+      if (code || self->closed_ || !pending || self->in_flight_ == 0) return;
+      self->first_attempt_ = false;
+      self->Send();
+    });
+  }
+
+  void OnAttemptEnded(int64_t sequence, Time sent, const AppendResult& result) {
+    if (closed_) return;
+    // An answer to an append that was settled by its repetition.
+    if (!sending_ || sequence != sequence_) return;
+    --in_flight_;
+    if (result.outcome != StoreOutcome::kRefused) {
+      // An append without an answer took at least as long.
+      usual_latency_ += (Now() - sent - usual_latency_) / kLatencyShare;
+    }
+    OnResult(result);
   }
 
   void OnResult(const AppendResult& result) {
     switch (result.outcome) {
       case StoreOutcome::kStored:
         ++sequence_;
-        last_stored_ = std::chrono::steady_clock::now();
+        last_stored_ = Now();
+        stored_end_ = std::max(stored_end_, result.end);
         return OnStored();
       case StoreOutcome::kFenced:
         closed_ = true;
@@ -82,7 +124,11 @@
         break;
     }
     if (result.outcome == StoreOutcome::kUnknown) first_attempt_ = false;
-    timer_.expires_after(settings_.retry_delay);
+    // The other attempt may still be answered.
+    if (in_flight_ > 0) return;
+    retry_delay_ = std::clamp(retry_delay_ * 2, settings_.retry_delay,
+                              settings_.max_retry_delay);
+    timer_.expires_after(retry_delay_);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& code) {
           if (!code && !self->closed_) self->Send();
@@ -94,15 +140,19 @@
     // number after this one is due, an earlier attempt was stored.
     if (!first_attempt_ && expected == sequence_ + 1) {
       sequence_ = expected;
-      last_stored_ = std::chrono::steady_clock::now();
+      last_stored_ = Now();
       return OnStored();
     }
     sequence_ = expected;
+    in_flight_ = 0;
     Send();
   }
 
   void OnStored() {
     sending_ = false;
+    in_flight_ = 0;
+    retry_delay_ = Milliseconds(0);
+    timer_.cancel();
     const std::vector<StoredCallback> stored =
         std::exchange(in_flight_callbacks_, {});
     for (const StoredCallback& callback : stored) {
@@ -123,10 +173,15 @@
   bool sending_ = false;
   // True while no earlier attempt of this append can have been stored.
   bool first_attempt_ = true;
+  // Attempts at this append without an answer.
+  int in_flight_ = 0;
+  Duration usual_latency_{};
+  Milliseconds retry_delay_{0};
   AppendRequest request_;
   std::vector<StoredCallback> in_flight_callbacks_;
   bool closed_ = false;
   Time last_stored_{};
+  int64_t stored_end_ = 0;
 };
 
 FencedWriter::FencedWriter(boost::asio::io_context& io, RecordStore& store,
@@ -141,5 +196,6 @@
 }
 bool FencedWriter::idle() const { return impl_->idle(); }
 Time FencedWriter::last_stored() const { return impl_->last_stored(); }
+int64_t FencedWriter::stored_end() const { return impl_->stored_end(); }
 
 }  // namespace thornplank
--- a/src/libs/coordination/fenced_writer.h
+++ b/src/libs/coordination/fenced_writer.h
@@ -1,5 +1,7 @@
 // Appends to one partition under an epoch: one append at a time, in order, each
-// retried until its outcome is known.
+// retried until its outcome is known. An append without an answer for unusually
+// long is repeated once beside it, which is safe: the store recognizes a
+// duplicate by its sequence number.
 //
 // Used on the loop of `io` only.
 #ifndef THORNPLANK_COORDINATION_FENCED_WRITER_H_
@@ -23,10 +25,16 @@
   int64_t epoch = 0;
   // Sequence number of the first append.
   int64_t first_sequence = 1;
-  // For one append; a store slowed down 60 times answers within 500 ms.
-  Milliseconds append_timeout{800};
-  // Before an append that was refused or had no answer is retried.
+  // How long one append is waited for.
+  Milliseconds append_timeout{2500};
+  // An append without an answer for this long, in addition to a multiple of the
+  // usual latency, is repeated.
+  Milliseconds min_repeat_delay{300};
+  int repeat_per_latency = 4;
+  // Before an append that was refused or had no answer is retried. Doubled by
+  // each further failure.
   Milliseconds retry_delay{100};
+  Milliseconds max_retry_delay{800};
   // No further queued write joins an append that has reached this size.
   size_t max_append_bytes = 1024 * 1024;
 };
@@ -48,6 +56,8 @@
   bool idle() const;
   // When the last append was stored; Time{} before the first.
   Time last_stored() const;
+  // The end of the partition after that append; 0 before the first.
+  int64_t stored_end() const;
 
  private:
   class Impl;
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -17,9 +17,12 @@
 // Followed by the name of the instance.
 constexpr char kEntryKey = 'e';
 constexpr char kLeaderKey[] = "leader";
-// Sorts after all other keys, so that a new leader reads progress alone by
-// starting here.
+// Sorts after all other keys but the roster's, so that a new leader reads
+// progress alone by starting here.
 constexpr char kProgressKey = 't';
+// Sorts after all other keys.
+constexpr char kRosterKey[] = "z-roster";
+constexpr char kRosterKeyPrefix[] = "z";
 // A record without a value would be a tombstone.
 constexpr char kPlaceholderValue[] = "1";
 
@@ -39,6 +42,7 @@
 
 BoardChange JobBoard::Apply(const KeyedRecord& record) {
   if (record.key == kLeaderKey) return ApplyLeader(record);
+  if (record.key == kRosterKey) return ApplyRoster(record);
   if (record.key.size() < 2) return {};
   const std::string id = record.key.substr(1);
   switch (record.key[0]) {
@@ -116,15 +120,30 @@
     return change;
   }
   const Json fields = DecodeCbor(*record.value);
-  if (!fields.is_array() || fields.size() != 2 || !fields[0].is_string() ||
+  if (!fields.is_array() || fields.size() < 2 || !fields[0].is_string() ||
       !fields[1].is_number_integer()) {
     return {};
   }
-  entries_[instance] = {fields[0].get<std::string>(),
-                        FromUnixMilliseconds(fields[1].get<int64_t>())};
+  EntryRecord entry;
+  entry.address = fields[0].get<std::string>();
+  entry.written = FromUnixMilliseconds(fields[1].get<int64_t>());
+  const bool has_place =
+      fields.size() >= 4 && fields[2].is_number() && fields[3].is_string();
+  if (has_place) {
+    entry.rank = fields[2].get<double>();
+    entry.failure_domain = fields[3].get<std::string>();
+  }
+  entries_[instance] = std::move(entry);
   return change;
 }
 
+BoardChange JobBoard::ApplyRoster(const KeyedRecord& record) {
+  std::optional<ReplicaRoster> roster = ParseRoster(record);
+  if (!roster || (roster_ && !roster->IsNewerThan(*roster_))) return {};
+  roster_ = std::move(roster);
+  return {BoardChange::Kind::kRoster, ""};
+}
+
 const BoardJob* JobBoard::Find(const std::string& job) const {
   const auto it = jobs_.find(job);
   return it == jobs_.end() || it->second.spec == nullptr ? nullptr
@@ -169,10 +188,22 @@
                             const std::optional<EntryRecord>& entry) {
   if (!entry) return {MakeKey(kEntryKey, instance), std::nullopt, 0};
   const Json fields =
-      Json::array({entry->address, ToUnixMilliseconds(entry->written)});
+      Json::array({entry->address, ToUnixMilliseconds(entry->written),
+                   entry->rank, entry->failure_domain});
   return {MakeKey(kEntryKey, instance), EncodeCbor(fields), 0};
 }
 
+KeyedRecord JobBoard::Roster(const ReplicaRoster& roster) {
+  return {kRosterKey, EncodeCbor(ToJson(roster)), 0};
+}
+
+std::string JobBoard::RosterKeyPrefix() { return kRosterKeyPrefix; }
+
+std::optional<ReplicaRoster> JobBoard::ParseRoster(const KeyedRecord& record) {
+  if (record.key != kRosterKey || !record.value) return std::nullopt;
+  return ReadRoster(DecodeCbor(*record.value));
+}
+
 KeyedRecord JobBoard::Progress(const ProgressBlockRef& block,
                                std::optional<std::string> value) {
   return {MakeKey(kProgressKey, block.ToString()), std::move(value), 0};
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -2,10 +2,11 @@
 // of one shared partition.
 //
 // The partition holds, by key: the submission, the cancellation, the state and
-// the reason of failure of each job; the leader; the entries; and the progress
-// of steps, which only a leader reads. Repeated records and records that come
-// in another order give the same result: a job that was cancelled before its
-// end was published stays cancelled, and a published end is final.
+// the reason of failure of each job; the leader; the entries; the roster of
+// replicas; and the progress of steps, which only a leader reads. Repeated
+// records and records that come in another order give the same result: a job
+// that was cancelled before its end was published stays cancelled, and a
+// published end is final.
 #ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
 #define THORNPLANK_COORDINATION_JOB_BOARD_H_
 
@@ -20,6 +21,7 @@
 
 #include "base/time.h"
 #include "coordination/record_store.h"
+#include "coordination/replica_roster.h"
 #include "workload/job_definition.h"
 #include "workload/job_ledger.h"
 #include "workload/task_ref.h"
@@ -51,12 +53,15 @@
   bool released = false;
 };
 
-// Where an entry answers the other entries.
+// An entry and where it answers the other entries.
 struct EntryRecord {
   // "ip:port".
   std::string address;
-  // When the entry wrote the record.
+  // When the record was written.
   WallTime written{};
+  // Preference for leadership and for a replica: 0 is first, 1 is last.
+  double rank = 0;
+  std::string failure_domain;
 };
 
 // The effect of a record on the board.
@@ -68,10 +73,11 @@
     kState,
     kDropped,
     kLeader,
-    kEntry
+    kEntry,
+    kRoster
   };
   Kind kind = Kind::kNone;
-  // Id of the job; "" for kNone, kLeader and kEntry.
+  // Id of the job; "" for the kinds that concern no job.
   std::string job;
 };
 
@@ -88,6 +94,8 @@
   const LeaderRecord& leader() const { return leader_; }
   // By name of the instance.
   const std::map<std::string, EntryRecord>& entries() const { return entries_; }
+  // nullopt before the first roster.
+  const std::optional<ReplicaRoster>& roster() const { return roster_; }
   // Number of accepted jobs of the queue of which no task has started.
   int64_t WaitingJobs(const std::string& queue) const;
 
@@ -102,6 +110,12 @@
   // A tombstone if `entry` is nullopt.
   static KeyedRecord Entry(const std::string& instance,
                            const std::optional<EntryRecord>& entry);
+  static KeyedRecord Roster(const ReplicaRoster& roster);
+  // Sorts before the key of the roster and after all other keys, so that the
+  // roster can be read alone.
+  static std::string RosterKeyPrefix();
+  // The roster in this record; nullopt if it is another record.
+  static std::optional<ReplicaRoster> ParseRoster(const KeyedRecord& record);
   // The progress of some tasks of a step; a tombstone if `value` is nullopt.
   // Apply ignores it.
   static KeyedRecord Progress(const ProgressBlockRef& block,
@@ -121,10 +135,12 @@
   BoardChange ApplyLeader(const KeyedRecord& record);
   BoardChange ApplyEntry(const std::string& instance,
                          const KeyedRecord& record);
+  BoardChange ApplyRoster(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
   LeaderRecord leader_;
   std::map<std::string, EntryRecord> entries_;
+  std::optional<ReplicaRoster> roster_;
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/leader_election.cc
+++ b/src/libs/coordination/leader_election.cc
@@ -1,7 +1,6 @@
 // Observation of how long the leader has been silent.
 #include "coordination/leader_election.h"
 
-#include <cmath>
 #include <utility>
 
 namespace thornplank {
@@ -12,11 +11,14 @@
 }  // namespace
 
 LeaderElection::LeaderElection(LeaderElectionSettings settings,
-                               std::string holder, double rank)
-    : settings_(settings),
-      holder_(std::move(holder)),
-      rank_delay_(static_cast<int64_t>(std::lround(
-          rank * static_cast<double>(settings.max_rank_delay.count())))) {}
+                               std::string holder)
+    : settings_(settings), holder_(std::move(holder)) {}
+
+Duration LeaderElection::SuccessionDelay() const {
+  const Duration step = settings_.succession_delay +
+                        store_latency_ * settings_.succession_per_latency;
+  return step * place_;
+}
 
 void LeaderElection::OnBoardCaughtUp(Duration latency, Time now) {
   store_latency_ = latency;
@@ -46,7 +48,7 @@
       vacant ? Duration::zero()
              : settings_.max_silence +
                    store_latency_ * settings_.silence_per_latency;
-  return now - silent_since_ >= silence + rank_delay_;
+  return now - silent_since_ >= silence + SuccessionDelay();
 }
 
 }  // namespace thornplank
--- a/src/libs/coordination/leader_election.h
+++ b/src/libs/coordination/leader_election.h
@@ -15,11 +15,11 @@
 
 struct LeaderElectionSettings {
   // Longest interval between two records of a leader.
-  Milliseconds heartbeat_interval{350};
+  Milliseconds heartbeat_interval{200};
   // A leader that has written nothing for longer is replaced, provided that the
-  // store answers at once: two heartbeats and the read interval of a follower.
-  // Urgent jobs wait for it when a leader fails.
-  Milliseconds max_silence{1300};
+  // store answers at once. Leaves three heartbeats and the delays of a leader
+  // that is busy. Urgent jobs wait for it when a leader fails.
+  Milliseconds max_silence{700};
   // `max_silence` is extended by the latency of the store times this: the
   // append of the leader, the heartbeat queued after it, and the read of the
   // follower.
@@ -27,20 +27,20 @@
   // After a longer gap between two reads of the board the silence of the leader
   // is counted anew, since the gap proves nothing about the leader.
   Milliseconds max_read_gap{1600};
-  // An entry of rank 1 claims this much later than one of rank 0; large entries
-  // have low ranks. Longer than the read interval of a follower, so that a
-  // small entry that reads early still claims after a large one that reads
-  // late.
-  Milliseconds max_rank_delay{800};
+  // Time between the claims of two followers that are next to each other in the
+  // order of succession, and its multiple of the latency of the store: one
+  // claim is decided before the next is sent.
+  Milliseconds succession_delay{100};
+  int succession_per_latency = 4;
 };
 
 class LeaderElection {
  public:
-  // `holder`: "instance/incarnation" of this entry. `rank`: from 0 for the
-  // entry that should lead first to 1.
-  LeaderElection(LeaderElectionSettings settings, std::string holder,
-                 double rank);
+  // `holder`: "instance/incarnation" of this entry.
+  LeaderElection(LeaderElectionSettings settings, std::string holder);
 
+  // The place of this entry in the order of succession, from 0.
+  void set_place(int place) { place_ = place; }
   // The board was read up to its end. `latency` is that of the store.
   void OnBoardCaughtUp(Duration latency, Time now);
   void OnLeaderRecord(const LeaderRecord& leader, Time now);
@@ -50,13 +50,14 @@
   const LeaderElectionSettings& settings() const { return settings_; }
 
  private:
+  Duration SuccessionDelay() const;
   // Whether the leader is an earlier incarnation of this instance, which no
   // longer runs.
   bool IsPreviousIncarnation(const LeaderRecord& leader) const;
 
   const LeaderElectionSettings settings_;
   const std::string holder_;
-  const Milliseconds rank_delay_;
+  int place_ = 0;
   // Since when the board has been observed without a new leader record.
   Time silent_since_{};
   // When the board was last read up to its end; valid if `has_read_`.
--- a/src/libs/coordination/record_tail.cc
+++ b/src/libs/coordination/record_tail.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace thornplank {
 
@@ -17,6 +18,8 @@
         settings_(std::move(settings)),
         handlers_(std::move(handlers)),
         timer_(io),
+        catch_up_timer_(io),
+        delivery_timer_(io),
         random_(settings_.seed) {}
 
   void Start() { BeginSnapshot(); }
@@ -24,19 +27,30 @@
   void Stop() {
     stopped_ = true;
     timer_.cancel();
+    catch_up_timer_.cancel();
+    delivery_timer_.cancel();
+    Answer(std::exchange(waiting_, {}), false);
   }
 
   void CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
     if (!has_snapshot_ || stopped_) return done(false);
-    const BootTime started = BootClock::now();
-    store_.Read(settings_.partition, next_offset_, Milliseconds(0), timeout,
-                [self = shared_from_this(), started,
-                 done = std::move(done)](const ReadResult& result) {
-                  if (self->stopped_) return done(false);
-                  const bool read = result.outcome == ReadOutcome::kRead;
-                  if (read) self->HandleRecords(result, started);
-                  done(read && self->next_offset_ >= result.end);
-                });
+    waiting_.push_back(
+        {std::chrono::steady_clock::now() + timeout, std::move(done)});
+    ReadForWaiting();
+  }
+
+  void Expect(int64_t end) {
+    expected_end_ = std::max(expected_end_, end);
+    if (next_offset_ >= end || delivery_check_scheduled_ || stopped_) return;
+    delivery_check_scheduled_ = true;
+    delivery_timer_.expires_after(settings_.delivery_delay + latency_ * 2);
+    delivery_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& code) {
+          if (code || self->stopped_) return;
+          self->delivery_check_scheduled_ = false;
+          if (self->next_offset_ >= self->expected_end_) return;
+          self->CatchUp(self->settings_.delivery_timeout, [](bool) {});
+        });
   }
 
   void RetryIfLost(Milliseconds timeout) {
@@ -55,6 +69,61 @@
   }
 
  private:
+  // A call of CatchUp.
+  struct Waiter {
+    Time deadline{};
+    std::function<void(bool)> done;
+  };
+
+  static void Answer(const std::vector<Waiter>& waiters, bool reached_end) {
+    for (const Waiter& waiter : waiters) waiter.done(reached_end);
+  }
+
+  // Starts one read for all waiters, unless a recent one is under way: that one
+  // may not show what was stored just before their calls.
+  void ReadForWaiting() {
+    if (waiting_.empty() || stopped_) return;
+    const Time now = std::chrono::steady_clock::now();
+    const Time free_at = last_catch_up_ + settings_.max_hold_up + latency_ * 2;
+    if (catch_ups_ > 0 && now < free_at) {
+      catch_up_timer_.expires_at(free_at);
+      catch_up_timer_.async_wait(
+          [self = shared_from_this()](const boost::system::error_code& code) {
+            if (!code) self->ReadForWaiting();
+          });
+      return;
+    }
+    std::vector<Waiter> waiters = std::exchange(waiting_, {});
+    Time deadline = now;
+    for (const Waiter& waiter : waiters) {
+      deadline = std::max(deadline, waiter.deadline);
+    }
+    if (deadline <= now) return Answer(waiters, false);
+    ++catch_ups_;
+    last_catch_up_ = now;
+    const auto timeout =
+        std::chrono::duration_cast<Milliseconds>(deadline - now);
+    store_.Read(settings_.partition, next_offset_, Milliseconds(0), timeout,
+                [self = shared_from_this(), started = BootClock::now(),
+                 waiters = std::move(waiters)](const ReadResult& result) {
+                  --self->catch_ups_;
+                  self->OnCaughtUp(waiters, result, started);
+                });
+  }
+
+  void OnCaughtUp(const std::vector<Waiter>& waiters, const ReadResult& result,
+                  BootTime started) {
+    if (stopped_) return Answer(waiters, false);
+    const bool read = result.outcome == ReadOutcome::kRead;
+    if (read) {
+      // This read did not wait for a record.
+      latency_ = BootClock::now() - started;
+      HandleRecords(result, started);
+    }
+    Answer(waiters, read && next_offset_ >= result.end);
+    ReadForWaiting();
+  }
+
   void BeginSnapshot() {
     snapshot_keys_.clear();
     snapshot_end_.reset();
@@ -179,6 +248,14 @@
   RecordTailSettings settings_;
   const Handlers handlers_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer catch_up_timer_;
+  boost::asio::steady_timer delivery_timer_;
+  int64_t expected_end_ = 0;
+  bool delivery_check_scheduled_ = false;
+  std::vector<Waiter> waiting_;
+  // Reads for waiters that are under way, and the start of the last one.
+  int catch_ups_ = 0;
+  Time last_catch_up_{};
   bool stopped_ = false;
   bool has_snapshot_ = false;
   std::mt19937 random_;
@@ -205,6 +282,7 @@
 void RecordTail::CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
   impl_->CatchUp(timeout, std::move(done));
 }
+void RecordTail::Expect(int64_t end) { impl_->Expect(end); }
 void RecordTail::RetryIfLost(Milliseconds timeout) {
   impl_->RetryIfLost(timeout);
 }
--- a/src/libs/coordination/record_tail.h
+++ b/src/libs/coordination/record_tail.h
@@ -34,6 +34,12 @@
   Milliseconds initial_retry_delay{150};
   Milliseconds max_retry_delay{1200};
   uint32_t seed = 0;
+  // How long the long poll may take to deliver a record that is stored.
+  Milliseconds delivery_delay{25};
+  Milliseconds delivery_timeout{500};
+  // A read by CatchUp that has taken longer, in addition to twice the latency
+  // of the store, does not hold up the next one.
+  Milliseconds max_hold_up{100};
 };
 
 class RecordTail {
@@ -54,10 +60,16 @@
 
   void Start();
   void Stop();
-  // Reads at once, regardless of `min_read_interval`. `done` gets whether the
-  // end of the partition was reached.
+  // Reads regardless of `min_read_interval`. `done` gets whether everything was
+  // read that had been stored before the call. Calls that come while such a
+  // read is under way share the next one.
   void CatchUp(Milliseconds timeout, std::function<void(bool)> done);
 
+  // The partition is known to have records before `end`, for example one that
+  // this process has stored. If the long poll does not deliver them soon, they
+  // are read: a store that answers other calls may leave long polls unanswered.
+  void Expect(int64_t end);
+
   // Reads at once if the last read failed, in parallel to a read that may still
   // be pending. To be called when another stream of the store can be read
   // again.
--- a/src/libs/coordination/stream_reachability.h
+++ b/src/libs/coordination/stream_reachability.h
@@ -20,6 +20,8 @@
   // had failed.
   bool OnReadSucceeded(int64_t next);
   void OnReadFailed(const Error& error);
+  // Whether the last read failed.
+  bool lost() const { return lost_; }
 
  private:
   std::string stream_;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -102,8 +102,10 @@
               {"runs", tracker->runs().size()},
               {"offset", record.offset}});
   }
-  const bool resized =
-      registration->capacity != tracker->registration().capacity;
+  // A worker that was inherited by its runs had no record yet.
+  const bool listed_before = !tracker->registration().address.empty();
+  const bool resized = listed_before && registration->capacity !=
+                                            tracker->registration().capacity;
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
   if (resized) LogCapacity(*tracker, record.offset);
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -64,6 +64,14 @@
                                         Severity::kWarning};
 inline constexpr Event kIncarnationStartUnreadable{943, "birth-unreadable",
                                                    Severity::kWarning};
+inline constexpr Event kCallForwarded{944, "call-forwarded", Severity::kInfo};
+inline constexpr Event kReadForwarded{945, "read-forwarded", Severity::kDebug};
+inline constexpr Event kModeChanged{946, "mode-changed", Severity::kInfo};
+inline constexpr Event kRosterSeen{947, "roster-seen", Severity::kInfo};
+inline constexpr Event kRosterWritten{948, "roster-written", Severity::kInfo};
+inline constexpr Event kReplicasSilent{949, "replicas-silent",
+                                       Severity::kWarning};
+inline constexpr Event kReplicasBack{950, "replicas-back", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/net/http_message.cc
+++ b/src/libs/net/http_message.cc
@@ -41,12 +41,16 @@
 }  // namespace
 
 void HttpHeaders::Set(std::string_view name, std::string_view value) {
+  Remove(name);
+  Add(name, value);
+}
+
+void HttpHeaders::Remove(std::string_view name) {
   fields_.erase(std::remove_if(fields_.begin(), fields_.end(),
                                [name](const auto& field) {
                                  return EqualsIgnoreCase(field.first, name);
                                }),
                 fields_.end());
-  Add(name, value);
 }
 
 void HttpHeaders::Add(std::string_view name, std::string_view value) {
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -17,6 +17,8 @@
   void Set(std::string_view name, std::string_view value);
   // Appends a field and keeps others of the same name.
   void Add(std::string_view name, std::string_view value);
+  // Removes all fields of that name.
+  void Remove(std::string_view name);
   // The value of the first field of that name, or "" when absent.
   std::string Value(std::string_view name) const;
   bool Has(std::string_view name) const;
--- a/src/libs/reachability/reachability_poller.cc
+++ b/src/libs/reachability/reachability_poller.cc
@@ -56,11 +56,12 @@
                           });
   }
   timer_.expires_after(settings_.interval);
-  timer_.async_wait([this](const boost::system::error_code& code) {
-    if (code || !reachability_.unreachable()) return;
-    LogStatusChange();
-    PollPeers();
-  });
+  timer_.async_wait(
+      [this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive || !reachability_.unreachable()) return;
+        LogStatusChange();
+        PollPeers();
+      });
 }
 
 void ReachabilityPoller::OnAnswer(const std::string& peer, Time sent,
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -11,6 +11,7 @@
 constexpr DurationRange kShortRange{Milliseconds(0), Milliseconds(60000)};
 constexpr NumberRange kShareRange{0, 1024, /*above_min=*/true};
 constexpr NumberRange kSlowdownRange{1, 1000};
+constexpr IntRange kReplicaRange{1, 1000};
 
 }  // namespace
 
@@ -41,6 +42,10 @@
                 &settings->log_level);
   reader.Duration("revocation_bound_ms", Presence::kOptional, kBoundRange,
                   &settings->revocation_bound);
+  reader.Duration("configuration_bound_ms", Presence::kOptional, kBoundRange,
+                  &settings->configuration_bound);
+  reader.Int("min_replicas", Presence::kOptional, kReplicaRange,
+             &settings->min_replicas);
   reader.Seconds("state_kept_s", Presence::kOptional, kBoundRange,
                  &settings->state_kept);
   reader.Seconds("stop_grace_s", Presence::kOptional, kBoundRange,
@@ -92,6 +97,9 @@
           at_restart);
   compare("processor_share", before.processor_share, after.processor_share,
           at_restart);
+  compare("configuration_bound_ms", before.configuration_bound,
+          after.configuration_bound, at_restart);
+  compare("min_replicas", before.min_replicas, after.min_replicas, at_restart);
   compare("state_kept_s", before.state_kept, after.state_kept, at_restart);
   compare("reclaim_bound_ms", before.reclaim_bound, after.reclaim_bound,
           at_restart);
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -37,6 +37,12 @@
   // Maximum time from the revocation of a caller's key until no call with that
   // key may run on any entry.
   Milliseconds revocation_bound{5000};
+  // Maximum time from a change of the configuration until every entry serves by
+  // it.
+  Milliseconds configuration_bound{2000};
+  // Entries that follow the board, the leader included; a large system has
+  // more. The others forward their callers' calls to these.
+  int min_replicas = 8;
   // How long the state of an ended job can be queried.
   Milliseconds state_kept{120000};
   // Time from SIGTERM until the platform kills the process.
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -130,6 +130,7 @@
     };
     dependencies.board_next_offset = [this] { return tail_.next_offset(); };
     dependencies.board_as_of = [this] { return tail_.as_of(); };
+    dependencies.expect_board = [this](int64_t end) { tail_.Expect(end); };
     dependencies.refresh_board = [this](std::function<void(bool)> done) {
       tail_.CatchUp(Milliseconds(500), std::move(done));
     };
--- a/tests/auto/coordination/tst_fenced_writer.cc
+++ b/tests/auto/coordination/tst_fenced_writer.cc
@@ -69,6 +69,35 @@
   }
 }
 
+// Guards against a leader that stands still for the whole time-out of an append
+// whose answer is lost, and against more and more repetitions at a slow store.
+TEST_CASE("an append without an answer is repeated once beside it") {
+  boost::asio::io_context io;
+  FakeRecordStore store(io);
+  Fence(&store, 1);
+  FencedWriterSettings settings = Settings(1);
+  settings.min_repeat_delay = Milliseconds(20);
+  FencedWriter writer(io, store, settings, [] { FAIL("fenced"); });
+  int stored = 0;
+  store.latency = Milliseconds(2000);
+  writer.Write({{"a", "v", 0}}, [&stored] { ++stored; });
+  store.latency = Milliseconds(0);
+  REQUIRE(RunUntil(io, [&] { return stored == 1; }));
+  CHECK(store.appends == 1);
+  writer.Write({{"b", "v", 0}}, [&stored] { ++stored; });
+  REQUIRE(RunUntil(io, [&] { return stored == 2; }));
+  // The late answer to the first append changes nothing.
+  REQUIRE(RunUntil(io, [&] { return store.appends == 3; }));
+  writer.Write({{"c", "v", 0}}, [&stored] { ++stored; });
+  REQUIRE(RunUntil(io, [&] { return stored == 3; }));
+  CHECK(store.model.Read(kPartition, 0).records.size() == 3);
+
+  store.latency = Milliseconds(1500);
+  writer.Write({{"d", "v", 0}}, [&stored] { ++stored; });
+  REQUIRE(RunUntil(io, [&] { return stored == 4; }));
+  CHECK(store.most_in_flight <= 3);
+}
+
 TEST_CASE("queued writes are combined into one append") {
   boost::asio::io_context io;
   FakeRecordStore store(io);
--- a/tests/auto/coordination/tst_record_tail.cc
+++ b/tests/auto/coordination/tst_record_tail.cc
@@ -193,5 +193,77 @@
   CHECK(follower.values.count("a") == 1);
 }
 
+// Guards against a latency that is never seen on a busy stream, where each long
+// poll returns a record: time-outs and claims that follow it would stay short
+// while the store is slow.
+TEST_CASE("the latency of the store is known on a busy stream") {
+  boost::asio::io_context io;
+  FakeRecordStore store(io);
+  Follower follower(io, store);
+  REQUIRE(RunUntil(io, [&] { return follower.tail().has_snapshot(); }));
+  store.read_latency = Milliseconds(400);
+  for (int i = 0; i < 5; ++i) {
+    Put(&store, "k", std::to_string(i));
+    bool caught_up = false;
+    follower.tail().CatchUp(Milliseconds(5000),
+                            [&caught_up](bool) { caught_up = true; });
+    REQUIRE(RunUntil(io, [&caught_up] { return caught_up; }));
+  }
+  CHECK(follower.tail().latency() >= Milliseconds(400));
+  store.read_latency = Milliseconds(0);
+  bool caught_up = false;
+  follower.tail().CatchUp(Milliseconds(5000),
+                          [&caught_up](bool) { caught_up = true; });
+  REQUIRE(RunUntil(io, [&caught_up] { return caught_up; }));
+  CHECK(follower.tail().latency() < Milliseconds(400));
+}
+
+// Guards against a leader that hears of no submission while the store leaves
+// long polls without an answer and answers everything else.
+TEST_CASE("records that are known to be stored are read if no poll has them") {
+  boost::asio::io_context io;
+  FakeRecordStore store(io);
+  Follower follower(io, store);
+  REQUIRE(RunUntil(io, [&] { return follower.tail().has_snapshot(); }));
+  store.long_polls_hang = true;
+  Put(&store, "a", "1");
+  RunUntil(
+      io, [] { return false; }, std::chrono::milliseconds(200));
+  CHECK(follower.values.count("a") == 0);
+  follower.tail().Expect(store.model.end(kPartition));
+  CHECK(RunUntil(io, [&] { return follower.values.count("a") == 1; }));
+  // What was read costs no further reads.
+  const int reads_before = store.immediate_reads;
+  follower.tail().Expect(store.model.end(kPartition));
+  RunUntil(
+      io, [] { return false; }, std::chrono::milliseconds(200));
+  CHECK(store.immediate_reads == reads_before);
+}
+
+// Guards against one read for each caller: a store that is slow would get more
+// reads the longer it takes.
+TEST_CASE("callers that need the newest records share one read") {
+  for (const int callers : {1, 45, 588, 1200}) {
+    CAPTURE(callers);
+    boost::asio::io_context io;
+    FakeRecordStore store(io);
+    Follower follower(io, store);
+    REQUIRE(RunUntil(io, [&] { return follower.tail().has_snapshot(); }));
+    const int reads_before = store.immediate_reads;
+    int caught_up = 0;
+    for (int i = 0; i < callers; ++i) {
+      Put(&store, "k", std::to_string(i));
+      follower.tail().CatchUp(Milliseconds(5000), [&](bool reached_end) {
+        CHECK(reached_end);
+        ++caught_up;
+      });
+    }
+    REQUIRE(RunUntil(io, [&] { return caught_up == callers; }));
+    CHECK(follower.values.at("k") == std::to_string(callers - 1));
+    // One that was under way, one for the others, and the ends of long polls.
+    CHECK(store.immediate_reads - reads_before <= 5);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -213,6 +214,21 @@
   return response ? response->body : "";
 }
 
+std::optional<double> HostedCluster::Metric(int entry,
+                                            const std::string& name) {
+  std::istringstream lines(Metrics(entry));
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.compare(0, name.size() + 1, name + " ") != 0) continue;
+    return std::stod(line.substr(name.size() + 1));
+  }
+  return std::nullopt;
+}
+
+bool HostedCluster::IsReplica(int entry) {
+  return Metric(entry, "thornplank_is_replica") == 1.0;
+}
+
 bool HostedCluster::Control(const std::string& address, const Json& faults) {
   const auto response = api().SendTo(address, "POST", "/control", faults.dump(),
                                      HttpHeaders(), nullptr);
@@ -344,6 +360,7 @@
           {"listen_metrics", Address(kMetricsPort + entry)},
           {"listen_entries", Address(kEntryPort + entry)},
           {"store_address", Address(kStoreProxyPort + entry)},
+          {"min_replicas", settings_.min_replicas},
           {"advisor_address", Address(kAdvisorPort)}};
 }
 
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -30,6 +30,8 @@
   int accelerators = 8;
   // Steps in all queues need the advisor's approval of their placement.
   bool requires_advice = false;
+  // Least number of entries that are replicas; by default all are.
+  int min_replicas = 8;
   // Time-out of a caller's request.
   Milliseconds caller_timeout{4000};
 };
@@ -104,6 +106,11 @@
                                    const std::string& body,
                                    const std::string& key);
   std::string Metrics(int entry);
+  // The value of the metric with this name and labels, as the text form shows
+  // them; nullopt if it is missing.
+  std::optional<double> Metric(int entry, const std::string& name);
+  // Whether the entry follows the board.
+  bool IsReplica(int entry);
 
   // Set faults of a stand-in; false if it did not accept them.
   bool ControlStore(const Json& faults);
