Planning round: capacities by number instead of by name

Change: workers are found by binary search (they come in order), racks and services have numbers, sums are kept as room changes, and the room of a worker is looked at before its tracker.

--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -50,15 +50,33 @@
     const std::map<std::string, WorkerTracker>& workers,
     const AdviceCache* advice, Time now)
     : advice_(advice), now_(now) {
+  workers_.reserve(workers.size());
   for (const auto& [id, tracker] : workers) {
-    index_[id] = workers_.size();
     AddWorker(tracker, now);
   }
 }
 
+int ClusterCapacity::NumberOfRack(const std::string& rack) {
+  const int next = static_cast<int>(rack_members_.size());
+  const auto [it, is_new] = rack_numbers_.try_emplace(rack, next);
+  if (is_new) rack_members_.emplace_back();
+  return it->second;
+}
+
+int ClusterCapacity::NumberOfService(const std::string& service) {
+  for (size_t i = 0; i < services_.size(); ++i) {
+    if (services_[i].name == service) return static_cast<int>(i);
+  }
+  services_.emplace_back();
+  services_.back().name = service;
+  return static_cast<int>(services_.size()) - 1;
+}
+
 void ClusterCapacity::AddWorker(const WorkerTracker& tracker, Time now) {
   WorkerCapacity worker;
   worker.tracker = &tracker;
+  worker.rack = NumberOfRack(tracker.registration().rack);
+  worker.service = NumberOfService(tracker.registration().service);
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
   for (const auto& [task, run] : tracker.runs()) {
@@ -72,20 +90,42 @@
     if (profile.priority != 0) continue;
     urgent_accelerators_[profile.account] += profile.need.accelerators;
   }
-  const int64_t total = tracker.registration().capacity.accelerators;
-  ServiceSums& sums = services_[tracker.registration().service];
-  sums.total_accelerators += total;
-  sums.used_accelerators += total - worker.free.accelerators;
-  const int64_t cores = tracker.registration().capacity.cpu_millis;
-  sums.total_cpu_millis += cores;
-  sums.used_cpu_millis += cores - worker.free.cpu_millis;
-  if (worker.usable) ++usable_workers_;
-  if (worker.usable && tracker.trust().suspect()) ++suspects_;
-  if (worker.usable) ++sums.usable_workers;
-  if (worker.usable && worker.IsEmpty()) ++sums.empty_workers;
+  const Resources& capacity = tracker.registration().capacity;
+  ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
+  sums.total_accelerators += capacity.accelerators;
+  sums.used_accelerators += capacity.accelerators - worker.free.accelerators;
+  sums.total_cpu_millis += capacity.cpu_millis;
+  sums.used_cpu_millis += capacity.cpu_millis - worker.free.cpu_millis;
+  if (worker.usable) {
+    ++usable_workers_;
+    ++sums.usable_workers;
+    sums.capacity += capacity;
+    sums.free += ElementwiseMax(worker.free, Resources());
+    if (tracker.trust().suspect()) ++suspects_;
+    if (worker.IsEmpty()) ++sums.empty_workers;
+  }
+  rack_members_[static_cast<size_t>(worker.rack)].push_back(workers_.size());
   workers_.push_back(worker);
 }
 
+WorkerCapacity* ClusterCapacity::Find(const std::string& id) {
+  const auto it = std::lower_bound(
+      workers_.begin(), workers_.end(), id,
+      [](const WorkerCapacity& worker, const std::string& wanted) {
+        return worker.tracker->id() < wanted;
+      });
+  const bool found = it != workers_.end() && it->tracker->id() == id;
+  return found ? &*it : nullptr;
+}
+
+void ClusterCapacity::ChangeFree(WorkerCapacity* worker,
+                                 const Resources& change) {
+  Resources& sum = services_[static_cast<size_t>(worker->service)].free;
+  if (worker->usable) sum -= ElementwiseMax(worker->free, Resources());
+  worker->free += change;
+  if (worker->usable) sum += ElementwiseMax(worker->free, Resources());
+}
+
 int64_t ClusterCapacity::UrgentAccelerators(const std::string& account) const {
   const auto use = urgent_accelerators_.find(account);
   return use == urgent_accelerators_.end() ? 0 : use->second;
@@ -94,8 +134,10 @@
 const ClusterCapacity::ServiceSums& ClusterCapacity::SumsOf(
     const std::string& service) const {
   static const ServiceSums kNothing;
-  const auto sums = services_.find(service);
-  return sums == services_.end() ? kNothing : sums->second;
+  for (const ServiceSums& sums : services_) {
+    if (sums.name == service) return sums;
+  }
+  return kNothing;
 }
 
 int64_t ClusterCapacity::usable_workers(const std::string& service) const {
@@ -118,22 +160,11 @@
 }
 
 Resources ClusterCapacity::FreeCapacity(const std::string& service) const {
-  Resources sum;
-  for (const WorkerCapacity& worker : workers_) {
-    if (worker.entry().service != service) continue;
-    // More may be reserved than is free so far.
-    if (worker.usable) sum += ElementwiseMax(worker.free, Resources());
-  }
-  return sum;
+  return SumsOf(service).free;
 }
 
 Resources ClusterCapacity::TotalCapacity(const std::string& service) const {
-  Resources sum;
-  for (const WorkerCapacity& worker : workers_) {
-    if (worker.entry().service != service) continue;
-    if (worker.usable) sum += worker.entry().capacity;
-  }
-  return sum;
+  return SumsOf(service).capacity;
 }
 
 void ClusterCapacity::Reserve(const CapacityReservation& reservation) {
@@ -147,23 +178,17 @@
 void ClusterCapacity::ApplyReservation(const CapacityReservation& reservation,
                                        bool reserve) {
   for (const auto& [id, tasks] : reservation.tasks_by_worker) {
-    const auto it = index_.find(id);
-    if (it == index_.end()) continue;
-    Resources& free = workers_[it->second].free;
-    for (int i = 0; i < tasks; ++i) {
-      if (reserve) {
-        free -= reservation.need;
-      } else {
-        free += reservation.need;
-      }
-    }
+    WorkerCapacity* worker = Find(id);
+    if (worker == nullptr) continue;
+    ChangeFree(worker, reservation.need * (reserve ? -tasks : tasks));
   }
 }
 
 void ClusterCapacity::Occupy(const std::string& id, const ReadyStep& step) {
-  WorkerCapacity& worker = workers_[index_.at(id)];
-  if (worker.IsEmpty()) --services_[worker.entry().service].empty_workers;
-  worker.free -= ReservedFor(*step.spec);
+  WorkerCapacity& worker = *Find(id);
+  ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
+  if (worker.IsEmpty()) --sums.empty_workers;
+  ChangeFree(&worker, ReservedFor(*step.spec) * -1);
   worker.unproven = true;
   worker.on_probation = worker.on_probation || step.on_probation;
 }
@@ -268,9 +293,11 @@
   const auto waiting = static_cast<int64_t>(step.waiting.size());
   for (size_t i = 0; i < workers_.size(); ++i) {
     const WorkerCapacity& worker = workers_[i];
+    // The room decides for most workers and is at hand; the tracker is not.
+    int64_t tasks = worker.usable ? need.TimesIn(worker.free, waiting) : 0;
+    if (tasks == 0) continue;
     if (!MayUse(step, worker) || worker.tracker->room().IsOverdrawn()) continue;
-    const int64_t bound = RemainingTaskLimit(step, *worker.tracker);
-    int64_t tasks = std::min(bound, need.TimesIn(worker.free, waiting));
+    tasks = std::min(tasks, RemainingTaskLimit(step, *worker.tracker));
     if (step.spec->is_filler) tasks = std::min(tasks, MaxFillers(step, worker));
     if (tasks <= 0) continue;
     slots.push_back({i, tasks, Score(step, worker, tasks), worker.IsEmpty()});
@@ -283,14 +310,16 @@
 }
 
 bool ClusterCapacity::AnyRackCanHold(const ReadyStep& step) const {
-  std::map<std::string, int64_t> tasks;
   const Resources need = ReservedFor(*step.spec);
   const auto members = static_cast<int64_t>(step.waiting.size());
-  for (const WorkerCapacity& worker : workers_) {
-    if (!MayUse(step, worker)) continue;
-    int64_t& sum = tasks[worker.entry().rack];
-    sum += need.TimesIn(worker.entry().capacity, members);
-    if (sum >= members) return true;
+  for (const std::vector<size_t>& rack : rack_members_) {
+    int64_t tasks = 0;
+    for (const size_t index : rack) {
+      const WorkerCapacity& worker = workers_[index];
+      if (!MayUse(step, worker)) continue;
+      tasks += need.TimesIn(worker.entry().capacity, members);
+      if (tasks >= members) return true;
+    }
   }
   return false;
 }
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -21,7 +23,11 @@
 
 struct WorkerCapacity {
   const WorkerTracker* tracker = nullptr;
-  // Neither used nor reserved.
+  // Number of its rack, and of its service, in this round.
+  int rack = 0;
+  int service = 0;
+  // Neither used nor reserved. Changed only by ClusterCapacity, which keeps
+  // sums of it.
   Resources free;
   // What runs that are being stopped will free.
   Resources releasing;
@@ -129,6 +135,11 @@
   // Kept by service, since work of one service cannot use the workers of
   // another.
   struct ServiceSums {
+    std::string name;
+    // Over the workers that may be given new tasks. More may be reserved on a
+    // worker than is free so far; it then counts as full.
+    Resources free;
+    Resources capacity;
     int64_t usable_workers = 0;
     int64_t empty_workers = 0;
     int64_t total_accelerators = 0;
@@ -138,7 +149,11 @@
   };
 
   void AddWorker(const WorkerTracker& tracker, Time now);
+  int NumberOfRack(const std::string& rack);
+  int NumberOfService(const std::string& service);
   const ServiceSums& SumsOf(const std::string& service) const;
+  WorkerCapacity* Find(const std::string& id);
+  void ChangeFree(WorkerCapacity* worker, const Resources& change);
   bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
   int64_t Score(const ReadyStep& step, const WorkerCapacity& worker,
                 int64_t tasks) const;
@@ -151,13 +166,16 @@
 
   const AdviceCache* const advice_;
   const Time now_;
+  // In the order of the workers' ids.
   std::vector<WorkerCapacity> workers_;
-  // Index into workers_ by the worker's id.
-  std::map<std::string, size_t> index_;
+  std::unordered_map<std::string_view, int> rack_numbers_;
+  // Indexes into workers_ by number of the rack.
+  std::vector<std::vector<size_t>> rack_members_;
   std::map<std::string, int64_t> urgent_accelerators_;
   int64_t usable_workers_ = 0;
   int64_t suspects_ = 0;
-  std::map<std::string, ServiceSums> services_;
+  // By number of the service; there are few.
+  std::vector<ServiceSums> services_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/gang_placement.cc
+++ b/src/libs/workload/gang_placement.cc
@@ -59,18 +59,21 @@
     const ReadyStep& step, const ClusterCapacity& capacity,
     const FreePlaces& places) {
   const std::string& data_rack = step.spec->data_rack;
-  std::map<std::string, std::vector<Slot>> racks;
+  // By number of the rack.
+  std::map<int, std::vector<Slot>> racks;
   for (const Slot& slot : places.slots) {
-    const std::string& rack = capacity.worker(slot.worker).entry().rack;
-    if (places.near_only && rack != data_rack) continue;
-    racks[rack].push_back(slot);
+    const WorkerCapacity& worker = capacity.worker(slot.worker);
+    if (places.near_only && worker.entry().rack != data_rack) continue;
+    racks[worker.rack].push_back(slot);
   }
   std::optional<GangFit> best;
   for (auto& [rack, slots] : racks) {
+    const bool has_data =
+        capacity.worker(slots.front().worker).entry().rack == data_rack;
     std::optional<GangFit> fit =
         FitTogether(step, std::move(slots), places.empty_workers);
     if (!fit) continue;
-    if (rack == data_rack) fit->score -= kFarRackPenalty;
+    if (has_data) fit->score -= kFarRackPenalty;
     if (best && fit->score >= best->score) continue;
     best = std::move(fit);
   }
