--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -231,6 +231,7 @@
   if (worker.entry().service != step.service()) return false;
   if (worker.on_probation) return false;
   if (step.on_probation && worker.unproven) return false;
+  if (step.alone && !worker.IsEmpty()) return false;
   if (step.failed_before && worker.tracker->trust().suspect() &&
       MostAreTrusted()) {
     return false;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -37,6 +37,7 @@
     steps_ = CollectReadySteps(*inputs_.ledger, inputs_.wall_now);
     RecordUrgentSteps();
     ReleaseExpiredReservations();
+    IsolateSuspects();
     for (const ReadyStep& step : steps_) {
       PlaceStep(step);
     }
@@ -72,6 +73,22 @@
     }
   }
 
+  // A step whose last start crashed its worker starts alone, for as long as it
+  // can wait for that.
+  void IsolateSuspects() {
+    std::map<StepRef, Time> since;
+    for (ReadyStep& step : steps_) {
+      if (!step.crashed_at_start) continue;
+      const auto known = planner_.isolated_since_.find(step.ref);
+      const Time begun = known == planner_.isolated_since_.end()
+                             ? inputs_.now
+                             : known->second;
+      since[step.ref] = begun;
+      step.alone = inputs_.now - begun < planner_.settings_.isolation_wait;
+    }
+    planner_.isolated_since_ = std::move(since);
+  }
+
   void PlaceStep(const ReadyStep& step) {
     auto& reservations = planner_.reservations_;
     const auto own = reservations.find(step.ref);
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -36,6 +36,9 @@
   // waiting steps of higher priority, beyond the headroom. The rest stays
   // available to lower priorities.
   double max_reserved_share = 0.3;
+  // How long a step whose last start crashed its worker waits for a worker on
+  // which nothing else runs: the next crash would take that with it.
+  Milliseconds isolation_wait{600};
   // How long headroom is left after the last urgent step was seen.
   Milliseconds headroom_retention{5000};
   WorkerBounds bounds;
@@ -113,6 +116,9 @@
   // When urgent steps were last seen, by service.
   std::map<std::string, Time> last_urgent_;
   std::map<StepRef, CapacityReservation> reservations_;
+  // Since when steps that crashed their worker at the start wait for an empty
+  // one.
+  std::map<StepRef, Time> isolated_since_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/ready_step.cc
+++ b/src/libs/workload/ready_step.cc
@@ -40,6 +40,8 @@
       if (task.phase != TaskPhase::kWaiting) continue;
       step.failed_before = step.failed_before || task.failures > 0;
       step.on_probation = step.on_probation || !task.crashes.empty();
+      step.crashed_at_start =
+          step.crashed_at_start || task.crashes.start_crashes > 0;
       step.waiting.push_back(static_cast<int>(t));
     }
     open->push_back(std::move(step));
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -22,6 +22,10 @@
   bool failed_before = false;
   // Workers were lost while they ran one of its waiting tasks.
   bool on_probation = false;
+  // The last start of one of its waiting tasks crashed the worker.
+  bool crashed_at_start = false;
+  // Uses only workers on which nothing runs.
+  bool alone = false;
   // Indices of its waiting tasks; for a gang, all of them.
   std::vector<int> waiting;
 
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -49,7 +49,6 @@
 }
 
 bool TrackedRun::has_proven_start(Time now) const {
-  if (last_report != Time{}) return true;
   return stage == RunStage::kRunning && now - began >= kStartPhase;
 }
 
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -56,14 +56,25 @@
   }
 }
 
+// Guards against a crash of the worker at a start that goes unnoticed for as
+// long as reports are spaced: meanwhile other tasks were started there, one
+// after the other, in vain.
+TEST_CASE("a report is pending as soon as a start was accepted") {
+  Fixture fixture;
+  // The first report of the worker was asked for just before.
+  REQUIRE(fixture.calls.reports == 1);
+  fixture.Start();
+  CHECK(fixture.calls.reports == 2);
+  CHECK(fixture.calls.pending_long_poll != nullptr);
+}
+
 // Guards against polling for the ends of stopped runs every 250 ms: an urgent
 // gang would wait that long for resources that are already free.
 TEST_CASE("the end of a stopped run is reported at once") {
   Fixture fixture;
   fixture.calls.report.running = {{kTask, 1, "", 10}};
-  fixture.calls.answer_long_polls = true;
   fixture.Start();
-  fixture.calls.answer_long_polls = false;
+  fixture.calls.AnswerLongPoll();
   fixture.fleet.RequestStop("w1", kTask, 1, "gives way");
   CHECK(fixture.calls.stops == 1);
   fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
@@ -258,13 +269,14 @@
   fixture.calls.status_outcome = CallOutcome::kNoAnswer;
   fixture.calls.answer_long_polls = true;
   fixture.Start();
+  // The first call, before it had no answer.
+  CHECK(fixture.calls.renewed);
   const int before = fixture.calls.reports;
   Time now = Fixture::Now();
   for (int i = 0; i < 5; ++i) {
     now += Milliseconds(300);
     fixture.fleet.Tick(now, /*may_renew=*/true);
-    // Only the first call, before it had no answer.
-    CHECK(fixture.calls.renewed == (i == 0));
+    CHECK_FALSE(fixture.calls.renewed);
   }
   CHECK(fixture.calls.reports == before + 5);
   CHECK(fixture.ends.empty());
--- a/tests/auto/coordination/tst_worker_fleet_incarnations.cc
+++ b/tests/auto/coordination/tst_worker_fleet_incarnations.cc
@@ -46,7 +46,7 @@
   Time now = Fixture::Now();
   const auto tick = [&fixture, &now] {
     now += std::chrono::seconds(1);
-    fixture.fleet.Tick(now, /*may_renew=*/true);
+    fixture.Tick(now);
   };
   tick();
   fixture.fleet.OnEndsRecorded("w1", 0, 7);
@@ -187,7 +187,7 @@
     for (int i = 0; i < 24; ++i) {
       now += Milliseconds(100);
       fixture.fleet.OnDirectoryCaughtUp(now);
-      fixture.fleet.Tick(now, /*may_renew=*/true);
+      fixture.Tick(now);
     }
     REQUIRE(fixture.ends.size() == (announced ? 1 : 0));
     if (announced) CHECK(fixture.ends[0] == RunEnd::kWorkerLeft);
@@ -215,13 +215,13 @@
     CAPTURE(row.name);
     Fixture fixture;
     fixture.calls.answer_long_polls = true;
-    fixture.Start();
     fixture.calls.status_outcome = CallOutcome::kNoAnswer;
+    fixture.Start();
     Time now = Fixture::Now();
     const auto tick = [&fixture, &now](int times) {
       for (int i = 0; i < times; ++i) {
         now += Milliseconds(300);
-        fixture.fleet.Tick(now, /*may_renew=*/true);
+        fixture.Tick(now);
       }
     };
     tick(30);
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -49,11 +49,15 @@
     if (query.recorded_ends > 0 && query.wait.count() > 0) ++polls_with_ends;
     renewed = query.lease_until.has_value();
     if (renewed) lease_until = *query.lease_until;
-    if (query.wait.count() > 0 && !answer_long_polls) {
+    const bool is_long_poll = query.wait.count() > 0;
+    // The long poll that follows an answer waits, as a real one does.
+    if (is_long_poll && (!answer_long_polls || answering_)) {
       pending_long_poll = std::move(done);
       return;
     }
+    answering_ = answering_ || is_long_poll;
     done(Answer());
+    if (is_long_poll) answering_ = false;
   }
 
   // Answers the pending long poll for a report.
@@ -94,6 +98,9 @@
   // Of the last renewal, on the clock of the worker.
   Milliseconds lease_until{0};
   std::function<void(const StatusAnswer&)> pending_long_poll;
+
+ private:
+  bool answering_ = false;
 };
 
 class Fixture {
@@ -132,6 +139,15 @@
     fleet.SendStart("w1", kTask, 1, {});
   }
 
+  // One tick of the fleet. A long poll that is pending is answered first if
+  // long polls are to be answered at once.
+  void Tick(Time now, bool may_renew = true) {
+    if (calls.answer_long_polls && calls.pending_long_poll != nullptr) {
+      calls.AnswerLongPoll();
+    }
+    fleet.Tick(now, may_renew);
+  }
+
   bool has_worker() const { return fleet.trackers().count("w1") > 0; }
 
   ScriptedWorkerCalls calls;
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -250,13 +250,17 @@
 }
 
 // Marks the waiting task of the job as one that lost a worker.
-void PutOnProbation(PlannerCluster* cluster, const std::string& job) {
+// `survived`: from the start of the run until the worker crashed; by default
+// its start was not the cause.
+void PutOnProbation(PlannerCluster* cluster, const std::string& job,
+                    Milliseconds survived = Milliseconds(900)) {
   const StepRef step{job, 0, 0};
   const int run = cluster->ledger.RecordStart(step, {{0, "gone"}});
   LostRun lost;
   lost.worker = "gone";
   lost.crashed = true;
   lost.began = true;
+  lost.survived = survived;
   cluster->ledger.RecordRunEnd({step, 0}, run, RunEnd::kWorkerCrashed, "",
                                lost);
 }
@@ -269,7 +273,7 @@
     // Whether the present task and the new one are on probation.
     bool present;
     bool incoming;
-    // Whether a report has confirmed the present run.
+    // Whether the worker has survived the start of the present run.
     bool proven;
     bool starts;
   };
@@ -291,12 +295,12 @@
     const TaskRef present{{Id(1), 0, 0}, 0};
     REQUIRE(worker.Find(present) != nullptr);
     worker.Find(present)->profile.on_probation = row.present;
-    if (row.proven) {
-      WorkerStatusReport report;
-      report.running.push_back({present, 1, "", 5});
-      std::vector<RunReport> unexpected;
-      worker.OnReport(report, cluster.now, cluster.now, &unexpected);
-    }
+    // A report that comes sooner proves nothing.
+    WorkerStatusReport report;
+    report.running.push_back({present, 1, "", 5});
+    std::vector<RunReport> unexpected;
+    worker.OnReport(report, cluster.now, cluster.now, &unexpected);
+    if (row.proven) cluster.now += Milliseconds(200);
     cluster.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), cluster.now);
     if (row.incoming) PutOnProbation(&cluster, Id(2));
     CHECK(cluster.Round().starts.size() == (row.starts ? 1 : 0));
@@ -316,6 +320,28 @@
   }
 }
 
+// Guards against tasks that crash their workers at each start and take the same
+// sound ones with them every time, until those are given up as well.
+TEST_CASE("a task that crashed its worker at the start waits to be alone") {
+  PlannerCluster cluster(1, 1);
+  cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), cluster.now);
+  cluster.Round();
+  cluster.now += std::chrono::seconds(1);
+  cluster.ledger.Add(MakeJob(Id(2), {MakeStep(1, 1)}), cluster.now);
+  PutOnProbation(&cluster, Id(2), Milliseconds(20));
+  CHECK(cluster.Round().starts.empty());
+  cluster.now += Milliseconds(599);
+  CHECK(cluster.Round().starts.empty());
+  SUBCASE("until there is an empty worker") {
+    cluster.End("w0-0", {{Id(1), 0, 0}, 0}, RunEnd::kDone);
+    CHECK(cluster.Round().starts.size() == 1);
+  }
+  SUBCASE("for a while") {
+    cluster.now += Milliseconds(1);
+    CHECK(cluster.Round().starts.size() == 1);
+  }
+}
+
 TEST_CASE("two tasks on probation do not start together in one round") {
   PlannerCluster cluster(1, 1);
   for (const int job : {1, 2}) {
@@ -338,6 +364,7 @@
     std::vector<RunReport> unexpected;
     worker.OnReport(report, cluster.now, cluster.now, &unexpected);
   }
+  cluster.now += Milliseconds(200);
   cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 1)}), cluster.now);
   PutOnProbation(&cluster, Id(1));
   const Plan plan = cluster.Round();
--- a/tests/integration/tst_hosted_crashes.cc
+++ b/tests/integration/tst_hosted_crashes.cc
@@ -95,7 +95,7 @@
        }},
   };
   for (const Row& row : rows) {
-    CAPTURE(row.name);
+    CAPTURE(std::string(row.name));
     HostedScenario scenario;
     HostedCluster& cluster = scenario.cluster();
     for (const TestJob& job : row.jobs) {
