A new leader asks its workers a limited number at a time

Cause: a leader that took over asked all 6,000 workers at once and read the directory only after it had taken leadership. No whole rack had answered until nearly all had, so urgent gangs waited or were spread; each first answer asked for a planning round that looks at all workers; and what the first few workers showed was taken for the whole cluster: runs were evicted for urgent jobs while empty workers had yet to answer.

Change: the directory is read while leadership is claimed (WorkerDirectory). Meanwhile only urgent steps are placed, without evictions, none leaves its rack, and rounds are 80 ms apart; for 1 s at most.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -171,6 +171,7 @@
         election_.ShouldClaim(dependencies_.board->leader(), Now());
     if (still_vacant) return SendClaim();
     phase_ = Phase::kFollowing;
+    directory_.reset();
     if (!is_current) DelayNextClaim();
   });
 }
@@ -182,6 +183,7 @@
 void ClusterCoordinator::SendClaim() {
   const int64_t epoch = dependencies_.board->leader().epoch + 1;
   claimed_epoch_ = epoch;
+  FollowDirectory();
   AppendRequest request;
   request.partition = settings_.board;
   request.records = {JobBoard::Leader({settings_.holder, epoch, false})};
@@ -212,6 +214,7 @@
     return BeginClaim();
   }
   phase_ = Phase::kFollowing;
+  directory_.reset();
   // If the outcome is unknown, the board shows whether this claim or a
   // competing one was stored.
   DelayNextClaim();
@@ -230,6 +233,7 @@
   epoch_ = epoch;
   leadership_confirmed_ = BootClock::now();
   last_heartbeat_ = Now();
+  FollowDirectory();
   CreateWriters();
   FenceProgress();
 }
@@ -264,6 +268,14 @@
       });
 }
 
+void ClusterCoordinator::FollowDirectory() {
+  if (directory_) return;
+  RecordTailSettings tail;
+  tail.partition = formats_.streams().workers;
+  tail.min_read_interval = settings_.directory_read_interval;
+  directory_ = std::make_unique<WorkerDirectory>(io_, store_, tail);
+}
+
 void ClusterCoordinator::LoadProgress(const std::string& after_key) {
   store_.ReadNewest(
       settings_.board, after_key, settings_.store_timeout,
@@ -323,6 +335,7 @@
     ScheduleStepDown("a worker has accepted a higher epoch");
   };
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet, handlers);
+  fleet_->BeginSurvey();
   fleet_->CloseDomains(dependencies_.closed_domains());
   advice_ = std::make_unique<AdviceRequester>(dependencies_.advisor,
                                               [this] { SchedulePlanning(); });
@@ -370,26 +383,7 @@
             {"steps", restored_steps}});
   WriteHeartbeat(/*released=*/false, nullptr);
 
-  RecordTailSettings tail;
-  tail.partition = formats_.streams().workers;
-  tail.min_read_interval = settings_.directory_read_interval;
-  RecordTail::Handlers directory;
-  directory.on_record = [this](const KeyedRecord& record) {
-    fleet_->OnDirectoryRecord(record, Now());
-  };
-  directory.on_snapshot = [this](const std::set<std::string>& ids) {
-    fleet_->OnDirectorySnapshot(ids, Now());
-  };
-  directory_reachability_ = StreamReachability("directory");
-  directory.on_caught_up = [this] {
-    directory_reachability_.OnReadSucceeded(directory_->next_offset());
-    fleet_->OnDirectoryCaughtUp(Now());
-  };
-  directory.on_failure = [this](const Error& error) {
-    directory_reachability_.OnReadFailed(error);
-  };
-  directory_ = std::make_unique<RecordTail>(io_, store_, tail, directory);
-  directory_->Start();
+  directory_->Attach(fleet_.get());
   StopOutdatedRuns();
   FlushProgress();
 }
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -33,7 +33,7 @@
 #include "coordination/progress_write_limiter.h"
 #include "coordination/record_tail.h"
 #include "coordination/scheduling_metrics.h"
-#include "coordination/stream_reachability.h"
+#include "coordination/worker_directory.h"
 #include "coordination/worker_fleet.h"
 #include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
@@ -50,6 +50,9 @@
   // before it takes the runs there as ended. With a lease of 6.5 s, runs
   // survive outages of the store of 12 s.
   Milliseconds leadership_timeout{6000};
+  // Between two rounds that place tasks, while a new leader asks its workers
+  // for their first reports: each round looks at all of them.
+  Milliseconds survey_planning_interval{80};
   // From an event to the planning round, so that events that come together are
   // handled in one round.
   Milliseconds planning_delay{8};
@@ -146,6 +149,7 @@
   void BeginLeadership(int64_t epoch);
   void CreateWriters();
   void FenceProgress();
+  void FollowDirectory();
   void LoadProgress(const std::string& after_key);
   void OnProgressLoaded();
   void SyncJobFromBoard(const std::string& id);
@@ -213,6 +217,8 @@
   LeaderRecord logged_leader_;
   Time last_heartbeat_{};
   Time last_cleanup_{};
+  // When tasks were last placed.
+  Time last_placement_{};
 
   // The members below are in use only while this entry leads or takes
   // leadership.
@@ -222,8 +228,7 @@
   std::unique_ptr<FencedWriter> board_writer_;
   std::unique_ptr<FencedWriter> progress_writer_;
   std::unique_ptr<WorkerFleet> fleet_;
-  std::unique_ptr<RecordTail> directory_;
-  StreamReachability directory_reachability_{"directory"};
+  std::unique_ptr<WorkerDirectory> directory_;
   std::unique_ptr<AdviceRequester> advice_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -46,14 +46,19 @@
   const auto age = BootClock::now() - dependencies_.board_as_of();
   const bool is_up_to_date = age <= settings_.bounds.max_board_age() &&
                              !released_ && directory_->has_snapshot();
-  if (is_up_to_date) {
-    const Time now = Now();
+  const Time now = Now();
+  const bool surveying = fleet_->surveying(now);
+  const bool is_due =
+      !surveying || now - last_placement_ >= settings_.survey_planning_interval;
+  if (is_up_to_date && is_due) {
+    last_placement_ = now;
     const Guarantees guarantees = dependencies_.configuration().guarantees();
     PlanInputs inputs;
     inputs.ledger = &ledger_;
     inputs.workers = &fleet_->trackers();
     inputs.guarantees = &guarantees;
     inputs.advice = &advice_->book();
+    inputs.surveying = surveying;
     inputs.now = now;
     inputs.wall_now = std::chrono::system_clock::now();
     const Plan plan = planner_.Decide(inputs);
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -47,6 +47,7 @@
       formats_(formats),
       settings_(settings),
       handlers_(std::move(handlers)),
+      first_looks_(settings.first_looks),
       run_review_({settings.bounds}),
       gang_review_(GangReviewSettingsFor(settings.bounds)),
       start_sender_(calls, StartSenderSettingsFor(settings.bounds)),
@@ -91,7 +92,7 @@
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
     trackers_.emplace(id, std::move(new_tracker));
-    return RequestReportIfDue(id, now);
+    return RequestFirstReport(id, now);
   }
   const bool starts_draining =
       registration->draining && !tracker->registration().draining;
@@ -110,9 +111,36 @@
   tracker->set_domain_closed(IsClosed(*tracker));
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
+  if (!listed_before) return RequestFirstReport(id, now);
   if (!tracker->synchronized() || state.recheck) RequestReportIfDue(id, now);
 }
 
+void WorkerFleet::BeginSurvey() { survey_begun_ = true; }
+
+bool WorkerFleet::surveying(Time now) const {
+  if (!survey_begun_ || first_looks_.empty()) return false;
+  return !survey_released_at_ ||
+         now - *survey_released_at_ < settings_.max_survey;
+}
+
+void WorkerFleet::RequestFirstReport(const std::string& id, Time now) {
+  if (!survey_begun_) return RequestReportIfDue(id, now);
+  const WorkerTracker* tracker = Find(id);
+  const WorkerRegistration& entry = tracker->registration();
+  if (tracker->runs().empty()) {
+    first_looks_.AddIdle(id, entry.failure_domain, entry.rack);
+  } else {
+    first_looks_.AddWithRuns(id);
+  }
+  SendFirstLooks(now);
+}
+
+void WorkerFleet::SendFirstLooks(Time now) {
+  for (const std::string& id : first_looks_.Take()) {
+    if (Find(id) != nullptr) RequestReportIfDue(id, now);
+  }
+}
+
 // Logged once for each reason, not for each worker: the same fault usually
 // affects all workers.
 void WorkerFleet::LogBirthFault(const std::string& id,
@@ -163,6 +191,9 @@
     CallState& state = call_states_[id];
     if (!state.missing_since) state.missing_since = now;
   }
+  first_looks_.ReleaseIdle();
+  if (!survey_released_at_) survey_released_at_ = now;
+  SendFirstLooks(now);
 }
 
 void WorkerFleet::OnDirectoryCaughtUp(Time now) {
@@ -216,6 +247,8 @@
     ids.push_back(id);
   }
   run_review_.DropStale(now);
+  first_looks_.OnTick();
+  SendFirstLooks(now);
   ReviewGangs(now);
   for (const std::string& id : ids) {
     ReviewWorker(id, now);
@@ -234,7 +267,9 @@
       now < state.next_report_time) {
     return;
   }
-  if (tracker->registration().address.empty()) return;
+  if (tracker->registration().address.empty() || first_looks_.Contains(id)) {
+    return;
+  }
   const bool unrecorded = tracker->processed_ends() > tracker->recorded_ends();
   const bool unacknowledged =
       tracker->recorded_ends() > state.acknowledged_ends;
@@ -318,8 +353,12 @@
   CallState& state = call_states_[id];
   (extra ? state.extra_report_pending : state.report_pending) = false;
   WorkerTracker* tracker = Find(id);
-  if (tracker == nullptr) return;
   const Time now = Now();
+  if (tracker == nullptr || !tracker->synchronized()) {
+    first_looks_.OnAnswered();
+    SendFirstLooks(now);
+  }
+  if (tracker == nullptr) return;
   switch (answer.outcome) {
     case CallOutcome::kOk:
       break;
@@ -375,7 +414,9 @@
   run_review_.Observe(tracker, now);
   pace_controller_.OnReport(tracker, now);
   DeliverEnds(id, ends);
-  if (first || !ends.empty()) handlers_.on_change();
+  // While many workers answer for the first time, the owner plans at each tick.
+  const bool first_of_many = first && surveying(now);
+  if ((first && !first_of_many) || !ends.empty()) handlers_.on_change();
   RequestReportIfDue(id, now);
 }
 
@@ -446,6 +487,7 @@
     if (tracker->runs().empty()) {
       LogEvent(events::kWorkerGone,
                {{"worker", id}, {"reason", "no longer listed"}});
+      first_looks_.Remove(id);
       trackers_.erase(id);
       call_states_.erase(id);
       pace_controller_.Forget(id);
@@ -482,6 +524,7 @@
            {{"worker", id}, {"reason", ToReason(end)}, {"runs", ends.size()}});
   const bool forget = call_states_[id].missing_since.has_value();
   if (forget) {
+    first_looks_.Remove(id);
     trackers_.erase(id);
     call_states_.erase(id);
     pace_controller_.Forget(id);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -11,11 +11,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "base/time.h"
 #include "coordination/filler_pace_controller.h"
+#include "coordination/first_look_queue.h"
 #include "coordination/formats.h"
 #include "coordination/refused_entries.h"
 #include "coordination/start_sender.h"
@@ -47,6 +49,10 @@
   // urgent task off a slow worker in time, long enough for a few percent of
   // progress.
   Milliseconds first_wait{700};
+  FirstLookSettings first_looks;
+  // A new leader places tasks on all workers that it knows after this time,
+  // even if it has not asked all of them.
+  Milliseconds max_survey{1000};
 };
 
 class WorkerFleet {
@@ -72,6 +78,14 @@
               WorkerFleetSettings settings, Handlers handlers);
   ~WorkerFleet();
 
+  // Workers that become known are asked for their first reports a limited
+  // number at a time. To be called by a new leader, before the directory is
+  // passed on.
+  void BeginSurvey();
+  // Whether the survey goes on: what is known of the workers is so incomplete
+  // that it would be rash to evict runs or to spread gangs.
+  bool surveying(Time now) const;
+
   void OnDirectoryRecord(const KeyedRecord& record, Time now);
   // A new snapshot of the directory contains exactly these workers.
   void OnDirectorySnapshot(const std::set<std::string>& ids, Time now);
@@ -148,6 +162,8 @@
                      const StartResult& result);
   void OnEntryRemoved(const std::string& id, Time now);
   void OnEntryUnreadable(const std::string& id, Time now);
+  void RequestFirstReport(const std::string& id, Time now);
+  void SendFirstLooks(Time now);
   void RequestReportIfDue(const std::string& id, Time now);
   void RequestReport(const std::string& id, Milliseconds wait, bool extra);
   void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
@@ -180,6 +196,10 @@
   // Incarnations that have certainly ended, by id of the worker, with the start
   // time that they reported. The directory may still list them for a while.
   std::map<std::string, std::optional<WallTime>> ended_incarnations_;
+  FirstLookQueue first_looks_;
+  bool survey_begun_ = false;
+  // When the directory was known completely.
+  std::optional<Time> survey_released_at_;
   RefusedEntries refused_;
   // Reasons for unreadable start times that were already logged.
   std::set<std::string> logged_faults_;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -39,6 +39,10 @@
     ReleaseExpiredReservations();
     IsolateSuspects();
     for (const ReadyStep& step : steps_) {
+      if (inputs_.surveying && !step.urgent()) {
+        AddWait(step, WaitReason::kSurveying);
+        continue;
+      }
       PlaceStep(step);
     }
     return std::move(plan_);
@@ -103,7 +107,8 @@
         capacity_.Reserve(own->second);
         reason = WaitReason::kPreempting;
       }
-    } else if (!placed && step.urgent() && PreemptFor(step)) {
+    } else if (!placed && step.urgent() && !inputs_.surveying &&
+               PreemptFor(step)) {
       reason = WaitReason::kPreempting;
     }
     if (placed) return;
@@ -130,7 +135,9 @@
       return;
     }
     const bool advised = step.job->spec.policy.advice.has_value();
-    if (advised && reason != WaitReason::kPreempting) {
+    const bool decided =
+        reason != WaitReason::kPreempting && reason != WaitReason::kSurveying;
+    if (advised && decided) {
       wait.reason = WaitReason::kNoRoomOnApprovedWorkers;
       wait.candidates = capacity_.CandidatesForAdvice(step);
     }
@@ -142,6 +149,7 @@
   // meanwhile. So this is only for an idle cluster, and for guaranteed work,
   // which must start in time.
   bool MayLeaveRack(const ReadyStep& step) const {
+    if (inputs_.surveying) return false;
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->added_at);
     if (step.urgent() && IsGuaranteed(step)) {
@@ -247,7 +255,9 @@
     }
     const FreePlaces places = PlacesFor(step);
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
-    if (step.spec->same_rack && capacity_.AnyRackCanHold(step)) {
+    // A rack may hold more than is known of it yet.
+    const bool may_fit = inputs_.surveying || capacity_.AnyRackCanHold(step);
+    if (step.spec->same_rack && may_fit) {
       Assignments chosen = PlaceOnOneRack(step, capacity_, places);
       if (!chosen.empty()) {
         Start(step, std::move(chosen), "gang on one rack");
@@ -350,6 +360,8 @@
       return "the room is for steps of higher priority";
     case WaitReason::kNoRoomOnApprovedWorkers:
       return "no room on the workers that are approved so far";
+    case WaitReason::kSurveying:
+      return "workers have yet to be asked what they run";
   }
   return "no room";
 }
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -73,6 +73,8 @@
   kYieldsToHigherPriority,
   // None of the workers approved for it so far has room.
   kNoRoomOnApprovedWorkers,
+  // A new leader has yet to ask many workers what they run.
+  kSurveying,
 };
 
 std::string_view ToText(WaitReason reason);
@@ -96,6 +98,9 @@
   const Guarantees* guarantees = nullptr;
   // May be null if no queue needs advice.
   const AdviceCache* advice = nullptr;
+  // Many workers are not known yet. Only urgent steps are placed, without
+  // evictions, and none leaves its rack.
+  bool surveying = false;
   Time now{};
   WallTime wall_now{};
 };
--- a/tests/auto/workload/planner_cluster.h
+++ b/tests/auto/workload/planner_cluster.h
@@ -34,6 +34,7 @@
     inputs.workers = &workers;
     inputs.guarantees = &guarantees;
     inputs.advice = &advice;
+    inputs.surveying = surveying;
     inputs.now = now;
     inputs.wall_now = wall_now;
     Plan plan = planner.Decide(inputs);
@@ -111,6 +112,8 @@
   std::map<std::string, WorkerTracker> workers;
   Guarantees guarantees;
   AdviceCache advice;
+  // See PlanInputs.
+  bool surveying = false;
   Planner planner;
   Time now = At(0);
   WallTime wall_now = FromUnixMilliseconds(1000100);
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -157,6 +157,46 @@
   }
 }
 
+// A new leader knows few of its workers at first. It took those for the whole
+// cluster, evicted runs for urgent jobs and spread gangs over racks although
+// workers that it had yet to ask were empty.
+TEST_CASE("while workers are still asked what they run, nothing is rash") {
+  struct Row {
+    const char* name;
+    bool surveying;
+    std::vector<StepSpec> steps;
+    int priority;
+    bool starts;
+    bool evicts;
+  };
+  const StepSpec small = Gang(2, 4, true);
+  const StepSpec wide = Gang(2, 8, true);
+  const std::vector<Row> rows = {
+      {"urgent, fits on what is known", true, {small}, 0, true, false},
+      {"urgent, fits on one rack only after an eviction",
+       true,
+       {wide},
+       0,
+       false,
+       false},
+      {"the same once all are known", false, {wide}, 0, false, true},
+      {"not urgent", true, {small}, 2, false, false},
+      {"not urgent, once all are known", false, {small}, 2, true, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PlannerCluster cluster(1, 2);
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 8)}, 2), cluster.now);
+    cluster.Round();
+    cluster.now += std::chrono::seconds(5);
+    cluster.surveying = row.surveying;
+    cluster.ledger.Add(MakeJob(Id(2), row.steps, row.priority), cluster.now);
+    const Plan plan = cluster.Round();
+    CHECK(plan.starts.empty() != row.starts);
+    CHECK(plan.stops.empty() != row.evicts);
+  }
+}
+
 TEST_CASE("a guarantee is reclaimed only from accounts above their own") {
   for (const bool beyond : {true, false}) {
     CAPTURE(beyond);
