Starts go only to workers that answer while the start is recorded

Cause: a worker without runs is not called until it gets one, so that its death goes unnoticed until then.

Change: while a start is recorded (6 to 10 ms), its workers that have not answered for 0.25 s are probed; starts go out once all have answered, those of a gang together or not at all (StartGate), and are placed anew after 0.25 s, or six times the usual latency. A request that changes nothing is repeated at once when the connection it reused turns out to be dead: workers that come back reset it, and counted as silent for it.

Ruled out: to stop a gang that waits (the room is lost for a second all the same); to call all idle workers all the time.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -82,6 +82,7 @@
     const bool may_renew =
         boot_now - leadership_confirmed_ < settings_.leadership_timeout;
     fleet_->Tick(now, may_renew);
+    RefuseStarts(start_gate_.TakeExpired(now));
     StopOutdatedRuns();
     DropExpiredRecords();
     SchedulePlanning();
@@ -330,6 +331,14 @@
                                       const std::string& worker) {
     advice_->OnTicketRefused(step, worker);
   };
+  handlers.on_answer = [this](const std::string& worker) {
+    for (const StartGate::Group& group : start_gate_.OnAnswer(worker)) {
+      SendStarts(group);
+    }
+  };
+  handlers.on_no_answer = [this](const std::string& worker) {
+    RefuseStarts(start_gate_.OnFailure(worker));
+  };
   handlers.on_change = [this] { SchedulePlanning(); };
   handlers.on_fenced = [this] {
     ScheduleStepDown("a worker has accepted a higher epoch");
@@ -436,6 +445,7 @@
   progress_writer_.reset();
   ledger_ = JobLedger();
   pending_starts_.clear();
+  start_gate_.Clear();
   logged_waits_.clear();
   unrecorded_ends_.clear();
   loaded_progress_.clear();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -33,6 +33,7 @@
 #include "coordination/progress_write_limiter.h"
 #include "coordination/record_tail.h"
 #include "coordination/scheduling_metrics.h"
+#include "coordination/start_gate.h"
 #include "coordination/worker_directory.h"
 #include "coordination/worker_fleet.h"
 #include "metrics/metrics_registry.h"
@@ -174,6 +175,9 @@
   void StopOutdatedRuns();
   void FlushProgress();
   void PublishEndedJobs();
+  void OnStartsRecorded(std::vector<PendingStart> starts);
+  void SendStarts(const StartGate::Group& starts);
+  void RefuseStarts(const std::vector<StartGate::Refusal>& refusals);
   void OnProgressStored(const std::vector<std::string>& started,
                         const std::map<std::string, LatestEnd>& ends);
   void PublishJobStates(const std::vector<std::string>& changed);
@@ -243,15 +247,10 @@
   std::set<std::string> ended_jobs_;
   // Ends that the next flush will record, by worker.
   std::map<std::string, LatestEnd> unrecorded_ends_;
-  // A start that is decided and not yet recorded.
-  struct PendingStart {
-    std::string worker;
-    TaskRef task;
-    int run = 0;
-    std::string checkpoint;
-    std::string ticket;
-  };
+  // Starts that are decided and not yet recorded.
   std::vector<PendingStart> pending_starts_;
+  // Those that are recorded and not yet sent.
+  StartGate start_gate_;
   // Waiting steps, each with the reason that was last logged.
   std::map<StepRef, WaitReason> logged_waits_;
 
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -100,12 +100,12 @@
   for (const JobLedger::Assignment& assignment : decision.assignments) {
     const TaskRef task{decision.step, assignment.index};
     fleet_->Add(assignment.worker, task, run, ProfileOf(task), now);
+    fleet_->ProbeIfQuiet(assignment.worker, now);
     const TaskStatus* status = ledger_.FindTask(task);
-    pending_starts_.push_back(
-        {assignment.worker, task, run, status->checkpoint,
-         advice_->book()
-             .FindTicket(decision.step, assignment.worker, now)
-             .value_or("")});
+    const auto ticket =
+        advice_->book().FindTicket(decision.step, assignment.worker, now);
+    pending_starts_.push_back({assignment.worker, task, run, status->checkpoint,
+                               ticket.value_or(""), spec->gang, now});
     workers.push_back(Json::array({assignment.index, assignment.worker}));
     if (!fleet_->IsOnRack(assignment.worker, spec->data_rack)) ++away_from_data;
   }
@@ -322,21 +322,63 @@
   if (records.empty()) return OnProgressStored(started, ends);
   progress_write_limiter_.OnRecorded(Now());
   std::vector<PendingStart> starts = std::exchange(pending_starts_, {});
-  progress_writer_->Write(
-      std::move(records), [this, started = std::move(started),
+  progress_writer_->Write(std::move(records),
+                          [this, started = std::move(started),
                            ends = std::move(ends), starts = std::move(starts),
                            generation = generation_, current = *generation_] {
-        if (*generation != current) return;
-        OnProgressStored(started, ends);
-        for (const PendingStart& start : starts) {
-          const Job* job = ledger_.Find(start.task.step.job);
-          if (job == nullptr) continue;
-          fleet_->SendStart(
-              start.worker, start.task, start.run,
-              {job->spec.payload, start.checkpoint, start.ticket});
-        }
-        SchedulePlanning();
-      });
+                            if (*generation != current) return;
+                            OnProgressStored(started, ends);
+                            OnStartsRecorded(starts);
+                            SchedulePlanning();
+                          });
+}
+
+void ClusterCoordinator::OnStartsRecorded(std::vector<PendingStart> starts) {
+  for (StartGate::Group& group : StartGate::GroupsOf(std::move(starts))) {
+    const Time decided = group.front().decided;
+    std::set<std::string> unanswered;
+    std::set<std::string> silent;
+    for (const PendingStart& start : group) {
+      if (!fleet_->IsReachable(start.worker)) silent.insert(start.worker);
+      if (fleet_->HasAnswered(start.worker, decided)) continue;
+      unanswered.insert(start.worker);
+    }
+    if (!silent.empty()) {
+      RefuseStarts({{std::move(group), std::move(silent)}});
+      continue;
+    }
+    if (unanswered.empty()) {
+      SendStarts(group);
+      continue;
+    }
+    start_gate_.Hold(std::move(group), std::move(unanswered),
+                     decided + fleet_->ProbeTimeout());
+  }
+}
+
+void ClusterCoordinator::SendStarts(const StartGate::Group& starts) {
+  for (const PendingStart& start : starts) {
+    const Job* job = ledger_.Find(start.task.step.job);
+    if (job == nullptr) continue;
+    fleet_->SendStart(start.worker, start.task, start.run,
+                      {job->spec.payload, start.checkpoint, start.ticket});
+  }
+}
+
+void ClusterCoordinator::RefuseStarts(
+    const std::vector<StartGate::Refusal>& refusals) {
+  const Time now = Now();
+  for (const StartGate::Refusal& refusal : refusals) {
+    for (const std::string& worker : refusal.silent_workers) {
+      fleet_->OnProbeTimeout(worker, now);
+    }
+    for (const PendingStart& start : refusal.starts) {
+      fleet_->WithholdStart(start.worker, start.task, start.run,
+                            refusal.silent_workers.count(start.worker) > 0
+                                ? "the worker does not answer"
+                                : "the worker of another member is silent");
+    }
+  }
 }
 
 void ClusterCoordinator::OnProgressStored(
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -19,13 +19,7 @@
   if (tracked == nullptr || tracked->run != run) return;
   const Time now = Now();
   if (const char* reason = ReasonToWithhold(*tracker, *tracked)) {
-    LogEvent(events::kStartWithheld, {{"task", task.ToString()},
-                                      {"run", run},
-                                      {"worker", worker},
-                                      {"reason", reason}});
-    // The order was never sent, so the run certainly does not exist.
-    return DeliverEnds(
-        worker, tracker->OnStartAnswer(task, run, StartOutcome::kRefused, now));
+    return WithholdStart(worker, task, run, reason);
   }
   StartOrder order;
   order.task = task;
@@ -49,6 +43,19 @@
                      std::move(handlers));
 }
 
+void WorkerFleet::WithholdStart(const std::string& worker, const TaskRef& task,
+                                int run, const std::string& reason) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  LogEvent(events::kStartWithheld, {{"task", task.ToString()},
+                                    {"run", run},
+                                    {"worker", worker},
+                                    {"reason", reason}});
+  // The order was never sent, so the run certainly does not exist.
+  DeliverEnds(worker,
+              tracker->OnStartAnswer(task, run, StartOutcome::kRefused, Now()));
+}
+
 // Returns null if the order may be sent. All of this may have changed between
 // the decision and the order, and between copies of the order.
 const char* WorkerFleet::ReasonToWithhold(const WorkerTracker& worker,
@@ -98,7 +105,7 @@
   const Milliseconds half_lease = settings_.bounds.lease_term() / 2;
   if (state.report_pending && state.leased_until < now + half_lease &&
       !state.extra_report_pending) {
-    return RequestReport(worker, Milliseconds(0), /*extra=*/true);
+    return RequestReport(worker, Milliseconds(0), ReportKind::kRenewal);
   }
   RequestReportIfDue(worker, now);
 }
--- a/src/libs/coordination/worker_calls.h
+++ b/src/libs/coordination/worker_calls.h
@@ -61,6 +61,10 @@
   std::optional<Milliseconds> lease_until;
   // Long poll: the answer waits up to this long for the end of a run.
   Milliseconds wait{0};
+
+  // A worker that has restarted meanwhile would take numbers of ends and
+  // deadlines for its own.
+  bool idempotent() const { return recorded_ends == 0 && !lease_until; }
 };
 
 struct StartAnswer {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -306,7 +306,7 @@
   if (can_wait && FillerPaceController::HasFillersAndServing(*tracker)) {
     wait = std::min(wait, settings_.paced_report_wait);
   }
-  RequestReport(id, wait, /*extra=*/false);
+  RequestReport(id, wait, ReportKind::kRegular);
 }
 
 // Returns 0 if the worker already knows the number, and for a worker that did
@@ -319,7 +319,7 @@
 }
 
 void WorkerFleet::RequestReport(const std::string& id, Milliseconds wait,
-                                bool extra) {
+                                ReportKind kind) {
   WorkerTracker* tracker = Find(id);
   CallState& state = call_states_[id];
   const Time now = Now();
@@ -328,30 +328,83 @@
   query.recorded_ends = EndsToAcknowledge(*tracker, state);
   query.wait = wait;
   // The leases of a worker that does not answer are not renewed, so that they
-  // expire.
-  const bool renew = may_renew_ && tracker->synchronized() &&
-                     tracker->reachable() && !tracker->runs().empty();
-  if (renew) {
+  // expire. A probe comes before a start, whose order has a short lease of its
+  // own.
+  const bool renews = kind != ReportKind::kProbe && may_renew_ &&
+                      tracker->synchronized() && tracker->reachable() &&
+                      !tracker->runs().empty();
+  if (renews) {
     query.lease_until =
         tracker->IssueDeadline(settings_.bounds.lease_term(), now);
   }
   state.recheck = false;
-  (extra ? state.extra_report_pending : state.report_pending) = true;
+  const bool regular = kind == ReportKind::kRegular;
+  (regular ? state.report_pending : state.extra_report_pending) = true;
   const WorkerAddress address{id, tracker->registration().address};
-  const int64_t recorded = query.recorded_ends;
+  const SentQuery sent{kind, now, wait, query.recorded_ends, renews};
   calls_.Status(address, query, settings_.call_timeout + wait,
-                [this, alive = alive_, id, now, recorded, renew,
-                 extra](const StatusAnswer& answer) {
-                  if (!*alive) return;
-                  OnStatus(id, answer, now, recorded, renew, extra);
+                [this, alive = alive_, id, sent](const StatusAnswer& answer) {
+                  if (*alive) OnStatus(id, answer, sent);
                 });
 }
 
+// An exponentially weighted average.
+void WorkerFleet::UpdateUsualLatency(Duration latency) {
+  constexpr int kWeight = 8;
+  usual_latency_ += (latency - usual_latency_) / kWeight;
+}
+
+void WorkerFleet::ProbeIfQuiet(const std::string& worker, Time now) {
+  const WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr || HasAnswered(worker, now)) return;
+  if (call_states_[worker].extra_report_pending) return;
+  RequestReport(worker, Milliseconds(0), ReportKind::kProbe);
+}
+
+bool WorkerFleet::HasAnswered(const std::string& worker, Time probed) const {
+  const auto state = call_states_.find(worker);
+  return state != call_states_.end() &&
+         state->second.answered_at >= probed - settings_.answer_validity;
+}
+
+bool WorkerFleet::IsReachable(const std::string& worker) const {
+  const auto tracker = trackers_.find(worker);
+  return tracker != trackers_.end() && tracker->second.reachable();
+}
+
+Milliseconds WorkerFleet::ProbeTimeout() const {
+  const auto by_latency = std::chrono::duration_cast<Milliseconds>(
+      usual_latency_ * settings_.probe_timeout_per_latency);
+  return std::max(settings_.min_probe_timeout, by_latency);
+}
+
+void WorkerFleet::OnProbeTimeout(const std::string& worker, Time now) {
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr || !tracker->reachable()) return;
+  LogEvent(events::kWorkerSilent, {{"worker", worker},
+                                   {"runs", tracker->runs().size()},
+                                   {"reason", "no answer to a probe"},
+                                   {"timeout_ms", ProbeTimeout().count()}});
+  tracker->OnReportFailed(now);
+}
+
+void WorkerFleet::OnNoStatus(const std::string& id, const StatusAnswer& answer,
+                             Time now) {
+  WorkerTracker* tracker = Find(id);
+  if (tracker->reachable()) {
+    LogEvent(events::kWorkerSilent, answer.error,
+             {{"worker", id}, {"runs", tracker->runs().size()}});
+  }
+  tracker->OnReportFailed(now);
+  call_states_[id].next_report_time = now + settings_.report_retry_delay;
+  handlers_.on_no_answer(id);
+}
+
 void WorkerFleet::OnStatus(const std::string& id, const StatusAnswer& answer,
-                           Time sent, int64_t recorded, bool renewed,
-                           bool extra) {
+                           const SentQuery& query) {
   CallState& state = call_states_[id];
-  (extra ? state.extra_report_pending : state.report_pending) = false;
+  const bool regular = query.kind == ReportKind::kRegular;
+  (regular ? state.report_pending : state.extra_report_pending) = false;
   WorkerTracker* tracker = Find(id);
   const Time now = Now();
   if (tracker == nullptr || !tracker->synchronized()) {
@@ -365,19 +418,14 @@
     case CallOutcome::kFenced:
       return handlers_.on_fenced();
     case CallOutcome::kOtherIncarnation:
-      return OnIncarnationOver(id, IncarnationEnd::kCrashed);
+      OnIncarnationOver(id, IncarnationEnd::kCrashed);
+      return handlers_.on_no_answer(id);
     case CallOutcome::kConnectionRefused:
       state.departure.OnConnectionRefused(now);
       [[fallthrough]];
     case CallOutcome::kRefused:
     case CallOutcome::kNoAnswer:
-      if (tracker->reachable()) {
-        LogEvent(events::kWorkerSilent, answer.error,
-                 {{"worker", id}, {"runs", tracker->runs().size()}});
-      }
-      tracker->OnReportFailed(now);
-      state.next_report_time = now + settings_.report_retry_delay;
-      return;
+      return OnNoStatus(id, answer, now);
   }
   if (!tracker->reachable()) {
     LogEvent(events::kWorkerBack,
@@ -388,17 +436,22 @@
               {"ends_before", tracker->processed_ends()}});
   }
   LogBirthFault(id, answer.report.incarnation_start);
-  if (tracker->IsFromPastIncarnation(answer.report, sent)) {
+  if (tracker->IsFromPastIncarnation(answer.report, query.sent)) {
     return RequestReportIfDue(id, now);
   }
   state.departure.OnAnswer();
+  state.answered_at = now;
+  if (query.wait.count() == 0) UpdateUsualLatency(now - query.sent);
   const bool first = !tracker->synchronized();
-  state.acknowledged_ends = std::max(state.acknowledged_ends, recorded);
-  if (renewed) state.leased_until = sent + settings_.bounds.lease_term();
+  state.acknowledged_ends =
+      std::max(state.acknowledged_ends, query.recorded_ends);
+  if (query.renews) {
+    state.leased_until = query.sent + settings_.bounds.lease_term();
+  }
   const int life = tracker->incarnation();
   std::vector<RunReport> unexpected;
   const std::vector<RunEndReport> ends =
-      tracker->OnReport(answer.report, sent, now, &unexpected);
+      tracker->OnReport(answer.report, query.sent, now, &unexpected);
   if (tracker->incarnation() != life) OnRestart(id, ends, now);
   for (const RunReport& run : answer.report.running) {
     handlers_.on_progress(run);
@@ -417,6 +470,7 @@
   // While many workers answer for the first time, the owner plans at each tick.
   const bool first_of_many = first && surveying(now);
   if ((first && !first_of_many) || !ends.empty()) handlers_.on_change();
+  handlers_.on_answer(id);
   RequestReportIfDue(id, now);
 }
 
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -49,6 +49,12 @@
   // urgent task off a slow worker in time, long enough for a few percent of
   // progress.
   Milliseconds first_wait{700};
+  // A worker that has answered within this time counts as alive.
+  Milliseconds answer_validity{250};
+  // A worker that is probed must answer within this time, and within this
+  // multiple of the usual latency: this process or its network may be slow.
+  Milliseconds min_probe_timeout{250};
+  int probe_timeout_per_latency = 6;
   FirstLookSettings first_looks;
   // A new leader places tasks on all workers that it knows after this time,
   // even if it has not asked all of them.
@@ -68,6 +74,9 @@
     // A worker has refused the ticket of a start order.
     std::function<void(const StepRef&, const std::string& worker)>
         on_ticket_refused;
+    // A worker has answered a request for a report, or has not.
+    std::function<void(const std::string& worker)> on_answer;
+    std::function<void(const std::string& worker)> on_no_answer;
     // Something changed that may allow tasks to start.
     std::function<void()> on_change;
     // A worker has accepted a higher epoch.
@@ -111,6 +120,17 @@
   // Adds a run that is decided and not yet recorded.
   void Add(const std::string& worker, const TaskRef& task, int run,
            const RunProfile& profile, Time now);
+  // Probes the worker, that is, asks for a report that does not wait, unless it
+  // has answered just now.
+  void ProbeIfQuiet(const std::string& worker, Time now);
+  // Whether the worker has answered after it was probed at `probed`, or just
+  // before that.
+  bool HasAnswered(const std::string& worker, Time probed) const;
+  // False for a worker that is gone, or did not answer the last call.
+  bool IsReachable(const std::string& worker) const;
+  Milliseconds ProbeTimeout() const;
+  // The worker has not answered a probe in time.
+  void OnProbeTimeout(const std::string& worker, Time now);
   // The contents of a start order that depend on the job.
   struct StartFields {
     std::string payload;
@@ -121,6 +141,9 @@
   // ended, if the worker may no longer start it.
   void SendStart(const std::string& worker, const TaskRef& task, int run,
                  const StartFields& fields);
+  // Ends the run, whose start is recorded and will not be sent.
+  void WithholdStart(const std::string& worker, const TaskRef& task, int run,
+                     const std::string& reason);
   void RequestStop(const std::string& worker, const TaskRef& task, int run,
                    const std::string& reason);
   // The ends of that incarnation of the worker are recorded up to `number`.
@@ -142,6 +165,8 @@
     // before, and its directory record was rewritten since.
     bool recheck = false;
     Time next_report_time{};
+    // When it last answered a request for a report.
+    Time answered_at{};
     // The lease of the worker lasts at least until then.
     Time leased_until{};
     // Ends up to this number were reported to the worker as recorded.
@@ -165,9 +190,27 @@
   void RequestFirstReport(const std::string& id, Time now);
   void SendFirstLooks(Time now);
   void RequestReportIfDue(const std::string& id, Time now);
-  void RequestReport(const std::string& id, Milliseconds wait, bool extra);
-  void OnStatus(const std::string& id, const StatusAnswer& answer, Time sent,
-                int64_t recorded, bool renewed, bool extra);
+  enum class ReportKind {
+    kRegular,
+    // Sent beside a regular one that may wait for an end: renews the leases, or
+    // shows that the worker is alive.
+    kRenewal,
+    kProbe,
+  };
+
+  void RequestReport(const std::string& id, Milliseconds wait, ReportKind kind);
+  // A request for a report, as it was sent.
+  struct SentQuery {
+    ReportKind kind = ReportKind::kRegular;
+    Time sent{};
+    Milliseconds wait{0};
+    int64_t recorded_ends = 0;
+    bool renews = false;
+  };
+  void OnStatus(const std::string& id, const StatusAnswer& answer,
+                const SentQuery& query);
+  void UpdateUsualLatency(Duration latency);
+  void OnNoStatus(const std::string& id, const StatusAnswer& answer, Time now);
   // The worker has restarted under its id; `ends` are those of the previous
   // incarnation.
   void OnRestart(const std::string& id, const std::vector<RunEndReport>& ends,
@@ -205,6 +248,8 @@
   std::set<std::string> logged_faults_;
   std::set<std::string> closed_domains_;
   bool may_renew_ = true;
+  // Of reports that do not wait.
+  Duration usual_latency_{};
   // Since when the directory has been read without a gap.
   Time directory_read_since_{};
   Time last_directory_read_{};
--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -277,9 +277,9 @@
                              std::optional<HttpResponse> response,
                              const HttpFailure& failure) {
   if (response) return Succeed(pending, std::move(*response));
-  const bool stale_connection =
-      failure.progress == SendProgress::kNotSent && pending->reused_connection;
-  if (stale_connection) return Requeue(pending);
+  const bool may_repeat =
+      failure.progress == SendProgress::kNotSent || pending->options.idempotent;
+  if (may_repeat && pending->reused_connection) return Requeue(pending);
   Fail(pending, failure);
 }
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -62,6 +62,10 @@
   // the request. Otherwise the response is discarded, the connection closed,
   // and the request fails with progress kUnknown ("crossed answer").
   std::string match_header;
+  // The request may be processed twice. If an exchange on a connection that was
+  // used before ends without a response, the request is sent again on another
+  // one: the peer may have restarted since.
+  bool idempotent = false;
   // Called immediately before the first byte is written, on the writing thread.
   // Returning false abandons the request as kNotSent. It lets a caller that may
   // have been paused check one last time that it may still send.
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -2,6 +2,7 @@
 // continue when the leader changes.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -35,6 +36,10 @@
   void Start(const WorkerAddress& worker, const StartOrder& order, Milliseconds,
              std::function<void(const StartAnswer&)> done) override {
     StartAnswer answer;
+    ++starts[worker.id];
+    if (dead.count(worker.id) > 0) {
+      return CallLater([done] { done({StartOutcome::kNoAnswer, {}}); });
+    }
     answer.outcome = models.at(worker.id).Start(order, ClockMs());
     boost::asio::post(io_, [done = std::move(done), answer] { done(answer); });
   }
@@ -55,6 +60,9 @@
   void Status(const WorkerAddress& worker, const StatusQuery& query,
               Milliseconds,
               std::function<void(const StatusAnswer&)> done) override {
+    if (dead.count(worker.id) > 0) {
+      return CallLater([done = std::move(done)] { done(StatusAnswer()); });
+    }
     auto answer = std::make_shared<StatusAnswer>();
     answer->outcome =
         models.at(worker.id).Status(query, ClockMs(), &answer->report);
@@ -65,12 +73,26 @@
   }
 
   std::map<std::string, standins::UsersExecutorModel> models;
+  // Workers that answer no call any more.
+  std::set<std::string> dead;
+  // Number of start orders that were sent to each worker.
+  std::map<std::string, int> starts;
   // By which the reports of a worker arrive later.
   std::map<std::string, Milliseconds> report_delays;
   // Tasks of all stop orders, in order.
   std::vector<TaskRef> stopped;
 
  private:
+  // The time after which a call without an answer is given up.
+  void CallLater(std::function<void()> action) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(900));
+    timer->async_wait([timer, action = std::move(action)](
+                          const boost::system::error_code& code) {
+      if (!code) action();
+    });
+  }
+
   boost::asio::io_context& io_;
 };
 
@@ -89,6 +111,15 @@
 
   ClusterCoordinator& coordinator() { return coordinator_; }
   MetricsRegistry& metrics() { return metrics_; }
+  // Whether it leads and has a report of each of `workers` workers.
+  bool Knows(size_t workers) const {
+    if (!coordinator_.leading()) return false;
+    const auto& trackers = coordinator_.fleet()->trackers();
+    return trackers.size() == workers &&
+           std::all_of(trackers.begin(), trackers.end(), [](const auto& entry) {
+             return entry.second.synchronized();
+           });
+  }
   JobState state(const std::string& job) const {
     const BoardJob* entry = board_.Find(job);
     return entry == nullptr ? JobState::kQueued : entry->state();
@@ -151,11 +182,13 @@
 class Cluster {
  public:
   Cluster() : store(io), calls(io) {
-    for (const char* id : {"w1", "w2"}) {
-      calls.models.emplace(
-          id, standins::UsersExecutorModel(id, {64000, 256000, 8}));
-      Append(kWorkers, {id, "listed", 0});
-    }
+    for (const char* id : {"w1", "w2"}) AddWorker(id);
+  }
+
+  void AddWorker(const std::string& id) {
+    calls.models.emplace(id,
+                         standins::UsersExecutorModel(id, {64000, 256000, 8}));
+    Append(kWorkers, {id, "listed", 0});
   }
 
   void Append(const Partition& partition, const KeyedRecord& record) {
@@ -403,6 +436,35 @@
   }));
 }
 
+// Workers without runs are not called, so that the leader does not know that
+// one has died. A start that is sent there keeps its task, and the other
+// members of the gang, waiting until the leases of the dead worker are over.
+TEST_CASE("no start is sent to a worker that has died unnoticed") {
+  for (const bool gang : {true, false}) {
+    for (const char* dead : {"w1", "w2", "w3"}) {
+      CAPTURE(gang);
+      CAPTURE(dead);
+      Cluster cluster;
+      cluster.AddWorker("w3");
+      Entry& entry = cluster.Add("a");
+      REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(3); }));
+      const Time answered = std::chrono::steady_clock::now();
+      RunUntil(cluster.io, [&] {
+        return std::chrono::steady_clock::now() - answered > Milliseconds(400);
+      });
+      cluster.calls.dead = {dead};
+      StepSpec step = MakeStep(2, 8);
+      step.gang = gang;
+      cluster.Submit({step}, 50);
+      CHECK(RunUntil(cluster.io, [&] {
+        return entry.state(kJob) == JobState::kCompleted;
+      }));
+      CHECK(cluster.calls.starts[dead] == 0);
+      CHECK(cluster.CompletedRunCounts().size() == 2);
+    }
+  }
+}
+
 // Guards against runs that are missing in the metrics: the first end of a gang
 // that is done ends its job, which the leader drops once that is stored, and
 // the ends of the other members arrive later.
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -129,6 +129,8 @@
       return service != kUnknownService;
     };
     handlers.on_ticket_refused = [](const StepRef&, const std::string&) {};
+    handlers.on_answer = [](const std::string&) {};
+    handlers.on_no_answer = [](const std::string&) {};
     handlers.on_change = [] {};
     handlers.on_fenced = [this] { ++fenced; };
     return handlers;
--- a/tests/auto/net/tst_http_client.cc
+++ b/tests/auto/net/tst_http_client.cc
@@ -296,6 +296,46 @@
         std::vector<std::string>{"GET /healthz HTTP", "POST /pay HTTP"});
 }
 
+// A peer that has restarted resets a connection of its former process at the
+// first request. One that a restart does not change may be sent again.
+TEST_CASE("only an idempotent request is repeated after a lost connection") {
+  struct Case {
+    const char* name;
+    bool idempotent;
+    // The connection was used before.
+    bool reused;
+    bool answered;
+  };
+  const std::vector<Case> cases = {
+      {"idempotent, on a used connection", true, true, true},
+      {"idempotent, on a new connection", true, false, false},
+      {"not idempotent", false, true, false},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    const ScriptedPeer::Script closes = [&c](RawConnection& connection) {
+      if (c.reused) {
+        connection.ReadHeader();
+        connection.Send(Answer("one"));
+      }
+      connection.ReadHeader();
+    };
+    ScriptedPeer peer({closes, Reply(Answer("two"))});
+    Fixture fixture;
+    if (c.reused) {
+      REQUIRE(fixture.Send(peer.address(), Get()).response->body == "one");
+    }
+    HttpSendOptions options;
+    options.idempotent = c.idempotent;
+    const SendResult result = fixture.Send(peer.address(), Get(), options);
+    CHECK(result.response.has_value() == c.answered);
+    if (result.response) CHECK(result.response->body == "two");
+    if (!c.answered) CHECK(result.failure.progress == SendProgress::kUnknown);
+    // Else the peer would wait for it.
+    if (!c.answered) fixture.Send(peer.address(), Get());
+  }
+}
+
 TEST_CASE("a failed probe on a new connection reports kNotSent") {
   const std::vector<ScriptedPeer::Script> scripts = {
       [](RawConnection& c) { c.ReadAll(); },
