A takeover reads only what it has not seen; one writer while the leader is silent

The claim was sent on the condition that nothing was appended since its read, which a caller's record refused each time (0.8 s each at that store); the new leader read all progress again, page by page (1 s; as many pages as there is work); and without the leader each gateway wrote through another replica, so that eight writers with two appends each filled the one partition's queue, the claim among them. The thawed leader then claimed against a successor whose first heartbeat was still in that queue: reads were fast again before it was stored.

Change: claims carry no condition (the epoch decides; the read before a claim shows a leader that lives). JobBoard keeps the newest progress as it was read; a takeover reads the board up to its fence. Gateways turn to the next replica of the roster for changes, all to the same. The election remembers a slow store's latency for eight times as long. Conditional appends are removed, since nothing uses them.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -164,23 +164,23 @@
 // rarely for that.
 void ClusterCoordinator::BeginClaim() {
   phase_ = Phase::kClaiming;
-  dependencies_.refresh_board([this, generation = generation_,
-                               current = *generation_](bool is_current) {
-    if (*generation != current || phase_ != Phase::kClaiming) return;
-    const bool still_vacant =
-        is_current && !released_ &&
-        election_.ShouldClaim(dependencies_.board->leader(), Now());
-    if (still_vacant) return SendClaim();
-    phase_ = Phase::kFollowing;
-    directory_.reset();
-    if (!is_current) DelayNextClaim();
-  });
+  dependencies_.refresh_board(
+      settings_.claim_read_timeout, [this, generation = generation_,
+                                     current = *generation_](bool is_current) {
+        if (*generation != current || phase_ != Phase::kClaiming) return;
+        const bool still_vacant =
+            is_current && !released_ &&
+            election_.ShouldClaim(dependencies_.board->leader(), Now());
+        if (still_vacant) return SendClaim();
+        phase_ = Phase::kFollowing;
+        directory_.reset();
+        if (!is_current) DelayNextClaim();
+      });
 }
 
-// The first claim is stored only if the board still ends where this entry has
-// read to. After a conflict with a record that was no leader's, the claim is
-// sent without this condition: where callers submit jobs faster than a claim
-// takes, each one would conflict. The epoch alone decides between claimants.
+// The epoch alone decides between claimants. A condition that the board still
+// ends where this entry has read to would refuse nearly every claim: other
+// entries append callers' records in between.
 void ClusterCoordinator::SendClaim() {
   const int64_t epoch = dependencies_.board->leader().epoch + 1;
   claimed_epoch_ = epoch;
@@ -188,15 +188,10 @@
   AppendRequest request;
   request.partition = settings_.board;
   request.records = {JobBoard::Leader({settings_.holder, epoch, false})};
-  if (!claim_conflicted_) {
-    request.expected_end = dependencies_.board_next_offset();
-  }
-  claim_conflicted_ = false;
   request.producer = ProducerPosition{kProducer, epoch, first_sequence_};
-  LogEvent(events::kLeadershipClaimed,
-           {{"epoch", epoch},
-            {"board_next", dependencies_.board_next_offset()},
-            {"conditional", request.expected_end.has_value()}});
+  LogEvent(
+      events::kLeadershipClaimed,
+      {{"epoch", epoch}, {"board_next", dependencies_.board_next_offset()}});
   store_.Append(request, settings_.store_timeout,
                 [this, epoch, generation = generation_,
                  current = *generation_](const AppendResult& result) {
@@ -209,17 +204,12 @@
   if (phase_ != Phase::kClaiming) return;
   if (result.outcome == StoreOutcome::kStored) return BeginLeadership(epoch);
   LogEvent(events::kLeadershipClaimRejected, result.error, {{"epoch", epoch}});
-  // Another record was appended meanwhile; the next read may show a leader.
-  if (result.outcome == StoreOutcome::kConflict) {
-    claim_conflicted_ = true;
-    return BeginClaim();
-  }
   phase_ = Phase::kFollowing;
   directory_.reset();
   // If the outcome is unknown, the board shows whether this claim or a
   // competing one was stored.
   DelayNextClaim();
-  dependencies_.refresh_board([](bool) {});
+  dependencies_.refresh_board(settings_.claim_read_timeout, [](bool) {});
 }
 
 void ClusterCoordinator::DelayNextClaim() {
@@ -264,8 +254,7 @@
       [this, generation = generation_, current = *generation_] {
         if (*generation != current || phase_ != Phase::kFencing) return;
         phase_ = Phase::kLoading;
-        loaded_progress_.clear();
-        LoadProgress(JobBoard::ProgressKeyPrefix());
+        LoadProgress();
       });
 }
 
@@ -277,43 +266,40 @@
   directory_ = std::make_unique<WorkerDirectory>(io_, store_, tail);
 }
 
-void ClusterCoordinator::LoadProgress(const std::string& after_key) {
-  store_.ReadNewest(
-      settings_.board, after_key, settings_.store_timeout,
-      [this, after_key, generation = generation_,
-       current = *generation_](const NewestPage& page) {
+// The board keeps the progress that it reads, so that a new leader only reads
+// what it has not seen yet: reading all of it again would take as many calls as
+// there are pages, each of them slow where the store is.
+void ClusterCoordinator::LoadProgress() {
+  dependencies_.refresh_board(
+      settings_.store_timeout, [this, generation = generation_,
+                                current = *generation_](bool is_current) {
         if (*generation != current || phase_ != Phase::kLoading) return;
-        if (!page.ok) {
-          release_timer_.expires_after(kStoreRetry);
-          release_timer_.async_wait([this, after_key, alive = alive_](
-                                        const boost::system::error_code& code) {
-            if (code || !*alive) return;
-            if (phase_ == Phase::kLoading) LoadProgress(after_key);
-          });
-          return;
-        }
-        for (const KeyedRecord& record : page.records) {
-          if (!record.value || JobBoard::ParseRoster(record)) continue;
-          Error error;
-          const auto ref = JobBoard::ParseProgressKey(record.key);
-          auto block = DecodeBlock(*record.value, &error);
-          if (!ref || !block) {
-            LogEvent(events::kRecordUnreadable, error, {{"key", record.key}});
-            continue;
-          }
-          loaded_progress_[ref->step][ref->block] = std::move(*block);
-        }
-        if (page.has_more && !page.records.empty()) {
-          return LoadProgress(page.records.back().key);
-        }
-        OnProgressLoaded();
+        if (is_current) return OnProgressLoaded();
+        release_timer_.expires_after(kStoreRetry);
+        release_timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& code) {
+              if (code || !*alive) return;
+              if (phase_ == Phase::kLoading) LoadProgress();
+            });
       });
 }
 
-void ClusterCoordinator::OnProgressLoaded() {
-  WorkerFleetSettings fleet;
-  fleet.bounds = settings_.bounds;
-  fleet.epoch = epoch_;
+std::map<StepRef, ProgressBlocks> ClusterCoordinator::DecodeProgress() const {
+  std::map<StepRef, ProgressBlocks> progress;
+  for (const auto& [key, record] : dependencies_.board->progress()) {
+    Error error;
+    const auto ref = JobBoard::ParseProgressKey(key);
+    auto block = DecodeBlock(*record.value, &error);
+    if (!ref || !block) {
+      LogEvent(events::kRecordUnreadable, error, {{"key", key}});
+      continue;
+    }
+    progress[ref->step][ref->block] = std::move(*block);
+  }
+  return progress;
+}
+
+WorkerFleet::Handlers ClusterCoordinator::MakeFleetHandlers() {
   WorkerFleet::Handlers handlers;
   handlers.on_end = [this](const std::string& worker, const RunEndReport& end) {
     OnRunEnd(worker, end);
@@ -343,7 +329,15 @@
   handlers.on_fenced = [this] {
     ScheduleStepDown("a worker has accepted a higher epoch");
   };
-  fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet, handlers);
+  return handlers;
+}
+
+void ClusterCoordinator::OnProgressLoaded() {
+  WorkerFleetSettings fleet;
+  fleet.bounds = settings_.bounds;
+  fleet.epoch = epoch_;
+  fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet,
+                                         MakeFleetHandlers());
   fleet_->BeginSurvey();
   fleet_->CloseDomains(dependencies_.closed_domains());
   advice_ = std::make_unique<AdviceRequester>(dependencies_.advisor,
@@ -359,9 +353,24 @@
   for (const auto& [id, job] : dependencies_.board->jobs()) {
     SyncJobFromBoard(id);
   }
+  const size_t restored_steps = RestoreProgress();
+  LogEvent(events::kLeadershipAcquired,
+           {{"epoch", epoch_},
+            {"board_next", dependencies_.board_next_offset()},
+            {"jobs", ledger_.jobs().size()},
+            {"steps", restored_steps}});
+  WriteHeartbeat(/*released=*/false, nullptr);
+
+  directory_->Attach(fleet_.get());
+  StopOutdatedRuns();
+  FlushProgress();
+}
+
+// Returns the number of steps that have made progress.
+size_t ClusterCoordinator::RestoreProgress() {
+  const std::map<StepRef, ProgressBlocks> loaded = DecodeProgress();
   const Time now = Now();
-  size_t restored_steps = 0;
-  for (const auto& [ref, blocks] : loaded_progress_) {
+  for (const auto& [ref, blocks] : loaded) {
     for (const auto& [number, block] : blocks) {
       stored_blocks_.insert({ref, number});
     }
@@ -375,26 +384,15 @@
                {{"key", ref.ToString()}});
     }
     InheritRuns(ref, now);
-    ++restored_steps;
   }
-  for (const auto& [ref, blocks] : loaded_progress_) {
+  for (const auto& [ref, blocks] : loaded) {
     const BoardJob* job = dependencies_.board->Find(ref.job);
     if (job == nullptr) continue;
     ledger_.AdoptFinalState(ref.job, job->published_state);
     if (job->cancelled) ledger_.Cancel(ref.job);
     if (IsTerminal(job->published_state)) published_ended_jobs_.insert(ref.job);
   }
-  loaded_progress_.clear();
-  LogEvent(events::kLeadershipAcquired,
-           {{"epoch", epoch_},
-            {"board_next", dependencies_.board_next_offset()},
-            {"jobs", ledger_.jobs().size()},
-            {"steps", restored_steps}});
-  WriteHeartbeat(/*released=*/false, nullptr);
-
-  directory_->Attach(fleet_.get());
-  StopOutdatedRuns();
-  FlushProgress();
+  return loaded.size();
 }
 
 // Adds a job of the board to the ledger, and cancels it there if it was
@@ -448,7 +446,6 @@
   start_gate_.Clear();
   logged_waits_.clear();
   unrecorded_ends_.clear();
-  loaded_progress_.clear();
   claim_retry_ = Milliseconds(0);
   DelayNextClaim();
 }
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -70,6 +70,8 @@
   // slow must be able to answer, since a call that is given up is queued there
   // all the same.
   Milliseconds store_timeout{2500};
+  // For the read of the board before a claim.
+  Milliseconds claim_read_timeout{500};
   WorkerBounds bounds;
 };
 
@@ -89,7 +91,8 @@
     std::function<void(int64_t)> expect_board;
     // Reads the board at once, regardless of its read interval. The callback
     // gets whether the end was reached.
-    std::function<void(std::function<void(bool)>)> refresh_board;
+    std::function<void(Milliseconds timeout, std::function<void(bool)>)>
+        refresh_board;
     // Null if no advisor is configured.
     Advisor* advisor = nullptr;
   };
@@ -135,9 +138,9 @@
     int64_t number = 0;
   };
   // Leadership is taken in three phases: append the leader record (kClaiming),
-  // fence the progress writes of the predecessor (kFencing), read the progress
-  // (kLoading). A refused claim or a higher epoch leads back to kFollowing;
-  // other failures are retried.
+  // fence the progress writes of the predecessor (kFencing), read the board up
+  // to that fence (kLoading). A refused claim or a higher epoch leads back to
+  // kFollowing; other failures are retried.
   enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kLeading };
 
   void OnTick();
@@ -151,8 +154,11 @@
   void CreateWriters();
   void FenceProgress();
   void FollowDirectory();
-  void LoadProgress(const std::string& after_key);
+  void LoadProgress();
+  std::map<StepRef, ProgressBlocks> DecodeProgress() const;
   void OnProgressLoaded();
+  WorkerFleet::Handlers MakeFleetHandlers();
+  size_t RestoreProgress();
   void SyncJobFromBoard(const std::string& id);
   void InheritRuns(const StepRef& ref, Time now);
   void StepDown(const std::string& reason);
@@ -210,8 +216,6 @@
   int64_t epoch_ = 0;
   // Epoch of the last claim, answered or not; 0 once it has been used.
   int64_t claimed_epoch_ = 0;
-  // The last claim met a record that it had not read.
-  bool claim_conflicted_ = false;
   Time next_claim_time_{};
   // Before the next claim, after one that failed.
   Milliseconds claim_retry_{0};
@@ -227,8 +231,6 @@
   // The members below are in use only while this entry leads or takes
   // leadership.
   JobLedger ledger_;
-  // Progress read from the board; empty outside of kLoading.
-  std::map<StepRef, ProgressBlocks> loaded_progress_;
   std::unique_ptr<FencedWriter> board_writer_;
   std::unique_ptr<FencedWriter> progress_writer_;
   std::unique_ptr<WorkerFleet> fleet_;
--- a/src/libs/coordination/fenced_writer.cc
+++ b/src/libs/coordination/fenced_writer.cc
@@ -118,7 +118,6 @@
         return on_fenced_();
       case StoreOutcome::kOutOfSequence:
         return OnOutOfSequence(result.expected_sequence);
-      case StoreOutcome::kConflict:
       case StoreOutcome::kRefused:
       case StoreOutcome::kUnknown:
         break;
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -17,8 +17,6 @@
 // Followed by the name of the instance.
 constexpr char kEntryKey = 'e';
 constexpr char kLeaderKey[] = "leader";
-// Sorts after all other keys but the roster's, so that a new leader reads
-// progress alone by starting here.
 constexpr char kProgressKey = 't';
 // Sorts after all other keys.
 constexpr char kRosterKey[] = "z-roster";
@@ -59,6 +57,9 @@
       return {};
     case kEntryKey:
       return ApplyEntry(id, record);
+    case kProgressKey:
+      ApplyProgress(record);
+      return {};
     default:
       return {};
   }
@@ -144,6 +145,25 @@
   return {BoardChange::Kind::kRoster, ""};
 }
 
+// A snapshot may contain a record that is older than one that was read beside
+// it.
+void JobBoard::ApplyProgress(const KeyedRecord& record) {
+  const auto known = progress_.find(record.key);
+  if (known != progress_.end() && record.offset < known->second.offset) return;
+  if (record.value) {
+    progress_[record.key] = record;
+  } else if (known != progress_.end()) {
+    progress_.erase(known);
+  }
+}
+
+void JobBoard::OnSnapshot(const std::set<std::string>& keys) {
+  for (auto it = progress_.begin(); it != progress_.end();) {
+    const auto block = it++;
+    if (keys.count(block->first) == 0) progress_.erase(block);
+  }
+}
+
 const BoardJob* JobBoard::Find(const std::string& job) const {
   const auto it = jobs_.find(job);
   return it == jobs_.end() || it->second.spec == nullptr ? nullptr
@@ -217,10 +237,6 @@
   return ParseProgressBlockRef(name);
 }
 
-std::string JobBoard::ProgressKeyPrefix() {
-  return std::string(1, kProgressKey);
-}
-
 std::vector<KeyedRecord> JobBoard::Tombstones(const std::string& id,
                                               const BoardJob& job) {
   std::vector<KeyedRecord> records = {
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -85,6 +85,9 @@
  public:
   // Records that can't be read are ignored.
   BoardChange Apply(const KeyedRecord& record);
+  // The board was read again from its start; keys that are not in `keys` no
+  // longer exist.
+  void OnSnapshot(const std::set<std::string>& keys);
 
   // Null if no submission with this id was read.
   const BoardJob* Find(const std::string& job) const;
@@ -96,6 +99,11 @@
   const std::map<std::string, EntryRecord>& entries() const { return entries_; }
   // nullopt before the first roster.
   const std::optional<ReplicaRoster>& roster() const { return roster_; }
+  // The newest record of each block of progress, by key. Kept as it was read:
+  // only a new leader decodes it.
+  const std::unordered_map<std::string, KeyedRecord>& progress() const {
+    return progress_;
+  }
   // Number of accepted jobs of the queue of which no task has started.
   int64_t WaitingJobs(const std::string& queue) const;
 
@@ -117,14 +125,11 @@
   // The roster in this record; nullopt if it is another record.
   static std::optional<ReplicaRoster> ParseRoster(const KeyedRecord& record);
   // The progress of some tasks of a step; a tombstone if `value` is nullopt.
-  // Apply ignores it.
   static KeyedRecord Progress(const ProgressBlockRef& block,
                               std::optional<std::string> value);
   // The block of progress that the key names; nullopt if it is another key.
   static std::optional<ProgressBlockRef> ParseProgressKey(
       const std::string& key);
-  // Sorts before all keys of progress and after all other keys.
-  static std::string ProgressKeyPrefix();
   // Tombstones for all keys of a job except those of its progress.
   static std::vector<KeyedRecord> Tombstones(const std::string& id,
                                              const BoardJob& job);
@@ -136,11 +141,13 @@
   BoardChange ApplyEntry(const std::string& instance,
                          const KeyedRecord& record);
   BoardChange ApplyRoster(const KeyedRecord& record);
+  void ApplyProgress(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
   LeaderRecord leader_;
   std::map<std::string, EntryRecord> entries_;
   std::optional<ReplicaRoster> roster_;
+  std::unordered_map<std::string, KeyedRecord> progress_;
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/leader_election.cc
+++ b/src/libs/coordination/leader_election.cc
@@ -1,6 +1,7 @@
 // Observation of how long the leader has been silent.
 #include "coordination/leader_election.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace thornplank {
@@ -21,7 +22,9 @@
 }
 
 void LeaderElection::OnBoardCaughtUp(Duration latency, Time now) {
-  store_latency_ = latency;
+  const Duration elapsed = has_read_ ? now - last_read_ : Duration::zero();
+  store_latency_ =
+      std::max(latency, store_latency_ - elapsed / settings_.latency_memory);
   if (!has_read_ || now - last_read_ > settings_.max_read_gap) {
     silent_since_ = now;
   }
--- a/src/libs/coordination/leader_election.h
+++ b/src/libs/coordination/leader_election.h
@@ -1,6 +1,6 @@
 // Decides when an entry should try to take leadership.
 //
-// The store arbitrates: a claim is a conditional append with a higher epoch.
+// The store arbitrates: a claim is an append with a higher epoch.
 // This class only tells when a claim is worth a call.
 #ifndef THORNPLANK_COORDINATION_LEADER_ELECTION_H_
 #define THORNPLANK_COORDINATION_LEADER_ELECTION_H_
@@ -24,6 +24,10 @@
   // append of the leader, the heartbeat queued after it, and the read of the
   // follower.
   int silence_per_latency = 4;
+  // After a time of slow answers their latency counts for this multiple of
+  // itself, falling evenly: appends of the leader from that time are still
+  // queued in the store.
+  int latency_memory = 8;
   // After a longer gap between two reads of the board the silence of the leader
   // is counted anew, since the gap proves nothing about the leader.
   Milliseconds max_read_gap{1600};
@@ -62,6 +66,7 @@
   Time silent_since_{};
   // When the board was last read up to its end; valid if `has_read_`.
   Time last_read_{};
+  // The greatest latency of the store seen lately.
   Duration store_latency_{};
   bool has_read_ = false;
 };
--- a/src/libs/coordination/metered_record_store.cc
+++ b/src/libs/coordination/metered_record_store.cc
@@ -12,8 +12,6 @@
   switch (outcome) {
     case StoreOutcome::kStored:
       return "stored";
-    case StoreOutcome::kConflict:
-      return "conflict";
     case StoreOutcome::kFenced:
       return "fenced";
     case StoreOutcome::kOutOfSequence:
--- a/src/libs/coordination/record_store.h
+++ b/src/libs/coordination/record_store.h
@@ -41,15 +41,11 @@
   // Stored atomically. If empty, the append only sets the epoch of the
   // producer.
   std::vector<KeyedRecord> records;
-  // If set, the records are stored only if the partition ends at this offset.
-  std::optional<int64_t> expected_end;
   std::optional<ProducerPosition> producer;
 };
 
 enum class StoreOutcome {
   kStored,
-  // The partition does not end where it was expected to.
-  kConflict,
   // The store has seen a higher epoch.
   kFenced,
   // Another sequence number is due: AppendResult::expected_sequence.
--- a/src/libs/replicas/board_replica.cc
+++ b/src/libs/replicas/board_replica.cc
@@ -142,7 +142,9 @@
       coordinator_.OnBoardChange(change);
       if (change.kind == BoardChange::Kind::kRoster) OnRoster();
     };
-    handlers.on_snapshot = [](const std::set<std::string>&) {};
+    handlers.on_snapshot = [this](const std::set<std::string>& keys) {
+      board_.OnSnapshot(keys);
+    };
     handlers.on_caught_up = [this] { OnBoardCaughtUp(); };
     handlers.on_failure = [this](const Error& error) {
       board_reachability_.OnReadFailed(error);
@@ -320,8 +322,9 @@
     dependencies.expect_board = [this](int64_t end) {
       board_tail_.Expect(end);
     };
-    dependencies.refresh_board = [this](std::function<void(bool)> done) {
-      board_tail_.CatchUp(kRefreshTimeout, std::move(done));
+    dependencies.refresh_board = [this](Milliseconds timeout,
+                                        std::function<void(bool)> done) {
+      board_tail_.CatchUp(timeout, std::move(done));
     };
     dependencies.advisor = dependencies_.advisor;
     return dependencies;
--- a/src/libs/replicas/replica_selector.cc
+++ b/src/libs/replicas/replica_selector.cc
@@ -28,7 +28,7 @@
     if (entry.name == settings_.name) continue;
     const auto known = replicas_.find(entry.address);
     Replica replica = known == replicas_.end() ? Replica() : known->second;
-    replica.leads = i == 0;
+    replica.position = i;
     replica.same_domain = entry.failure_domain == settings_.failure_domain;
     replica.order = OrderOf(settings_.name, entry.name);
     replicas[entry.address] = replica;
@@ -38,12 +38,12 @@
 
 std::vector<std::string> ReplicaSelector::Order(ReplicaPreference preference,
                                                 Time now) const {
-  const bool leader_first = preference == ReplicaPreference::kLeader;
+  const bool by_position = preference == ReplicaPreference::kLeader;
   const auto key = [&](const std::string& address) {
     const Replica& replica = replicas_.at(address);
     const bool avoid = now < replica.avoid_until;
     return std::make_tuple(avoid, avoid ? replica.avoid_until : Time{},
-                           !(leader_first && replica.leads),
+                           by_position ? replica.position : 0,
                            !replica.same_domain, replica.order);
   };
   std::vector<std::string> addresses;
--- a/src/libs/replicas/replica_selector.h
+++ b/src/libs/replicas/replica_selector.h
@@ -21,7 +21,8 @@
 enum class ReplicaPreference {
   kNearest,
   // For what is written to the board: one writer combines many records into one
-  // append.
+  // append. If the leader does not answer, all gateways turn to the next
+  // replica of the roster, which is likely to lead next.
   kLeader,
 };
 
@@ -57,7 +58,8 @@
 
  private:
   struct Replica {
-    bool leads = false;
+    // On the roster; the leader has position 0.
+    size_t position = 0;
     bool same_domain = false;
     // Differs between gateways, so that they spread over the replicas.
     uint64_t order = 0;
--- a/tests/auto/coordination/store_fixture.h
+++ b/tests/auto/coordination/store_fixture.h
@@ -18,6 +18,8 @@
 
 namespace thornplank::testing {
 
+inline constexpr char kBoardStream[] = "keyed.thornplank";
+
 // How an append fails.
 enum class AppendFault { kNone, kRefused, kLostAnswer, kNotStored };
 
@@ -89,6 +91,7 @@
                   Milliseconds,
                   std::function<void(const NewestPage&)> done) override {
     ++newest_reads;
+    if (partition.stream == kBoardStream) ++board_pages;
     const NewestPage page =
         reachable && !IsUnavailable(partition)
             ? model.ReadNewest(partition, after_key, page_size)
@@ -122,6 +125,8 @@
   int most_in_flight = 0;
   int reads = 0;
   int newest_reads = 0;
+  // Of these, pages of the board.
+  int board_pages = 0;
   // Reads that did not wait for a record.
   int immediate_reads = 0;
 
--- a/tests/auto/coordination/tst_leader_election.cc
+++ b/tests/auto/coordination/tst_leader_election.cc
@@ -122,6 +122,34 @@
   }
 }
 
+// Guards against a claim against a leader that has just taken over: its first
+// heartbeat is among the appends that a slow store has queued, and is stored
+// only a while after the store answers reads quickly again.
+TEST_CASE("the silence allowed by a slow store is remembered for a while") {
+  struct Row {
+    const char* name;
+    int64_t slow_latency;
+    // Since the store was slow, and since the leader wrote.
+    int64_t now;
+    bool claims;
+  };
+  const std::vector<Row> rows = {
+      {"just after, a silence that is long for a fast store", 240, 900, false},
+      {"just after, a silence that is long for a slow store", 240, 1400, true},
+      {"the store was never slow", 4, 900, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    LeaderElection election(LeaderElectionSettings(), "me/2");
+    election.OnBoardCaughtUp(Milliseconds(row.slow_latency), At(0));
+    election.OnLeaderRecord(kOtherLeader, At(0));
+    for (int64_t time = 100; time <= row.now; time += 100) {
+      election.OnBoardCaughtUp(Milliseconds(4), At(time));
+    }
+    CHECK(election.ShouldClaim(kOtherLeader, At(row.now)) == row.claims);
+  }
+}
+
 // Guards against claims that all followers send within the time that one of
 // them takes: a slow store that gets hundreds of them answers none.
 TEST_CASE("a lost leader is followed by few claims, at any size and latency") {
--- a/tests/auto/replicas/tst_replica_selector.cc
+++ b/tests/auto/replicas/tst_replica_selector.cc
@@ -62,6 +62,19 @@
   }
 }
 
+// Guards against appends by all replicas at once while the leader is silent: a
+// slow store takes them one after the other, and the claim of the successor
+// queues behind them.
+TEST_CASE("without the leader all gateways write through one other replica") {
+  for (int i = 0; i < 600; ++i) {
+    ReplicaSelector selector = MakeSelector("g" + std::to_string(i), "c");
+    selector.OnFailure("r0", At(0));
+    CHECK(selector.Order(ReplicaPreference::kLeader, At(100))[0] == "r1");
+    selector.OnFailure("r1", At(100));
+    CHECK(selector.Order(ReplicaPreference::kLeader, At(200))[0] == "r2");
+  }
+}
+
 TEST_CASE("a replica that failed is asked last until it had time to recover") {
   struct Row {
     const char* name;
