After an outage streams are followed at once, and nothing is placed by an old directory

When one stream of the store is back, the others are read at once; but the long poll of such a stream still waited for its own retry, up to 1.5 s, and what was stored meanwhile was not seen: its state looked fresh and was that of the outage. Beside it, a leader placed tasks as soon as the board was back, by what the directory had said before the outage.

Change: the read that finds the store again ends the wait for the retry (RecordTail); a round that would place by a directory older than 1.5 s, and twice the store's latency, reads it first. A directory that cannot be read holds nothing up: an outage of one partition would stop all starts.

Ruled out: narrowing the check. The heartbeat with the new capacity was stored 1 s before the start.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -111,6 +111,7 @@
 }
 
 void ClusterCoordinator::OnStoreRecovered() {
+  directory_unreadable_ = false;
   if (directory_) directory_->RetryIfLost(settings_.store_timeout);
 }
 
@@ -260,6 +261,8 @@
 
 void ClusterCoordinator::FollowDirectory() {
   if (directory_) return;
+  refreshing_directory_ = false;
+  directory_unreadable_ = false;
   RecordTailSettings tail;
   tail.partition = formats_.streams().workers;
   tail.min_read_interval = settings_.directory_read_interval;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -61,6 +61,11 @@
   // workers together rewrite their records several times a second; a worker
   // that leaves must get no new task after 2 s.
   Milliseconds directory_read_interval{200};
+  // Tasks are placed by a directory that is not older, unless it cannot be
+  // read: after an outage of the store the board may be readable again before
+  // it. Both are extended by twice the latency of the store.
+  Milliseconds max_directory_age{1500};
+  Milliseconds directory_refresh_timeout{500};
   // How long the records of an ended job are kept on the board.
   Milliseconds job_retention{150000};
   Milliseconds tick_interval{100};
@@ -165,6 +170,9 @@
   void ScheduleStepDown(const std::string& reason);
 
   void SchedulePlanning();
+  // Returns whether tasks may be placed by the directory as it is. If it must
+  // be read first, does that, and plans afterwards.
+  bool IsDirectoryCurrent();
   void RunPlanningRound();
   void StopRestOfGang(const StopDecision& stop);
   void ApplyStart(const StartDecision& decision, Time now);
@@ -235,6 +243,10 @@
   std::unique_ptr<FencedWriter> progress_writer_;
   std::unique_ptr<WorkerFleet> fleet_;
   std::unique_ptr<WorkerDirectory> directory_;
+  bool refreshing_directory_ = false;
+  // The last refresh of the directory failed; it is not waited for again until
+  // the store has recovered.
+  bool directory_unreadable_ = false;
   std::unique_ptr<AdviceRequester> advice_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -38,6 +38,26 @@
       });
 }
 
+bool ClusterCoordinator::IsDirectoryCurrent() {
+  if (!directory_->has_snapshot()) return false;
+  const auto slack =
+      std::chrono::duration_cast<Milliseconds>(directory_->latency() * 2);
+  const auto age = BootClock::now() - directory_->as_of();
+  if (age <= settings_.max_directory_age + slack) return true;
+  if (directory_unreadable_) return true;
+  if (refreshing_directory_) return false;
+  refreshing_directory_ = true;
+  directory_->CatchUp(
+      settings_.directory_refresh_timeout + slack,
+      [this, generation = generation_, current = *generation_](bool is_read) {
+        if (*generation != current) return;
+        refreshing_directory_ = false;
+        directory_unreadable_ = !is_read;
+        SchedulePlanning();
+      });
+  return false;
+}
+
 void ClusterCoordinator::RunPlanningRound() {
   PublishEndedJobs();
   // Only one progress write is in flight at a time, and a task is started only
@@ -45,7 +65,7 @@
   if (!progress_writer_->idle()) return;
   const auto age = BootClock::now() - dependencies_.board_as_of();
   const bool is_up_to_date = age <= settings_.bounds.max_board_age() &&
-                             !released_ && directory_->has_snapshot();
+                             !released_ && IsDirectoryCurrent();
   const Time now = Now();
   const bool surveying = fleet_->surveying(now);
   const bool is_due =
--- a/src/libs/coordination/record_tail.cc
+++ b/src/libs/coordination/record_tail.cc
@@ -122,6 +122,11 @@
     }
     Answer(waiters, read && next_offset_ >= result.end);
     ReadForWaiting();
+    // The store is back: the stream is followed again from now on.
+    if (!read || !waits_to_retry_ || stopped_) return;
+    waits_to_retry_ = false;
+    timer_.cancel();
+    Poll();
   }
 
   void BeginSnapshot() {
@@ -189,7 +194,11 @@
     if (result.outcome == ReadOutcome::kTrimmed) return BeginSnapshot();
     if (result.outcome == ReadOutcome::kFailed) {
       handlers_.on_failure(result.error);
-      return RunAfter(NextRetryDelay(), [this] { Poll(); });
+      waits_to_retry_ = true;
+      return RunAfter(NextRetryDelay(), [this] {
+        waits_to_retry_ = false;
+        Poll();
+      });
     }
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(
         std::chrono::steady_clock::now() - start.steady);
@@ -261,6 +270,8 @@
   std::mt19937 random_;
   // False also before the first read.
   bool last_read_failed_ = false;
+  // A long poll has failed, and the next one has not begun.
+  bool waits_to_retry_ = false;
   // Delay after the next failure in a row, before jitter.
   Milliseconds retry_delay_{0};
   int64_t next_offset_ = 0;
--- a/src/libs/coordination/worker_directory.h
+++ b/src/libs/coordination/worker_directory.h
@@ -8,10 +8,12 @@
 #ifndef THORNPLANK_COORDINATION_WORKER_DIRECTORY_H_
 #define THORNPLANK_COORDINATION_WORKER_DIRECTORY_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "coordination/record_tail.h"
 #include "coordination/stream_reachability.h"
@@ -29,8 +31,14 @@
   void Attach(WorkerFleet* fleet);
   // Whether all workers that are listed are known.
   bool has_snapshot() const { return tail_.has_snapshot(); }
+  // When the last read that reached the end of the directory began.
+  BootTime as_of() const { return tail_.as_of(); }
   // See RecordTail.
+  Duration latency() const { return tail_.latency(); }
   void RetryIfLost(Milliseconds timeout) { tail_.RetryIfLost(timeout); }
+  void CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
+    tail_.CatchUp(timeout, std::move(done));
+  }
 
  private:
   RecordTail::Handlers MakeHandlers();
--- a/tests/auto/coordination/store_fixture.h
+++ b/tests/auto/coordination/store_fixture.h
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,8 +72,11 @@
     }
     const bool silent = long_polls_hang && wait.count() > 0;
     if (!silent && (model.end(partition) > from || wait.count() == 0)) {
-      if (read_latency.count() > 0) {
-        return RunLater(read_latency, [this, partition, from, done] {
+      const auto slow = slow_streams.find(partition.stream);
+      const Milliseconds delay =
+          slow == slow_streams.end() ? read_latency : slow->second;
+      if (delay.count() > 0) {
+        return RunLater(delay, [this, partition, from, done] {
           done(model.Read(partition, from));
         });
       }
@@ -107,6 +111,8 @@
   Milliseconds latency{0};
   // Before a read that has something to return is answered.
   Milliseconds read_latency{0};
+  // The same for the streams of these names.
+  std::map<std::string, Milliseconds> slow_streams;
   // Runs just before an append is carried out; may write to `model`.
   std::function<void()> before_append;
   bool reachable = true;
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "../workload/workload_fixtures.h"
@@ -150,8 +151,9 @@
     };
     handlers.on_caught_up = [this] {
       coordinator_.OnBoardCaughtUp(tail_.latency());
+      if (std::exchange(store_lost_, false)) coordinator_.OnStoreRecovered();
     };
-    handlers.on_failure = [](const Error&) {};
+    handlers.on_failure = [this](const Error&) { store_lost_ = true; };
     return handlers;
   }
   ClusterCoordinator::Dependencies Dependencies() {
@@ -177,6 +179,7 @@
   FakeFormats formats_;
   JobBoard board_;
   ServingConfiguration configuration_;
+  bool store_lost_ = false;
   RecordTail tail_;
   MetricsRegistry metrics_;
   ClusterCoordinator coordinator_;
@@ -498,6 +501,36 @@
   }
 }
 
+// Guards against starts by what the directory said before an outage: workers
+// may have shrunk, or announced that they leave, while it could not be read.
+TEST_CASE("after an outage nothing is placed before the directory is read") {
+  Cluster cluster;
+  Entry& entry = cluster.Add("a");
+  REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+  cluster.store.reachable = false;
+  cluster.store.fails_at_once = true;
+  RunUntil(
+      cluster.io, [] { return false; }, Milliseconds(2200));
+  cluster.Append(kWorkers, {"w1", kShrunk, 0});
+  cluster.Append(kWorkers, {"w2", kLeaving, 0});
+  cluster.Submit({MakeStep(1, 8)}, 50);
+  cluster.store.slow_streams[kWorkers.stream] = Milliseconds(300);
+  cluster.store.reachable = true;
+  const auto resized = [&] {
+    return entry.coordinator().leading() && entry.coordinator()
+                                                    .fleet()
+                                                    ->trackers()
+                                                    .at("w1")
+                                                    .registration()
+                                                    .capacity.accelerators == 2;
+  };
+  REQUIRE(RunUntil(cluster.io, resized));
+  RunUntil(
+      cluster.io, [] { return false; }, Milliseconds(300));
+  CHECK(cluster.calls.starts["w1"] == 0);
+  CHECK(cluster.calls.starts["w2"] == 0);
+}
+
 // Guards against runs that are missing in the metrics: the first end of a gang
 // that is done ends its job, which the leader drops once that is stored, and
 // the ends of the other members arrive later.
--- a/tests/auto/coordination/tst_record_tail.cc
+++ b/tests/auto/coordination/tst_record_tail.cc
@@ -177,6 +177,11 @@
   store.reachable = true;
   follower.tail().RetryIfLost(Milliseconds(500));
   CHECK(RunUntil(io, [&] { return follower.tail().as_of() > as_of; }));
+  // It is followed again, though its own retry is not due yet: what is stored
+  // now would otherwise be seen only then.
+  Put(&store, "a", "1");
+  CHECK(RunUntil(
+      io, [&] { return follower.values.count("a") == 1; }, Milliseconds(2000)));
 }
 
 TEST_CASE("a read outside of the interval gets what was just stored") {
