Idle connections are limited by the instance's descriptors; small read buffers

Cause: a client kept a connection to each peer for 30 s after its last use, each with a read buffer of 16 KB.

Change: an eighth of the descriptors (new setting `max_descriptors`, filled in by the platform) may be idle connections, over all peers; the least recently used one is closed. Read buffers begin at 1 KB and grow with the responses.

Ruled out: shorter idle times (they are a time whatever the number of peers is).

Test: "idle connections are limited over all peers" (3 to 40 peers; failed before).

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -58,6 +58,9 @@
 constexpr Milliseconds kRetirementDelay{5000};
 // Weight of the instance's size in its leadership rank; the rest is random.
 constexpr double kSizeWeight = 0.9;
+// Descriptors for each idle connection that is kept. The others are for
+// connections in use: a leader waits for reports of all workers that have runs.
+constexpr size_t kDescriptorsPerIdle = 8;
 // Cores that suffice to lead thousands of workers; more don't improve the rank.
 constexpr double kSufficientCores = 1;
 
@@ -109,6 +112,13 @@
   return {settings.name, settings.listen_entries, settings.failure_domain};
 }
 
+HttpClientLimits ClientLimits(const HostedSettings& settings) {
+  HttpClientLimits limits;
+  limits.max_idle_connections =
+      static_cast<size_t>(settings.max_descriptors) / kDescriptorsPerIdle;
+  return limits;
+}
+
 HttpServerLimits CallerServerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = 1024 * 1024;
@@ -125,7 +135,7 @@
       : io_(io),
         settings_(std::move(settings)),
         holder_(MakeHolder(settings_)),
-        client_(io, HttpClientLimits()),
+        client_(io, ClientLimits(settings_)),
         store_client_(client_, settings_.store_address),
         store_(store_client_, metrics_),
         executor_client_(client_),
--- a/src/libs/net/client_connection.cc
+++ b/src/libs/net/client_connection.cc
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/write.hpp>
@@ -18,7 +19,10 @@
 
 using boost::system::error_code;
 
-constexpr size_t kReadBytes = 16 * 1024;
+// Most responses are small, and a client may have thousands of connections,
+// each with a buffer of its own. It grows with the responses.
+constexpr size_t kMinReadBytes = 1024;
+constexpr size_t kMaxReadBytes = 64 * 1024;
 constexpr size_t kMaxHeaderBytes = 64 * 1024;
 
 // What can be read from the socket, determined without consuming it.
@@ -51,7 +55,8 @@
       traffic_(std::move(traffic)),
       on_idle_close_(std::move(on_idle_close)),
       socket_(strand),
-      connect_timer_(strand) {}
+      connect_timer_(strand),
+      read_bytes_(kMinReadBytes) {}
 
 void ClientConnection::Connect(
     const boost::asio::ip::tcp::endpoint& endpoint, Duration timeout,
@@ -150,7 +155,7 @@
 
 void ClientConnection::Read() {
   socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
+      buffer_.prepare(read_bytes_),
       [self = shared_from_this()](const error_code& code, size_t bytes) {
         if (self->state_ == State::kExchanging) self->OnRead(code, bytes);
       });
@@ -164,6 +169,9 @@
   }
   if (code) return Fail(SendProgress::kUnknown, "read answer", code.message());
   buffer_.commit(bytes);
+  if (bytes >= read_bytes_) {
+    read_bytes_ = std::min(read_bytes_ * 4, kMaxReadBytes);
+  }
   size_t consumed = 0;
   const ParseState state = parser_->Feed(View(buffer_), &consumed);
   buffer_.consume(consumed);
--- a/src/libs/net/client_connection.h
+++ b/src/libs/net/client_connection.h
@@ -91,6 +91,8 @@
   std::string body_out_;
   bool request_written_ = false;
   boost::asio::streambuf buffer_;
+  // How many bytes the next read may return.
+  size_t read_bytes_;
 };
 
 }  // namespace thornplank
--- a/src/libs/net/client_pool.cc
+++ b/src/libs/net/client_pool.cc
@@ -48,10 +48,12 @@
 
 ClientPool::ClientPool(boost::asio::io_context& io, std::string peer,
                        const HttpClientLimits& limits,
-                       std::shared_ptr<TrafficCounters> traffic)
+                       std::shared_ptr<TrafficCounters> traffic,
+                       std::shared_ptr<IdleConnections> all_idle)
     : peer_(std::move(peer)),
       limits_(limits),
       traffic_(std::move(traffic)),
+      all_idle_(std::move(all_idle)),
       strand_(boost::asio::make_strand(io)),
       sweep_timer_(strand_) {}
 
@@ -71,6 +73,9 @@
     const auto queue = std::exchange(self->queue_, {});
     const auto active = std::exchange(self->active_, {});
     const auto connections = std::exchange(self->connections_, {});
+    for (const ConnectionPointer& connection : self->idle_) {
+      self->all_idle_->Remove(connection);
+    }
     self->idle_.clear();
     self->connection_count_ = 0;
     for (const PendingPointer& pending : queue) {
@@ -122,6 +127,7 @@
   while (!idle_.empty()) {
     const ConnectionPointer connection = idle_.back();
     idle_.pop_back();
+    all_idle_->Remove(connection);
     if (connection->IsUsable()) return connection;
     Remove(connection);
     connection->Close("not usable");
@@ -336,6 +342,11 @@
 void ClientPool::Release(const ConnectionPointer& connection) {
   if (closed_ || !connection->is_open()) return;
   idle_.push_back(connection);
+  for (const auto& excess : all_idle_->Add(weak_from_this(), connection)) {
+    if (const auto pool = excess.pool.lock()) {
+      pool->CloseIfIdle(excess.connection);
+    }
+  }
   if (sweep_scheduled_) return;
   sweep_scheduled_ = true;
   ScheduleSweep();
@@ -344,7 +355,18 @@
 void ClientPool::Remove(const ConnectionPointer& connection) {
   connections_.erase(connection);
   connection_count_ = connections_.size();
-  idle_.erase(std::remove(idle_.begin(), idle_.end(), connection), idle_.end());
+  const auto idle = std::remove(idle_.begin(), idle_.end(), connection);
+  if (idle != idle_.end()) all_idle_->Remove(connection);
+  idle_.erase(idle, idle_.end());
+}
+
+void ClientPool::CloseIfIdle(const ConnectionPointer& connection) {
+  boost::asio::post(strand_, [self = shared_from_this(), connection] {
+    const auto& idle = self->idle_;
+    if (std::find(idle.begin(), idle.end(), connection) == idle.end()) return;
+    self->Remove(connection);
+    connection->Close("too many idle connections");
+  });
 }
 
 void ClientPool::CloseIdleWithoutResponseSince(Time time) {
--- a/src/libs/net/client_pool.h
+++ b/src/libs/net/client_pool.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "net/client_connection.h"
 #include "net/http_client.h"
+#include "net/idle_connections.h"
 
 namespace thornplank {
 
@@ -22,7 +23,8 @@
  public:
   ClientPool(boost::asio::io_context& io, std::string peer,
              const HttpClientLimits& limits,
-             std::shared_ptr<TrafficCounters> traffic);
+             std::shared_ptr<TrafficCounters> traffic,
+             std::shared_ptr<IdleConnections> all_idle);
 
   // Like HttpClient::Send and Close; thread-safe.
   void Send(HttpRequest request, HttpSendOptions options,
@@ -65,6 +67,8 @@
   void Release(const ConnectionPointer& connection);
   void Remove(const ConnectionPointer& connection);
   void CloseIdleWithoutResponseSince(Time time);
+  // To be called on any thread.
+  void CloseIfIdle(const ConnectionPointer& connection);
   void ScheduleSweep();
 
   void Succeed(const PendingPointer& pending, HttpResponse response);
@@ -76,6 +80,8 @@
   const std::string peer_;
   const HttpClientLimits limits_;
   const std::shared_ptr<TrafficCounters> traffic_;
+  // Contains the connections of idle_, and those of the other pools.
+  const std::shared_ptr<IdleConnections> all_idle_;
   const ClientConnection::Strand strand_;
   std::atomic<size_t> connection_count_{0};
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/client_pool.h"
+#include "net/idle_connections.h"
 
 namespace thornplank {
 
@@ -43,7 +44,8 @@
     std::lock_guard lock(mutex_);
     std::shared_ptr<ClientPool>& pool = pools_[peer];
     if (pool != nullptr) return pool;
-    pool = std::make_shared<ClientPool>(io_, peer, limits_, traffic_);
+    pool =
+        std::make_shared<ClientPool>(io_, peer, limits_, traffic_, all_idle_);
     if (closed_) pool->Close();
     return pool;
   }
@@ -52,6 +54,8 @@
   const HttpClientLimits limits_;
   const std::shared_ptr<TrafficCounters> traffic_ =
       std::make_shared<TrafficCounters>();
+  const std::shared_ptr<IdleConnections> all_idle_ =
+      std::make_shared<IdleConnections>(limits_.max_idle_connections);
   mutable std::mutex mutex_;
   // Guarded by mutex_. Pools are never removed: one without connections is
   // small.
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -44,6 +44,9 @@
   size_t max_response_bytes = 16 * 1024 * 1024;
   Milliseconds connect_timeout{1000};
   Milliseconds idle_timeout{30000};
+  // To all peers together; the least recently used ones are closed. 0 for no
+  // limit.
+  size_t max_idle_connections = 0;
   // For how long after its last complete response a connection counts as
   // verified.
   Milliseconds verified_for{500};
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -12,6 +12,7 @@
 constexpr NumberRange kShareRange{0, 1024, /*above_min=*/true};
 constexpr NumberRange kSlowdownRange{1, 1000};
 constexpr IntRange kReplicaRange{1, 1000};
+constexpr IntRange kDescriptorRange{0, 100000000};
 
 }  // namespace
 
@@ -33,6 +34,8 @@
               &settings->advisor_address);
   reader.Number("processor_share", Presence::kOptional, kShareRange,
                 &settings->processor_share);
+  reader.Int("max_descriptors", Presence::kOptional, kDescriptorRange,
+             &settings->max_descriptors);
   reader.Choose("log_level", Presence::kOptional,
                 std::vector<std::pair<std::string, Severity>>{
                     {"debug", Severity::kDebug},
@@ -97,6 +100,8 @@
           at_restart);
   compare("processor_share", before.processor_share, after.processor_share,
           at_restart);
+  compare("max_descriptors", before.max_descriptors, after.max_descriptors,
+          at_restart);
   compare("configuration_bound_ms", before.configuration_bound,
           after.configuration_bound, at_restart);
   compare("min_replicas", before.min_replicas, after.min_replicas, at_restart);
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -33,6 +33,9 @@
   // CPU cores of this instance; instances with more cores are preferred as
   // leader.
   double processor_share = 1;
+  // Files and sockets that this process may have open; 0 if not known. Bounds
+  // the connections that are kept open while they are not in use.
+  int max_descriptors = 0;
   Severity log_level = Severity::kInfo;
   // Maximum time from the revocation of a caller's key until no call with that
   // key may run on any entry.
--- a/tests/auto/net/tst_http_client.cc
+++ b/tests/auto/net/tst_http_client.cc
@@ -2,8 +2,10 @@
 // failure, with the progress it reports.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -396,6 +398,43 @@
   CHECK(fixture.client.connections(peer.address()) == 0);
 }
 
+// Guards against a client whose connections grow with the number of its peers:
+// one that calls each of thousands of peers now and then kept a connection to
+// all of them.
+TEST_CASE("idle connections are limited over all peers") {
+  constexpr size_t kLimit = 4;
+  for (const int peers : {3, 4, 12, 40}) {
+    CAPTURE(peers);
+    HttpClientLimits limits;
+    limits.max_idle_connections = kLimit;
+    std::vector<std::unique_ptr<ScriptedPeer>> servers;
+    for (int i = 0; i < peers; ++i) {
+      servers.push_back(std::make_unique<ScriptedPeer>(
+          std::vector<ScriptedPeer::Script>{Reply(Answer("one"))}));
+    }
+    {
+      Fixture fixture(limits);
+      for (const auto& server : servers) {
+        REQUIRE(fixture.Send(server->address(), Get()).response);
+      }
+      const auto open = [&] {
+        size_t count = 0;
+        for (const auto& server : servers) {
+          count += fixture.client.connections(server->address());
+        }
+        return count;
+      };
+      const auto expected = std::min(kLimit, static_cast<size_t>(peers));
+      for (int i = 0; i < 500 && open() != expected; ++i) {
+        std::this_thread::sleep_for(Milliseconds(10));
+      }
+      CHECK(open() == expected);
+      // The ones that were used last are kept.
+      CHECK(fixture.client.connections(servers.back()->address()) == 1);
+    }
+  }
+}
+
 TEST_CASE("Close fails each pending request once") {
   ScriptedPeer peer({[](RawConnection& c) { c.ReadAll(); }});
   HttpClientLimits limits;
--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -43,6 +43,7 @@
   CHECK(settings->worker_heartbeat == HostedSettings().worker_heartbeat);
   CHECK(settings->restore_time == HostedSettings().restore_time);
   CHECK(settings->min_replicas == HostedSettings().min_replicas);
+  CHECK(settings->max_descriptors == HostedSettings().max_descriptors);
   CHECK(settings->configuration_bound == HostedSettings().configuration_bound);
 }
 
@@ -70,6 +71,7 @@
       {R"({"far_slowdown": 0.5})",
        "far_slowdown: found 0.5, allowed a number from 1"},
       {R"({"min_replicas": 0})", "min_replicas: found 0, allowed"},
+      {R"({"max_descriptors": -1})", "max_descriptors: found -1, allowed"},
       {R"({"reclaim_bound_ms": 0})", "reclaim_bound_ms: found 0, allowed"},
       {R"({"stop_bound_ms": -1})", "stop_bound_ms: found -1, allowed"},
       {R"({"stop_grace_s": "6"})", "stop_grace_s: found string \"6\", allowed"},
