A tick visits only workers with something open; rounds only look at workers for a step

Cause: ten times a second the leader visited every worker, copied all their ids and went through all of them twice more for gangs and outdated runs; each planning round, tens of them a second, added up the capacity of all workers though nearly all rounds have no step to place. Rounds grow with the work and each of them with the workers: processor time grew faster than the fleet.

Change: the fleet keeps the workers that have runs or something open (NeedsVisit); ticks, gangs and outdated runs visit these. A round without a ready step ends at once; one that took long is followed by a pause of four times as long, so that calls are handled between rounds at any size. The state of the calls to a worker is a file of its own.

Ruled out: a longer tick.

Tests: "a tick visits only workers that have something open" (10 to 6,000 workers; what it counts did not exist before).

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -57,6 +57,9 @@
   // From an event to the planning round, so that events that come together are
   // handled in one round.
   Milliseconds planning_delay{8};
+  // A round that took long, since it looks at many workers, is followed by a
+  // pause of this multiple of it, in which calls are handled.
+  int planning_pause_factor = 4;
   // Least time between two reads of the directory of workers. Hundreds of
   // workers together rewrite their records several times a second; a worker
   // that leaves must get no new task after 2 s.
@@ -233,8 +236,9 @@
   LeaderRecord logged_leader_;
   Time last_heartbeat_{};
   Time last_cleanup_{};
-  // When tasks were last placed.
+  // When tasks were last placed, and how long it took.
   Time last_placement_{};
+  Duration placement_time_{};
 
   // The members below are in use only while this entry leads or takes
   // leadership.
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -29,7 +29,9 @@
 void ClusterCoordinator::SchedulePlanning() {
   if (planning_scheduled_ || phase_ != Phase::kLeading) return;
   planning_scheduled_ = true;
-  planning_timer_.expires_after(settings_.planning_delay);
+  planning_timer_.expires_after(
+      std::max<Duration>(settings_.planning_delay,
+                         placement_time_ * settings_.planning_pause_factor));
   planning_timer_.async_wait(
       [this, alive = alive_](const boost::system::error_code& code) {
         if (code || !*alive || phase_ != Phase::kLeading) return;
@@ -91,6 +93,7 @@
     }
     LogWaits(plan.waits);
     RequestAdvice(plan.waits);
+    placement_time_ = Now() - now;
   }
   FlushProgress();
 }
@@ -272,8 +275,8 @@
     std::string reason;
   };
   std::vector<Outdated> outdated;
-  for (const auto& [id, tracker] : fleet_->trackers()) {
-    for (const auto& [task, run] : tracker.runs()) {
+  for (const WorkerTracker* tracker : fleet_->active_workers()) {
+    for (const auto& [task, run] : tracker->runs()) {
       if (run.stop_wanted) continue;
       const Job* job = ledger_.Find(task.step.job);
       const TaskStatus* status = ledger_.FindTask(task);
@@ -290,7 +293,7 @@
         if (progress->waiting > 0) reason = "gang lost a member";
       }
       if (reason.empty()) continue;
-      outdated.push_back({id, task, run.run, std::move(reason)});
+      outdated.push_back({tracker->id(), task, run.run, std::move(reason)});
     }
   }
   for (const Outdated& run : outdated) {
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -97,7 +97,7 @@
     return OnIncarnationOver(worker, IncarnationEnd::kCrashed);
   }
   DeliverEnds(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
-  CallState& state = call_states_[worker];
+  WorkerCallState& state = call_states_[worker];
   // A pending report shows at once if the worker crashes by what it started.
   if (result.outcome == StartOutcome::kAccepted) state.next_report_time = now;
   // The pending report may be answered only after half of the lease has passed,
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -62,6 +62,23 @@
   return it == trackers_.end() ? nullptr : &it->second;
 }
 
+std::vector<const WorkerTracker*> WorkerFleet::active_workers() const {
+  std::vector<const WorkerTracker*> workers;
+  for (const std::string& id : active_) {
+    const auto tracker = trackers_.find(id);
+    if (tracker != trackers_.end()) workers.push_back(&tracker->second);
+  }
+  return workers;
+}
+
+void WorkerFleet::Forget(const std::string& id) {
+  first_looks_.Remove(id);
+  trackers_.erase(id);
+  call_states_.erase(id);
+  active_.erase(id);
+  pace_controller_.Forget(id);
+}
+
 void WorkerFleet::OnDirectoryRecord(const KeyedRecord& record, Time now) {
   if (!record.value) return OnEntryRemoved(record.key, now);
   Error error;
@@ -80,7 +97,7 @@
   }
   LogBirthFault(id, registration->incarnation_start);
   WorkerTracker* tracker = Find(id);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   state.missing_since.reset();
   state.departure.OnEntry(*registration, last_directory_read_, now);
   if (tracker == nullptr) {
@@ -92,6 +109,7 @@
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
     trackers_.emplace(id, std::move(new_tracker));
+    Activate(id);
     return RequestFirstReport(id, now);
   }
   const bool starts_draining =
@@ -111,6 +129,7 @@
   tracker->set_domain_closed(IsClosed(*tracker));
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
+  if (NeedsVisit(*tracker, state)) Activate(id);
   if (!listed_before) return RequestFirstReport(id, now);
   if (!tracker->synchronized() || state.recheck) RequestReportIfDue(id, now);
 }
@@ -165,8 +184,9 @@
 void WorkerFleet::OnEntryRemoved(const std::string& id, Time now) {
   refused_.Forget(id);
   if (Find(id) == nullptr) return;
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   state.missing_since = now;
+  Activate(id);
   const Milliseconds heartbeat = settings_.bounds.heartbeat;
   if (state.departure.IsDeparture(heartbeat, last_directory_read_, now)) {
     OnIncarnationOver(id, IncarnationEnd::kLeft);
@@ -179,8 +199,9 @@
   WorkerTracker* tracker = Find(id);
   if (tracker == nullptr) return;
   tracker->MarkMissing(now);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   if (!state.missing_since) state.missing_since = now;
+  Activate(id);
 }
 
 void WorkerFleet::OnDirectorySnapshot(const std::set<std::string>& ids,
@@ -188,8 +209,9 @@
   refused_.RetainOnly(ids);
   for (const auto& [id, tracker] : trackers_) {
     if (ids.count(id) > 0) continue;
-    CallState& state = call_states_[id];
+    WorkerCallState& state = call_states_[id];
     if (!state.missing_since) state.missing_since = now;
+    Activate(id);
   }
   first_looks_.ReleaseIdle();
   if (!survey_released_at_) survey_released_at_ = now;
@@ -223,12 +245,15 @@
     call_states_[worker].missing_since = now;
   }
   tracker->Inherit(task, run, profile, now, lease_bound);
+  Activate(worker);
 }
 
 void WorkerFleet::Add(const std::string& worker, const TaskRef& task, int run,
                       const RunProfile& profile, Time now) {
   WorkerTracker* tracker = Find(worker);
-  if (tracker != nullptr) tracker->Add(task, run, profile, now);
+  if (tracker == nullptr) return;
+  tracker->Add(task, run, profile, now);
+  Activate(worker);
 }
 
 void WorkerFleet::OnEndsRecorded(const std::string& worker, int incarnation,
@@ -236,25 +261,24 @@
   WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr) return;
   tracker->OnEndsRecorded(incarnation, number);
+  Activate(worker);
   RequestReportIfDue(worker, Now());
 }
 
 void WorkerFleet::Tick(Time now, bool may_renew) {
   may_renew_ = may_renew;
-  std::vector<std::string> ids;
-  ids.reserve(trackers_.size());
-  for (const auto& [id, tracker] : trackers_) {
-    ids.push_back(id);
-  }
+  const std::vector<std::string> ids(active_.begin(), active_.end());
   run_review_.DropStale(now);
   first_looks_.OnTick();
   SendFirstLooks(now);
   ReviewGangs(now);
   for (const std::string& id : ids) {
     ReviewWorker(id, now);
-    if (Find(id) == nullptr) continue;
+    const WorkerTracker* tracker = Find(id);
+    if (tracker == nullptr) continue;
     SendStops(id, now);
     RequestReportIfDue(id, now);
+    if (!NeedsVisit(*tracker, call_states_[id])) active_.erase(id);
   }
 }
 
@@ -262,7 +286,7 @@
 // until it was told that its ends are recorded.
 void WorkerFleet::RequestReportIfDue(const std::string& id, Time now) {
   WorkerTracker* tracker = Find(id);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   if (tracker == nullptr || state.report_pending ||
       now < state.next_report_time) {
     return;
@@ -313,7 +337,7 @@
 // not answer the last report: if it has restarted meanwhile, it would forget
 // ends of its new incarnation by the numbers of the old one.
 int64_t WorkerFleet::EndsToAcknowledge(const WorkerTracker& tracker,
-                                       const CallState& state) const {
+                                       const WorkerCallState& state) const {
   const bool news = tracker.recorded_ends() > state.acknowledged_ends;
   return news && tracker.reachable() ? tracker.recorded_ends() : 0;
 }
@@ -321,7 +345,7 @@
 void WorkerFleet::RequestReport(const std::string& id, Milliseconds wait,
                                 ReportKind kind) {
   WorkerTracker* tracker = Find(id);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   const Time now = Now();
   StatusQuery query;
   query.epoch = settings_.epoch;
@@ -386,6 +410,7 @@
                                    {"reason", "no answer to a probe"},
                                    {"timeout_ms", ProbeTimeout().count()}});
   tracker->OnReportFailed(now);
+  Activate(worker);
 }
 
 void WorkerFleet::OnNoStatus(const std::string& id, const StatusAnswer& answer,
@@ -396,13 +421,14 @@
              {{"worker", id}, {"runs", tracker->runs().size()}});
   }
   tracker->OnReportFailed(now);
+  Activate(id);
   call_states_[id].next_report_time = now + settings_.report_retry_delay;
   handlers_.on_no_answer(id);
 }
 
 void WorkerFleet::OnStatus(const std::string& id, const StatusAnswer& answer,
                            const SentQuery& query) {
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   const bool regular = query.kind == ReportKind::kRegular;
   (regular ? state.report_pending : state.extra_report_pending) = false;
   WorkerTracker* tracker = Find(id);
@@ -453,6 +479,7 @@
   const std::vector<RunEndReport> ends =
       tracker->OnReport(answer.report, query.sent, now, &unexpected);
   if (tracker->incarnation() != life) OnRestart(id, ends, now);
+  if (NeedsVisit(*tracker, state)) Activate(id);
   for (const RunReport& run : answer.report.running) {
     handlers_.on_progress(run);
   }
@@ -477,7 +504,7 @@
 void WorkerFleet::OnRestart(const std::string& id,
                             const std::vector<RunEndReport>& ends, Time now) {
   WorkerTracker* tracker = Find(id);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   state.acknowledged_ends = 0;
   state.leased_until = Time{};
   state.departure = DepartureDetector();
@@ -515,8 +542,8 @@
 }
 
 void WorkerFleet::ReviewGangs(Time now) {
-  for (const GangVerdict& verdict :
-       gang_review_.FindRunsToStop(trackers_, run_review_.speeds(), now)) {
+  for (const GangVerdict& verdict : gang_review_.FindRunsToStop(
+           active_workers(), run_review_.speeds(), now)) {
     RequestStop(verdict.worker, verdict.task, verdict.run, verdict.reason);
     if (verdict.stalled) Find(verdict.worker)->trust().OnRunStalled(now);
   }
@@ -524,7 +551,7 @@
 
 void WorkerFleet::ReviewWorker(const std::string& id, Time now) {
   WorkerTracker* tracker = Find(id);
-  CallState& state = call_states_[id];
+  WorkerCallState& state = call_states_[id];
   const bool unreachable =
       !tracker->reachable() || tracker->registration().address.empty();
   if (unreachable && state.departure.HasLeft(settings_.bounds.heartbeat,
@@ -541,11 +568,7 @@
     if (tracker->runs().empty()) {
       LogEvent(events::kWorkerGone,
                {{"worker", id}, {"reason", "no longer listed"}});
-      first_looks_.Remove(id);
-      trackers_.erase(id);
-      call_states_.erase(id);
-      pace_controller_.Forget(id);
-      return;
+      return Forget(id);
     }
   }
   for (const RunVerdict& verdict : run_review_.FindRunsToStop(tracker, now)) {
@@ -565,6 +588,7 @@
       Find(id)->registration().incarnation_start.time;
   if (!ended_incarnations_.emplace(id, born).second) return;
   call_states_[id].missing_since = Now();
+  Activate(id);
   EndRunsOfLostWorker(id, end);
 }
 
@@ -577,12 +601,7 @@
   LogEvent(events::kWorkerGone,
            {{"worker", id}, {"reason", ToReason(end)}, {"runs", ends.size()}});
   const bool forget = call_states_[id].missing_since.has_value();
-  if (forget) {
-    first_looks_.Remove(id);
-    trackers_.erase(id);
-    call_states_.erase(id);
-    pace_controller_.Forget(id);
-  }
+  if (forget) Forget(id);
   DeliverEnds(id, ends);
   handlers_.on_change();
   return forget;
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "coordination/filler_pace_controller.h"
@@ -21,8 +22,8 @@
 #include "coordination/formats.h"
 #include "coordination/refused_entries.h"
 #include "coordination/start_sender.h"
+#include "coordination/worker_call_state.h"
 #include "coordination/worker_calls.h"
-#include "workload/departure_detector.h"
 #include "workload/gang_review.h"
 #include "workload/run_review.h"
 #include "workload/worker_bounds.h"
@@ -106,6 +107,9 @@
   const std::map<std::string, WorkerTracker>& trackers() const {
     return trackers_;
   }
+  // The workers with runs, and those of which something is open: all that the
+  // next tick visits.
+  std::vector<const WorkerTracker*> active_workers() const;
 
   // Number of directory records that can't be read.
   size_t refused_entries() const { return refused_.size(); }
@@ -156,28 +160,9 @@
   void Tick(Time now, bool may_renew);
 
  private:
-  // State of the calls to one worker.
-  struct CallState {
-    bool report_pending = false;
-    // A report that does not wait, beside a pending one that does.
-    bool extra_report_pending = false;
-    // A report is due although nothing is expected: the worker did not answer
-    // before, and its directory record was rewritten since.
-    bool recheck = false;
-    Time next_report_time{};
-    // When it last answered a request for a report.
-    Time answered_at{};
-    // The lease of the worker lasts at least until then.
-    Time leased_until{};
-    // Ends up to this number were reported to the worker as recorded.
-    int64_t acknowledged_ends = 0;
-    // After a stop that was not confirmed, no stop is sent before this time.
-    Time next_stop_time{};
-    // Since when the worker has been missing from the directory.
-    std::optional<Time> missing_since;
-    DepartureDetector departure;
-  };
-
+  // To be called when something of the worker has changed.
+  void Activate(const std::string& id) { active_.insert(id); }
+  void Forget(const std::string& id);
   bool IsClosed(const WorkerTracker& tracker) const;
   void LogCapacity(const WorkerTracker& worker, int64_t offset) const;
   const char* ReasonToWithhold(const WorkerTracker& worker,
@@ -219,7 +204,7 @@
   // The number up to which the next report may tell the worker to forget ends;
   // 0 for none.
   int64_t EndsToAcknowledge(const WorkerTracker& tracker,
-                            const CallState& state) const;
+                            const WorkerCallState& state) const;
   void SendStops(const std::string& id, Time now);
   void DeliverEnds(const std::string& id,
                    const std::vector<RunEndReport>& ends);
@@ -235,7 +220,9 @@
   const WorkerFleetSettings settings_;
   const Handlers handlers_;
   std::map<std::string, WorkerTracker> trackers_;
-  std::map<std::string, CallState> call_states_;
+  std::map<std::string, WorkerCallState> call_states_;
+  // Invariant: contains every worker that NeedsVisit.
+  std::set<std::string> active_;
   // Incarnations that have certainly ended, by id of the worker, with the start
   // time that they reported. The directory may still list them for a while.
   std::map<std::string, std::optional<WallTime>> ended_incarnations_;
--- a/src/libs/workload/gang_review.cc
+++ b/src/libs/workload/gang_review.cc
@@ -20,13 +20,13 @@
 }  // namespace
 
 std::vector<GangVerdict> GangReview::FindRunsToStop(
-    const std::map<std::string, WorkerTracker>& workers,
+    const std::vector<const WorkerTracker*>& workers,
     const SpeedEstimator& speeds, Time now) const {
   std::map<StepRef, Gang> gangs;
-  for (const auto& [id, worker] : workers) {
-    for (const auto& [task, run] : worker.runs()) {
+  for (const WorkerTracker* worker : workers) {
+    for (const auto& [task, run] : worker->runs()) {
       if (!run.profile.gang || run.profile.long_running) continue;
-      gangs[task.step].push_back({&worker, &run});
+      gangs[task.step].push_back({worker, &run});
     }
   }
   std::vector<GangVerdict> verdicts;
--- a/src/libs/workload/gang_review.h
+++ b/src/libs/workload/gang_review.h
@@ -52,7 +52,7 @@
   explicit GangReview(GangReviewSettings settings) : settings_(settings) {}
 
   std::vector<GangVerdict> FindRunsToStop(
-      const std::map<std::string, WorkerTracker>& workers,
+      const std::vector<const WorkerTracker*>& workers,
       const SpeedEstimator& speeds, Time now) const;
 
  private:
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -25,16 +25,17 @@
 
 class Planner::Round {
  public:
-  Round(Planner* planner, const PlanInputs& inputs)
+  Round(Planner* planner, const PlanInputs& inputs,
+        std::vector<ReadyStep> steps)
       : planner_(*planner),
         inputs_(inputs),
-        capacity_(*inputs.workers, inputs.advice, inputs.now) {}
+        capacity_(*inputs.workers, inputs.advice, inputs.now),
+        steps_(std::move(steps)) {}
 
   Plan Run() {
     for (const auto& [ref, reservation] : planner_.reservations_) {
       capacity_.Reserve(reservation);
     }
-    steps_ = CollectReadySteps(*inputs_.ledger, inputs_.wall_now);
     RecordUrgentSteps();
     ReleaseExpiredReservations();
     IsolateSuspects();
@@ -340,8 +341,17 @@
          now - last->second < settings_.headroom_retention;
 }
 
+// A round looks at every worker. Most of them have no step to place: they come
+// after the end of a run, or regularly.
 Plan Planner::Decide(const PlanInputs& inputs) {
-  return Round(this, inputs).Run();
+  std::vector<ReadyStep> steps =
+      CollectReadySteps(*inputs.ledger, inputs.wall_now);
+  if (steps.empty()) {
+    reservations_.clear();
+    isolated_since_.clear();
+    return {};
+  }
+  return Round(this, inputs, std::move(steps)).Run();
 }
 
 std::string_view ToText(WaitReason reason) {
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -338,5 +338,40 @@
   CHECK(fixture.calls.stops == 1);
 }
 
+// The cost of a tick must follow the work, not the number of workers: of
+// thousands most are idle.
+TEST_CASE("a tick visits only workers that have something open") {
+  for (const int idle : {10, 1000, 6000}) {
+    CAPTURE(idle);
+    Fixture f;
+    const Time now = Fixture::Now();
+    f.fleet.OnDirectoryCaughtUp(now);
+    for (int i = 0; i < idle; ++i) {
+      f.fleet.OnDirectoryRecord({"idle" + std::to_string(i), "listed", 0}, now);
+    }
+    const auto active = [&f] { return f.fleet.active_workers().size(); };
+    f.Tick(now);
+    CHECK(active() == 0);
+    // Their heartbeats change nothing.
+    for (int i = 0; i < idle; ++i) {
+      f.fleet.OnDirectoryRecord({"idle" + std::to_string(i), "listed", 0}, now);
+    }
+    CHECK(active() == 0);
+    f.Start();
+    f.Tick(now);
+    CHECK(active() == 1);
+    // One that is no longer listed is visited until it is known to be gone.
+    f.fleet.OnDirectoryRecord({"idle0", std::nullopt, 1}, now);
+    f.Tick(now);
+    CHECK(active() == 2);
+    for (int i = 1; i <= 40; ++i) {
+      f.fleet.OnDirectoryCaughtUp(now + Milliseconds(100 * i));
+      f.Tick(now + Milliseconds(100 * i));
+    }
+    CHECK(active() == 1);
+    CHECK(f.fleet.trackers().count("idle0") == 0);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_gang_review.cc
+++ b/tests/auto/workload/tst_gang_review.cc
@@ -53,8 +53,10 @@
   }
 
   std::vector<GangVerdict> FindRunsToStop(int64_t now) const {
+    std::vector<const WorkerTracker*> pointers;
+    for (const auto& [id, worker] : workers) pointers.push_back(&worker);
     return GangReview(GangReviewSettings())
-        .FindRunsToStop(workers, review.speeds(), At(now));
+        .FindRunsToStop(pointers, review.speeds(), At(now));
   }
 
   std::map<std::string, WorkerTracker> workers;
