--- a/src/libs/replicas/replica_finder.h
+++ b/src/libs/replicas/replica_finder.h
@@ -1,4 +1,4 @@
-// Keeps a gateway in touch with the replicas.
+// Keeps a gateway informed of the replicas.
 //
 // Reads the roster from the store at the start and when no replica answers, and
 // introduces this entry to one replica every few seconds: that keeps the
