--- a/src/libs/coordination/report_schedule.cc
+++ b/src/libs/coordination/report_schedule.cc
@@ -16,12 +16,11 @@
 }
 
 bool HasNewRuns(const WorkerTracker& worker) {
-  return std::any_of(worker.runs().begin(), worker.runs().end(),
-                     [](const auto& entry) {
-                       const TrackedRun& run = entry.second;
-                       return run.stage == RunStage::kRunning &&
-                              run.percent == 0;
-                     });
+  return std::any_of(
+      worker.runs().begin(), worker.runs().end(), [](const auto& entry) {
+        const TrackedRun& run = entry.second;
+        return run.stage == RunStage::kRunning && run.percent == 0;
+      });
 }
 
 bool HasStoppingRuns(const WorkerTracker& worker) {
--- a/tests/auto/coordination/tst_report_schedule.cc
+++ b/tests/auto/coordination/tst_report_schedule.cc
@@ -87,9 +87,7 @@
       {"nothing runs, its entry was written again",
        [](Fixture* f) { f->state.recheck = true; }, Milliseconds(0)},
       {"the start of its only run is being recorded",
-       [](Fixture* f) {
-         f->worker.Add(kTask, 1, RunProfile(), At(kNow));
-       },
+       [](Fixture* f) { f->worker.Add(kTask, 1, RunProfile(), At(kNow)); },
        std::nullopt},
       {"the start of another run is being recorded",
        [](Fixture* f) {
