--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -108,6 +108,15 @@
   return bounds;
 }
 
+SchedulingFeatures ToSchedulingFeatures(const HostedSettings& settings) {
+  SchedulingFeatures features;
+  features.held_capacity = settings.held_capacity;
+  features.account_shares = settings.account_shares;
+  features.worker_health = settings.worker_health;
+  features.compact_gangs = settings.compact_gangs;
+  return features;
+}
+
 ReplicaAddress ThisEntry(const HostedSettings& settings) {
   return {settings.name, settings.listen_entries, settings.failure_domain};
 }
@@ -378,6 +387,7 @@
         settings_.configuration_bound - kConfigurationMargin;
     settings.state_kept = settings_.state_kept;
     settings.bounds = ToWorkerBounds(settings_);
+    settings.features = ToSchedulingFeatures(settings_);
     settings.min_replicas = static_cast<size_t>(settings_.min_replicas);
     return settings;
   }
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -38,6 +38,7 @@
 PlannerSettings PlannerSettingsFor(const ClusterCoordinatorSettings& settings) {
   PlannerSettings planning;
   planning.bounds = settings.bounds;
+  planning.features = settings.features;
   return planning;
 }
 
@@ -338,6 +339,7 @@
 void ClusterCoordinator::OnProgressLoaded() {
   WorkerFleetSettings fleet;
   fleet.bounds = settings_.bounds;
+  fleet.features = settings_.features;
   fleet.epoch = epoch_;
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet,
                                          MakeFleetHandlers());
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -39,6 +39,7 @@
 #include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
 #include "workload/planner.h"
+#include "workload/scheduling_features.h"
 
 namespace thornplank {
 
@@ -81,6 +82,7 @@
   // For the read of the board before a claim.
   Milliseconds claim_read_timeout{500};
   WorkerBounds bounds;
+  SchedulingFeatures features;
 };
 
 class ClusterCoordinator {
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -28,6 +28,7 @@
 #include "coordination/worker_calls.h"
 #include "workload/gang_review.h"
 #include "workload/run_review.h"
+#include "workload/scheduling_features.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -36,6 +37,7 @@
 struct WorkerFleetSettings {
   int64_t epoch = 0;
   WorkerBounds bounds;
+  SchedulingFeatures features;
   Milliseconds call_timeout{900};
   ReportScheduleSettings reports;
   // A worker that has been missing from the directory for longer, while the
--- a/src/libs/replicas/board_replica.cc
+++ b/src/libs/replicas/board_replica.cc
@@ -302,6 +302,7 @@
     settings.board = settings_.board;
     settings.job_retention = settings_.state_kept + kRetentionMargin;
     settings.bounds = settings_.bounds;
+    settings.features = settings_.features;
     return settings;
   }
 
--- a/src/libs/replicas/board_replica.h
+++ b/src/libs/replicas/board_replica.h
@@ -23,6 +23,7 @@
 #include "metrics/metrics_registry.h"
 #include "reachability/entry_client_interface.h"
 #include "replicas/entry_calls.h"
+#include "workload/scheduling_features.h"
 #include "workload/worker_bounds.h"
 
 namespace boost::asio {
@@ -48,6 +49,7 @@
   // How long the state of an ended job can be queried.
   Milliseconds state_kept{120000};
   WorkerBounds bounds;
+  SchedulingFeatures features;
   // Least number of replicas.
   size_t min_replicas = 8;
 };
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -14,6 +14,16 @@
 constexpr IntRange kReplicaRange{1, 1000};
 constexpr IntRange kDescriptorRange{0, 100000000};
 
+void ReadFeature(SettingsReader& reader, const std::string& key,
+                 FeatureMode* mode) {
+  reader.Choose(key, Presence::kOptional,
+                std::vector<std::pair<std::string, FeatureMode>>{
+                    {"auto", FeatureMode::kAuto},
+                    {"on", FeatureMode::kOn},
+                    {"off", FeatureMode::kOff}},
+                mode);
+}
+
 }  // namespace
 
 void ReadHostedKeys(SettingsReader& reader, HostedSettings* settings) {
@@ -69,6 +79,10 @@
                   &settings->worker_heartbeat);
   reader.Number("far_slowdown", Presence::kOptional, kSlowdownRange,
                 &settings->far_slowdown);
+  ReadFeature(reader, "held_capacity", &settings->held_capacity);
+  ReadFeature(reader, "account_shares", &settings->account_shares);
+  ReadFeature(reader, "worker_health", &settings->worker_health);
+  ReadFeature(reader, "compact_gangs", &settings->compact_gangs);
 }
 
 HostedSettingsChange Compare(const HostedSettings& before,
@@ -120,6 +134,14 @@
   compare("worker_heartbeat_ms", before.worker_heartbeat,
           after.worker_heartbeat, at_restart);
   compare("far_slowdown", before.far_slowdown, after.far_slowdown, at_restart);
+  compare("held_capacity", before.held_capacity, after.held_capacity,
+          at_restart);
+  compare("account_shares", before.account_shares, after.account_shares,
+          at_restart);
+  compare("worker_health", before.worker_health, after.worker_health,
+          at_restart);
+  compare("compact_gangs", before.compact_gangs, after.compact_gangs,
+          at_restart);
   return change;
 }
 
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/feature_mode.h"
 #include "base/time.h"
 #include "logging/event_log.h"
 
@@ -60,6 +61,12 @@
   Milliseconds restore_time{600};
   Milliseconds worker_heartbeat{1500};
   double far_slowdown = 3;
+  // Optional decisions of the scheduler; the members of SchedulingFeatures say
+  // what each does.
+  FeatureMode held_capacity = FeatureMode::kAuto;
+  FeatureMode account_shares = FeatureMode::kAuto;
+  FeatureMode worker_health = FeatureMode::kAuto;
+  FeatureMode compact_gangs = FeatureMode::kAuto;
 };
 
 // Keys whose values differ, by when the new value takes effect.
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -18,6 +18,7 @@
 #include "workload/advice_cache.h"
 #include "workload/cluster_capacity.h"
 #include "workload/job_ledger.h"
+#include "workload/scheduling_features.h"
 #include "workload/victim_selection.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
@@ -42,6 +43,7 @@
   // How long headroom is left after the last urgent step was seen.
   Milliseconds headroom_retention{5000};
   WorkerBounds bounds;
+  SchedulingFeatures features;
 };
 
 struct StartDecision {
--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -45,6 +45,10 @@
   CHECK(settings->min_replicas == HostedSettings().min_replicas);
   CHECK(settings->max_descriptors == HostedSettings().max_descriptors);
   CHECK(settings->configuration_bound == HostedSettings().configuration_bound);
+  CHECK(settings->held_capacity == HostedSettings().held_capacity);
+  CHECK(settings->account_shares == HostedSettings().account_shares);
+  CHECK(settings->worker_health == HostedSettings().worker_health);
+  CHECK(settings->compact_gangs == HostedSettings().compact_gangs);
 }
 
 TEST_CASE("seconds may have fractions") {
@@ -78,6 +82,8 @@
       {R"({"stop_grace_ms": 6000})",
        "stop_grace_ms: found a key of another unit, allowed stop_grace_s"},
       {R"({"log_level": "loud"})", "log_level: found \"loud\", allowed one of"},
+      {R"({"account_shares": "maybe"})",
+       "account_shares: found \"maybe\", allowed one of"},
   };
   const std::string path = "tst_hosted_settings_mistakes.json";
   for (const Row& row : rows) {
