Workers are judged against the fleet: probation, exclusion, base rate

Cause: after one failure a worker is only used last, so gangs that need its room still start there and lose the work of all members; and two failures in a row by chance exclude a healthy worker for 6 s, as does a job that fails everywhere.

Change: WorkerHealth gives each worker a verdict. A single failure or stall puts it on probation, where it gets one single task at a time as a test and guaranteed urgent steps; a second one excludes it for 6 s, doubled up to 30 s. A success of a run that was placed after the failed one refutes it. FleetHealth finds jobs that fail everywhere and raises the number of failures that exclude with the base rate. At most a quarter of the usable workers is withheld. Events 951 and 953, gauge thornplank_workers_by_verdict.

RunReview reports a stall in its verdict instead of changing the health of the worker itself, so that the fleet learns of it; its test checks that field in place of the quarantine, and tst_worker_health checks that a stall quarantines as before where the feature is off.

Ruled out: taking a job for the cause after three failed workers alone, which acquits faulty workers that meet one large job; counting a failure for the base rate at once.

Tested: tst_worker_health (rows for each rule, and a property that the feature switched off answers as WorkerTrust), tst_planner_health, tst_health_monitor (350 workers under load), all workload, coordination, replicas and logging tests.

Conclusion: verdicts follow the rows; stalls are still found after 5 s, and a new leader starts without verdicts.

--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -87,6 +87,22 @@
   return ToRows(counts);
 }
 
+std::vector<MetricsRegistry::GaugeSample> WorkersByVerdict(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  const Time now = std::chrono::steady_clock::now();
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const WorkerHealth& health = tracker.health();
+    if (!health.compared()) continue;
+    const MetricLabels labels = {
+        {"service", tracker.registration().service},
+        {"verdict", std::string(ToText(health.verdict(now)))}};
+    ++counts[labels];
+  }
+  return ToRows(counts);
+}
+
 std::vector<MetricsRegistry::GaugeSample> HeldByStage(
     const ClusterCoordinator& coordinator) {
   if (coordinator.fleet() == nullptr) return {};
@@ -166,6 +182,10 @@
             "The same by service and by whether they may be given tasks, or "
             "why not.",
             WorkersByBelief, metrics);
+  AddGauges(view, "thornplank_workers_by_verdict",
+            "Workers by service and by what the outcome of their runs shows "
+            "(healthy, probation, excluded); known to the leader.",
+            WorkersByVerdict, metrics);
   AddGauges(view, "thornplank_accelerators_held",
             "Accelerators that runs hold, by what is known of the run and "
             "whether its worker answers; known to the leader.",
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -87,7 +87,7 @@
   if (tracker == nullptr) return;
   const Time now = Now();
   if (result.outcome == StartOutcome::kRefused) {
-    tracker->trust().OnRunFailed(task.step.job, now);
+    health_monitor_.OnStartRefused(worker, task, now);
   }
   if (result.last_answer == StartOutcome::kTicketRefused) {
     handlers_.on_ticket_refused(task.step, worker);
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -49,6 +49,7 @@
       handlers_(std::move(handlers)),
       first_looks_(settings.first_looks),
       report_schedule_(settings.reports),
+      health_monitor_(settings.features.worker_health, trackers_),
       run_review_({settings.bounds}),
       gang_review_(GangReviewSettingsFor(settings.bounds)),
       start_sender_(calls, StartSenderSettingsFor(settings.bounds)),
@@ -77,6 +78,7 @@
   trackers_.erase(id);
   call_states_.erase(id);
   active_.erase(id);
+  health_monitor_.Forget(id);
   pace_controller_.Forget(id);
 }
 
@@ -109,6 +111,7 @@
     WorkerTracker new_tracker(*registration);
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
+    health_monitor_.OnWorkerSeen(&new_tracker);
     trackers_.emplace(id, std::move(new_tracker));
     Activate(id);
     return RequestFirstReport(id, now);
@@ -128,6 +131,7 @@
                                             tracker->registration().capacity;
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
+  if (!listed_before) health_monitor_.OnWorkerSeen(tracker);
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
   if (NeedsVisit(*tracker, state)) Activate(id);
@@ -246,6 +250,7 @@
     call_states_[worker].missing_since = now;
   }
   tracker->Inherit(task, run, profile, now, lease_bound);
+  health_monitor_.OnRunPlaced(worker, task, now);
   Activate(worker);
 }
 
@@ -254,6 +259,7 @@
   WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr) return;
   tracker->Add(task, run, profile, now);
+  health_monitor_.OnRunPlaced(worker, task, now);
   Activate(worker);
 }
 
@@ -270,6 +276,7 @@
   may_renew_ = may_renew;
   const std::vector<std::string> ids(active_.begin(), active_.end());
   run_review_.DropStale(now);
+  health_monitor_.Tick(now);
   first_looks_.OnTick();
   SendFirstLooks(now);
   ReviewGangs(now);
@@ -454,6 +461,7 @@
   state.acknowledged_ends = 0;
   state.leased_until = Time{};
   state.departure = DepartureDetector();
+  health_monitor_.OnRestart(id, now);
   LogEvent(events::kWorkerRestarted,
            {{"worker", id},
             {"born_ms", ToUnixMilliseconds(*tracker->incarnation_start())},
@@ -476,13 +484,7 @@
 void WorkerFleet::DeliverEnds(const std::string& id,
                               const std::vector<RunEndReport>& ends) {
   for (const RunEndReport& end : ends) {
-    WorkerTracker* tracker = Find(id);
-    if (tracker != nullptr) {
-      if (end.end == RunEnd::kFailed) {
-        tracker->trust().OnRunFailed(end.task.step.job, Now());
-      }
-      if (end.end == RunEnd::kDone) tracker->trust().OnRunDone(end.began);
-    }
+    health_monitor_.OnRunEnded(id, end, Now());
     handlers_.on_end(id, end);
   }
 }
@@ -490,8 +492,10 @@
 void WorkerFleet::ReviewGangs(Time now) {
   for (const GangVerdict& verdict : gang_review_.FindRunsToStop(
            active_workers(), run_review_.speeds(), now)) {
+    if (verdict.stalled) {
+      health_monitor_.OnRunStalled(verdict.worker, verdict.task, now);
+    }
     RequestStop(verdict.worker, verdict.task, verdict.run, verdict.reason);
-    if (verdict.stalled) Find(verdict.worker)->trust().OnRunStalled(now);
   }
 }
 
@@ -518,6 +522,7 @@
     }
   }
   for (const RunVerdict& verdict : run_review_.FindRunsToStop(tracker, now)) {
+    if (verdict.stalled) health_monitor_.OnRunStalled(id, verdict.task, now);
     RequestStop(id, verdict.task, verdict.run, verdict.reason);
   }
 }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -21,6 +21,7 @@
 #include "coordination/filler_pace_controller.h"
 #include "coordination/first_look_queue.h"
 #include "coordination/formats.h"
+#include "coordination/health_monitor.h"
 #include "coordination/refused_entries.h"
 #include "coordination/report_schedule.h"
 #include "coordination/start_sender.h"
@@ -233,6 +234,7 @@
   Time directory_read_since_{};
   Time last_directory_read_{};
   ReportSchedule report_schedule_;
+  HealthMonitor health_monitor_;
   RunReview run_review_;
   GangReview gang_review_;
   StartSender start_sender_;
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -16,6 +16,9 @@
 // more than any difference in fit, since a gang runs at the pace of its slowest
 // member.
 constexpr int64_t kSlownessStep = int64_t{1} << 21;
+// Upper bound on the share of the usable workers of a service that is withheld.
+// With more workers on probation, capacity is worth more than certainty.
+constexpr double kMaxWithheldShare = 0.25;
 // Workers without room come last in a query for advice.
 constexpr int64_t kFullPenalty = int64_t{1} << 33;
 
@@ -54,6 +57,7 @@
   for (const auto& [id, tracker] : workers) {
     AddWorker(tracker, now);
   }
+  WithholdOnProbation();
 }
 
 int ClusterCapacity::NumberOfRack(const std::string& rack) {
@@ -101,13 +105,52 @@
     ++sums.usable_workers;
     sums.capacity += capacity;
     sums.free += ElementwiseMax(worker.free, Resources());
-    if (tracker.trust().suspect()) ++suspects_;
+    if (tracker.health().IsSuspect(now)) ++suspects_;
     if (worker.IsEmpty()) ++sums.empty_workers;
   }
   rack_members_[static_cast<size_t>(worker.rack)].push_back(workers_.size());
   workers_.push_back(worker);
 }
 
+void ClusterCapacity::WithholdOnProbation() {
+  std::vector<std::vector<size_t>> on_probation(services_.size());
+  for (size_t i = 0; i < workers_.size(); ++i) {
+    const WorkerHealth& health = workers_[i].tracker->health();
+    if (!workers_[i].usable || !health.compared()) continue;
+    if (health.verdict(now_) != HealthVerdict::kProbation) continue;
+    on_probation[static_cast<size_t>(workers_[i].service)].push_back(i);
+  }
+  for (size_t service = 0; service < services_.size(); ++service) {
+    std::vector<size_t>& members = on_probation[service];
+    const auto most = static_cast<size_t>(
+        kMaxWithheldShare *
+        static_cast<double>(services_[service].usable_workers));
+    if (members.size() > most) {
+      std::stable_sort(members.begin(), members.end(),
+                       [this](size_t a, size_t b) {
+                         return workers_[a].tracker->health().last_evidence() >
+                                workers_[b].tracker->health().last_evidence();
+                       });
+      members.resize(most);
+    }
+    for (const size_t index : members) {
+      Withhold(&workers_[index]);
+    }
+  }
+}
+
+void ClusterCapacity::Withhold(WorkerCapacity* worker) {
+  worker->withheld = true;
+  const Time since = worker->tracker->health().probation_since();
+  for (const auto& [task, run] : worker->tracker->runs()) {
+    const bool is_test = run.placed != Time{} && run.placed >= since;
+    worker->under_test = worker->under_test || is_test;
+  }
+  if (worker->IsEmpty()) {
+    --services_[static_cast<size_t>(worker->service)].empty_workers;
+  }
+}
+
 WorkerCapacity* ClusterCapacity::Find(const std::string& id) {
   const auto it = std::lower_bound(
       workers_.begin(), workers_.end(), id,
@@ -187,7 +230,7 @@
 void ClusterCapacity::Occupy(const std::string& id, const ReadyStep& step) {
   WorkerCapacity& worker = *Find(id);
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
-  if (worker.IsEmpty()) --sums.empty_workers;
+  if (worker.IsEmpty() && !worker.withheld) --sums.empty_workers;
   ChangeFree(&worker, ReservedFor(*step.spec) * -1);
   worker.unproven = true;
   worker.on_probation = worker.on_probation || step.on_probation;
@@ -195,7 +238,17 @@
 
 bool ClusterCapacity::MayUse(const ReadyStep& step,
                              const WorkerCapacity& worker) const {
-  if (!MeetsRequirements(step, worker)) return false;
+  return MeetsRequirements(step, worker) && IsApproved(step, worker);
+}
+
+bool ClusterCapacity::MayTest(const ReadyStep& step,
+                              const WorkerCapacity& worker) const {
+  return MeetsRequirementsOf(step, worker) && IsApproved(step, worker) &&
+         !worker.tracker->room().IsOverdrawn();
+}
+
+bool ClusterCapacity::IsApproved(const ReadyStep& step,
+                                 const WorkerCapacity& worker) const {
   if (!step.job->spec.policy.advice) return true;
   return advice_ != nullptr &&
          advice_->FindTicket(step.ref, worker.tracker->id(), now_).has_value();
@@ -227,12 +280,20 @@
 
 bool ClusterCapacity::MeetsRequirements(const ReadyStep& step,
                                         const WorkerCapacity& worker) const {
+  if (worker.withheld && !step.guaranteed) return false;
+  return MeetsRequirementsOf(step, worker);
+}
+
+bool ClusterCapacity::MeetsRequirementsOf(const ReadyStep& step,
+                                          const WorkerCapacity& worker) const {
   if (!worker.usable) return false;
   if (worker.entry().service != step.service()) return false;
   if (worker.on_probation) return false;
   if (step.on_probation && worker.unproven) return false;
   if (step.alone && !worker.IsEmpty()) return false;
-  if (step.failed_before && worker.tracker->trust().suspect() &&
+  const WorkerHealth& health = worker.tracker->health();
+  const bool must_start = step.guaranteed && health.compared();
+  if (step.failed_before && !must_start && health.IsSuspect(now_) &&
       MostAreTrusted()) {
     return false;
   }
@@ -263,8 +324,9 @@
   if (step.on_probation) score = -Weight(worker.free);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && worker.entry().rack != rack) score += kFarRackPenalty;
-  const bool doubtful = worker.tracker->trust().suspect() ||
-                        worker.tracker->trust().WasSilentRecently(now_);
+  const WorkerHealth& health = worker.tracker->health();
+  const bool doubtful =
+      health.IsSuspect(now_) || health.WasSilentRecently(now_);
   if (doubtful) score += kSuspectPenalty;
   if (worker.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
   // Gangs, which run at the pace of their slowest member, and urgent steps get
@@ -301,7 +363,8 @@
     tasks = std::min(tasks, RemainingTaskLimit(step, *worker.tracker));
     if (step.spec->is_filler) tasks = std::min(tasks, MaxFillers(step, worker));
     if (tasks <= 0) continue;
-    slots.push_back({i, tasks, Score(step, worker, tasks), worker.IsEmpty()});
+    const bool empty = worker.IsEmpty() && !worker.withheld;
+    slots.push_back({i, tasks, Score(step, worker, tasks), empty});
   }
   return slots;
 }
@@ -317,7 +380,10 @@
     int64_t tasks = 0;
     for (const size_t index : rack) {
       const WorkerCapacity& worker = workers_[index];
-      if (!MayUse(step, worker)) continue;
+      // A probation is soon over: it must not make a gang spread.
+      const bool may_use =
+          MeetsRequirementsOf(step, worker) && IsApproved(step, worker);
+      if (!may_use) continue;
       tasks += need.TimesIn(worker.entry().capacity, members);
       if (tasks >= members) return true;
     }
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -41,6 +41,11 @@
   // may start here until it has: a crash can then be attributed to that run,
   // and nothing else is lost.
   bool on_probation = false;
+  // The worker itself is on probation: it gets one single task at a time, as a
+  // test, and guaranteed urgent tasks.
+  bool withheld = false;
+  // A test runs there. Set for withheld workers.
+  bool under_test = false;
 
   const WorkerRegistration& entry() const { return tracker->registration(); }
   bool IsEmpty() const;
@@ -115,11 +120,14 @@
   // step may need.
   bool MeetsRequirements(const ReadyStep& step,
                          const WorkerCapacity& worker) const;
+  // Whether a task of the step may test the worker, which is withheld.
+  bool MayTest(const ReadyStep& step, const WorkerCapacity& worker) const;
   // Workers to ask the advice service about for the step, from best to worst.
   std::vector<std::string> CandidatesForAdvice(const ReadyStep& step) const;
   // Workers on which tasks of the step fit.
   std::vector<Slot> FreeSlots(const ReadyStep& step) const;
-  // Number of workers of the service that may be given tasks and run nothing.
+  // Number of workers of the service that may be given tasks and run nothing,
+  // without those that are withheld.
   int64_t EmptyWorkers(const std::string& service) const {
     return SumsOf(service).empty_workers;
   }
@@ -149,6 +157,13 @@
   };
 
   void AddWorker(const WorkerTracker& tracker, Time now);
+  // Withholds workers on probation, those with the newest evidence first.
+  void WithholdOnProbation();
+  void Withhold(WorkerCapacity* worker);
+  // Like MeetsRequirements() and MayUse(), for withheld workers too.
+  bool MeetsRequirementsOf(const ReadyStep& step,
+                           const WorkerCapacity& worker) const;
+  bool IsApproved(const ReadyStep& step, const WorkerCapacity& worker) const;
   int NumberOfRack(const std::string& rack);
   int NumberOfService(const std::string& service);
   const ServiceSums& SumsOf(const std::string& service) const;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -7,6 +7,7 @@
 
 #include "workload/cluster_capacity.h"
 #include "workload/gang_placement.h"
+#include "workload/probation_tests.h"
 #include "workload/ready_step.h"
 #include "workload/victim_selection.h"
 #include "workload/waiting_demand.h"
@@ -39,7 +40,10 @@
     RecordUrgentSteps();
     ReleaseExpiredReservations();
     IsolateSuspects();
+    MarkGuaranteedSteps();
+    PlaceProbationTests();
     for (const ReadyStep& step : steps_) {
+      if (step.waiting.empty()) continue;
       if (inputs_.surveying && !step.urgent()) {
         AddWait(step, WaitReason::kSurveying);
         continue;
@@ -93,6 +97,31 @@
     planner_.isolated_since_ = std::move(since);
   }
 
+  // In the order in which steps are placed: the steps that fit into the
+  // guarantee of their account, even if its later ones exceed it.
+  void MarkGuaranteedSteps() {
+    std::map<std::string, int64_t> needed;
+    for (ReadyStep& step : steps_) {
+      if (!step.urgent()) continue;
+      const std::string& account = step.job->spec.account;
+      const auto guarantee = inputs_.guarantees->find(account);
+      if (guarantee == inputs_.guarantees->end()) continue;
+      int64_t& sum = needed[account];
+      sum += step.spec->need.accelerators *
+             static_cast<int64_t>(step.waiting.size());
+      step.guaranteed =
+          capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
+    }
+  }
+
+  void PlaceProbationTests() {
+    if (inputs_.surveying) return;
+    for (ProbationTest& test : TakeProbationTests(capacity_, &steps_)) {
+      Start(steps_[test.step], {std::move(test.assignment)},
+            "test of a worker on probation");
+    }
+  }
+
   void PlaceStep(const ReadyStep& step) {
     auto& reservations = planner_.reservations_;
     const auto own = reservations.find(step.ref);
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -26,6 +26,9 @@
   bool crashed_at_start = false;
   // Uses only workers on which nothing runs.
   bool alone = false;
+  // Urgent and within the guarantee of its account: no verdict on workers may
+  // delay it. Set by the planner.
+  bool guaranteed = false;
   // Indices of its waiting tasks; for a gang, all of them.
   std::vector<int> waiting;
 
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -38,16 +38,14 @@
                                                   Time now) const {
   worker->SetSpeed(speeds_.speed(worker->id(), now), now);
   std::vector<RunVerdict> verdicts;
-  bool stalled = false;
   for (const auto& [task, run] : worker->runs()) {
     if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
     if (run.profile.long_running) continue;
     std::string reason = ReasonToStop(*worker, run, now);
     if (reason.empty()) continue;
-    stalled = stalled || reason == kNoProgress;
-    verdicts.push_back({task, run.run, std::move(reason)});
+    const bool stalled = reason == kNoProgress;
+    verdicts.push_back({task, run.run, std::move(reason), stalled});
   }
-  if (stalled) worker->trust().OnRunStalled(now);
   return verdicts;
 }
 
--- a/src/libs/workload/run_review.h
+++ b/src/libs/workload/run_review.h
@@ -30,6 +30,8 @@
   TaskRef task;
   int run = 0;
   std::string reason;
+  // It made no progress, which counts against its worker.
+  bool stalled = false;
 };
 
 class RunReview {
@@ -39,7 +41,6 @@
   // Updates the worker's speed from its last report, which its tracker has
   // processed.
   void Observe(WorkerTracker* worker, Time now);
-  // A stalled run also counts against its worker.
   std::vector<RunVerdict> FindRunsToStop(WorkerTracker* worker, Time now) const;
   // Drops observations that are too old to matter.
   void DropStale(Time now) { speeds_.DropStale(now); }
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -63,6 +63,8 @@
   // When it was first known to run, by this process's clock. Set by the
   // tracker.
   Time began{};
+  // When this leader placed it; Time{} if another one did. Set by the tracker.
+  Time placed{};
   // The part of the time since `began` whose work a checkpoint preserves. Set
   // by the tracker.
   Duration saved_work{};
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -27,6 +27,7 @@
   run_end.began = run.began;
   run_end.saved_work = run.saved_work("", now);
   run_end.kind = run.profile.kind();
+  run_end.placed = run.placed;
   return run_end;
 }
 
@@ -118,6 +119,7 @@
   tracked.run = run;
   tracked.profile = std::move(profile);
   tracked.stage_since = now;
+  tracked.placed = now;
   used_ += tracked.profile.need;
   runs_[task] = std::move(tracked);
 }
@@ -127,6 +129,7 @@
   Add(task, run, std::move(profile), now);
   runs_[task].stage = RunStage::kInherited;
   runs_[task].pace = std::nullopt;
+  runs_[task].placed = Time{};
   lease_bound_ = std::max(lease_bound_, lease_bound);
 }
 
@@ -176,7 +179,7 @@
       if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
-      trust_.OnSilence(now);
+      health_.OnSilence(now);
       if (tracked.stage == RunStage::kSending) {
         tracked.stage = RunStage::kUnknown;
         tracked.stage_since = now;
@@ -252,7 +255,7 @@
   clock_ = Milliseconds::zero();
   processed_ends_ = 0;
   recorded_ends_ = 0;
-  trust_.OnRestart();
+  health_.OnRestart();
   return ended;
 }
 
@@ -285,6 +288,7 @@
     ended.back().began = it->second.began;
     ended.back().saved_work = it->second.saved_work(end.checkpoint, now);
     ended.back().kind = it->second.profile.kind();
+    ended.back().placed = it->second.placed;
     Erase(it);
   }
   for (const RunReport& running : report.running) {
@@ -348,7 +352,7 @@
 
 void WorkerTracker::OnReportFailed(Time now) {
   ++failed_reports_;
-  trust_.OnSilence(now);
+  health_.OnSilence(now);
   if (!silent_since_) silent_since_ = now;
 }
 
@@ -358,8 +362,8 @@
   if (missing()) return WorkerAvailability::kNotListed;
   if (registration_.draining) return WorkerAvailability::kLeaving;
   if (domain_closed_) return WorkerAvailability::kDomainClosed;
-  return trust_.IsQuarantined(now) ? WorkerAvailability::kQuarantined
-                                   : WorkerAvailability::kUsable;
+  return health_.IsExcluded(now) ? WorkerAvailability::kQuarantined
+                                 : WorkerAvailability::kUsable;
 }
 
 RunEnd WorkerTracker::RunEndFor(IncarnationEnd end, Time now) const {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -17,9 +17,9 @@
 
 #include "base/time.h"
 #include "workload/pace_control.h"
+#include "workload/worker_health.h"
 #include "workload/worker_incarnation.h"
 #include "workload/worker_report.h"
-#include "workload/worker_trust.h"
 
 namespace thornplank {
 
@@ -71,6 +71,8 @@
   RunStage stage = RunStage::kRecording;
   // When the stage began, by this process's clock.
   Time stage_since{};
+  // When this process decided on it; Time{} if a previous leader did.
+  Time placed{};
   // When its start order was first sent.
   Time order_sent{};
   // When it was first known to run.
@@ -246,8 +248,8 @@
   Resources room() const { return registration_.capacity - used_; }
 
   // Judged by the outcome of runs there.
-  WorkerTrust& trust() { return trust_; }
-  const WorkerTrust& trust() const { return trust_; }
+  WorkerHealth& health() { return health_; }
+  const WorkerHealth& health() const { return health_; }
   // Relative to a healthy worker (1); derived from the progress of its tasks.
   double speed() const { return speed_; }
   void SetSpeed(double speed, Time now);
@@ -299,7 +301,7 @@
   // Ends of this incarnation. Invariant: recorded_ends_ <= processed_ends_.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
-  WorkerTrust trust_;
+  WorkerHealth health_;
   double speed_ = 1;
   std::optional<Time> slow_since_;
   double steady_speed_ = 1;
