Stalls are judged against the normal duration of a run

Cause: a single task on a worker that hangs was noticed only after 5 s, and a gang of which only one member had a rate likewise.

Change: StallRule gives a run 0.3 of the time it should take, from its siblings, else from its own rate, else from 1.5 times its estimate, at least 1.2 s (gang members 1 s) and at most 5 s. Time without progress is taken between reports, by the shorter of both clocks. Runs that may be restoring a checkpoint get more time, runs far from their data three times the lower bound. GangReview uses the same rule, blames all stalled members, and none if most members stand still. Filler tasks, which are paced, are left to the rule of 5 s.

Ruled out: the estimate alone, which is wrong by up to ten times; time alone, which takes a late report for a stall.

Tested: tst_stall_rule (12 rows of runs that hang, 17 of slow ones, 10 of gangs, with the feature switched off where it makes the difference); all 50 workload, coordination, replicas and logging tests.

Conclusion: runs that hang are found within the rows' bounds; runs at a quarter or a tenth of the speed are not taken for stalled.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -212,6 +212,7 @@
   profile.long_running = spec->long_running;
   profile.is_filler = spec->is_filler;
   profile.tail_latency_target = spec->tail_latency_target;
+  profile.estimate = spec->estimate;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
   profile.on_probation = WorkersLostRunning(task) > 0;
--- a/src/libs/workload/gang_review.h
+++ b/src/libs/workload/gang_review.h
@@ -13,6 +13,7 @@
 
 #include "base/time.h"
 #include "workload/speed_estimator.h"
+#include "workload/stall_rule.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -49,7 +50,7 @@
 
 class GangReview {
  public:
-  explicit GangReview(GangReviewSettings settings) : settings_(settings) {}
+  explicit GangReview(GangReviewSettings settings);
 
   std::vector<GangVerdict> FindRunsToStop(
       const std::vector<const WorkerTracker*>& workers,
@@ -63,9 +64,12 @@
   using Gang = std::vector<Member>;
 
   // Empty when the gang should continue. Otherwise `*stalled` is set to the
-  // member that makes no progress, if there is one.
+  // members that make no progress because of their workers.
   std::string ReasonToStop(const Gang& gang, const SpeedEstimator& speeds,
-                           Time now, const Member** stalled) const;
+                           Time now, std::vector<const Member*>* stalled) const;
+  // Members that make no progress, by the rules for workers that are compared.
+  std::vector<const Member*> FindStalled(const Gang& gang,
+                                         Duration normal) const;
   // Whether the member's worker leaves before the gang, which needs another
   // `left`, ends.
   bool WorkerLeavesBefore(const Member& member, Duration left, Time now) const;
@@ -74,6 +78,7 @@
                           Time now) const;
 
   const GangReviewSettings settings_;
+  const StallRule stall_rule_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -12,8 +12,18 @@
 // and the start included.
 constexpr int kMinSpeedup = 2;
 
+StallRuleSettings StallRuleSettingsFor(const RunReviewSettings& settings) {
+  StallRuleSettings rule;
+  rule.bounds = settings.bounds;
+  rule.max_time = settings.stall_after;
+  return rule;
+}
+
 }  // namespace
 
+RunReview::RunReview(RunReviewSettings settings)
+    : settings_(settings), stall_rule_(StallRuleSettingsFor(settings)) {}
+
 void RunReview::Observe(WorkerTracker* worker, Time now) {
   const WorkerRegistration& registration = worker->registration();
   for (const auto& [task, run] : worker->runs()) {
@@ -49,14 +59,23 @@
   return verdicts;
 }
 
+bool RunReview::IsStalled(const WorkerTracker& worker, const TrackedRun& run,
+                          Time now) const {
+  if (!worker.reachable()) return false;
+  if (now - run.last_progress > settings_.stall_after) return true;
+  // A gang is judged as a whole (GangReview), and filler tasks are paced.
+  const bool is_apart = run.profile.gang || run.profile.is_filler;
+  if (is_apart || !worker.health().compared()) return false;
+  return stall_rule_.IsStalled(worker, run,
+                               speeds_.NormalDuration(run.task.step));
+}
+
 std::string RunReview::ReasonToStop(const WorkerTracker& worker,
                                     const TrackedRun& run, Time now) const {
   // A member that has done its work waits for the rest of its gang.
   const bool waits = run.profile.gang && run.percent >= kDonePercent;
   if (waits) return "";
-  if (worker.reachable() && now - run.last_progress > settings_.stall_after) {
-    return kNoProgress;
-  }
+  if (IsStalled(worker, run, now)) return kNoProgress;
   // GangReview handles all else about gangs.
   if (run.profile.gang) return "";
   const Duration left = run.remaining(now);
--- a/src/libs/workload/run_review.h
+++ b/src/libs/workload/run_review.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "workload/speed_estimator.h"
+#include "workload/stall_rule.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -21,7 +22,7 @@
   WorkerBounds bounds;
   // A run whose percentage has not changed for longer is stopped: even a run
   // that is slowed down and far from its data advances every two or three
-  // seconds.
+  // seconds. Where workers are compared, StallRule finds most stalls earlier.
   Milliseconds stall_after{5000};
 };
 
@@ -36,7 +37,7 @@
 
 class RunReview {
  public:
-  explicit RunReview(RunReviewSettings settings) : settings_(settings) {}
+  explicit RunReview(RunReviewSettings settings);
 
   // Updates the worker's speed from its last report, which its tracker has
   // processed.
@@ -48,11 +49,14 @@
   const SpeedEstimator& speeds() const { return speeds_; }
 
  private:
+  bool IsStalled(const WorkerTracker& worker, const TrackedRun& run,
+                 Time now) const;
   // Empty when the run should continue.
   std::string ReasonToStop(const WorkerTracker& worker, const TrackedRun& run,
                            Time now) const;
 
   const RunReviewSettings settings_;
+  const StallRule stall_rule_;
   SpeedEstimator speeds_;
 };
 
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -71,6 +71,14 @@
                                       : checkpoint_seen_at - began;
 }
 
+// Both clocks may show too much: ours if the last report was late, the worker's
+// if that before was.
+Duration TrackedRun::idle_in_reports() const {
+  const Duration by_our_clock = last_report - last_progress;
+  if (report_clock <= progress_clock) return by_our_clock;
+  return std::min<Duration>(by_our_clock, report_clock - progress_clock);
+}
+
 double TrackedRun::rate() const {
   const int done = percent - baseline_percent;
   if (!baseline || done < kMinPercentForRate) return 0;
@@ -176,6 +184,7 @@
       tracked.stage_since = now;
       tracked.began = now;
       tracked.last_progress = now;
+      tracked.progress_clock = ClockAt(now);
       if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
@@ -298,7 +307,7 @@
       unexpected->push_back(running);
       continue;
     }
-    UpdateProgress(tracked, running, now);
+    UpdateProgress(tracked, running, report.clock, now);
   }
   synchronized_ = true;
   for (auto it = runs_.begin(); it != runs_.end();) {
@@ -311,16 +320,26 @@
   return ended;
 }
 
+Milliseconds WorkerTracker::ClockAt(Time now) const {
+  return clock_ + std::chrono::duration_cast<Milliseconds>(
+                      std::max(now - clock_read_at_, Duration::zero()));
+}
+
 void WorkerTracker::UpdateProgress(TrackedRun* run, const RunReport& report,
-                                   Time now) {
+                                   Milliseconds clock, Time now) {
   if (run->stage != RunStage::kRunning) {
     run->stage = RunStage::kRunning;
     run->stage_since = now;
     run->began = now;
     run->last_progress = now;
+    run->progress_clock = clock;
+  }
+  if (report.percent != run->percent) {
+    run->last_progress = now;
+    run->progress_clock = clock;
   }
-  if (report.percent != run->percent) run->last_progress = now;
   run->last_report = now;
+  run->report_clock = std::max(run->report_clock, clock);
   run->percent = report.percent;
   run->load = report.load;
   if (!run->baseline) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -54,6 +54,8 @@
   bool is_filler = false;
   // Target for the tail latency of a serving task; zero for any other.
   Milliseconds tail_latency_target{0};
+  // The caller's, for the whole task; zero if there is none.
+  Milliseconds estimate{0};
   std::string account;
   // It takes several times as long on other racks; empty if there is no such
   // rack.
@@ -87,6 +89,9 @@
   // When its percentage last changed, and when a report last included it.
   Time last_progress{};
   Time last_report{};
+  // The same on the worker's clock: a report may be long on the way.
+  Milliseconds progress_clock{0};
+  Milliseconds report_clock{0};
   // Progress is measured from here: its start, or the first report of a run
   // that resumed or was inherited.
   int baseline_percent = 0;
@@ -111,6 +116,8 @@
   // The part of its run time whose work is preserved when it ends now;
   // `end_checkpoint` is the checkpoint that came with the end, or empty.
   Duration saved_work(const std::string& end_checkpoint, Time now) const;
+  // For how long its reports have shown the same percentage.
+  Duration idle_in_reports() const;
   // Percent per second since the baseline; zero while that is not yet
   // meaningful.
   double rate() const;
@@ -260,7 +267,10 @@
   void set_steady_speed(double speed) { steady_speed_ = speed; }
 
  private:
-  void UpdateProgress(TrackedRun* run, const RunReport& report, Time now);
+  void UpdateProgress(TrackedRun* run, const RunReport& report,
+                      Milliseconds clock, Time now);
+  // The worker's clock by now, as far as that is known.
+  Milliseconds ClockAt(Time now) const;
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
   // A report shows that the previous incarnation is over. Returns its runs that
   // have ended.
