A new leader keeps the verdicts on workers; a third is excluded at most

Cause: after a takeover every worker counted as healthy, so a worker on which all runs fail got its full load again, and gangs with it. And nothing bounded how many workers may be excluded at once, which urgent steps within a guarantee cannot use.

Entries not yet applied are written again. At most a third of the workers of a service is excluded at a time; beyond that they are put on probation, where guaranteed urgent steps may use them.

Ruled out: a record of its own append, which would be one more call to the store; storing points in time, which mean nothing to another clock.

Conclusion: a takeover keeps the verdicts that were stored.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -359,6 +359,7 @@
     SyncJobFromBoard(id);
   }
   const size_t restored_steps = RestoreProgress();
+  RestoreHealth(Now());
   LogEvent(events::kLeadershipAcquired,
            {{"epoch", epoch_},
             {"board_next", dependencies_.board_next_offset()},
@@ -400,6 +401,22 @@
   return loaded.size();
 }
 
+// Without a record that can be read, all workers count as healthy.
+void ClusterCoordinator::RestoreHealth(Time now) {
+  std::vector<HealthEntry> entries;
+  if (const auto& record = dependencies_.board->health()) {
+    Error error;
+    auto decoded = DecodeHealth(*record->value, now,
+                                std::chrono::system_clock::now(), &error);
+    if (!decoded) {
+      LogEvent(events::kRecordUnreadable, error, {{"key", record->key}});
+    }
+    entries = std::move(decoded).value_or(std::vector<HealthEntry>());
+  }
+  health_schedule_.Begin(entries);
+  fleet_->RestoreHealth(std::move(entries), now);
+}
+
 // Adds a job of the board to the ledger, and cancels it there if it was
 // cancelled.
 void ClusterCoordinator::SyncJobFromBoard(const std::string& id) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -28,6 +28,7 @@
 #include "coordination/advice_requester.h"
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
+#include "coordination/health_record_schedule.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
 #include "coordination/progress_write_limiter.h"
@@ -169,6 +170,8 @@
   void OnProgressLoaded();
   WorkerFleet::Handlers MakeFleetHandlers();
   size_t RestoreProgress();
+  // Passes the verdicts of the previous leader on workers to the fleet.
+  void RestoreHealth(Time now);
   void SyncJobFromBoard(const std::string& id);
   void InheritRuns(const StepRef& ref, Time now);
   void StepDown(const std::string& reason);
@@ -254,6 +257,7 @@
   // the store has recovered.
   bool directory_unreadable_ = false;
   std::unique_ptr<AdviceRequester> advice_;
+  HealthRecordSchedule health_schedule_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
   // Jobs that have started and not ended, to be published once the next
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -344,13 +344,20 @@
   std::vector<std::string> started(started_jobs.begin(), started_jobs.end());
   std::map<std::string, LatestEnd> ends = std::exchange(unrecorded_ends_, {});
   if (records.empty()) return OnProgressStored(started, ends);
-  progress_write_limiter_.OnRecorded(Now());
+  const Time now = Now();
+  progress_write_limiter_.OnRecorded(now);
+  if (auto health =
+          health_schedule_.TakeDue(fleet_->UnhealthyWorkers(now), now,
+                                   std::chrono::system_clock::now())) {
+    records.push_back(JobBoard::Health(std::move(*health)));
+  }
   std::vector<PendingStart> starts = std::exchange(pending_starts_, {});
   progress_writer_->Write(std::move(records),
                           [this, started = std::move(started),
                            ends = std::move(ends), starts = std::move(starts),
                            generation = generation_, current = *generation_] {
                             if (*generation != current) return;
+                            health_schedule_.OnStored();
                             OnProgressStored(started, ends);
                             OnStartsRecorded(starts);
                             SchedulePlanning();
--- a/src/libs/coordination/health_monitor.cc
+++ b/src/libs/coordination/health_monitor.cc
@@ -2,6 +2,8 @@
 #include "coordination/health_monitor.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "logging/events/coordination_events.h"
@@ -15,11 +17,23 @@
 // a few restarts do not change the rules.
 constexpr int kKeptWorkers = 15;
 constexpr std::chrono::seconds kCountInterval{1};
+// At most one in this many workers of a service is excluded, so that guaranteed
+// work finds room whatever fails. 22% fail or hang on the worst days.
+constexpr int kExcludedPart = 3;
+// A worker that reports later is judged anew.
+constexpr std::chrono::seconds kRestoredLifetime{60};
 
 int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+// A record keeps milliseconds.
+bool IsSame(const std::optional<WallTime>& a,
+            const std::optional<WallTime>& b) {
+  if (!a || !b) return a.has_value() == b.has_value();
+  return ToUnixMilliseconds(*a) == ToUnixMilliseconds(*b);
+}
+
 }  // namespace
 
 HealthMonitor::HealthMonitor(FeatureMode mode, Trackers& trackers)
@@ -40,22 +54,38 @@
 }
 
 void HealthMonitor::CountWorkers() {
-  std::map<std::string, int> workers;
+  workers_.clear();
   for (const auto& [id, tracker] : trackers_) {
-    ++workers[tracker.registration().service];
+    ++workers_[tracker.registration().service];
   }
+}
+
+void HealthMonitor::ChooseCompared(Time now) {
   for (const std::string& service : std::set<std::string>(compared_)) {
-    if (workers.count(service) == 0) compared_.erase(service);
+    if (workers_.count(service) == 0) compared_.erase(service);
   }
-  for (const auto& [service, count] : workers) {
+  for (const auto& [service, count] : workers_) {
     const bool compared = IsCompared(service);
     const bool wanted = count >= (compared ? kKeptWorkers : kMinWorkers);
-    if (wanted != compared) SetCompared(service, wanted, count);
+    if (wanted != compared) SetCompared(service, wanted, count, now);
+  }
+}
+
+bool HealthMonitor::MayExclude(const std::string& service, Time now) const {
+  int excluded = 0;
+  for (const auto& [worker, verdict] : verdicts_) {
+    const auto tracker = trackers_.find(worker);
+    if (tracker == trackers_.end()) continue;
+    if (tracker->second.registration().service != service) continue;
+    excluded += tracker->second.health().IsExcluded(now) ? 1 : 0;
   }
+  const auto known = workers_.find(service);
+  const int workers = known == workers_.end() ? 0 : known->second;
+  return excluded < std::max(workers / kExcludedPart, 1);
 }
 
 void HealthMonitor::SetCompared(const std::string& service, bool compared,
-                                int workers) {
+                                int workers, Time now) {
   if (compared) {
     compared_.insert(service);
   } else {
@@ -64,6 +94,7 @@
   for (auto& [id, tracker] : trackers_) {
     if (tracker.registration().service != service) continue;
     tracker.health().set_compared(compared);
+    LogIfChanged(id, "workers are compared from now on, or no longer", now);
   }
   LogEvent(events::kFeatureChanged,
            {{"feature", "worker_health"},
@@ -121,6 +152,8 @@
   if (WorkerTracker* tracker = Find(worker)) {
     WorkerHealth& health = tracker->health();
     health.set_failures_to_exclude(fleet_.FailuresToExclude(now));
+    health.set_may_be_excluded(
+        MayExclude(tracker->registration().service, now));
     if (stalled) {
       health.OnRunStalled(run, now);
     } else {
@@ -151,10 +184,49 @@
   }
   if (now - last_count_ < kCountInterval) return;
   last_count_ = now;
-  if (mode_ == FeatureMode::kAuto) CountWorkers();
+  CountWorkers();
+  if (mode_ == FeatureMode::kAuto) ChooseCompared(now);
+  if (now - restored_at_ > kRestoredLifetime) restored_.clear();
   fleet_.DropStale(now);
 }
 
+void HealthMonitor::Restore(std::vector<HealthEntry> entries, Time now) {
+  if (mode_ == FeatureMode::kOff) return;
+  restored_at_ = now;
+  for (HealthEntry& entry : entries) {
+    std::string worker = entry.worker;
+    restored_.insert_or_assign(std::move(worker), std::move(entry));
+  }
+}
+
+void HealthMonitor::OnFirstReport(const std::string& worker, Time now) {
+  const auto restored = restored_.find(worker);
+  if (restored == restored_.end()) return;
+  const HealthEntry entry = std::move(restored->second);
+  restored_.erase(restored);
+  WorkerTracker* tracker = Find(worker);
+  if (tracker == nullptr) return;
+  if (!IsSame(tracker->incarnation_start(), entry.incarnation_start)) return;
+  tracker->health().Restore(entry.state, now);
+  LogIfChanged(worker, "by the record of the previous leader", now);
+}
+
+std::vector<HealthEntry> HealthMonitor::UnhealthyWorkers(Time now) const {
+  std::vector<HealthEntry> unhealthy;
+  for (const auto& [worker, verdict] : verdicts_) {
+    const auto tracker = trackers_.find(worker);
+    if (tracker == trackers_.end()) continue;
+    HealthState state = tracker->second.health().state(now);
+    if (state.verdict == HealthVerdict::kHealthy) continue;
+    unhealthy.push_back(
+        {worker, tracker->second.incarnation_start(), std::move(state)});
+  }
+  for (const auto& [worker, entry] : restored_) {
+    unhealthy.push_back(entry);
+  }
+  return unhealthy;
+}
+
 void HealthMonitor::LogIfChanged(const std::string& worker,
                                  const std::string& reason, Time now) {
   const WorkerTracker* tracker = Find(worker);
--- a/src/libs/coordination/health_monitor.h
+++ b/src/libs/coordination/health_monitor.h
@@ -10,10 +10,12 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/feature_mode.h"
 #include "base/time.h"
 #include "workload/fleet_health.h"
+#include "workload/health_record.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
@@ -35,13 +37,24 @@
   // Another incarnation of the worker has begun.
   void OnRestart(const std::string& worker, Time now);
   void Forget(const std::string& worker) { verdicts_.erase(worker); }
+  // Verdicts of a previous leader. Each applies once the worker has reported
+  // that it is still the same incarnation.
+  void Restore(std::vector<HealthEntry> entries, Time now);
+  void OnFirstReport(const std::string& worker, Time now);
+  // The workers that are not healthy, with those whose restored verdict does
+  // not apply yet.
+  std::vector<HealthEntry> UnhealthyWorkers(Time now) const;
   // To be called several times a second.
   void Tick(Time now);
 
  private:
   bool IsCompared(const std::string& service) const;
   void CountWorkers();
-  void SetCompared(const std::string& service, bool compared, int workers);
+  void ChooseCompared(Time now);
+  // Whether another worker of the service may be excluded.
+  bool MayExclude(const std::string& service, Time now) const;
+  void SetCompared(const std::string& service, bool compared, int workers,
+                   Time now);
   RunEvidence EvidenceOf(const std::string& worker, const TaskRef& task);
   void RecordFailure(const std::string& worker, const RunEvidence& run,
                      bool stalled, Time now);
@@ -52,11 +65,16 @@
   const FeatureMode mode_;
   Trackers& trackers_;
   FleetHealth fleet_;
+  // Known workers by service, counted at last_count_.
+  std::map<std::string, int> workers_;
   // Services whose workers are compared.
   std::set<std::string> compared_;
   // The verdict that was last logged, of each worker that is not healthy.
   std::map<std::string, HealthVerdict> verdicts_;
   Time last_count_{};
+  // Restored verdicts on workers that have not reported yet, and since when.
+  std::map<std::string, HealthEntry> restored_;
+  Time restored_at_{};
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -17,6 +17,7 @@
 // Followed by the name of the instance.
 constexpr char kEntryKey = 'e';
 constexpr char kLeaderKey[] = "leader";
+constexpr char kHealthKey[] = "health";
 constexpr char kProgressKey = 't';
 // Sorts after all other keys.
 constexpr char kRosterKey[] = "z-roster";
@@ -41,6 +42,10 @@
 BoardChange JobBoard::Apply(const KeyedRecord& record) {
   if (record.key == kLeaderKey) return ApplyLeader(record);
   if (record.key == kRosterKey) return ApplyRoster(record);
+  if (record.key == kHealthKey) {
+    ApplyHealth(record);
+    return {};
+  }
   if (record.key.size() < 2) return {};
   const std::string id = record.key.substr(1);
   switch (record.key[0]) {
@@ -157,7 +162,14 @@
   }
 }
 
+void JobBoard::ApplyHealth(const KeyedRecord& record) {
+  if (health_ && record.offset < health_->offset) return;
+  health_.reset();
+  if (record.value) health_ = record;
+}
+
 void JobBoard::OnSnapshot(const std::set<std::string>& keys) {
+  if (keys.count(kHealthKey) == 0) health_.reset();
   for (auto it = progress_.begin(); it != progress_.end();) {
     const auto block = it++;
     if (keys.count(block->first) == 0) progress_.erase(block);
@@ -229,6 +241,10 @@
   return {MakeKey(kProgressKey, block.ToString()), std::move(value), 0};
 }
 
+KeyedRecord JobBoard::Health(std::string value) {
+  return {kHealthKey, std::move(value), 0};
+}
+
 std::optional<ProgressBlockRef> JobBoard::ParseProgressKey(
     const std::string& key) {
   if (key.empty() || key[0] != kProgressKey) return std::nullopt;
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -3,7 +3,8 @@
 //
 // The partition holds, by key: the submission, the cancellation, the state and
 // the reason of failure of each job; the leader; the entries; the roster of
-// replicas; and the progress of steps, which only a leader reads. Repeated
+// replicas; and the progress of steps and the health of workers, which only a
+// leader reads. Repeated
 // records and records that come in another order give the same result: a job
 // that was cancelled before its end was published stays cancelled, and a
 // published end is final.
@@ -104,6 +105,9 @@
   const std::unordered_map<std::string, KeyedRecord>& progress() const {
     return progress_;
   }
+  // The newest record of the workers that are not healthy, as it was read;
+  // nullopt if there is none.
+  const std::optional<KeyedRecord>& health() const { return health_; }
   // Number of accepted jobs of the queue of which no task has started.
   int64_t WaitingJobs(const std::string& queue) const;
 
@@ -127,6 +131,8 @@
   // The progress of some tasks of a step; a tombstone if `value` is nullopt.
   static KeyedRecord Progress(const ProgressBlockRef& block,
                               std::optional<std::string> value);
+  // The workers that are not healthy.
+  static KeyedRecord Health(std::string value);
   // The block of progress that the key names; nullopt if it is another key.
   static std::optional<ProgressBlockRef> ParseProgressKey(
       const std::string& key);
@@ -142,12 +148,14 @@
                          const KeyedRecord& record);
   BoardChange ApplyRoster(const KeyedRecord& record);
   void ApplyProgress(const KeyedRecord& record);
+  void ApplyHealth(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
   LeaderRecord leader_;
   std::map<std::string, EntryRecord> entries_;
   std::optional<ReplicaRoster> roster_;
   std::unordered_map<std::string, KeyedRecord> progress_;
+  std::optional<KeyedRecord> health_;
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -432,6 +432,7 @@
   const std::vector<RunEndReport> ends =
       tracker->OnReport(answer.report, query.sent, now, &unexpected);
   if (tracker->incarnation() != life) OnRestart(id, ends, now);
+  if (first) health_monitor_.OnFirstReport(id, now);
   if (NeedsVisit(*tracker, state)) Activate(id);
   for (const RunReport& run : answer.report.running) {
     handlers_.on_progress(run);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/latency_average.h"
@@ -109,6 +110,15 @@
   // Number of directory records that can't be read.
   size_t refused_entries() const { return refused_.size(); }
 
+  // Verdicts of a previous leader; to be called before the directory is passed
+  // on.
+  void RestoreHealth(std::vector<HealthEntry> entries, Time now) {
+    health_monitor_.Restore(std::move(entries), now);
+  }
+  std::vector<HealthEntry> UnhealthyWorkers(Time now) const {
+    return health_monitor_.UnhealthyWorkers(now);
+  }
+
   // Whether the worker is on that rack; true if `rack` is empty.
   bool IsOnRack(const std::string& worker, const std::string& rack) const;
 
--- a/src/libs/workload/stall_rule.cc
+++ b/src/libs/workload/stall_rule.cc
@@ -55,7 +55,7 @@
   if (expected <= Duration::zero()) return settings_.max_time;
   Duration bound = std::max({TimesOf(expected, settings_.share),
                              TimesOf(settings_.min_time, slowdown),
-                             Duration(per_percent * kOwnPercents)});
+                             per_percent * kOwnPercents});
   if (MayBeRestoring(run)) {
     bound += settings_.bounds.restore_time * kSlowRestore;
   }
--- a/src/libs/workload/worker_health.cc
+++ b/src/libs/workload/worker_health.cc
@@ -73,7 +73,8 @@
       before == HealthVerdict::kProbation && (is_test || stalled);
   const bool too_many =
       static_cast<int>(incidents_.size()) >= failures_to_exclude_;
-  if (failed_on_probation || too_many) return Exclude(now);
+  const bool condemned = failed_on_probation || too_many;
+  if (condemned && may_be_excluded_) return Exclude(now);
   if (before == HealthVerdict::kHealthy) probation_since_ = now;
 }
 
--- a/src/libs/workload/worker_health.h
+++ b/src/libs/workload/worker_health.h
@@ -66,6 +66,10 @@
     failures_to_exclude_ = failures;
   }
 
+  // Whether so few workers are excluded that this one may be as well; otherwise
+  // it is put on probation at most.
+  void set_may_be_excluded(bool may) { may_be_excluded_ = may; }
+
   void OnRunFailed(const RunEvidence& run, Time now);
   // A run made no progress there.
   void OnRunStalled(const RunEvidence& run, Time now);
@@ -120,6 +124,7 @@
 
   bool compared_ = false;
   int failures_to_exclude_ = 2;
+  bool may_be_excluded_ = true;
   // Decides while workers are not compared; knows silence in any case.
   WorkerTrust trust_;
   // One for each job, and one for each failed test.
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -67,6 +67,10 @@
     auto answer = std::make_shared<StatusAnswer>();
     answer->outcome =
         models.at(worker.id).Status(query, ClockMs(), &answer->report);
+    const auto birth = births.find(worker.id);
+    if (birth != births.end()) {
+      answer->report.incarnation_start.time = birth->second;
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::min(query.wait, Milliseconds(20)) + report_delays[worker.id]);
     timer->async_wait([timer, answer, done = std::move(done)](
@@ -78,6 +82,8 @@
   std::set<std::string> dead;
   // Number of start orders that were sent to each worker.
   std::map<std::string, int> starts;
+  // When the incarnations of workers began, if they report it.
+  std::map<std::string, WallTime> births;
   // By which the reports of a worker arrive later.
   std::map<std::string, Milliseconds> report_delays;
   // Tasks of all stop orders, in order.
@@ -102,15 +108,17 @@
  public:
   Entry(boost::asio::io_context& io, FakeRecordStore& store,
         FakeWorkerCalls& calls, const std::string& name,
-        Milliseconds read_interval)
+        Milliseconds read_interval, FeatureMode worker_health)
       : tail_(io, store, TailSettings(read_interval), Handlers()),
-        coordinator_(io, store, calls, formats_, CoordinatorSettings(name),
-                     Dependencies(), metrics_) {
+        coordinator_(io, store, calls, formats_,
+                     CoordinatorSettings(name, worker_health), Dependencies(),
+                     metrics_) {
     tail_.Start();
     coordinator_.Start();
   }
 
   ClusterCoordinator& coordinator() { return coordinator_; }
+  const ClusterCoordinator& coordinator() const { return coordinator_; }
   MetricsRegistry& metrics() { return metrics_; }
   // Whether it leads and has a report of each of `workers` workers.
   bool Knows(size_t workers) const {
@@ -135,10 +143,11 @@
     return settings;
   }
   static ClusterCoordinatorSettings CoordinatorSettings(
-      const std::string& name) {
+      const std::string& name, FeatureMode worker_health) {
     ClusterCoordinatorSettings settings;
     settings.holder = name;
     settings.board = kBoard;
+    settings.features.worker_health = worker_health;
     return settings;
   }
   RecordTail::Handlers Handlers() {
@@ -214,9 +223,10 @@
 
   // `read_interval`: least time between two reads of the board.
   Entry& Add(const std::string& name,
-             Milliseconds read_interval = Milliseconds(0)) {
-    entries.push_back(
-        std::make_unique<Entry>(io, store, calls, name, read_interval));
+             Milliseconds read_interval = Milliseconds(0),
+             FeatureMode worker_health = FeatureMode::kAuto) {
+    entries.push_back(std::make_unique<Entry>(io, store, calls, name,
+                                              read_interval, worker_health));
     return *entries.back();
   }
 
@@ -228,6 +238,24 @@
     return count;
   }
 
+  // The workers in the newest record of those that are not healthy.
+  std::map<std::string, HealthVerdict> StoredVerdicts() const {
+    std::map<std::string, HealthVerdict> verdicts;
+    for (const auto& record : store.model.ReadNewest(kBoard, "").records) {
+      JobBoard board;
+      board.Apply(record);
+      if (!board.health()) continue;
+      const auto entries =
+          DecodeHealth(*board.health()->value, Time{},
+                       std::chrono::system_clock::now(), nullptr);
+      REQUIRE(entries.has_value());
+      for (const HealthEntry& entry : *entries) {
+        verdicts[entry.worker] = entry.state.verdict;
+      }
+    }
+    return verdicts;
+  }
+
   // Number of runs of each task, however they ended.
   std::map<std::string, int> RunCounts() const {
     std::map<std::string, int> runs;
@@ -568,5 +596,85 @@
   CHECK(cluster.CompletedRunCounts().size() == 4);
 }
 
+// Guards against a new leader that gives a worker on which all runs fail its
+// full load again, also after a store that was silent while this was written.
+TEST_CASE("verdicts on workers are on the board, and a takeover keeps them") {
+  for (const bool store_is_silent : {false, true}) {
+    CAPTURE(store_is_silent);
+    Cluster cluster;
+    cluster.calls.births["w1"] = FromUnixMilliseconds(1000);
+    Entry& first = cluster.Add("a", Milliseconds(0), FeatureMode::kOn);
+    REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+    cluster.calls.models.at("w1").set_fail_all(true);
+    const auto verdict_on = [](const Entry& entry) {
+      const WorkerTracker& worker =
+          entry.coordinator().fleet()->trackers().at("w1");
+      return worker.health().verdict(std::chrono::steady_clock::now());
+    };
+    for (int i = 1; i <= 20; ++i) {
+      cluster.Submit({MakeStep(4, 2)}, 200, std::to_string(1000 + i));
+    }
+    REQUIRE(RunUntil(cluster.io, [&] {
+      return verdict_on(first) != HealthVerdict::kHealthy;
+    }));
+    if (store_is_silent) {
+      cluster.store.refused_producer = "progress";
+      RunUntil(
+          cluster.io, [] { return false; }, Milliseconds(500));
+      cluster.store.refused_producer.clear();
+    }
+    REQUIRE(RunUntil(cluster.io,
+                     [&] { return cluster.StoredVerdicts().count("w1") > 0; }));
+    CHECK(cluster.StoredVerdicts().count("w2") == 0);
+    cluster.entries.clear();
+    Entry& next = cluster.Add("b", Milliseconds(0), FeatureMode::kOn);
+    REQUIRE(RunUntil(cluster.io, [&] { return next.Knows(2); }));
+    CHECK(verdict_on(next) != HealthVerdict::kHealthy);
+  }
+}
+
+// Guards against verdicts on a worker that is another one by now, and against a
+// leader that does not start because of a record that it cannot read.
+TEST_CASE("which verdicts of a previous leader a new one takes over") {
+  const WallTime birth = FromUnixMilliseconds(1000);
+  const auto record = [](WallTime start, Duration age) {
+    const HealthState state{HealthVerdict::kProbation, Time{}, 1};
+    return EncodeHealth(
+        {{"w1", start, state}}, Time{},
+        std::chrono::system_clock::now() -
+            std::chrono::duration_cast<std::chrono::milliseconds>(age));
+  };
+  const auto second = std::chrono::seconds(1);
+  struct Row {
+    const char* name;
+    std::string record;
+    FeatureMode mode;
+    HealthVerdict verdict;
+  };
+  const std::vector<Row> rows = {
+      {"the same incarnation", record(birth, second), FeatureMode::kOn,
+       HealthVerdict::kProbation},
+      {"an old incarnation", record(birth - second, second), FeatureMode::kOn,
+       HealthVerdict::kHealthy},
+      {"an old record", record(birth, second * 70), FeatureMode::kOn,
+       HealthVerdict::kHealthy},
+      {"unreadable", "1", FeatureMode::kOn, HealthVerdict::kHealthy},
+      {"switched off", record(birth, second), FeatureMode::kOff,
+       HealthVerdict::kHealthy},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Cluster cluster;
+    cluster.calls.births["w1"] = birth;
+    cluster.Append(kBoard, JobBoard::Health(row.record));
+    Entry& entry = cluster.Add("a", Milliseconds(0), row.mode);
+    REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+    const WorkerTracker& worker =
+        entry.coordinator().fleet()->trackers().at("w1");
+    CHECK(worker.health().verdict(std::chrono::steady_clock::now()) ==
+          row.verdict);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/coordination/tst_health_monitor.cc
+++ b/tests/auto/coordination/tst_health_monitor.cc
@@ -209,6 +209,15 @@
   }
 }
 
+// Guards against guaranteed urgent work that finds no worker, since all of them
+// are excluded at once: it may use any worker that is not.
+TEST_CASE("at most a third of the workers is excluded") {
+  LoadedFleet fleet(FeatureMode::kAuto);
+  fleet.Run(10000, [](int, int) { return Fate::kStalled; });
+  CHECK(fleet.Count(HealthVerdict::kExcluded) <= kWorkers / 3);
+  CHECK(fleet.Count(HealthVerdict::kProbation) >= kWorkers / 2);
+}
+
 // Guards against a job that fails everywhere and takes the workers with it,
 // while they run other jobs.
 TEST_CASE("a job that fails everywhere condemns no worker") {
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -232,5 +232,24 @@
   CHECK(board.leader().holder.empty());
 }
 
+// Guards against verdicts of a leader before the last one that a snapshot
+// brings back.
+TEST_CASE("the newest record of the health of workers counts") {
+  KeyedRecord older = JobBoard::Health("older");
+  older.offset = 5;
+  KeyedRecord newer = JobBoard::Health("newer");
+  newer.offset = 6;
+  JobBoard board;
+  CHECK_FALSE(board.health().has_value());
+  board.Apply(newer);
+  board.Apply(older);
+  REQUIRE(board.health().has_value());
+  CHECK(board.health()->value == "newer");
+  board.OnSnapshot({newer.key});
+  CHECK(board.health().has_value());
+  board.OnSnapshot({});
+  CHECK_FALSE(board.health().has_value());
+}
+
 }  // namespace
 }  // namespace thornplank::testing
