Stall rows that fail without each of the rule's parts

The rows of slow runs passed with the time for a restore, the bound by the own rate or that for runs far from their data taken out, so they guarded against nothing. Adds rows for which each of them makes the difference, and a test of the time between reports by both clocks.

--- a/tests/auto/workload/tst_stall_rule.cc
+++ b/tests/auto/workload/tst_stall_rule.cc
@@ -25,6 +25,10 @@
   int64_t length = 7000;
   int64_t estimate = 7000;
   double speed = 1;
+  // Until then its speed is 1.
+  int64_t slows_at = 0;
+  // How many times the work of its siblings it has.
+  double share_of_work = 1;
   // From then on it makes no progress.
   int64_t hangs_at = kNever;
   int64_t report_interval = 500;
@@ -75,17 +79,20 @@
 }
 
 int PercentAt(const Scenario& scenario, int64_t time) {
-  constexpr int64_t kRestore = 600;
+  constexpr double kRestore = 600;
   if (scenario.hangs_at != kNever) time = std::min(time, scenario.hangs_at);
-  double work = static_cast<double>(time);
+  // By a healthy worker in the same time.
+  double work =
+      static_cast<double>(std::min(time, scenario.slows_at)) +
+      static_cast<double>(std::max<int64_t>(time - scenario.slows_at, 0)) *
+          scenario.speed;
   if (scenario.resumed_at > 0) {
-    work = static_cast<double>(std::max<int64_t>(
-        time - static_cast<int64_t>(kRestore / scenario.speed), 0));
+    work = std::max(work - kRestore, 0.0);
   }
   const double slowdown = scenario.far ? 3 : 1;
-  const double done = scenario.resumed_at +
-                      work * scenario.speed * 100 /
-                          (static_cast<double>(scenario.length) * slowdown);
+  const double length =
+      static_cast<double>(scenario.length) * scenario.share_of_work * slowdown;
+  const double done = scenario.resumed_at + work * 100 / length;
   return static_cast<int>(std::min(done, 100.0));
 }
 
@@ -263,6 +270,17 @@
          s->resumed_at = 40;
          s->speed = 0.25;
        })},
+      {"a short task resumed at a quarter of the speed", With([](Scenario* s) {
+         s->resumed_at = 40;
+         s->speed = 0.25;
+         s->length = 2300;
+       })},
+      {"slowed after it began, with ten times the work of its siblings",
+       With([](Scenario* s) {
+         s->share_of_work = 10;
+         s->slows_at = 5000;
+         s->speed = 0.25;
+       })},
       {"inherited at a quarter of the speed", With([](Scenario* s) {
          s->inherited = true;
          s->speed = 0.25;
@@ -274,7 +292,8 @@
        })},
       {"far from its data, slowed tenfold", With([](Scenario* s) {
          s->far = true;
-         s->speed = 0.1;
+         s->speed = 0.09;
+         s->report_interval = 100;
        })},
       {"far from its data, only an estimate", With([](Scenario* s) {
          s->far = true;
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -362,6 +362,43 @@
   }
 }
 
+// Guards against a late report that is taken for a stall.
+TEST_CASE("time without progress is measured between reports") {
+  struct Row {
+    const char* name;
+    // When the second report was made and arrived, and what it shows. The first
+    // one was made and arrived at 1,000 and showed 10%.
+    int64_t made;
+    int64_t arrived;
+    int percent;
+    int64_t idle;
+  };
+  const std::vector<Row> rows = {
+      {"progress", 1300, 1300, 11, 0},
+      {"no progress", 1300, 1300, 10, 300},
+      {"the report is late", 1300, 2300, 10, 300},
+      {"the worker's clock is ahead", 3300, 1300, 10, 300},
+      {"the worker shows no clock", 0, 1300, 10, 300},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+    const TaskRef task{{"0123456789abcdef", 0, 0}, 0};
+    tracker.Add(task, 1, RunProfile(), At(0));
+    tracker.OnStartAnswer(task, 1, StartOutcome::kAccepted, At(0));
+    const auto report = [&](int64_t made, int64_t arrived, int percent) {
+      WorkerStatusReport report;
+      report.clock = Milliseconds(made);
+      report.running.push_back({task, 1, "", percent});
+      std::vector<RunReport> unexpected;
+      tracker.OnReport(report, At(arrived), At(arrived), &unexpected);
+    };
+    report(1000, 1000, 10);
+    report(row.made, row.arrived, row.percent);
+    CHECK(tracker.Find(task)->idle_in_reports() == Milliseconds(row.idle));
+  }
+}
+
 TEST_CASE("runs that this process did not decide on are returned") {
   WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
   std::vector<RunReport> unexpected;
