Scarce capacity is shared between client accounts by weighted dominant share

Cause: steps were placed by priority and time of acceptance. An account with a large backlog came before all others for as long as the backlog lasted, steps that could not be in time came before those that could, and victims of urgent steps were chosen without regard to who used how much.

Change: AccountShares sums the use of each service by account while ClusterCapacity visits the runs. StepQueue orders the accounts of a priority by guarantee (urgent steps), starvation, weighted dominant share and age; Round::Run takes its steps from it and counts at once what it starts. ReadyStep says whether a step can be in time. VictimSelection takes runs of accounts above the mean share first. AccountWaits decides on event 954 account-waits; gauge thornplank_account_share. `auto`: where two accounts or more have guarantees and the last round left a step of the service waiting for capacity. Off, or without a shared service, order and victims are those of before.

Ruled out: comparing shares of victims only between equal priorities, which has no consistent order; see docs/design/account-shares.md. Tested: tst_account_shares, tst_step_queue, tst_planner_shares (the load tests assert that the outcome is missed with the feature off), all workload and coordination tests, tst_event_catalogue; thornplank_hosted builds.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -140,6 +140,10 @@
   const JobLedger& ledger() const { return ledger_; }
   // Null unless this entry leads.
   const WorkerFleet* fleet() const { return fleet_.get(); }
+  // Those of the configuration in force.
+  Guarantees guarantees() const {
+    return dependencies_.configuration().guarantees();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -183,6 +187,7 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
+  void LogAccountWaits(const std::vector<AccountWait>& waits);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -8,6 +8,7 @@
 
 #include "coordination/cluster_coordinator.h"
 #include "coordination/job_board.h"
+#include "workload/account_shares.h"
 
 namespace thornplank {
 namespace {
@@ -116,6 +117,30 @@
   return ToRows(counts);
 }
 
+// Bounds the number of series.
+constexpr size_t kMaxAccountsShown = 32;
+
+std::vector<MetricsRegistry::GaugeSample> ShareByAccount(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  AccountShares shares(coordinator.guarantees());
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const WorkerRegistration& worker = tracker.registration();
+    const size_t service = shares.NumberOfService(worker.service);
+    shares.AddCapacity(service, worker.capacity);
+    for (const auto& [task, run] : tracker.runs()) {
+      shares.AddRun(service, run);
+    }
+  }
+  std::map<MetricLabels, double> by_account;
+  for (const AccountShares::Sample& sample :
+       shares.Samples(kMaxAccountsShown)) {
+    by_account[{{"service", sample.service}, {"account", sample.account}}] =
+        sample.share;
+  }
+  return ToRows(by_account);
+}
+
 using ViewSource = std::function<std::optional<ClusterView>()>;
 
 // Adds a gauge that is zero without a view.
@@ -170,6 +195,10 @@
             "Accelerators that runs hold, by what is known of the run and "
             "whether its worker answers; known to the leader.",
             HeldByStage, metrics);
+  AddGauges(view, "thornplank_account_share",
+            "Weighted dominant share of a service by account; known to the "
+            "leader.",
+            ShareByAccount, metrics);
   AddGauges(view, "thornplank_domain_runs",
             "Runs on the workers of a failure domain, and whether it takes new "
             "work; known to the leader.",
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -92,6 +92,7 @@
       StopRestOfGang(stop);
     }
     LogWaits(plan.waits);
+    LogAccountWaits(plan.account_waits);
     RequestAdvice(plan.waits);
     placement_time_ = Now() - now;
   }
@@ -169,6 +170,23 @@
   logged_waits_ = std::move(logged);
 }
 
+void ClusterCoordinator::LogAccountWaits(
+    const std::vector<AccountWait>& waits) {
+  for (const AccountWait& wait : waits) {
+    const auto waited_ms =
+        std::chrono::duration_cast<Milliseconds>(wait.waited).count();
+    LogEvent(events::kAccountWaits, {{"service", wait.key.service},
+                                     {"account", wait.key.account},
+                                     {"priority", wait.key.priority},
+                                     {"waits", wait.begins},
+                                     {"share", wait.share},
+                                     {"weight", wait.weight},
+                                     {"waiting", wait.waiting},
+                                     {"waited_ms", waited_ms},
+                                     {"epoch", epoch_}});
+  }
+}
+
 void ClusterCoordinator::RequestAdvice(const std::vector<WaitDecision>& waits) {
   std::set<StepRef> waiting_steps;
   for (const WaitDecision& wait : waits) {
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -48,11 +48,11 @@
 
 ClusterCapacity::ClusterCapacity(
     const std::map<std::string, WorkerTracker>& workers,
-    const AdviceCache* advice, Time now)
+    const AdviceCache* advice, Time now, AccountShares* shares)
     : advice_(advice), now_(now) {
   workers_.reserve(workers.size());
   for (const auto& [id, tracker] : workers) {
-    AddWorker(tracker, now);
+    AddWorker(tracker, now, shares);
   }
 }
 
@@ -72,15 +72,22 @@
   return static_cast<int>(services_.size()) - 1;
 }
 
-void ClusterCapacity::AddWorker(const WorkerTracker& tracker, Time now) {
+void ClusterCapacity::AddWorker(const WorkerTracker& tracker, Time now,
+                                AccountShares* shares) {
   WorkerCapacity worker;
   worker.tracker = &tracker;
   worker.rack = NumberOfRack(tracker.registration().rack);
   worker.service = NumberOfService(tracker.registration().service);
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
+  size_t shares_service = 0;
+  if (shares != nullptr) {
+    shares_service = shares->NumberOfService(tracker.registration().service);
+    shares->AddCapacity(shares_service, tracker.registration().capacity);
+  }
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
+    if (shares != nullptr) shares->AddRun(shares_service, run);
     if (run.stop_wanted) worker.releasing += profile.need;
     if (profile.is_filler) ++worker.filler_tasks;
     const bool unproven = !run.has_proven_start(now);
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/account_shares.h"
 #include "workload/advice_cache.h"
 #include "workload/ready_step.h"
 #include "workload/resources.h"
@@ -87,9 +88,11 @@
 
 class ClusterCapacity {
  public:
-  // `advice` may be null. Both must outlive this object.
+  // `advice` may be null. Both must outlive this object. If `shares` is not
+  // null, the workers and their runs are added to it.
   ClusterCapacity(const std::map<std::string, WorkerTracker>& workers,
-                  const AdviceCache* advice, Time now);
+                  const AdviceCache* advice, Time now,
+                  AccountShares* shares = nullptr);
 
   const std::vector<WorkerCapacity>& workers() const { return workers_; }
   WorkerCapacity& worker(size_t index) { return workers_[index]; }
@@ -148,7 +151,7 @@
     int64_t used_cpu_millis = 0;
   };
 
-  void AddWorker(const WorkerTracker& tracker, Time now);
+  void AddWorker(const WorkerTracker& tracker, Time now, AccountShares* shares);
   int NumberOfRack(const std::string& rack);
   int NumberOfService(const std::string& service);
   const ServiceSums& SumsOf(const std::string& service) const;
--- a/src/libs/workload/eviction.cc
+++ b/src/libs/workload/eviction.cc
@@ -3,31 +3,44 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace thornplank {
 
 std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
-                                        int64_t needed, double* cost) {
+                                        int64_t needed, EvictionCost* cost) {
   // A later eviction on a worker depends on the earlier ones there, so their
   // order is preserved: prices are made to rise along it.
-  std::map<size_t, double> least;
-  std::vector<std::pair<double, size_t>> order;
+  struct Price {
+    bool has_protected = false;
+    double each = 0;
+
+    bool operator<(const Price& other) const {
+      return std::tie(has_protected, each) <
+             std::tie(other.has_protected, other.each);
+    }
+  };
+  std::map<size_t, Price> least;
+  std::vector<std::pair<Price, size_t>> order;
   for (size_t i = 0; i < evictions.size(); ++i) {
     const Eviction& eviction = evictions[i];
-    double& floor = least[eviction.worker];
-    floor = std::max(floor, eviction.cost / static_cast<double>(eviction.gain));
+    Price& floor = least[eviction.worker];
+    floor = std::max(
+        floor, Price{eviction.cost.of_protected > 0,
+                     eviction.cost.total / static_cast<double>(eviction.gain)});
     order.emplace_back(floor, i);
   }
   std::stable_sort(
       order.begin(), order.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<Eviction> chosen;
-  *cost = 0;
+  *cost = EvictionCost();
   for (const auto& [price, i] : order) {
     if (needed <= 0) break;
     needed -= evictions[i].gain;
-    *cost += evictions[i].cost;
+    cost->of_protected += evictions[i].cost.of_protected;
+    cost->total += evictions[i].cost.total;
     chosen.push_back(std::move(evictions[i]));
   }
   if (needed > 0) chosen.clear();
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -141,6 +141,24 @@
          Milliseconds(static_cast<int64_t>(chain * policy.stretch));
 }
 
+Milliseconds JobDefinition::estimate_from(int step) const {
+  constexpr Milliseconds kNotAfter{-1};
+  std::vector<Milliseconds> ends(steps.size(), kNotAfter);
+  const auto first = static_cast<size_t>(step);
+  ends[first] = steps[first].estimate;
+  Milliseconds longest = ends[first];
+  for (size_t i = first + 1; i < steps.size(); ++i) {
+    Milliseconds begin = kNotAfter;
+    for (const int dependency : steps[i].depends_on) {
+      begin = std::max(begin, ends[static_cast<size_t>(dependency)]);
+    }
+    if (begin == kNotAfter) continue;
+    ends[i] = begin + steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
 bool JobDefinition::long_running() const {
   return std::any_of(steps.begin(), steps.end(),
                      [](const StepSpec& step) { return step.long_running; });
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -106,6 +106,9 @@
   // How long an occurrence may take from earliest_start() on to be in time,
   // according to the caller's estimates.
   Milliseconds objective() const;
+  // The shortest time from the start of this step until the steps that follow
+  // from it are done, according to the caller's estimates.
+  Milliseconds estimate_from(int step) const;
 };
 
 // True for sixteen hexadecimal digits.
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -2,6 +2,7 @@
 #include "workload/planner.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -20,6 +21,8 @@
 // with no active task while less than half of its service is in use counts as
 // not served.
 constexpr double kCrowdedShare = 0.5;
+// In `auto` mode accounts have shares if this many are guaranteed accelerators.
+constexpr int64_t kLeastAccountsWithShares = 2;
 
 }  // namespace
 
@@ -29,8 +32,13 @@
         std::vector<ReadyStep> steps)
       : planner_(*planner),
         inputs_(inputs),
-        capacity_(*inputs.workers, inputs.advice, inputs.now),
-        steps_(std::move(steps)) {}
+        shared_services_(planner->ServicesWithShares(*inputs.guarantees)),
+        shares_(MakeShares(shared_services_, *inputs.guarantees)),
+        capacity_(*inputs.workers, inputs.advice, inputs.now, shares()),
+        steps_(std::move(steps)),
+        queue_(steps_, shares(),
+               {shared_services_, planner->settings_.max_share_wait,
+                inputs.wall_now}) {}
 
   Plan Run() {
     for (const auto& [ref, reservation] : planner_.reservations_) {
@@ -39,19 +47,43 @@
     RecordUrgentSteps();
     ReleaseExpiredReservations();
     IsolateSuspects();
-    for (const ReadyStep& step : steps_) {
-      if (inputs_.surveying && !step.urgent()) {
-        AddWait(step, WaitReason::kSurveying);
+    while (const ReadyStep* step = queue_.Next()) {
+      if (inputs_.surveying && !step->urgent()) {
+        AddWait(*step, WaitReason::kSurveying);
         continue;
       }
-      PlaceStep(step);
+      PlaceStep(*step);
     }
+    planner_.scarce_services_ = std::move(scarce_services_);
+    plan_.account_waits = planner_.account_waits_.Observe(
+        waiting_for_capacity_, shares(), inputs_.now);
     return std::move(plan_);
   }
 
  private:
   using Assignments = std::vector<JobLedger::Assignment>;
 
+  static std::optional<AccountShares> MakeShares(const SharedServices& services,
+                                                 const Guarantees& guarantees) {
+    if (services.IsEmpty()) return std::nullopt;
+    return AccountShares(guarantees);
+  }
+
+  // Null while no service is shared.
+  AccountShares* shares() { return shares_ ? &*shares_ : nullptr; }
+  // Null if the service of the step is not shared.
+  AccountShares* SharesFor(const ReadyStep& step) {
+    return shared_services_.Contains(step.service()) ? shares() : nullptr;
+  }
+
+  // Counts tasks of the account that were started, or stopped if negative.
+  void ChangeShares(const std::string& service, const std::string& account,
+                    int priority, const Resources& need, int64_t tasks) {
+    if (!shares_) return;
+    shares_->Change(shares_->Include(service, account), priority, need, tasks);
+    queue_.OnSharesChanged(service, account);
+  }
+
   void RecordUrgentSteps() {
     for (const ReadyStep& step : steps_) {
       if (!step.urgent()) continue;
@@ -142,9 +174,36 @@
       wait.reason = WaitReason::kNoRoomOnApprovedWorkers;
       wait.candidates = capacity_.CandidatesForAdvice(step);
     }
+    if (LacksCapacity(step, wait.reason)) RecordScarcity(step);
     plan_.waits.push_back(std::move(wait));
   }
 
+  bool LacksCapacity(const ReadyStep& step, WaitReason reason) const {
+    switch (reason) {
+      case WaitReason::kNoRoom:
+      case WaitReason::kNoRoomNearData:
+      case WaitReason::kNoRoomOnOneRack:
+      case WaitReason::kPreempting:
+      case WaitReason::kYieldsToHigherPriority:
+        return true;
+      case WaitReason::kNoRoomOnApprovedWorkers:
+        // It may only lack approvals, which each step lacks at first.
+        return ReservedFor(*step.spec)
+                   .TimesIn(capacity_.FreeCapacity(step.service()), 1) == 0;
+      case WaitReason::kNoUsableWorker:
+      case WaitReason::kSurveying:
+        return false;
+    }
+    return false;
+  }
+
+  void RecordScarcity(const ReadyStep& step) {
+    scarce_services_.insert(step.service());
+    if (SharesFor(step) == nullptr) return;
+    ++waiting_for_capacity_[{step.service(), step.job->spec.account,
+                             step.priority()}];
+  }
+
   // Whether the step has waited long enough to run away from its data or over
   // several racks. There it takes several times as long and blocks others
   // meanwhile. So this is only for an idle cluster, and for guaranteed work,
@@ -277,6 +336,8 @@
     for (const JobLedger::Assignment& assignment : chosen) {
       capacity_.Occupy(assignment.worker, step);
     }
+    ChangeShares(step.service(), step.job->spec.account, step.priority(),
+                 ReservedFor(*step.spec), static_cast<int64_t>(chosen.size()));
     plan_.starts.push_back(
         {step.ref, std::move(chosen), std::move(reason), std::nullopt});
   }
@@ -285,11 +346,8 @@
   // enough room.
   bool PreemptFor(const ReadyStep& step) {
     const VictimSelection::Inputs inputs{
-        &capacity_,
-        inputs_.ledger,
-        inputs_.guarantees,
-        &stopped_,
-        planner_.settings_.bounds.restart_cost(),
+        &capacity_, inputs_.ledger,  inputs_.guarantees,
+        &stopped_,  SharesFor(step), planner_.settings_.bounds.restart_cost(),
         inputs_.now};
     const bool one_rack = step.spec->gang && step.spec->same_rack &&
                           capacity_.AnyRackCanHold(step);
@@ -316,6 +374,8 @@
         plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
                                "gives way to urgent " + step.ref.ToString()});
         stopped_.insert(run->task);
+        ChangeShares(step.service(), run->profile.account,
+                     run->profile.priority, run->profile.need, -1);
       }
     }
     capacity_.Reserve(reservation);
@@ -325,8 +385,16 @@
   Planner& planner_;
   const PlanInputs& inputs_;
   Plan plan_;
+  const SharedServices shared_services_;
+  // Empty while no service is shared.
+  std::optional<AccountShares> shares_;
   ClusterCapacity capacity_;
   std::vector<ReadyStep> steps_;
+  StepQueue queue_;
+  // Steps left waiting for capacity: their services, and their number by
+  // account in services that are shared.
+  std::set<std::string> scarce_services_;
+  AccountWaits::WaitingSteps waiting_for_capacity_;
   // Demand of the steps that this round could not place.
   WaitingDemand waiting_demand_;
   // Accelerators needed by waiting urgent steps, by account.
@@ -341,6 +409,19 @@
          now - last->second < settings_.headroom_retention;
 }
 
+SharedServices Planner::ServicesWithShares(const Guarantees& guarantees) const {
+  switch (settings_.features.account_shares) {
+    case FeatureMode::kOff:
+      return {};
+    case FeatureMode::kOn:
+      return {true, {}};
+    case FeatureMode::kAuto:
+      break;
+  }
+  if (CountGuaranteedAccounts(guarantees) < kLeastAccountsWithShares) return {};
+  return {false, scarce_services_};
+}
+
 // A round looks at every worker. Most of them have no step to place: they come
 // after the end of a run, or regularly.
 Plan Planner::Decide(const PlanInputs& inputs) {
@@ -349,7 +430,10 @@
   if (steps.empty()) {
     reservations_.clear();
     isolated_since_.clear();
-    return {};
+    scarce_services_.clear();
+    Plan plan;
+    plan.account_waits = account_waits_.Observe({}, nullptr, inputs.now);
+    return plan;
   }
   return Round(this, inputs, std::move(steps)).Run();
 }
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -10,15 +10,18 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "workload/account_waits.h"
 #include "workload/advice_cache.h"
 #include "workload/cluster_capacity.h"
 #include "workload/job_ledger.h"
 #include "workload/scheduling_features.h"
+#include "workload/step_queue.h"
 #include "workload/victim_selection.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
@@ -42,6 +45,9 @@
   Milliseconds isolation_wait{600};
   // How long headroom is left after the last urgent step was seen.
   Milliseconds headroom_retention{5000};
+  // See StepQueue. Longer than batch tasks take, so that an account that only
+  // waits for its turn does not count as starved.
+  Milliseconds max_share_wait{8000};
   WorkerBounds bounds;
   SchedulingFeatures features;
 };
@@ -92,6 +98,8 @@
   std::vector<StartDecision> starts;
   std::vector<StopDecision> stops;
   std::vector<WaitDecision> waits;
+  // Waits of accounts for their share that have begun or ended.
+  std::vector<AccountWait> account_waits;
 };
 
 struct PlanInputs {
@@ -119,7 +127,15 @@
   // Whether urgent steps of the service were seen recently.
   bool ExpectsUrgent(const std::string& service, Time now) const;
 
+  // The services in which accounts have shares in the next round. In `auto`
+  // mode those in which the last round left a step waiting for capacity, if the
+  // configuration guarantees accelerators to several accounts.
+  SharedServices ServicesWithShares(const Guarantees& guarantees) const;
+
   PlannerSettings settings_;
+  // Where the last round left a step waiting for capacity.
+  std::set<std::string> scarce_services_;
+  AccountWaits account_waits_;
   // When urgent steps were last seen, by service.
   std::map<std::string, Time> last_urgent_;
   std::map<StepRef, CapacityReservation> reservations_;
--- a/src/libs/workload/ready_step.cc
+++ b/src/libs/workload/ready_step.cc
@@ -12,12 +12,23 @@
 // (published).
 constexpr int kExpiredAfterObjectives = 3;
 
-// Whether completing the job would no longer earn anything.
-bool IsExpired(const Job& job, int occurrence, WallTime now) {
-  const JobDefinition& spec = job.spec;
+// Sets what depends on the age of the step's job.
+void JudgeTime(WallTime now, ReadyStep* step) {
+  const JobDefinition& spec = step->job->spec;
   const auto age = std::chrono::duration_cast<Milliseconds>(
-      now - spec.earliest_start(occurrence));
-  return age > spec.objective() * kExpiredAfterObjectives;
+      now - spec.earliest_start(step->ref.occurrence));
+  const Milliseconds objective = spec.objective();
+  // Completing the job would no longer earn anything.
+  step->expired = age > objective * kExpiredAfterObjectives;
+  step->time_left = objective - age;
+  const bool has_objective =
+      objective > Milliseconds::zero() && !step->spec->long_running;
+  if (!has_objective) return;
+  if (step->expired) {
+    step->timeliness = Timeliness::kExpired;
+  } else if (step->time_left < spec.estimate_from(step->ref.step)) {
+    step->timeliness = Timeliness::kLate;
+  }
 }
 
 void CollectOccurrence(const Job& job, int occurrence, WallTime now,
@@ -34,7 +45,7 @@
     step.job = &job;
     step.ref = {job.spec.id, occurrence, index};
     step.spec = &spec;
-    step.expired = IsExpired(job, occurrence, now);
+    JudgeTime(now, &step);
     for (size_t t = 0; t < progress.tasks.size(); ++t) {
       const TaskStatus& task = progress.tasks[t];
       if (task.phase != TaskPhase::kWaiting) continue;
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -11,6 +11,10 @@
 
 namespace thornplank {
 
+// Whether a job can still end within its objective, by the caller's estimates.
+// In the order in which the steps of an account are placed.
+enum class Timeliness { kInTime, kLate, kExpired };
+
 struct ReadyStep {
   const Job* job = nullptr;
   StepRef ref;
@@ -18,6 +22,10 @@
   // So late that its completion earns nothing any more: no capacity is held
   // back for it.
   bool expired = false;
+  // The time left until the objective; negative after it.
+  Milliseconds time_left{0};
+  // Always kInTime for a job without an objective.
+  Timeliness timeliness = Timeliness::kInTime;
   // A waiting task has failed before; another failure may end the job.
   bool failed_before = false;
   // Workers were lost while they ran one of its waiting tasks.
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -2,11 +2,19 @@
 #include "workload/victim_selection.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace thornplank {
 
+VictimSelection::VictimSelection(const Inputs& inputs, const ReadyStep& step)
+    : inputs_(inputs), step_(step) {
+  if (inputs.shares == nullptr) return;
+  const auto account =
+      inputs.shares->Find(step.service(), step.job->spec.account);
+  if (account) mean_share_ = inputs.shares->MeanShare(account->service);
+}
+
 std::vector<Eviction> VictimSelection::ChooseEvictions(bool near_only,
                                                        bool one_rack,
                                                        bool may_spread) const {
@@ -24,13 +32,13 @@
   }
   const auto needed = static_cast<int64_t>(step_.waiting.size());
   std::vector<Eviction> best;
-  double best_cost = std::numeric_limits<double>::max();
+  EvictionCost best_cost = EvictionCost::Max();
   if (one_rack) {
     for (auto& [rack, evictions] : racks) {
-      double cost = 0;
+      EvictionCost cost;
       std::vector<Eviction> chosen =
           CheapestEvictions(evictions, needed, &cost);
-      if (chosen.empty() || cost >= best_cost) continue;
+      if (chosen.empty() || !(cost < best_cost)) continue;
       best = std::move(chosen);
       best_cost = cost;
     }
@@ -46,11 +54,21 @@
   const auto members = static_cast<int64_t>(step_.waiting.size());
   const int64_t bound =
       inputs_.capacity->RemainingTaskLimit(step_, *worker.tracker);
-  std::vector<std::pair<double, const TrackedRun*>> victims;
+  struct Victim {
+    bool is_protected = false;
+    double cost = 0;
+    const TrackedRun* run = nullptr;
+
+    bool operator<(const Victim& other) const {
+      return std::tie(is_protected, cost, run) <
+             std::tie(other.is_protected, other.cost, other.run);
+    }
+  };
+  std::vector<Victim> victims;
   for (const auto& [task, run] : worker.tracker->runs()) {
     if (run.stop_wanted || inputs_.stopped->count(task) > 0) continue;
     if (!IsPreemptible(run)) continue;
-    victims.emplace_back(CostOf(run), &run);
+    victims.push_back({IsProtected(run), CostOf(run), &run});
   }
   std::sort(victims.begin(), victims.end());
   Resources available = worker.free + worker.releasing;
@@ -59,11 +77,12 @@
   next.worker = index;
   int64_t held = std::min(bound, need.TimesIn(available, members));
   if (held > 0) {
-    evictions.push_back({index, held, 0, {}});
+    evictions.push_back({index, held, {}, {}});
   }
-  for (const auto& [cost, run] : victims) {
+  for (const auto& [is_protected, cost, run] : victims) {
     available += run->profile.need;
-    next.cost += cost;
+    next.cost.total += cost;
+    if (is_protected) next.cost.of_protected += cost;
     next.victims.push_back(run);
     const int64_t tasks = std::min(bound, need.TimesIn(available, members));
     if (tasks <= held) continue;
@@ -95,6 +114,14 @@
          guarantee->second;
 }
 
+bool VictimSelection::IsProtected(const TrackedRun& run) const {
+  if (inputs_.shares == nullptr) return false;
+  const auto account =
+      inputs_.shares->Find(step_.service(), run.profile.account);
+  return !account || !AccountShares::IsAbove(
+                         inputs_.shares->WeightedShare(*account), mean_share_);
+}
+
 double VictimSelection::CostOf(const TrackedRun& run) const {
   const double seconds =
       std::chrono::duration<double>(run.unsaved_work(inputs_.now) +
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/account_shares.h"
 #include "workload/cluster_capacity.h"
 #include "workload/eviction.h"
 #include "workload/job_ledger.h"
@@ -15,9 +16,6 @@
 
 namespace thornplank {
 
-// Accelerators guaranteed to an account's urgent jobs at all times.
-using Guarantees = std::map<std::string, int64_t>;
-
 // Serves one step; all inputs must outlive it.
 class VictimSelection {
  public:
@@ -27,15 +25,17 @@
     const Guarantees* guarantees = nullptr;
     // Runs that this round has already decided to stop.
     const std::set<TaskRef>* stopped = nullptr;
+    // Null where accounts have no shares.
+    const AccountShares* shares = nullptr;
     // The time a stopped run loses even where all its work is saved.
     Milliseconds restart_cost{0};
     Time now{};
   };
 
-  VictimSelection(const Inputs& inputs, const ReadyStep& step)
-      : inputs_(inputs), step_(step) {}
+  VictimSelection(const Inputs& inputs, const ReadyStep& step);
 
-  // The evictions that lose the least work; empty when no set of them suffices.
+  // The evictions that lose the least work, those of runs of accounts above
+  // their share first; empty when no set of them suffices.
   // With `near_only` only on the rack of the step's data. With `one_rack` all
   // on one rack, or on several if no rack suffices and `may_spread` is set.
   std::vector<Eviction> ChooseEvictions(bool near_only, bool one_rack,
@@ -46,11 +46,16 @@
   std::vector<Eviction> EvictionsOnWorker(size_t index) const;
   bool IsPreemptible(const TrackedRun& run) const;
   bool IsWithinGuarantee(const std::string& account, int64_t more) const;
+  // Whether the run's account is not above its share. False where accounts have
+  // no shares.
+  bool IsProtected(const TrackedRun& run) const;
   // The work lost with the run and the rest of its gang, weighted by resources.
   double CostOf(const TrackedRun& run) const;
 
   const Inputs& inputs_;
   const ReadyStep& step_;
+  // The mean weighted share in the step's service.
+  double mean_share_ = 0;
 };
 
 }  // namespace thornplank
