Gangs take few workers within one class of penalties

Cause: a gang was placed in the tightest gaps first, so it spread over as many workers as it has members. Each worker is one more that can break it: when 306 of 6,000 workers lost power, 801 gang runs broke.

A rack is chosen by penalties, number of workers and fit. FreePlaces::compact passes the switch in; with compact_gangs off, placement is unchanged, and so it is for max_per_worker, filler gangs and gangs with a task under which a worker was lost.

Ruled out: fewest workers over all classes (slower, less trusted members); largest gaps without a count of empty workers (uses up headroom); racks by their worst class (one suspect worker would drive a gang away from its data).

"Workers that were silent recently are used last" assumed that a gang of two halves of a worker opens a gap and an empty worker; it now starts a gang of three, which needs both in any case.

--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -12,10 +12,6 @@
 // Suspect workers are used only when no other worker has room.
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
-// Added for each tenth of the normal time that tasks take longer on a worker:
-// more than any difference in fit, since a gang runs at the pace of its slowest
-// member.
-constexpr int64_t kSlownessStep = int64_t{1} << 21;
 // Workers without room come last in a query for advice.
 constexpr int64_t kFullPenalty = int64_t{1} << 33;
 
@@ -40,6 +36,14 @@
          free.cpu_millis == all.cpu_millis;
 }
 
+int64_t PenaltyClass(int64_t score) {
+  // Differences in fit are smaller than half a step. Scores below zero are
+  // shifted into the positive range, where the division rounds down.
+  constexpr int64_t kShift = int64_t{1} << 20;
+  return (score + kSlownessStep / 2 + kShift * kSlownessStep) / kSlownessStep -
+         kShift;
+}
+
 Resources ReservedFor(const StepSpec& step) {
   Resources need = step.need;
   if (step.is_filler) need.cpu_millis = 0;
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -82,6 +82,15 @@
 // difference in fit.
 inline constexpr int64_t kFarRackPenalty = int64_t{1} << 30;
 
+// Added to a score for each tenth of the normal time that tasks take longer on
+// a worker: more than any difference in fit, since a gang runs at the pace of
+// its slowest member. All penalties are multiples of it.
+inline constexpr int64_t kSlownessStep = int64_t{1} << 21;
+
+// The penalties that a score contains, in multiples of kSlownessStep. Workers
+// of one class differ only in how well a step fits them.
+int64_t PenaltyClass(int64_t score);
+
 // What one task of the step takes from a worker's free capacity.
 Resources ReservedFor(const StepSpec& step);
 
--- a/src/libs/workload/gang_placement.h
+++ b/src/libs/workload/gang_placement.h
@@ -21,10 +21,13 @@
   int64_t empty_workers = 0;
   // Whether only the rack of the step's data may be used.
   bool near_only = false;
+  // Whether a gang takes as few workers as it can.
+  bool compact = false;
 };
 
-// Places all members on one rack, the one with the tightest fit. Empty when no
-// rack has room now.
+// Places all members on one rack: the one with the tightest fit or, if places
+// are compact, of the racks with the least penalties the one on which the gang
+// takes the fewest workers. Empty when no rack has room now.
 std::vector<JobLedger::Assignment> PlaceOnOneRack(
     const ReadyStep& step, const ClusterCapacity& capacity,
     const FreePlaces& places);
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -190,6 +190,8 @@
     places.empty_workers =
         capacity_.EmptyWorkers(step.service()) - Headroom(step);
     places.near_only = IsBoundToData(step);
+    places.compact =
+        planner_.settings_.features.compact_gangs != FeatureMode::kOff;
     return places;
   }
 
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -67,7 +67,8 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     PlannerCluster cluster(1, 3);
-    // The best fit, since half of it is in use.
+    // The best fit for one of three members, since half of it is in use. The
+    // gang needs two workers in any case.
     cluster.workers.at("w0-0").Add({{Id(9), 0, 0}, 0}, 1, HalfOfAWorker(),
                                    cluster.now);
     for (const std::string& id : row.silent) {
@@ -79,7 +80,7 @@
       cluster.workers.at(id).OnReport(WorkerStatusReport(), cluster.now,
                                       cluster.now, &unexpected);
     }
-    cluster.ledger.Add(MakeJob(Id(1), {Gang(2, 4, true)}, 0), cluster.now);
+    cluster.ledger.Add(MakeJob(Id(1), {Gang(3, 4, true)}, 0), cluster.now);
     std::set<std::string> used;
     for (const StartDecision& start : cluster.Round().starts) {
       for (const auto& assignment : start.assignments) {
