Expected fragmentation over recently asked shapes, as gauge and event 955

Nothing showed whether the idle capacity was in a shape that the waiting steps could use.

Change: Fragmentation (workload) counts the shapes of accepted steps over 30 s, at most 32 per service, and computes the share of idle accelerators on which they cannot start. FragmentationMonitor (coordination) measures at most once a second while the entry leads, and logs event 955 every 10 s while steps of the service wait. Gauge thornplank_fragmentation by service.

Ruled out: the sums of a planning round (rounds run only while a step waits, and hide the shapes); weights by tasks (batch steps would hide the gangs).

Tests: tst_fragmentation (states of capacity, window, services, visits of workers at 350, 1,000 and 6,000, values out of range), tst_fragmentation_monitor, tst_log_summary, a case of tst_cluster_coordinator with a takeover. Seen to fail without the limit of shapes, racks, cores, weights, window, intervals of lines, the filter of waiting services, and without the call for accepted jobs. All tests of workload and coordination and tst_hosted_metrics pass.

Conclusion: the leader reports capacity that is idle in the wrong shape.

--- a/src/app/thornplankctl/log_commands.cc
+++ b/src/app/thornplankctl/log_commands.cc
@@ -1,4 +1,5 @@
 // thornplankctl logs …: evaluates log files; sends no requests.
+#include <algorithm>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -120,9 +121,20 @@
                     {"accounts", jobs_late.accounts},
                     {"entries", jobs_late.entries}});
   }
+  Json fragmentation = Json::array();
+  for (const FragmentationInterval& interval : report.fragmentation) {
+    fragmentation.push_back(
+        {{"service", interval.service},
+         {"begin_ms", ToUnixMilliseconds(interval.begin)},
+         {"lines", interval.lines},
+         {"idle_accelerators", interval.idle_accelerators},
+         {"unusable_share", interval.unusable_share},
+         {"max_unusable_share", interval.max_unusable_share}});
+  }
   return {{"jobs", std::move(jobs)},
           {"discarded", std::move(discarded)},
-          {"late", std::move(late)}};
+          {"late", std::move(late)},
+          {"fragmentation", std::move(fragmentation)}};
 }
 
 void PrintCounts(const LogSummaryReport& report) {
@@ -172,6 +184,25 @@
   }
 }
 
+// Times count from the first line about fragmentation.
+void PrintFragmentation(const LogSummaryReport& report) {
+  if (report.fragmentation.empty()) return;
+  WallTime first = report.fragmentation.front().begin;
+  for (const FragmentationInterval& interval : report.fragmentation) {
+    first = std::min(first, interval.begin);
+  }
+  std::cout
+      << "\nwhile steps waited, from s  idle accelerators  unusable share "
+         "of them  at most  service\n";
+  for (const FragmentationInterval& interval : report.fragmentation) {
+    std::cout << std::setw(26) << ToSeconds(interval.begin - first)
+              << std::setw(19) << interval.idle_accelerators << std::setw(24)
+              << interval.unusable_share << std::setw(9)
+              << interval.max_unusable_share << "  " << interval.service
+              << "\n";
+  }
+}
+
 void PrintJobs(const LogSummaryReport& report) {
   std::cout << "\nnot completed, and those that waited longest\n";
   size_t completed = 0;
@@ -200,6 +231,7 @@
   PrintLate(report);
   PrintWaits(report);
   PrintDiscarded(report);
+  PrintFragmentation(report);
   PrintJobs(report);
   return kExitOk;
 }
@@ -216,8 +248,9 @@
       {"logs", "summary", "FILE...",
        "Shows from the logs of all entries which jobs were late and the first "
        "cause of each delay, what the steps of all jobs waited for, which work "
-       "was discarded and why, and which jobs did not complete or waited "
-       "longest. Sends no requests.",
+       "was discarded and why, how much idle capacity was of no use to the "
+       "steps, and which jobs did not complete or waited longest. Sends no "
+       "requests.",
        "thornplankctl logs summary logs/*", 1, Summarize},
   };
 }
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -86,6 +86,7 @@
     RefuseStarts(start_gate_.TakeExpired(now));
     StopOutdatedRuns();
     DropExpiredRecords();
+    MeasureFragmentation(now);
     SchedulePlanning();
   }
   const auto heartbeat = election_.settings().heartbeat_interval;
@@ -407,7 +408,9 @@
   if (job == nullptr) return;
   if (ledger_.Find(id) == nullptr) {
     if (IsTerminal(job->published_state) || ended_jobs_.count(id) > 0) return;
-    ledger_.Add(*job->spec, Now());
+    const Time now = Now();
+    ledger_.Add(*job->spec, now);
+    fragmentation_.OnJob(*job->spec, now);
   }
   if (job->cancelled) ledger_.Cancel(id);
 }
@@ -450,6 +453,7 @@
   pending_starts_.clear();
   start_gate_.Clear();
   logged_waits_.clear();
+  fragmentation_ = FragmentationMonitor();
   unrecorded_ends_.clear();
   claim_retry_ = Milliseconds(0);
   DelayNextClaim();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -28,6 +28,7 @@
 #include "coordination/advice_requester.h"
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
+#include "coordination/fragmentation_monitor.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
 #include "coordination/progress_write_limiter.h"
@@ -140,6 +141,10 @@
   const JobLedger& ledger() const { return ledger_; }
   // Null unless this entry leads.
   const WorkerFleet* fleet() const { return fleet_.get(); }
+  // The last measurement; empty unless this entry leads.
+  const std::vector<ServiceFragmentation>& fragmentation() const {
+    return fragmentation_.services();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -183,6 +188,7 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
+  void MeasureFragmentation(Time now);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
@@ -273,6 +279,7 @@
   StartGate start_gate_;
   // Waiting steps, each with the reason that was last logged.
   std::map<StepRef, WaitReason> logged_waits_;
+  FragmentationMonitor fragmentation_;
 
   // Incremented on each loss of leadership and on destruction. Callbacks that
   // captured another value do nothing.
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -116,6 +116,15 @@
   return ToRows(counts);
 }
 
+std::vector<MetricsRegistry::GaugeSample> FragmentationByService(
+    const ClusterCoordinator& coordinator) {
+  std::vector<MetricsRegistry::GaugeSample> rows;
+  for (const ServiceFragmentation& measured : coordinator.fragmentation()) {
+    rows.push_back({{{"service", measured.service}}, measured.unusable_share});
+  }
+  return rows;
+}
+
 using ViewSource = std::function<std::optional<ClusterView>()>;
 
 // Adds a gauge that is zero without a view.
@@ -174,6 +183,10 @@
             "Runs on the workers of a failure domain, and whether it takes new "
             "work; known to the leader.",
             RunsByDomain, metrics);
+  AddGauges(view, "thornplank_fragmentation",
+            "The share of idle accelerators on which the shapes of recent "
+            "steps cannot start; known to the leader.",
+            FragmentationByService, metrics);
   AddGauge(
       view, "thornplank_directory_entries_refused",
       "Entries of the directory that name no worker to use.", {},
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -1,6 +1,8 @@
 // Work of the leader: planning rounds, progress writes and the ends of runs and
 // jobs.
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "coordination/cluster_coordinator.h"
@@ -169,6 +171,16 @@
   logged_waits_ = std::move(logged);
 }
 
+void ClusterCoordinator::MeasureFragmentation(Time now) {
+  if (!fragmentation_.IsDue(now)) return;
+  std::set<std::string> waiting_services;
+  for (const auto& [step, reason] : logged_waits_) {
+    const Job* job = ledger_.Find(step.job);
+    if (job != nullptr) waiting_services.insert(job->spec.policy.service);
+  }
+  fragmentation_.Measure(fleet_->trackers(), waiting_services, now);
+}
+
 void ClusterCoordinator::RequestAdvice(const std::vector<WaitDecision>& waits) {
   std::set<StepRef> waiting_steps;
   for (const WaitDecision& wait : waits) {
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -72,6 +72,7 @@
 inline constexpr Event kReplicasSilent{949, "replicas-silent",
                                        Severity::kWarning};
 inline constexpr Event kReplicasBack{950, "replicas-back", Severity::kInfo};
+inline constexpr Event kFragmentation{955, "fragmentation", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -10,13 +10,14 @@
 namespace thornplank {
 namespace {
 
-constexpr std::array<const Event*, 12> kRelevantEvents = {
+constexpr std::array<const Event*, 13> kRelevantEvents = {
     &events::kLeadershipAcquired, &events::kLeadershipLost,
     &events::kLeadershipReleased, &events::kJobAccepted,
     &events::kJobCancelled,       &events::kJobState,
     &events::kTasksPlaced,        &events::kStopOrdered,
     &events::kRunEnded,           &events::kStepWaits,
-    &events::kJobRefused,         &events::kJobUndecided};
+    &events::kJobRefused,         &events::kJobUndecided,
+    &events::kFragmentation};
 
 // Causes of waits that no line states.
 constexpr char kNotYetDecided[] = "not yet decided";
@@ -53,6 +54,7 @@
         event == events::kLeadershipReleased.number) {
       return OnLeadershipChange(line.time, false);
     }
+    if (event == events::kFragmentation.number) return fragmentation_.Add(line);
     if (event == events::kStepWaits.number) return OnStepWaits(line);
     if (event == events::kTasksPlaced.number) return OnTasksPlaced(line);
     if (event == events::kStopOrdered.number) return OnStopOrdered(line);
@@ -91,6 +93,7 @@
                        return a.lost_accelerator_time > b.lost_accelerator_time;
                      });
     report.late_jobs = late_jobs_.Report();
+    report.fragmentation = fragmentation_.Report();
     return report;
   }
 
@@ -246,6 +249,7 @@
 
   bool has_no_leader_ = false;
   LateJobs late_jobs_;
+  FragmentationCourse fragmentation_;
   std::map<std::string, JobState> jobs_;
   std::map<std::string, StepDemand> demands_;
   // Causes of the orders to stop a run, by task and run.
--- a/src/libs/logging/log_summary.h
+++ b/src/libs/logging/log_summary.h
@@ -13,6 +13,7 @@
 
 #include "base/json.h"
 #include "base/time.h"
+#include "logging/fragmentation_course.h"
 #include "logging/late_jobs.h"
 #include "logging/log_line.h"
 
@@ -54,6 +55,7 @@
   std::vector<DiscardedRuns> discarded_runs;
   // Sorted by the number of jobs, largest first.
   std::vector<LateJobsByCause> late_jobs;
+  std::vector<FragmentationInterval> fragmentation;
 };
 
 class LogSummary {
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -362,6 +362,27 @@
   }
 }
 
+// Guards against a gauge that nothing updates: shapes are known from accepted
+// jobs, and a new leader knows those of the jobs that it takes over.
+TEST_CASE("the leader measures fragmentation, also after a takeover") {
+  Cluster cluster;
+  Entry& first = cluster.Add("e1");
+  REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+  CHECK(first.coordinator().fragmentation().empty());
+  cluster.Submit({MakeStep(1, 9)}, 50);
+  const auto measured = [](Entry& entry) {
+    const auto& services = entry.coordinator().fragmentation();
+    return !services.empty() && services[0].idle_accelerators == 16 &&
+           services[0].unusable_share == 1;
+  };
+  REQUIRE(RunUntil(cluster.io, [&] { return measured(first); }));
+  Entry& second = cluster.Add("e2");
+  first.coordinator().Release(Milliseconds(500), [] {});
+  REQUIRE(RunUntil(cluster.io, [&] { return measured(second); }));
+  CHECK_FALSE(first.coordinator().leading());
+  CHECK(first.coordinator().fragmentation().empty());
+}
+
 TEST_CASE("jobs continue under another leader, and no task is run twice") {
   for (const bool graceful : {true, false}) {
     CAPTURE(graceful);
--- a/tests/auto/logging/tst_log_summary.cc
+++ b/tests/auto/logging/tst_log_summary.cc
@@ -186,6 +186,53 @@
   CHECK(jobs == std::vector<std::string>{"d", "c", "b"});
 }
 
+// Guards against a summary that is as long as the day: the leader logs a line
+// every 10 s for each service.
+TEST_CASE("the course of fragmentation, by service and interval") {
+  const auto line = [](int64_t second, const std::string& service,
+                       const std::string& share) {
+    return Line(static_cast<int>(second * 1000), 955,
+                R"("service":")" + service +
+                    R"(","idle_accelerators":8,"unusable_share":)" + share +
+                    R"(,"shapes":2)");
+  };
+  SUBCASE("lines 10 s apart are shown one by one, in order of time") {
+    const LogSummaryReport report =
+        ReportOf({line(120, "b", "1"), line(110, "b", "0.5"),
+                  line(100, "a", "0.25"), line(105, "a", "0.75")});
+    CHECK(report.jobs.empty());
+    REQUIRE(report.fragmentation.size() == 3);
+    CHECK(report.fragmentation[0].service == "a");
+    CHECK(report.fragmentation[0].lines == 2);
+    CHECK(report.fragmentation[0].idle_accelerators == 8);
+    CHECK(report.fragmentation[0].unusable_share == doctest::Approx(0.5));
+    CHECK(report.fragmentation[0].max_unusable_share == doctest::Approx(0.75));
+    CHECK(report.fragmentation[1].service == "b");
+    CHECK(report.fragmentation[1].begin == FromUnixMilliseconds(110000));
+    CHECK(report.fragmentation[1].unusable_share == doctest::Approx(0.5));
+    CHECK(report.fragmentation[2].begin == FromUnixMilliseconds(120000));
+  }
+  SUBCASE("a long time is divided into few intervals") {
+    std::vector<std::string> lines;
+    for (int i = 0; i < 8000; ++i) {
+      lines.push_back(line(100 + i * 10, "a", i < 4000 ? "0" : "1"));
+    }
+    const LogSummaryReport report = ReportOf(lines);
+    REQUIRE(report.fragmentation.size() == 20);
+    int64_t counted = 0;
+    for (const FragmentationInterval& interval : report.fragmentation) {
+      counted += interval.lines;
+    }
+    CHECK(counted == 8000);
+    CHECK(report.fragmentation.front().unusable_share == 0);
+    CHECK(report.fragmentation.back().unusable_share == 1);
+  }
+  SUBCASE("lines without the fields are left out") {
+    CHECK(ReportOf({Line(100, 955, R"("service":"a")"), Line(100, 955, "")})
+              .fragmentation.empty());
+  }
+}
+
 TEST_CASE("other text is not a line") {
   LogSummary summary;
   CHECK_FALSE(summary.Add("no line at all"));
--- a/tests/auto/workload/tst_gang_placement.cc
+++ b/tests/auto/workload/tst_gang_placement.cc
@@ -354,12 +354,16 @@
   // scattered; gangs go into these.
   void Fill() {
     constexpr int kTurns = 12;
+    // In each turn.
+    constexpr int kSingleSteps = 60;
+    constexpr int kGangs = 25;
     for (int turn = 0; turn < kTurns; ++turn) {
       std::vector<StepSpec> steps;
-      for (int i = 0; i < 60; ++i) {
+      steps.reserve(kSingleSteps + kGangs);
+      for (int i = 0; i < kSingleSteps; ++i) {
         steps.push_back(MakeStep(Uniform(1, 20), 1));
       }
-      for (int i = 0; i < 25; ++i) {
+      for (int i = 0; i < kGangs; ++i) {
         constexpr std::array<int, 3> kSizes = {1, 2, 4};
         steps.push_back(Gang(Uniform(2, 16),
                              kSizes[static_cast<size_t>(Uniform(0, 2))],
--- a/tests/integration/tst_hosted_metrics.cc
+++ b/tests/integration/tst_hosted_metrics.cc
@@ -139,6 +139,7 @@
       {"thornplank_lead_epoch", "gauge"},
       {"thornplank_tasks", "gauge"},
       {"thornplank_accelerators", "gauge"},
+      {"thornplank_fragmentation", "gauge"},
       {"thornplank_log_lines_lost_total", "counter"},
       {"process_resident_memory_bytes", "gauge"},
       {"process_cpu_seconds_total", "counter"},
