--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -36,14 +36,6 @@
          free.cpu_millis == all.cpu_millis;
 }
 
-int64_t PenaltyClass(int64_t score) {
-  // Differences in fit are smaller than half a step. Scores below zero are
-  // shifted into the positive range, where the division rounds down.
-  constexpr int64_t kShift = int64_t{1} << 20;
-  return (score + kSlownessStep / 2 + kShift * kSlownessStep) / kSlownessStep -
-         kShift;
-}
-
 Resources ReservedFor(const StepSpec& step) {
   Resources need = step.need;
   if (step.is_filler) need.cpu_millis = 0;
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -89,7 +89,13 @@
 
 // The penalties that a score contains, in multiples of kSlownessStep. Workers
 // of one class differ only in how well a step fits them.
-int64_t PenaltyClass(int64_t score);
+inline int64_t PenaltyClass(int64_t score) {
+  // Differences in fit are smaller than half a step. Scores below zero are
+  // shifted into the positive range, where the division rounds down.
+  constexpr int64_t kShift = int64_t{1} << 20;
+  return (score + kSlownessStep / 2 + kShift * kSlownessStep) / kSlownessStep -
+         kShift;
+}
 
 // What one task of the step takes from a worker's free capacity.
 Resources ReservedFor(const StepSpec& step);
--- a/tests/auto/workload/tst_gang_placement.cc
+++ b/tests/auto/workload/tst_gang_placement.cc
@@ -169,6 +169,22 @@
   }
 }
 
+// Guards against a switch that does not restore the placement by tightest gaps.
+TEST_CASE("with the switch off, the tightest gaps come first") {
+  for (const bool same_rack : {false, true}) {
+    CAPTURE(same_rack);
+    Cluster cluster;
+    for (const int64_t free : {1, 1, 5, 1, 8, 1}) {
+      cluster.Add("r0", free);
+    }
+    const Counts gaps = {
+        {"w00000", 1}, {"w00001", 1}, {"w00003", 1}, {"w00005", 1}};
+    const StepSpec gang = Gang(4, 1, same_rack);
+    CHECK(cluster.Place(gang, /*compact=*/false) == gaps);
+    CHECK(cluster.Place(gang, /*compact=*/true) == Counts{{"w00002", 4}});
+  }
+}
+
 // Gangs of whole workers and gangs with a limit per worker have no choice
 // between few workers and many: they must be placed as they were before.
 TEST_CASE("whole workers and a limit per worker: as without compact gangs") {
