--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -29,6 +29,7 @@
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
 #include "coordination/health_record_schedule.h"
+#include "coordination/fragmentation_monitor.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
 #include "coordination/progress_write_limiter.h"
@@ -145,6 +146,10 @@
   Guarantees guarantees() const {
     return dependencies_.configuration().guarantees();
   }
+  // The last measurement; empty unless this entry leads.
+  const std::vector<ServiceFragmentation>& fragmentation() const {
+    return fragmentation_.services();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -191,6 +196,7 @@
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
   void LogAccountWaits(const std::vector<AccountWait>& waits);
+  void MeasureFragmentation(Time now);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
@@ -282,6 +288,7 @@
   StartGate start_gate_;
   // Waiting steps, each with the reason that was last logged.
   std::map<StepRef, WaitReason> logged_waits_;
+  FragmentationMonitor fragmentation_;
 
   // Incremented on each loss of leadership and on destruction. Callbacks that
   // captured another value do nothing.
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -75,6 +75,7 @@
 inline constexpr Event kFeatureChanged{951, "feature-changed", Severity::kInfo};
 inline constexpr Event kWorkerVerdict{953, "worker-verdict", Severity::kInfo};
 inline constexpr Event kAccountWaits{954, "account-waits", Severity::kInfo};
+inline constexpr Event kFragmentation{955, "fragmentation", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -12,10 +12,6 @@
 // Suspect workers are used only when no other worker has room.
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
-// Added for each tenth of the normal time that tasks take longer on a worker:
-// more than any difference in fit, since a gang runs at the pace of its slowest
-// member.
-constexpr int64_t kSlownessStep = int64_t{1} << 21;
 // Upper bound on the share of the usable workers of a service that is withheld.
 // With more workers on probation, capacity is worth more than certainty.
 constexpr double kMaxWithheldShare = 0.25;
