Held capacity: waiting gangs hold capacity where they can start soonest

Cause: steps of lower priority yielded while the free capacity of the service was smaller than the demand of waiting gangs, summed over workers on which the gangs could not start, and a fixed fifth of the workers stayed empty for urgent steps.

Change: UrgentHeadroom, RunForecast, GangHolds and HoldHistory in workload, used by the planner where the switch held_capacity is active (auto: a guarantee is positive); FeatureState and event 951; event 952, three gauges, one counter. With the switch off the planner takes the code path as before.

Ruled out: a search for each waiting gang in each round (three times the cost of a round in bench_workload); counting overdue runs as capacity that is about to be free (a gang of six members with three accelerators never started).

--- a/benchmarks/bench_workload.cc
+++ b/benchmarks/bench_workload.cc
@@ -3,7 +3,8 @@
 //
 // A third of the workers is full, the others have room for small tasks. The
 // waiting steps are gangs that find no rack with room for all of their members,
-// so that no round changes the cluster.
+// so that no round changes the cluster. With a guarantee, held capacity is
+// active.
 #include <ctime>
 
 #include <cstdio>
@@ -19,7 +20,14 @@
 
 constexpr int kWorkersPerRack = 20;
 constexpr int kTasksPerWorker = 4;
-constexpr int kRounds = 20;
+// Two seconds, within which each gang that holds capacity looks for better
+// workers once.
+constexpr int kRounds = 40;
+// Some runs end within the horizon of a hold, others do not.
+constexpr Milliseconds kEstimates[] = {Milliseconds(1000), Milliseconds(2500),
+                                       Milliseconds(7000), Milliseconds(9000)};
+// Between two rounds.
+constexpr Milliseconds kRoundInterval{50};
 
 double ProcessorMilliseconds() {
   timespec time{};
@@ -34,7 +42,7 @@
   return id;
 }
 
-void Measure(int workers, int waiting_steps) {
+void Measure(int workers, int waiting_steps, bool guaranteed) {
   std::map<std::string, WorkerTracker> trackers;
   JobLedger ledger;
   for (int i = 0; i < workers; ++i) {
@@ -46,6 +54,7 @@
     RunProfile profile;
     profile.need = {1000, 1000, i % 3 == 0 ? 2 : 1};
     profile.priority = 1;
+    profile.estimate = kEstimates[i % 4];
     for (int t = 0; t < kTasksPerWorker; ++t) {
       tracker.Add({{JobId(i), 0, 0}, t}, 1, profile, testing::At(0));
     }
@@ -58,7 +67,8 @@
                testing::At(0));
   }
   Planner planner((PlannerSettings()));
-  const Guarantees guarantees;
+  Guarantees guarantees;
+  if (guaranteed) guarantees["north"] = 16;
   PlanInputs inputs;
   inputs.ledger = &ledger;
   inputs.workers = &trackers;
@@ -68,19 +78,22 @@
   const double begin = ProcessorMilliseconds();
   for (int round = 0; round < kRounds; ++round) {
     planner.Decide(inputs);
+    inputs.now += kRoundInterval;
   }
   const double each = (ProcessorMilliseconds() - begin) / kRounds;
-  std::printf("%8d %8d %10.3f\n", workers, waiting_steps, each);
+  std::printf("%8d %8d %10s %10.3f\n", workers, waiting_steps,
+              guaranteed ? "yes" : "no", each);
 }
 
 }  // namespace
 }  // namespace thornplank
 
 int main() {
-  std::printf("%8s %8s %10s\n", "workers", "waiting", "ms");
+  std::printf("%8s %8s %10s %10s\n", "workers", "waiting", "guarantee", "ms");
   for (const int workers : {100, 350, 1000, 6000, 12000}) {
     for (const int waiting : {0, 1, 10, 50}) {
-      thornplank::Measure(workers, waiting);
+      thornplank::Measure(workers, waiting, /*guaranteed=*/false);
+      thornplank::Measure(workers, waiting, /*guaranteed=*/true);
     }
   }
   return 0;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -140,6 +140,10 @@
   const JobLedger& ledger() const { return ledger_; }
   // Null unless this entry leads.
   const WorkerFleet* fleet() const { return fleet_.get(); }
+  // Zero unless this entry leads.
+  HeldCapacityUse held_use() const {
+    return leading() ? planner_.held_use() : HeldCapacityUse();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -183,6 +187,8 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
+  void LogFeatureChanges(const std::vector<FeatureChange>& changes);
+  void LogHoldChanges(const std::vector<HoldChange>& changes);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -185,6 +185,35 @@
       metrics);
 }
 
+void AddHeldGauges(const ViewSource& view, MetricsRegistry& metrics) {
+  AddGauge(
+      view, "thornplank_headroom_workers",
+      "Workers left empty for urgent steps; known to the leader.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().headroom_workers);
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_held_free_accelerators",
+      "Accelerators that are free and held for gangs; known to the leader.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().held_free_accelerators);
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_lent_accelerators",
+      "Accelerators held for gangs and used by others meanwhile; known to the "
+      "leader.",
+      {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().lent_accelerators);
+      },
+      metrics);
+}
+
 void AddTaskGauges(const ViewSource& view, MetricsRegistry& metrics) {
   AddGauge(
       view, kTasksName, kTasksHelp, {{"phase", "waiting"}},
@@ -211,6 +240,7 @@
 void AddClusterGauges(std::function<std::optional<ClusterView>()> view,
                       MetricsRegistry& metrics) {
   AddLeadGauges(view, metrics);
+  AddHeldGauges(view, metrics);
   AddTaskGauges(view, metrics);
   AddGauge(
       view, "thornplank_jobs_known", "Jobs on the board, ended ones included.",
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -90,7 +90,10 @@
     for (const StopDecision& stop : plan.stops) {
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
       StopRestOfGang(stop);
+      if (stop.returns_held) metrics_.OnBorrowerStopped();
     }
+    LogFeatureChanges(plan.feature_changes);
+    LogHoldChanges(plan.hold_changes);
     LogWaits(plan.waits);
     RequestAdvice(plan.waits);
     placement_time_ = Now() - now;
@@ -169,6 +172,31 @@
   logged_waits_ = std::move(logged);
 }
 
+void ClusterCoordinator::LogFeatureChanges(
+    const std::vector<FeatureChange>& changes) {
+  for (const FeatureChange& change : changes) {
+    LogEvent(events::kFeatureChanged, {{"feature", change.feature},
+                                       {"active", change.active},
+                                       {"reason", change.reason},
+                                       {"epoch", epoch_}});
+  }
+}
+
+void ClusterCoordinator::LogHoldChanges(
+    const std::vector<HoldChange>& changes) {
+  for (const HoldChange& change : changes) {
+    LogEvent(events::kCapacityHeld, {{"job", change.step.job},
+                                     {"step", change.step.ToString()},
+                                     {"workers", change.workers},
+                                     {"rack", change.rack},
+                                     {"ready_in_ms", change.ready_in.count()},
+                                     {"waited_ms", change.waited.count()},
+                                     {"borrowers", change.borrowers},
+                                     {"reason", change.reason},
+                                     {"epoch", epoch_}});
+  }
+}
+
 void ClusterCoordinator::RequestAdvice(const std::vector<WaitDecision>& waits) {
   std::set<StepRef> waiting_steps;
   for (const WaitDecision& wait : waits) {
@@ -211,6 +239,7 @@
   profile.gang = spec->gang;
   profile.long_running = spec->long_running;
   profile.is_filler = spec->is_filler;
+  profile.estimate = spec->estimate;
   profile.tail_latency_target = spec->tail_latency_target;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
--- a/src/libs/coordination/scheduling_metrics.cc
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -62,6 +62,13 @@
       .Add();
 }
 
+void SchedulingMetrics::OnBorrowerStopped() {
+  metrics_
+      .counter("thornplank_borrowers_stopped_total",
+               "Runs stopped to return capacity that is held for a gang.")
+      .Add();
+}
+
 void SchedulingMetrics::OnJobEnded(const JobDefinition& job, JobState state,
                                    Duration lasted) {
   metrics_
--- a/src/libs/coordination/scheduling_metrics.h
+++ b/src/libs/coordination/scheduling_metrics.h
@@ -27,6 +27,8 @@
   void OnRunEnded(RunKind kind, RunEnd end, std::optional<Duration> lasted);
   // A task will not be started again, since workers were lost while running it.
   void OnTaskGivenUp();
+  // A run is stopped to return capacity that is held for a gang.
+  void OnBorrowerStopped();
   // A job has ended, `lasted` after it was accepted.
   void OnJobEnded(const JobDefinition& job, JobState state, Duration lasted);
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -72,6 +72,8 @@
 inline constexpr Event kReplicasSilent{949, "replicas-silent",
                                        Severity::kWarning};
 inline constexpr Event kReplicasBack{950, "replicas-back", Severity::kInfo};
+inline constexpr Event kFeatureChanged{951, "feature-changed", Severity::kInfo};
+inline constexpr Event kCapacityHeld{952, "capacity-held", Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "workload/urgent_headroom.h"
+
 namespace thornplank {
 namespace {
 
@@ -79,6 +81,7 @@
   worker.service = NumberOfService(tracker.registration().service);
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
+  double urgent_share = 0;
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) worker.releasing += profile.need;
@@ -89,12 +92,14 @@
         worker.on_probation || (unproven && profile.on_probation);
     if (profile.priority != 0) continue;
     urgent_accelerators_[profile.account] += profile.need.accelerators;
+    urgent_share += WorkerShare(profile.need, tracker.registration().capacity);
   }
   const Resources& capacity = tracker.registration().capacity;
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
   sums.total_accelerators += capacity.accelerators;
   sums.used_accelerators += capacity.accelerators - worker.free.accelerators;
   sums.total_cpu_millis += capacity.cpu_millis;
+  sums.urgent_workers += urgent_share;
   sums.used_cpu_millis += capacity.cpu_millis - worker.free.cpu_millis;
   if (worker.usable) {
     ++usable_workers_;
@@ -108,14 +113,14 @@
   workers_.push_back(worker);
 }
 
-WorkerCapacity* ClusterCapacity::Find(const std::string& id) {
+std::optional<size_t> ClusterCapacity::IndexOf(const std::string& id) const {
   const auto it = std::lower_bound(
       workers_.begin(), workers_.end(), id,
       [](const WorkerCapacity& worker, const std::string& wanted) {
         return worker.tracker->id() < wanted;
       });
-  const bool found = it != workers_.end() && it->tracker->id() == id;
-  return found ? &*it : nullptr;
+  if (it == workers_.end() || it->tracker->id() != id) return std::nullopt;
+  return static_cast<size_t>(it - workers_.begin());
 }
 
 void ClusterCapacity::ChangeFree(WorkerCapacity* worker,
@@ -167,6 +172,19 @@
   return SumsOf(service).capacity;
 }
 
+std::vector<std::string> ClusterCapacity::Services() const {
+  std::vector<std::string> names;
+  names.reserve(services_.size());
+  for (const ServiceSums& sums : services_) {
+    names.push_back(sums.name);
+  }
+  return names;
+}
+
+double ClusterCapacity::UrgentWorkers(const std::string& service) const {
+  return SumsOf(service).urgent_workers;
+}
+
 void ClusterCapacity::Reserve(const CapacityReservation& reservation) {
   ApplyReservation(reservation, /*reserve=*/true);
 }
@@ -175,17 +193,26 @@
   ApplyReservation(reservation, /*reserve=*/false);
 }
 
+bool ClusterCapacity::AllUsable(const CapacityReservation& reservation) const {
+  for (const auto& [id, tasks] : reservation.tasks_by_worker) {
+    const std::optional<size_t> index = IndexOf(id);
+    if (!index || !workers_[*index].usable) return false;
+  }
+  return true;
+}
+
 void ClusterCapacity::ApplyReservation(const CapacityReservation& reservation,
                                        bool reserve) {
   for (const auto& [id, tasks] : reservation.tasks_by_worker) {
-    WorkerCapacity* worker = Find(id);
-    if (worker == nullptr) continue;
-    ChangeFree(worker, reservation.need * (reserve ? -tasks : tasks));
+    const std::optional<size_t> index = IndexOf(id);
+    if (!index) continue;
+    ChangeFree(&workers_[*index],
+               reservation.need * (reserve ? -tasks : tasks));
   }
 }
 
 void ClusterCapacity::Occupy(const std::string& id, const ReadyStep& step) {
-  WorkerCapacity& worker = *Find(id);
+  WorkerCapacity& worker = workers_[*IndexOf(id)];
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
   if (worker.IsEmpty()) --sums.empty_workers;
   ChangeFree(&worker, ReservedFor(*step.spec) * -1);
@@ -306,6 +333,17 @@
   return slots;
 }
 
+bool ClusterCapacity::Shrink(const ReadyStep& step, const Resources& held,
+                             Slot* slot) const {
+  const WorkerCapacity& worker = workers_[slot->worker];
+  const Resources need = ReservedFor(*step.spec);
+  const int64_t tasks = need.TimesIn(worker.free - held, slot->tasks);
+  if (tasks == slot->tasks) return false;
+  slot->tasks = tasks;
+  slot->score = Score(step, worker, tasks);
+  return true;
+}
+
 bool ClusterCapacity::IsNear(const ReadyStep& step, const Slot& slot) const {
   return workers_[slot.worker].entry().rack == step.spec->data_rack;
 }
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -69,6 +70,8 @@
   Resources need;
   Time made{};
   Time until{};
+  // Of the step. Capacity for urgent steps is held back from all steps.
+  int priority = 0;
 };
 
 // Thousandths of a core that one accelerator counts for, according to the
@@ -94,6 +97,7 @@
   const std::vector<WorkerCapacity>& workers() const { return workers_; }
   WorkerCapacity& worker(size_t index) { return workers_[index]; }
   const WorkerCapacity& worker(size_t index) const { return workers_[index]; }
+  std::optional<size_t> IndexOf(const std::string& id) const;
   int64_t usable_workers(const std::string& service) const;
   // Accelerators in use by urgent runs of the account.
   int64_t UrgentAccelerators(const std::string& account) const;
@@ -104,9 +108,16 @@
   // Sums over the workers of the service that may be given new tasks.
   Resources FreeCapacity(const std::string& service) const;
   Resources TotalCapacity(const std::string& service) const;
+  // The names of all services that have workers.
+  std::vector<std::string> Services() const;
+  // Use by urgent runs, in workers: each counts as the largest share that it
+  // takes of any resource of its worker.
+  double UrgentWorkers(const std::string& service) const;
 
   void Reserve(const CapacityReservation& reservation);
   void Release(const CapacityReservation& reservation);
+  // Whether all workers that it names may be given tasks.
+  bool AllUsable(const CapacityReservation& reservation) const;
   // Accounts for a task of the step that was placed on the worker.
   void Occupy(const std::string& id, const ReadyStep& step);
 
@@ -119,6 +130,9 @@
   std::vector<std::string> CandidatesForAdvice(const ReadyStep& step) const;
   // Workers on which tasks of the step fit.
   std::vector<Slot> FreeSlots(const ReadyStep& step) const;
+  // Takes capacity that is held for other steps off the slot of the step, which
+  // may leave no tasks. Returns true if the slot became smaller.
+  bool Shrink(const ReadyStep& step, const Resources& held, Slot* slot) const;
   // Number of workers of the service that may be given tasks and run nothing.
   int64_t EmptyWorkers(const std::string& service) const {
     return SumsOf(service).empty_workers;
@@ -146,13 +160,13 @@
     int64_t used_accelerators = 0;
     int64_t total_cpu_millis = 0;
     int64_t used_cpu_millis = 0;
+    double urgent_workers = 0;
   };
 
   void AddWorker(const WorkerTracker& tracker, Time now);
   int NumberOfRack(const std::string& rack);
   int NumberOfService(const std::string& service);
   const ServiceSums& SumsOf(const std::string& service) const;
-  WorkerCapacity* Find(const std::string& id);
   void ChangeFree(WorkerCapacity* worker, const Resources& change);
   bool MostAreTrusted() const { return suspects_ * 2 < usable_workers_; }
   int64_t Score(const ReadyStep& step, const WorkerCapacity& worker,
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "workload/cluster_capacity.h"
+#include "workload/gang_holds.h"
 #include "workload/gang_placement.h"
 #include "workload/ready_step.h"
 #include "workload/victim_selection.h"
@@ -30,7 +31,9 @@
       : planner_(*planner),
         inputs_(inputs),
         capacity_(*inputs.workers, inputs.advice, inputs.now),
-        steps_(std::move(steps)) {}
+        steps_(std::move(steps)) {
+    if (planner_.held_state_.active()) holds_.emplace(HoldInputs());
+  }
 
   Plan Run() {
     for (const auto& [ref, reservation] : planner_.reservations_) {
@@ -38,6 +41,7 @@
     }
     RecordUrgentSteps();
     ReleaseExpiredReservations();
+    if (holds_) PrepareHolds();
     IsolateSuspects();
     for (const ReadyStep& step : steps_) {
       if (inputs_.surveying && !step.urgent()) {
@@ -46,12 +50,100 @@
       }
       PlaceStep(step);
     }
+    if (holds_) RecordHolds();
     return std::move(plan_);
   }
 
  private:
   using Assignments = std::vector<JobLedger::Assignment>;
 
+  GangHolds::Inputs HoldInputs() const {
+    GangHolds::Inputs inputs;
+    inputs.capacity = &capacity_;
+    inputs.stopped = &stopped_;
+    inputs.max_held_share = planner_.settings_.max_reserved_share;
+    inputs.stop_time = planner_.settings_.bounds.move_cost();
+    inputs.restart_cost = planner_.settings_.bounds.restart_cost();
+    inputs.now = inputs_.now;
+    return inputs;
+  }
+
+  void PrepareHolds() {
+    DropUselessGangReservations();
+    for (const std::string& service : capacity_.Services()) {
+      ObserveHeadroom(service);
+    }
+  }
+
+  // A gang that has started or ended needs no reservation, and one that names a
+  // worker which can no longer be used does not let the gang start.
+  void DropUselessGangReservations() {
+    auto& reservations = planner_.gang_reservations_;
+    if (reservations.empty()) return;
+    std::set<StepRef> ready;
+    for (const ReadyStep& step : steps_) {
+      ready.insert(step.ref);
+    }
+    for (auto it = reservations.begin(); it != reservations.end();) {
+      const auto current = it++;
+      const bool still_valid = ready.count(current->first) > 0 &&
+                               current->second.until > inputs_.now &&
+                               capacity_.AllUsable(current->second);
+      if (still_valid) continue;
+      planner_.hold_history_.OnLost(current->first, inputs_.now);
+      reservations.erase(current);
+    }
+  }
+
+  void ObserveHeadroom(const std::string& service) {
+    const PlannerSettings& settings = planner_.settings_;
+    const int64_t usable = capacity_.usable_workers(service);
+    UrgentHeadroomSettings headroom;
+    headroom.initial_share = settings.headroom;
+    headroom.max_share = settings.max_headroom;
+    headroom.retention = settings.headroom_retention;
+    const auto it = planner_.headrooms_.try_emplace(service, headroom).first;
+    UrgentUse use;
+    use.workers = capacity_.UrgentWorkers(service);
+    use.seen = !it->second.observed() && use.workers > 0;
+    const Resources mean = DividedBy(capacity_.TotalCapacity(service), usable);
+    for (const ReadyStep& step : steps_) {
+      if (!step.urgent() || step.service() != service || usable == 0) continue;
+      const auto tasks = static_cast<int64_t>(step.waiting.size());
+      const Resources need = ReservedFor(*step.spec);
+      use.seen = true;
+      use.workers += WorkerShare(need, mean) * static_cast<double>(tasks);
+      use.largest_step =
+          std::max(use.largest_step, WorkersNeeded(need, tasks, mean));
+    }
+    it->second.Observe(use, inputs_.now);
+    headroom_[service] = it->second.Workers(usable);
+  }
+
+  void RecordHolds() {
+    plan_.hold_changes = planner_.hold_history_.EndRound(
+        holds_->holds(), &capacity_, inputs_.now);
+    HeldCapacityUse use;
+    use.held_free_accelerators = holds_->held_free_accelerators();
+    use.worker_visits = holds_->visits();
+    for (const GangHold& hold : holds_->holds()) {
+      use.lent_accelerators += hold.lent_accelerators();
+    }
+    for (const auto& [service, workers] : headroom_) {
+      use.headroom_workers += workers;
+    }
+    planner_.held_use_ = use;
+  }
+
+  // Reservations of gangs count from the first step of their priority on.
+  void ReserveForGangs(int priority) {
+    for (const auto& [ref, reservation] : planner_.gang_reservations_) {
+      if (reservation.priority > priority) continue;
+      if (!reserved_gangs_.insert(ref).second) continue;
+      capacity_.Reserve(reservation);
+    }
+  }
+
   void RecordUrgentSteps() {
     for (const ReadyStep& step : steps_) {
       if (!step.urgent()) continue;
@@ -94,7 +186,9 @@
   }
 
   void PlaceStep(const ReadyStep& step) {
-    auto& reservations = planner_.reservations_;
+    if (!planner_.gang_reservations_.empty()) ReserveForGangs(step.priority());
+    auto& reservations =
+        step.urgent() ? planner_.reservations_ : planner_.gang_reservations_;
     const auto own = reservations.find(step.ref);
     if (own != reservations.end()) capacity_.Release(own->second);
     WaitReason reason = WaitReason::kNoRoom;
@@ -102,7 +196,7 @@
                                         : PlaceSingleTasks(step, &reason);
     if (own != reservations.end()) {
       if (placed) {
-        plan_.starts.back().preempted_at = own->second.made;
+        if (step.urgent()) plan_.starts.back().preempted_at = own->second.made;
         reservations.erase(own);
       } else {
         capacity_.Reserve(own->second);
@@ -111,8 +205,11 @@
     } else if (!placed && step.urgent() && !inputs_.surveying &&
                PreemptFor(step)) {
       reason = WaitReason::kPreempting;
+    } else if (!placed && holds_ && MayHold(step) && HoldFor(step)) {
+      reason = WaitReason::kPreempting;
     }
     if (placed) return;
+    if (holds_ && MayHold(step)) WaitedOf(step);
     AddWait(step, reason);
     RecordWaitingDemand(step);
   }
@@ -120,7 +217,7 @@
   // Only gangs need much capacity at one moment. Capacity for a step that
   // evicted others is reserved already.
   void RecordWaitingDemand(const ReadyStep& step) {
-    if (!step.spec->gang) return;
+    if (holds_ || !step.spec->gang) return;
     if (planner_.reservations_.count(step.ref) > 0) return;
     if (step.expired) return;
     waiting_demand_.Add(step.service(), step.priority(),
@@ -178,6 +275,10 @@
   // Number of workers to leave empty for urgent jobs to come.
   int64_t Headroom(const ReadyStep& step) const {
     if (step.urgent()) return 0;
+    if (holds_) {
+      const auto workers = headroom_.find(step.service());
+      return workers == headroom_.end() ? 0 : workers->second;
+    }
     if (!planner_.ExpectsUrgent(step.service(), inputs_.now)) return 0;
     return static_cast<int64_t>(
         planner_.settings_.headroom *
@@ -193,6 +294,17 @@
     return places;
   }
 
+  // Removes what is held for other steps. A gang may start while the less used
+  // resource is mostly free. Returns true if capacity was removed.
+  bool LeaveHeldCapacity(const ReadyStep& step, FreePlaces* places) const {
+    if (!holds_ || holds_->holds().empty()) return false;
+    const bool idle = capacity_.LowestUsedShare(step.service()) < kCrowdedShare;
+    if (step.spec->gang && idle) return false;
+    const int64_t empty = holds_->EmptyWorkersHeldFrom(step);
+    places->empty_workers -= empty;
+    return holds_->Restrict(step, &places->slots) || empty > 0;
+  }
+
   // How many tasks of the step may start without delaying steps of higher
   // priority. Small tasks fit into every gap as it opens, so without this limit
   // a gang would never find enough room at one moment.
@@ -201,7 +313,8 @@
     // While most of the capacity is idle, these tasks are not what others wait
     // for.
     const std::string& service = step.service();
-    if (step.urgent() || capacity_.UsedShare(service) < kCrowdedShare) {
+    if (holds_ || step.urgent() ||
+        capacity_.UsedShare(service) < kCrowdedShare) {
       return waiting;
     }
     // The rule about jobs that are not served does not name the resource, so
@@ -233,6 +346,23 @@
     }
     FreePlaces places = PlacesFor(step);
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
+    if (LeaveHeldCapacity(step, &places)) {
+      *reason = WaitReason::kYieldsToHigherPriority;
+    }
+    Assignments chosen = TakeSlots(step, std::move(places), allowed);
+    // Every job may run at least one task at a time, if it fits.
+    if (holds_ && chosen.empty() &&
+        *reason == WaitReason::kYieldsToHigherPriority &&
+        !step.job_is_active()) {
+      chosen = TakeSlots(step, PlacesFor(step), 1);
+    }
+    const bool all = chosen.size() == step.waiting.size();
+    if (!chosen.empty()) Start(step, std::move(chosen), "best fit");
+    return all;
+  }
+
+  Assignments TakeSlots(const ReadyStep& step, FreePlaces places,
+                        int64_t allowed) const {
     Assignments chosen;
     std::sort(places.slots.begin(), places.slots.end(), HasLowerScore);
     for (const Slot& slot : places.slots) {
@@ -244,9 +374,7 @@
     if (static_cast<int64_t>(chosen.size()) > allowed) {
       chosen.resize(static_cast<size_t>(allowed));
     }
-    const bool all = chosen.size() == step.waiting.size();
-    if (!chosen.empty()) Start(step, std::move(chosen), "best fit");
-    return all;
+    return chosen;
   }
 
   bool PlaceGang(const ReadyStep& step, WaitReason* reason) {
@@ -254,7 +382,9 @@
       *reason = WaitReason::kYieldsToHigherPriority;
       return false;
     }
-    const FreePlaces places = PlacesFor(step);
+    FreePlaces places = PlacesFor(step);
+    const bool yields = LeaveHeldCapacity(step, &places);
+    if (yields) *reason = WaitReason::kYieldsToHigherPriority;
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
     // A rack may hold more than is known of it yet.
     const bool may_fit = inputs_.surveying || capacity_.AnyRackCanHold(step);
@@ -301,8 +431,54 @@
     return true;
   }
 
+  bool MayHold(const ReadyStep& step) const {
+    return step.spec->gang && !step.urgent() && !step.expired &&
+           !inputs_.surveying;
+  }
+
+  // Also records that the gang still waits.
+  Duration WaitedOf(const ReadyStep& step) {
+    return planner_.hold_history_.Waited(step, inputs_.now, inputs_.wall_now);
+  }
+
+  // Holds capacity for a gang that does not fit. Returns true if runs are
+  // stopped for it.
+  bool HoldFor(const ReadyStep& step) {
+    HoldHistory& history = planner_.hold_history_;
+    HoldRequest request;
+    request.step = &step;
+    request.waited = WaitedOf(step);
+    if (!holds_->MayConsider(step.service())) return false;
+    const bool search = history.MaySearch(step, inputs_.now);
+    request.among = history.LastWorkers(step.ref, capacity_);
+    if (!search && request.among.empty()) return false;
+    request.empty_workers = capacity_.EmptyWorkers(step.service()) -
+                            Headroom(step) - holds_->EmptyWorkersHeldFrom(step);
+    request.near_only = IsBoundToData(step);
+    std::vector<Eviction> returns;
+    // The hold of the round before is kept while it is possible.
+    const bool kept = !request.among.empty() && !search &&
+                      holds_->Consider(request, &returns);
+    if (!kept) {
+      if (!request.among.empty()) history.OnLost(step.ref, inputs_.now);
+      if (!history.MaySearch(step, inputs_.now)) return false;
+      request.among.clear();
+      request.one_rack = step.spec->same_rack && capacity_.AnyRackCanHold(step);
+      const bool found = holds_->Consider(request, &returns);
+      history.OnSearched(step, found, inputs_.now);
+    }
+    if (returns.empty()) return false;
+    history.OnReturned(step.ref);
+    Evict(step, returns);
+    return true;
+  }
+
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions) {
+    const std::string reason = step.urgent()
+                                   ? "gives way to urgent "
+                                   : "returns capacity that is held for ";
     CapacityReservation reservation;
+    reservation.priority = step.priority();
     reservation.need = ReservedFor(*step.spec);
     reservation.made = inputs_.now;
     reservation.until =
@@ -314,12 +490,17 @@
       for (const TrackedRun* run : eviction.victims) {
         worker.releasing += run->profile.need;
         plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
-                               "gives way to urgent " + step.ref.ToString()});
+                               reason + step.ref.ToString(), !step.urgent()});
         stopped_.insert(run->task);
       }
     }
     capacity_.Reserve(reservation);
-    planner_.reservations_[step.ref] = std::move(reservation);
+    if (step.urgent()) {
+      planner_.reservations_[step.ref] = std::move(reservation);
+      return;
+    }
+    reserved_gangs_.insert(step.ref);
+    planner_.gang_reservations_[step.ref] = std::move(reservation);
   }
 
   Planner& planner_;
@@ -333,6 +514,12 @@
   std::map<std::string, int64_t> urgent_demand_;
   // Runs that this round has already decided to stop.
   std::set<TaskRef> stopped_;
+  // Set while held capacity is active.
+  std::optional<GangHolds> holds_;
+  // Workers to leave empty for urgent steps, by service.
+  std::map<std::string, int64_t> headroom_;
+  // Gangs whose reservations this round has taken off the capacity.
+  std::set<StepRef> reserved_gangs_;
 };
 
 bool Planner::ExpectsUrgent(const std::string& service, Time now) const {
@@ -346,12 +533,42 @@
 Plan Planner::Decide(const PlanInputs& inputs) {
   std::vector<ReadyStep> steps =
       CollectReadySteps(*inputs.ledger, inputs.wall_now);
-  if (steps.empty()) {
+  std::vector<FeatureChange> changes = UpdateFeatures(inputs);
+  Plan plan;
+  const bool idle = steps.empty();
+  if (idle) {
     reservations_.clear();
     isolated_since_.clear();
-    return {};
+    gang_reservations_.clear();
+    held_use_ = HeldCapacityUse();
+  } else {
+    plan = Round(this, inputs, std::move(steps)).Run();
+  }
+  if (idle || !held_state_.active()) {
+    plan.hold_changes = hold_history_.EndRound({}, nullptr, inputs.now);
+  }
+  plan.feature_changes = std::move(changes);
+  return plan;
+}
+
+std::vector<FeatureChange> Planner::UpdateFeatures(const PlanInputs& inputs) {
+  FeatureCondition condition;
+  condition.holds =
+      std::any_of(inputs.guarantees->begin(), inputs.guarantees->end(),
+                  [](const auto& guarantee) { return guarantee.second > 0; });
+  condition.reason = condition.holds
+                         ? "accelerators are guaranteed to an account"
+                         : "no accelerators are guaranteed to any account";
+  std::vector<FeatureChange> changes;
+  const auto change = held_state_.Update(condition);
+  if (!change) return changes;
+  changes.push_back(*change);
+  if (!change->active) {
+    gang_reservations_.clear();
+    headrooms_.clear();
+    held_use_ = HeldCapacityUse();
   }
-  return Round(this, inputs, std::move(steps)).Run();
+  return changes;
 }
 
 std::string_view ToText(WaitReason reason) {
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -4,10 +4,18 @@
 // rack if they ask for it; single tasks one by one where they leave the
 // smallest gaps. Urgent jobs (priority 0) that find no room evict runs of lower
 // priority, those with the least unsaved work first; the room is reserved for
-// them until they start. Not thread-safe.
+// them until they start.
+//
+// Steps leave room for others in one of two ways. With held capacity active,
+// waiting gangs hold what they need on the workers where they can start soonest
+// (GangHolds), and as many workers stay empty for urgent steps as these needed
+// recently (UrgentHeadroom). Otherwise steps yield while the free capacity is
+// smaller than the demand of waiting gangs of higher priority, and a fixed
+// share of the workers stays empty. Not thread-safe.
 #ifndef THORNPLANK_WORKLOAD_PLANNER_H_
 #define THORNPLANK_WORKLOAD_PLANNER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,8 +25,11 @@
 #include "base/time.h"
 #include "workload/advice_cache.h"
 #include "workload/cluster_capacity.h"
+#include "workload/feature_state.h"
+#include "workload/hold_history.h"
 #include "workload/job_ledger.h"
 #include "workload/scheduling_features.h"
+#include "workload/urgent_headroom.h"
 #include "workload/victim_selection.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
@@ -37,6 +48,9 @@
   // waiting steps of higher priority, beyond the headroom. The rest stays
   // available to lower priorities.
   double max_reserved_share = 0.3;
+  // Upper bound on the share of workers that is left empty for urgent steps
+  // according to their recent use.
+  double max_headroom = 0.3;
   // How long a step whose last start crashed its worker waits for a worker on
   // which nothing else runs: the next crash would take that with it.
   Milliseconds isolation_wait{600};
@@ -60,6 +74,8 @@
   TaskRef task;
   int run = 0;
   std::string reason;
+  // The run used capacity that was held for a gang, which needs it now.
+  bool returns_held = false;
 };
 
 // Why a ready step is not placed, or only in part.
@@ -92,6 +108,21 @@
   std::vector<StartDecision> starts;
   std::vector<StopDecision> stops;
   std::vector<WaitDecision> waits;
+  // For the log.
+  std::vector<HoldChange> hold_changes;
+  std::vector<FeatureChange> feature_changes;
+};
+
+// Held capacity after a round; zero while the feature is inactive.
+struct HeldCapacityUse {
+  // Workers left empty for urgent steps, of all services.
+  int64_t headroom_workers = 0;
+  // Accelerators that are free and held for gangs.
+  int64_t held_free_accelerators = 0;
+  // Accelerators on held workers that borrowers use.
+  int64_t lent_accelerators = 0;
+  // Visits of workers in search of holds, as a measure of the cost.
+  int64_t worker_visits = 0;
 };
 
 struct PlanInputs {
@@ -109,20 +140,34 @@
 
 class Planner {
  public:
-  explicit Planner(PlannerSettings settings) : settings_(settings) {}
+  explicit Planner(PlannerSettings settings)
+      : settings_(settings),
+        held_state_("held_capacity", settings.features.held_capacity) {}
 
   Plan Decide(const PlanInputs& inputs);
 
+  // Of the last round.
+  const HeldCapacityUse& held_use() const { return held_use_; }
+
  private:
   class Round;
 
   // Whether urgent steps of the service were seen recently.
   bool ExpectsUrgent(const std::string& service, Time now) const;
+  std::vector<FeatureChange> UpdateFeatures(const PlanInputs& inputs);
 
   PlannerSettings settings_;
   // When urgent steps were last seen, by service.
   std::map<std::string, Time> last_urgent_;
   std::map<StepRef, CapacityReservation> reservations_;
+  // Of gangs for which borrowers are stopped. Unlike those above, they hold
+  // back nothing from steps of higher priority.
+  std::map<StepRef, CapacityReservation> gang_reservations_;
+  FeatureState held_state_;
+  // By service.
+  std::map<std::string, UrgentHeadroom> headrooms_;
+  HoldHistory hold_history_;
+  HeldCapacityUse held_use_;
   // Since when steps that crashed their worker at the start wait for an empty
   // one.
   std::map<StepRef, Time> isolated_since_;
--- a/src/libs/workload/resources.h
+++ b/src/libs/workload/resources.h
@@ -75,6 +75,12 @@
   };
   return {part(all.cpu_millis), part(all.memory_mb), part(all.accelerators)};
 }
+// An equal part of each resource; zero if there are no parts.
+inline Resources DividedBy(const Resources& all, int64_t parts) {
+  if (parts <= 0) return {};
+  return {all.cpu_millis / parts, all.memory_mb / parts,
+          all.accelerators / parts};
+}
 inline Resources operator*(const Resources& each, int64_t times) {
   return {each.cpu_millis * times, each.memory_mb * times,
           each.accelerators * times};
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -52,6 +52,8 @@
   // No cores are reserved for it; it is slowed down where it disturbs serving
   // tasks.
   bool is_filler = false;
+  // The caller's estimate of its run time; zero if there is none.
+  Milliseconds estimate{0};
   // Target for the tail latency of a serving task; zero for any other.
   Milliseconds tail_latency_target{0};
   std::string account;
--- a/tests/auto/workload/planner_cluster.h
+++ b/tests/auto/workload/planner_cluster.h
@@ -16,8 +16,9 @@
 class PlannerCluster {
  public:
   PlannerCluster(int racks, int workers_per_rack,
-                 const WorkerBounds& bounds = WorkerBounds())
-      : planner(SettingsWith(bounds)) {
+                 const WorkerBounds& bounds = WorkerBounds(),
+                 const SchedulingFeatures& features = SchedulingFeatures())
+      : planner(SettingsWith(bounds, features)) {
     for (int rack = 0; rack < racks; ++rack) {
       for (int i = 0; i < workers_per_rack; ++i) {
         const std::string id =
@@ -49,6 +50,7 @@
         profile.account = job.spec.account;
         profile.gang = spec.gang;
         profile.checkpointable = spec.checkpointable;
+        profile.estimate = spec.estimate;
         const TaskRef task{start.step, assignment.index};
         WorkerTracker& worker = workers.at(assignment.worker);
         worker.Add(task, run, profile, now);
@@ -119,9 +121,11 @@
   WallTime wall_now = FromUnixMilliseconds(1000100);
 
  private:
-  static PlannerSettings SettingsWith(const WorkerBounds& bounds) {
+  static PlannerSettings SettingsWith(const WorkerBounds& bounds,
+                                      const SchedulingFeatures& features) {
     PlannerSettings settings;
     settings.bounds = bounds;
+    settings.features = features;
     return settings;
   }
 };
--- a/tests/auto/workload/tst_planner_load.cc
+++ b/tests/auto/workload/tst_planner_load.cc
@@ -127,6 +127,47 @@
   }
 }
 
+// The same loads with a guarantee, so that gangs hold the capacity that they
+// need in place of all steps yielding to them.
+TEST_CASE("a gang gets held capacity before small tasks of lower priority") {
+  struct Row {
+    const char* name;
+    StepSpec gang;
+    int turns;
+  };
+  StepSpec cores = Gang(6, 1, false);
+  cores.need.cpu_millis = 20000;
+  const std::vector<Row> rows = {
+      {"a gang of whole workers", Gang(2, 8, false), 8},
+      {"a gang of half a rack", Gang(2, 8, true), 8},
+      {"members of some accelerators", Gang(6, 3, false), 6},
+      {"members of many cores", cores, 8},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Backlog backlog(1000);
+    backlog.cluster.guarantees = {{"south", 8}};
+    JobDefinition job = MakeJob(Id(2), {row.gang}, 1);
+    job.policy.slack = std::chrono::seconds(60);
+    backlog.cluster.ledger.Add(job, backlog.cluster.now);
+    int turns = 1;
+    while (turns < 40 && !backlog.Turn(Id(2))) ++turns;
+    CHECK(turns <= row.turns);
+  }
+}
+
+TEST_CASE("gangs that cannot start hold no capacity") {
+  Backlog backlog(1000);
+  backlog.cluster.guarantees = {{"south", 8}};
+  JobDefinition job = MakeJob(Id(2), {Gang(100, 8, false)}, 1);
+  job.policy.slack = std::chrono::seconds(600);
+  backlog.cluster.ledger.Add(job, backlog.cluster.now);
+  for (int i = 0; i < 20; ++i) {
+    backlog.Turn(Id(2));
+    CHECK(backlog.cluster.free_accelerators() == 0);
+  }
+}
+
 // A job with no active task while most of the cluster is free is not being
 // served: waiting gangs may slow it down but must not stop it.
 TEST_CASE("a job gets one task even while gangs wait for the room") {
