--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -150,6 +150,10 @@
   const std::vector<ServiceFragmentation>& fragmentation() const {
     return fragmentation_.services();
   }
+  // Zero unless this entry leads.
+  HeldCapacityUse held_use() const {
+    return leading() ? planner_.held_use() : HeldCapacityUse();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -197,6 +201,8 @@
   void LogWaits(const std::vector<WaitDecision>& waits);
   void LogAccountWaits(const std::vector<AccountWait>& waits);
   void MeasureFragmentation(Time now);
+  void LogFeatureChanges(const std::vector<FeatureChange>& changes);
+  void LogHoldChanges(const std::vector<HoldChange>& changes);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -76,6 +76,7 @@
 inline constexpr Event kWorkerVerdict{953, "worker-verdict", Severity::kInfo};
 inline constexpr Event kAccountWaits{954, "account-waits", Severity::kInfo};
 inline constexpr Event kFragmentation{955, "fragmentation", Severity::kInfo};
+inline constexpr Event kCapacityHeld{952, "capacity-held", Severity::kInfo};
 
 }  // namespace thornplank::events
 
