--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -49,8 +49,9 @@
 
 ClusterCapacity::ClusterCapacity(
     const std::map<std::string, WorkerTracker>& workers,
-    const AdviceCache* advice, Time now, AccountShares* shares)
-    : advice_(advice), now_(now) {
+    const AdviceCache* advice, Time now, AccountShares* shares,
+    bool shares_headroom)
+    : advice_(advice), now_(now), shares_headroom_(shares_headroom) {
   workers_.reserve(workers.size());
   for (const auto& [id, tracker] : workers) {
     AddWorker(tracker, now, shares);
@@ -97,7 +98,10 @@
     worker.unproven = worker.unproven || unproven;
     worker.on_probation =
         worker.on_probation || (unproven && profile.on_probation);
-    if (profile.priority != 0) continue;
+    if (profile.priority != 0) {
+      worker.lower_priority_work = true;
+      continue;
+    }
     urgent_accelerators_[profile.account] += profile.need.accelerators;
     urgent_share += WorkerShare(profile.need, tracker.registration().capacity);
   }
@@ -114,7 +118,10 @@
     sums.capacity += capacity;
     sums.free += ElementwiseMax(worker.free, Resources());
     if (tracker.health().IsSuspect(now)) ++suspects_;
-    if (worker.IsEmpty()) ++sums.empty_workers;
+    if (IsHeadroom(worker)) {
+      ++sums.empty_workers;
+      sums.urgent_use_of_headroom += urgent_share;
+    }
   }
   rack_members_[static_cast<size_t>(worker.rack)].push_back(workers_.size());
   workers_.push_back(worker);
@@ -148,15 +155,15 @@
 }
 
 void ClusterCapacity::Withhold(WorkerCapacity* worker) {
+  if (IsHeadroom(*worker)) {
+    --services_[static_cast<size_t>(worker->service)].empty_workers;
+  }
   worker->withheld = true;
   const Time since = worker->tracker->health().probation_since();
   for (const auto& [task, run] : worker->tracker->runs()) {
     const bool is_test = run.placed != Time{} && run.placed >= since;
     worker->under_test = worker->under_test || is_test;
   }
-  if (worker->IsEmpty()) {
-    --services_[static_cast<size_t>(worker->service)].empty_workers;
-  }
 }
 
 std::optional<size_t> ClusterCapacity::IndexOf(const std::string& id) const {
@@ -260,10 +267,30 @@
 void ClusterCapacity::Occupy(const std::string& id, const ReadyStep& step) {
   WorkerCapacity& worker = workers_[*IndexOf(id)];
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
-  if (worker.IsEmpty() && !worker.withheld) --sums.empty_workers;
+  const bool was_headroom = IsHeadroom(worker);
   ChangeFree(&worker, ReservedFor(*step.spec) * -1);
   worker.unproven = true;
   worker.on_probation = worker.on_probation || step.on_probation;
+  worker.lower_priority_work = worker.lower_priority_work || !step.urgent();
+  if (!was_headroom) return;
+  if (!IsHeadroom(worker)) {
+    --sums.empty_workers;
+  } else {
+    sums.urgent_use_of_headroom +=
+        WorkerShare(ReservedFor(*step.spec), worker.entry().capacity);
+  }
+}
+
+bool ClusterCapacity::IsHeadroom(const WorkerCapacity& worker) const {
+  if (worker.withheld) return false;
+  if (!shares_headroom_) return worker.IsEmpty();
+  return !worker.lower_priority_work && !worker.tracker->has_slow_hardware();
+}
+
+int64_t ClusterCapacity::EmptyWorkers(const std::string& service) const {
+  const ServiceSums& sums = SumsOf(service);
+  const auto used = static_cast<int64_t>(std::ceil(sums.urgent_use_of_headroom));
+  return sums.empty_workers - used;
 }
 
 bool ClusterCapacity::MayUse(const ReadyStep& step,
@@ -358,7 +385,7 @@
   const bool doubtful =
       health.IsSuspect(now_) || health.WasSilentRecently(now_);
   if (doubtful) score += kSuspectPenalty;
-  if (worker.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
+  if (worker.tracker->IsSlowed()) score += kSlowPenalty;
   // Gangs, which run at the pace of their slowest member, and urgent steps get
   // fast workers; other steps leave those free.
   const bool wants_speed = step.spec->gang || step.urgent();
@@ -393,8 +420,7 @@
     tasks = std::min(tasks, RemainingTaskLimit(step, *worker.tracker));
     if (step.spec->is_filler) tasks = std::min(tasks, MaxFillers(step, worker));
     if (tasks <= 0) continue;
-    const bool empty = worker.IsEmpty() && !worker.withheld;
-    slots.push_back({i, tasks, Score(step, worker, tasks), empty});
+    slots.push_back({i, tasks, Score(step, worker, tasks), IsHeadroom(worker)});
   }
   return slots;
 }
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -39,6 +39,8 @@
   bool usable = false;
   // A run here is not known to have survived its start.
   bool unproven = false;
+  // A run that is not urgent is here.
+  bool lower_priority_work = false;
   // A run on probation is not known to have survived its start. No other task
   // may start here until it has: a crash can then be attributed to that run,
   // and nothing else is lost.
@@ -61,7 +63,7 @@
   // Smaller is better: a tight fit near the data on a trusted worker scores
   // low.
   int64_t score = 0;
-  // Nothing runs on the worker.
+  // The worker counts as headroom: see ClusterCapacity::IsHeadroom().
   bool empty = false;
 };
 
@@ -115,7 +117,8 @@
   // null, the workers and their runs are added to it.
   ClusterCapacity(const std::map<std::string, WorkerTracker>& workers,
                   const AdviceCache* advice, Time now,
-                  AccountShares* shares = nullptr);
+                  AccountShares* shares = nullptr,
+                  bool shares_headroom = false);
 
   const std::vector<WorkerCapacity>& workers() const { return workers_; }
   WorkerCapacity& worker(size_t index) { return workers_[index]; }
@@ -144,6 +147,10 @@
   // Accounts for a task of the step that was placed on the worker.
   void Occupy(const std::string& id, const ReadyStep& step);
 
+  // Whether the worker counts as headroom for urgent steps: it runs nothing; or,
+  // if urgent runs may share it, nothing else than those, and its hardware is
+  // not slow.
+  bool IsHeadroom(const WorkerCapacity& worker) const;
   bool MayUse(const ReadyStep& step, const WorkerCapacity& worker) const;
   // Like MayUse(), but without the approval of the advice service that the
   // step may need.
@@ -158,11 +165,9 @@
   // Takes capacity that is held for other steps off the slot of the step, which
   // may leave no tasks. Returns true if the slot became smaller.
   bool Shrink(const ReadyStep& step, const Resources& held, Slot* slot) const;
-  // Number of workers of the service that may be given tasks and run nothing,
-  // without those that are withheld.
-  int64_t EmptyWorkers(const std::string& service) const {
-    return SumsOf(service).empty_workers;
-  }
+  // Number of workers of the service that count as headroom, less what urgent
+  // runs use of them.
+  int64_t EmptyWorkers(const std::string& service) const;
   // How many more tasks of the step the worker may run under the step's
   // `max_per_worker`.
   int64_t RemainingTaskLimit(const ReadyStep& step,
@@ -182,6 +187,8 @@
     Resources capacity;
     int64_t usable_workers = 0;
     int64_t empty_workers = 0;
+    // What urgent runs use of these, in workers.
+    double urgent_use_of_headroom = 0;
     int64_t total_accelerators = 0;
     int64_t used_accelerators = 0;
     int64_t total_cpu_millis = 0;
@@ -213,6 +220,7 @@
 
   const AdviceCache* const advice_;
   const Time now_;
+  const bool shares_headroom_;
   // In the order of the workers' ids.
   std::vector<WorkerCapacity> workers_;
   std::unordered_map<std::string_view, int> rack_numbers_;
--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -202,7 +202,7 @@
   int64_t tasks = 0;
   Offer next;
   next.worker = index;
-  next.empty_now = worker.IsEmpty();
+  next.empty_now = inputs_.capacity->IsHeadroom(worker);
   const auto add_gain = [&] {
     const int64_t now = std::min(limit, need.TimesIn(available, limit));
     if (now <= tasks) return;
@@ -455,7 +455,8 @@
     if (EndsBefore(step, hold)) continue;
     for (const GangHold::Place& place : hold.places) {
       if (place.held_free.IsZero()) continue;
-      if (inputs_.capacity->worker(place.worker).IsEmpty()) {
+      if (inputs_.capacity->IsHeadroom(
+              inputs_.capacity->worker(place.worker))) {
         empty.insert(place.worker);
       }
     }
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -40,8 +40,8 @@
     sample.slowdown = near ? 1 : settings_.bounds.far_slowdown;
     speeds_.Observe(registration.id, sample, now);
   }
-  worker->SetSpeed(speeds_.speed(registration.id, now), now);
   worker->set_steady_speed(speeds_.steady_speed(registration.id));
+  worker->SetSpeed(speeds_.speed(registration.id, now), now);
 }
 
 std::vector<RunVerdict> RunReview::FindRunsToStop(WorkerTracker* worker,
@@ -85,7 +85,7 @@
   }
   const Duration normal = speeds_.NormalDuration(run.task.step);
   if (left == Duration::max() || normal == Duration::zero()) return "";
-  if (worker.speed() > kSlowedSpeed) return "";
+  if (!worker.IsSlowed()) return "";
   Duration elsewhere = normal;
   if (run.profile.checkpointable) {
     elsewhere = normal * (kDonePercent - run.percent) / kDonePercent;
--- a/src/libs/workload/speed_estimator.cc
+++ b/src/libs/workload/speed_estimator.cc
@@ -18,9 +18,13 @@
 // Percentages are whole numbers: a rate observed over fewer percent is less
 // exact than workers of one service differ.
 constexpr int kMinPercent = 15;
-// Hardware of one service differs by less (factors of 0.8 to 1.3 observed); a
-// worker below this ratio is temporarily slowed.
-constexpr double kSlowestHardware = 0.6;
+// A worker below this ratio is temporarily slowed: the slowest hardware of one
+// service takes 2.2 times as long as the usual one, a slowed worker four times
+// or more.
+constexpr double kSlowestHardware = 0.35;
+// Single tasks differ in their work, so they say nothing about hardware within
+// this ratio of the usual one.
+constexpr double kUnevenWork = 0.65;
 // Siblings that are not a gang are comparable only if there are at least this
 // many and the middle half of their rates differs by at most this factor.
 constexpr size_t kMinSiblings = 4;
@@ -60,7 +64,8 @@
   }
   if (step.normal_rate <= 0) return;
   const double ratio = rate / step.normal_rate;
-  if (sample.gang && sample.percent_observed >= kMinPercent) {
+  if (sample.percent_observed >= kMinPercent &&
+      (sample.gang || ShowsHardware(worker, ratio))) {
     UpdateSteady(worker, ratio);
   }
   Recent& recent = recent_[worker];
@@ -70,6 +75,13 @@
   recent.last_seen = now;
 }
 
+// A single task shows hardware only where that is far slower than the usual
+// one, or no longer is.
+bool SpeedEstimator::ShowsHardware(const std::string& worker,
+                                   double ratio) const {
+  return ratio < kUnevenWork || steady_speed(worker) < kUnevenWork;
+}
+
 void SpeedEstimator::UpdateSteady(const std::string& worker, double ratio) {
   if (ratio < kSlowestHardware) return;
   const auto [known, is_new] = steady_.emplace(worker, ratio);
--- a/src/libs/workload/speed_estimator.h
+++ b/src/libs/workload/speed_estimator.h
@@ -41,8 +41,8 @@
                Time now);
   // The current speed; 1 for a healthy worker or one of which nothing is known.
   double speed(const std::string& worker, Time now) const;
-  // The speed apart from temporary slowness: some hardware takes 1.3 times as
-  // long. 1 if nothing is known.
+  // The speed apart from temporary slowness: some hardware takes more than twice
+  // as long. 1 if nothing is known.
   double steady_speed(const std::string& worker) const;
   // How long a whole task of the step takes near its data on a worker of speed
   // 1; zero if its siblings do not show that.
@@ -72,6 +72,7 @@
   };
 
   double NormalRate(const Step& step) const;
+  bool ShowsHardware(const std::string& worker, double ratio) const;
   void UpdateSteady(const std::string& worker, double ratio);
 
   std::map<StepRef, Step> steps_;
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -113,7 +113,7 @@
 
 void WorkerTracker::SetSpeed(double speed, Time now) {
   speed_ = speed;
-  if (speed > kSlowedSpeed) {
+  if (!IsSlowed()) {
     slow_since_.reset();
   } else if (!slow_since_) {
     slow_since_ = now;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -38,9 +38,12 @@
 
 std::string_view ToText(RunStage stage);
 
-// A worker at or below this speed is temporarily slowed: healthy ones differ by
-// 0.8 to 1.3, slowed ones run at a quarter or less.
+// A worker at or below this share of its steady speed is temporarily slowed:
+// slowed ones run at a quarter or less.
 inline constexpr double kSlowedSpeed = 0.5;
+// Hardware below this share of the usual speed takes so long that urgent steps
+// mostly miss their objective on it (1.5 times the usual time).
+inline constexpr double kSlowHardware = 0.6;
 
 // The resources of a run, and what its loss would cost.
 struct RunProfile {
@@ -264,9 +267,11 @@
   void SetSpeed(double speed, Time now);
   // Since when it has run far below its usual speed; nullopt if it does not.
   std::optional<Time> slow_since() const { return slow_since_; }
+  bool IsSlowed() const { return speed_ <= kSlowedSpeed * steady_speed_; }
   // The speed apart from temporary slowness.
   double steady_speed() const { return steady_speed_; }
   void set_steady_speed(double speed) { steady_speed_ = speed; }
+  bool has_slow_hardware() const { return steady_speed_ < kSlowHardware; }
 
  private:
   void UpdateProgress(TrackedRun* run, const RunReport& report,
