--- a/tests/auto/coordination/tst_health_record_schedule.cc
+++ b/tests/auto/coordination/tst_health_record_schedule.cc
@@ -14,6 +14,7 @@
 
 std::vector<HealthEntry> Probation(const std::vector<std::string>& workers) {
   std::vector<HealthEntry> entries;
+  entries.reserve(workers.size());
   for (const std::string& worker : workers) {
     entries.push_back(
         {worker, std::nullopt, {HealthVerdict::kProbation, Time{}, 0}});
--- a/tests/auto/workload/tst_planner_health.cc
+++ b/tests/auto/workload/tst_planner_health.cc
@@ -162,6 +162,8 @@
   struct Row {
     const char* name;
     int64_t guarantee;
+    // Of eight workers.
+    int on_probation;
     bool failed_before;
     // Accelerators of each worker that evictable runs use.
     int used;
@@ -169,11 +171,14 @@
     bool evicts;
   };
   const std::vector<Row> rows = {
-      {"within the guarantee", 64, false, 0, true, false},
-      {"a member has failed before", 64, true, 0, true, false},
-      {"beyond the guarantee", 32, false, 0, false, false},
-      {"others must give way", 64, false, 8, false, true},
-      {"beyond the guarantee, others do not suffice", 32, false, 8, false,
+      {"within the guarantee", 64, 2, false, 0, true, false},
+      {"all workers are on probation", 64, 8, false, 0, true, false},
+      {"all are, and others must give way", 64, 8, false, 8, false, true},
+      {"all are, beyond the guarantee", 32, 8, false, 0, false, false},
+      {"a member has failed before", 64, 2, true, 0, true, false},
+      {"beyond the guarantee", 32, 2, false, 0, false, false},
+      {"others must give way", 64, 2, false, 8, false, true},
+      {"beyond the guarantee, others do not suffice", 32, 2, false, 8, false,
        false},
   };
   for (const Row& row : rows) {
@@ -187,13 +192,15 @@
       profile.priority = 2;
       worker.Add({{Id(9), 0, 0}, 0}, 1, profile, At(0));
     }
-    cluster.Fail("w0-0");
-    cluster.Fail("w0-1");
+    for (int i = 0; i < row.on_probation; ++i) {
+      cluster.Fail("w0-" + std::to_string(i));
+    }
     cluster.now = At(100);
     cluster.ledger.Add(MakeJob(Id(1), {Gang(8, 8, false)}, 0), cluster.now);
     if (row.failed_before) {
       const StepRef step{Id(1), 0, 0};
       std::vector<JobLedger::Assignment> gone;
+      gone.reserve(8);
       for (int i = 0; i < 8; ++i) gone.push_back({i, "gone"});
       cluster.ledger.RecordStart(step, gone);
       cluster.ledger.RecordRunEnd({step, 0}, 1, RunEnd::kFailed, "");
