--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -271,7 +271,6 @@
   profile.is_filler = spec->is_filler;
   profile.estimate = spec->estimate;
   profile.tail_latency_target = spec->tail_latency_target;
-  profile.estimate = spec->estimate;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
   profile.on_probation = WorkersLostRunning(task) > 0;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -59,8 +59,6 @@
   Milliseconds estimate{0};
   // Target for the tail latency of a serving task; zero for any other.
   Milliseconds tail_latency_target{0};
-  // The caller's, for the whole task; zero if there is none.
-  Milliseconds estimate{0};
   std::string account;
   // It takes several times as long on other racks; empty if there is no such
   // rack.
