Held capacity: flat table of holds, fewer divisions, a search each 250 ms

Change: portions of holds in one vector, no division for each offer, 250 ms between searches of a service.

Ruled out: keeping a hold without looking at its workers again, since capacity that becomes free there would not be held.

--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -14,6 +14,17 @@
 // a slow worker.
 constexpr int64_t kHoldPreference = int64_t{1} << 20;
 
+// Whether one more task fits than `tasks`. Cheaper than a division for each
+// resource.
+bool FitsOneMore(const Resources& need, int64_t tasks, const Resources& room) {
+  const auto fits = [tasks](int64_t each, int64_t all) {
+    return each <= 0 || each * (tasks + 1) <= all;
+  };
+  return fits(need.accelerators, room.accelerators) &&
+         fits(need.cpu_millis, room.cpu_millis) &&
+         fits(need.memory_mb, room.memory_mb);
+}
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -150,9 +161,8 @@
 
 Resources GangHolds::Unclaimed(size_t worker) const {
   Resources unclaimed = inputs_.capacity->worker(worker).free;
-  if (portions_.empty()) return unclaimed;
-  for (const Portion& portion : portions_[worker]) {
-    unclaimed -= portion.amount;
+  for (int i = FirstPortion(worker); i >= 0; i = PortionAt(i).next) {
+    unclaimed -= PortionAt(i).amount;
   }
   return unclaimed;
 }
@@ -204,7 +214,8 @@
   next.worker = index;
   next.empty_now = worker.IsEmpty();
   const auto add_gain = [&] {
-    const int64_t now = std::min(limit, need.TimesIn(available, limit));
+    int64_t now = tasks;
+    while (now < limit && FitsOneMore(need, now, available)) ++now;
     if (now <= tasks) return;
     next.gain = now - tasks;
     tasks = now;
@@ -365,8 +376,8 @@
   ServiceUse& use = services_[service];
   const Resources limit =
       ShareOf(inputs_.capacity->TotalCapacity(service), inputs_.max_held_share);
-  if (portions_.empty()) {
-    portions_.resize(inputs_.capacity->workers().size());
+  if (first_portions_.empty()) {
+    first_portions_.assign(inputs_.capacity->workers().size(), -1);
   }
   GangHold hold;
   hold.step = request.step;
@@ -381,9 +392,9 @@
     const Resources amount = need * place.tasks;
     // Negative where the capacity becomes free by itself.
     Resources missing = amount;
-    for (const Portion& portion : portions_[place.worker]) {
-      missing += portion.amount;
-      missing -= portion.held_free;
+    for (int i = FirstPortion(place.worker); i >= 0; i = PortionAt(i).next) {
+      missing += PortionAt(i).amount;
+      missing -= PortionAt(i).held_free;
     }
     const Range range = EndingsOn(place.worker);
     for (int i = range.begin; i < range.end; ++i) {
@@ -402,7 +413,9 @@
     const Resources sum = use.held_free + place.held_free;
     if (!sum.FitsInto(limit)) place.held_free = Resources();
     use.held_free += place.held_free;
-    portions_[place.worker].push_back({holds_.size(), amount, place.held_free});
+    int& first = first_portions_[place.worker];
+    portions_.push_back({holds_.size(), amount, place.held_free, first});
+    first = static_cast<int>(portions_.size()) - 1;
   }
   holds_.push_back(std::move(hold));
 }
@@ -415,7 +428,8 @@
 
 Resources GangHolds::HeldFrom(const ReadyStep& step, size_t worker) const {
   Resources held;
-  for (const Portion& portion : portions_[worker]) {
+  for (int i = FirstPortion(worker); i >= 0; i = PortionAt(i).next) {
+    const Portion& portion = PortionAt(i);
     const GangHold& hold = holds_[portion.hold];
     if (hold.step->priority() >= step.priority()) continue;
     if (EndsBefore(step, hold)) continue;
@@ -431,7 +445,7 @@
   const bool single = !step.spec->gang;
   bool restricted = false;
   for (Slot& slot : *slots) {
-    if (portions_[slot.worker].empty()) continue;
+    if (FirstPortion(slot.worker) < 0) continue;
     if (!borrower) {
       const Resources held = HeldFrom(step, slot.worker);
       if (!held.IsZero() && inputs_.capacity->Shrink(step, held, &slot)) {
--- a/src/libs/workload/gang_holds.h
+++ b/src/libs/workload/gang_holds.h
@@ -173,6 +173,8 @@
     size_t hold = 0;
     Resources amount;
     Resources held_free;
+    // The next one on the same worker; negative at the end.
+    int next = -1;
   };
   struct ServiceUse {
     int considered = 0;
@@ -215,6 +217,12 @@
   void NameBorrowers(const HoldRequest& request, Source source, Chosen* chosen);
   double WorkOf(const ReadyStep& step) const;
   void Hold(const HoldRequest& request, Chosen chosen, Source source);
+  int FirstPortion(size_t worker) const {
+    return first_portions_.empty() ? -1 : first_portions_[worker];
+  }
+  const Portion& PortionAt(int index) const {
+    return portions_[static_cast<size_t>(index)];
+  }
   // What of the portions on a worker the step must not use.
   Resources HeldFrom(const ReadyStep& step, size_t worker) const;
   bool EndsBefore(const ReadyStep& step, const GangHold& hold) const;
@@ -224,8 +232,9 @@
   // By worker.
   std::vector<Range> ranges_;
   std::vector<GangHold> holds_;
-  // By worker; empty while there is no hold.
-  std::vector<std::vector<Portion>> portions_;
+  std::vector<Portion> portions_;
+  // By worker, indexes into portions_, or -1; empty while there is no hold.
+  std::vector<int> first_portions_;
   std::map<std::string, ServiceUse> services_;
   int64_t visits_ = 0;
   // Reused between calls.
--- a/src/libs/workload/hold_history.cc
+++ b/src/libs/workload/hold_history.cc
@@ -15,7 +15,7 @@
 constexpr Milliseconds kMaxSearchInterval{2000};
 // Between two searches for gangs of one service. Bounds the cost; each of
 // eight gangs has its turn within two seconds.
-constexpr Milliseconds kServiceSearchInterval{200};
+constexpr Milliseconds kServiceSearchInterval{250};
 // Between two log lines about a hold that moves.
 constexpr std::chrono::seconds kMoveLogInterval{1};
 // A longer wait gives no further horizon; also bounds what a wrong time of
