--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -83,7 +83,7 @@
         lent.found && lent.loss > 0 && lent.loss <= max_loss;
     if (worthwhile) {
       for (const GangHold::Place& place : lent.places) {
-        returns->push_back({place.worker, place.tasks, 0, place.borrowers});
+        returns->push_back({place.worker, place.tasks, {}, place.borrowers});
       }
       return true;
     }
