--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -41,10 +41,7 @@
         steps_(std::move(steps)),
         queue_(steps_, shares(),
                {shared_services_, planner->settings_.max_share_wait,
-                inputs.wall_now}) {}
-=======
-        capacity_(*inputs.workers, inputs.advice, inputs.now),
-        steps_(std::move(steps)) {
+                inputs.wall_now}) {
     if (planner_.held_state_.active()) holds_.emplace(HoldInputs());
   }
 
