Runs of one job are added to the shares together

Cause: adding each run to its account's use took about 270 instructions, nearly as much as all of a round at 6,000 workers with one waiting step.

Change: AccountShares::AddWorker adds consecutive runs with the same account, priority and resources at once; ClusterCapacity and the gauge call it for each worker.

Tested: all workload and coordination tests, tst_event_catalogue, tst_hosted_metrics: 38 of 38 pass.

--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -125,12 +125,7 @@
   if (coordinator.fleet() == nullptr) return {};
   AccountShares shares(coordinator.guarantees());
   for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
-    const WorkerRegistration& worker = tracker.registration();
-    const size_t service = shares.NumberOfService(worker.service);
-    shares.AddCapacity(service, worker.capacity);
-    for (const auto& [task, run] : tracker.runs()) {
-      shares.AddRun(service, run);
-    }
+    shares.AddWorker(tracker);
   }
   std::map<MetricLabels, double> by_account;
   for (const AccountShares::Sample& sample :
--- a/src/libs/workload/account_shares.cc
+++ b/src/libs/workload/account_shares.cc
@@ -13,6 +13,10 @@
 constexpr double kMaxWeightRatio = 1000;
 constexpr char kOther[] = "other";
 
+bool AreAlike(const RunProfile& a, const RunProfile& b) {
+  return a.priority == b.priority && a.need == b.need && a.account == b.account;
+}
+
 double ShareOf(double used, double all) { return all > 0 ? used / all : 0; }
 
 }  // namespace
@@ -76,11 +80,33 @@
 void AccountShares::AddRun(size_t service, const TrackedRun& run) {
   ++counted_runs_;
   if (run.stop_wanted) return;
-  const RunProfile& profile = run.profile;
-  const bool is_repeated = last_account_ < accounts_.size() &&
-                           accounts_[last_account_].name == profile.account;
-  if (!is_repeated) last_account_ = NumberOfAccount(profile.account);
-  Change({service, last_account_}, profile.priority, profile.need, 1);
+  AddRuns(service, run.profile, 1);
+}
+
+// Runs of one job follow each other, so that most can be added together.
+void AccountShares::AddWorker(const WorkerTracker& worker) {
+  const size_t service = NumberOfService(worker.registration().service);
+  AddCapacity(service, worker.registration().capacity);
+  const RunProfile* alike = nullptr;
+  int64_t count = 0;
+  for (const auto& [task, run] : worker.runs()) {
+    ++counted_runs_;
+    if (run.stop_wanted) continue;
+    if (alike != nullptr && AreAlike(*alike, run.profile)) {
+      ++count;
+      continue;
+    }
+    if (alike != nullptr) AddRuns(service, *alike, count);
+    alike = &run.profile;
+    count = 1;
+  }
+  if (alike != nullptr) AddRuns(service, *alike, count);
+}
+
+void AccountShares::AddRuns(size_t service, const RunProfile& profile,
+                            int64_t runs) {
+  Change({service, NumberOfAccount(profile.account)}, profile.priority,
+         profile.need, runs);
 }
 
 ServiceAccount AccountShares::Include(const std::string& service,
--- a/src/libs/workload/account_shares.h
+++ b/src/libs/workload/account_shares.h
@@ -61,6 +61,8 @@
   // Counts a run of a worker of the service. A run that is being stopped does
   // not count, since its capacity has been given to others.
   void AddRun(size_t service, const TrackedRun& run);
+  // Adds the capacity of a worker, and its runs.
+  void AddWorker(const WorkerTracker& worker);
   // Makes the account one of those that have work in the service.
   ServiceAccount Include(const std::string& service,
                          const std::string& account);
@@ -133,6 +135,7 @@
   };
 
   size_t NumberOfAccount(const std::string& account);
+  void AddRuns(size_t service, const RunProfile& profile, int64_t runs);
   Use& UseOf(const ServiceAccount& account);
   const Use* FindUse(const ServiceAccount& account) const;
   std::vector<Sample> SamplesOf(size_t service,
@@ -145,9 +148,6 @@
   std::unordered_map<std::string, size_t> account_numbers_;
   // There are few.
   std::vector<Service> services_;
-  // The account of the last run that was counted: most runs of a worker follow
-  // one of the same account.
-  size_t last_account_ = 0;
   int64_t counted_runs_ = 0;
 };
 
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -80,14 +80,9 @@
   worker.service = NumberOfService(tracker.registration().service);
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
-  size_t shares_service = 0;
-  if (shares != nullptr) {
-    shares_service = shares->NumberOfService(tracker.registration().service);
-    shares->AddCapacity(shares_service, tracker.registration().capacity);
-  }
+  if (shares != nullptr) shares->AddWorker(tracker);
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
-    if (shares != nullptr) shares->AddRun(shares_service, run);
     if (run.stop_wanted) worker.releasing += profile.need;
     if (profile.is_filler) ++worker.filler_tasks;
     const bool unproven = !run.has_proven_start(now);
