Held capacity: short steps do not use the hold of a gang that waited for 5 s

Cause: with estimates of a tenth of the run time, single tasks filled each held place again as it became free, and a gang of two whole workers did not start within 30 s (tst_gang_holds, once the ends of the singles were spread over time).

Change: kMaxWaitBesideShortSteps. The two simulations of tst_gang_holds spread the ends of the single tasks: before, all workers became empty at the same moment, so that both passed with the feature off too.

Tested: tst_gang_holds, tst_planner, tst_planner_load, tst_planner_eligibility pass.

Ruled out: no use of holds by short steps at all, which the design asks for.

--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -422,6 +422,7 @@
 
 bool GangHolds::EndsBefore(const ReadyStep& step, const GangHold& hold) const {
   const Milliseconds estimate = step.spec->estimate;
+  if (hold.waited > kMaxWaitBesideShortSteps) return false;
   return IsUsableEstimate(estimate) && !step.spec->long_running &&
          inputs_.now + estimate <= hold.ready_at;
 }
--- a/src/libs/workload/gang_holds.h
+++ b/src/libs/workload/gang_holds.h
@@ -32,6 +32,11 @@
 // gang's own work.
 inline constexpr double kMaxLossShare = 0.25;
 
+// A gang that has waited longer lets no steps use its hold because of their
+// estimates: with estimates of a tenth of the run time, they would fill each
+// place again as it becomes free, and the gang would never start.
+inline constexpr Milliseconds kMaxWaitBesideShortSteps{5000};
+
 // A waiting gang for which a hold is sought.
 struct HoldRequest {
   const ReadyStep* step = nullptr;
--- a/tests/auto/workload/tst_gang_holds.cc
+++ b/tests/auto/workload/tst_gang_holds.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Milliseconds kTick{100};
+// Number of the job with an endless stream of single tasks.
+constexpr int kStream = 900;
 
 SchedulingFeatures Held(FeatureMode mode) {
   SchedulingFeatures features;
@@ -96,6 +98,20 @@
     return plan;
   }
 
+  // Fills the cluster with single tasks whose ends are spread over time, so
+  // that no worker becomes empty by itself, and adds more than can run.
+  void FillSpread(int tasks_at_once, Milliseconds duration,
+                  Milliseconds estimate, bool checkpointable) {
+    constexpr int kBegins = 14;
+    for (int i = 0; i < kBegins; ++i) {
+      const StepSpec step = Singles(tasks_at_once, estimate, checkpointable);
+      Add(PatientJob(100 + i, step, 2), duration - kTick * 4 * i);
+    }
+    Add(PatientJob(kStream, Singles(4000, estimate, checkpointable), 2),
+        duration);
+    for (int i = 0; i < 70; ++i) Tick();
+  }
+
   int64_t waiting(const std::string& job) const {
     const Job* known = cluster.ledger.Find(job);
     return known == nullptr ? 0 : known->occurrences[0][0].waiting;
@@ -129,8 +145,7 @@
 TEST_CASE("a wave of large gangs starts, and singles use what no gang can") {
   Simulation simulation(4, 5, FeatureMode::kAuto);
   const Milliseconds single(7000);
-  simulation.Add(PatientJob(1, Singles(2000, single, false), 2), single);
-  for (int i = 0; i < 70; ++i) simulation.Tick();
+  simulation.FillSpread(12, single, single, false);
   constexpr int kGangs = 6;
   for (int i = 0; i < kGangs; ++i) {
     StepSpec gang = LongGang(5, 4, Milliseconds(9000));
@@ -140,7 +155,7 @@
   int64_t most_unused = 0;
   for (int i = 0; i < 400; ++i) {
     simulation.Tick();
-    if (simulation.waiting(Id(1)) == 0) continue;
+    if (simulation.waiting(Id(kStream)) == 0) continue;
     const int64_t unused =
         simulation.cluster.free_accelerators() -
         simulation.cluster.planner.held_use().held_free_accelerators;
@@ -172,13 +187,7 @@
     CAPTURE(row.name);
     Simulation simulation(2, 4, FeatureMode::kAuto);
     const Milliseconds single(7000);
-    for (int i = 0; i < 14; ++i) {
-      // Ends are spread over time.
-      StepSpec step = Singles(200, row.estimate, row.checkpointable);
-      simulation.Add(PatientJob(100 + i, step, 2), single - kTick * 3 * i);
-      simulation.Tick();
-    }
-    for (int i = 0; i < 70; ++i) simulation.Tick();
+    simulation.FillSpread(5, single, row.estimate, row.checkpointable);
     simulation.Add(PatientJob(1, LongGang(2, 8, Milliseconds(9000)), 1),
                    Milliseconds(9000));
     const Time asked = simulation.cluster.now;
