--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -284,7 +284,8 @@
 
 int64_t ClusterCapacity::EmptyWorkers(const std::string& service) const {
   const ServiceSums& sums = SumsOf(service);
-  const auto used = static_cast<int64_t>(std::ceil(sums.urgent_use_of_headroom));
+  const auto used =
+      static_cast<int64_t>(std::ceil(sums.urgent_use_of_headroom));
   return sums.empty_workers - used;
 }
 
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -147,9 +147,9 @@
   // Accounts for a task of the step that was placed on the worker.
   void Occupy(const std::string& id, const ReadyStep& step);
 
-  // Whether the worker counts as headroom for urgent steps: it runs nothing; or,
-  // if urgent runs may share it, nothing else than those, and its hardware is
-  // not slow.
+  // Whether the worker counts as headroom for urgent steps: it runs nothing;
+  // or, if urgent runs may share it, nothing else than those, and its hardware
+  // is not slow.
   bool IsHeadroom(const WorkerCapacity& worker) const;
   bool MayUse(const ReadyStep& step, const WorkerCapacity& worker) const;
   // Like MayUse(), but without the approval of the advice service that the
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -136,7 +136,7 @@
     const PlannerSettings& settings = planner_.settings_;
     const int64_t usable = capacity_.usable_workers(service);
     UrgentHeadroomSettings headroom;
-    headroom.initial_share = settings.headroom;
+    headroom.least_share = settings.headroom;
     headroom.max_share = settings.max_headroom;
     headroom.retention = settings.headroom_retention;
     const auto it = planner_.headrooms_.try_emplace(service, headroom).first;
--- a/src/libs/workload/speed_estimator.h
+++ b/src/libs/workload/speed_estimator.h
@@ -41,8 +41,8 @@
                Time now);
   // The current speed; 1 for a healthy worker or one of which nothing is known.
   double speed(const std::string& worker, Time now) const;
-  // The speed apart from temporary slowness: some hardware takes more than twice
-  // as long. 1 if nothing is known.
+  // The speed apart from temporary slowness: some hardware takes more than
+  // twice as long. 1 if nothing is known.
   double steady_speed(const std::string& worker) const;
   // How long a whole task of the step takes near its data on a worker of speed
   // 1; zero if its siblings do not show that.
--- a/src/libs/workload/urgent_headroom.cc
+++ b/src/libs/workload/urgent_headroom.cc
@@ -29,11 +29,8 @@
 }
 
 void UrgentHeadroom::Observe(const UrgentUse& use, Time now) {
-  if (!first_observed_) {
-    first_observed_ = now;
-    observed_ = now;
-  }
-  const double passed = std::chrono::duration<double>(now - observed_).count();
+  const double passed =
+      std::chrono::duration<double>(now - observed_.value_or(now)).count();
   const double constant =
       std::chrono::duration<double>(settings_.decay).count();
   observed_ = now;
@@ -49,14 +46,13 @@
 }
 
 int64_t UrgentHeadroom::Workers(int64_t usable) const {
-  if (!last_seen_ || observed_ - *last_seen_ >= settings_.retention) return 0;
+  if (!last_seen_ || *observed_ - *last_seen_ >= settings_.retention) return 0;
   const auto share_of = [usable](double share) {
     return static_cast<int64_t>(share * static_cast<double>(usable));
   };
   const auto expected = static_cast<int64_t>(std::ceil(peak_ - current_));
-  int64_t workers = std::max(expected, largest_step_);
-  const bool is_new = observed_ - *first_observed_ < settings_.retention;
-  if (is_new) workers = std::max(workers, share_of(settings_.initial_share));
+  const int64_t workers =
+      std::max({expected, largest_step_, share_of(settings_.least_share)});
   return std::min(workers, share_of(settings_.max_share));
 }
 
--- a/src/libs/workload/urgent_headroom.h
+++ b/src/libs/workload/urgent_headroom.h
@@ -16,9 +16,10 @@
 namespace thornplank {
 
 struct UrgentHeadroomSettings {
-  // Share of the usable workers that a new leader leaves empty until it has
-  // observed the use for `retention`.
-  double initial_share = 0.2;
+  // Lower bound, as a share of the usable workers, while urgent steps come: a
+  // wave that is larger than the one before finds room too, and so does the
+  // first one after a change of leader.
+  double least_share = 0.2;
   // Upper bound on the share of the usable workers.
   double max_share = 0.3;
   // Without an urgent step for this long, nothing is left empty.
@@ -53,12 +54,12 @@
   void Observe(const UrgentUse& use, Time now);
   // Workers to leave empty, of `usable` ones.
   int64_t Workers(int64_t usable) const;
-  bool observed() const { return first_observed_.has_value(); }
+  bool observed() const { return observed_.has_value(); }
 
  private:
   UrgentHeadroomSettings settings_;
-  std::optional<Time> first_observed_;
-  Time observed_{};
+  // When the use was last observed.
+  std::optional<Time> observed_;
   std::optional<Time> last_seen_;
   // Invariant: peak_ >= current_.
   double peak_ = 0;
--- a/tests/auto/workload/tst_speed_estimator.cc
+++ b/tests/auto/workload/tst_speed_estimator.cc
@@ -107,6 +107,55 @@
   }
 }
 
+// Guards against urgent gangs on hardware that takes more than twice as long,
+// where they miss their objective: gangs alone meet such a worker too rarely to
+// tell, while each worker runs several single tasks within seconds.
+TEST_CASE("single tasks show hardware that is far slower") {
+  struct Row {
+    const char* name;
+    double rate;
+    int percent;
+    double steady_speed;
+  };
+  const std::vector<Row> rows = {
+      {"takes 2.2 times as long", 4.6, 50, 0.46},
+      {"has more work than its siblings", 8, 50, 1},
+      {"is slowed fourfold for a while", 2.5, 50, 1},
+      {"has just begun", 4.6, 10, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    SpeedEstimator estimator;
+    for (int index = 0; index < 5; ++index) {
+      estimator.Observe("usual-" + std::to_string(index),
+                        Sample(index, false, 10), At(0));
+    }
+    estimator.Observe("other", {{kStep, 5}, false, row.rate, row.percent, 1},
+                      At(300));
+    CHECK(estimator.steady_speed("other") ==
+          doctest::Approx(row.steady_speed).epsilon(0.01));
+  }
+}
+
+// A worker that was slowed halfway through its runs looks like slow hardware
+// for a report or two.
+TEST_CASE("a worker that is as fast as the others loses the name of slow") {
+  SpeedEstimator estimator;
+  for (int index = 0; index < 5; ++index) {
+    estimator.Observe("usual-" + std::to_string(index),
+                      Sample(index, false, 10), At(0));
+  }
+  estimator.Observe("w", Sample(5, false, 5), At(300));
+  CHECK(estimator.steady_speed("w") < kSlowHardware);
+  const StepRef other{"fedcba9876543210", 0, 0};
+  for (int index = 0; index < 5; ++index) {
+    estimator.Observe(index == 4 ? "w" : "usual-" + std::to_string(index),
+                      {{other, index}, false, 10, 50, 1},
+                      At(1000 + index * 300));
+  }
+  CHECK(estimator.steady_speed("w") > kSlowHardware);
+}
+
 TEST_CASE("a worker without new evidence counts as healthy again") {
   SpeedEstimator estimator;
   estimator.Observe("a", Sample(0, true, 10), At(0));
