--- a/src/libs/coordination/health_monitor.cc
+++ b/src/libs/coordination/health_monitor.cc
@@ -30,8 +30,8 @@
 // A record keeps milliseconds.
 bool IsSame(const std::optional<WallTime>& a,
             const std::optional<WallTime>& b) {
-  if (!a || !b) return a.has_value() == b.has_value();
-  return ToUnixMilliseconds(*a) == ToUnixMilliseconds(*b);
+  // Without a start time a restart in between would not be noticed.
+  return a && b && ToUnixMilliseconds(*a) == ToUnixMilliseconds(*b);
 }
 
 }  // namespace
@@ -81,7 +81,7 @@
   }
   const auto known = workers_.find(service);
   const int workers = known == workers_.end() ? 0 : known->second;
-  return excluded < std::max(workers / kExcludedPart, 1);
+  return excluded < workers / kExcludedPart;
 }
 
 void HealthMonitor::SetCompared(const std::string& service, bool compared,
@@ -182,7 +182,7 @@
   for (const auto& [worker, verdict] : known) {
     LogIfChanged(worker, "its time has passed", now);
   }
-  if (now - last_count_ < kCountInterval) return;
+  if (!workers_.empty() && now - last_count_ < kCountInterval) return;
   last_count_ = now;
   CountWorkers();
   if (mode_ == FeatureMode::kAuto) ChooseCompared(now);
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -84,7 +84,6 @@
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
   if (shares != nullptr) shares->AddWorker(tracker);
-  double urgent_share = 0;
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) worker.releasing += profile.need;
@@ -94,18 +93,20 @@
     worker.on_probation =
         worker.on_probation || (unproven && profile.on_probation);
     if (profile.priority != 0) {
-      worker.lower_priority_work = true;
+      // Filler tasks reserve no cores and leave a worker to urgent steps.
+      if (!profile.is_filler) worker.lower_priority_work = true;
       continue;
     }
     urgent_accelerators_[profile.account] += profile.need.accelerators;
-    urgent_share += WorkerShare(profile.need, tracker.registration().capacity);
+    worker.urgent_share +=
+        WorkerShare(profile.need, tracker.registration().capacity);
   }
   const Resources& capacity = tracker.registration().capacity;
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
   sums.total_accelerators += capacity.accelerators;
   sums.used_accelerators += capacity.accelerators - worker.free.accelerators;
   sums.total_cpu_millis += capacity.cpu_millis;
-  sums.urgent_workers += urgent_share;
+  sums.urgent_workers += worker.urgent_share;
   sums.used_cpu_millis += capacity.cpu_millis - worker.free.cpu_millis;
   if (worker.usable) {
     ++usable_workers_;
@@ -115,7 +116,7 @@
     if (tracker.health().IsSuspect(now)) ++suspects_;
     if (IsHeadroom(worker)) {
       ++sums.empty_workers;
-      sums.urgent_use_of_headroom += urgent_share;
+      sums.urgent_use_of_headroom += worker.urgent_share;
     }
   }
   rack_members_[static_cast<size_t>(worker.rack)].push_back(workers_.size());
@@ -151,7 +152,9 @@
 
 void ClusterCapacity::Withhold(WorkerCapacity* worker) {
   if (IsHeadroom(*worker)) {
-    --services_[static_cast<size_t>(worker->service)].empty_workers;
+    ServiceSums& sums = services_[static_cast<size_t>(worker->service)];
+    --sums.empty_workers;
+    sums.urgent_use_of_headroom -= worker->urgent_share;
   }
   worker->withheld = true;
   const Time since = worker->tracker->health().probation_since();
@@ -244,7 +247,8 @@
 bool ClusterCapacity::AllUsable(const CapacityReservation& reservation) const {
   for (const auto& [id, tasks] : reservation.tasks_by_worker) {
     const std::optional<size_t> index = IndexOf(id);
-    if (!index || !workers_[*index].usable) return false;
+    if (!index) return false;
+    if (!workers_[*index].usable || workers_[*index].withheld) return false;
   }
   return true;
 }
@@ -266,14 +270,21 @@
   ChangeFree(&worker, ReservedFor(*step.spec) * -1);
   worker.unproven = true;
   worker.on_probation = worker.on_probation || step.on_probation;
-  worker.lower_priority_work = worker.lower_priority_work || !step.urgent();
+  worker.under_test = worker.under_test || worker.withheld;
+  if (!step.urgent() && !step.spec->is_filler) {
+    worker.lower_priority_work = true;
+  }
+  const double share = step.urgent() ? WorkerShare(ReservedFor(*step.spec),
+                                                   worker.entry().capacity)
+                                     : 0;
+  worker.urgent_share += share;
   if (!was_headroom) return;
-  if (!IsHeadroom(worker)) {
-    --sums.empty_workers;
-  } else {
-    sums.urgent_use_of_headroom +=
-        WorkerShare(ReservedFor(*step.spec), worker.entry().capacity);
+  if (shares_headroom_ && IsHeadroom(worker)) {
+    sums.urgent_use_of_headroom += share;
+    return;
   }
+  --sums.empty_workers;
+  sums.urgent_use_of_headroom -= worker.urgent_share - share;
 }
 
 bool ClusterCapacity::IsHeadroom(const WorkerCapacity& worker) const {
@@ -284,6 +295,7 @@
 
 int64_t ClusterCapacity::EmptyWorkers(const std::string& service) const {
   const ServiceSums& sums = SumsOf(service);
+  if (!shares_headroom_) return sums.empty_workers;
   const auto used =
       static_cast<int64_t>(std::ceil(sums.urgent_use_of_headroom));
   return sums.empty_workers - used;
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -39,8 +39,10 @@
   bool usable = false;
   // A run here is not known to have survived its start.
   bool unproven = false;
-  // A run that is not urgent is here.
+  // A run that is neither urgent nor a filler task is here.
   bool lower_priority_work = false;
+  // What urgent runs here use, as a share of the worker.
+  double urgent_share = 0;
   // A run on probation is not known to have survived its start. No other task
   // may start here until it has: a crash can then be attributed to that run,
   // and nothing else is lost.
--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -331,16 +331,18 @@
   int64_t empty_workers = request.empty_workers;
   for (const Offer& offer : offers_) {
     if (needed <= 0) break;
-    if (offer.empty_now && empty_workers-- <= 0) continue;
-    const int64_t tasks = std::min(offer.gain, needed);
-    needed -= tasks;
-    chosen.in = offer.in;
-    chosen.loss += offer.loss;
     auto& places = chosen.places;
-    const auto place = std::find_if(places.begin(), places.end(),
-                                    [&offer](const GangHold::Place& known) {
-                                      return known.worker == offer.worker;
-                                    });
+    const auto place = std::find_if(
+        places.begin(), places.end(), [&offer](const GangHold::Place& known) {
+          return known.worker == offer.worker;
+          // A worker counts once, however many offers of it are taken.
+          const bool is_new_empty = offer.empty_now && place == places.end();
+          if (is_new_empty && empty_workers-- <= 0) continue;
+          const int64_t tasks = std::min(offer.gain, needed);
+          needed -= tasks;
+          chosen.in = offer.in;
+          chosen.loss += offer.loss;
+        });
     if (place != places.end()) {
       place->tasks += tasks;
     } else {
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -54,8 +54,11 @@
     if (holds_) PrepareHolds();
     IsolateSuspects();
     MarkGuaranteedSteps();
-    PlaceProbationTests();
+    bool are_tests_placed = false;
     while (const ReadyStep* step = queue_.Next()) {
+      if (!step->urgent() && !std::exchange(are_tests_placed, true)) {
+        PlaceProbationTests();
+      }
       if (step->waiting.empty()) continue;
       if (inputs_.surveying && !step->urgent()) {
         AddWait(*step, WaitReason::kSurveying);
@@ -227,7 +230,8 @@
   void MarkGuaranteedSteps() {
     std::map<std::string, int64_t> needed;
     for (ReadyStep& step : steps_) {
-      if (!step.urgent()) continue;
+      // An expired step must not use up what one that is in time needs.
+      if (!step.urgent() || step.expired) continue;
       const std::string& account = step.job->spec.account;
       const auto guarantee = inputs_.guarantees->find(account);
       if (guarantee == inputs_.guarantees->end()) continue;
@@ -377,14 +381,31 @@
   FreePlaces PlacesFor(const ReadyStep& step) const {
     FreePlaces places;
     places.slots = capacity_.FreeSlots(step);
+    // Headroom is there for urgent steps, so none of it is kept from them.
     places.empty_workers =
-        capacity_.EmptyWorkers(step.service()) - Headroom(step);
+        step.urgent() ? static_cast<int64_t>(capacity_.workers().size())
+                      : capacity_.EmptyWorkers(step.service()) - Headroom(step);
+    AdmitReservedWorkers(step, &places);
     places.near_only = IsBoundToData(step);
     places.compact =
         planner_.settings_.features.compact_gangs != FeatureMode::kOff;
     return places;
   }
 
+  // A worker from which runs were stopped for the gang may have become headroom
+  // by that. The gang may use it all the same.
+  void AdmitReservedWorkers(const ReadyStep& step, FreePlaces* places) const {
+    const auto own = planner_.gang_reservations_.find(step.ref);
+    if (own == planner_.gang_reservations_.end()) return;
+    for (Slot& slot : places->slots) {
+      if (!slot.empty) continue;
+      const std::string& id = capacity_.worker(slot.worker).tracker->id();
+      if (own->second.tasks_by_worker.count(id) == 0) continue;
+      slot.empty = false;
+      --places->empty_workers;
+    }
+  }
+
   // Removes what is held for other steps. A gang may start while the less used
   // resource is mostly free. Returns true if capacity was removed.
   bool LeaveHeldCapacity(const ReadyStep& step, FreePlaces* places) const {
--- a/src/libs/workload/speed_estimator.cc
+++ b/src/libs/workload/speed_estimator.cc
@@ -18,6 +18,9 @@
 // Percentages are whole numbers: a rate observed over fewer percent is less
 // exact than workers of one service differ.
 constexpr int kMinPercent = 15;
+// The rate is the mean over the run so far. Of one that is slowed late in its
+// work it says nothing about the hardware.
+constexpr int kMaxPercent = 60;
 // A worker below this ratio is temporarily slowed: the slowest hardware of one
 // service takes 2.2 times as long as the usual one, a slowed worker four times
 // or more.
@@ -25,6 +28,8 @@
 // Single tasks differ in their work, so they say nothing about hardware within
 // this ratio of the usual one.
 constexpr double kUnevenWork = 0.65;
+// A worker that was taken for slower hardware is observed further up to here.
+constexpr double kUsualSpeed = 0.9;
 // Siblings that are not a gang are comparable only if there are at least this
 // many and the middle half of their rates differs by at most this factor.
 constexpr size_t kMinSiblings = 4;
@@ -64,9 +69,8 @@
   }
   if (step.normal_rate <= 0) return;
   const double ratio = rate / step.normal_rate;
-  if (sample.percent_observed >= kMinPercent &&
-      (sample.gang || ShowsHardware(worker, ratio))) {
-    UpdateSteady(worker, ratio);
+  if (sample.gang || ShowsHardware(worker, sample, ratio)) {
+    if (sample.percent_observed >= kMinPercent) UpdateSteady(worker, ratio);
   }
   Recent& recent = recent_[worker];
   const bool fresh = now - recent.last_seen < kEvidenceLifetime;
@@ -78,8 +82,10 @@
 // A single task shows hardware only where that is far slower than the usual
 // one, or no longer is.
 bool SpeedEstimator::ShowsHardware(const std::string& worker,
+                                   const ProgressSample& sample,
                                    double ratio) const {
-  return ratio < kUnevenWork || steady_speed(worker) < kUnevenWork;
+  if (sample.percent_observed > kMaxPercent) return false;
+  return ratio < kUnevenWork || steady_speed(worker) < kUsualSpeed;
 }
 
 void SpeedEstimator::UpdateSteady(const std::string& worker, double ratio) {
--- a/src/libs/workload/speed_estimator.h
+++ b/src/libs/workload/speed_estimator.h
@@ -72,7 +72,8 @@
   };
 
   double NormalRate(const Step& step) const;
-  bool ShowsHardware(const std::string& worker, double ratio) const;
+  bool ShowsHardware(const std::string& worker, const ProgressSample& sample,
+                     double ratio) const;
   void UpdateSteady(const std::string& worker, double ratio);
 
   std::map<StepRef, Step> steps_;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -9,6 +9,7 @@
 #ifndef THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 #define THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -265,7 +266,9 @@
   void SetSpeed(double speed, Time now);
   // Since when it has run far below its usual speed; nullopt if it does not.
   std::optional<Time> slow_since() const { return slow_since_; }
-  bool IsSlowed() const { return speed_ <= kSlowedSpeed * steady_speed_; }
+  bool IsSlowed() const {
+    return speed_ <= kSlowedSpeed * std::min(steady_speed_, 1.0);
+  }
   // The speed apart from temporary slowness.
   double steady_speed() const { return steady_speed_; }
   void set_steady_speed(double speed) { steady_speed_ = speed; }
