--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -332,17 +332,17 @@
   for (const Offer& offer : offers_) {
     if (needed <= 0) break;
     auto& places = chosen.places;
-    const auto place = std::find_if(
-        places.begin(), places.end(), [&offer](const GangHold::Place& known) {
-          return known.worker == offer.worker;
-          // A worker counts once, however many offers of it are taken.
-          const bool is_new_empty = offer.empty_now && place == places.end();
-          if (is_new_empty && empty_workers-- <= 0) continue;
-          const int64_t tasks = std::min(offer.gain, needed);
-          needed -= tasks;
-          chosen.in = offer.in;
-          chosen.loss += offer.loss;
-        });
+    const auto place = std::find_if(places.begin(), places.end(),
+                                    [&offer](const GangHold::Place& known) {
+                                      return known.worker == offer.worker;
+                                    });
+    // A worker counts once, however many offers of it are taken.
+    const bool is_new_empty = offer.empty_now && place == places.end();
+    if (is_new_empty && empty_workers-- <= 0) continue;
+    const int64_t tasks = std::min(offer.gain, needed);
+    needed -= tasks;
+    chosen.in = offer.in;
+    chosen.loss += offer.loss;
     if (place != places.end()) {
       place->tasks += tasks;
     } else {
--- a/src/libs/workload/health_record.cc
+++ b/src/libs/workload/health_record.cc
@@ -18,6 +18,9 @@
 constexpr int kExcludedCode = 2;
 // No evidence lasts longer, exclusions included.
 constexpr std::chrono::seconds kMaxAge{60};
+// Clocks of instances differ by less. The age of a record that is further ahead
+// is not known.
+constexpr std::chrono::minutes kMaxClockLead{5};
 constexpr std::chrono::seconds kMaxLeft{30};
 // The last time that the system clock can represent.
 constexpr int64_t kMaxUnixMilliseconds = 9'000'000'000'000;
@@ -121,7 +124,7 @@
     const Duration age = std::max<Duration>(
         std::chrono::duration_cast<Duration>(wall_now - written),
         Duration::zero());
-    if (age > kMaxAge) return entries;
+    if (age > kMaxAge || written - wall_now > kMaxClockLead) return entries;
     for (const Json& row : record.at(2)) {
       if (entries.size() == kMaxHealthEntries) break;
       entries.push_back(FromRow(row, age, now));
--- a/tests/auto/workload/tst_planner_headroom.cc
+++ b/tests/auto/workload/tst_planner_headroom.cc
@@ -87,5 +87,21 @@
   }
 }
 
+// Guards against urgent gangs that wait beside free capacity: what urgent runs
+// used of the headroom was taken off it for urgent steps as well.
+TEST_CASE("headroom that urgent runs use in part is open to urgent steps") {
+  PlannerCluster cluster(1, 4);
+  cluster.guarantees = {{"north", 32}};
+  StepSpec half = Gang(4, 4, false);
+  half.max_per_worker = 1;
+  for (int job = 1; job <= 2; ++job) {
+    CAPTURE(job);
+    cluster.ledger.Add(MakeJob(Id(job), {half}, 0), cluster.now);
+    const Plan plan = cluster.Round();
+    CHECK(WorkersOf(plan, Id(job)).size() == 4);
+    CHECK(plan.stops.empty());
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_speed_estimator.cc
+++ b/tests/auto/workload/tst_speed_estimator.cc
@@ -139,7 +139,7 @@
 
 // A worker that was slowed halfway through its runs looks like slow hardware
 // for a report or two.
-TEST_CASE("a worker that is as fast as the others loses the name of slow") {
+TEST_CASE("a worker that is as fast as the others is no longer slow hardware") {
   SpeedEstimator estimator;
   for (int index = 0; index < 5; ++index) {
     estimator.Observe("usual-" + std::to_string(index),
