--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -63,8 +63,8 @@
   double far_slowdown = 3;
   // Optional decisions of the scheduler; the members of SchedulingFeatures say
   // what each does.
-  FeatureMode held_capacity = FeatureMode::kAuto;
-  FeatureMode account_shares = FeatureMode::kAuto;
+  FeatureMode held_capacity = FeatureMode::kOff;
+  FeatureMode account_shares = FeatureMode::kOff;
   FeatureMode worker_health = FeatureMode::kAuto;
   FeatureMode compact_gangs = FeatureMode::kAuto;
 };
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -38,6 +38,7 @@
     sample.rate = run.rate();
     sample.percent_observed = run.percent - run.baseline_percent;
     sample.slowdown = near ? 1 : settings_.bounds.far_slowdown;
+    sample.advancing = run.last_progress == run.last_report;
     speeds_.Observe(registration.id, sample, now);
   }
   worker->set_steady_speed(speeds_.steady_speed(registration.id));
--- a/src/libs/workload/speed_estimator.cc
+++ b/src/libs/workload/speed_estimator.cc
@@ -84,7 +84,7 @@
 bool SpeedEstimator::ShowsHardware(const std::string& worker,
                                    const ProgressSample& sample,
                                    double ratio) const {
-  if (sample.percent_observed > kMaxPercent) return false;
+  if (!sample.advancing || sample.percent_observed > kMaxPercent) return false;
   return ratio < kUnevenWork || steady_speed(worker) < kUsualSpeed;
 }
 
--- a/tests/auto/workload/tst_speed_estimator.cc
+++ b/tests/auto/workload/tst_speed_estimator.cc
@@ -115,13 +115,16 @@
     const char* name;
     double rate;
     int percent;
+    bool advancing;
     double steady_speed;
   };
   const std::vector<Row> rows = {
-      {"takes 2.2 times as long", 4.6, 50, 0.46},
-      {"has more work than its siblings", 8, 50, 1},
-      {"is slowed fourfold for a while", 2.5, 50, 1},
-      {"has just begun", 4.6, 10, 1},
+      {"takes 2.2 times as long", 4.6, 50, true, 0.46},
+      {"has more work than its siblings", 8, 50, true, 1},
+      {"is slowed fourfold for a while", 2.5, 50, true, 1},
+      {"has just begun", 4.6, 10, true, 1},
+      {"was slowed late in its work", 4.6, 80, true, 1},
+      {"stands still", 4.6, 50, false, 1},
   };
   for (const Row& row : rows) {
     CAPTURE(std::string(row.name));
@@ -130,8 +133,9 @@
       estimator.Observe("usual-" + std::to_string(index),
                         Sample(index, false, 10), At(0));
     }
-    estimator.Observe("other", {{kStep, 5}, false, row.rate, row.percent, 1},
-                      At(300));
+    estimator.Observe(
+        "other", {{kStep, 5}, false, row.rate, row.percent, 1, row.advancing},
+        At(300));
     CHECK(estimator.steady_speed("other") ==
           doctest::Approx(row.steady_speed).epsilon(0.01));
   }
