--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -38,6 +38,7 @@
 PlannerSettings PlannerSettingsFor(const ClusterCoordinatorSettings& settings) {
   PlannerSettings planning;
   planning.bounds = settings.bounds;
+  planning.features = settings.features;
   return planning;
 }
 
@@ -85,6 +86,7 @@
     RefuseStarts(start_gate_.TakeExpired(now));
     StopOutdatedRuns();
     DropExpiredRecords();
+    MeasureFragmentation(now);
     SchedulePlanning();
   }
   const auto heartbeat = election_.settings().heartbeat_interval;
@@ -338,6 +340,7 @@
 void ClusterCoordinator::OnProgressLoaded() {
   WorkerFleetSettings fleet;
   fleet.bounds = settings_.bounds;
+  fleet.features = settings_.features;
   fleet.epoch = epoch_;
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet,
                                          MakeFleetHandlers());
@@ -357,6 +360,7 @@
     SyncJobFromBoard(id);
   }
   const size_t restored_steps = RestoreProgress();
+  RestoreHealth(Now());
   LogEvent(events::kLeadershipAcquired,
            {{"epoch", epoch_},
             {"board_next", dependencies_.board_next_offset()},
@@ -398,6 +402,22 @@
   return loaded.size();
 }
 
+// Without a record that can be read, all workers count as healthy.
+void ClusterCoordinator::RestoreHealth(Time now) {
+  std::vector<HealthEntry> entries;
+  if (const auto& record = dependencies_.board->health()) {
+    Error error;
+    auto decoded = DecodeHealth(*record->value, now,
+                                std::chrono::system_clock::now(), &error);
+    if (!decoded) {
+      LogEvent(events::kRecordUnreadable, error, {{"key", record->key}});
+    }
+    entries = std::move(decoded).value_or(std::vector<HealthEntry>());
+  }
+  health_schedule_.Begin(entries);
+  fleet_->RestoreHealth(std::move(entries), now);
+}
+
 // Adds a job of the board to the ledger, and cancels it there if it was
 // cancelled.
 void ClusterCoordinator::SyncJobFromBoard(const std::string& id) {
@@ -405,7 +425,9 @@
   if (job == nullptr) return;
   if (ledger_.Find(id) == nullptr) {
     if (IsTerminal(job->published_state) || ended_jobs_.count(id) > 0) return;
-    ledger_.Add(*job->spec, Now());
+    const Time now = Now();
+    ledger_.Add(*job->spec, now);
+    fragmentation_.OnJob(*job->spec, now);
   }
   if (job->cancelled) ledger_.Cancel(id);
 }
@@ -448,6 +470,7 @@
   pending_starts_.clear();
   start_gate_.Clear();
   logged_waits_.clear();
+  fragmentation_ = FragmentationMonitor();
   unrecorded_ends_.clear();
   claim_retry_ = Milliseconds(0);
   DelayNextClaim();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -28,6 +28,8 @@
 #include "coordination/advice_requester.h"
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
+#include "coordination/fragmentation_monitor.h"
+#include "coordination/health_record_schedule.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
 #include "coordination/progress_write_limiter.h"
@@ -39,6 +41,7 @@
 #include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
 #include "workload/planner.h"
+#include "workload/scheduling_features.h"
 
 namespace thornplank {
 
@@ -81,6 +84,7 @@
   // For the read of the board before a claim.
   Milliseconds claim_read_timeout{500};
   WorkerBounds bounds;
+  SchedulingFeatures features;
 };
 
 class ClusterCoordinator {
@@ -138,6 +142,18 @@
   const JobLedger& ledger() const { return ledger_; }
   // Null unless this entry leads.
   const WorkerFleet* fleet() const { return fleet_.get(); }
+  // Those of the configuration in force.
+  Guarantees guarantees() const {
+    return dependencies_.configuration().guarantees();
+  }
+  // The last measurement; empty unless this entry leads.
+  const std::vector<ServiceFragmentation>& fragmentation() const {
+    return fragmentation_.services();
+  }
+  // Zero unless this entry leads.
+  HeldCapacityUse held_use() const {
+    return leading() ? planner_.held_use() : HeldCapacityUse();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -167,6 +183,8 @@
   void OnProgressLoaded();
   WorkerFleet::Handlers MakeFleetHandlers();
   size_t RestoreProgress();
+  // Passes the verdicts of the previous leader on workers to the fleet.
+  void RestoreHealth(Time now);
   void SyncJobFromBoard(const std::string& id);
   void InheritRuns(const StepRef& ref, Time now);
   void StepDown(const std::string& reason);
@@ -181,6 +199,10 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
+  void LogAccountWaits(const std::vector<AccountWait>& waits);
+  void MeasureFragmentation(Time now);
+  void LogFeatureChanges(const std::vector<FeatureChange>& changes);
+  void LogHoldChanges(const std::vector<HoldChange>& changes);
   // Requests advice on the candidate workers of waiting steps.
   void RequestAdvice(const std::vector<WaitDecision>& waits);
   void RecordWaitMetrics(const StartDecision& decision, Time now);
@@ -252,6 +274,7 @@
   // the store has recovered.
   bool directory_unreadable_ = false;
   std::unique_ptr<AdviceRequester> advice_;
+  HealthRecordSchedule health_schedule_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
   // Jobs that have started and not ended, to be published once the next
@@ -271,6 +294,7 @@
   StartGate start_gate_;
   // Waiting steps, each with the reason that was last logged.
   std::map<StepRef, WaitReason> logged_waits_;
+  FragmentationMonitor fragmentation_;
 
   // Incremented on each loss of leadership and on destruction. Callbacks that
   // captured another value do nothing.
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -8,6 +8,7 @@
 
 #include "coordination/cluster_coordinator.h"
 #include "coordination/job_board.h"
+#include "workload/account_shares.h"
 
 namespace thornplank {
 namespace {
@@ -87,6 +88,22 @@
   return ToRows(counts);
 }
 
+std::vector<MetricsRegistry::GaugeSample> WorkersByVerdict(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  const Time now = std::chrono::steady_clock::now();
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    const WorkerHealth& health = tracker.health();
+    if (!health.compared()) continue;
+    const MetricLabels labels = {
+        {"service", tracker.registration().service},
+        {"verdict", std::string(ToText(health.verdict(now)))}};
+    ++counts[labels];
+  }
+  return ToRows(counts);
+}
+
 std::vector<MetricsRegistry::GaugeSample> HeldByStage(
     const ClusterCoordinator& coordinator) {
   if (coordinator.fleet() == nullptr) return {};
@@ -116,6 +133,34 @@
   return ToRows(counts);
 }
 
+// Bounds the number of series.
+constexpr size_t kMaxAccountsShown = 32;
+
+std::vector<MetricsRegistry::GaugeSample> ShareByAccount(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  AccountShares shares(coordinator.guarantees());
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    shares.AddWorker(tracker);
+  }
+  std::map<MetricLabels, double> by_account;
+  for (const AccountShares::Sample& sample :
+       shares.Samples(kMaxAccountsShown)) {
+    by_account[{{"service", sample.service}, {"account", sample.account}}] =
+        sample.share;
+  }
+  return ToRows(by_account);
+}
+
+std::vector<MetricsRegistry::GaugeSample> FragmentationByService(
+    const ClusterCoordinator& coordinator) {
+  std::vector<MetricsRegistry::GaugeSample> rows;
+  for (const ServiceFragmentation& measured : coordinator.fragmentation()) {
+    rows.push_back({{{"service", measured.service}}, measured.unusable_share});
+  }
+  return rows;
+}
+
 using ViewSource = std::function<std::optional<ClusterView>()>;
 
 // Adds a gauge that is zero without a view.
@@ -166,14 +211,26 @@
             "The same by service and by whether they may be given tasks, or "
             "why not.",
             WorkersByBelief, metrics);
+  AddGauges(view, "thornplank_workers_by_verdict",
+            "Workers by service and by what the outcome of their runs shows "
+            "(healthy, probation, excluded); known to the leader.",
+            WorkersByVerdict, metrics);
   AddGauges(view, "thornplank_accelerators_held",
             "Accelerators that runs hold, by what is known of the run and "
             "whether its worker answers; known to the leader.",
             HeldByStage, metrics);
+  AddGauges(view, "thornplank_account_share",
+            "Weighted dominant share of a service by account; known to the "
+            "leader.",
+            ShareByAccount, metrics);
   AddGauges(view, "thornplank_domain_runs",
             "Runs on the workers of a failure domain, and whether it takes new "
             "work; known to the leader.",
             RunsByDomain, metrics);
+  AddGauges(view, "thornplank_fragmentation",
+            "The share of idle accelerators on which the shapes of recent "
+            "steps cannot start; known to the leader.",
+            FragmentationByService, metrics);
   AddGauge(
       view, "thornplank_directory_entries_refused",
       "Entries of the directory that name no worker to use.", {},
@@ -185,6 +242,35 @@
       metrics);
 }
 
+void AddHeldGauges(const ViewSource& view, MetricsRegistry& metrics) {
+  AddGauge(
+      view, "thornplank_headroom_workers",
+      "Workers left empty for urgent steps; known to the leader.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().headroom_workers);
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_held_free_accelerators",
+      "Accelerators that are free and held for gangs; known to the leader.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().held_free_accelerators);
+      },
+      metrics);
+  AddGauge(
+      view, "thornplank_lent_accelerators",
+      "Accelerators held for gangs and used by others meanwhile; known to the "
+      "leader.",
+      {},
+      [](const ClusterView& current) {
+        return static_cast<double>(
+            current.coordinator.held_use().lent_accelerators);
+      },
+      metrics);
+}
+
 void AddTaskGauges(const ViewSource& view, MetricsRegistry& metrics) {
   AddGauge(
       view, kTasksName, kTasksHelp, {{"phase", "waiting"}},
@@ -211,6 +297,7 @@
 void AddClusterGauges(std::function<std::optional<ClusterView>()> view,
                       MetricsRegistry& metrics) {
   AddLeadGauges(view, metrics);
+  AddHeldGauges(view, metrics);
   AddTaskGauges(view, metrics);
   AddGauge(
       view, "thornplank_jobs_known", "Jobs on the board, ended ones included.",
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -1,6 +1,8 @@
 // Work of the leader: planning rounds, progress writes and the ends of runs and
 // jobs.
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "coordination/cluster_coordinator.h"
@@ -90,8 +92,12 @@
     for (const StopDecision& stop : plan.stops) {
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
       StopRestOfGang(stop);
+      if (stop.returns_held) metrics_.OnBorrowerStopped();
     }
+    LogFeatureChanges(plan.feature_changes);
+    LogHoldChanges(plan.hold_changes);
     LogWaits(plan.waits);
+    LogAccountWaits(plan.account_waits);
     RequestAdvice(plan.waits);
     placement_time_ = Now() - now;
   }
@@ -169,6 +175,58 @@
   logged_waits_ = std::move(logged);
 }
 
+void ClusterCoordinator::LogAccountWaits(
+    const std::vector<AccountWait>& waits) {
+  for (const AccountWait& wait : waits) {
+    const auto waited_ms =
+        std::chrono::duration_cast<Milliseconds>(wait.waited).count();
+    LogEvent(events::kAccountWaits, {{"service", wait.key.service},
+                                     {"account", wait.key.account},
+                                     {"priority", wait.key.priority},
+                                     {"waits", wait.begins},
+                                     {"share", wait.share},
+                                     {"weight", wait.weight},
+                                     {"waiting", wait.waiting},
+                                     {"waited_ms", waited_ms},
+                                     {"epoch", epoch_}});
+  }
+}
+
+void ClusterCoordinator::LogFeatureChanges(
+    const std::vector<FeatureChange>& changes) {
+  for (const FeatureChange& change : changes) {
+    LogEvent(events::kFeatureChanged, {{"feature", change.feature},
+                                       {"active", change.active},
+                                       {"reason", change.reason},
+                                       {"epoch", epoch_}});
+  }
+}
+
+void ClusterCoordinator::LogHoldChanges(
+    const std::vector<HoldChange>& changes) {
+  for (const HoldChange& change : changes) {
+    LogEvent(events::kCapacityHeld, {{"job", change.step.job},
+                                     {"step", change.step.ToString()},
+                                     {"workers", change.workers},
+                                     {"rack", change.rack},
+                                     {"ready_in_ms", change.ready_in.count()},
+                                     {"waited_ms", change.waited.count()},
+                                     {"borrowers", change.borrowers},
+                                     {"reason", change.reason},
+                                     {"epoch", epoch_}});
+  }
+}
+
+void ClusterCoordinator::MeasureFragmentation(Time now) {
+  if (!fragmentation_.IsDue(now)) return;
+  std::set<std::string> waiting_services;
+  for (const auto& [step, reason] : logged_waits_) {
+    const Job* job = ledger_.Find(step.job);
+    if (job != nullptr) waiting_services.insert(job->spec.policy.service);
+  }
+  fragmentation_.Measure(fleet_->trackers(), waiting_services, now);
+}
+
 void ClusterCoordinator::RequestAdvice(const std::vector<WaitDecision>& waits) {
   std::set<StepRef> waiting_steps;
   for (const WaitDecision& wait : waits) {
@@ -211,6 +269,7 @@
   profile.gang = spec->gang;
   profile.long_running = spec->long_running;
   profile.is_filler = spec->is_filler;
+  profile.estimate = spec->estimate;
   profile.tail_latency_target = spec->tail_latency_target;
   profile.account = job->spec.account;
   profile.data_rack = spec->data_rack;
@@ -343,13 +402,20 @@
   std::vector<std::string> started(started_jobs.begin(), started_jobs.end());
   std::map<std::string, LatestEnd> ends = std::exchange(unrecorded_ends_, {});
   if (records.empty()) return OnProgressStored(started, ends);
-  progress_write_limiter_.OnRecorded(Now());
+  const Time now = Now();
+  progress_write_limiter_.OnRecorded(now);
+  if (auto health =
+          health_schedule_.TakeDue(fleet_->UnhealthyWorkers(now), now,
+                                   std::chrono::system_clock::now())) {
+    records.push_back(JobBoard::Health(std::move(*health)));
+  }
   std::vector<PendingStart> starts = std::exchange(pending_starts_, {});
   progress_writer_->Write(std::move(records),
                           [this, started = std::move(started),
                            ends = std::move(ends), starts = std::move(starts),
                            generation = generation_, current = *generation_] {
                             if (*generation != current) return;
+                            health_schedule_.OnStored();
                             OnProgressStored(started, ends);
                             OnStartsRecorded(starts);
                             SchedulePlanning();
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/latency_average.h"
@@ -21,6 +22,7 @@
 #include "coordination/filler_pace_controller.h"
 #include "coordination/first_look_queue.h"
 #include "coordination/formats.h"
+#include "coordination/health_monitor.h"
 #include "coordination/refused_entries.h"
 #include "coordination/report_schedule.h"
 #include "coordination/start_sender.h"
@@ -28,6 +30,7 @@
 #include "coordination/worker_calls.h"
 #include "workload/gang_review.h"
 #include "workload/run_review.h"
+#include "workload/scheduling_features.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -36,6 +39,7 @@
 struct WorkerFleetSettings {
   int64_t epoch = 0;
   WorkerBounds bounds;
+  SchedulingFeatures features;
   Milliseconds call_timeout{900};
   ReportScheduleSettings reports;
   // A worker that has been missing from the directory for longer, while the
@@ -106,6 +110,15 @@
   // Number of directory records that can't be read.
   size_t refused_entries() const { return refused_.size(); }
 
+  // Verdicts of a previous leader; to be called before the directory is passed
+  // on.
+  void RestoreHealth(std::vector<HealthEntry> entries, Time now) {
+    health_monitor_.Restore(std::move(entries), now);
+  }
+  std::vector<HealthEntry> UnhealthyWorkers(Time now) const {
+    return health_monitor_.UnhealthyWorkers(now);
+  }
+
   // Whether the worker is on that rack; true if `rack` is empty.
   bool IsOnRack(const std::string& worker, const std::string& rack) const;
 
@@ -231,6 +244,7 @@
   Time directory_read_since_{};
   Time last_directory_read_{};
   ReportSchedule report_schedule_;
+  HealthMonitor health_monitor_;
   RunReview run_review_;
   GangReview gang_review_;
   StartSender start_sender_;
--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -6,16 +6,17 @@
 #include <limits>
 #include <utility>
 
+#include "workload/urgent_headroom.h"
+
 namespace thornplank {
 namespace {
 
 // Suspect workers are used only when no other worker has room.
 constexpr int64_t kSuspectPenalty = int64_t{1} << 32;
 constexpr int64_t kSlowPenalty = int64_t{1} << 31;
-// Added for each tenth of the normal time that tasks take longer on a worker:
-// more than any difference in fit, since a gang runs at the pace of its slowest
-// member.
-constexpr int64_t kSlownessStep = int64_t{1} << 21;
+// Upper bound on the share of the usable workers of a service that is withheld.
+// With more workers on probation, capacity is worth more than certainty.
+constexpr double kMaxWithheldShare = 0.25;
 // Workers without room come last in a query for advice.
 constexpr int64_t kFullPenalty = int64_t{1} << 33;
 
@@ -48,12 +49,14 @@
 
 ClusterCapacity::ClusterCapacity(
     const std::map<std::string, WorkerTracker>& workers,
-    const AdviceCache* advice, Time now)
-    : advice_(advice), now_(now) {
+    const AdviceCache* advice, Time now, AccountShares* shares,
+    bool shares_headroom)
+    : advice_(advice), now_(now), shares_headroom_(shares_headroom) {
   workers_.reserve(workers.size());
   for (const auto& [id, tracker] : workers) {
-    AddWorker(tracker, now);
+    AddWorker(tracker, now, shares);
   }
+  WithholdOnProbation();
 }
 
 int ClusterCapacity::NumberOfRack(const std::string& rack) {
@@ -72,13 +75,15 @@
   return static_cast<int>(services_.size()) - 1;
 }
 
-void ClusterCapacity::AddWorker(const WorkerTracker& tracker, Time now) {
+void ClusterCapacity::AddWorker(const WorkerTracker& tracker, Time now,
+                                AccountShares* shares) {
   WorkerCapacity worker;
   worker.tracker = &tracker;
   worker.rack = NumberOfRack(tracker.registration().rack);
   worker.service = NumberOfService(tracker.registration().service);
   worker.free = tracker.room();
   worker.usable = tracker.availability(now) == WorkerAvailability::kUsable;
+  if (shares != nullptr) shares->AddWorker(tracker);
   for (const auto& [task, run] : tracker.runs()) {
     const RunProfile& profile = run.profile;
     if (run.stop_wanted) worker.releasing += profile.need;
@@ -87,35 +92,86 @@
     worker.unproven = worker.unproven || unproven;
     worker.on_probation =
         worker.on_probation || (unproven && profile.on_probation);
-    if (profile.priority != 0) continue;
+    if (profile.priority != 0) {
+      // Filler tasks reserve no cores and leave a worker to urgent steps.
+      if (!profile.is_filler) worker.lower_priority_work = true;
+      continue;
+    }
     urgent_accelerators_[profile.account] += profile.need.accelerators;
+    worker.urgent_share +=
+        WorkerShare(profile.need, tracker.registration().capacity);
   }
   const Resources& capacity = tracker.registration().capacity;
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
   sums.total_accelerators += capacity.accelerators;
   sums.used_accelerators += capacity.accelerators - worker.free.accelerators;
   sums.total_cpu_millis += capacity.cpu_millis;
+  sums.urgent_workers += worker.urgent_share;
   sums.used_cpu_millis += capacity.cpu_millis - worker.free.cpu_millis;
   if (worker.usable) {
     ++usable_workers_;
     ++sums.usable_workers;
     sums.capacity += capacity;
     sums.free += ElementwiseMax(worker.free, Resources());
-    if (tracker.trust().suspect()) ++suspects_;
-    if (worker.IsEmpty()) ++sums.empty_workers;
+    if (tracker.health().IsSuspect(now)) ++suspects_;
+    if (IsHeadroom(worker)) {
+      ++sums.empty_workers;
+      sums.urgent_use_of_headroom += worker.urgent_share;
+    }
   }
   rack_members_[static_cast<size_t>(worker.rack)].push_back(workers_.size());
   workers_.push_back(worker);
 }
 
-WorkerCapacity* ClusterCapacity::Find(const std::string& id) {
+void ClusterCapacity::WithholdOnProbation() {
+  std::vector<std::vector<size_t>> on_probation(services_.size());
+  for (size_t i = 0; i < workers_.size(); ++i) {
+    const WorkerHealth& health = workers_[i].tracker->health();
+    if (!workers_[i].usable || !health.compared()) continue;
+    if (health.verdict(now_) != HealthVerdict::kProbation) continue;
+    on_probation[static_cast<size_t>(workers_[i].service)].push_back(i);
+  }
+  for (size_t service = 0; service < services_.size(); ++service) {
+    std::vector<size_t>& members = on_probation[service];
+    const auto most = static_cast<size_t>(
+        kMaxWithheldShare *
+        static_cast<double>(services_[service].usable_workers));
+    if (members.size() > most) {
+      std::stable_sort(members.begin(), members.end(),
+                       [this](size_t a, size_t b) {
+                         return workers_[a].tracker->health().last_evidence() >
+                                workers_[b].tracker->health().last_evidence();
+                       });
+      members.resize(most);
+    }
+    for (const size_t index : members) {
+      Withhold(&workers_[index]);
+    }
+  }
+}
+
+void ClusterCapacity::Withhold(WorkerCapacity* worker) {
+  if (IsHeadroom(*worker)) {
+    ServiceSums& sums = services_[static_cast<size_t>(worker->service)];
+    --sums.empty_workers;
+    sums.urgent_use_of_headroom -= worker->urgent_share;
+  }
+  worker->withheld = true;
+  const Time since = worker->tracker->health().probation_since();
+  for (const auto& [task, run] : worker->tracker->runs()) {
+    const bool is_test = run.placed != Time{} && run.placed >= since;
+    worker->under_test = worker->under_test || is_test;
+  }
+}
+
+std::optional<size_t> ClusterCapacity::IndexOf(const std::string& id) const {
   const auto it = std::lower_bound(
       workers_.begin(), workers_.end(), id,
       [](const WorkerCapacity& worker, const std::string& wanted) {
         return worker.tracker->id() < wanted;
       });
-  const bool found = it != workers_.end() && it->tracker->id() == id;
-  return found ? &*it : nullptr;
+  if (it == workers_.end() || it->tracker->id() != id) return std::nullopt;
+  return static_cast<size_t>(it - workers_.begin());
 }
 
 void ClusterCapacity::ChangeFree(WorkerCapacity* worker,
@@ -167,6 +223,19 @@
   return SumsOf(service).capacity;
 }
 
+std::vector<std::string> ClusterCapacity::Services() const {
+  std::vector<std::string> names;
+  names.reserve(services_.size());
+  for (const ServiceSums& sums : services_) {
+    names.push_back(sums.name);
+  }
+  return names;
+}
+
+double ClusterCapacity::UrgentWorkers(const std::string& service) const {
+  return SumsOf(service).urgent_workers;
+}
+
 void ClusterCapacity::Reserve(const CapacityReservation& reservation) {
   ApplyReservation(reservation, /*reserve=*/true);
 }
@@ -175,27 +244,76 @@
   ApplyReservation(reservation, /*reserve=*/false);
 }
 
+bool ClusterCapacity::AllUsable(const CapacityReservation& reservation) const {
+  for (const auto& [id, tasks] : reservation.tasks_by_worker) {
+    const std::optional<size_t> index = IndexOf(id);
+    if (!index) return false;
+    if (!workers_[*index].usable || workers_[*index].withheld) return false;
+  }
+  return true;
+}
+
 void ClusterCapacity::ApplyReservation(const CapacityReservation& reservation,
                                        bool reserve) {
   for (const auto& [id, tasks] : reservation.tasks_by_worker) {
-    WorkerCapacity* worker = Find(id);
-    if (worker == nullptr) continue;
-    ChangeFree(worker, reservation.need * (reserve ? -tasks : tasks));
+    const std::optional<size_t> index = IndexOf(id);
+    if (!index) continue;
+    ChangeFree(&workers_[*index],
+               reservation.need * (reserve ? -tasks : tasks));
   }
 }
 
 void ClusterCapacity::Occupy(const std::string& id, const ReadyStep& step) {
-  WorkerCapacity& worker = *Find(id);
+  WorkerCapacity& worker = workers_[*IndexOf(id)];
   ServiceSums& sums = services_[static_cast<size_t>(worker.service)];
-  if (worker.IsEmpty()) --sums.empty_workers;
+  const bool was_headroom = IsHeadroom(worker);
   ChangeFree(&worker, ReservedFor(*step.spec) * -1);
   worker.unproven = true;
   worker.on_probation = worker.on_probation || step.on_probation;
+  worker.under_test = worker.under_test || worker.withheld;
+  if (!step.urgent() && !step.spec->is_filler) {
+    worker.lower_priority_work = true;
+  }
+  const double share = step.urgent() ? WorkerShare(ReservedFor(*step.spec),
+                                                   worker.entry().capacity)
+                                     : 0;
+  worker.urgent_share += share;
+  if (!was_headroom) return;
+  if (shares_headroom_ && IsHeadroom(worker)) {
+    sums.urgent_use_of_headroom += share;
+    return;
+  }
+  --sums.empty_workers;
+  sums.urgent_use_of_headroom -= worker.urgent_share - share;
+}
+
+bool ClusterCapacity::IsHeadroom(const WorkerCapacity& worker) const {
+  if (worker.withheld) return false;
+  if (!shares_headroom_) return worker.IsEmpty();
+  return !worker.lower_priority_work && !worker.tracker->has_slow_hardware();
+}
+
+int64_t ClusterCapacity::EmptyWorkers(const std::string& service) const {
+  const ServiceSums& sums = SumsOf(service);
+  if (!shares_headroom_) return sums.empty_workers;
+  const auto used =
+      static_cast<int64_t>(std::ceil(sums.urgent_use_of_headroom));
+  return sums.empty_workers - used;
 }
 
 bool ClusterCapacity::MayUse(const ReadyStep& step,
                              const WorkerCapacity& worker) const {
-  if (!MeetsRequirements(step, worker)) return false;
+  return MeetsRequirements(step, worker) && IsApproved(step, worker);
+}
+
+bool ClusterCapacity::MayTest(const ReadyStep& step,
+                              const WorkerCapacity& worker) const {
+  return MeetsRequirementsOf(step, worker) && IsApproved(step, worker) &&
+         !worker.tracker->room().IsOverdrawn();
+}
+
+bool ClusterCapacity::IsApproved(const ReadyStep& step,
+                                 const WorkerCapacity& worker) const {
   if (!step.job->spec.policy.advice) return true;
   return advice_ != nullptr &&
          advice_->FindTicket(step.ref, worker.tracker->id(), now_).has_value();
@@ -227,12 +345,20 @@
 
 bool ClusterCapacity::MeetsRequirements(const ReadyStep& step,
                                         const WorkerCapacity& worker) const {
+  if (worker.withheld && !step.guaranteed) return false;
+  return MeetsRequirementsOf(step, worker);
+}
+
+bool ClusterCapacity::MeetsRequirementsOf(const ReadyStep& step,
+                                          const WorkerCapacity& worker) const {
   if (!worker.usable) return false;
   if (worker.entry().service != step.service()) return false;
   if (worker.on_probation) return false;
   if (step.on_probation && worker.unproven) return false;
   if (step.alone && !worker.IsEmpty()) return false;
-  if (step.failed_before && worker.tracker->trust().suspect() &&
+  const WorkerHealth& health = worker.tracker->health();
+  const bool must_start = step.guaranteed && health.compared();
+  if (step.failed_before && !must_start && health.IsSuspect(now_) &&
       MostAreTrusted()) {
     return false;
   }
@@ -263,10 +389,11 @@
   if (step.on_probation) score = -Weight(worker.free);
   const std::string& rack = step.spec->data_rack;
   if (!rack.empty() && worker.entry().rack != rack) score += kFarRackPenalty;
-  const bool doubtful = worker.tracker->trust().suspect() ||
-                        worker.tracker->trust().WasSilentRecently(now_);
+  const WorkerHealth& health = worker.tracker->health();
+  const bool doubtful =
+      health.IsSuspect(now_) || health.WasSilentRecently(now_);
   if (doubtful) score += kSuspectPenalty;
-  if (worker.tracker->speed() <= kSlowedSpeed) score += kSlowPenalty;
+  if (worker.tracker->IsSlowed()) score += kSlowPenalty;
   // Gangs, which run at the pace of their slowest member, and urgent steps get
   // fast workers; other steps leave those free.
   const bool wants_speed = step.spec->gang || step.urgent();
@@ -301,11 +428,22 @@
     tasks = std::min(tasks, RemainingTaskLimit(step, *worker.tracker));
     if (step.spec->is_filler) tasks = std::min(tasks, MaxFillers(step, worker));
     if (tasks <= 0) continue;
-    slots.push_back({i, tasks, Score(step, worker, tasks), worker.IsEmpty()});
+    slots.push_back({i, tasks, Score(step, worker, tasks), IsHeadroom(worker)});
   }
   return slots;
 }
 
+bool ClusterCapacity::Shrink(const ReadyStep& step, const Resources& held,
+                             Slot* slot) const {
+  const WorkerCapacity& worker = workers_[slot->worker];
+  const Resources need = ReservedFor(*step.spec);
+  const int64_t tasks = need.TimesIn(worker.free - held, slot->tasks);
+  if (tasks == slot->tasks) return false;
+  slot->tasks = tasks;
+  slot->score = Score(step, worker, tasks);
+  return true;
+}
+
 bool ClusterCapacity::IsNear(const ReadyStep& step, const Slot& slot) const {
   return workers_[slot.worker].entry().rack == step.spec->data_rack;
 }
@@ -317,7 +455,10 @@
     int64_t tasks = 0;
     for (const size_t index : rack) {
       const WorkerCapacity& worker = workers_[index];
-      if (!MayUse(step, worker)) continue;
+      // A probation is soon over: it must not make a gang spread.
+      const bool may_use =
+          MeetsRequirementsOf(step, worker) && IsApproved(step, worker);
+      if (!may_use) continue;
       tasks += need.TimesIn(worker.entry().capacity, members);
       if (tasks >= members) return true;
     }
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -2,11 +2,14 @@
 #include "workload/planner.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
 #include "workload/cluster_capacity.h"
+#include "workload/gang_holds.h"
 #include "workload/gang_placement.h"
+#include "workload/probation_tests.h"
 #include "workload/ready_step.h"
 #include "workload/victim_selection.h"
 #include "workload/waiting_demand.h"
@@ -20,6 +23,8 @@
 // with no active task while less than half of its service is in use counts as
 // not served.
 constexpr double kCrowdedShare = 0.5;
+// In `auto` mode accounts have shares if this many are guaranteed accelerators.
+constexpr int64_t kLeastAccountsWithShares = 2;
 
 }  // namespace
 
@@ -29,8 +34,16 @@
         std::vector<ReadyStep> steps)
       : planner_(*planner),
         inputs_(inputs),
-        capacity_(*inputs.workers, inputs.advice, inputs.now),
-        steps_(std::move(steps)) {}
+        shared_services_(planner->ServicesWithShares(*inputs.guarantees)),
+        shares_(MakeShares(shared_services_, *inputs.guarantees)),
+        capacity_(*inputs.workers, inputs.advice, inputs.now, shares(),
+                  planner->held_state_.active()),
+        steps_(std::move(steps)),
+        queue_(steps_, shares(),
+               {shared_services_, planner->settings_.max_share_wait,
+                inputs.wall_now}) {
+    if (planner_.held_state_.active()) holds_.emplace(HoldInputs());
+  }
 
   Plan Run() {
     for (const auto& [ref, reservation] : planner_.reservations_) {
@@ -38,20 +51,139 @@
     }
     RecordUrgentSteps();
     ReleaseExpiredReservations();
+    if (holds_) PrepareHolds();
     IsolateSuspects();
-    for (const ReadyStep& step : steps_) {
-      if (inputs_.surveying && !step.urgent()) {
-        AddWait(step, WaitReason::kSurveying);
+    MarkGuaranteedSteps();
+    bool are_tests_placed = false;
+    while (const ReadyStep* step = queue_.Next()) {
+      if (!step->urgent() && !std::exchange(are_tests_placed, true)) {
+        PlaceProbationTests();
+      }
+      if (step->waiting.empty()) continue;
+      if (inputs_.surveying && !step->urgent()) {
+        AddWait(*step, WaitReason::kSurveying);
         continue;
       }
-      PlaceStep(step);
+      PlaceStep(*step);
     }
+    planner_.scarce_services_ = std::move(scarce_services_);
+    plan_.account_waits = planner_.account_waits_.Observe(
+        waiting_for_capacity_, shares(), inputs_.now);
+    if (holds_) RecordHolds();
     return std::move(plan_);
   }
 
  private:
   using Assignments = std::vector<JobLedger::Assignment>;
 
+  static std::optional<AccountShares> MakeShares(const SharedServices& services,
+                                                 const Guarantees& guarantees) {
+    if (services.IsEmpty()) return std::nullopt;
+    return AccountShares(guarantees);
+  }
+
+  // Null while no service is shared.
+  AccountShares* shares() { return shares_ ? &*shares_ : nullptr; }
+  // Null if the service of the step is not shared.
+  AccountShares* SharesFor(const ReadyStep& step) {
+    return shared_services_.Contains(step.service()) ? shares() : nullptr;
+  }
+
+  // Counts tasks of the account that were started, or stopped if negative.
+  void ChangeShares(const std::string& service, const std::string& account,
+                    int priority, const Resources& need, int64_t tasks) {
+    if (!shares_) return;
+    shares_->Change(shares_->Include(service, account), priority, need, tasks);
+    queue_.OnSharesChanged(service, account);
+  }
+
+  GangHolds::Inputs HoldInputs() const {
+    GangHolds::Inputs inputs;
+    inputs.capacity = &capacity_;
+    inputs.stopped = &stopped_;
+    inputs.max_held_share = planner_.settings_.max_reserved_share;
+    inputs.stop_time = planner_.settings_.bounds.move_cost();
+    inputs.restart_cost = planner_.settings_.bounds.restart_cost();
+    inputs.now = inputs_.now;
+    return inputs;
+  }
+
+  void PrepareHolds() {
+    DropUselessGangReservations();
+    for (const std::string& service : capacity_.Services()) {
+      ObserveHeadroom(service);
+    }
+  }
+
+  // A gang that has started or ended needs no reservation, and one that names a
+  // worker which can no longer be used does not let the gang start.
+  void DropUselessGangReservations() {
+    auto& reservations = planner_.gang_reservations_;
+    if (reservations.empty()) return;
+    std::set<StepRef> ready;
+    for (const ReadyStep& step : steps_) {
+      ready.insert(step.ref);
+    }
+    for (auto it = reservations.begin(); it != reservations.end();) {
+      const auto current = it++;
+      const bool still_valid = ready.count(current->first) > 0 &&
+                               current->second.until > inputs_.now &&
+                               capacity_.AllUsable(current->second);
+      if (still_valid) continue;
+      planner_.hold_history_.OnLost(current->first, inputs_.now);
+      reservations.erase(current);
+    }
+  }
+
+  void ObserveHeadroom(const std::string& service) {
+    const PlannerSettings& settings = planner_.settings_;
+    const int64_t usable = capacity_.usable_workers(service);
+    UrgentHeadroomSettings headroom;
+    headroom.least_share = settings.headroom;
+    headroom.max_share = settings.max_headroom;
+    headroom.retention = settings.headroom_retention;
+    const auto it = planner_.headrooms_.try_emplace(service, headroom).first;
+    UrgentUse use;
+    use.workers = capacity_.UrgentWorkers(service);
+    use.seen = !it->second.observed() && use.workers > 0;
+    const Resources mean = DividedBy(capacity_.TotalCapacity(service), usable);
+    for (const ReadyStep& step : steps_) {
+      if (!step.urgent() || step.service() != service || usable == 0) continue;
+      const auto tasks = static_cast<int64_t>(step.waiting.size());
+      const Resources need = ReservedFor(*step.spec);
+      use.seen = true;
+      use.workers += WorkerShare(need, mean) * static_cast<double>(tasks);
+      use.largest_step =
+          std::max(use.largest_step, WorkersNeeded(need, tasks, mean));
+    }
+    it->second.Observe(use, inputs_.now);
+    headroom_[service] = it->second.Workers(usable);
+  }
+
+  void RecordHolds() {
+    plan_.hold_changes = planner_.hold_history_.EndRound(
+        holds_->holds(), &capacity_, inputs_.now);
+    HeldCapacityUse use;
+    use.held_free_accelerators = holds_->held_free_accelerators();
+    use.worker_visits = holds_->visits();
+    for (const GangHold& hold : holds_->holds()) {
+      use.lent_accelerators += hold.lent_accelerators();
+    }
+    for (const auto& [service, workers] : headroom_) {
+      use.headroom_workers += workers;
+    }
+    planner_.held_use_ = use;
+  }
+
+  // Reservations of gangs count from the first step of their priority on.
+  void ReserveForGangs(int priority) {
+    for (const auto& [ref, reservation] : planner_.gang_reservations_) {
+      if (reservation.priority > priority) continue;
+      if (!reserved_gangs_.insert(ref).second) continue;
+      capacity_.Reserve(reservation);
+    }
+  }
+
   void RecordUrgentSteps() {
     for (const ReadyStep& step : steps_) {
       if (!step.urgent()) continue;
@@ -93,8 +225,36 @@
     planner_.isolated_since_ = std::move(since);
   }
 
+  // In the order in which steps are placed: the steps that fit into the
+  // guarantee of their account, even if its later ones exceed it.
+  void MarkGuaranteedSteps() {
+    std::map<std::string, int64_t> needed;
+    for (ReadyStep& step : steps_) {
+      // An expired step must not use up what one that is in time needs.
+      if (!step.urgent() || step.expired) continue;
+      const std::string& account = step.job->spec.account;
+      const auto guarantee = inputs_.guarantees->find(account);
+      if (guarantee == inputs_.guarantees->end()) continue;
+      int64_t& sum = needed[account];
+      sum += step.spec->need.accelerators *
+             static_cast<int64_t>(step.waiting.size());
+      step.guaranteed =
+          capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
+    }
+  }
+
+  void PlaceProbationTests() {
+    if (inputs_.surveying) return;
+    for (ProbationTest& test : TakeProbationTests(capacity_, &steps_)) {
+      Start(steps_[test.step], {std::move(test.assignment)},
+            "test of a worker on probation");
+    }
+  }
+
   void PlaceStep(const ReadyStep& step) {
-    auto& reservations = planner_.reservations_;
+    if (!planner_.gang_reservations_.empty()) ReserveForGangs(step.priority());
+    auto& reservations =
+        step.urgent() ? planner_.reservations_ : planner_.gang_reservations_;
     const auto own = reservations.find(step.ref);
     if (own != reservations.end()) capacity_.Release(own->second);
     WaitReason reason = WaitReason::kNoRoom;
@@ -102,7 +262,7 @@
                                         : PlaceSingleTasks(step, &reason);
     if (own != reservations.end()) {
       if (placed) {
-        plan_.starts.back().preempted_at = own->second.made;
+        if (step.urgent()) plan_.starts.back().preempted_at = own->second.made;
         reservations.erase(own);
       } else {
         capacity_.Reserve(own->second);
@@ -111,8 +271,11 @@
     } else if (!placed && step.urgent() && !inputs_.surveying &&
                PreemptFor(step)) {
       reason = WaitReason::kPreempting;
+    } else if (!placed && holds_ && MayHold(step) && HoldFor(step)) {
+      reason = WaitReason::kPreempting;
     }
     if (placed) return;
+    if (holds_ && MayHold(step)) WaitedOf(step);
     AddWait(step, reason);
     RecordWaitingDemand(step);
   }
@@ -120,7 +283,7 @@
   // Only gangs need much capacity at one moment. Capacity for a step that
   // evicted others is reserved already.
   void RecordWaitingDemand(const ReadyStep& step) {
-    if (!step.spec->gang) return;
+    if (holds_ || !step.spec->gang) return;
     if (planner_.reservations_.count(step.ref) > 0) return;
     if (step.expired) return;
     waiting_demand_.Add(step.service(), step.priority(),
@@ -142,9 +305,36 @@
       wait.reason = WaitReason::kNoRoomOnApprovedWorkers;
       wait.candidates = capacity_.CandidatesForAdvice(step);
     }
+    if (LacksCapacity(step, wait.reason)) RecordScarcity(step);
     plan_.waits.push_back(std::move(wait));
   }
 
+  bool LacksCapacity(const ReadyStep& step, WaitReason reason) const {
+    switch (reason) {
+      case WaitReason::kNoRoom:
+      case WaitReason::kNoRoomNearData:
+      case WaitReason::kNoRoomOnOneRack:
+      case WaitReason::kPreempting:
+      case WaitReason::kYieldsToHigherPriority:
+        return true;
+      case WaitReason::kNoRoomOnApprovedWorkers:
+        // It may only lack approvals, which each step lacks at first.
+        return ReservedFor(*step.spec)
+                   .TimesIn(capacity_.FreeCapacity(step.service()), 1) == 0;
+      case WaitReason::kNoUsableWorker:
+      case WaitReason::kSurveying:
+        return false;
+    }
+    return false;
+  }
+
+  void RecordScarcity(const ReadyStep& step) {
+    scarce_services_.insert(step.service());
+    if (SharesFor(step) == nullptr) return;
+    ++waiting_for_capacity_[{step.service(), step.job->spec.account,
+                             step.priority()}];
+  }
+
   // Whether the step has waited long enough to run away from its data or over
   // several racks. There it takes several times as long and blocks others
   // meanwhile. So this is only for an idle cluster, and for guaranteed work,
@@ -178,6 +368,10 @@
   // Number of workers to leave empty for urgent jobs to come.
   int64_t Headroom(const ReadyStep& step) const {
     if (step.urgent()) return 0;
+    if (holds_) {
+      const auto workers = headroom_.find(step.service());
+      return workers == headroom_.end() ? 0 : workers->second;
+    }
     if (!planner_.ExpectsUrgent(step.service(), inputs_.now)) return 0;
     return static_cast<int64_t>(
         planner_.settings_.headroom *
@@ -187,12 +381,42 @@
   FreePlaces PlacesFor(const ReadyStep& step) const {
     FreePlaces places;
     places.slots = capacity_.FreeSlots(step);
+    // Headroom is there for urgent steps, so none of it is kept from them.
     places.empty_workers =
-        capacity_.EmptyWorkers(step.service()) - Headroom(step);
+        step.urgent() ? static_cast<int64_t>(capacity_.workers().size())
+                      : capacity_.EmptyWorkers(step.service()) - Headroom(step);
+    AdmitReservedWorkers(step, &places);
     places.near_only = IsBoundToData(step);
+    places.compact =
+        planner_.settings_.features.compact_gangs != FeatureMode::kOff;
     return places;
   }
 
+  // A worker from which runs were stopped for the gang may have become headroom
+  // by that. The gang may use it all the same.
+  void AdmitReservedWorkers(const ReadyStep& step, FreePlaces* places) const {
+    const auto own = planner_.gang_reservations_.find(step.ref);
+    if (own == planner_.gang_reservations_.end()) return;
+    for (Slot& slot : places->slots) {
+      if (!slot.empty) continue;
+      const std::string& id = capacity_.worker(slot.worker).tracker->id();
+      if (own->second.tasks_by_worker.count(id) == 0) continue;
+      slot.empty = false;
+      --places->empty_workers;
+    }
+  }
+
+  // Removes what is held for other steps. A gang may start while the less used
+  // resource is mostly free. Returns true if capacity was removed.
+  bool LeaveHeldCapacity(const ReadyStep& step, FreePlaces* places) const {
+    if (!holds_ || holds_->holds().empty()) return false;
+    const bool idle = capacity_.LowestUsedShare(step.service()) < kCrowdedShare;
+    if (step.spec->gang && idle) return false;
+    const int64_t empty = holds_->EmptyWorkersHeldFrom(step);
+    places->empty_workers -= empty;
+    return holds_->Restrict(step, &places->slots) || empty > 0;
+  }
+
   // How many tasks of the step may start without delaying steps of higher
   // priority. Small tasks fit into every gap as it opens, so without this limit
   // a gang would never find enough room at one moment.
@@ -201,7 +425,8 @@
     // While most of the capacity is idle, these tasks are not what others wait
     // for.
     const std::string& service = step.service();
-    if (step.urgent() || capacity_.UsedShare(service) < kCrowdedShare) {
+    if (holds_ || step.urgent() ||
+        capacity_.UsedShare(service) < kCrowdedShare) {
       return waiting;
     }
     // The rule about jobs that are not served does not name the resource, so
@@ -233,6 +458,23 @@
     }
     FreePlaces places = PlacesFor(step);
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
+    if (LeaveHeldCapacity(step, &places)) {
+      *reason = WaitReason::kYieldsToHigherPriority;
+    }
+    Assignments chosen = TakeSlots(step, std::move(places), allowed);
+    // Every job may run at least one task at a time, if it fits.
+    if (holds_ && chosen.empty() &&
+        *reason == WaitReason::kYieldsToHigherPriority &&
+        !step.job_is_active()) {
+      chosen = TakeSlots(step, PlacesFor(step), 1);
+    }
+    const bool all = chosen.size() == step.waiting.size();
+    if (!chosen.empty()) Start(step, std::move(chosen), "best fit");
+    return all;
+  }
+
+  Assignments TakeSlots(const ReadyStep& step, FreePlaces places,
+                        int64_t allowed) const {
     Assignments chosen;
     std::sort(places.slots.begin(), places.slots.end(), HasLowerScore);
     for (const Slot& slot : places.slots) {
@@ -244,9 +486,7 @@
     if (static_cast<int64_t>(chosen.size()) > allowed) {
       chosen.resize(static_cast<size_t>(allowed));
     }
-    const bool all = chosen.size() == step.waiting.size();
-    if (!chosen.empty()) Start(step, std::move(chosen), "best fit");
-    return all;
+    return chosen;
   }
 
   bool PlaceGang(const ReadyStep& step, WaitReason* reason) {
@@ -254,7 +494,9 @@
       *reason = WaitReason::kYieldsToHigherPriority;
       return false;
     }
-    const FreePlaces places = PlacesFor(step);
+    FreePlaces places = PlacesFor(step);
+    const bool yields = LeaveHeldCapacity(step, &places);
+    if (yields) *reason = WaitReason::kYieldsToHigherPriority;
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
     // A rack may hold more than is known of it yet.
     const bool may_fit = inputs_.surveying || capacity_.AnyRackCanHold(step);
@@ -277,6 +519,8 @@
     for (const JobLedger::Assignment& assignment : chosen) {
       capacity_.Occupy(assignment.worker, step);
     }
+    ChangeShares(step.service(), step.job->spec.account, step.priority(),
+                 ReservedFor(*step.spec), static_cast<int64_t>(chosen.size()));
     plan_.starts.push_back(
         {step.ref, std::move(chosen), std::move(reason), std::nullopt});
   }
@@ -285,11 +529,8 @@
   // enough room.
   bool PreemptFor(const ReadyStep& step) {
     const VictimSelection::Inputs inputs{
-        &capacity_,
-        inputs_.ledger,
-        inputs_.guarantees,
-        &stopped_,
-        planner_.settings_.bounds.restart_cost(),
+        &capacity_, inputs_.ledger,  inputs_.guarantees,
+        &stopped_,  SharesFor(step), planner_.settings_.bounds.restart_cost(),
         inputs_.now};
     const bool one_rack = step.spec->gang && step.spec->same_rack &&
                           capacity_.AnyRackCanHold(step);
@@ -301,8 +542,54 @@
     return true;
   }
 
+  bool MayHold(const ReadyStep& step) const {
+    return step.spec->gang && !step.urgent() && !step.expired &&
+           !inputs_.surveying;
+  }
+
+  // Also records that the gang still waits.
+  Duration WaitedOf(const ReadyStep& step) {
+    return planner_.hold_history_.Waited(step, inputs_.now, inputs_.wall_now);
+  }
+
+  // Holds capacity for a gang that does not fit. Returns true if runs are
+  // stopped for it.
+  bool HoldFor(const ReadyStep& step) {
+    HoldHistory& history = planner_.hold_history_;
+    HoldRequest request;
+    request.step = &step;
+    request.waited = WaitedOf(step);
+    if (!holds_->MayConsider(step.service())) return false;
+    const bool search = history.MaySearch(step, inputs_.now);
+    request.among = history.LastWorkers(step.ref, capacity_);
+    if (!search && request.among.empty()) return false;
+    request.empty_workers = capacity_.EmptyWorkers(step.service()) -
+                            Headroom(step) - holds_->EmptyWorkersHeldFrom(step);
+    request.near_only = IsBoundToData(step);
+    std::vector<Eviction> returns;
+    // The hold of the round before is kept while it is possible.
+    const bool kept = !request.among.empty() && !search &&
+                      holds_->Consider(request, &returns);
+    if (!kept) {
+      if (!request.among.empty()) history.OnLost(step.ref, inputs_.now);
+      if (!history.MaySearch(step, inputs_.now)) return false;
+      request.among.clear();
+      request.one_rack = step.spec->same_rack && capacity_.AnyRackCanHold(step);
+      const bool found = holds_->Consider(request, &returns);
+      history.OnSearched(step, found, inputs_.now);
+    }
+    if (returns.empty()) return false;
+    history.OnReturned(step.ref);
+    Evict(step, returns);
+    return true;
+  }
+
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions) {
+    const std::string reason = step.urgent()
+                                   ? "gives way to urgent "
+                                   : "returns capacity that is held for ";
     CapacityReservation reservation;
+    reservation.priority = step.priority();
     reservation.need = ReservedFor(*step.spec);
     reservation.made = inputs_.now;
     reservation.until =
@@ -314,25 +601,46 @@
       for (const TrackedRun* run : eviction.victims) {
         worker.releasing += run->profile.need;
         plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
-                               "gives way to urgent " + step.ref.ToString()});
+                               reason + step.ref.ToString(), !step.urgent()});
         stopped_.insert(run->task);
+        ChangeShares(step.service(), run->profile.account,
+                     run->profile.priority, run->profile.need, -1);
       }
     }
     capacity_.Reserve(reservation);
-    planner_.reservations_[step.ref] = std::move(reservation);
+    if (step.urgent()) {
+      planner_.reservations_[step.ref] = std::move(reservation);
+      return;
+    }
+    reserved_gangs_.insert(step.ref);
+    planner_.gang_reservations_[step.ref] = std::move(reservation);
   }
 
   Planner& planner_;
   const PlanInputs& inputs_;
   Plan plan_;
+  const SharedServices shared_services_;
+  // Empty while no service is shared.
+  std::optional<AccountShares> shares_;
   ClusterCapacity capacity_;
   std::vector<ReadyStep> steps_;
+  StepQueue queue_;
+  // Steps left waiting for capacity: their services, and their number by
+  // account in services that are shared.
+  std::set<std::string> scarce_services_;
+  AccountWaits::WaitingSteps waiting_for_capacity_;
   // Demand of the steps that this round could not place.
   WaitingDemand waiting_demand_;
   // Accelerators needed by waiting urgent steps, by account.
   std::map<std::string, int64_t> urgent_demand_;
   // Runs that this round has already decided to stop.
   std::set<TaskRef> stopped_;
+  // Set while held capacity is active.
+  std::optional<GangHolds> holds_;
+  // Workers to leave empty for urgent steps, by service.
+  std::map<std::string, int64_t> headroom_;
+  // Gangs whose reservations this round has taken off the capacity.
+  std::set<StepRef> reserved_gangs_;
 };
 
 bool Planner::ExpectsUrgent(const std::string& service, Time now) const {
@@ -341,17 +649,62 @@
          now - last->second < settings_.headroom_retention;
 }
 
+SharedServices Planner::ServicesWithShares(const Guarantees& guarantees) const {
+  switch (settings_.features.account_shares) {
+    case FeatureMode::kOff:
+      return {};
+    case FeatureMode::kOn:
+      return {true, {}};
+    case FeatureMode::kAuto:
+      break;
+  }
+  if (CountGuaranteedAccounts(guarantees) < kLeastAccountsWithShares) return {};
+  return {false, scarce_services_};
+}
+
 // A round looks at every worker. Most of them have no step to place: they come
 // after the end of a run, or regularly.
 Plan Planner::Decide(const PlanInputs& inputs) {
   std::vector<ReadyStep> steps =
       CollectReadySteps(*inputs.ledger, inputs.wall_now);
-  if (steps.empty()) {
+  std::vector<FeatureChange> changes = UpdateFeatures(inputs);
+  Plan plan;
+  const bool idle = steps.empty();
+  if (idle) {
     reservations_.clear();
     isolated_since_.clear();
-    return {};
+    scarce_services_.clear();
+    plan.account_waits = account_waits_.Observe({}, nullptr, inputs.now);
+    gang_reservations_.clear();
+    held_use_ = HeldCapacityUse();
+  } else {
+    plan = Round(this, inputs, std::move(steps)).Run();
+  }
+  if (idle || !held_state_.active()) {
+    plan.hold_changes = hold_history_.EndRound({}, nullptr, inputs.now);
+  }
+  plan.feature_changes = std::move(changes);
+  return plan;
+}
+
+std::vector<FeatureChange> Planner::UpdateFeatures(const PlanInputs& inputs) {
+  FeatureCondition condition;
+  condition.holds =
+      std::any_of(inputs.guarantees->begin(), inputs.guarantees->end(),
+                  [](const auto& guarantee) { return guarantee.second > 0; });
+  condition.reason = condition.holds
+                         ? "accelerators are guaranteed to an account"
+                         : "no accelerators are guaranteed to any account";
+  std::vector<FeatureChange> changes;
+  const auto change = held_state_.Update(condition);
+  if (!change) return changes;
+  changes.push_back(*change);
+  if (!change->active) {
+    gang_reservations_.clear();
+    headrooms_.clear();
+    held_use_ = HeldCapacityUse();
   }
-  return Round(this, inputs, std::move(steps)).Run();
+  return changes;
 }
 
 std::string_view ToText(WaitReason reason) {
--- a/src/libs/workload/run_review.h
+++ b/src/libs/workload/run_review.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "workload/speed_estimator.h"
+#include "workload/stall_rule.h"
 #include "workload/worker_bounds.h"
 #include "workload/worker_tracker.h"
 
@@ -21,7 +22,7 @@
   WorkerBounds bounds;
   // A run whose percentage has not changed for longer is stopped: even a run
   // that is slowed down and far from its data advances every two or three
-  // seconds.
+  // seconds. Where workers are compared, StallRule finds most stalls earlier.
   Milliseconds stall_after{5000};
 };
 
@@ -30,16 +31,17 @@
   TaskRef task;
   int run = 0;
   std::string reason;
+  // It made no progress, which counts against its worker.
+  bool stalled = false;
 };
 
 class RunReview {
  public:
-  explicit RunReview(RunReviewSettings settings) : settings_(settings) {}
+  explicit RunReview(RunReviewSettings settings);
 
   // Updates the worker's speed from its last report, which its tracker has
   // processed.
   void Observe(WorkerTracker* worker, Time now);
-  // A stalled run also counts against its worker.
   std::vector<RunVerdict> FindRunsToStop(WorkerTracker* worker, Time now) const;
   // Drops observations that are too old to matter.
   void DropStale(Time now) { speeds_.DropStale(now); }
@@ -47,11 +49,14 @@
   const SpeedEstimator& speeds() const { return speeds_; }
 
  private:
+  bool IsStalled(const WorkerTracker& worker, const TrackedRun& run,
+                 Time now) const;
   // Empty when the run should continue.
   std::string ReasonToStop(const WorkerTracker& worker, const TrackedRun& run,
                            Time now) const;
 
   const RunReviewSettings settings_;
+  const StallRule stall_rule_;
   SpeedEstimator speeds_;
 };
 
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -3,10 +3,19 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace thornplank {
 
+VictimSelection::VictimSelection(const Inputs& inputs, const ReadyStep& step)
+    : inputs_(inputs), step_(step) {
+  if (inputs.shares == nullptr) return;
+  const auto account =
+      inputs.shares->Find(step.service(), step.job->spec.account);
+  if (account) mean_share_ = inputs.shares->MeanShare(account->service);
+}
+
 std::vector<Eviction> VictimSelection::ChooseEvictions(bool near_only,
                                                        bool one_rack,
                                                        bool may_spread) const {
@@ -27,17 +36,18 @@
   double best_cost = std::numeric_limits<double>::max();
   if (one_rack) {
     for (auto& [rack, evictions] : racks) {
-      double cost = 0;
+      EvictionCost cost;
       std::vector<Eviction> chosen =
           CheapestEvictions(evictions, needed, &cost);
-      if (chosen.empty() || cost >= best_cost) continue;
+      if (chosen.empty() || cost.weighted() >= best_cost) continue;
       best = std::move(chosen);
-      best_cost = cost;
+      best_cost = cost.weighted();
     }
     if (best.empty() && !may_spread) return {};
   }
-  if (best.empty()) best = CheapestEvictions(all, needed, &best_cost);
-  return best;
+  if (!best.empty()) return best;
+  EvictionCost cost;
+  return CheapestEvictions(all, needed, &cost);
 }
 
 std::vector<Eviction> VictimSelection::EvictionsOnWorker(size_t index) const {
@@ -46,11 +56,20 @@
   const auto members = static_cast<int64_t>(step_.waiting.size());
   const int64_t bound =
       inputs_.capacity->RemainingTaskLimit(step_, *worker.tracker);
-  std::vector<std::pair<double, const TrackedRun*>> victims;
+  struct Victim {
+    EvictionCost cost;
+    const TrackedRun* run = nullptr;
+
+    bool operator<(const Victim& other) const {
+      return std::tie(cost.rank, cost.total, run) <
+             std::tie(other.cost.rank, other.cost.total, other.run);
+    }
+  };
+  std::vector<Victim> victims;
   for (const auto& [task, run] : worker.tracker->runs()) {
     if (run.stop_wanted || inputs_.stopped->count(task) > 0) continue;
     if (!IsPreemptible(run)) continue;
-    victims.emplace_back(CostOf(run), &run);
+    victims.push_back({CostOf(run), &run});
   }
   std::sort(victims.begin(), victims.end());
   Resources available = worker.free + worker.releasing;
@@ -59,7 +78,7 @@
   next.worker = index;
   int64_t held = std::min(bound, need.TimesIn(available, members));
   if (held > 0) {
-    evictions.push_back({index, held, 0, {}});
+    evictions.push_back({index, held, {}, {}});
   }
   for (const auto& [cost, run] : victims) {
     available += run->profile.need;
@@ -95,7 +114,15 @@
          guarantee->second;
 }
 
-double VictimSelection::CostOf(const TrackedRun& run) const {
+bool VictimSelection::IsProtected(const TrackedRun& run) const {
+  if (inputs_.shares == nullptr) return false;
+  const auto account =
+      inputs_.shares->Find(step_.service(), run.profile.account);
+  return !account || !AccountShares::IsAbove(
+                         inputs_.shares->WeightedShare(*account), mean_share_);
+}
+
+EvictionCost VictimSelection::CostOf(const TrackedRun& run) const {
   const double seconds =
       std::chrono::duration<double>(run.unsaved_work(inputs_.now) +
                                     inputs_.restart_cost)
@@ -105,7 +132,16 @@
     const StepSpec* spec = inputs_.ledger->FindStepSpec(run.task.step);
     if (spec != nullptr) members = spec->count;
   }
-  return seconds * members * static_cast<double>(Weight(run.profile.need));
+  EvictionCost cost;
+  cost.total =
+      seconds * members * static_cast<double>(Weight(run.profile.need));
+  if (inputs_.shares == nullptr) return cost;
+  const bool is_protected = IsProtected(run);
+  if (is_protected) cost.of_protected = cost.total;
+  // Urgent runs of an account above its share must not give way to spare other
+  // work of accounts below theirs.
+  cost.rank = (is_protected ? 1 : 0) + (run.profile.priority == 0 ? 1 : 0);
+  return cost;
 }
 
 }  // namespace thornplank
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -27,6 +27,7 @@
   run_end.began = run.began;
   run_end.saved_work = run.saved_work("", now);
   run_end.kind = run.profile.kind();
+  run_end.placed = run.placed;
   return run_end;
 }
 
@@ -70,6 +71,14 @@
                                       : checkpoint_seen_at - began;
 }
 
+// Both clocks may show too much: ours if the last report was late, the worker's
+// if that before was.
+Duration TrackedRun::idle_in_reports() const {
+  const Duration by_our_clock = last_report - last_progress;
+  if (report_clock <= progress_clock) return by_our_clock;
+  return std::min<Duration>(by_our_clock, report_clock - progress_clock);
+}
+
 double TrackedRun::rate() const {
   const int done = percent - baseline_percent;
   if (!baseline || done < kMinPercentForRate) return 0;
@@ -104,7 +113,7 @@
 
 void WorkerTracker::SetSpeed(double speed, Time now) {
   speed_ = speed;
-  if (speed > kSlowedSpeed) {
+  if (!IsSlowed()) {
     slow_since_.reset();
   } else if (!slow_since_) {
     slow_since_ = now;
@@ -118,6 +127,7 @@
   tracked.run = run;
   tracked.profile = std::move(profile);
   tracked.stage_since = now;
+  tracked.placed = now;
   used_ += tracked.profile.need;
   runs_[task] = std::move(tracked);
 }
@@ -127,6 +137,7 @@
   Add(task, run, std::move(profile), now);
   runs_[task].stage = RunStage::kInherited;
   runs_[task].pace = std::nullopt;
+  runs_[task].placed = Time{};
   lease_bound_ = std::max(lease_bound_, lease_bound);
 }
 
@@ -173,10 +184,11 @@
       tracked.stage_since = now;
       tracked.began = now;
       tracked.last_progress = now;
+      tracked.progress_clock = ClockAt(now);
       if (!tracked.resumed) tracked.baseline = now;
       return {};
     case StartOutcome::kNoAnswer:
-      trust_.OnSilence(now);
+      health_.OnSilence(now);
       if (tracked.stage == RunStage::kSending) {
         tracked.stage = RunStage::kUnknown;
         tracked.stage_since = now;
@@ -252,7 +264,7 @@
   clock_ = Milliseconds::zero();
   processed_ends_ = 0;
   recorded_ends_ = 0;
-  trust_.OnRestart();
+  health_.OnRestart();
   return ended;
 }
 
@@ -285,6 +297,7 @@
     ended.back().began = it->second.began;
     ended.back().saved_work = it->second.saved_work(end.checkpoint, now);
     ended.back().kind = it->second.profile.kind();
+    ended.back().placed = it->second.placed;
     Erase(it);
   }
   for (const RunReport& running : report.running) {
@@ -294,7 +307,7 @@
       unexpected->push_back(running);
       continue;
     }
-    UpdateProgress(tracked, running, now);
+    UpdateProgress(tracked, running, report.clock, now);
   }
   synchronized_ = true;
   for (auto it = runs_.begin(); it != runs_.end();) {
@@ -307,16 +320,26 @@
   return ended;
 }
 
+Milliseconds WorkerTracker::ClockAt(Time now) const {
+  return clock_ + std::chrono::duration_cast<Milliseconds>(
+                      std::max(now - clock_read_at_, Duration::zero()));
+}
+
 void WorkerTracker::UpdateProgress(TrackedRun* run, const RunReport& report,
-                                   Time now) {
+                                   Milliseconds clock, Time now) {
   if (run->stage != RunStage::kRunning) {
     run->stage = RunStage::kRunning;
     run->stage_since = now;
     run->began = now;
     run->last_progress = now;
+    run->progress_clock = clock;
+  }
+  if (report.percent != run->percent) {
+    run->last_progress = now;
+    run->progress_clock = clock;
   }
-  if (report.percent != run->percent) run->last_progress = now;
   run->last_report = now;
+  run->report_clock = std::max(run->report_clock, clock);
   run->percent = report.percent;
   run->load = report.load;
   if (!run->baseline) {
@@ -348,7 +371,7 @@
 
 void WorkerTracker::OnReportFailed(Time now) {
   ++failed_reports_;
-  trust_.OnSilence(now);
+  health_.OnSilence(now);
   if (!silent_since_) silent_since_ = now;
 }
 
@@ -358,8 +381,8 @@
   if (missing()) return WorkerAvailability::kNotListed;
   if (registration_.draining) return WorkerAvailability::kLeaving;
   if (domain_closed_) return WorkerAvailability::kDomainClosed;
-  return trust_.IsQuarantined(now) ? WorkerAvailability::kQuarantined
-                                   : WorkerAvailability::kUsable;
+  return health_.IsExcluded(now) ? WorkerAvailability::kQuarantined
+                                 : WorkerAvailability::kUsable;
 }
 
 RunEnd WorkerTracker::RunEndFor(IncarnationEnd end, Time now) const {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -9,6 +9,7 @@
 #ifndef THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 #define THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,9 +18,9 @@
 
 #include "base/time.h"
 #include "workload/pace_control.h"
+#include "workload/worker_health.h"
 #include "workload/worker_incarnation.h"
 #include "workload/worker_report.h"
-#include "workload/worker_trust.h"
 
 namespace thornplank {
 
@@ -38,9 +39,12 @@
 
 std::string_view ToText(RunStage stage);
 
-// A worker at or below this speed is temporarily slowed: healthy ones differ by
-// 0.8 to 1.3, slowed ones run at a quarter or less.
+// A worker at or below this share of its steady speed is temporarily slowed:
+// slowed ones run at a quarter or less.
 inline constexpr double kSlowedSpeed = 0.5;
+// Hardware below this share of the usual speed takes so long that urgent steps
+// mostly miss their objective on it (1.5 times the usual time).
+inline constexpr double kSlowHardware = 0.6;
 
 // The resources of a run, and what its loss would cost.
 struct RunProfile {
@@ -52,6 +56,8 @@
   // No cores are reserved for it; it is slowed down where it disturbs serving
   // tasks.
   bool is_filler = false;
+  // The caller's estimate of its run time; zero if there is none.
+  Milliseconds estimate{0};
   // Target for the tail latency of a serving task; zero for any other.
   Milliseconds tail_latency_target{0};
   std::string account;
@@ -71,6 +77,8 @@
   RunStage stage = RunStage::kRecording;
   // When the stage began, by this process's clock.
   Time stage_since{};
+  // When this process decided on it; Time{} if a previous leader did.
+  Time placed{};
   // When its start order was first sent.
   Time order_sent{};
   // When it was first known to run.
@@ -85,6 +93,9 @@
   // When its percentage last changed, and when a report last included it.
   Time last_progress{};
   Time last_report{};
+  // The same on the worker's clock: a report may be long on the way.
+  Milliseconds progress_clock{0};
+  Milliseconds report_clock{0};
   // Progress is measured from here: its start, or the first report of a run
   // that resumed or was inherited.
   int baseline_percent = 0;
@@ -109,6 +120,8 @@
   // The part of its run time whose work is preserved when it ends now;
   // `end_checkpoint` is the checkpoint that came with the end, or empty.
   Duration saved_work(const std::string& end_checkpoint, Time now) const;
+  // For how long its reports have shown the same percentage.
+  Duration idle_in_reports() const;
   // Percent per second since the baseline; zero while that is not yet
   // meaningful.
   double rate() const;
@@ -246,19 +259,26 @@
   Resources room() const { return registration_.capacity - used_; }
 
   // Judged by the outcome of runs there.
-  WorkerTrust& trust() { return trust_; }
-  const WorkerTrust& trust() const { return trust_; }
+  WorkerHealth& health() { return health_; }
+  const WorkerHealth& health() const { return health_; }
   // Relative to a healthy worker (1); derived from the progress of its tasks.
   double speed() const { return speed_; }
   void SetSpeed(double speed, Time now);
   // Since when it has run far below its usual speed; nullopt if it does not.
   std::optional<Time> slow_since() const { return slow_since_; }
+  bool IsSlowed() const {
+    return speed_ <= kSlowedSpeed * std::min(steady_speed_, 1.0);
+  }
   // The speed apart from temporary slowness.
   double steady_speed() const { return steady_speed_; }
   void set_steady_speed(double speed) { steady_speed_ = speed; }
+  bool has_slow_hardware() const { return steady_speed_ < kSlowHardware; }
 
  private:
-  void UpdateProgress(TrackedRun* run, const RunReport& report, Time now);
+  void UpdateProgress(TrackedRun* run, const RunReport& report,
+                      Milliseconds clock, Time now);
+  // The worker's clock by now, as far as that is known.
+  Milliseconds ClockAt(Time now) const;
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
   // A report shows that the previous incarnation is over. Returns its runs that
   // have ended.
@@ -299,7 +319,7 @@
   // Ends of this incarnation. Invariant: recorded_ends_ <= processed_ends_.
   int64_t processed_ends_ = 0;
   int64_t recorded_ends_ = 0;
-  WorkerTrust trust_;
+  WorkerHealth health_;
   double speed_ = 1;
   std::optional<Time> slow_since_;
   double steady_speed_ = 1;
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -3,8 +3,12 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -12,7 +16,9 @@
 
 #include "../workload/workload_fixtures.h"
 #include "coordination/cluster_coordinator.h"
+#include "coordination/cluster_gauges.h"
 #include "fake_formats.h"
+#include "logging/event_log.h"
 #include "standins/users_executor_model.h"
 #include "store_fixture.h"
 
@@ -67,6 +73,10 @@
     auto answer = std::make_shared<StatusAnswer>();
     answer->outcome =
         models.at(worker.id).Status(query, ClockMs(), &answer->report);
+    const auto birth = births.find(worker.id);
+    if (birth != births.end()) {
+      answer->report.incarnation_start.time = birth->second;
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::min(query.wait, Milliseconds(20)) + report_delays[worker.id]);
     timer->async_wait([timer, answer, done = std::move(done)](
@@ -78,6 +88,8 @@
   std::set<std::string> dead;
   // Number of start orders that were sent to each worker.
   std::map<std::string, int> starts;
+  // When the incarnations of workers began, if they report it.
+  std::map<std::string, WallTime> births;
   // By which the reports of a worker arrive later.
   std::map<std::string, Milliseconds> report_delays;
   // Tasks of all stop orders, in order.
@@ -102,16 +114,20 @@
  public:
   Entry(boost::asio::io_context& io, FakeRecordStore& store,
         FakeWorkerCalls& calls, const std::string& name,
-        Milliseconds read_interval)
+        Milliseconds read_interval, FeatureMode worker_health)
       : tail_(io, store, TailSettings(read_interval), Handlers()),
-        coordinator_(io, store, calls, formats_, CoordinatorSettings(name),
-                     Dependencies(), metrics_) {
+        coordinator_(io, store, calls, formats_,
+                     CoordinatorSettings(name, worker_health), Dependencies(),
+                     metrics_) {
     tail_.Start();
     coordinator_.Start();
   }
 
   ClusterCoordinator& coordinator() { return coordinator_; }
+  const ClusterCoordinator& coordinator() const { return coordinator_; }
   MetricsRegistry& metrics() { return metrics_; }
+  const JobBoard& board() const { return board_; }
+  ServingConfiguration& configuration() { return configuration_; }
   // Whether it leads and has a report of each of `workers` workers.
   bool Knows(size_t workers) const {
     if (!coordinator_.leading()) return false;
@@ -135,10 +151,11 @@
     return settings;
   }
   static ClusterCoordinatorSettings CoordinatorSettings(
-      const std::string& name) {
+      const std::string& name, FeatureMode worker_health) {
     ClusterCoordinatorSettings settings;
     settings.holder = name;
     settings.board = kBoard;
+    settings.features.worker_health = worker_health;
     return settings;
   }
   RecordTail::Handlers Handlers() {
@@ -205,8 +222,9 @@
   }
 
   void Submit(std::vector<StepSpec> steps, int work_ms,
-              const std::string& id = kJob, int priority = 1) {
-    JobDefinition job = MakeJob(id, std::move(steps), priority);
+              const std::string& id = kJob, int priority = 1,
+              const std::string& account = "north") {
+    JobDefinition job = MakeJob(id, std::move(steps), priority, account);
     job.accepted = std::chrono::system_clock::now();
     job.payload = Json({{"work_ms", work_ms}}).dump();
     Append(kBoard, JobBoard::Submission(job));
@@ -214,9 +232,10 @@
 
   // `read_interval`: least time between two reads of the board.
   Entry& Add(const std::string& name,
-             Milliseconds read_interval = Milliseconds(0)) {
-    entries.push_back(
-        std::make_unique<Entry>(io, store, calls, name, read_interval));
+             Milliseconds read_interval = Milliseconds(0),
+             FeatureMode worker_health = FeatureMode::kAuto) {
+    entries.push_back(std::make_unique<Entry>(io, store, calls, name,
+                                              read_interval, worker_health));
     return *entries.back();
   }
 
@@ -228,6 +247,24 @@
     return count;
   }
 
+  // The workers in the newest record of those that are not healthy.
+  std::map<std::string, HealthVerdict> StoredVerdicts() const {
+    std::map<std::string, HealthVerdict> verdicts;
+    for (const auto& record : store.model.ReadNewest(kBoard, "").records) {
+      JobBoard board;
+      board.Apply(record);
+      if (!board.health()) continue;
+      const auto entries =
+          DecodeHealth(*board.health()->value, Time{},
+                       std::chrono::system_clock::now(), nullptr);
+      REQUIRE(entries.has_value());
+      for (const HealthEntry& entry : *entries) {
+        verdicts[entry.worker] = entry.state.verdict;
+      }
+    }
+    return verdicts;
+  }
+
   // Number of runs of each task, however they ended.
   std::map<std::string, int> RunCounts() const {
     std::map<std::string, int> runs;
@@ -362,6 +399,27 @@
   }
 }
 
+// Guards against a gauge that nothing updates: shapes are known from accepted
+// jobs, and a new leader knows those of the jobs that it takes over.
+TEST_CASE("the leader measures fragmentation, also after a takeover") {
+  Cluster cluster;
+  Entry& first = cluster.Add("e1");
+  REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+  CHECK(first.coordinator().fragmentation().empty());
+  cluster.Submit({MakeStep(1, 9)}, 50);
+  const auto measured = [](Entry& entry) {
+    const auto& services = entry.coordinator().fragmentation();
+    return !services.empty() && services[0].idle_accelerators == 16 &&
+           services[0].unusable_share == 1;
+  };
+  REQUIRE(RunUntil(cluster.io, [&] { return measured(first); }));
+  Entry& second = cluster.Add("e2");
+  first.coordinator().Release(Milliseconds(500), [] {});
+  REQUIRE(RunUntil(cluster.io, [&] { return measured(second); }));
+  CHECK_FALSE(first.coordinator().leading());
+  CHECK(first.coordinator().fragmentation().empty());
+}
+
 TEST_CASE("jobs continue under another leader, and no task is run twice") {
   for (const bool graceful : {true, false}) {
     CAPTURE(graceful);
@@ -472,6 +530,47 @@
   }));
 }
 
+// Guards against an account that waits while another one uses all, without a
+// sign of it in the log or the metrics.
+TEST_CASE("an account that waits for its share is logged and measured") {
+  const char* const path = "account-waits.log";
+  Error error;
+  REQUIRE(OpenEventLog("a", Severity::kInfo, LogWriter::kCallingThread, path,
+                       &error));
+  Cluster cluster;
+  Entry& entry = cluster.Add("a");
+  AddClusterGauges(
+      [&entry] {
+        return std::optional<ClusterView>(
+            ClusterView{entry.board(), entry.coordinator()});
+      },
+      entry.metrics());
+  for (const char* name : {"north", "south"}) {
+    AccountConfiguration account;
+    account.name = name;
+    account.guaranteed_accelerators = 8;
+    entry.configuration().accounts.push_back(account);
+  }
+  REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+  cluster.Submit({MakeStep(16, 1)}, 60000);
+  REQUIRE(
+      RunUntil(cluster.io, [&] { return cluster.RunCounts().size() == 16; }));
+  cluster.Submit({MakeStep(1, 1)}, 50, "fedcba9876543210", 1, "south");
+  const auto logged = [&] {
+    std::ifstream log(path);
+    const std::string text((std::istreambuf_iterator<char>(log)), {});
+    return text.find("account-waits") != std::string::npos &&
+           text.find("\"account\":\"south\"") != std::string::npos;
+  };
+  CHECK(RunUntil(cluster.io, logged));
+  CloseEventLog();
+  // All accelerators, and a weight of 8.
+  const std::string metrics = entry.metrics().ToText();
+  CHECK(metrics.find("thornplank_account_share{account=\"north\","
+                     "service=\"claims\"} 0.125") != std::string::npos);
+  std::remove(path);
+}
+
 // Workers without runs are not called, so that the leader does not know that
 // one has died. A start that is sent there keeps its task, and the other
 // members of the gang, waiting until the leases of the dead worker are over.
@@ -568,5 +667,85 @@
   CHECK(cluster.CompletedRunCounts().size() == 4);
 }
 
+// Guards against a new leader that gives a worker on which all runs fail its
+// full load again, also after a store that was silent while this was written.
+TEST_CASE("verdicts on workers are on the board, and a takeover keeps them") {
+  for (const bool store_is_silent : {false, true}) {
+    CAPTURE(store_is_silent);
+    Cluster cluster;
+    cluster.calls.births["w1"] = FromUnixMilliseconds(1000);
+    Entry& first = cluster.Add("a", Milliseconds(0), FeatureMode::kOn);
+    REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+    cluster.calls.models.at("w1").set_fail_all(true);
+    const auto verdict_on = [](const Entry& entry) {
+      const WorkerTracker& worker =
+          entry.coordinator().fleet()->trackers().at("w1");
+      return worker.health().verdict(std::chrono::steady_clock::now());
+    };
+    for (int i = 1; i <= 20; ++i) {
+      cluster.Submit({MakeStep(4, 2)}, 200, std::to_string(1000 + i));
+    }
+    REQUIRE(RunUntil(cluster.io, [&] {
+      return verdict_on(first) != HealthVerdict::kHealthy;
+    }));
+    if (store_is_silent) {
+      cluster.store.refused_producer = "progress";
+      RunUntil(
+          cluster.io, [] { return false; }, Milliseconds(500));
+      cluster.store.refused_producer.clear();
+    }
+    REQUIRE(RunUntil(cluster.io,
+                     [&] { return cluster.StoredVerdicts().count("w1") > 0; }));
+    CHECK(cluster.StoredVerdicts().count("w2") == 0);
+    cluster.entries.clear();
+    Entry& next = cluster.Add("b", Milliseconds(0), FeatureMode::kOn);
+    REQUIRE(RunUntil(cluster.io, [&] { return next.Knows(2); }));
+    CHECK(verdict_on(next) != HealthVerdict::kHealthy);
+  }
+}
+
+// Guards against verdicts on a worker that is another one by now, and against a
+// leader that does not start because of a record that it cannot read.
+TEST_CASE("which verdicts of a previous leader a new one takes over") {
+  const WallTime birth = FromUnixMilliseconds(1000);
+  const auto record = [](WallTime start, Duration age) {
+    const HealthState state{HealthVerdict::kProbation, Time{}, 1};
+    return EncodeHealth(
+        {{"w1", start, state}}, Time{},
+        std::chrono::system_clock::now() -
+            std::chrono::duration_cast<std::chrono::milliseconds>(age));
+  };
+  const auto second = std::chrono::seconds(1);
+  struct Row {
+    const char* name;
+    std::string record;
+    FeatureMode mode;
+    HealthVerdict verdict;
+  };
+  const std::vector<Row> rows = {
+      {"the same incarnation", record(birth, second), FeatureMode::kOn,
+       HealthVerdict::kProbation},
+      {"an old incarnation", record(birth - second, second), FeatureMode::kOn,
+       HealthVerdict::kHealthy},
+      {"an old record", record(birth, second * 70), FeatureMode::kOn,
+       HealthVerdict::kHealthy},
+      {"unreadable", "1", FeatureMode::kOn, HealthVerdict::kHealthy},
+      {"switched off", record(birth, second), FeatureMode::kOff,
+       HealthVerdict::kHealthy},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Cluster cluster;
+    cluster.calls.births["w1"] = birth;
+    cluster.Append(kBoard, JobBoard::Health(row.record));
+    Entry& entry = cluster.Add("a", Milliseconds(0), row.mode);
+    REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+    const WorkerTracker& worker =
+        entry.coordinator().fleet()->trackers().at("w1");
+    CHECK(worker.health().verdict(std::chrono::steady_clock::now()) ==
+          row.verdict);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_planner_eligibility.cc
+++ b/tests/auto/workload/tst_planner_eligibility.cc
@@ -67,7 +67,8 @@
   for (const Row& row : rows) {
     CAPTURE(row.name);
     PlannerCluster cluster(1, 3);
-    // The best fit, since half of it is in use.
+    // The best fit for one of three members, since half of it is in use. The
+    // gang needs two workers in any case.
     cluster.workers.at("w0-0").Add({{Id(9), 0, 0}, 0}, 1, HalfOfAWorker(),
                                    cluster.now);
     for (const std::string& id : row.silent) {
@@ -79,7 +80,7 @@
       cluster.workers.at(id).OnReport(WorkerStatusReport(), cluster.now,
                                       cluster.now, &unexpected);
     }
-    cluster.ledger.Add(MakeJob(Id(1), {Gang(2, 4, true)}, 0), cluster.now);
+    cluster.ledger.Add(MakeJob(Id(1), {Gang(3, 4, true)}, 0), cluster.now);
     std::set<std::string> used;
     for (const StartDecision& start : cluster.Round().starts) {
       for (const auto& assignment : start.assignments) {
@@ -132,8 +133,8 @@
        [](WorkerTracker* worker) { worker->set_domain_closed(true); }},
       {"failing", WorkerAvailability::kQuarantined,
        [](WorkerTracker* worker) {
-         worker->trust().OnRunFailed("a", At(0));
-         worker->trust().OnRunFailed("b", At(0));
+         worker->health().OnRunFailed({"a"}, At(0));
+         worker->health().OnRunFailed({"b"}, At(0));
        }},
       {"of another service", WorkerAvailability::kUsable,
        [](WorkerTracker* worker) {
@@ -236,7 +237,7 @@
   REQUIRE(first.starts.size() == 1);
   const std::string bad = first.starts[0].assignments[0].worker;
   cluster.End(bad, {{Id(1), 0, 0}, 0}, RunEnd::kFailed);
-  cluster.workers.at(bad).trust().OnRunFailed(Id(1), cluster.now);
+  cluster.workers.at(bad).health().OnRunFailed({Id(1)}, cluster.now);
   // Only the worker on which it failed has room.
   for (auto& [id, worker] : cluster.workers) {
     if (id == bad) continue;
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -345,20 +345,57 @@
 TEST_CASE(
     "a worker that fails several jobs in a row is quarantined for a while") {
   WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
-  tracker.trust().OnRunFailed("job1", At(0));
-  tracker.trust().OnRunFailed("job1", At(10));
-  CHECK_FALSE(tracker.trust().IsQuarantined(At(20)));
-  CHECK(tracker.trust().suspect());
-  tracker.trust().OnRunFailed("job2", At(30));
-  CHECK(tracker.trust().IsQuarantined(At(40)));
-  CHECK_FALSE(tracker.trust().IsQuarantined(At(40 + 6000)));
+  tracker.health().OnRunFailed({"job1"}, At(0));
+  tracker.health().OnRunFailed({"job1"}, At(10));
+  CHECK_FALSE(tracker.health().IsExcluded(At(20)));
+  CHECK(tracker.health().IsSuspect(At(50)));
+  tracker.health().OnRunFailed({"job2"}, At(30));
+  CHECK(tracker.health().IsExcluded(At(40)));
+  CHECK_FALSE(tracker.health().IsExcluded(At(40 + 6000)));
   SUBCASE("a run that began after the failure clears it") {
-    tracker.trust().OnRunDone(At(31));
-    CHECK_FALSE(tracker.trust().suspect());
+    tracker.health().OnRunDone({"job3", At(31)}, At(45));
+    CHECK_FALSE(tracker.health().IsSuspect(At(50)));
   }
   SUBCASE("a run that began before does not clear it") {
-    tracker.trust().OnRunDone(At(29));
-    CHECK(tracker.trust().suspect());
+    tracker.health().OnRunDone({"job3", At(29)}, At(45));
+    CHECK(tracker.health().IsSuspect(At(50)));
+  }
+}
+
+// Guards against a late report that is taken for a stall.
+TEST_CASE("time without progress is measured between reports") {
+  struct Row {
+    const char* name;
+    // When the second report was made and arrived, and what it shows. The first
+    // one was made and arrived at 1,000 and showed 10%.
+    int64_t made;
+    int64_t arrived;
+    int percent;
+    int64_t idle;
+  };
+  const std::vector<Row> rows = {
+      {"progress", 1300, 1300, 11, 0},
+      {"no progress", 1300, 1300, 10, 300},
+      {"the report is late", 1300, 2300, 10, 300},
+      {"the worker's clock is ahead", 3300, 1300, 10, 300},
+      {"the worker shows no clock", 0, 1300, 10, 300},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = MakeTracker(MakeWorker("w", "r1"));
+    const TaskRef task{{"0123456789abcdef", 0, 0}, 0};
+    tracker.Add(task, 1, RunProfile(), At(0));
+    tracker.OnStartAnswer(task, 1, StartOutcome::kAccepted, At(0));
+    const auto report = [&](int64_t made, int64_t arrived, int percent) {
+      WorkerStatusReport report;
+      report.clock = Milliseconds(made);
+      report.running.push_back({task, 1, "", percent});
+      std::vector<RunReport> unexpected;
+      tracker.OnReport(report, At(arrived), At(arrived), &unexpected);
+    };
+    report(1000, 1000, 10);
+    report(row.made, row.arrived, row.percent);
+    CHECK(tracker.Find(task)->idle_in_reports() == Milliseconds(row.idle));
   }
 }
 
