--- a/tests/auto/logging/tst_log_summary.cc
+++ b/tests/auto/logging/tst_log_summary.cc
@@ -213,8 +213,10 @@
     CHECK(report.fragmentation[2].begin == FromUnixMilliseconds(120000));
   }
   SUBCASE("a long time is divided into few intervals") {
+    constexpr int kLines = 8000;
     std::vector<std::string> lines;
-    for (int i = 0; i < 8000; ++i) {
+    lines.reserve(kLines);
+    for (int i = 0; i < kLines; ++i) {
       lines.push_back(line(100 + i * 10, "a", i < 4000 ? "0" : "1"));
     }
     const LogSummaryReport report = ReportOf(lines);
