Logs and metrics that tell why a gang waits after a change of leader

A gang of which one member counts as active is no ready step, so that 928 never named it; nothing was logged of a worker with runs that the directory lacks; nothing showed how long its leases count.

Now 928 names such a gang with its unsettled workers and the time that is left, 956 names workers with runs that are not listed, 922 has the time until the leases are over, and thornplank_unsettled_runs and thornplank_lease_wait_seconds add them up. No decision changes.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -199,6 +199,7 @@
   void ApplyStart(const StartDecision& decision, Time now);
   // Logs why steps wait, once for each change of the reason.
   void LogWaits(const std::vector<WaitDecision>& waits);
+  Json UnsettledMembers(const StepProgress& gang) const;
   void LogAccountWaits(const std::vector<AccountWait>& waits);
   void MeasureFragmentation(Time now);
   void LogFeatureChanges(const std::vector<FeatureChange>& changes);
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -1,6 +1,7 @@
 // The values are computed when the metrics are scraped.
 #include "coordination/cluster_gauges.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -120,6 +121,31 @@
   return ToRows(counts);
 }
 
+// Runs on workers that cannot be asked, by what is believed of the worker.
+std::vector<MetricsRegistry::GaugeSample> UnsettledRuns(
+    const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return {};
+  const Time now = std::chrono::steady_clock::now();
+  std::map<MetricLabels, double> counts;
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    if (tracker.runs().empty() || tracker.can_be_asked()) continue;
+    const std::string belief(ToText(tracker.availability(now)));
+    counts[{{"belief", belief}}] += static_cast<double>(tracker.runs().size());
+  }
+  return ToRows(counts);
+}
+
+double LongestLeaseWait(const ClusterCoordinator& coordinator) {
+  if (coordinator.fleet() == nullptr) return 0;
+  const Time now = std::chrono::steady_clock::now();
+  Milliseconds longest{0};
+  for (const auto& [id, tracker] : coordinator.fleet()->trackers()) {
+    if (tracker.runs().empty() || tracker.can_be_asked()) continue;
+    longest = std::max(longest, tracker.lease_left(now));
+  }
+  return std::chrono::duration<double>(longest).count();
+}
+
 std::vector<MetricsRegistry::GaugeSample> RunsByDomain(
     const ClusterCoordinator& coordinator) {
   if (coordinator.fleet() == nullptr) return {};
@@ -219,6 +245,19 @@
             "Accelerators that runs hold, by what is known of the run and "
             "whether its worker answers; known to the leader.",
             HeldByStage, metrics);
+  AddGauges(view, "thornplank_unsettled_runs",
+            "Runs that count as there on workers that cannot be asked, by what "
+            "is believed of the worker; known to the leader.",
+            UnsettledRuns, metrics);
+  AddGauge(
+      view, "thornplank_lease_wait_seconds",
+      "The longest time until the leases on such a worker are over; known to "
+      "the leader.",
+      {},
+      [](const ClusterView& current) {
+        return LongestLeaseWait(current.coordinator);
+      },
+      metrics);
   AddGauges(view, "thornplank_account_share",
             "Weighted dominant share of a service by account; known to the "
             "leader.",
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -155,72 +155,11 @@
             {"configuration", dependencies_.configuration().version}});
 }
 
-void ClusterCoordinator::LogWaits(const std::vector<WaitDecision>& waits) {
-  std::map<StepRef, WaitReason> logged;
-  for (const WaitDecision& wait : waits) {
-    logged[wait.step] = wait.reason;
-    const auto last = logged_waits_.find(wait.step);
-    if (last != logged_waits_.end() && last->second == wait.reason) continue;
-    const Job* job = ledger_.Find(wait.step.job);
-    const StepProgress* progress = ledger_.FindStep(wait.step);
-    LogEvent(events::kStepWaits,
-             {{"job", wait.step.job},
-              {"step", wait.step.ToString()},
-              {"reason", std::string(ToText(wait.reason))},
-              {"tasks", progress->waiting},
-              {"priority", job->spec.policy.priority},
-              {"epoch", epoch_},
-              {"board_next", dependencies_.board_next_offset()}});
-  }
-  logged_waits_ = std::move(logged);
-}
-
-void ClusterCoordinator::LogAccountWaits(
-    const std::vector<AccountWait>& waits) {
-  for (const AccountWait& wait : waits) {
-    const auto waited_ms =
-        std::chrono::duration_cast<Milliseconds>(wait.waited).count();
-    LogEvent(events::kAccountWaits, {{"service", wait.key.service},
-                                     {"account", wait.key.account},
-                                     {"priority", wait.key.priority},
-                                     {"waits", wait.begins},
-                                     {"share", wait.share},
-                                     {"weight", wait.weight},
-                                     {"waiting", wait.waiting},
-                                     {"waited_ms", waited_ms},
-                                     {"epoch", epoch_}});
-  }
-}
-
-void ClusterCoordinator::LogFeatureChanges(
-    const std::vector<FeatureChange>& changes) {
-  for (const FeatureChange& change : changes) {
-    LogEvent(events::kFeatureChanged, {{"feature", change.feature},
-                                       {"active", change.active},
-                                       {"reason", change.reason},
-                                       {"epoch", epoch_}});
-  }
-}
-
-void ClusterCoordinator::LogHoldChanges(
-    const std::vector<HoldChange>& changes) {
-  for (const HoldChange& change : changes) {
-    LogEvent(events::kCapacityHeld, {{"job", change.step.job},
-                                     {"step", change.step.ToString()},
-                                     {"workers", change.workers},
-                                     {"rack", change.rack},
-                                     {"ready_in_ms", change.ready_in.count()},
-                                     {"waited_ms", change.waited.count()},
-                                     {"borrowers", change.borrowers},
-                                     {"reason", change.reason},
-                                     {"epoch", epoch_}});
-  }
-}
-
 void ClusterCoordinator::MeasureFragmentation(Time now) {
   if (!fragmentation_.IsDue(now)) return;
   std::set<std::string> waiting_services;
   for (const auto& [step, reason] : logged_waits_) {
+    if (reason == WaitReason::kMembersUnsettled) continue;
     const Job* job = ledger_.Find(step.job);
     if (job != nullptr) waiting_services.insert(job->spec.policy.service);
   }
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -194,8 +194,19 @@
   Activate(id);
   const Milliseconds heartbeat = settings_.bounds.heartbeat;
   if (state.departure.IsDeparture(heartbeat, last_directory_read_, now)) {
-    OnIncarnationOver(id, IncarnationEnd::kLeft);
+    return OnIncarnationOver(id, IncarnationEnd::kLeft);
   }
+  LogUnlisted(*Find(id), "its entry was removed", now);
+}
+
+void WorkerFleet::LogUnlisted(const WorkerTracker& worker,
+                              const std::string& reason, Time now) const {
+  if (worker.runs().empty()) return;
+  LogEvent(events::kWorkerUnlisted,
+           {{"worker", worker.id()},
+            {"runs", worker.runs().size()},
+            {"reason", reason},
+            {"lease_left_ms", worker.lease_left(now).count()}});
 }
 
 // A worker whose record can no longer be read gets no new tasks, and its runs
@@ -216,6 +227,7 @@
     if (ids.count(id) > 0) continue;
     WorkerCallState& state = call_states_[id];
     if (!state.missing_since) state.missing_since = now;
+    LogUnlisted(tracker, "a snapshot of the directory lacks it", now);
     Activate(id);
   }
   first_looks_.ReleaseIdle();
@@ -358,10 +370,12 @@
 void WorkerFleet::OnProbeTimeout(const std::string& worker, Time now) {
   WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr || !tracker->reachable()) return;
+  const Milliseconds lease_left = tracker->lease_left(now);
   LogEvent(events::kWorkerSilent, {{"worker", worker},
                                    {"runs", tracker->runs().size()},
                                    {"reason", "no answer to a probe"},
-                                   {"timeout_ms", ProbeTimeout().count()}});
+                                   {"timeout_ms", ProbeTimeout().count()},
+                                   {"lease_left_ms", lease_left.count()}});
   tracker->OnReportFailed(now);
   Activate(worker);
 }
@@ -371,7 +385,9 @@
   WorkerTracker* tracker = Find(id);
   if (tracker->reachable()) {
     LogEvent(events::kWorkerSilent, answer.error,
-             {{"worker", id}, {"runs", tracker->runs().size()}});
+             {{"worker", id},
+              {"runs", tracker->runs().size()},
+              {"lease_left_ms", tracker->lease_left(now).count()}});
   }
   tracker->OnReportFailed(now);
   Activate(id);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -173,6 +173,8 @@
   void Forget(const std::string& id);
   bool IsClosed(const WorkerTracker& tracker) const;
   void LogCapacity(const WorkerTracker& worker, int64_t offset) const;
+  void LogUnlisted(const WorkerTracker& worker, const std::string& reason,
+                   Time now) const;
   const char* ReasonToWithhold(const WorkerTracker& worker,
                                const TrackedRun& run) const;
   bool MayResendStart(const std::string& worker, const TaskRef& task, int run);
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -323,6 +323,7 @@
                    .TimesIn(capacity_.FreeCapacity(step.service()), 1) == 0;
       case WaitReason::kNoUsableWorker:
       case WaitReason::kSurveying:
+      case WaitReason::kMembersUnsettled:
         return false;
     }
     return false;
@@ -665,8 +666,9 @@
 // A round looks at every worker. Most of them have no step to place: they come
 // after the end of a run, or regularly.
 Plan Planner::Decide(const PlanInputs& inputs) {
+  std::vector<StepRef> broken_gangs;
   std::vector<ReadyStep> steps =
-      CollectReadySteps(*inputs.ledger, inputs.wall_now);
+      CollectReadySteps(*inputs.ledger, inputs.wall_now, &broken_gangs);
   std::vector<FeatureChange> changes = UpdateFeatures(inputs);
   Plan plan;
   const bool idle = steps.empty();
@@ -683,6 +685,9 @@
   if (idle || !held_state_.active()) {
     plan.hold_changes = hold_history_.EndRound({}, nullptr, inputs.now);
   }
+  for (StepRef& gang : broken_gangs) {
+    plan.waits.push_back({std::move(gang), WaitReason::kMembersUnsettled, {}});
+  }
   plan.feature_changes = std::move(changes);
   return plan;
 }
@@ -725,6 +730,8 @@
       return "no room on the workers that are approved so far";
     case WaitReason::kSurveying:
       return "workers have yet to be asked what they run";
+    case WaitReason::kMembersUnsettled:
+      return "members of its last run may still be on their workers";
   }
   return "no room";
 }
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -99,6 +99,9 @@
   kNoRoomOnApprovedWorkers,
   // A new leader has yet to ask many workers what they run.
   kSurveying,
+  // A gang has lost members, and others of that run may still be on their
+  // workers.
+  kMembersUnsettled,
 };
 
 std::string_view ToText(WaitReason reason);
--- a/src/libs/workload/ready_step.cc
+++ b/src/libs/workload/ready_step.cc
@@ -32,14 +32,20 @@
 }
 
 void CollectOccurrence(const Job& job, int occurrence, WallTime now,
-                       std::vector<ReadyStep>* open) {
+                       std::vector<ReadyStep>* open,
+                       std::vector<StepRef>* broken_gangs) {
   const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
   for (size_t i = 0; i < steps.size(); ++i) {
     const StepProgress& progress = steps[i];
     if (progress.waiting == 0) continue;
     const StepSpec& spec = job.spec.steps[i];
     const int index = static_cast<int>(i);
-    if (spec.gang && progress.active() > 0) continue;
+    if (spec.gang && progress.active() > 0) {
+      if (broken_gangs != nullptr) {
+        broken_gangs->push_back({job.spec.id, occurrence, index});
+      }
+      continue;
+    }
     if (!JobLedger::IsReady(job, occurrence, index)) continue;
     ReadyStep step;
     step.job = &job;
@@ -78,14 +84,14 @@
   return false;
 }
 
-std::vector<ReadyStep> CollectReadySteps(const JobLedger& ledger,
-                                         WallTime now) {
+std::vector<ReadyStep> CollectReadySteps(const JobLedger& ledger, WallTime now,
+                                         std::vector<StepRef>* broken_gangs) {
   std::vector<ReadyStep> open;
   for (const auto& [id, job] : ledger.jobs()) {
     if (IsTerminal(job->state)) continue;
     for (int k = 0; k < job->spec.occurrence_count(); ++k) {
       if (job->spec.scheduled() && job->spec.due(k) > now) break;
-      CollectOccurrence(*job, k, now, &open);
+      CollectOccurrence(*job, k, now, &open, broken_gangs);
     }
   }
   std::sort(open.begin(), open.end(), HasPrecedence);
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -48,8 +48,12 @@
 };
 
 // Sorted by priority, then by age, oldest first. The pointers refer to the
-// ledger.
-std::vector<ReadyStep> CollectReadySteps(const JobLedger& ledger, WallTime now);
+// ledger. `broken_gangs`, if not null, receives the gangs that have lost
+// members and are not ready: other members of that run may still be on their
+// workers.
+std::vector<ReadyStep> CollectReadySteps(
+    const JobLedger& ledger, WallTime now,
+    std::vector<StepRef>* broken_gangs = nullptr);
 
 }  // namespace thornplank
 
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -245,6 +245,11 @@
   // previous leader can start anything there.
   bool synchronized() const { return synchronized_; }
   bool reachable() const { return failed_reports_ == 0; }
+  // Whether it answers calls, as far as is known: it has an address, and the
+  // last call was not in vain.
+  bool can_be_asked() const {
+    return reachable() && !registration_.address.empty();
+  }
   WorkerAvailability availability(Time now) const;
   int failed_reports() const { return failed_reports_; }
   // The worker's clock in its last report.
@@ -252,6 +257,11 @@
   // Whether all leases have expired, whichever orders were carried out.
   bool LeasesExpired(Time now) const { return now > lease_bound_; }
   Time lease_bound() const { return lease_bound_; }
+  // Until all leases have expired; zero after that.
+  Milliseconds lease_left(Time now) const {
+    return std::chrono::duration_cast<Milliseconds>(
+        std::max(lease_bound_ - now, Duration::zero()));
+  }
 
   // Resources that nothing may be using. A worker whose capacity was reduced
   // may hold more runs than fit: some amounts are negative then, and nothing
