A leader that was suspended renews no lease by an earlier answer

What callers could have seen: two runs of one task.

The fleet now asks before each renewal and each start. Test: "a report that arrives after a suspension renews no lease" fails with the answer of the last tick. Looked for elsewhere: leadership_confirmed_ is read for nothing else.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -79,10 +79,7 @@
     BeginClaim();
   }
   if (phase_ == Phase::kLeading) {
-    const BootTime boot_now = BootClock::now();
-    const bool may_renew =
-        boot_now - leadership_confirmed_ < settings_.leadership_timeout;
-    fleet_->Tick(now, may_renew);
+    fleet_->Tick(now);
     RefuseStarts(start_gate_.TakeExpired(now));
     StopOutdatedRuns();
     DropExpiredRecords();
@@ -334,6 +331,10 @@
   handlers.on_fenced = [this] {
     ScheduleStepDown("a worker has accepted a higher epoch");
   };
+  handlers.may_renew = [this] {
+    return BootClock::now() - leadership_confirmed_ <
+           settings_.leadership_timeout;
+  };
   return handlers;
 }
 
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -61,7 +61,7 @@
 const char* WorkerFleet::ReasonToWithhold(const WorkerTracker& worker,
                                           const TrackedRun& run) const {
   if (run.stop_wanted) return "no longer wanted";
-  if (!may_renew_) return "this entry may no longer be the leader";
+  if (!handlers_.may_renew()) return "this entry may no longer be the leader";
   if (worker.domain_closed()) return "the failure domain takes no new work";
   if (!worker.synchronized()) return "the worker has restarted";
   // room() already includes the run.
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -284,8 +284,7 @@
   RequestReportIfDue(worker, Now());
 }
 
-void WorkerFleet::Tick(Time now, bool may_renew) {
-  may_renew_ = may_renew;
+void WorkerFleet::Tick(Time now) {
   const std::vector<std::string> ids(active_.begin(), active_.end());
   run_review_.DropStale(now);
   health_monitor_.Tick(now);
@@ -326,9 +325,9 @@
   // The leases of a worker that does not answer are not renewed, so that they
   // expire. A probe comes before a start, whose order has a short lease of its
   // own.
-  const bool renews = kind != ReportKind::kProbe && may_renew_ &&
-                      tracker->synchronized() && tracker->reachable() &&
-                      !tracker->runs().empty();
+  const bool renews = kind != ReportKind::kProbe && tracker->synchronized() &&
+                      tracker->reachable() && !tracker->runs().empty() &&
+                      handlers_.may_renew();
   if (renews) {
     query.lease_until =
         tracker->IssueDeadline(settings_.bounds.lease_term(), now);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -78,6 +78,9 @@
     std::function<void()> on_change;
     // A worker has accepted a higher epoch.
     std::function<void()> on_fenced;
+    // Whether the owner can still be the leader. Asked before each renewal and
+    // start: a process that was suspended must not act on an earlier answer.
+    std::function<bool()> may_renew;
   };
 
   WorkerFleet(WorkerCalls& calls, const Formats& formats,
@@ -160,9 +163,8 @@
                       int64_t number);
 
   // To be called several times a second: requests reports that are due, repeats
-  // stops and reviews workers and gangs. Leases are renewed only if
-  // `may_renew`, that is, while the owner can still be the leader.
-  void Tick(Time now, bool may_renew);
+  // stops and reviews workers and gangs.
+  void Tick(Time now);
 
  private:
   // Parts of the average latency of which a new one is one.
@@ -239,7 +241,6 @@
   // Reasons for unreadable start times that were already logged.
   std::set<std::string> logged_faults_;
   std::set<std::string> closed_domains_;
-  bool may_renew_ = true;
   // Of reports that do not wait.
   LatencyAverage usual_latency_{kLatencyParts};
   // Since when the directory has been read without a gap.
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -78,7 +78,7 @@
   fixture.fleet.Add("w1", kTask, 1, RunProfile(), Fixture::Now());
   fixture.fleet.ProbeIfQuiet("w1", later);
   REQUIRE(fixture.calls.reports == 2);
-  fixture.fleet.Tick(later, true);
+  fixture.fleet.Tick(later);
   CHECK(fixture.calls.pending_long_poll == nullptr);
   fixture.fleet.SendStart("w1", kTask, 1, {});
   CHECK(fixture.calls.pending_long_poll != nullptr);
@@ -94,7 +94,7 @@
   fixture.calls.AnswerLongPoll();
   fixture.fleet.RequestStop("w1", kTask, 1, "gives way");
   CHECK(fixture.calls.stops == 1);
-  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
   REQUIRE(fixture.calls.pending_long_poll != nullptr);
   CHECK(fixture.ends.empty());
   fixture.calls.report.running.clear();
@@ -168,7 +168,7 @@
                                     {serving, 1, "", 100, row.tail}};
     fixture.fleet.SendStart("w1", kTask, 1, {});
     for (int i = 0; i < 3; ++i) {
-      fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+      fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
       fixture.calls.AnswerLongPoll();
     }
     CHECK(fixture.calls.sent_paces == row.sent);
@@ -181,9 +181,9 @@
   fixture.calls.stop_outcome = CallOutcome::kNoAnswer;
   fixture.fleet.RequestStop("w1", kTask, 1, "test");
   REQUIRE(fixture.calls.stops == 1);
-  fixture.fleet.Tick(Fixture::Now() + Milliseconds(100), /*may_renew=*/true);
+  fixture.fleet.Tick(Fixture::Now() + Milliseconds(100));
   CHECK(fixture.calls.stops == 1);
-  fixture.fleet.Tick(Fixture::Now() + Milliseconds(300), /*may_renew=*/true);
+  fixture.fleet.Tick(Fixture::Now() + Milliseconds(300));
   CHECK(fixture.calls.stops == 2);
 }
 
@@ -277,7 +277,7 @@
   Fixture fixture;
   const int before = fixture.calls.reports;
   fixture.fleet.OnDirectoryRecord({"w9", kUnknownService, 1}, Fixture::Now());
-  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
   CHECK(fixture.calls.reports == before);
 }
 
@@ -293,7 +293,7 @@
   Time now = Fixture::Now();
   for (int i = 0; i < 5; ++i) {
     now += Milliseconds(300);
-    fixture.fleet.Tick(now, /*may_renew=*/true);
+    fixture.fleet.Tick(now);
     CHECK_FALSE(fixture.calls.renewed);
   }
   CHECK(fixture.calls.reports == before + 5);
@@ -302,13 +302,30 @@
 
 TEST_CASE("nothing is started by an entry that may no longer be the leader") {
   Fixture fixture;
-  fixture.fleet.Tick(Fixture::Now(), /*may_renew=*/false);
+  fixture.may_renew = false;
   fixture.Start();
   CHECK(fixture.calls.starts == 0);
   REQUIRE(fixture.ends.size() == 1);
   CHECK(fixture.ends[0] == RunEnd::kLost);
 }
 
+// Guards against a leader that was suspended for longer than it may renew, and
+// renews leases by what it knew before: its successor counts on the end of
+// them.
+TEST_CASE("a report that arrives after a suspension renews no lease") {
+  Fixture fixture;
+  fixture.Start();
+  fixture.Tick(Fixture::Now() + std::chrono::seconds(1));
+  REQUIRE(fixture.calls.renewed);
+  REQUIRE(fixture.calls.pending_long_poll != nullptr);
+  fixture.calls.report.running = {{kTask, 1, "", 10}};
+  const int before = fixture.calls.reports;
+  fixture.may_renew = false;
+  fixture.calls.AnswerLongPoll();
+  CHECK(fixture.calls.reports == before + 1);
+  CHECK_FALSE(fixture.calls.renewed);
+}
+
 TEST_CASE("leases and stops respect the bounds of the workers") {
   struct Row {
     const char* name;
@@ -330,18 +347,16 @@
     const Time begin = Fixture::Now();
     fixture.Start();
     // After the delay that follows the first report.
-    fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1),
-                       /*may_renew=*/true);
+    fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
     REQUIRE(fixture.calls.renewed);
     const Duration slack = Fixture::Now() - begin + Milliseconds(1);
     CHECK(fixture.calls.lease_until <= row.longest_lease + slack);
     fixture.fleet.RequestStop("w1", kTask, 1, "test");
     REQUIRE(fixture.calls.stops == 1);
     // The stop is not repeated while the worker may still be stopping the run.
-    fixture.fleet.Tick(Fixture::Now() + row.stop, /*may_renew=*/true);
+    fixture.fleet.Tick(Fixture::Now() + row.stop);
     CHECK(fixture.calls.stops == 1);
-    fixture.fleet.Tick(Fixture::Now() + row.stop + std::chrono::seconds(1),
-                       /*may_renew=*/true);
+    fixture.fleet.Tick(Fixture::Now() + row.stop + std::chrono::seconds(1));
     CHECK(fixture.calls.stops == 2);
   }
 }
@@ -352,7 +367,7 @@
   fixture.fleet.RequestStop("w1", kTask, 1, "test");
   fixture.fleet.RequestStop("w1", kTask, 1, "test");
   CHECK(fixture.calls.stops == 1);
-  fixture.fleet.Tick(Fixture::Now() + Milliseconds(200), /*may_renew=*/true);
+  fixture.fleet.Tick(Fixture::Now() + Milliseconds(200));
   CHECK(fixture.calls.stops == 1);
 }
 
--- a/tests/auto/coordination/tst_worker_fleet_incarnations.cc
+++ b/tests/auto/coordination/tst_worker_fleet_incarnations.cc
@@ -88,7 +88,7 @@
   Time now = Fixture::Now();
   for (int i = 0; i < 3; ++i) {
     now += Milliseconds(300);
-    fixture.fleet.Tick(now, /*may_renew=*/true);
+    fixture.fleet.Tick(now);
   }
   CHECK(fixture.calls.stops == 1);
   REQUIRE(fixture.ends.size() == 1);
@@ -146,7 +146,7 @@
   fixture.Start();
   fixture.fleet.OnDirectoryRecord({"w1", kUnreadable, 1}, Fixture::Now());
   fixture.calls.report.running = {{kTask, 1, "", 10, 0}};
-  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1), true);
+  fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
   fixture.calls.AnswerLongPoll();
   CHECK(fixture.calls.renewed);
   CHECK(fixture.ends.empty());
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -136,6 +136,7 @@
     handlers.on_no_answer = [](const std::string&) {};
     handlers.on_change = [] {};
     handlers.on_fenced = [this] { ++fenced; };
+    handlers.may_renew = [this] { return may_renew; };
     return handlers;
   }
 
@@ -146,11 +147,11 @@
 
   // One tick of the fleet. A long poll that is pending is answered first if
   // long polls are to be answered at once.
-  void Tick(Time now, bool may_renew = true) {
+  void Tick(Time now) {
     if (calls.answer_long_polls && calls.pending_long_poll != nullptr) {
       calls.AnswerLongPoll();
     }
-    fleet.Tick(now, may_renew);
+    fleet.Tick(now);
   }
 
   bool has_worker() const { return fleet.trackers().count("w1") > 0; }
@@ -159,6 +160,7 @@
   FakeFormats formats;
   std::vector<RunEnd> ends;
   int fenced = 0;
+  bool may_renew = true;
   WorkerFleet fleet;
 };
 
