A successor's wait counts from the predecessor's last heartbeat and fits the bound

What callers saw: after a change of leader a job has nothing running for 13.3 s and more, where a worker of it can be asked by nobody. Every job must be at work again 14 s after the end of the traffic.

Cause: the wait was counted from the takeover, although the predecessor may renew only for a while after the last heartbeat that was stored, and it assumed 6 s for that. With 0.75 s of vacancy, up to 1.6 s until a process is back and 1.6 s until the claim of the last in line, it ended up to 17 s after the loss of the leader.

Ruled out: shorter leases (6.5 s): they are renewed every 2 s at the least, and what runs must survive an outage of the store. A worker's missing directory entry or a refused connection as evidence: both are seen of workers that run on.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -58,6 +58,7 @@
       dependencies_(std::move(dependencies)),
       first_sequence_(FirstSequence(settings_.holder)),
       election_(LeaderElectionSettings(), settings_.holder),
+      predecessor_(settings_.holder, settings_.leadership_timeout),
       planner_(PlannerSettingsFor(settings_)),
       progress_write_limiter_(settings_.end_record_interval),
       metrics_(metrics),
@@ -103,6 +104,8 @@
   election_.OnBoardCaughtUp(latency, Now());
 }
 
+void ClusterCoordinator::OnBoardSnapshot() { predecessor_.OnSnapshot(Now()); }
+
 void ClusterCoordinator::OnClosedDomainsChanged() {
   if (!fleet_) return;
   fleet_->CloseDomains(dependencies_.closed_domains());
@@ -119,6 +122,7 @@
     case BoardChange::Kind::kLeader: {
       const LeaderRecord& leader = dependencies_.board->leader();
       election_.OnLeaderRecord(leader, Now());
+      predecessor_.OnLeaderRecord(leader, Now());
       claim_retry_ = Milliseconds(0);
       LogLeader(leader);
       const bool is_own = leader.holder == settings_.holder;
@@ -437,7 +441,7 @@
   const StepProgress* progress = ledger_.FindStep(ref);
   if (progress == nullptr) return;
   const Time lease_bound =
-      now + settings_.leadership_timeout +
+      predecessor_.LastRenewal(epoch_, now) +
       WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
   for (size_t i = 0; i < progress->tasks.size(); ++i) {
     const TaskStatus& task = progress->tasks[i];
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -32,6 +32,7 @@
 #include "coordination/health_record_schedule.h"
 #include "coordination/job_board.h"
 #include "coordination/leader_election.h"
+#include "coordination/predecessor.h"
 #include "coordination/progress_write_limiter.h"
 #include "coordination/record_tail.h"
 #include "coordination/scheduling_metrics.h"
@@ -51,9 +52,10 @@
   Partition board;
   // A leader whose last stored heartbeat is older stops renewing leases. A
   // successor that cannot reach a worker waits for this time and for a lease
-  // before it takes the runs there as ended. With a lease of 6.5 s, runs
-  // survive outages of the store of 12 s.
-  Milliseconds leadership_timeout{6000};
+  // before it takes the runs there as ended: together less than the 14 s after
+  // which every job must be at work again. The leases that are renewed last go
+  // on for 4.5 s at least, so that runs survive outages of the store of 6 s.
+  Milliseconds leadership_timeout{4000};
   // Between two rounds that place tasks, while a new leader asks its workers
   // for their first reports: each round looks at all of them.
   Milliseconds survey_planning_interval{80};
@@ -118,6 +120,8 @@
   void Start();
   // To be called after a record was applied to the board.
   void OnBoardChange(const BoardChange& change);
+  // The board was read anew from its newest records.
+  void OnBoardSnapshot();
   // The board was read up to its end. `latency` is that of the store.
   void OnBoardCaughtUp(Duration latency);
   // The set of closed failure domains has changed.
@@ -235,6 +239,7 @@
   // Sequence number of the claim; the writers continue after it.
   const int64_t first_sequence_;
   LeaderElection election_;
+  Predecessor predecessor_;
   Planner planner_;
   ProgressWriteLimiter progress_write_limiter_;
   SchedulingMetrics metrics_;
--- a/src/libs/coordination/leader_election.cc
+++ b/src/libs/coordination/leader_election.cc
@@ -4,12 +4,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace thornplank {
-namespace {
-
-constexpr char kIncarnationSeparator = '/';
+#include "coordination/predecessor.h"
 
-}  // namespace
+namespace thornplank {
 
 LeaderElection::LeaderElection(LeaderElectionSettings settings,
                                std::string holder)
@@ -38,9 +35,7 @@
 
 bool LeaderElection::IsPreviousIncarnation(const LeaderRecord& leader) const {
   if (leader.released || leader.holder == holder_) return false;
-  const size_t name_end = holder_.find(kIncarnationSeparator);
-  if (name_end == std::string::npos) return false;
-  return leader.holder.compare(0, name_end + 1, holder_, 0, name_end + 1) == 0;
+  return IsSameInstance(leader.holder, holder_);
 }
 
 bool LeaderElection::ShouldClaim(const LeaderRecord& leader, Time now) const {
--- a/src/libs/replicas/board_replica.cc
+++ b/src/libs/replicas/board_replica.cc
@@ -144,6 +144,7 @@
     };
     handlers.on_snapshot = [this](const std::set<std::string>& keys) {
       board_.OnSnapshot(keys);
+      coordinator_.OnBoardSnapshot();
     };
     handlers.on_caught_up = [this] { OnBoardCaughtUp(); };
     handlers.on_failure = [this](const Error& error) {
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -162,6 +162,7 @@
     };
     handlers.on_snapshot = [this](const std::set<std::string>& keys) {
       board_.OnSnapshot(keys);
+      coordinator_.OnBoardSnapshot();
     };
     handlers.on_caught_up = [this] {
       coordinator_.OnBoardCaughtUp(tail_.latency());
--- a/tests/auto/coordination/tst_takeover_leases.cc
+++ b/tests/auto/coordination/tst_takeover_leases.cc
@@ -39,6 +39,29 @@
   bool listed;
 };
 
+// Guards against a wait that is counted from the takeover, and that leaves too
+// little of the 14 s after which every job must be at work again for the time
+// in which leadership was vacant.
+TEST_CASE("the wait for a worker counts from the last sign of the leader") {
+  const ClusterCoordinatorSettings settings;
+  const Milliseconds longest_wait =
+      settings.leadership_timeout +
+      WorkerTracker::MaxLeaseDuration(settings.bounds.lease_term());
+  Cluster cluster;
+  Entry& first = cluster.Add("a");
+  REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+  cluster.Add("b");
+  cluster.Submit({MakeStep(2, 8)}, 60000);
+  REQUIRE(
+      RunUntil(cluster.io, [&] { return cluster.RunCounts().size() == 2; }));
+  cluster.calls.dead = {"w2"};
+  const Time lost = std::chrono::steady_clock::now();
+  const Time bound = LeaseBound(ReplaceLeader(&cluster), "w2");
+  const Duration vacancy = std::chrono::steady_clock::now() - lost;
+  CHECK(bound - lost < longest_wait + vacancy / 2);
+  CHECK(bound - lost > longest_wait - vacancy / 2);
+}
+
 // Guards against jobs that have nothing running for longer with each change of
 // the leader: every leader waited for the longest lease that its predecessor
 // could have given to a worker that nobody reaches, counted from its own
