Leaders record the workers that they cannot ask, so that a successor waits no longer

A gang of which a member may still be on a worker that nobody can ask starts nowhere until the leases there are over; each new leader counted that time anew from its own takeover.

Cause: how long a silent worker's leases last was known to one leader only, and lost with it. Class: knowledge that decides about a run and does not survive a change of leader.

Now the leader records the workers that it cannot ask with the time until their leases are over, and renews none there until a record without the worker is stored. The next leader counts from when it read the record; others ignore it.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -142,6 +142,9 @@
       SyncJobFromBoard(change.job);
       if (change.kind == BoardChange::Kind::kCancelled) StopOutdatedRuns();
       return SchedulePlanning();
+    case BoardChange::Kind::kRenewalStops:
+      renewal_stops_read_ = Now();
+      return;
     case BoardChange::Kind::kState:
     case BoardChange::Kind::kDropped:
     case BoardChange::Kind::kEntry:
@@ -364,13 +367,15 @@
   for (const auto& [id, job] : dependencies_.board->jobs()) {
     SyncJobFromBoard(id);
   }
+  LoadRenewalStops();
   const size_t restored_steps = RestoreProgress();
   RestoreHealth(Now());
   LogEvent(events::kLeadershipAcquired,
            {{"epoch", epoch_},
             {"board_next", dependencies_.board_next_offset()},
             {"jobs", ledger_.jobs().size()},
-            {"steps", restored_steps}});
+            {"steps", restored_steps},
+            {"renewal_stops", recorded_lease_ends_.size()}});
   WriteHeartbeat(/*released=*/false, nullptr);
 
   directory_->Attach(fleet_.get());
@@ -440,16 +445,40 @@
 void ClusterCoordinator::InheritRuns(const StepRef& ref, Time now) {
   const StepProgress* progress = ledger_.FindStep(ref);
   if (progress == nullptr) return;
-  const Time lease_bound =
-      predecessor_.LastRenewal(epoch_, now) +
-      WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
   for (size_t i = 0; i < progress->tasks.size(); ++i) {
     const TaskStatus& task = progress->tasks[i];
     if (task.phase != TaskPhase::kActive) continue;
     const TaskRef task_ref{ref, static_cast<int>(i)};
     fleet_->Inherit(task.worker, task_ref, task.run, ProfileOf(task_ref), now,
-                    lease_bound);
+                    LeaseBoundOf(task.worker, now));
+  }
+}
+
+void ClusterCoordinator::LoadRenewalStops() {
+  recorded_lease_ends_.clear();
+  const auto& record = dependencies_.board->renewal_stops();
+  if (!record) return;
+  Error error;
+  const auto stops = DecodeRenewalStops(*record->value, &error);
+  if (!stops) {
+    LogEvent(events::kRecordUnreadable, error, {{"key", record->key}});
+    return;
   }
+  // A leader in between may have renewed leases that this record stops.
+  if (stops->epoch + 1 != epoch_) return;
+  for (const RenewalStop& stop : stops->stops) {
+    recorded_lease_ends_[stop.worker] = renewal_stops_read_ + stop.lease_left;
+  }
+}
+
+Time ClusterCoordinator::LeaseBoundOf(const std::string& worker,
+                                      Time now) const {
+  const Time bound =
+      predecessor_.LastRenewal(epoch_, now) +
+      WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
+  const auto recorded = recorded_lease_ends_.find(worker);
+  if (recorded == recorded_lease_ends_.end()) return bound;
+  return std::min(bound, recorded->second);
 }
 
 void ClusterCoordinator::ScheduleStepDown(const std::string& reason) {
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -191,6 +191,10 @@
   void RestoreHealth(Time now);
   void SyncJobFromBoard(const std::string& id);
   void InheritRuns(const StepRef& ref, Time now);
+  // Reads what the previous leader recorded of workers that it could not ask.
+  void LoadRenewalStops();
+  // When all leases that previous leaders may have given are over.
+  Time LeaseBoundOf(const std::string& worker, Time now) const;
   void StepDown(const std::string& reason);
   void ScheduleStepDown(const std::string& reason);
 
@@ -283,6 +287,10 @@
   HealthRecordSchedule health_schedule_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
+  // When the newest record of renewal stops was read; valid in every phase.
+  Time renewal_stops_read_{};
+  // The ends of leases by the record of the previous leader, by worker.
+  std::map<std::string, Time> recorded_lease_ends_;
   // Jobs that have started and not ended, to be published once the next
   // progress write is stored.
   std::set<std::string> started_jobs_;
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -26,6 +26,11 @@
   return run;
 }
 
+KeyedRecord ToRecord(const RenewalStopRecord& record) {
+  if (record.stops.empty()) return JobBoard::RenewalStops(std::nullopt);
+  return JobBoard::RenewalStops(EncodeRenewalStops(record));
+}
+
 }  // namespace
 
 void ClusterCoordinator::SchedulePlanning() {
@@ -340,8 +345,11 @@
   const std::set<std::string> started_jobs = std::exchange(started_jobs_, {});
   std::vector<std::string> started(started_jobs.begin(), started_jobs.end());
   std::map<std::string, LatestEnd> ends = std::exchange(unrecorded_ends_, {});
-  if (records.empty()) return OnProgressStored(started, ends);
   const Time now = Now();
+  if (auto stops = fleet_->TakeRenewalStops(now)) {
+    records.push_back(ToRecord({epoch_, std::move(*stops)}));
+  }
+  if (records.empty()) return OnProgressStored(started, ends);
   progress_write_limiter_.OnRecorded(now);
   if (auto health =
           health_schedule_.TakeDue(fleet_->UnhealthyWorkers(now), now,
@@ -355,6 +363,7 @@
                            generation = generation_, current = *generation_] {
                             if (*generation != current) return;
                             health_schedule_.OnStored();
+                            fleet_->OnRenewalStopsStored();
                             OnProgressStored(started, ends);
                             OnStartsRecorded(starts);
                             SchedulePlanning();
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -62,6 +62,7 @@
                                           const TrackedRun& run) const {
   if (run.stop_wanted) return "no longer wanted";
   if (!handlers_.may_renew()) return "this entry may no longer be the leader";
+  if (worker.renewals_stopped()) return "no leases are renewed there";
   if (worker.domain_closed()) return "the failure domain takes no new work";
   if (!worker.synchronized()) return "the worker has restarted";
   // room() already includes the run.
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -18,6 +18,7 @@
 constexpr char kEntryKey = 'e';
 constexpr char kLeaderKey[] = "leader";
 constexpr char kHealthKey[] = "health";
+constexpr char kRenewalStopsKey[] = "renewals";
 constexpr char kProgressKey = 't';
 // Sorts after all other keys.
 constexpr char kRosterKey[] = "z-roster";
@@ -46,6 +47,7 @@
     ApplyHealth(record);
     return {};
   }
+  if (record.key == kRenewalStopsKey) return ApplyRenewalStops(record);
   if (record.key.size() < 2) return {};
   const std::string id = record.key.substr(1);
   switch (record.key[0]) {
@@ -168,8 +170,16 @@
   if (record.value) health_ = record;
 }
 
+BoardChange JobBoard::ApplyRenewalStops(const KeyedRecord& record) {
+  if (renewal_stops_ && record.offset < renewal_stops_->offset) return {};
+  renewal_stops_.reset();
+  if (record.value) renewal_stops_ = record;
+  return {BoardChange::Kind::kRenewalStops, ""};
+}
+
 void JobBoard::OnSnapshot(const std::set<std::string>& keys) {
   if (keys.count(kHealthKey) == 0) health_.reset();
+  if (keys.count(kRenewalStopsKey) == 0) renewal_stops_.reset();
   for (auto it = progress_.begin(); it != progress_.end();) {
     const auto block = it++;
     if (keys.count(block->first) == 0) progress_.erase(block);
@@ -245,6 +255,10 @@
   return {kHealthKey, std::move(value), 0};
 }
 
+KeyedRecord JobBoard::RenewalStops(std::optional<std::string> value) {
+  return {kRenewalStopsKey, std::move(value), 0};
+}
+
 std::optional<ProgressBlockRef> JobBoard::ParseProgressKey(
     const std::string& key) {
   if (key.empty() || key[0] != kProgressKey) return std::nullopt;
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -3,8 +3,8 @@
 //
 // The partition holds, by key: the submission, the cancellation, the state and
 // the reason of failure of each job; the leader; the entries; the roster of
-// replicas; and the progress of steps and the health of workers, which only a
-// leader reads. Repeated
+// replicas; and the progress of steps, the health of workers and the workers on
+// which no leases are renewed, which only a leader reads. Repeated
 // records and records that come in another order give the same result: a job
 // that was cancelled before its end was published stays cancelled, and a
 // published end is final.
@@ -75,7 +75,8 @@
     kDropped,
     kLeader,
     kEntry,
-    kRoster
+    kRoster,
+    kRenewalStops
   };
   Kind kind = Kind::kNone;
   // Id of the job; "" for the kinds that concern no job.
@@ -108,6 +109,11 @@
   // The newest record of the workers that are not healthy, as it was read;
   // nullopt if there is none.
   const std::optional<KeyedRecord>& health() const { return health_; }
+  // The newest record of the workers on which a leader renews no leases, as it
+  // was read; nullopt if there is none.
+  const std::optional<KeyedRecord>& renewal_stops() const {
+    return renewal_stops_;
+  }
   // Number of accepted jobs of the queue of which no task has started.
   int64_t WaitingJobs(const std::string& queue) const;
 
@@ -133,6 +139,9 @@
                               std::optional<std::string> value);
   // The workers that are not healthy.
   static KeyedRecord Health(std::string value);
+  // The workers on which a leader renews no leases; a tombstone if `value` is
+  // nullopt.
+  static KeyedRecord RenewalStops(std::optional<std::string> value);
   // The block of progress that the key names; nullopt if it is another key.
   static std::optional<ProgressBlockRef> ParseProgressKey(
       const std::string& key);
@@ -149,6 +158,7 @@
   BoardChange ApplyRoster(const KeyedRecord& record);
   void ApplyProgress(const KeyedRecord& record);
   void ApplyHealth(const KeyedRecord& record);
+  BoardChange ApplyRenewalStops(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
   LeaderRecord leader_;
@@ -156,6 +166,7 @@
   std::optional<ReplicaRoster> roster_;
   std::unordered_map<std::string, KeyedRecord> progress_;
   std::optional<KeyedRecord> health_;
+  std::optional<KeyedRecord> renewal_stops_;
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -111,6 +111,7 @@
     WorkerTracker new_tracker(*registration);
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
+    new_tracker.set_renewals_stopped(renewal_stops_.Contains(id));
     health_monitor_.OnWorkerSeen(&new_tracker);
     trackers_.emplace(id, std::move(new_tracker));
     Activate(id);
@@ -327,7 +328,7 @@
   // own.
   const bool renews = kind != ReportKind::kProbe && tracker->synchronized() &&
                       tracker->reachable() && !tracker->runs().empty() &&
-                      handlers_.may_renew();
+                      !renewal_stops_.Contains(id) && handlers_.may_renew();
   if (renews) {
     query.lease_until =
         tracker->IssueDeadline(settings_.bounds.lease_term(), now);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -24,6 +24,7 @@
 #include "coordination/formats.h"
 #include "coordination/health_monitor.h"
 #include "coordination/refused_entries.h"
+#include "coordination/renewal_stops.h"
 #include "coordination/report_schedule.h"
 #include "coordination/start_sender.h"
 #include "coordination/worker_call_state.h"
@@ -46,6 +47,9 @@
   // store answered all the time, is gone. Records that expired during an outage
   // of the store are written again within 2 s.
   Milliseconds missing_grace{2600};
+  // A worker that has not answered for longer gets a recorded stop of its
+  // renewals. Lost answers alone are not worth a record.
+  Milliseconds renewal_stop_silence{500};
   // A worker that has answered within this time counts as alive.
   Milliseconds answer_validity{250};
   // A worker that is probed must answer within this time, and within this
@@ -162,6 +166,12 @@
   void OnEndsRecorded(const std::string& worker, int incarnation,
                       int64_t number);
 
+  // Returns the workers on which no leases are renewed from now on, if the
+  // record of them must be replaced. They count as such until the record that
+  // replaces this one is stored.
+  std::optional<std::vector<RenewalStop>> TakeRenewalStops(Time now);
+  void OnRenewalStopsStored();
+
   // To be called several times a second: requests reports that are due, repeats
   // stops and reviews workers and gangs.
   void Tick(Time now);
@@ -174,6 +184,10 @@
   void Activate(const std::string& id) { active_.insert(id); }
   void Forget(const std::string& id);
   bool IsClosed(const WorkerTracker& tracker) const;
+  // Whether the worker cannot be asked, so that its runs wait for the end of
+  // their leases.
+  bool WaitsForLeases(const WorkerTracker& worker, Time now) const;
+  void MarkRenewalStops();
   void LogCapacity(const WorkerTracker& worker, int64_t offset) const;
   void LogUnlisted(const WorkerTracker& worker, const std::string& reason,
                    Time now) const;
@@ -238,6 +252,7 @@
   // When the directory was known completely.
   std::optional<Time> survey_released_at_;
   RefusedEntries refused_;
+  RenewalStops renewal_stops_;
   // Reasons for unreadable start times that were already logged.
   std::set<std::string> logged_faults_;
   std::set<std::string> closed_domains_;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -77,6 +77,8 @@
 inline constexpr Event kAccountWaits{954, "account-waits", Severity::kInfo};
 inline constexpr Event kFragmentation{955, "fragmentation", Severity::kInfo};
 inline constexpr Event kCapacityHeld{952, "capacity-held", Severity::kInfo};
+inline constexpr Event kRenewalsStopped{957, "renewals-stopped",
+                                        Severity::kInfo};
 inline constexpr Event kWorkerUnlisted{956, "worker-unlisted",
                                        Severity::kWarning};
 
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -379,6 +379,7 @@
   if (!synchronized()) return WorkerAvailability::kNoReportYet;
   if (!reachable()) return WorkerAvailability::kSilent;
   if (missing()) return WorkerAvailability::kNotListed;
+  if (renewals_stopped_) return WorkerAvailability::kRenewalsStopped;
   if (registration_.draining) return WorkerAvailability::kLeaving;
   if (domain_closed_) return WorkerAvailability::kDomainClosed;
   return health_.IsExcluded(now) ? WorkerAvailability::kQuarantined
@@ -460,6 +461,8 @@
       return "not listed";
     case WorkerAvailability::kLeaving:
       return "leaving";
+    case WorkerAvailability::kRenewalsStopped:
+      return "renewals stopped";
     case WorkerAvailability::kDomainClosed:
       return "domain closed";
     case WorkerAvailability::kQuarantined:
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -152,6 +152,8 @@
   // The directory no longer lists it, or lists it with an unreadable entry.
   kNotListed,
   kLeaving,
+  // The board says that no leases are renewed there.
+  kRenewalsStopped,
   // Its failure domain accepts no new work.
   kDomainClosed,
   // Runs failed or stalled there.
@@ -185,6 +187,9 @@
   // Whether its failure domain accepts no new work.
   void set_domain_closed(bool closed) { domain_closed_ = closed; }
   bool domain_closed() const { return domain_closed_; }
+  // Whether its leases must not be renewed, nor tasks started there.
+  void set_renewals_stopped(bool stopped) { renewals_stopped_ = stopped; }
+  bool renewals_stopped() const { return renewals_stopped_; }
 
   // Adds a run that this process decided on.
   void Add(const TaskRef& task, int run, RunProfile profile, Time now);
@@ -252,6 +257,10 @@
   }
   WorkerAvailability availability(Time now) const;
   int failed_reports() const { return failed_reports_; }
+  // For how long it has not answered; zero while it does.
+  Duration silence(Time now) const {
+    return silent_since_ ? now - *silent_since_ : Duration::zero();
+  }
   // The worker's clock in its last report.
   Milliseconds clock() const { return clock_; }
   // Whether all leases have expired, whichever orders were carried out.
@@ -314,6 +323,7 @@
   std::optional<Time> departure_;
   std::optional<Time> missing_since_;
   bool domain_closed_ = false;
+  bool renewals_stopped_ = false;
   std::map<TaskRef, TrackedRun> runs_;
   // Invariant: the sum of the needs of runs_.
   Resources used_;
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -67,6 +67,7 @@
     if (dead.count(worker.id) > 0) {
       return CallLater([done = std::move(done)] { done(StatusAnswer()); });
     }
+    if (query.lease_until) ++renewals[worker.id];
     auto answer = std::make_shared<StatusAnswer>();
     answer->outcome =
         models.at(worker.id).Status(query, ClockMs(), &answer->report);
@@ -83,6 +84,8 @@
   std::map<std::string, standins::UsersExecutorModel> models;
   // Workers that answer no call any more.
   std::set<std::string> dead;
+  // Number of renewals that reached each worker.
+  std::map<std::string, int> renewals;
   // Number of start orders that were sent to each worker.
   std::map<std::string, int> starts;
   // When the incarnations of workers began, if they report it.
