A refused connection no longer ends the runs on a worker that leaves

Cause: a refused connection after the announced time and a missing heartbeat were taken for the end of the process.

Now only the removal of the entry, another incarnation or the end of the leases ends the wait. Leases on a worker that leaves last 3 s, so that its runs are settled soon, and a worker that is silent past its announced time counts as left, not as crashed.

Tests: "runs have ended on a worker that is gone after its notice" asserted the fault (runs end 2.4 s after the notice while connections are refused): replaced by "refused connections do not show that a leaving worker is gone" (nothing ends in 6 s, all once the leases are over), with the same rows; the table of HasLeft goes with the function. Rows of tst_worker_tracker for silence before and after the announced time.

--- a/src/libs/coordination/metered_worker_calls.cc
+++ b/src/libs/coordination/metered_worker_calls.cc
@@ -36,7 +36,6 @@
       return "other_life";
     case CallOutcome::kRefused:
       return "refused";
-    case CallOutcome::kConnectionRefused:
     case CallOutcome::kNoAnswer:
       return "no_answer";
   }
--- a/src/libs/coordination/report_schedule.cc
+++ b/src/libs/coordination/report_schedule.cc
@@ -79,6 +79,9 @@
   // run that never started on the worker has no end to report and is settled by
   // the report after this one, so the wait is short.
   if (HasStoppingRuns(worker)) wait = settings_.retry_delay;
+  if (worker.registration().draining) {
+    wait = std::min(wait, settings_.max_leaving_wait);
+  }
   if (FillerPaceController::HasFillersAndServing(worker)) {
     wait = std::min(wait, settings_.max_paced_wait);
   }
--- a/src/libs/coordination/report_schedule.h
+++ b/src/libs/coordination/report_schedule.h
@@ -24,6 +24,8 @@
   // The same on workers that have both filler tasks and serving tasks, since
   // reported tail latencies cover the last half second.
   Milliseconds max_paced_wait{500};
+  // The same on workers that have announced to leave, whose leases are short.
+  Milliseconds max_leaving_wait{900};
   // How long the first report after a start waits: short enough to move an
   // urgent task off a slow worker in time, long enough for a few percent of
   // progress.
--- a/src/libs/coordination/worker_calls.h
+++ b/src/libs/coordination/worker_calls.h
@@ -78,8 +78,6 @@
   kFenced,
   kOtherIncarnation,
   kRefused,
-  // The host answers that nothing listens at the address of the worker.
-  kConnectionRefused,
   kNoAnswer,
 };
 
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -329,21 +329,27 @@
   const bool renews = kind != ReportKind::kProbe && tracker->synchronized() &&
                       tracker->reachable() && !tracker->runs().empty() &&
                       !renewal_stops_.Contains(id) && handlers_.may_renew();
+  Milliseconds lease{0};
   if (renews) {
-    query.lease_until =
-        tracker->IssueDeadline(settings_.bounds.lease_term(), now);
+    lease = LeaseTerm(*tracker);
+    query.lease_until = tracker->IssueDeadline(lease, now);
   }
   state.recheck = false;
   const bool regular = kind == ReportKind::kRegular;
   (regular ? state.report_pending : state.extra_report_pending) = true;
   const WorkerAddress address{id, tracker->registration().address};
-  const SentQuery sent{kind, now, wait, query.recorded_ends, renews};
+  const SentQuery sent{kind, now, wait, query.recorded_ends, lease};
   calls_.Status(address, query, settings_.call_timeout + wait,
                 [this, alive = alive_, id, sent](const StatusAnswer& answer) {
                   if (*alive) OnStatus(id, answer, sent);
                 });
 }
 
+Milliseconds WorkerFleet::LeaseTerm(const WorkerTracker& worker) const {
+  return worker.registration().draining ? settings_.bounds.leaving_lease_term()
+                                        : settings_.bounds.lease_term();
+}
+
 void WorkerFleet::ProbeIfQuiet(const std::string& worker, Time now) {
   const WorkerTracker* tracker = Find(worker);
   if (tracker == nullptr || HasAnswered(worker, now)) return;
@@ -415,9 +421,6 @@
     case CallOutcome::kOtherIncarnation:
       OnIncarnationOver(id, IncarnationEnd::kCrashed);
       return handlers_.on_no_answer(id);
-    case CallOutcome::kConnectionRefused:
-      state.departure.OnConnectionRefused(now);
-      [[fallthrough]];
     case CallOutcome::kRefused:
     case CallOutcome::kNoAnswer:
       return OnNoStatus(id, answer, now);
@@ -434,15 +437,12 @@
   if (tracker->IsFromPastIncarnation(answer.report, query.sent)) {
     return RequestReportIfDue(id, now);
   }
-  state.departure.OnAnswer();
   state.answered_at = now;
   if (query.wait.count() == 0) usual_latency_.Add(now - query.sent);
   const bool first = !tracker->synchronized();
   state.acknowledged_ends =
       std::max(state.acknowledged_ends, query.recorded_ends);
-  if (query.renews) {
-    state.leased_until = query.sent + settings_.bounds.lease_term();
-  }
+  if (query.lease.count() > 0) state.leased_until = query.sent + query.lease;
   const int life = tracker->incarnation();
   std::vector<RunReport> unexpected;
   const std::vector<RunEndReport> ends =
@@ -521,10 +521,6 @@
   WorkerCallState& state = call_states_[id];
   const bool unreachable =
       !tracker->reachable() || tracker->registration().address.empty();
-  if (unreachable && state.departure.HasLeft(settings_.bounds.heartbeat,
-                                             last_directory_read_, now)) {
-    return OnIncarnationOver(id, IncarnationEnd::kLeft);
-  }
   if (unreachable && !tracker->runs().empty() && tracker->LeasesExpired(now)) {
     if (EndRunsOfLostWorker(id, IncarnationEnd::kSilent)) return;
   }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -210,13 +210,16 @@
   };
 
   void RequestReport(const std::string& id, Milliseconds wait, ReportKind kind);
+  // Length of the leases that a report renews.
+  Milliseconds LeaseTerm(const WorkerTracker& worker) const;
   // A request for a report, as it was sent.
   struct SentQuery {
     ReportKind kind = ReportKind::kRegular;
     Time sent{};
     Milliseconds wait{0};
     int64_t recorded_ends = 0;
-    bool renews = false;
+    // Zero if it renews no leases.
+    Milliseconds lease{0};
   };
   void OnStatus(const std::string& id, const StatusAnswer& answer,
                 const SentQuery& query);
--- a/src/libs/workload/departure_detector.cc
+++ b/src/libs/workload/departure_detector.cc
@@ -30,12 +30,4 @@
   return prompt && now - last_entry_ < heartbeat * 3 / 2;
 }
 
-bool DepartureDetector::HasLeft(Milliseconds heartbeat, Time directory_read_at,
-                                Time now) const {
-  const bool gone = departure_ && refused_at_ && *refused_at_ >= *departure_;
-  if (!gone) return false;
-  const bool followed = now - directory_read_at < heartbeat;
-  return followed && now - last_entry_ > heartbeat * 3 / 2;
-}
-
 }  // namespace thornplank
--- a/src/libs/workload/departure_detector.h
+++ b/src/libs/workload/departure_detector.h
@@ -4,8 +4,8 @@
 // An entry is removed from the directory when its worker has left, and also
 // when it was not renewed for three heartbeats, though the worker may still
 // run. Time tells the two apart: a worker that leaves as announced has renewed
-// its entry shortly before. A worker that is removed at short notice leaves its
-// entry behind; its heartbeats end, and connections to its address are refused.
+// its entry shortly before. Refused connections and missing heartbeats prove
+// nothing: a worker that is cut off shows both and runs on.
 #ifndef THORNPLANK_WORKLOAD_DEPARTURE_DETECTOR_H_
 #define THORNPLANK_WORKLOAD_DEPARTURE_DETECTOR_H_
 
@@ -27,21 +27,12 @@
   bool IsDeparture(Milliseconds heartbeat, Time directory_read_at,
                    Time now) const;
 
-  // The outcome of a call to it.
-  void OnAnswer() { refused_at_.reset(); }
-  void OnConnectionRefused(Time now) { refused_at_ = now; }
-  // Whether it has left though it is still listed. A worker that is only cut
-  // off, by a network that refuses connections for it, still renews its entry.
-  bool HasLeft(Milliseconds heartbeat, Time directory_read_at, Time now) const;
-
  private:
   Time last_entry_{};
   // Upper bound on the age of the last entry when it was read.
   Duration entry_lag_{};
   // Where the worker has announced its departure: the earliest time of it.
   std::optional<Time> departure_;
-  // When a connection was refused, if that was the outcome of the last call.
-  std::optional<Time> refused_at_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -39,6 +39,12 @@
   Milliseconds lease_term() const {
     return std::min(Milliseconds(6500), longest_lease);
   }
+  // The same on a worker that has announced to leave: its runs are settled soon
+  // after it is gone, which nothing else proves while it may be cut off. Long
+  // enough for a change of leader (0.7 s of silence and a first report).
+  Milliseconds leaving_lease_term() const {
+    return std::min(Milliseconds(3000), lease_term());
+  }
   // Validity of a start order: one that arrives later has no effect. Longer
   // than the timeout of a call (0.9 s), so that a delayed order is settled soon
   // after it; short enough that members of a gang which started in time do not
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -387,8 +387,7 @@
 }
 
 RunEnd WorkerTracker::RunEndFor(IncarnationEnd end, Time now) const {
-  const bool left =
-      end == IncarnationEnd::kCrashed && departure_ && now >= *departure_;
+  const bool left = departure_ && now >= *departure_;
   return ToRunEnd(left ? IncarnationEnd::kLeft : end);
 }
 
--- a/tests/auto/coordination/tst_worker_fleet_incarnations.cc
+++ b/tests/auto/coordination/tst_worker_fleet_incarnations.cc
@@ -170,10 +170,10 @@
   }
 }
 
-// Guards against waiting for the leases of workers that are removed at two
-// seconds' notice: their tasks must start elsewhere when their heartbeats end,
-// 5 s before their leases do.
-TEST_CASE("runs have ended on a worker that is gone after its notice") {
+// Guards against a second run of a task beside its first one: a worker that
+// leaves and is cut off for longer than its notice refuses connections and
+// writes no entries, but its runs go on until their leases end.
+TEST_CASE("refused connections do not show that a leaving worker is gone") {
   for (const bool announced : {true, false}) {
     CAPTURE(announced);
     Fixture fixture;
@@ -182,16 +182,44 @@
     fixture.fleet.OnDirectoryCaughtUp(now);
     fixture.fleet.OnDirectoryRecord({"w1", announced ? kLeaving : "listed", 1},
                                     now);
-    fixture.calls.status_outcome = CallOutcome::kConnectionRefused;
+    fixture.calls.status_outcome = CallOutcome::kNoAnswer;
     fixture.calls.answer_long_polls = true;
-    for (int i = 0; i < 24; ++i) {
-      now += Milliseconds(100);
-      fixture.fleet.OnDirectoryCaughtUp(now);
-      fixture.Tick(now);
-    }
-    REQUIRE(fixture.ends.size() == (announced ? 1 : 0));
-    if (announced) CHECK(fixture.ends[0] == RunEnd::kWorkerLeft);
-    CHECK(fixture.has_worker() == !announced);
+    const auto tick = [&](int times) {
+      for (int i = 0; i < times; ++i) {
+        now += Milliseconds(100);
+        fixture.fleet.OnDirectoryCaughtUp(now);
+        fixture.Tick(now);
+      }
+    };
+    tick(60);
+    CHECK(fixture.ends.empty());
+    CHECK(fixture.has_worker());
+    tick(20);
+    REQUIRE(fixture.ends.size() == 1);
+    CHECK(fixture.ends[0] ==
+          (announced ? RunEnd::kWorkerLeft : RunEnd::kWorkerSilent));
+  }
+}
+
+// Guards against tasks that wait for long leases of a worker that has told when
+// it leaves, and does not remove its entry.
+TEST_CASE("leases are short on a worker that has announced to leave") {
+  for (const bool announced : {true, false}) {
+    CAPTURE(announced);
+    Fixture fixture;
+    const Time begin = Fixture::Now();
+    fixture.fleet.OnDirectoryRecord({"w1", announced ? kLeaving : "listed", 1},
+                                    begin);
+    fixture.Start();
+    fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(1));
+    REQUIRE(fixture.calls.renewed);
+    const WorkerBounds bounds;
+    const Duration slack = Fixture::Now() - begin + Milliseconds(1);
+    CHECK(fixture.calls.lease_until <=
+          (announced ? bounds.leaving_lease_term() : bounds.lease_term()) +
+              slack);
+    CHECK(fixture.calls.last_wait <=
+          (announced ? Milliseconds(900) : Milliseconds(1900)));
   }
 }
 
--- a/tests/auto/workload/tst_departure_detector.cc
+++ b/tests/auto/workload/tst_departure_detector.cc
@@ -54,51 +54,6 @@
   }
 }
 
-// A worker that is removed at short notice leaves its entry behind.
-TEST_CASE("whether a worker that is still listed has left") {
-  struct Row {
-    const char* name;
-    bool draining;
-    // Milliseconds until departure according to the last entry.
-    int64_t left;
-    // When a connection was refused, since the last entry; -1: never.
-    int64_t refused;
-    // Whether a later call was answered.
-    bool answered;
-    // Milliseconds since the last entry.
-    int64_t silent;
-    // Milliseconds since the directory was read to its end.
-    int64_t lag;
-    bool left_for_good;
-  };
-  const std::vector<Row> rows = {
-      {"as announced", true, 1900, 2100, false, 2300, 200, true},
-      {"read late, as by a new leader", true, 100, 300, false, 2300, 200, true},
-      {"a heartbeat may still come", true, 500, 600, false, 2200, 200, false},
-      {"before its time", true, 4000, 2100, false, 2300, 200, false},
-      {"connection refused before its time only", true, 2200, 2100, false, 2300,
-       200, false},
-      {"no call was made", true, 1900, -1, false, 2300, 200, false},
-      {"it answers again", true, 1900, 2100, true, 2300, 200, false},
-      {"not announced", false, 0, 2100, false, 9000, 200, false},
-      {"the directory is unreachable", true, 1900, 2100, false, 9000, 8000,
-       false},
-  };
-  for (const Row& row : rows) {
-    CAPTURE(row.name);
-    DepartureDetector detector;
-    WorkerRegistration entry = MakeWorker("w1", "r1");
-    entry.draining = row.draining;
-    entry.drain_remaining = Milliseconds(row.left);
-    detector.OnEntry(entry, At(0), At(0));
-    if (row.refused >= 0) detector.OnConnectionRefused(At(row.refused));
-    if (row.answered) detector.OnAnswer();
-    const Time now = At(row.silent);
-    CHECK(detector.HasLeft(kHeartbeat, now - Milliseconds(row.lag), now) ==
-          row.left_for_good);
-  }
-}
-
 TEST_CASE("a worker that no longer drains has not announced a departure") {
   DepartureDetector detector;
   WorkerRegistration entry = MakeWorker("w1", "r1");
--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -257,6 +257,10 @@
        Order::kAccepted, -1, 5000, RunEnd::kWorkerCrashed},
       {"silent", IncarnationEnd::kSilent, Order::kAccepted, 110, -1,
        RunEnd::kWorkerSilent},
+      {"silent, and its announced time has passed", IncarnationEnd::kSilent,
+       Order::kAccepted, 110, 500, RunEnd::kWorkerLeft},
+      {"silent before its announced time", IncarnationEnd::kSilent,
+       Order::kAccepted, 110, 5000, RunEnd::kWorkerSilent},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
