The search for workers without renewals visits only those that were silent

Cause: each flush of progress, ten a second, visited all workers with runs to find the few that cannot be asked: a look-up each, about as much as the leader's tick spends. The fleet keeps the workers that could not be asked lately.

--- a/src/libs/coordination/fleet_renewals.cc
+++ b/src/libs/coordination/fleet_renewals.cc
@@ -35,10 +35,15 @@
 std::optional<std::vector<RenewalStop>> WorkerFleet::TakeRenewalStops(
     Time now) {
   std::vector<RenewalStop> wanted;
-  for (const std::string& id : active_) {
-    const WorkerTracker* worker = Find(id);
-    if (worker == nullptr || !WaitsForLeases(*worker, now)) continue;
-    wanted.push_back({id, worker->lease_left(now)});
+  for (auto it = unheard_.begin(); it != unheard_.end();) {
+    const auto id = it++;
+    const WorkerTracker* worker = Find(*id);
+    if (worker == nullptr || worker->can_be_asked()) {
+      unheard_.erase(id);
+      continue;
+    }
+    if (!WaitsForLeases(*worker, now)) continue;
+    wanted.push_back({*id, worker->lease_left(now)});
   }
   // The longest waits first.
   std::stable_sort(wanted.begin(), wanted.end(),
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -261,6 +261,7 @@
     unknown.id = worker;
     tracker = &trackers_.emplace(worker, WorkerTracker(unknown)).first->second;
     call_states_[worker].missing_since = now;
+    unheard_.insert(worker);
   }
   tracker->Inherit(task, run, profile, now, lease_bound);
   health_monitor_.OnRunPlaced(worker, task, now);
@@ -383,6 +384,7 @@
                                    {"timeout_ms", ProbeTimeout().count()},
                                    {"lease_left_ms", lease_left.count()}});
   tracker->OnReportFailed(now);
+  unheard_.insert(worker);
   Activate(worker);
 }
 
@@ -396,6 +398,7 @@
               {"lease_left_ms", tracker->lease_left(now).count()}});
   }
   tracker->OnReportFailed(now);
+  unheard_.insert(id);
   Activate(id);
   call_states_[id].next_report_time = now + report_schedule_.retry_delay();
   handlers_.on_no_answer(id);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -256,6 +256,9 @@
   std::optional<Time> survey_released_at_;
   RefusedEntries refused_;
   RenewalStops renewal_stops_;
+  // Workers that could not be asked at some time since the last look.
+  // Invariant: contains every worker that WaitsForLeases.
+  std::set<std::string> unheard_;
   // Reasons for unreadable start times that were already logged.
   std::set<std::string> logged_faults_;
   std::set<std::string> closed_domains_;
