A start that is owed passes every preference of the planner

Class: preferences are decided one by one, and none knows what is owed. Looked at: every place in Planner::Round, ClusterCapacity, GangHolds, StepQueue and the probation tests that turns a step away. StepQueue only orders.

Change: Preference lists what may hold a step back; OwedStarts keeps since when a task that lasts is away, a job has nothing running, or guaranteed work waits. It takes what is owed and leaves room for one more task of its shape, or one more gang.

--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -345,7 +345,10 @@
 
 bool ClusterCapacity::MeetsRequirements(const ReadyStep& step,
                                         const WorkerCapacity& worker) const {
-  if (worker.withheld && !step.guaranteed) return false;
+  // A test stays the only run there, also beside a start that is owed.
+  const bool is_owed =
+      step.passes.Contains(Preference::kProbation) && !worker.under_test;
+  if (worker.withheld && !step.guaranteed && !is_owed) return false;
   return MeetsRequirementsOf(step, worker);
 }
 
@@ -355,9 +358,12 @@
   if (worker.entry().service != step.service()) return false;
   if (worker.on_probation) return false;
   if (step.on_probation && worker.unproven) return false;
-  if (step.alone && !worker.IsEmpty()) return false;
+  const bool alone =
+      step.alone && !step.passes.Contains(Preference::kIsolation);
+  if (alone && !worker.IsEmpty()) return false;
   const WorkerHealth& health = worker.tracker->health();
-  const bool must_start = step.guaranteed && health.compared();
+  const bool must_start = (step.guaranteed && health.compared()) ||
+                          step.passes.Contains(Preference::kTrustedWorkers);
   if (step.failed_before && !must_start && health.IsSuspect(now_) &&
       MostAreTrusted()) {
     return false;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -9,6 +9,7 @@
 #include "workload/cluster_capacity.h"
 #include "workload/gang_holds.h"
 #include "workload/gang_placement.h"
+#include "workload/obligation.h"
 #include "workload/probation_tests.h"
 #include "workload/ready_step.h"
 #include "workload/victim_selection.h"
@@ -54,6 +55,7 @@
     if (holds_) PrepareHolds();
     IsolateSuspects();
     MarkGuaranteedSteps();
+    planner_.owed_starts_.Observe(steps_, inputs_.now);
     bool are_tests_placed = false;
     while (const ReadyStep* step = queue_.Next()) {
       if (!step->urgent() && !std::exchange(are_tests_placed, true)) {
@@ -258,8 +260,9 @@
     const auto own = reservations.find(step.ref);
     if (own != reservations.end()) capacity_.Release(own->second);
     WaitReason reason = WaitReason::kNoRoom;
-    const bool placed = step.spec->gang ? PlaceGang(step, &reason)
-                                        : PlaceSingleTasks(step, &reason);
+    const size_t starts = plan_.starts.size();
+    bool placed = PlaceWaiting(step, &reason);
+    if (!placed && plan_.starts.size() == starts) placed = PlaceOwed(step);
     if (own != reservations.end()) {
       if (placed) {
         if (step.urgent()) plan_.starts.back().preempted_at = own->second.made;
@@ -280,6 +283,82 @@
     RecordWaitingDemand(step);
   }
 
+  // Returns true if all waiting tasks start.
+  bool PlaceWaiting(const ReadyStep& step, WaitReason* reason) {
+    return step.spec->gang ? PlaceGang(step, reason)
+                           : PlaceSingleTasks(step, reason);
+  }
+
+  // Places what is owed to a step that preferences hold back. It passes the
+  // one that holds it back, or all of them if several do. Returns true if all
+  // waiting tasks start.
+  bool PlaceOwed(const ReadyStep& step) {
+    if (inputs_.surveying) return false;
+    std::optional<OwedStart> owed = planner_.owed_starts_.Find(
+        step, UsedShareOf(step.service()), inputs_.now);
+    if (!owed) return false;
+    // Another step of the job may have started in this round.
+    if (owed->obligation == Obligation::kIdleJob && HasStart(step.ref.job)) {
+      return false;
+    }
+    ReadyStep part = step;
+    part.waiting = std::move(owed->tasks);
+    part.passes = PreferenceSet::All();
+    if (!LimitToRoom(owed->obligation, &part)) return false;
+    const bool all = part.waiting.size() == step.waiting.size();
+    for (const Preference preference : kAllPreferences) {
+      part.passes = PreferenceSet(preference);
+      if (PlaceOwedPart(part, *owed, ToText(preference))) return all;
+    }
+    part.passes = PreferenceSet::All();
+    return PlaceOwedPart(part, *owed, "several preferences") && all;
+  }
+
+  // Returns true if tasks start.
+  bool PlaceOwedPart(const ReadyStep& part, const OwedStart& owed,
+                     std::string_view passed) {
+    const size_t starts = plan_.starts.size();
+    WaitReason ignored = WaitReason::kNoRoom;
+    PlaceWaiting(part, &ignored);
+    if (plan_.starts.size() == starts) return false;
+    std::string& reason = plan_.starts.back().reason;
+    reason += "; owed to ";
+    reason += ToText(owed.obligation);
+    reason += ", passes ";
+    reason += passed;
+    return true;
+  }
+
+  // Of accelerators; of cores in a service without accelerators.
+  double UsedShareOf(const std::string& service) const {
+    return capacity_.TotalCapacity(service).accelerators == 0
+               ? capacity_.LowestUsedShare(service)
+               : capacity_.UsedShare(service);
+  }
+
+  bool HasStart(const std::string& job) const {
+    return std::any_of(
+        plan_.starts.begin(), plan_.starts.end(),
+        [&job](const StartDecision& start) { return start.step.job == job; });
+  }
+
+  // Unless the work is guaranteed, an owed start leaves as much room as one
+  // task, or the gang, takes. Returns false if nothing may start.
+  bool LimitToRoom(Obligation obligation, ReadyStep* part) const {
+    const Resources need = ReservedFor(*part->spec);
+    const auto tasks = static_cast<int64_t>(part->waiting.size());
+    const int64_t unit = part->spec->gang ? tasks : 1;
+    const int64_t left = obligation == Obligation::kGuaranteed ? 0 : unit;
+    int64_t room = 0;
+    for (const Slot& slot : capacity_.FreeSlots(*part)) {
+      room += need.TimesIn(capacity_.worker(slot.worker).free, tasks + left);
+      if (room >= tasks + left) return true;
+    }
+    if (room < unit + left) return false;
+    part->waiting.resize(static_cast<size_t>(room - left));
+    return true;
+  }
+
   // Only gangs need much capacity at one moment. Capacity for a step that
   // evicted others is reserved already.
   void RecordWaitingDemand(const ReadyStep& step) {
@@ -363,7 +442,8 @@
   }
 
   bool IsBoundToData(const ReadyStep& step) const {
-    return !step.spec->data_rack.empty() && !MayLeaveRack(step);
+    return !step.spec->data_rack.empty() &&
+           !step.passes.Contains(Preference::kDataRack) && !MayLeaveRack(step);
   }
 
   // Number of workers to leave empty for urgent jobs to come.
@@ -383,9 +463,11 @@
     FreePlaces places;
     places.slots = capacity_.FreeSlots(step);
     // Headroom is there for urgent steps, so none of it is kept from them.
+    const bool all_workers =
+        step.urgent() || step.passes.Contains(Preference::kUrgentHeadroom);
     places.empty_workers =
-        step.urgent() ? static_cast<int64_t>(capacity_.workers().size())
-                      : capacity_.EmptyWorkers(step.service()) - Headroom(step);
+        all_workers ? static_cast<int64_t>(capacity_.workers().size())
+                    : capacity_.EmptyWorkers(step.service()) - Headroom(step);
     AdmitReservedWorkers(step, &places);
     places.near_only = IsBoundToData(step);
     places.compact =
@@ -411,6 +493,7 @@
   // resource is mostly free. Returns true if capacity was removed.
   bool LeaveHeldCapacity(const ReadyStep& step, FreePlaces* places) const {
     if (!holds_ || holds_->holds().empty()) return false;
+    if (step.passes.Contains(Preference::kHeldCapacity)) return false;
     const bool idle = capacity_.LowestUsedShare(step.service()) < kCrowdedShare;
     if (step.spec->gang && idle) return false;
     const int64_t empty = holds_->EmptyWorkersHeldFrom(step);
@@ -427,6 +510,7 @@
     // for.
     const std::string& service = step.service();
     if (holds_ || step.urgent() ||
+        step.passes.Contains(Preference::kGangDemand) ||
         capacity_.UsedShare(service) < kCrowdedShare) {
       return waiting;
     }
@@ -508,7 +592,8 @@
         return true;
       }
       if (!places.near_only) *reason = WaitReason::kNoRoomOnOneRack;
-      if (!MayLeaveRack(step)) return false;
+      const bool passes = step.passes.Contains(Preference::kOneRack);
+      if (!passes && !MayLeaveRack(step)) return false;
     }
     Assignments chosen = PlaceOverRacks(step, capacity_, places);
     if (chosen.empty()) return false;
@@ -675,6 +760,7 @@
   if (idle) {
     reservations_.clear();
     isolated_since_.clear();
+    owed_starts_.Clear();
     scarce_services_.clear();
     plan.account_waits = account_waits_.Observe({}, nullptr, inputs.now);
     gang_reservations_.clear();
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -11,7 +11,8 @@
 // (GangHolds), and as many workers stay empty for urgent steps as these needed
 // recently (UrgentHeadroom). Otherwise steps yield while the free capacity is
 // smaller than the demand of waiting gangs of higher priority, and a fixed
-// share of the workers stays empty. Not thread-safe.
+// share of the workers stays empty. A step to which a start is owed passes all
+// of that (OwedStarts). Not thread-safe.
 #ifndef THORNPLANK_WORKLOAD_PLANNER_H_
 #define THORNPLANK_WORKLOAD_PLANNER_H_
 
@@ -30,6 +31,7 @@
 #include "workload/feature_state.h"
 #include "workload/hold_history.h"
 #include "workload/job_ledger.h"
+#include "workload/obligation.h"
 #include "workload/scheduling_features.h"
 #include "workload/step_queue.h"
 #include "workload/urgent_headroom.h"
@@ -69,7 +71,8 @@
 struct StartDecision {
   StepRef step;
   std::vector<JobLedger::Assignment> assignments;
-  // How the step was placed, for the log.
+  // How the step was placed, for the log; of an owed start also to what it is
+  // owed and which preferences it passed.
   std::string reason;
   // Where others were evicted for it: when that was decided.
   std::optional<Time> preempted_at;
@@ -190,6 +193,7 @@
   // Since when steps that crashed their worker at the start wait for an empty
   // one.
   std::map<StepRef, Time> isolated_since_;
+  OwedStarts owed_starts_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "workload/job_ledger.h"
+#include "workload/preference.h"
 
 namespace thornplank {
 
@@ -37,6 +38,9 @@
   // Urgent and within the guarantee of its account: no verdict on workers may
   // delay it. Set by the planner.
   bool guaranteed = false;
+  // Which preferences do not hold it back, since a start is owed to it. Set by
+  // the planner.
+  PreferenceSet passes;
   // Indices of its waiting tasks; for a gang, all of them.
   std::vector<int> waiting;
 
