A restarted leader waits as long as the leader before its last life may renew

Leader P is cut off from the store and renews leases for 4 s; A leads after 0.7 s, is killed, and its next incarnation leads at once.

Now the wait counts from the last heartbeat of whoever led, which is later than any of the leaders before. The exception is gone; a leader that follows an earlier life of its own waits up to 4 s longer.

--- a/src/libs/coordination/leader_election.cc
+++ b/src/libs/coordination/leader_election.cc
@@ -4,9 +4,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/predecessor.h"
-
 namespace thornplank {
+namespace {
+
+constexpr char kIncarnationSeparator = '/';
+
+}  // namespace
 
 LeaderElection::LeaderElection(LeaderElectionSettings settings,
                                std::string holder)
@@ -35,7 +38,9 @@
 
 bool LeaderElection::IsPreviousIncarnation(const LeaderRecord& leader) const {
   if (leader.released || leader.holder == holder_) return false;
-  return IsSameInstance(leader.holder, holder_);
+  const size_t name_end = holder_.find(kIncarnationSeparator);
+  if (name_end == std::string::npos) return false;
+  return leader.holder.compare(0, name_end + 1, holder_, 0, name_end + 1) == 0;
 }
 
 bool LeaderElection::ShouldClaim(const LeaderRecord& leader, Time now) const {
--- a/src/libs/coordination/predecessor.cc
+++ b/src/libs/coordination/predecessor.cc
@@ -5,19 +5,6 @@
 #include <utility>
 
 namespace thornplank {
-namespace {
-
-constexpr char kIncarnationSeparator = '/';
-
-std::string InstanceOf(const std::string& holder) {
-  return holder.substr(0, holder.find(kIncarnationSeparator));
-}
-
-}  // namespace
-
-bool IsSameInstance(const std::string& a, const std::string& b) {
-  return InstanceOf(a) == InstanceOf(b);
-}
 
 Predecessor::Predecessor(std::string own_holder,
                          Milliseconds leadership_timeout)
@@ -26,7 +13,6 @@
 
 void Predecessor::OnLeaderRecord(const LeaderRecord& leader, Time now) {
   if (leader.holder == own_holder_ || leader.epoch < epoch_) return;
-  holder_ = leader.holder;
   epoch_ = leader.epoch;
   heard_ = now;
 }
@@ -34,7 +20,6 @@
 Time Predecessor::LastRenewal(int64_t own_epoch, Time now) const {
   const bool is_known = epoch_ != 0 && epoch_ + 1 == own_epoch;
   if (!is_known) return now + leadership_timeout_;
-  if (IsSameInstance(holder_, own_holder_)) return now;
   return std::max(heard_ + leadership_timeout_, now);
 }
 
--- a/src/libs/coordination/predecessor.h
+++ b/src/libs/coordination/predecessor.h
@@ -16,10 +16,6 @@
 
 namespace thornplank {
 
-// Whether both holders ("instance/incarnation") are incarnations of one
-// instance.
-bool IsSameInstance(const std::string& a, const std::string& b);
-
 class Predecessor {
  public:
   // `own_holder`: "instance/incarnation" of this entry. `leadership_timeout`:
@@ -31,15 +27,15 @@
   // The board was read anew from its newest records, so that records of the
   // leader may have been passed over.
   void OnSnapshot(Time now) { heard_ = now; }
-  // The time after which the leader before `own_epoch` renews no lease. Nothing
-  // is left of the process if it was an earlier incarnation of this instance.
+  // The time after which no leader before `own_epoch` renews a lease. It counts
+  // from the last one also if that was an earlier incarnation of this instance:
+  // nothing is left of that process, but the leader before it may still renew.
   Time LastRenewal(int64_t own_epoch, Time now) const;
 
  private:
   const std::string own_holder_;
   const Milliseconds leadership_timeout_;
   // Of the last leader record of another holder.
-  std::string holder_;
   int64_t epoch_ = 0;
   // When it was read.
   Time heard_{};
