A worker is renewed at once when its stop is withdrawn

What callers could have seen: work that is lost on a worker that answers.

Now the renewal goes out beside the pending report, as after a start. Test: "a worker is renewed at once when its stop is withdrawn" fails without.

--- a/src/libs/coordination/fleet_renewals.cc
+++ b/src/libs/coordination/fleet_renewals.cc
@@ -68,10 +68,19 @@
     WorkerTracker* worker = Find(id);
     if (worker == nullptr) continue;
     worker->set_renewals_stopped(false);
-    RequestReportIfDue(id, now);
+    RenewNow(id, now);
   }
 }
 
+// The pending report was sent without a renewal, and may wait for an end for
+// longer than the leases last.
+void WorkerFleet::RenewNow(const std::string& id, Time now) {
+  const WorkerCallState& state = call_states_[id];
+  if (!state.report_pending) return RequestReportIfDue(id, now);
+  if (state.extra_report_pending) return;
+  RequestReport(id, Milliseconds(0), ReportKind::kRenewal);
+}
+
 void WorkerFleet::MarkRenewalStops() {
   for (const std::string& id : renewal_stops_.workers()) {
     if (WorkerTracker* worker = Find(id)) worker->set_renewals_stopped(true);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -188,6 +188,7 @@
   // their leases.
   bool WaitsForLeases(const WorkerTracker& worker, Time now) const;
   void MarkRenewalStops();
+  void RenewNow(const std::string& id, Time now);
   void LogCapacity(const WorkerTracker& worker, int64_t offset) const;
   void LogUnlisted(const WorkerTracker& worker, const std::string& reason,
                    Time now) const;
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -326,6 +326,33 @@
   CHECK_FALSE(fixture.calls.renewed);
 }
 
+// Guards against a lease that ends while a worker answers: its report was asked
+// for without a renewal, and waits for an end when renewals are allowed again.
+TEST_CASE("a worker is renewed at once when its stop is withdrawn") {
+  Fixture fixture;
+  fixture.Start();
+  fixture.calls.report.running = {{kTask, 1, "", 10}};
+  Time now = Fixture::Now() + std::chrono::seconds(1);
+  fixture.Tick(now);
+  fixture.calls.status_outcome = CallOutcome::kNoAnswer;
+  fixture.calls.AnswerLongPoll();
+  // By the clock of the fleet, on which the silence is counted.
+  REQUIRE(
+      fixture.fleet.TakeRenewalStops(Fixture::Now() + std::chrono::seconds(1)));
+  fixture.fleet.OnRenewalStopsStored();
+  fixture.calls.status_outcome = CallOutcome::kOk;
+  now += std::chrono::seconds(1);
+  fixture.Tick(now);
+  fixture.Tick(now + std::chrono::seconds(1));
+  REQUIRE(fixture.calls.pending_long_poll != nullptr);
+  CHECK_FALSE(fixture.calls.renewed);
+  REQUIRE(fixture.fleet.TakeRenewalStops(Fixture::Now()));
+  const int before = fixture.calls.reports;
+  fixture.fleet.OnRenewalStopsStored();
+  CHECK(fixture.calls.reports == before + 1);
+  CHECK(fixture.calls.renewed);
+}
+
 TEST_CASE("leases and stops respect the bounds of the workers") {
   struct Row {
     const char* name;
