No renewals are stopped while the store does not answer

What callers could have seen: work that is lost. Now no stop is taken while the last stored heartbeat is over a second old. No test of its own: the cluster of the tests has no clock to hold a heartbeat at that age; the soak plays such outages.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -56,6 +56,10 @@
   // which every job must be at work again. The leases that are renewed last go
   // on for 4.5 s at least, so that runs survive outages of the store of 6 s.
   Milliseconds leadership_timeout{4000};
+  // No stop of renewals is recorded while the last stored heartbeat is older:
+  // as long as its record cannot be stored, a worker that answers again would
+  // get no renewals.
+  Milliseconds max_age_for_renewal_stops{1000};
   // Between two rounds that place tasks, while a new leader asks its workers
   // for their first reports: each round looks at all of them.
   Milliseconds survey_planning_interval{80};
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -346,8 +346,12 @@
   std::vector<std::string> started(started_jobs.begin(), started_jobs.end());
   std::map<std::string, LatestEnd> ends = std::exchange(unrecorded_ends_, {});
   const Time now = Now();
-  if (auto stops = fleet_->TakeRenewalStops(now)) {
-    records.push_back(ToRecord({epoch_, std::move(*stops)}));
+  const bool store_answers = BootClock::now() - leadership_confirmed_ <
+                             settings_.max_age_for_renewal_stops;
+  if (store_answers) {
+    if (auto stops = fleet_->TakeRenewalStops(now)) {
+      records.push_back(ToRecord({epoch_, std::move(*stops)}));
+    }
   }
   if (records.empty()) return OnProgressStored(started, ends);
   progress_write_limiter_.OnRecorded(now);
