A new leader assumes its predecessors' leases on every worker

A lease covers all that runs on a worker, also what a later leader starts there.

Now a new leader assumes the leases that a predecessor may have given on each worker that it finds. Test: "a worker without runs may have leases of the previous leader" fails without. Open: a worker that is forgotten and listed again within a lease.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -353,6 +353,7 @@
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet,
                                          MakeFleetHandlers());
   fleet_->BeginSurvey();
+  fleet_->AssumeLeases(InheritedLeaseBound(Now()));
   fleet_->CloseDomains(dependencies_.closed_domains());
   advice_ = std::make_unique<AdviceRequester>(dependencies_.advisor,
                                               [this] { SchedulePlanning(); });
@@ -471,11 +472,14 @@
   }
 }
 
+Time ClusterCoordinator::InheritedLeaseBound(Time now) const {
+  return predecessor_.LastRenewal(epoch_, now) +
+         WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
+}
+
 Time ClusterCoordinator::LeaseBoundOf(const std::string& worker,
                                       Time now) const {
-  const Time bound =
-      predecessor_.LastRenewal(epoch_, now) +
-      WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
+  const Time bound = InheritedLeaseBound(now);
   const auto recorded = recorded_lease_ends_.find(worker);
   if (recorded == recorded_lease_ends_.end()) return bound;
   return std::min(bound, recorded->second);
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -197,7 +197,9 @@
   void InheritRuns(const StepRef& ref, Time now);
   // Reads what the previous leader recorded of workers that it could not ask.
   void LoadRenewalStops();
-  // When all leases that previous leaders may have given are over.
+  // When all leases that previous leaders may have given are over, on any
+  // worker and on this one.
+  Time InheritedLeaseBound(Time now) const;
   Time LeaseBoundOf(const std::string& worker, Time now) const;
   void StepDown(const std::string& reason);
   void ScheduleStepDown(const std::string& reason);
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -111,6 +111,7 @@
     WorkerTracker new_tracker(*registration);
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
+    new_tracker.AssumeLeases(inherited_lease_bound_);
     new_tracker.set_renewals_stopped(renewal_stops_.Contains(id));
     health_monitor_.OnWorkerSeen(&new_tracker);
     trackers_.emplace(id, std::move(new_tracker));
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -95,6 +95,9 @@
   // number at a time. To be called by a new leader, before the directory is
   // passed on.
   void BeginSurvey();
+  // Workers that become known may have leases of previous leaders until
+  // `bound`, also those on which none of their runs is known.
+  void AssumeLeases(Time bound) { inherited_lease_bound_ = bound; }
   // Whether the survey goes on: what is known of the workers is so incomplete
   // that it would be rash to evict runs or to spread gangs.
   bool surveying(Time now) const;
@@ -253,6 +256,8 @@
   std::map<std::string, std::optional<WallTime>> ended_incarnations_;
   FirstLookQueue first_looks_;
   bool survey_begun_ = false;
+  // When all leases of previous leaders are over.
+  Time inherited_lease_bound_{};
   // When the directory was known completely.
   std::optional<Time> survey_released_at_;
   RefusedEntries refused_;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -243,6 +243,11 @@
   const std::optional<WallTime>& incarnation_start() const {
     return incarnation_.start();
   }
+  // A lease may exist on it until `bound`. It covers all that runs there, also
+  // what is started later.
+  void AssumeLeases(Time bound) {
+    lease_bound_ = std::max(lease_bound_, bound);
+  }
   // A lease of `term` from now may exist on it.
   void ExtendLeaseBound(Milliseconds term, Time now);
 
--- a/tests/auto/coordination/tst_takeover_leases.cc
+++ b/tests/auto/coordination/tst_takeover_leases.cc
@@ -121,6 +121,20 @@
   CHECK(RunUntil(cluster.io, [&] { return !is_stopped(); }));
 }
 
+// Guards against a run that is taken for ended too early: a lease covers all
+// that runs on a worker, also a task that a later leader starts there.
+TEST_CASE("a worker without runs may have leases of the previous leader") {
+  Cluster cluster;
+  Entry& first = cluster.Add("a");
+  REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
+  cluster.Add("b");
+  Entry& second = ReplaceLeader(&cluster);
+  REQUIRE(RunUntil(cluster.io, [&] { return second.Knows(2); }));
+  const WorkerBounds bounds;
+  CHECK(LeaseBound(second, "w1") >
+        std::chrono::steady_clock::now() + bounds.lease_term());
+}
+
 // Guards against a record that is believed although a leader after its writer
 // may have renewed the leases.
 TEST_CASE("only the record of the leader just before counts") {
