After an outage a worker gets starts only by an entry written since

What callers saw: right after an outage of the store, tasks were started on a worker that had shrunk during it, and brought it over its capacity (LIMIT).

Cause: before it places anything after an outage, the leader reads the directory anew and takes the time of that read for the age of what it says. The worker could not write during the outage, so that the read returns its entry from before; the next one comes up to a heartbeat later.

Class: the time of a read in place of the time of the fact. Looked at: - entries of the directory under the same leader: the fault; - what a successor reads first from the directory: the same fault, mended here; - starts that were decided before an outage of 2.5 to 4 s and recorded after it: the same (above 4 s they are withheld since the lead is not confirmed), mended here; - configuration, closed failure domains, cancellations, board: written once by those who acknowledge them, and the store is linearizable: a later read contains them, no fault; - health record: carries the times of its verdicts, no fault; - announced departures: DepartureDetector knows the lag of an entry, and a time counted from the read is late, which proves less; no rule is touched, not changed; - store age: the fact is the read itself; heartbeats of leaders and renewal stops: counted from the read they only make waits longer; no fault.

Now a gap of more than 2.5 s between two reads of the directory marks every worker (kEntryOutdated) until an entry is read that came after the first whole read: only that one was certainly written after the store was back. A successor does so with what it reads first, if its board had such a gap up to 2 s before, or the directory could not be read at first. What is already running stays.

Decided: an entry that is still listed after three heartbeats counts again, since the platform removes the entry of a worker that is silent for so long; a worker that cannot write is thus not blocked for ever. Urgent steps wait like others, for half a heartbeat in the mean: no bound on a shrink is known, so that no start is safe by the old entry, and reports carry no capacity. Until 2 s after the outage nothing is evicted and no step leaves its rack while entries are awaited. While the directory alone cannot be read, the known workers are used as before.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -101,7 +101,12 @@
 }
 
 void ClusterCoordinator::OnBoardCaughtUp(Duration latency) {
-  election_.OnBoardCaughtUp(latency, Now());
+  const Time now = Now();
+  const bool is_first = last_board_read_ == Time{};
+  const bool has_gap = now - last_board_read_ > kMaxReadGap;
+  if (!is_first && has_gap) store_returned_ = now;
+  last_board_read_ = now;
+  election_.OnBoardCaughtUp(latency, now);
 }
 
 void ClusterCoordinator::OnBoardSnapshot() { predecessor_.OnSnapshot(Now()); }
@@ -350,6 +355,7 @@
   fleet.bounds = settings_.bounds;
   fleet.features = settings_.features;
   fleet.epoch = epoch_;
+  fleet.store_returned = store_returned_;
   fleet_ = std::make_unique<WorkerFleet>(calls_, formats_, fleet,
                                          MakeFleetHandlers());
   fleet_->BeginSurvey();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -266,6 +266,10 @@
   // to be stored was sent.
   BootTime leadership_confirmed_{};
   LeaderRecord logged_leader_;
+  Time last_board_read_{};
+  // When the board could be read again after the last outage of the store;
+  // nullopt if there was none. Valid in every phase.
+  std::optional<Time> store_returned_;
   Time last_heartbeat_{};
   Time last_cleanup_{};
   // When tasks were last placed, and how long it took.
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -88,6 +88,7 @@
     inputs.guarantees = &guarantees;
     inputs.advice = &advice_->book();
     inputs.surveying = surveying;
+    inputs.awaiting_entries = fleet_->awaiting_entries(now);
     inputs.now = now;
     inputs.wall_now = std::chrono::system_clock::now();
     const Plan plan = planner_.Decide(inputs);
--- a/src/libs/coordination/worker_directory.cc
+++ b/src/libs/coordination/worker_directory.cc
@@ -26,6 +26,7 @@
   };
   handlers.on_caught_up = [this] { OnCaughtUp(); };
   handlers.on_failure = [this](const Error& error) {
+    if (!tail_.has_snapshot()) lost_at_first_ = true;
     reachability_.OnReadFailed(error);
   };
   return handlers;
@@ -40,7 +41,9 @@
     ids.insert(id);
   }
   if (tail_.has_snapshot()) fleet_->OnDirectorySnapshot(ids, now);
-  if (caught_up_at_) fleet_->OnDirectoryCaughtUp(*caught_up_at_);
+  if (caught_up_at_) {
+    fleet_->OnDirectoryCaughtUp(*caught_up_at_, lost_at_first_);
+  }
 }
 
 void WorkerDirectory::OnRecord(const KeyedRecord& record) {
@@ -61,7 +64,9 @@
 
 void WorkerDirectory::OnCaughtUp() {
   reachability_.OnReadSucceeded(tail_.next_offset());
-  if (fleet_ != nullptr) return fleet_->OnDirectoryCaughtUp(Now());
+  if (fleet_ != nullptr) {
+    return fleet_->OnDirectoryCaughtUp(Now(), lost_at_first_);
+  }
   caught_up_at_ = Now();
 }
 
--- a/src/libs/coordination/worker_directory.h
+++ b/src/libs/coordination/worker_directory.h
@@ -52,6 +52,8 @@
   std::map<std::string, KeyedRecord> kept_;
   // When the end of the stream was last read, before a fleet was attached.
   std::optional<Time> caught_up_at_;
+  // A read has failed before the first one succeeded.
+  bool lost_at_first_ = false;
   StreamReachability reachability_{"directory"};
   // Last, so that no handler runs after the other members are gone.
   RecordTail tail_;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -10,9 +10,6 @@
 namespace thornplank {
 namespace {
 
-// A longer time between two reads of the directory counts as an outage.
-constexpr Milliseconds kMaxReadGap{2500};
-
 StartSenderSettings StartSenderSettingsFor(const WorkerBounds& bounds) {
   StartSenderSettings settings;
   settings.resend_period = bounds.start_order_term() / 2;
@@ -130,8 +127,10 @@
   const bool listed_before = !tracker->registration().address.empty();
   const bool resized = listed_before && registration->capacity !=
                                             tracker->registration().capacity;
+  const bool was_outdated = tracker->IsEntryOutdated(now);
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
+  if (was_outdated) handlers_.on_change();
   if (!listed_before) health_monitor_.OnWorkerSeen(tracker);
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
@@ -236,9 +235,41 @@
   SendFirstLooks(now);
 }
 
-void WorkerFleet::OnDirectoryCaughtUp(Time now) {
-  if (now - last_directory_read_ > kMaxReadGap) directory_read_since_ = now;
+// After a gap, an entry that was read up to now may have been written before or
+// during the outage; one that is read later was written after it. A new leader
+// knows no earlier read of the directory: what it reads first is current if
+// workers have had the time to write since the store returned.
+void WorkerFleet::OnDirectoryCaughtUp(Time now, bool was_lost) {
+  const bool is_first = last_directory_read_ == Time{};
+  const bool has_gap = now - last_directory_read_ > kMaxReadGap;
+  const bool returned_lately =
+      settings_.store_returned &&
+      now - *settings_.store_returned < settings_.bounds.entry_rewrite_bound();
+  if (has_gap) directory_read_since_ = now;
   last_directory_read_ = now;
+  if (is_first ? was_lost || returned_lately : has_gap) {
+    MarkEntriesOutdated(now);
+  }
+}
+
+void WorkerFleet::MarkEntriesOutdated(Time now) {
+  outage_over_ = now;
+  const Milliseconds longest = settings_.bounds.entry_lapse();
+  for (auto& [id, tracker] : trackers_) {
+    tracker.MarkEntryOutdated(now + longest);
+  }
+  LogEvent(events::kEntriesOutdated,
+           {{"workers", trackers_.size()}, {"longest_ms", longest.count()}});
+}
+
+bool WorkerFleet::awaiting_entries(Time now) const {
+  if (!outage_over_) return false;
+  if (now - *outage_over_ >= settings_.bounds.entry_rewrite_bound()) {
+    return false;
+  }
+  return std::any_of(
+      trackers_.begin(), trackers_.end(),
+      [now](const auto& entry) { return entry.second.IsEntryOutdated(now); });
 }
 
 void WorkerFleet::CloseDomains(const std::set<std::string>& domains) {
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -37,6 +37,10 @@
 
 namespace thornplank {
 
+// A longer time between two reads of a stream that is followed counts as an
+// outage of the store. One read without an answer and its retry take less.
+inline constexpr Milliseconds kMaxReadGap{2500};
+
 struct WorkerFleetSettings {
   int64_t epoch = 0;
   WorkerBounds bounds;
@@ -47,6 +51,9 @@
   // store answered all the time, is gone. Records that expired during an outage
   // of the store are written again within 2 s.
   Milliseconds missing_grace{2600};
+  // When this process could read the store again after the last outage; nullopt
+  // if it has seen none.
+  std::optional<Time> store_returned;
   // A worker that has not answered for longer gets a recorded stop of its
   // renewals. Lost answers alone are not worth a record.
   Milliseconds renewal_stop_silence{500};
@@ -102,8 +109,13 @@
   void OnDirectoryRecord(const KeyedRecord& record, Time now);
   // A new snapshot of the directory contains exactly these workers.
   void OnDirectorySnapshot(const std::set<std::string>& ids, Time now);
-  // The directory was read up to its end.
-  void OnDirectoryCaughtUp(Time now);
+  // The directory was read up to its end. `was_lost`: earlier reads have failed
+  // and none had succeeded before.
+  void OnDirectoryCaughtUp(Time now, bool was_lost = false);
+  // Whether workers that live may still write their entries for the first time
+  // after an outage of the store. What is known of capacities is then too
+  // incomplete to evict runs or to spread gangs.
+  bool awaiting_entries(Time now) const;
   // Sets the failure domains that take no new work.
   void CloseDomains(const std::set<std::string>& domains);
 
@@ -180,6 +192,8 @@
   // Parts of the average latency of which a new one is one.
   static constexpr int kLatencyParts = 8;
 
+  // The entries that were read so far may be older than an outage of the store.
+  void MarkEntriesOutdated(Time now);
   // To be called when something of the worker has changed.
   void Activate(const std::string& id) { active_.insert(id); }
   void Forget(const std::string& id);
@@ -261,6 +275,9 @@
   // Since when the directory has been read without a gap.
   Time directory_read_since_{};
   Time last_directory_read_{};
+  // When the directory was first read after the last outage of the store;
+  // nullopt if there was none.
+  std::optional<Time> outage_over_;
   ReportSchedule report_schedule_;
   HealthMonitor health_monitor_;
   RunReview run_review_;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -81,6 +81,8 @@
                                         Severity::kInfo};
 inline constexpr Event kWorkerUnlisted{956, "worker-unlisted",
                                        Severity::kWarning};
+inline constexpr Event kEntriesOutdated{962, "entries-outdated",
+                                        Severity::kInfo};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -243,8 +243,12 @@
     }
   }
 
+  bool KnowsWorkersInPart() const {
+    return inputs_.surveying || inputs_.awaiting_entries;
+  }
+
   void PlaceProbationTests() {
-    if (inputs_.surveying) return;
+    if (KnowsWorkersInPart()) return;
     for (ProbationTest& test : TakeProbationTests(capacity_, &steps_)) {
       Start(steps_[test.step], {std::move(test.assignment)},
             "test of a worker on probation");
@@ -268,7 +272,7 @@
         capacity_.Reserve(own->second);
         reason = WaitReason::kPreempting;
       }
-    } else if (!placed && step.urgent() && !inputs_.surveying &&
+    } else if (!placed && step.urgent() && !KnowsWorkersInPart() &&
                PreemptFor(step)) {
       reason = WaitReason::kPreempting;
     } else if (!placed && holds_ && MayHold(step) && HoldFor(step)) {
@@ -341,7 +345,7 @@
   // meanwhile. So this is only for an idle cluster, and for guaranteed work,
   // which must start in time.
   bool MayLeaveRack(const ReadyStep& step) const {
-    if (inputs_.surveying) return false;
+    if (KnowsWorkersInPart()) return false;
     const auto waited = std::chrono::duration_cast<Milliseconds>(
         inputs_.now - step.job->added_at);
     if (step.urgent() && IsGuaranteed(step)) {
@@ -500,7 +504,7 @@
     if (yields) *reason = WaitReason::kYieldsToHigherPriority;
     if (places.near_only) *reason = WaitReason::kNoRoomNearData;
     // A rack may hold more than is known of it yet.
-    const bool may_fit = inputs_.surveying || capacity_.AnyRackCanHold(step);
+    const bool may_fit = KnowsWorkersInPart() || capacity_.AnyRackCanHold(step);
     if (step.spec->same_rack && may_fit) {
       Assignments chosen = PlaceOnOneRack(step, capacity_, places);
       if (!chosen.empty()) {
@@ -545,7 +549,7 @@
 
   bool MayHold(const ReadyStep& step) const {
     return step.spec->gang && !step.urgent() && !step.expired &&
-           !inputs_.surveying;
+           !KnowsWorkersInPart();
   }
 
   // Also records that the gang still waits.
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -145,6 +145,10 @@
   // Many workers are not known yet. Only urgent steps are placed, without
   // evictions, and none leaves its rack.
   bool surveying = false;
+  // After an outage of the store the capacity of some workers is not known yet.
+  // Steps are placed on the others, without evictions, and none leaves its
+  // rack.
+  bool awaiting_entries = false;
   Time now{};
   WallTime wall_now{};
 };
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -65,6 +65,13 @@
     const Milliseconds attempts = (stop_bound + Milliseconds(450)) * 2;
     return std::max(reclaim_bound - attempts, Milliseconds::zero());
   }
+  // After an outage of the store: the time in which living workers that reach
+  // it have written their entries again.
+  Milliseconds entry_rewrite_bound() const {
+    return heartbeat + Milliseconds(500);
+  }
+  // Silence after which the platform removes the entry of a worker.
+  Milliseconds entry_lapse() const { return heartbeat * 3; }
   // Maximum age of the view of the job board on which starts are decided.
   // Leaves time for a start order that is still under way when the view has
   // reached this age.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -107,6 +107,7 @@
   }
   registration_ = std::move(registration);
   missing_since_.reset();
+  entry_outdated_until_.reset();
   departure_.reset();
   if (registration_.draining) departure_ = now + registration_.drain_remaining;
 }
@@ -379,6 +380,7 @@
   if (!synchronized()) return WorkerAvailability::kNoReportYet;
   if (!reachable()) return WorkerAvailability::kSilent;
   if (missing()) return WorkerAvailability::kNotListed;
+  if (IsEntryOutdated(now)) return WorkerAvailability::kEntryOutdated;
   if (renewals_stopped_) return WorkerAvailability::kRenewalsStopped;
   if (registration_.draining) return WorkerAvailability::kLeaving;
   if (domain_closed_) return WorkerAvailability::kDomainClosed;
@@ -459,6 +461,8 @@
       return "silent";
     case WorkerAvailability::kNotListed:
       return "not listed";
+    case WorkerAvailability::kEntryOutdated:
+      return "entry outdated";
     case WorkerAvailability::kLeaving:
       return "leaving";
     case WorkerAvailability::kRenewalsStopped:
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -151,6 +151,9 @@
   kSilent,
   // The directory no longer lists it, or lists it with an unreadable entry.
   kNotListed,
+  // Its entry is older than the last outage of the store, so that its capacity
+  // may have changed since.
+  kEntryOutdated,
   kLeaving,
   // The board says that no leases are renewed there.
   kRenewalsStopped,
@@ -184,6 +187,12 @@
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
+  // The entry may have been written before an outage of the store. Until the
+  // next one is read, or until `until`, the capacity counts as unknown.
+  void MarkEntryOutdated(Time until) { entry_outdated_until_ = until; }
+  bool IsEntryOutdated(Time now) const {
+    return entry_outdated_until_ && now < *entry_outdated_until_;
+  }
   // Whether its failure domain accepts no new work.
   void set_domain_closed(bool closed) { domain_closed_ = closed; }
   bool domain_closed() const { return domain_closed_; }
@@ -322,6 +331,8 @@
   // The earliest time of an announced departure.
   std::optional<Time> departure_;
   std::optional<Time> missing_since_;
+  // Nullopt if the entry was read after the last outage of the store.
+  std::optional<Time> entry_outdated_until_;
   bool domain_closed_ = false;
   bool renewals_stopped_ = false;
   std::map<TaskRef, TrackedRun> runs_;
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -114,11 +114,12 @@
  public:
   Entry(boost::asio::io_context& io, FakeRecordStore& store,
         FakeWorkerCalls& calls, const std::string& name,
-        Milliseconds read_interval, FeatureMode worker_health)
+        Milliseconds read_interval, FeatureMode worker_health,
+        const WorkerBounds& bounds)
       : tail_(io, store, TailSettings(read_interval), Handlers()),
         coordinator_(io, store, calls, formats_,
-                     CoordinatorSettings(name, worker_health), Dependencies(),
-                     metrics_) {
+                     CoordinatorSettings(name, worker_health, bounds),
+                     Dependencies(), metrics_) {
     tail_.Start();
     coordinator_.Start();
   }
@@ -151,8 +152,10 @@
     return settings;
   }
   static ClusterCoordinatorSettings CoordinatorSettings(
-      const std::string& name, FeatureMode worker_health) {
+      const std::string& name, FeatureMode worker_health,
+      const WorkerBounds& bounds) {
     ClusterCoordinatorSettings settings;
+    settings.bounds = bounds;
     settings.holder = name;
     settings.board = kBoard;
     settings.features.worker_health = worker_health;
@@ -235,8 +238,8 @@
   Entry& Add(const std::string& name,
              Milliseconds read_interval = Milliseconds(0),
              FeatureMode worker_health = FeatureMode::kAuto) {
-    entries.push_back(std::make_unique<Entry>(io, store, calls, name,
-                                              read_interval, worker_health));
+    entries.push_back(std::make_unique<Entry>(
+        io, store, calls, name, read_interval, worker_health, bounds));
     return *entries.back();
   }
 
@@ -291,6 +294,8 @@
   boost::asio::io_context io;
   FakeRecordStore store;
   FakeWorkerCalls calls;
+  // Of the entries that are added from now on.
+  WorkerBounds bounds;
   std::vector<std::unique_ptr<Entry>> entries;
 };
 
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -358,6 +358,46 @@
   CHECK(cluster.calls.starts["w2"] == 0);
 }
 
+// Guards against starts by entries from before an outage, which a fresh read of
+// the directory returns unchanged: a worker that shrank meanwhile is brought
+// over its capacity. The same leader or its successor may be the one to decide.
+TEST_CASE("after an outage a start waits for an entry written since") {
+  for (const bool leader_is_lost : {false, true}) {
+    CAPTURE(leader_is_lost);
+    Cluster cluster;
+    // Longer than this test: no entry counts again for its age alone.
+    cluster.bounds.heartbeat = Milliseconds(60000);
+    cluster.Add("a");
+    REQUIRE(RunUntil(cluster.io, [&] { return cluster.entries[0]->Knows(2); }));
+    if (leader_is_lost) {
+      Entry& successor = cluster.Add("b");
+      REQUIRE(RunUntil(cluster.io,
+                       [&] { return successor.board().leader().epoch > 0; }));
+    }
+    cluster.store.reachable = false;
+    cluster.store.fails_at_once = true;
+    RunUntil(
+        cluster.io, [] { return false; }, Milliseconds(2700));
+    if (leader_is_lost) cluster.entries.erase(cluster.entries.begin());
+    cluster.Submit({MakeStep(1, 8)}, 50);
+    cluster.store.reachable = true;
+    const auto is_decided = [&] {
+      const ClusterCoordinator& leader = cluster.entries[0]->coordinator();
+      if (cluster.calls.starts.empty() && !leader.leading()) return false;
+      return !cluster.calls.starts.empty() ||
+             leader.fleet()->awaiting_entries(std::chrono::steady_clock::now());
+    };
+    REQUIRE(RunUntil(cluster.io, is_decided));
+    CHECK(cluster.calls.starts.empty());
+    cluster.Append(kWorkers, {"w2", "listed", 0});
+    REQUIRE(RunUntil(cluster.io, [&] {
+      return cluster.entries[0]->state(kJob) == JobState::kCompleted;
+    }));
+    CHECK(cluster.calls.starts["w1"] == 0);
+    CHECK(cluster.calls.starts["w2"] == 1);
+  }
+}
+
 // Guards against runs that are missing in the metrics: the first end of a gang
 // that is done ends its job, which the leader drops once that is stored, and
 // the ends of the other members arrive later.
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -109,7 +109,9 @@
 class Fixture {
  public:
   explicit Fixture(const WorkerBounds& bounds = WorkerBounds())
-      : fleet(calls, formats, SettingsWith(bounds), MakeHandlers()) {
+      : Fixture(SettingsWith(bounds)) {}
+  explicit Fixture(const WorkerFleetSettings& settings)
+      : fleet(calls, formats, settings, MakeHandlers()) {
     fleet.OnDirectoryRecord({"w1", "listed", 0}, Now());
   }
 
--- a/tests/auto/workload/planner_cluster.h
+++ b/tests/auto/workload/planner_cluster.h
@@ -36,6 +36,7 @@
     inputs.guarantees = &guarantees;
     inputs.advice = &advice;
     inputs.surveying = surveying;
+    inputs.awaiting_entries = awaiting_entries;
     inputs.now = now;
     inputs.wall_now = wall_now;
     Plan plan = planner.Decide(inputs);
@@ -116,6 +117,7 @@
   AdviceCache advice;
   // See PlanInputs.
   bool surveying = false;
+  bool awaiting_entries = false;
   Planner planner;
   Time now = At(0);
   WallTime wall_now = FromUnixMilliseconds(1000100);
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -197,6 +197,39 @@
   }
 }
 
+// Guards against evictions, after an outage of the store, from the few workers
+// whose capacity is known, while others have free room.
+TEST_CASE("while entries are awaited, steps are placed without evictions") {
+  struct Row {
+    const char* name;
+    bool awaiting_entries;
+    StepSpec step;
+    int priority;
+    bool starts;
+    bool evicts;
+  };
+  const StepSpec small = Gang(2, 4, true);
+  const StepSpec wide = Gang(2, 8, true);
+  const std::vector<Row> rows = {
+      {"urgent, fits on what is known", true, small, 0, true, false},
+      {"urgent, fits only after an eviction", true, wide, 0, false, false},
+      {"the same once all entries are read", false, wide, 0, false, true},
+      {"not urgent, fits on what is known", true, small, 2, true, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PlannerCluster cluster(1, 2);
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 8)}, 2), cluster.now);
+    cluster.Round();
+    cluster.now += std::chrono::seconds(5);
+    cluster.awaiting_entries = row.awaiting_entries;
+    cluster.ledger.Add(MakeJob(Id(2), {row.step}, row.priority), cluster.now);
+    const Plan plan = cluster.Round();
+    CHECK(plan.starts.empty() != row.starts);
+    CHECK(plan.stops.empty() != row.evicts);
+  }
+}
+
 TEST_CASE("a guarantee is reclaimed only from accounts above their own") {
   for (const bool beyond : {true, false}) {
     CAPTURE(beyond);
