Guaranteed work gets its room although long-running tasks fill the workers

Cause: VictimSelection::IsPreemptible refused every long-running run, and nothing kept such runs off guaranteed accelerators. Class: a kind of work that is exempt from giving way without a look at what is owed to others. Looked for at each place that treats long-running or expired work apart: MarkGuaranteedSteps left expired steps without their guarantee, so that a late job would still have waited (mended here); GangHolds, RunReview and GangReview pass over long-running runs, but serve no guarantee; probation tests do, and guaranteed steps pass probation anyway.

Now long-running runs are victims of steps within a guarantee, after all other runs and by the work lost, across racks too. DisruptionBudgets limits the stops of a step with may_miss: a task counts as away unless it is active, its worker answers and reports it at 100%, which a new leader counts the same way. An omitted may_miss is the same as 0 on the wire and promises nothing. Tasks that must stay (count less may_miss, all of a gang) start only on accelerators that no other account is guaranteed, since they cannot be taken back; the wait has a reason of its own.

The fixture planner_cluster.h now sets RunProfile::long_running, as the coordinator does.

--- a/src/libs/workload/eviction.cc
+++ b/src/libs/workload/eviction.cc
@@ -3,13 +3,31 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
 namespace thornplank {
+namespace {
+
+// Takes the eviction's victims off the limits of their steps; changes nothing
+// and returns false if they exceed one.
+bool TakeStops(const Eviction& eviction, std::map<StepRef, int>* stops_left) {
+  if (stops_left->empty()) return true;
+  std::map<StepRef, int> left = *stops_left;
+  for (const TrackedRun* run : eviction.victims) {
+    const auto limit = left.find(run->task.step);
+    if (limit != left.end() && --limit->second < 0) return false;
+  }
+  *stops_left = std::move(left);
+  return true;
+}
+
+}  // namespace
 
 std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
-                                        int64_t needed, EvictionCost* cost) {
+                                        int64_t needed, EvictionCost* cost,
+                                        std::map<StepRef, int> stops_left) {
   // A later eviction on a worker depends on the earlier ones there, so their
   // order is preserved: prices are made to rise along it.
   struct Price {
@@ -34,9 +52,16 @@
       order.begin(), order.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<Eviction> chosen;
+  // Workers on which an eviction was passed over, and with it the later ones.
+  std::set<size_t> passed_over;
   *cost = EvictionCost();
   for (const auto& [price, i] : order) {
     if (needed <= 0) break;
+    if (passed_over.count(evictions[i].worker) > 0) continue;
+    if (!TakeStops(evictions[i], &stops_left)) {
+      passed_over.insert(evictions[i].worker);
+      continue;
+    }
     needed -= evictions[i].gain;
     *cost += evictions[i].cost;
     chosen.push_back(std::move(evictions[i]));
--- a/src/libs/workload/eviction.h
+++ b/src/libs/workload/eviction.h
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
+#include "workload/task_ref.h"
 #include "workload/worker_tracker.h"
 
 namespace thornplank {
@@ -47,9 +49,11 @@
 
 // Returns the cheapest evictions that free room for `needed` tasks, those
 // of the lowest rank first, and their total cost; empty when all of them
-// together do not suffice.
+// together do not suffice. `stops_left` limits the victims of the steps that it
+// names.
 std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
-                                        int64_t needed, EvictionCost* cost);
+                                        int64_t needed, EvictionCost* cost,
+                                        std::map<StepRef, int> stops_left = {});
 
 }  // namespace thornplank
 
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "workload/cluster_capacity.h"
+#include "workload/disruption_budgets.h"
 #include "workload/gang_holds.h"
 #include "workload/gang_placement.h"
 #include "workload/probation_tests.h"
@@ -38,6 +39,7 @@
         shares_(MakeShares(shared_services_, *inputs.guarantees)),
         capacity_(*inputs.workers, inputs.advice, inputs.now, shares(),
                   planner->held_state_.active()),
+        budgets_(inputs.ledger, inputs.workers),
         steps_(std::move(steps)),
         queue_(steps_, shares(),
                {shared_services_, planner->settings_.max_share_wait,
@@ -229,17 +231,20 @@
   // guarantee of their account, even if its later ones exceed it.
   void MarkGuaranteedSteps() {
     std::map<std::string, int64_t> needed;
-    for (ReadyStep& step : steps_) {
-      // An expired step must not use up what one that is in time needs.
-      if (!step.urgent() || step.expired) continue;
-      const std::string& account = step.job->spec.account;
-      const auto guarantee = inputs_.guarantees->find(account);
-      if (guarantee == inputs_.guarantees->end()) continue;
-      int64_t& sum = needed[account];
-      sum += step.spec->need.accelerators *
-             static_cast<int64_t>(step.waiting.size());
-      step.guaranteed =
-          capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
+    // An expired step must not use up what one that is in time needs.
+    for (const bool expired : {false, true}) {
+      for (ReadyStep& step : steps_) {
+        if (!step.urgent() || step.expired != expired) continue;
+        const std::string& account = step.job->spec.account;
+        const auto guarantee = inputs_.guarantees->find(account);
+        if (guarantee == inputs_.guarantees->end()) continue;
+        int64_t& sum = needed[account];
+        sum += step.spec->need.accelerators *
+               static_cast<int64_t>(step.waiting.size());
+        step.within_guarantee =
+            capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
+        step.guaranteed = step.within_guarantee && !expired;
+      }
     }
   }
 
@@ -271,19 +276,22 @@
     } else if (!placed && step.urgent() && !inputs_.surveying &&
                PreemptFor(step)) {
       reason = WaitReason::kPreempting;
-    } else if (!placed && holds_ && MayHold(step) && HoldFor(step)) {
+    } else if (!placed && reason != WaitReason::kGuaranteedToOthers && holds_ &&
+               MayHold(step) && HoldFor(step)) {
       reason = WaitReason::kPreempting;
     }
     if (placed) return;
     if (holds_ && MayHold(step)) WaitedOf(step);
     AddWait(step, reason);
-    RecordWaitingDemand(step);
+    RecordWaitingDemand(step, reason);
   }
 
   // Only gangs need much capacity at one moment. Capacity for a step that
-  // evicted others is reserved already.
-  void RecordWaitingDemand(const ReadyStep& step) {
+  // evicted others is reserved already, and one that may not use what is free
+  // needs none yet.
+  void RecordWaitingDemand(const ReadyStep& step, WaitReason reason) {
     if (holds_ || !step.spec->gang) return;
+    if (reason == WaitReason::kGuaranteedToOthers) return;
     if (planner_.reservations_.count(step.ref) > 0) return;
     if (step.expired) return;
     waiting_demand_.Add(step.service(), step.priority(),
@@ -324,6 +332,7 @@
       case WaitReason::kNoUsableWorker:
       case WaitReason::kSurveying:
       case WaitReason::kMembersUnsettled:
+      case WaitReason::kGuaranteedToOthers:
         return false;
     }
     return false;
@@ -451,8 +460,103 @@
     return allowed;
   }
 
+  // Accelerators of the service that tasks of the account which must not be
+  // stopped may use: the others are guaranteed to other accounts, or in use
+  // under the account's own guarantee.
+  int64_t AcceleratorsOutsideGuarantees(const ReadyStep& step) const {
+    const std::string& account = step.job->spec.account;
+    int64_t left = capacity_.TotalCapacity(step.service()).accelerators;
+    for (const auto& [owner, guaranteed] : *inputs_.guarantees) {
+      left -= owner == account
+                  ? std::min(guaranteed, capacity_.UrgentAccelerators(owner))
+                  : guaranteed;
+    }
+    return left;
+  }
+
+  // Tasks of the step that run, those started in this round included.
+  int64_t ActiveTasks(const StepRef& ref, const StepProgress& progress) const {
+    const auto started = started_protected_.find(ref);
+    return progress.active() +
+           (started == started_protected_.end() ? 0 : started->second);
+  }
+
+  // Urgent tasks of an account within its guarantee use that.
+  bool UsesOwnGuarantee(const JobDefinition& job) const {
+    if (job.policy.priority != 0) return false;
+    const auto guarantee = inputs_.guarantees->find(job.account);
+    return guarantee != inputs_.guarantees->end() &&
+           capacity_.UrgentAccelerators(job.account) <= guarantee->second;
+  }
+
+  // Accelerators that tasks of the step use which must not be stopped.
+  int64_t ProtectedAccelerators(const StepRef& ref, const StepSpec& spec,
+                                const StepProgress& progress) const {
+    return spec.need.accelerators * std::min(DisruptionBudgets::MustStay(spec),
+                                             ActiveTasks(ref, progress));
+  }
+
+  // The same of all steps of the service.
+  int64_t ProtectedAccelerators(const std::string& service) {
+    const auto [known, is_new] = protected_accelerators_.try_emplace(service);
+    if (!is_new) return known->second;
+    for (const auto& [id, job] : inputs_.ledger->jobs()) {
+      if (job->spec.policy.service != service) continue;
+      if (IsTerminal(job->state) || UsesOwnGuarantee(job->spec)) continue;
+      for (size_t k = 0; k < job->occurrences.size(); ++k) {
+        for (size_t i = 0; i < job->spec.steps.size(); ++i) {
+          const StepSpec& spec = job->spec.steps[i];
+          if (!DisruptionBudgets::IsProtected(spec)) continue;
+          const StepRef ref{id, static_cast<int>(k), static_cast<int>(i)};
+          known->second +=
+              ProtectedAccelerators(ref, spec, job->occurrences[k][i]);
+        }
+      }
+    }
+    return known->second;
+  }
+
+  void CountProtected(const ReadyStep& step, size_t started) {
+    if (!DisruptionBudgets::IsProtected(*step.spec)) return;
+    const StepProgress& progress = *inputs_.ledger->FindStep(step.ref);
+    const int64_t before =
+        ProtectedAccelerators(step.ref, *step.spec, progress);
+    started_protected_[step.ref] += static_cast<int64_t>(started);
+    const auto sum = protected_accelerators_.find(step.service());
+    if (sum == protected_accelerators_.end() || step.within_guarantee) return;
+    sum->second +=
+        ProtectedAccelerators(step.ref, *step.spec, progress) - before;
+  }
+
+  // How many tasks of the step may start without using guaranteed accelerators
+  // that could not be freed in time. Tasks that may be stopped need no limit.
+  int64_t TasksOutsideGuarantees(const ReadyStep& step) {
+    const auto waiting = static_cast<int64_t>(step.waiting.size());
+    const StepSpec& spec = *step.spec;
+    if (!DisruptionBudgets::IsProtected(spec) || step.within_guarantee ||
+        spec.need.accelerators <= 0) {
+      return waiting;
+    }
+    const StepProgress& progress = *inputs_.ledger->FindStep(step.ref);
+    int64_t of_others = ProtectedAccelerators(step.service());
+    if (!UsesOwnGuarantee(step.job->spec)) {
+      of_others -= ProtectedAccelerators(step.ref, spec, progress);
+    }
+    const int64_t tasks = (AcceleratorsOutsideGuarantees(step) - of_others) /
+                          spec.need.accelerators;
+    if (tasks >= DisruptionBudgets::MustStay(spec)) return waiting;
+    if (spec.gang) return 0;
+    return std::clamp<int64_t>(tasks - ActiveTasks(step.ref, progress), 0,
+                               waiting);
+  }
+
   bool PlaceSingleTasks(const ReadyStep& step, WaitReason* reason) {
-    const int64_t allowed = AllowedTasks(step);
+    const int64_t outside = TasksOutsideGuarantees(step);
+    if (outside <= 0) {
+      *reason = WaitReason::kGuaranteedToOthers;
+      return false;
+    }
+    const int64_t allowed = std::min(AllowedTasks(step), outside);
     if (allowed <= 0) {
       *reason = WaitReason::kYieldsToHigherPriority;
       return false;
@@ -491,6 +595,11 @@
   }
 
   bool PlaceGang(const ReadyStep& step, WaitReason* reason) {
+    if (TasksOutsideGuarantees(step) <
+        static_cast<int64_t>(step.waiting.size())) {
+      *reason = WaitReason::kGuaranteedToOthers;
+      return false;
+    }
     if (AllowedTasks(step) < static_cast<int64_t>(step.waiting.size())) {
       *reason = WaitReason::kYieldsToHigherPriority;
       return false;
@@ -522,16 +631,25 @@
     }
     ChangeShares(step.service(), step.job->spec.account, step.priority(),
                  ReservedFor(*step.spec), static_cast<int64_t>(chosen.size()));
+    CountProtected(step, chosen.size());
     plan_.starts.push_back(
         {step.ref, std::move(chosen), std::move(reason), std::nullopt});
   }
 
   // Evicts other runs for an urgent step; returns false when that cannot make
   // enough room.
-  bool PreemptFor(const ReadyStep& step) {
+  bool PreemptFor(const ReadyStep& waiting) {
+    ReadyStep step = waiting;
+    step.waiting.resize(static_cast<size_t>(TasksOutsideGuarantees(waiting)));
+    if (step.waiting.empty()) return false;
     const VictimSelection::Inputs inputs{
-        &capacity_, inputs_.ledger,  inputs_.guarantees,
-        &stopped_,  SharesFor(step), planner_.settings_.bounds.restart_cost(),
+        &capacity_,
+        inputs_.ledger,
+        inputs_.guarantees,
+        &stopped_,
+        &budgets_,
+        SharesFor(step),
+        planner_.settings_.bounds.restart_cost(),
         inputs_.now};
     const bool one_rack = step.spec->gang && step.spec->same_rack &&
                           capacity_.AnyRackCanHold(step);
@@ -604,6 +722,7 @@
         plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
                                reason + step.ref.ToString(), !step.urgent()});
         stopped_.insert(run->task);
+        if (run->profile.long_running) budgets_.OnStop(run->task.step);
         ChangeShares(step.service(), run->profile.account,
                      run->profile.priority, run->profile.need, -1);
       }
@@ -624,6 +743,7 @@
   // Empty while no service is shared.
   std::optional<AccountShares> shares_;
   ClusterCapacity capacity_;
+  DisruptionBudgets budgets_;
   std::vector<ReadyStep> steps_;
   StepQueue queue_;
   // Steps left waiting for capacity: their services, and their number by
@@ -636,6 +756,11 @@
   std::map<std::string, int64_t> urgent_demand_;
   // Runs that this round has already decided to stop.
   std::set<TaskRef> stopped_;
+  // Number of tasks that this round has started, of steps some of whose tasks
+  // must stay at work.
+  std::map<StepRef, int64_t> started_protected_;
+  // Accelerators that tasks use which must not be stopped, by service.
+  std::map<std::string, int64_t> protected_accelerators_;
   // Set while held capacity is active.
   std::optional<GangHolds> holds_;
   // Workers to leave empty for urgent steps, by service.
@@ -732,6 +857,9 @@
       return "workers have yet to be asked what they run";
     case WaitReason::kMembersUnsettled:
       return "members of its last run may still be on their workers";
+    case WaitReason::kGuaranteedToOthers:
+      return "the accelerators are guaranteed to other accounts, and its tasks "
+             "could not be stopped for them";
   }
   return "no room";
 }
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -102,6 +102,9 @@
   // A gang has lost members, and others of that run may still be on their
   // workers.
   kMembersUnsettled,
+  // Its tasks must not be stopped, and the accelerators are guaranteed to other
+  // accounts.
+  kGuaranteedToOthers,
 };
 
 std::string_view ToText(WaitReason reason);
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -34,8 +34,11 @@
   bool crashed_at_start = false;
   // Uses only workers on which nothing runs.
   bool alone = false;
-  // Urgent and within the guarantee of its account: no verdict on workers may
-  // delay it. Set by the planner.
+  // Urgent and within the guarantee of its account, also if it has expired:
+  // long-running tasks may be stopped for it. Set by the planner.
+  bool within_guarantee = false;
+  // The same, and not expired: no verdict on workers may delay it. Set by the
+  // planner.
   bool guaranteed = false;
   // Indices of its waiting tasks; for a gang, all of them.
   std::vector<int> waiting;
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -3,10 +3,18 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 #include <utility>
 
 namespace thornplank {
+namespace {
+
+// Added to the rank of a long-running task: more than the rank of any other
+// run.
+constexpr int kLongRunningRank = 4;
+
+}  // namespace
 
 VictimSelection::VictimSelection(const Inputs& inputs, const ReadyStep& step)
     : inputs_(inputs), step_(step) {
@@ -33,21 +41,42 @@
   }
   const auto needed = static_cast<int64_t>(step_.waiting.size());
   std::vector<Eviction> best;
-  double best_cost = std::numeric_limits<double>::max();
+  // Whether long-running tasks are stopped, and the work that is lost.
+  std::pair<bool, double> best_cost = {true,
+                                       std::numeric_limits<double>::max()};
   if (one_rack) {
     for (auto& [rack, evictions] : racks) {
       EvictionCost cost;
       std::vector<Eviction> chosen =
-          CheapestEvictions(evictions, needed, &cost);
-      if (chosen.empty() || cost.weighted() >= best_cost) continue;
+          CheapestEvictions(evictions, needed, &cost, StopsLeft(evictions));
+      const std::pair<bool, double> rack_cost = {cost.rank >= kLongRunningRank,
+                                                 cost.weighted()};
+      if (chosen.empty() || rack_cost >= best_cost) continue;
       best = std::move(chosen);
-      best_cost = cost.weighted();
+      best_cost = rack_cost;
     }
     if (best.empty() && !may_spread) return {};
   }
   if (!best.empty()) return best;
   EvictionCost cost;
-  return CheapestEvictions(all, needed, &cost);
+  std::map<StepRef, int> stops_left = StopsLeft(all);
+  return CheapestEvictions(std::move(all), needed, &cost,
+                           std::move(stops_left));
+}
+
+std::map<StepRef, int> VictimSelection::StopsLeft(
+    const std::vector<Eviction>& evictions) const {
+  std::map<StepRef, int> stops_left;
+  for (const Eviction& eviction : evictions) {
+    for (const TrackedRun* run : eviction.victims) {
+      if (!run->profile.long_running) continue;
+      const StepRef& step = run->task.step;
+      if (stops_left.count(step) > 0) continue;
+      const std::optional<int> left = inputs_.budgets->StopsLeft(step);
+      if (left) stops_left[step] = *left;
+    }
+  }
+  return stops_left;
 }
 
 std::vector<Eviction> VictimSelection::EvictionsOnWorker(size_t index) const {
@@ -80,7 +109,13 @@
   if (held > 0) {
     evictions.push_back({index, held, {}, {}});
   }
+  std::map<StepRef, int> stops;
   for (const auto& [cost, run] : victims) {
+    if (run->profile.long_running) {
+      const std::optional<int> left =
+          inputs_.budgets->StopsLeft(run->task.step);
+      if (left && ++stops[run->task.step] > *left) continue;
+    }
     available += run->profile.need;
     next.cost += cost;
     next.victims.push_back(run);
@@ -96,7 +131,10 @@
 }
 
 bool VictimSelection::IsPreemptible(const TrackedRun& run) const {
-  if (run.profile.long_running) return false;
+  if (run.profile.long_running) {
+    if (!step_.within_guarantee) return false;
+    if (inputs_.budgets->StopsLeft(run.task.step) == 0) return false;
+  }
   if (run.profile.priority > 0) return true;
   const std::string& account = step_.job->spec.account;
   if (run.profile.account == account) return false;
@@ -135,12 +173,13 @@
   EvictionCost cost;
   cost.total =
       seconds * members * static_cast<double>(Weight(run.profile.need));
+  cost.rank = run.profile.long_running ? kLongRunningRank : 0;
   if (inputs_.shares == nullptr) return cost;
   const bool is_protected = IsProtected(run);
   if (is_protected) cost.of_protected = cost.total;
   // Urgent runs of an account above its share must not give way to spare other
   // work of accounts below theirs.
-  cost.rank = (is_protected ? 1 : 0) + (run.profile.priority == 0 ? 1 : 0);
+  cost.rank += (is_protected ? 1 : 0) + (run.profile.priority == 0 ? 1 : 0);
   return cost;
 }
 
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "workload/account_shares.h"
 #include "workload/cluster_capacity.h"
+#include "workload/disruption_budgets.h"
 #include "workload/eviction.h"
 #include "workload/job_ledger.h"
 #include "workload/ready_step.h"
@@ -25,6 +26,7 @@
     const Guarantees* guarantees = nullptr;
     // Runs that this round has already decided to stop.
     const std::set<TaskRef>* stopped = nullptr;
+    DisruptionBudgets* budgets = nullptr;
     // Null where accounts have no shares.
     const AccountShares* shares = nullptr;
     // The time a stopped run loses even where all its work is saved.
@@ -35,7 +37,9 @@
   VictimSelection(const Inputs& inputs, const ReadyStep& step);
 
   // The evictions that lose the least work, those of runs of accounts above
-  // their share first; empty when no set of them suffices.
+  // their share first and those of long-running tasks last; empty when no set
+  // of them suffices. Long-running tasks are stopped only for a step within the
+  // guarantee of its account, and no more of them than their steps may miss.
   // With `near_only` only on the rack of the step's data. With `one_rack` all
   // on one rack, or on several if no rack suffices and `may_spread` is set.
   std::vector<Eviction> ChooseEvictions(bool near_only, bool one_rack,
@@ -45,6 +49,9 @@
   // Evictions on one worker, each building on those before it.
   std::vector<Eviction> EvictionsOnWorker(size_t index) const;
   bool IsPreemptible(const TrackedRun& run) const;
+  // The limits on stops for the steps of the evictions' victims.
+  std::map<StepRef, int> StopsLeft(
+      const std::vector<Eviction>& evictions) const;
   bool IsWithinGuarantee(const std::string& account, int64_t more) const;
   // Whether the run's account is not above its share. False where accounts have
   // no shares.
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -357,6 +357,27 @@
   CHECK(job->steps[1].depends_on == std::vector<int>{0});
 }
 
+// Guards against a limit on stops for steps that ask for none: callers omit
+// fields whose value is 0.
+TEST_CASE("an omitted may_miss is the same as 0") {
+  struct Row {
+    const char* field;
+    int max_unavailable;
+  };
+  const std::vector<Row> rows = {
+      {"", 0}, {R"(,"may_miss":0)", 0}, {R"(,"may_miss":3)", 3}};
+  const WireFormats formats;
+  for (const Row& row : rows) {
+    CAPTURE(row.max_unavailable);
+    const std::string body =
+        std::string(R"({"steps":[{"count":4,"long_running":true)") + row.field +
+        "}]}";
+    const auto job = formats.ReadJob(body, nullptr);
+    REQUIRE(job.has_value());
+    CHECK(job->steps[0].max_unavailable == row.max_unavailable);
+  }
+}
+
 TEST_CASE("the failure domain closed by an operator's record") {
   struct Row {
     const char* key;
--- a/tests/auto/workload/planner_cluster.h
+++ b/tests/auto/workload/planner_cluster.h
@@ -49,6 +49,7 @@
         profile.priority = job.spec.policy.priority;
         profile.account = job.spec.account;
         profile.gang = spec.gang;
+        profile.long_running = spec.long_running;
         profile.checkpointable = spec.checkpointable;
         profile.estimate = spec.estimate;
         const TaskRef task{start.step, assignment.index};
