--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -35,8 +35,11 @@
   bool crashed_at_start = false;
   // Uses only workers on which nothing runs.
   bool alone = false;
-  // Urgent and within the guarantee of its account: no verdict on workers may
-  // delay it. Set by the planner.
+  // Urgent and within the guarantee of its account, also if it has expired:
+  // long-running tasks may be stopped for it. Set by the planner.
+  bool within_guarantee = false;
+  // The same, and not expired: no verdict on workers may delay it. Set by the
+  // planner.
   bool guaranteed = false;
   // Which preferences do not hold it back, since a start is owed to it. Set by
   // the planner.
