Owed starts wait too while entries of workers are awaited after an outage

Where the mend of capacities after an outage and that of owed starts meet: a step that is owed a start leaves its rack or passes the headroom by what is known of the workers, and that is incomplete for 2 s after an outage, as during a survey.

--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -303,7 +303,7 @@
   // one that holds it back, or all of them if several do. Returns true if all
   // waiting tasks start.
   bool PlaceOwed(const ReadyStep& step) {
-    if (inputs_.surveying) return false;
+    if (KnowsWorkersInPart()) return false;
     std::optional<OwedStart> owed = planner_.owed_starts_.Find(
         step, UsedShareOf(step.service()), inputs_.now);
     if (!owed) return false;
