Absence settles a run only in a report that lists all ends

Cause: a worker lists its unrecorded ends 500 at a time. While the store is down the list stays at its first page, and WorkerTracker::OnReport took each run that was neither running nor on that page for lost.

Class: a page of a list taken for the whole, and absence from it for an end, a removal or a departure. The same fault in BeginIncarnation (runs that the first report of a restarted worker lacks), mended here.

A run that is in neither list keeps its room until a later page or a complete list settles it. Meanwhile it is marked, so that it does not look stalled, nor its last rate and load current: RunReview and FillerPaceController leave it out. Each report is judged by its own list alone, whatever is recorded between two pages and whoever leads; this takes the earliest ends to be listed first, as the protocol suggests. The stand-in executor pages as the protocol says.

--- a/src/libs/coordination/filler_pace_controller.cc
+++ b/src/libs/coordination/filler_pace_controller.cc
@@ -34,7 +34,7 @@
   bool fills = false;
   for (const auto& [task, run] : tracker->runs()) {
     fills = fills || run.profile.is_filler;
-    if (run.stage != RunStage::kRunning) continue;
+    if (run.stage != RunStage::kRunning || run.may_have_ended) continue;
     if (run.profile.tail_latency_target.count() == 0) continue;
     serving.push_back(
         {Milliseconds(run.load), run.profile.tail_latency_target});
--- a/src/libs/workload/run_review.cc
+++ b/src/libs/workload/run_review.cc
@@ -28,6 +28,7 @@
   const WorkerRegistration& registration = worker->registration();
   for (const auto& [task, run] : worker->runs()) {
     if (run.stage != RunStage::kRunning || run.profile.long_running) continue;
+    if (run.may_have_ended) continue;
     // A run at 100 percent does not show when it got there.
     if (run.percent >= kDonePercent || run.rate() <= 0) continue;
     const std::string& data_rack = run.profile.data_rack;
@@ -51,7 +52,7 @@
   std::vector<RunVerdict> verdicts;
   for (const auto& [task, run] : worker->runs()) {
     if (run.stop_wanted || run.stage != RunStage::kRunning) continue;
-    if (run.profile.long_running) continue;
+    if (run.profile.long_running || run.may_have_ended) continue;
     std::string reason = ReasonToStop(*worker, run, now);
     if (reason.empty()) continue;
     const bool stalled = reason == kNoProgress;
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -81,8 +81,13 @@
   // The worker's steady clock; restarts with each incarnation.
   Milliseconds clock{0};
   IncarnationStart incarnation_start;
+  // All runs that are on it.
   std::vector<RunReport> running;
+  // Ends that it may not forget yet, by number.
   std::vector<RunEndReport> ended;
+  // Whether `ended` holds all of them. If not, a run that is in neither list
+  // may have ended behind the last one listed, so its absence proves nothing.
+  bool ends_complete = true;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -231,6 +231,8 @@
       std::any_of(report.running.begin(), report.running.end(), is_same_run) ||
       std::any_of(report.ended.begin(), report.ended.end(), is_same_run);
   if (listed) return true;
+  // The new incarnation may have carried out the order and ended the run.
+  if (!report.ends_complete) return true;
   switch (run.stage) {
     case RunStage::kRecording:
     case RunStage::kSending:
@@ -312,7 +314,9 @@
   synchronized_ = true;
   for (auto it = runs_.begin(); it != runs_.end();) {
     const auto run = it++;
-    if (present.count(run->first) > 0) continue;
+    const bool listed = present.count(run->first) > 0;
+    run->second.may_have_ended = !listed && !report.ends_complete;
+    if (listed || !report.ends_complete) continue;
     if (!IsSettledByAbsence(run->second, sent, report.clock)) continue;
     ended.push_back(MakeRunEnd(run->second, RunEnd::kLost, now));
     Erase(run);
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -5,7 +5,9 @@
 // therefore settled only by evidence: its end or absence in a report, an
 // acknowledged stop, the end of the worker's incarnation, or the expiry of the
 // order's own deadline. Until then it keeps its resources, and no second run of
-// its task may exist. Not thread-safe.
+// its task may exist. Absence counts only in a report that lists all ends: a
+// worker lists a limited number at a time, and the next ones once those are
+// recorded. Not thread-safe.
 #ifndef THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 #define THORNPLANK_WORKLOAD_WORKER_TRACKER_H_
 
@@ -90,6 +92,9 @@
   // it is unknown.
   std::optional<int> pace = kFullPace;
   bool pace_sending = false;
+  // The last report neither listed it nor all ends: it may have ended, and what
+  // earlier reports showed of it may be outdated.
+  bool may_have_ended = false;
   // When its percentage last changed, and when a report last included it.
   Time last_progress{};
   Time last_report{};
@@ -223,6 +228,7 @@
   // this process did not decide on. If it is the first report of another
   // incarnation, all runs of the previous one have ended. An unanswered order
   // may still reach the new incarnation, and is settled there only by a stop.
+  // If the report does not list all ends, a run that is missing in it remains.
   std::vector<RunEndReport> OnReport(const WorkerStatusReport& report,
                                      Time sent, Time now,
                                      std::vector<RunReport>* unexpected);
@@ -313,6 +319,7 @@
   RunEndReport LostWithIncarnation(const TrackedRun& run, RunEnd end,
                                    Time now) const;
   bool MayHaveBegun(const TrackedRun& run) const;
+  // Whether absence in a report that lists all ends settles the run.
   bool IsSettledByAbsence(const TrackedRun& run, Time sent,
                           Milliseconds clock) const;
 
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -1,6 +1,7 @@
 // Tests of the calls to workers and of what each kind of answer changes.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,6 +86,38 @@
   CHECK(fixture.calls.last_wait == ReportScheduleSettings().max_first_wait);
 }
 
+// Guards against a second start of a task that ended `done`, and against a stop
+// for lack of progress: while nothing can be recorded, a worker lists the same
+// page of ends, and an end behind it is in no report. Guards also against a
+// next page that is requested by a report that waits.
+TEST_CASE("the ends behind a page are read once the page is recorded") {
+  constexpr int64_t kPage = 500;
+  Fixture fixture;
+  fixture.Start();
+  WorkerStatusReport& report = fixture.calls.report;
+  for (int64_t number = 1; number <= kPage; ++number) {
+    const TaskRef other{kTask.step, static_cast<int>(number)};
+    report.ended.push_back({number, other, 1, RunEnd::kDone, ""});
+  }
+  report.ends_complete = false;
+  fixture.calls.AnswerLongPoll();
+  Time now = Fixture::Now();
+  for (int i = 0; i < 3; ++i) {
+    now += std::chrono::seconds(3);
+    fixture.fleet.Tick(now);
+  }
+  CHECK(fixture.ends == std::vector<RunEnd>(kPage, RunEnd::kDone));
+  CHECK(fixture.calls.stops == 0);
+  CHECK(fixture.calls.recorded_ends.back() == 0);
+  fixture.fleet.OnEndsRecorded("w1", 0, kPage);
+  report.ended = {{kPage + 1, kTask, 1, RunEnd::kDone, ""}};
+  report.ends_complete = true;
+  fixture.fleet.Tick(now + ReportScheduleSettings().retry_delay);
+  CHECK(fixture.calls.recorded_ends.back() == kPage);
+  CHECK(fixture.calls.last_wait == Milliseconds(0));
+  CHECK(fixture.ends == std::vector<RunEnd>(kPage + 1, RunEnd::kDone));
+}
+
 // Guards against polling for the ends of stopped runs every 250 ms: an urgent
 // gang would wait that long for resources that are already free.
 TEST_CASE("the end of a stopped run is reported at once") {
@@ -175,6 +208,34 @@
   }
 }
 
+// Guards against filler tasks that stay slowed down for a serving task that has
+// ended: its end is behind a full page, and its last tail latency is old.
+TEST_CASE("a serving task that may have ended slows no filler tasks down") {
+  const TaskRef serving{{"0123456789abcdef", 0, 1}, 0};
+  Fixture fixture;
+  RunProfile filler;
+  filler.is_filler = true;
+  fixture.fleet.Add("w1", kTask, 1, filler, Fixture::Now());
+  RunProfile server;
+  server.long_running = true;
+  server.tail_latency_target = Milliseconds(100);
+  fixture.fleet.Add("w1", serving, 1, server, Fixture::Now());
+  WorkerStatusReport& report = fixture.calls.report;
+  report.running = {{kTask, 1, "", 10, 2000}, {serving, 1, "", 100, 150}};
+  fixture.fleet.SendStart("w1", kTask, 1, {});
+  fixture.calls.AnswerLongPoll();
+  REQUIRE(fixture.calls.sent_paces == std::vector<int>{25});
+  report.running.pop_back();
+  report.ends_complete = false;
+  report.ended = {{500, {kTask.step, 1}, 1, RunEnd::kDone, ""}};
+  for (int seconds = 1; seconds <= 3; ++seconds) {
+    fixture.fleet.Tick(Fixture::Now() + std::chrono::seconds(seconds));
+    if (fixture.calls.pending_long_poll) fixture.calls.AnswerLongPoll();
+  }
+  const std::vector<int>& paces = fixture.calls.sent_paces;
+  CHECK(*std::min_element(paces.begin(), paces.end()) == 25);
+}
+
 TEST_CASE("a stop without an answer is repeated after a delay") {
   Fixture fixture;
   fixture.Start();
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -302,6 +303,40 @@
   }
 }
 
+// Guards against a page of ends that is taken for all of them: executors list
+// 500 at a time.
+TEST_CASE("whether a report lists all ends") {
+  struct Row {
+    const char* name;
+    // Ends in the report; -1: it has no list.
+    int ends;
+    bool complete;
+  };
+  const std::vector<Row> rows = {
+      {"no list", -1, true},
+      {"none", 0, true},
+      {"one", 1, true},
+      {"one less than a page", 499, true},
+      {"a full page", 500, false},
+      {"more than a page", 501, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::string rows_text;
+    for (int number = 1; number <= row.ends; ++number) {
+      if (number > 1) rows_text += ",";
+      rows_text += "[" + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.1.)" +
+                   std::to_string(number) + R"(",1,"done",""])";
+    }
+    std::string body = R"({"clock_ms":1,"running":[])";
+    if (row.ends >= 0) body += R"(,"finished":[)" + rows_text + "]";
+    const auto report = DecodeStatus(body + "}");
+    REQUIRE(report.has_value());
+    CHECK(static_cast<int>(report->ended.size()) == std::max(row.ends, 0));
+    CHECK(report->ends_complete == row.complete);
+  }
+}
+
 TEST_CASE("a response of the advice service") {
   const auto advice = DecodeAdvice(
       R"({"good":[["i-1","c81e-7a"],["i-2","t"]],"valid_ms":3000})");
--- a/tests/standins/tst_users_executor_model.cc
+++ b/tests/standins/tst_users_executor_model.cc
@@ -1,4 +1,5 @@
-// Tests which ends of runs the model of the users' executors takes as recorded.
+// Tests which ends of runs the model of the users' executors lists, and which
+// it takes as recorded.
 #include <doctest/doctest.h>
 
 #include <vector>
@@ -50,5 +51,54 @@
   }
 }
 
+// Guards against a stand-in that lists all ends at once, with which no test of
+// the scheduler sees a list in pages: the users' executors list 500 at a time.
+TEST_CASE("ends are listed 500 at a time until they are recorded") {
+  struct Row {
+    const char* name;
+    int count;
+    // Ends in the report after those up to 500, 1,000 and so on are recorded.
+    std::vector<int> listed;
+  };
+  const std::vector<Row> rows = {
+      {"499", 499, {499, 0, 0}},      {"500", 500, {500, 0, 0}},
+      {"501", 501, {500, 1, 0}},      {"1,000", 1000, {500, 500, 0}},
+      {"1,001", 1001, {500, 500, 1}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    UsersExecutorModel model("x", {1000, 1000, 8});
+    for (int index = 0; index < row.count; ++index) {
+      StartOrder order;
+      order.task = {{"0123456789abcdef", 0, 0}, index};
+      order.run = 1;
+      order.deadline = Milliseconds(9000);
+      order.epoch = 1;
+      REQUIRE(model.Start(order, 0) == StartOutcome::kAccepted);
+    }
+    int64_t recorded = 0;
+    int64_t epoch = 1;
+    for (const int listed : row.listed) {
+      // The second report is the one that a new leader reads.
+      for (const bool new_leader : {false, true}) {
+        StatusQuery query;
+        epoch += new_leader ? 1 : 0;
+        query.epoch = epoch;
+        query.recorded_ends = recorded;
+        WorkerStatusReport report;
+        REQUIRE(model.Status(query, 200, &report) == CallOutcome::kOk);
+        CHECK(report.running.empty());
+        CHECK(static_cast<int>(report.ended.size()) == listed);
+        CHECK(report.ends_complete == (listed < 500));
+        if (!report.ended.empty()) {
+          CHECK(report.ended.front().number == recorded + 1);
+        }
+        CHECK(model.HasEndAfter(recorded, 200) == (listed > 0));
+      }
+      recorded += 500;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::standins
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -14,6 +14,8 @@
 constexpr int64_t kStopDurationMs = 60;
 constexpr int64_t kMaxLeaseMs = 10000;
 constexpr int64_t kFullPercent = 100;
+// The most ends that a report lists, by the users' protocol.
+constexpr size_t kMaxListedEnds = 500;
 // From a reduction of the capacity until starts must respect it: the three
 // seconds of the users' rule and one heartbeat interval.
 constexpr int64_t kResizeGraceMs = 3300;
@@ -212,8 +214,11 @@
          Load(run)});
   }
   for (const UnrecordedEnd& end : unrecorded_ends_) {
+    if (report->ended.size() == kMaxListedEnds) break;
     report->ended.push_back({end.number, end.task, end.run, end.end, ""});
   }
+  // What a reader can tell of the list: one of that length may be continued.
+  report->ends_complete = report->ended.size() < kMaxListedEnds;
   return CallOutcome::kOk;
 }
 
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -1,6 +1,7 @@
 // Model of one of the users' executors, without its transport: runs under a
-// lease, ends of runs that are reported until the scheduler has recorded them,
-// fencing by epochs, and orders that arrive late.
+// lease, ends of runs that are reported until the scheduler has recorded them
+// (at most 500 in a report, the earliest first), fencing by epochs, and orders
+// that arrive late.
 //
 // The payload of a task is a JSON object that determines its behaviour:
 //   work_ms         run time; 100 by default
