--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -291,6 +291,27 @@
     return done;
   }
 
+  // Until RestoreStore(), no call to the store succeeds; workers go on.
+  void TakeStoreAway() {
+    store.reachable = false;
+    store.fails_at_once = true;
+    store.available_partition = Partition{kBoard.stream, kBoard.number + 1};
+  }
+  void RestoreStore() {
+    store.reachable = true;
+    store.available_partition.reset();
+  }
+
+  // Ends the process of the leader, and waits until another one leads.
+  Entry& ReplaceLeader() {
+    const auto leads = [](const auto& entry) {
+      return entry->coordinator().leading();
+    };
+    entries.erase(std::find_if(entries.begin(), entries.end(), leads));
+    REQUIRE(RunUntil(io, [this] { return leaders() == 1; }));
+    return **std::find_if(entries.begin(), entries.end(), leads);
+  }
+
   boost::asio::io_context io;
   FakeRecordStore store;
   FakeWorkerCalls calls;
--- a/tests/auto/coordination/tst_takeover_leases.cc
+++ b/tests/auto/coordination/tst_takeover_leases.cc
@@ -20,17 +20,6 @@
       cluster->io, [] { return false; }, time);
 }
 
-// Ends the process of the leader, and waits until another one leads.
-Entry& ReplaceLeader(Cluster* cluster) {
-  auto& entries = cluster->entries;
-  const auto leads = [](const auto& entry) {
-    return entry->coordinator().leading();
-  };
-  entries.erase(std::find_if(entries.begin(), entries.end(), leads));
-  REQUIRE(RunUntil(cluster->io, [&] { return cluster->leaders() == 1; }));
-  return **std::find_if(entries.begin(), entries.end(), leads);
-}
-
 Time LeaseBound(const Entry& leader, const std::string& worker) {
   return leader.coordinator().fleet()->trackers().at(worker).lease_bound();
 }
@@ -57,7 +46,7 @@
       RunUntil(cluster.io, [&] { return cluster.RunCounts().size() == 2; }));
   cluster.calls.dead = {"w2"};
   const Time lost = std::chrono::steady_clock::now();
-  const Time bound = LeaseBound(ReplaceLeader(&cluster), "w2");
+  const Time bound = LeaseBound(cluster.ReplaceLeader(), "w2");
   const Duration vacancy = std::chrono::steady_clock::now() - lost;
   CHECK(bound - lost < longest_wait + vacancy / 2);
   CHECK(bound - lost > longest_wait - vacancy / 2);
@@ -83,10 +72,10 @@
         RunUntil(cluster.io, [&] { return cluster.RunCounts().size() == 2; }));
     cluster.calls.dead = {"w2"};
     if (!row.listed) cluster.Append(kWorkers, {"w2", std::nullopt, 0});
-    const Time second_bound = LeaseBound(ReplaceLeader(&cluster), "w2");
+    const Time second_bound = LeaseBound(cluster.ReplaceLeader(), "w2");
     const Time begun = std::chrono::steady_clock::now();
     Wait(&cluster, kReign);
-    const Time third_bound = LeaseBound(ReplaceLeader(&cluster), "w2");
+    const Time third_bound = LeaseBound(cluster.ReplaceLeader(), "w2");
     const Duration reign = std::chrono::steady_clock::now() - begun;
     CHECK(third_bound - second_bound < reign / 2);
   }
@@ -128,7 +117,7 @@
   Entry& first = cluster.Add("a");
   REQUIRE(RunUntil(cluster.io, [&] { return first.Knows(2); }));
   cluster.Add("b");
-  Entry& second = ReplaceLeader(&cluster);
+  Entry& second = cluster.ReplaceLeader();
   REQUIRE(RunUntil(cluster.io, [&] { return second.Knows(2); }));
   const WorkerBounds bounds;
   CHECK(LeaseBound(second, "w1") >
@@ -158,7 +147,7 @@
     const RenewalStopRecord record{row.epoch, {{"w2", Milliseconds(0)}}};
     cluster.Append(kBoard, JobBoard::RenewalStops(EncodeRenewalStops(record)));
     cluster.calls.dead = {"w2"};
-    const Entry& second = ReplaceLeader(&cluster);
+    const Entry& second = cluster.ReplaceLeader();
     const bool believed =
         LeaseBound(second, "w2") <= std::chrono::steady_clock::now();
     CHECK(believed == row.counts);
