Ends are processed in whichever order a report lists them

What callers could have seen: two runs of one task (TWICE). An end behind one with a higher number was passed over, its number was recorded with that one, the worker forgot it, and the next report, which lists neither, settled the run as lost.

PROTOCOL says that numbers increase, and nothing of the order in which a response lists them.

Test: "ends are processed in whichever order a report lists them", 3 of 4 rows failed before. What remains an assumption: a full page holds the lowest numbers. It cannot be checked by a new leader, which does not know up to which number the worker has forgotten.

--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -289,10 +289,11 @@
   failed_reports_ = 0;
   silent_since_.reset();
   std::set<TaskRef> present;
+  const int64_t processed_before = processed_ends_;
   for (const RunEndReport& end : report.ended) {
     present.insert(end.task);
-    if (end.number <= processed_ends_) continue;
-    processed_ends_ = end.number;
+    if (end.number <= processed_before) continue;
+    processed_ends_ = std::max(processed_ends_, end.number);
     ended.push_back(end);
     ended.back().incarnation = incarnation_number_;
     const auto it = runs_.find(end.task);
--- a/tests/auto/workload/tst_paged_ends.cc
+++ b/tests/auto/workload/tst_paged_ends.cc
@@ -205,6 +205,27 @@
   }
 }
 
+// Guards against ends that are recorded unread: an end behind one with a higher
+// number was passed over, and the worker forgot it.
+TEST_CASE("ends are processed in whichever order a report lists them") {
+  const std::vector<std::vector<int>> orders = {
+      {1, 2, 3}, {3, 2, 1}, {2, 3, 1}, {3, 1, 2}};
+  for (const std::vector<int>& order : orders) {
+    CAPTURE(order.front());
+    WorkerTracker tracker(MakeWorker("w", "r1"));
+    WorkerStatusReport report = CompleteList(kStart, 1000);
+    for (const int number : order) {
+      Accept(&tracker, Task(number), 0);
+      report.ended.push_back({number, Task(number), 1, RunEnd::kDone, ""});
+    }
+    CHECK(HandleReport(&tracker, 1000, report).size() == 3);
+    CHECK(tracker.runs().empty());
+    CHECK(tracker.processed_ends() == 3);
+    // The same report again brings nothing new.
+    CHECK(HandleReport(&tracker, 1100, report).empty());
+  }
+}
+
 // Guards against a worker that is blamed for runs without progress that ended
 // long ago: their ends do not fit into its reports while nothing can be
 // recorded.
