--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -184,6 +184,16 @@
     const auto block = it++;
     if (keys.count(block->first) == 0) progress_.erase(block);
   }
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    const auto job = it++;
+    const std::string submission = MakeKey(kSubmissionKey, job->first);
+    if (keys.count(submission) == 0) jobs_.erase(job);
+  }
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const auto entry = it++;
+    const std::string key = MakeKey(kEntryKey, entry->first);
+    if (keys.count(key) == 0) entries_.erase(entry);
+  }
 }
 
 const BoardJob* JobBoard::Find(const std::string& job) const {
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -222,6 +223,58 @@
   CHECK(board.progress().empty());
 }
 
+// Guards against a job that runs again: an entry that was away while the job
+// ended and its records were dropped read the board anew, still had the
+// submission, and led.
+TEST_CASE("a job that a snapshot of the board lacks is gone") {
+  const KeyedRecord submitted = JobBoard::Submission(Definition());
+  const KeyedRecord cancelled = JobBoard::Cancellation(kJob);
+  const KeyedRecord running =
+      JobBoard::State(kJob, JobState::kRunning, FromUnixMilliseconds(5000));
+  const KeyedRecord progress =
+      JobBoard::Progress({{kJob, 0, 0}, 0}, std::string("x"));
+  struct Row {
+    const char* name;
+    // What was read before the entry was away.
+    std::vector<KeyedRecord> read;
+    std::set<std::string> keys;
+    bool known;
+  };
+  const std::vector<Row> rows = {
+      {"submitted, and gone", {submitted}, {"leader"}, false},
+      {"running, and gone", {submitted, running, progress}, {}, false},
+      {"cancelled, and gone", {submitted, cancelled}, {}, false},
+      {"its state alone remains", {submitted, running}, {running.key}, false},
+      {"submitted, and still there", {submitted}, {submitted.key}, true},
+      {"running, and still there",
+       {submitted, running, progress},
+       {submitted.key, running.key, progress.key},
+       true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    JobBoard board;
+    for (const KeyedRecord& record : row.read) {
+      board.Apply(record);
+    }
+    board.OnSnapshot(row.keys);
+    CHECK((board.Find(kJob) != nullptr) == row.known);
+    CHECK(board.WaitingJobs("queue") == (row.known && row.read.size() == 1));
+  }
+}
+
+// Guards against an entry that does not introduce itself again, since it still
+// has its own record, which was dropped while it was away.
+TEST_CASE("an entry whose record a snapshot lacks is gone") {
+  JobBoard board;
+  const KeyedRecord record = JobBoard::Entry("a", EntryRecord());
+  board.Apply(record);
+  board.OnSnapshot({record.key});
+  CHECK(board.entries().count("a") == 1);
+  board.OnSnapshot({"leader"});
+  CHECK(board.entries().empty());
+}
+
 TEST_CASE("records that cannot be read are ignored") {
   JobBoard board;
   for (const char* key : {"j", "", "jx", "sx", "leader", "zz"}) {
