A worker is forgotten only once its leases are over

What callers could have seen: two runs of one task (TWICE). A worker without runs whose entry was missing for 2.6 s was forgotten, with the end of the leases that it had. Listed again it counted as one without leases: a task started there, with a deadline of 1.5 s, was taken for ended when the worker fell silent, while the earlier lease of 6.5 s kept it running. A lease covers all that runs on a worker and is never shortened.

Absence decided more than it proves.

Test: "a worker is forgotten only once its leases are over"; the row with a lease left failed before.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -563,7 +563,9 @@
                                                         settings_.missing_grace;
   if (long_unlisted && now - directory_read_since_ > settings_.missing_grace) {
     tracker->MarkMissing(now);
-    if (tracker->runs().empty()) {
+    // A lease that is left would cover what is started there once the worker is
+    // listed again.
+    if (tracker->runs().empty() && tracker->LeasesExpired(now)) {
       LogEvent(events::kWorkerGone,
                {{"worker", id}, {"reason", "no longer listed"}});
       return Forget(id);
--- a/tests/auto/coordination/tst_worker_fleet.cc
+++ b/tests/auto/coordination/tst_worker_fleet.cc
@@ -414,6 +414,41 @@
   CHECK(fixture.calls.renewed);
 }
 
+// Guards against two runs of a task: a worker whose entry was missing for a
+// while came back as one without leases. A lease covers also what is started
+// later, and lasts longer than the deadline of a start.
+TEST_CASE("a worker is forgotten only once its leases are over") {
+  struct Row {
+    const char* name;
+    // From the renewal to the review of the worker that is no longer listed.
+    Milliseconds later;
+    bool known;
+  };
+  const WorkerBounds bounds;
+  const Milliseconds lease = WorkerTracker::MaxLeaseDuration(
+      bounds.lease_term() + std::chrono::seconds(1));
+  for (const Row& row : {Row{"a lease may be left", Milliseconds(4000), true},
+                         Row{"no lease is left", lease, false}}) {
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.Start();
+    const Time begin = Fixture::Now();
+    fixture.Tick(begin + std::chrono::seconds(1));
+    REQUIRE(fixture.calls.renewed);
+    fixture.calls.report.ended = {{1, kTask, 1, RunEnd::kDone, ""}};
+    fixture.calls.AnswerLongPoll();
+    REQUIRE(fixture.ends.size() == 1);
+    fixture.fleet.OnDirectoryCaughtUp(begin);
+    fixture.fleet.OnDirectoryRecord({"w1", std::nullopt, 1}, begin);
+    for (Time now = begin; now < begin + row.later; now += Milliseconds(500)) {
+      fixture.fleet.OnDirectoryCaughtUp(now);
+      fixture.fleet.Tick(now);
+    }
+    fixture.fleet.Tick(begin + row.later + Milliseconds(100));
+    CHECK(fixture.has_worker() == row.known);
+  }
+}
+
 TEST_CASE("leases and stops respect the bounds of the workers") {
   struct Row {
     const char* name;
