An entry that is read again is not an entry written again

What callers could have seen: a task started on a worker that had shrunk, which is brought over its capacity (LIMIT). After an outage of the store the capacity of a worker is unknown until it has written its entry again. If the store then drops its history, the directory is read from its start, and the entries from before the outage passed for new ones.

An old entry decided: the record's offset tells whether it was written since.

--- a/src/libs/coordination/worker_call_state.h
+++ b/src/libs/coordination/worker_call_state.h
@@ -28,6 +28,8 @@
   int64_t acknowledged_ends = 0;
   // After a stop that was not confirmed, no stop is sent before this time.
   Time next_stop_time{};
+  // Offset of its newest directory record; -1 before the first.
+  int64_t entry_offset = -1;
   // Since when the worker has been missing from the directory.
   std::optional<Time> missing_since;
   DepartureDetector departure;
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -98,6 +98,9 @@
   LogBirthFault(id, registration->incarnation_start);
   WorkerTracker* tracker = Find(id);
   WorkerCallState& state = call_states_[id];
+  // A snapshot of the directory contains entries that were read before.
+  const bool is_newer = record.offset > state.entry_offset;
+  state.entry_offset = std::max(state.entry_offset, record.offset);
   state.missing_since.reset();
   state.departure.OnEntry(*registration, last_directory_read_, now);
   if (tracker == nullptr) {
@@ -128,10 +131,12 @@
   const bool listed_before = !tracker->registration().address.empty();
   const bool resized = listed_before && registration->capacity !=
                                             tracker->registration().capacity;
-  const bool was_outdated = tracker->IsEntryOutdated(now);
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
-  if (was_outdated) handlers_.on_change();
+  if (is_newer && tracker->IsEntryOutdated(now)) {
+    tracker->ConfirmEntry();
+    handlers_.on_change();
+  }
   if (!listed_before) health_monitor_.OnWorkerSeen(tracker);
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -107,7 +107,6 @@
   }
   registration_ = std::move(registration);
   missing_since_.reset();
-  entry_outdated_until_.reset();
   departure_.reset();
   if (registration_.draining) departure_ = now + registration_.drain_remaining;
 }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -193,8 +193,9 @@
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
   // The entry may have been written before an outage of the store. Until the
-  // next one is read, or until `until`, the capacity counts as unknown.
+  // next one confirms the capacity, or until `until`, that counts as unknown.
   void MarkEntryOutdated(Time until) { entry_outdated_until_ = until; }
+  void ConfirmEntry() { entry_outdated_until_.reset(); }
   bool IsEntryOutdated(Time now) const {
     return entry_outdated_until_ && now < *entry_outdated_until_;
   }
--- a/tests/auto/coordination/tst_worker_fleet_outages.cc
+++ b/tests/auto/coordination/tst_worker_fleet_outages.cc
@@ -77,6 +77,33 @@
   }
 }
 
+// Guards against an entry from before an outage that counts as written since
+// because it is read once more: the store drops its history, and the directory
+// is read from its start again.
+TEST_CASE("an entry that is read again is not an entry written again") {
+  struct Row {
+    const char* name;
+    int64_t offset;
+    WorkerAvailability availability;
+  };
+  for (const Row& row : {Row{"the same entry", 5, kOutdated},
+                         Row{"an earlier entry", 4, kOutdated},
+                         Row{"a later entry", 6, kUsable}}) {
+    CAPTURE(row.name);
+    Fixture f;
+    const Time begin = Fixture::Now();
+    f.fleet.OnDirectoryRecord({"w1", "listed", 5}, begin);
+    f.fleet.OnDirectoryCaughtUp(begin);
+    const Time back = begin + kOutage;
+    f.fleet.OnDirectoryCaughtUp(back);
+    f.fleet.OnDirectoryRecord({"w1", "listed", row.offset}, back);
+    f.fleet.OnDirectorySnapshot({"w1"}, back);
+    f.fleet.OnDirectoryCaughtUp(back);
+    const WorkerTracker& worker = f.fleet.trackers().at("w1");
+    CHECK(worker.availability(back) == row.availability);
+  }
+}
+
 // Guards against a leader that takes over after an outage and takes a first
 // read of the directory for the state of its workers.
 TEST_CASE("a new leader knows which first entries an outage may have aged") {
