Nothing is placed by a directory that has not been read for 2.5 s

What callers could have seen: a start that brings a worker over its capacity (LIMIT). A part of the store may be away alone. While the directory could not be read and the board could, known workers were used by entries of any age, though a worker that shrinks has no way to say so. The platform allows starts by the former capacity for 3 s and a heartbeat; 2.5 s is the gap that also counts as an outage of the whole store.

An old entry decided.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -53,7 +53,8 @@
       std::chrono::duration_cast<Milliseconds>(directory_->latency() * 2);
   const auto age = BootClock::now() - directory_->as_of();
   if (age <= settings_.max_directory_age + slack) return true;
-  if (directory_unreadable_) return true;
+  // A short gap is within what the platform allows a worker that has shrunk.
+  if (directory_unreadable_) return !fleet_->IsDirectoryOutdated(Now());
   if (refreshing_directory_) return false;
   refreshing_directory_ = true;
   directory_->CatchUp(
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -66,11 +66,7 @@
   if (worker.domain_closed()) return "the failure domain takes no new work";
   if (!worker.synchronized()) return "the worker has restarted";
   const Time now = Now();
-  // The record of the start was under way during an outage of the store, and
-  // the store has answered that write first.
-  const bool is_decision_outdated =
-      now - run.placed > kMaxReadGap && last_directory_read_ < run.placed;
-  if (is_decision_outdated || worker.IsEntryOutdated(now)) {
+  if (IsDirectoryOutdated(now) || worker.IsEntryOutdated(now)) {
     return "the worker's entry is older than an outage of the store";
   }
   // room() already includes the run.
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -258,6 +258,11 @@
   }
 }
 
+bool WorkerFleet::IsDirectoryOutdated(Time now) const {
+  return last_directory_read_ != Time{} &&
+         now - last_directory_read_ > kMaxReadGap;
+}
+
 void WorkerFleet::MarkEntriesOutdated(Time now) {
   outage_over_ = now;
   const Milliseconds longest = settings_.bounds.entry_lapse();
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -115,6 +115,9 @@
   // The directory was read up to its end. `was_lost`: earlier reads have failed
   // and none had succeeded before.
   void OnDirectoryCaughtUp(Time now, bool was_lost = false);
+  // Whether the last read of the directory is too old for starts: a worker that
+  // has shrunk meanwhile could not say so.
+  bool IsDirectoryOutdated(Time now) const;
   // Whether workers that live may still write their entries for the first time
   // after an outage of the store. What is known of capacities is then too
   // incomplete to evict runs or to spread gangs.
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -398,6 +398,27 @@
   }
 }
 
+// Guards against starts by old entries while the directory alone cannot be
+// read: a worker that shrinks meanwhile is brought over its capacity.
+TEST_CASE("nothing is placed while the directory alone cannot be read") {
+  Cluster cluster;
+  Entry& entry = cluster.Add("a");
+  REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+  cluster.store.unreadable_stream = kWorkers.stream;
+  cluster.store.fails_at_once = true;
+  RunUntil(
+      cluster.io, [] { return false; }, Milliseconds(2700));
+  cluster.Submit({MakeStep(1, 8)}, 50);
+  RunUntil(
+      cluster.io, [] { return false; }, Milliseconds(800));
+  CHECK(entry.coordinator().leading());
+  CHECK(cluster.calls.starts.empty());
+  cluster.store.unreadable_stream.clear();
+  cluster.Append(kWorkers, {"w1", "listed", 0});
+  CHECK(RunUntil(cluster.io,
+                 [&] { return entry.state(kJob) == JobState::kCompleted; }));
+}
+
 // Guards against runs that are missing in the metrics: the first end of a gang
 // that is done ends its job, which the leader drops once that is stored, and
 // the ends of the other members arrive later.
