The planning round: one file a decision

planner.cc had grown to 957 lines, of which a class of 850 lines held every decision of a round. Now: planning_round.cc (order of steps, why some wait), planning_preferences.cc (what a step leaves for others, owed starts), planning_placement.cc (where tasks start), planning_victims.cc (runs that give way), 143 to 229 lines each; planning_round.h declares the round. What protected tasks may take of guaranteed accelerators is a class of its own, ProtectedTasks, since it needs nothing else of the round. planner.cc keeps what outlasts a round.

No change of behaviour: functions were moved, ProtectedTasks got names of its own. Tests of the planner, of obligations, shares and gangs pass unchanged.

--- /dev/null
+++ b/src/libs/workload/planning_victims.cc
@@ -0,0 +1,163 @@
+// Runs that give way: to urgent steps, and to gangs for which capacity is held.
+#include <set>
+#include <utility>
+
+#include "workload/planning_round.h"
+
+namespace thornplank {
+
+GangHolds::Inputs Planner::Round::HoldInputs() const {
+  GangHolds::Inputs inputs;
+  inputs.capacity = &capacity_;
+  inputs.stopped = &stopped_;
+  inputs.max_held_share = planner_.settings_.max_reserved_share;
+  inputs.stop_time = planner_.settings_.bounds.move_cost();
+  inputs.restart_cost = planner_.settings_.bounds.restart_cost();
+  inputs.now = inputs_.now;
+  return inputs;
+}
+
+void Planner::Round::PrepareHolds() {
+  DropUselessGangReservations();
+  for (const std::string& service : capacity_.Services()) {
+    ObserveHeadroom(service);
+  }
+}
+
+void Planner::Round::DropUselessGangReservations() {
+  auto& reservations = planner_.gang_reservations_;
+  if (reservations.empty()) return;
+  std::set<StepRef> ready;
+  for (const ReadyStep& step : steps_) {
+    ready.insert(step.ref);
+  }
+  for (auto it = reservations.begin(); it != reservations.end();) {
+    const auto current = it++;
+    const bool still_valid = ready.count(current->first) > 0 &&
+                             current->second.until > inputs_.now &&
+                             capacity_.AllUsable(current->second);
+    if (still_valid) continue;
+    planner_.hold_history_.OnLost(current->first, inputs_.now);
+    reservations.erase(current);
+  }
+}
+
+void Planner::Round::RecordHolds() {
+  plan_.hold_changes =
+      planner_.hold_history_.EndRound(holds_->holds(), &capacity_, inputs_.now);
+  HeldCapacityUse use;
+  use.held_free_accelerators = holds_->held_free_accelerators();
+  use.worker_visits = holds_->visits();
+  for (const GangHold& hold : holds_->holds()) {
+    use.lent_accelerators += hold.lent_accelerators();
+  }
+  for (const auto& [service, workers] : headroom_) {
+    use.headroom_workers += workers;
+  }
+  planner_.held_use_ = use;
+}
+
+void Planner::Round::ReserveForGangs(int priority) {
+  for (const auto& [ref, reservation] : planner_.gang_reservations_) {
+    if (reservation.priority > priority) continue;
+    if (!reserved_gangs_.insert(ref).second) continue;
+    capacity_.Reserve(reservation);
+  }
+}
+
+bool Planner::Round::PreemptFor(const ReadyStep& waiting) {
+  ReadyStep step = waiting;
+  step.waiting.resize(static_cast<size_t>(protected_tasks_.MayStart(waiting)));
+  if (step.waiting.empty()) return false;
+  const VictimSelection::Inputs inputs{&capacity_,
+                                       inputs_.ledger,
+                                       inputs_.guarantees,
+                                       &stopped_,
+                                       &budgets_,
+                                       SharesFor(step),
+                                       planner_.settings_.bounds.restart_cost(),
+                                       inputs_.now};
+  const bool one_rack =
+      step.spec->gang && step.spec->same_rack && capacity_.AnyRackCanHold(step);
+  const std::vector<Eviction> evictions =
+      VictimSelection(inputs, step)
+          .ChooseEvictions(IsBoundToData(step), one_rack, MayLeaveRack(step));
+  if (evictions.empty()) return false;
+  Evict(step, evictions);
+  return true;
+}
+
+bool Planner::Round::MayHold(const ReadyStep& step) const {
+  return step.spec->gang && !step.urgent() && !step.expired &&
+         !KnowsWorkersInPart();
+}
+
+Duration Planner::Round::WaitedOf(const ReadyStep& step) {
+  return planner_.hold_history_.Waited(step, inputs_.now, inputs_.wall_now);
+}
+
+bool Planner::Round::HoldFor(const ReadyStep& step) {
+  HoldHistory& history = planner_.hold_history_;
+  HoldRequest request;
+  request.step = &step;
+  request.waited = WaitedOf(step);
+  if (!holds_->MayConsider(step.service())) return false;
+  const bool search = history.MaySearch(step, inputs_.now);
+  request.among = history.LastWorkers(step.ref, capacity_);
+  if (!search && request.among.empty()) return false;
+  request.empty_workers = capacity_.EmptyWorkers(step.service()) -
+                          Headroom(step) - holds_->EmptyWorkersHeldFrom(step);
+  request.near_only = IsBoundToData(step);
+  std::vector<Eviction> returns;
+  // The hold of the round before is kept while it is possible.
+  const bool kept =
+      !request.among.empty() && !search && holds_->Consider(request, &returns);
+  if (!kept) {
+    if (!request.among.empty()) history.OnLost(step.ref, inputs_.now);
+    if (!history.MaySearch(step, inputs_.now)) return false;
+    request.among.clear();
+    request.one_rack = step.spec->same_rack && capacity_.AnyRackCanHold(step);
+    const bool found = holds_->Consider(request, &returns);
+    history.OnSearched(step, found, inputs_.now);
+  }
+  if (returns.empty()) return false;
+  history.OnReturned(step.ref);
+  Evict(step, returns);
+  return true;
+}
+
+void Planner::Round::Evict(const ReadyStep& step,
+                           const std::vector<Eviction>& evictions) {
+  const std::string reason = step.urgent()
+                                 ? "gives way to urgent "
+                                 : "returns capacity that is held for ";
+  CapacityReservation reservation;
+  reservation.priority = step.priority();
+  reservation.need = ReservedFor(*step.spec);
+  reservation.made = inputs_.now;
+  reservation.until =
+      inputs_.now + planner_.settings_.bounds.reservation_term();
+  for (const Eviction& eviction : evictions) {
+    WorkerCapacity& worker = capacity_.worker(eviction.worker);
+    reservation.tasks_by_worker[worker.tracker->id()] +=
+        static_cast<int>(eviction.gain);
+    for (const TrackedRun* run : eviction.victims) {
+      worker.releasing += run->profile.need;
+      plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
+                             reason + step.ref.ToString(), !step.urgent()});
+      stopped_.insert(run->task);
+      if (run->profile.long_running) budgets_.OnStop(run->task.step);
+      ChangeShares(step.service(), run->profile.account, run->profile.priority,
+                   run->profile.need, -1);
+    }
+  }
+  capacity_.Reserve(reservation);
+  if (step.urgent()) {
+    planner_.reservations_[step.ref] = std::move(reservation);
+    return;
+  }
+  reserved_gangs_.insert(step.ref);
+  planner_.gang_reservations_[step.ref] = std::move(reservation);
+}
+
+}  // namespace thornplank
