--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -66,6 +66,8 @@
   if (worker.domain_closed()) return "the failure domain takes no new work";
   if (!worker.synchronized()) return "the worker has restarted";
   const Time now = Now();
+  // After an outage the record of a start may be stored before the directory is
+  // read again.
   if (IsDirectoryOutdated(now) || worker.IsEntryOutdated(now)) {
     return "the worker's entry is older than an outage of the store";
   }
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -137,6 +137,7 @@
   // stopped for it.
   bool HoldFor(const ReadyStep& step);
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions);
+
   Planner& planner_;
   const PlanInputs& inputs_;
   Plan plan_;
