A worker that only fell silent ends no job: a task is given up for proved crashes

What callers saw: a job shown as failed though no task of it failed (LOST).

Cause: CrashRecord gave a task up after four workers that were lost in any way. A worker that is cut off is lost when its leases are over, and comes back with the run listed as lapsed, broken, stopped or done. Class: the absence of signs taken for evidence.

Now a loss is a proved crash or silence, and is stored as such with the incarnation. Two proved crashes at the start in a row, or four losses of which two are proved, end the job. With four losses and less proof the task waits (928), so that a task that crashes workers which never return is not started a sixth time. A worker that is seen alive in the incarnation that was lost, by a report or by an entry written since, is struck from the records (963). 939 and the job's reason say how each worker was lost. The stored form keeps the list that earlier entries read, and adds one that they pass over.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -318,6 +318,10 @@
   handlers.on_end = [this](const std::string& worker, const RunEndReport& end) {
     OnRunEnd(worker, end);
   };
+  handlers.on_alive = [this](const std::string& worker,
+                             const std::optional<WallTime>& incarnation_start) {
+    OnWorkerAlive(worker, incarnation_start);
+  };
   handlers.on_progress = [this](const RunReport& run) {
     ledger_.RecordCheckpoint(run.task, run.run, run.checkpoint);
   };
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -223,6 +223,8 @@
   void RecordWaitMetrics(const StartDecision& decision, Time now);
   RunProfile ProfileOf(const TaskRef& task) const;
   size_t WorkersLostRunning(const TaskRef& task) const;
+  void OnWorkerAlive(const std::string& worker,
+                     const std::optional<WallTime>& incarnation_start);
   // Logs the task if it will not be started again.
   void LogIfGivenUp(const TaskRef& task);
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -15,17 +15,31 @@
 // Between two checks for records that have expired.
 constexpr std::chrono::seconds kCleanupInterval{5};
 
+// Bounds one line of the log.
+constexpr size_t kMaxLoggedTasks = 32;
+
 Time Now() { return std::chrono::steady_clock::now(); }
 
 LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
   LostRun run;
   run.worker = worker;
+  run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
   run.survived = end.survived;
   return run;
 }
 
+// Rows of worker and "crashed" or "silent".
+Json ToJson(const std::vector<WorkerLoss>& losses) {
+  Json rows = Json::array();
+  for (const WorkerLoss& loss : losses) {
+    rows.push_back(
+        Json::array({loss.worker, loss.crashed ? "crashed" : "silent"}));
+  }
+  return rows;
+}
+
 KeyedRecord ToRecord(const RenewalStopRecord& record) {
   if (record.stops.empty()) return JobBoard::RenewalStops(std::nullopt);
   return JobBoard::RenewalStops(EncodeRenewalStops(record));
@@ -167,6 +181,7 @@
   std::set<std::string> waiting_services;
   for (const auto& [step, reason] : logged_waits_) {
     if (reason == WaitReason::kMembersUnsettled) continue;
+    if (reason == WaitReason::kWorkersMissing) continue;
     const Job* job = ledger_.Find(step.job);
     if (job != nullptr) waiting_services.insert(job->spec.policy.service);
   }
@@ -260,14 +275,34 @@
   if (status == nullptr || !status->crashes.ShouldGiveUp()) return;
   LogEvent(events::kTaskGivenUp, {{"job", task.step.job},
                                   {"task", task.ToString()},
-                                  {"workers", status->crashes.lost_workers},
+                                  {"workers", ToJson(status->crashes.losses)},
+                                  {"crashed", status->crashes.proved_crashes()},
                                   {"at_start", status->crashes.start_crashes}});
   metrics_.OnTaskGivenUp();
 }
 
 size_t ClusterCoordinator::WorkersLostRunning(const TaskRef& task) const {
   const TaskStatus* status = ledger_.FindTask(task);
-  return status == nullptr ? 0 : status->crashes.lost_workers.size();
+  return status == nullptr ? 0 : status->crashes.losses.size();
+}
+
+// A silent worker that is seen again was cut off, or the way to it was: tasks
+// that it was counted against may start again.
+void ClusterCoordinator::OnWorkerAlive(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  const std::vector<TaskRef> cleared =
+      ledger_.OnWorkerAlive(worker, incarnation_start);
+  if (cleared.empty()) return;
+  Json tasks = Json::array();
+  for (const TaskRef& task : cleared) {
+    if (tasks.size() == kMaxLoggedTasks) break;
+    tasks.push_back(task.ToString());
+  }
+  LogEvent(events::kLossCleared, {{"worker", worker},
+                                  {"count", cleared.size()},
+                                  {"tasks", std::move(tasks)}});
+  SchedulePlanning();
 }
 
 // Stops the runs that are not current in the ledger: those of cancelled or
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -101,6 +101,9 @@
   // A snapshot of the directory contains entries that were read before.
   const bool is_newer = record.offset > state.entry_offset;
   state.entry_offset = std::max(state.entry_offset, record.offset);
+  if (is_newer && ProvesLife(state, now)) {
+    handlers_.on_alive(id, registration->incarnation_start.time);
+  }
   state.missing_since.reset();
   state.departure.OnEntry(*registration, last_directory_read_, now);
   if (tracker == nullptr) {
@@ -145,6 +148,14 @@
   if (!tracker->synchronized() || state.recheck) RequestReportIfDue(id, now);
 }
 
+// What a new leader reads first may be old, and its predecessors' workers were
+// lost before that.
+bool WorkerFleet::ProvesLife(const WorkerCallState& state, Time now) const {
+  if (first_directory_read_ == Time{}) return false;
+  const Time lost_at = std::max(state.lost_at, first_directory_read_);
+  return now - lost_at > settings_.max_entry_delay;
+}
+
 void WorkerFleet::BeginSurvey() { survey_begun_ = true; }
 
 bool WorkerFleet::surveying(Time now) const {
@@ -252,6 +263,7 @@
       settings_.store_returned &&
       now - *settings_.store_returned < settings_.bounds.entry_rewrite_bound();
   if (has_gap) directory_read_since_ = now;
+  if (is_first) first_directory_read_ = now;
   last_directory_read_ = now;
   if (is_first ? was_lost || returned_lately : has_gap) {
     MarkEntriesOutdated(now);
@@ -506,6 +518,7 @@
     tracker->Find(run.task)->stage = RunStage::kRunning;
     RequestStop(id, run.task, run.run, "not in force");
   }
+  handlers_.on_alive(id, tracker->incarnation_start());
   run_review_.Observe(tracker, now);
   pace_controller_.OnReport(tracker, now);
   DeliverEnds(id, ends);
@@ -611,7 +624,9 @@
       tracker->OnIncarnationEnded(end, Now());
   LogEvent(events::kWorkerGone,
            {{"worker", id}, {"reason", ToReason(end)}, {"runs", ends.size()}});
-  const bool forget = call_states_[id].missing_since.has_value();
+  WorkerCallState& state = call_states_[id];
+  state.lost_at = Now();
+  const bool forget = state.missing_since.has_value();
   if (forget) Forget(id);
   DeliverEnds(id, ends);
   handlers_.on_change();
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -47,6 +47,9 @@
   SchedulingFeatures features;
   Milliseconds call_timeout{900};
   ReportScheduleSettings reports;
+  // An entry of the directory may be stored this long after its worker wrote
+  // it: a call to the store without an answer may be carried out late.
+  Milliseconds max_entry_delay{6000};
   // A worker that has been missing from the directory for longer, while the
   // store answered all the time, is gone. Records that expired during an outage
   // of the store are written again within 2 s.
@@ -73,6 +76,11 @@
  public:
   struct Handlers {
     std::function<void(const std::string& worker, const RunEndReport&)> on_end;
+    // A worker that was or may have been lost is seen alive, in the incarnation
+    // that started at that time.
+    std::function<void(const std::string& worker,
+                       const std::optional<WallTime>& incarnation_start)>
+        on_alive;
     std::function<void(const RunReport&)> on_progress;
     // Returns the profile of a run that this leader did not start.
     std::function<RunProfile(const TaskRef&)> profile_of;
@@ -204,6 +212,9 @@
   void Activate(const std::string& id) { active_.insert(id); }
   void Forget(const std::string& id);
   bool IsClosed(const WorkerTracker& tracker) const;
+  // Whether an entry that is read now was certainly written after the worker
+  // was lost, if it was.
+  bool ProvesLife(const WorkerCallState& state, Time now) const;
   // Whether the worker cannot be asked, so that its runs wait for the end of
   // their leases.
   bool WaitsForLeases(const WorkerTracker& worker, Time now) const;
@@ -290,6 +301,7 @@
   // Since when the directory has been read without a gap.
   Time directory_read_since_{};
   Time last_directory_read_{};
+  Time first_directory_read_{};
   // When the directory was first read after the last outage of the store;
   // nullopt if there was none.
   std::optional<Time> outage_over_;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -84,6 +84,8 @@
 inline constexpr Event kEntriesOutdated{962, "entries-outdated",
                                         Severity::kInfo};
 
+inline constexpr Event kLossCleared{963, "loss-cleared", Severity::kInfo};
+
 }  // namespace thornplank::events
 
 #endif  // THORNPLANK_LOGGING_EVENTS_COORDINATION_EVENTS_H_
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -1,4 +1,4 @@
-// Limits on the workers that one task may crash.
+// Limits on the workers that may be lost under one task.
 #include "workload/crash_record.h"
 
 #include <algorithm>
@@ -7,12 +7,13 @@
 namespace {
 
 // This many workers that crash in a row while they start the task show that the
-// task is the cause. The published rule allows a task to be given up after two
-// crashes.
+// task is the cause.
 constexpr int kMaxStartCrashes = 2;
-// Lost workers in total. The published rule allows at most five starts, and at
-// most two after the third crash; one is left for a crash that a change of
-// leader has hidden.
+// The published rule allows a task to be given up after this many crashes.
+constexpr size_t kMinProvedCrashes = 2;
+// Lost workers in total, proved to have crashed or not. The published rule
+// allows at most five starts, and at most two after the third crash; one is
+// left for a crash that a change of leader has hidden.
 constexpr size_t kMaxWorkersLost = 4;
 constexpr std::chrono::seconds kProvenRunTime{5};
 
@@ -31,26 +32,57 @@
 
 }  // namespace
 
+bool WorkerLoss::IsOfIncarnation(const std::string& id,
+                                 const std::optional<WallTime>& start) const {
+  if (worker != id) return false;
+  return !incarnation_start || !start || *incarnation_start == *start;
+}
+
 void CrashRecord::OnWorkerLost(const LostRun& run, const StepSpec& step) {
   if (step.long_running && run.survived >= kProvenRunTime) {
     *this = CrashRecord();
     return;
   }
-  lost_workers.push_back(run.worker);
+  losses.push_back({run.worker, run.incarnation_start, run.crashed});
+  // Silence proves neither a crash at the start nor that there was none.
+  if (!run.crashed) return;
   start_crashes = IsAtStart(run, step) ? start_crashes + 1 : 0;
 }
 
-bool CrashRecord::ShouldGiveUp() const {
-  return start_crashes >= kMaxStartCrashes ||
-         lost_workers.size() >= kMaxWorkersLost;
+bool CrashRecord::OnWorkerAlive(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  const auto first =
+      std::remove_if(losses.begin(), losses.end(), [&](const WorkerLoss& loss) {
+        return !loss.crashed && loss.IsOfIncarnation(worker, incarnation_start);
+      });
+  const bool changed = first != losses.end();
+  losses.erase(first, losses.end());
+  return changed;
+}
+
+size_t CrashRecord::proved_crashes() const {
+  return static_cast<size_t>(
+      std::count_if(losses.begin(), losses.end(),
+                    [](const WorkerLoss& loss) { return loss.crashed; }));
+}
+
+CrashVerdict CrashRecord::verdict() const {
+  if (start_crashes >= kMaxStartCrashes) return CrashVerdict::kGivenUp;
+  if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
+  return proved_crashes() >= kMinProvedCrashes ? CrashVerdict::kGivenUp
+                                               : CrashVerdict::kMustWait;
 }
 
 std::string CrashRecord::ToText() const {
-  std::string text =
-      std::to_string(lost_workers.size()) + " workers were lost under it:";
-  for (const std::string& worker : lost_workers) {
-    text += " " + worker;
+  std::string crashed;
+  std::string silent;
+  for (const WorkerLoss& loss : losses) {
+    (loss.crashed ? crashed : silent) += " " + loss.worker;
   }
+  std::string text =
+      std::to_string(proved_crashes()) + " workers crashed under it:" + crashed;
+  if (!silent.empty()) text += "; not heard of since:" + silent;
   return text;
 }
 
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -1,13 +1,18 @@
-// Records which workers crashed while they ran a task, and decides when the
-// task must not be started again.
+// Records which workers were lost while they ran a task, and decides whether
+// the task may be started again.
 //
 // A task may crash every worker that starts it. A crash ends all runs on the
 // worker, and the crash alone does not tell which of them caused it. The time
 // does: a worker that survived the start of a run for a while did not crash
 // because of that start.
+//
+// A worker that falls silent may have crashed, or it is cut off and works on.
+// Only proved crashes end a job. A silent worker counts until it is seen alive;
+// as long as too many are unaccounted for, the task waits.
 #ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 #define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +28,8 @@
 // What is known of a run whose worker's incarnation ended.
 struct LostRun {
   std::string worker;
+  // When the worker's incarnation started, as it reports itself.
+  std::optional<WallTime> incarnation_start = std::nullopt;
   // True if the worker is known to have crashed; false if it was only silent
   // for long.
   bool crashed = false;
@@ -32,20 +39,55 @@
   Duration survived{};
 };
 
+// An incarnation of a worker that was lost while it ran the task.
+struct WorkerLoss {
+  std::string worker;
+  // Nullopt if it was never reported: incarnations are then told apart by their
+  // ids.
+  std::optional<WallTime> incarnation_start = std::nullopt;
+  // Proved to have crashed. Otherwise it was only silent for long.
+  bool crashed = false;
+
+  bool IsOfIncarnation(const std::string& id,
+                       const std::optional<WallTime>& start) const;
+};
+
+inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
+  return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
+         a.crashed == b.crashed;
+}
+
+// Whether a task may be started again.
+enum class CrashVerdict {
+  kMayStart,
+  // Too many workers are unaccounted for: it must not start before one of them
+  // is seen again.
+  kMustWait,
+  // It must not be started again.
+  kGivenUp,
+};
+
 struct CrashRecord {
-  // Workers that were lost while they ran the task, the oldest first.
-  std::vector<std::string> lost_workers;
-  // Consecutive crashes of workers that had just accepted the order.
+  // The oldest first.
+  std::vector<WorkerLoss> losses;
+  // Consecutive proved crashes of workers that had just accepted the order.
   int start_crashes = 0;
 
-  bool empty() const { return lost_workers.empty(); }
+  bool empty() const { return losses.empty(); }
   // A long-running task loses many workers over time, so a worker that ran it
   // for a while before it was lost resets the record.
   void OnWorkerLost(const LostRun& run, const StepSpec& step);
   // A run of the task ended while its worker lived on.
   void OnRunEnded() { start_crashes = 0; }
-  // Whether the task must not be started again.
-  bool ShouldGiveUp() const;
+  // That incarnation is alive, so it did not crash. Returns whether the record
+  // has changed.
+  bool OnWorkerAlive(const std::string& worker,
+                     const std::optional<WallTime>& incarnation_start);
+  size_t proved_crashes() const;
+  bool has_silent_workers() const { return proved_crashes() < losses.size(); }
+  CrashVerdict verdict() const;
+  bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
+  bool MustWait() const { return verdict() == CrashVerdict::kMustWait; }
   // Text for callers and operators.
   std::string ToText() const;
 };
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -128,7 +128,9 @@
   int failures = spec.long_running ? 0 : present->gang_failures;
   for (size_t i = 0; i < present->tasks.size(); ++i) {
     const TaskStatus& task = present->tasks[i];
-    FailJobIfGivenUp({ref, static_cast<int>(i)}, job, task);
+    const TaskRef task_ref{ref, static_cast<int>(i)};
+    IndexSilentLosses(task_ref, task);
+    FailJobIfGivenUp(task_ref, job, task);
     if (!spec.long_running) failures = std::max(failures, task.failures);
   }
   if (failures >= attempts) Fail(job, FailedOften(ref, failures));
@@ -237,6 +239,7 @@
   }
   SetPhase(progress, task, TaskPhase::kWaiting);
   UpdateCrashRecord(end, lost, spec, &task->crashes);
+  IndexSilentLosses(ref, *task);
   FailJobIfGivenUp(ref, job, *task);
   if (end != RunEnd::kFailed || spec.long_running) return true;
   int failures = ++task->failures;
@@ -258,6 +261,30 @@
        "task " + ref.ToString() + " was given up: " + task.crashes.ToText());
 }
 
+void JobLedger::IndexSilentLosses(const TaskRef& ref, const TaskStatus& task) {
+  for (const WorkerLoss& loss : task.crashes.losses) {
+    if (!loss.crashed) silent_losses_[loss.worker].insert(ref);
+  }
+}
+
+std::vector<TaskRef> JobLedger::OnWorkerAlive(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  std::vector<TaskRef> cleared;
+  const auto found = silent_losses_.find(worker);
+  if (found == silent_losses_.end()) return cleared;
+  for (const TaskRef& ref : std::set<TaskRef>(std::move(found->second))) {
+    StepProgress* progress = FindStep(ref.step);
+    if (progress == nullptr) continue;
+    TaskStatus& task = progress->tasks[static_cast<size_t>(ref.index)];
+    if (!task.crashes.OnWorkerAlive(worker, incarnation_start)) continue;
+    MarkDirty(*FindStepSpec(ref.step), ref);
+    cleared.push_back(ref);
+  }
+  silent_losses_.erase(worker);
+  return cleared;
+}
+
 void JobLedger::Fail(Job* job, std::string reason) {
   if (IsTerminal(job->state)) return;
   job->failure = std::move(reason);
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -114,6 +114,11 @@
   bool RecordRunEnd(const TaskRef& ref, int run, RunEnd end,
                     const std::string& checkpoint,
                     const LostRun& lost = LostRun());
+  // The worker is alive, in the incarnation that began at `incarnation_start`:
+  // it has not crashed. Returns the tasks that it was counted against.
+  std::vector<TaskRef> OnWorkerAlive(
+      const std::string& worker,
+      const std::optional<WallTime>& incarnation_start);
   // Records a checkpoint reported by a run that continues.
   void RecordCheckpoint(const TaskRef& ref, int run,
                         const std::string& checkpoint);
@@ -143,11 +148,16 @@
   void Fail(Job* job, std::string reason);
   void SetState(Job* job, JobState state);
   void MarkDirty(const StepSpec& spec, const TaskRef& ref);
+  // Adds the silent workers in the task's crash record to silent_losses_.
+  void IndexSilentLosses(const TaskRef& ref, const TaskStatus& task);
   // Copies one stored block; returns false if its size differs.
   bool RestoreBlock(const ProgressBlockRef& ref, const ProgressBlock& block,
                     StepProgress* progress);
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
+  // Invariant: contains every task whose crash record has a silent worker, by
+  // worker. May contain others.
+  std::map<std::string, std::set<TaskRef>> silent_losses_;
   std::set<ProgressBlockRef> dirty_blocks_;
   std::set<std::string> changed_jobs_;
 };
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -37,9 +37,9 @@
 // A round looks at every worker. Most of them have no step to place: they come
 // after the end of a run, or regularly.
 Plan Planner::Decide(const PlanInputs& inputs) {
-  std::vector<StepRef> broken_gangs;
+  BlockedSteps blocked;
   std::vector<ReadyStep> steps =
-      CollectReadySteps(*inputs.ledger, inputs.wall_now, &broken_gangs);
+      CollectReadySteps(*inputs.ledger, inputs.wall_now, &blocked);
   std::vector<FeatureChange> changes = UpdateFeatures(inputs);
   Plan plan;
   const bool idle = steps.empty();
@@ -57,9 +57,12 @@
   if (idle || !held_state_.active()) {
     plan.hold_changes = hold_history_.EndRound({}, nullptr, inputs.now);
   }
-  for (StepRef& gang : broken_gangs) {
+  for (StepRef& gang : blocked.broken_gangs) {
     plan.waits.push_back({std::move(gang), WaitReason::kMembersUnsettled, {}});
   }
+  for (StepRef& step : blocked.suspects) {
+    plan.waits.push_back({std::move(step), WaitReason::kWorkersMissing, {}});
+  }
   plan.feature_changes = std::move(changes);
   return plan;
 }
@@ -104,6 +107,8 @@
       return "workers have yet to be asked what they run";
     case WaitReason::kMembersUnsettled:
       return "members of its last run may still be on their workers";
+    case WaitReason::kWorkersMissing:
+      return "workers that were lost under it are not accounted for";
     case WaitReason::kGuaranteedToOthers:
       return "the accelerators are guaranteed to other accounts, and its tasks "
              "could not be stopped for them";
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -105,6 +105,9 @@
   // A gang has lost members, and others of that run may still be on their
   // workers.
   kMembersUnsettled,
+  // Too many workers were lost under its tasks, and it is not known whether
+  // they crashed.
+  kWorkersMissing,
   // Its tasks must not be stopped, and the accelerators are guaranteed to other
   // accounts.
   kGuaranteedToOthers,
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -162,6 +162,7 @@
     case WaitReason::kNoUsableWorker:
     case WaitReason::kSurveying:
     case WaitReason::kMembersUnsettled:
+    case WaitReason::kWorkersMissing:
     case WaitReason::kGuaranteedToOthers:
       return false;
   }
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -12,6 +12,42 @@
 
 constexpr char kBlockMark = '#';
 
+// Two lists of the same length: the ids, which is all that older entries read,
+// and of each loss whether it is a proved crash and the start time of the
+// incarnation.
+void AppendLosses(const std::vector<WorkerLoss>& losses, Json* row) {
+  Json workers = Json::array();
+  Json details = Json::array();
+  for (const WorkerLoss& loss : losses) {
+    workers.push_back(loss.worker);
+    Json start;
+    if (loss.incarnation_start) {
+      start = ToUnixMilliseconds(*loss.incarnation_start);
+    }
+    details.push_back(Json::array({loss.crashed, std::move(start)}));
+  }
+  row->push_back(std::move(workers));
+  row->push_back(std::move(details));
+}
+
+// Throws if the row has another form. Older entries did not tell crashes from
+// silence: what they wrote proves none.
+std::vector<WorkerLoss> LossesFromRow(const Json& row) {
+  std::vector<WorkerLoss> losses;
+  for (const Json& worker : row.at(6)) {
+    losses.push_back({worker.get<std::string>()});
+  }
+  if (row.size() <= 7) return losses;
+  for (size_t i = 0; i < losses.size(); ++i) {
+    const Json& detail = row.at(7).at(i);
+    losses[i].crashed = detail.at(0).get<bool>();
+    if (detail.at(1).is_null()) continue;
+    losses[i].incarnation_start =
+        FromUnixMilliseconds(detail.at(1).get<int64_t>());
+  }
+  return losses;
+}
+
 // A task that never began takes one byte. A task that is done needs only its
 // run number: no later run follows, so nothing else of it is read again.
 Json ToRow(const TaskStatus& task) {
@@ -22,7 +58,7 @@
                           task.worker, task.checkpoint});
   if (!task.crashes.empty()) {
     row.push_back(task.crashes.start_crashes);
-    row.push_back(task.crashes.lost_workers);
+    AppendLosses(task.crashes.losses, &row);
   }
   return row;
 }
@@ -38,7 +74,7 @@
     task.checkpoint = row.at(4).get<std::string>();
     if (row.size() > 5) {
       task.crashes.start_crashes = row.at(5).get<int>();
-      task.crashes.lost_workers = row.at(6).get<std::vector<std::string>>();
+      task.crashes.losses = LossesFromRow(row);
     }
     return task;
   }
--- a/src/libs/workload/ready_step.cc
+++ b/src/libs/workload/ready_step.cc
@@ -32,8 +32,7 @@
 }
 
 void CollectOccurrence(const Job& job, int occurrence, WallTime now,
-                       std::vector<ReadyStep>* open,
-                       std::vector<StepRef>* broken_gangs) {
+                       std::vector<ReadyStep>* open, BlockedSteps* blocked) {
   const auto& steps = job.occurrences[static_cast<size_t>(occurrence)];
   for (size_t i = 0; i < steps.size(); ++i) {
     const StepProgress& progress = steps[i];
@@ -41,8 +40,8 @@
     const StepSpec& spec = job.spec.steps[i];
     const int index = static_cast<int>(i);
     if (spec.gang && progress.active() > 0) {
-      if (broken_gangs != nullptr) {
-        broken_gangs->push_back({job.spec.id, occurrence, index});
+      if (blocked != nullptr) {
+        blocked->broken_gangs.push_back({job.spec.id, occurrence, index});
       }
       continue;
     }
@@ -52,16 +51,27 @@
     step.ref = {job.spec.id, occurrence, index};
     step.spec = &spec;
     JudgeTime(now, &step);
+    bool has_suspects = false;
     for (size_t t = 0; t < progress.tasks.size(); ++t) {
       const TaskStatus& task = progress.tasks[t];
       if (task.phase != TaskPhase::kWaiting) continue;
+      if (task.crashes.MustWait()) {
+        has_suspects = true;
+        continue;
+      }
       step.failed_before = step.failed_before || task.failures > 0;
       step.on_probation = step.on_probation || !task.crashes.empty();
       step.crashed_at_start =
           step.crashed_at_start || task.crashes.start_crashes > 0;
       step.waiting.push_back(static_cast<int>(t));
     }
-    open->push_back(std::move(step));
+    // A gang starts whole or not at all.
+    const bool is_blocked = has_suspects && (spec.gang || step.waiting.empty());
+    if (!is_blocked) {
+      open->push_back(std::move(step));
+    } else if (blocked != nullptr) {
+      blocked->suspects.push_back(std::move(step.ref));
+    }
   }
 }
 
@@ -85,13 +95,13 @@
 }
 
 std::vector<ReadyStep> CollectReadySteps(const JobLedger& ledger, WallTime now,
-                                         std::vector<StepRef>* broken_gangs) {
+                                         BlockedSteps* blocked) {
   std::vector<ReadyStep> open;
   for (const auto& [id, job] : ledger.jobs()) {
     if (IsTerminal(job->state)) continue;
     for (int k = 0; k < job->spec.occurrence_count(); ++k) {
       if (job->spec.scheduled() && job->spec.due(k) > now) break;
-      CollectOccurrence(*job, k, now, &open, broken_gangs);
+      CollectOccurrence(*job, k, now, &open, blocked);
     }
   }
   std::sort(open.begin(), open.end(), HasPrecedence);
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -54,13 +54,20 @@
   const std::string& service() const { return job->spec.policy.service; }
 };
 
+// Steps with waiting tasks that must not start yet, whatever room there is.
+struct BlockedSteps {
+  // Gangs that have lost members: others of that run may still be on their
+  // workers.
+  std::vector<StepRef> broken_gangs;
+  // Steps all of whose waiting tasks wait for workers that were lost under them
+  // to be accounted for.
+  std::vector<StepRef> suspects;
+};
+
 // Sorted by priority, then by age, oldest first. The pointers refer to the
-// ledger. `broken_gangs`, if not null, receives the gangs that have lost
-// members and are not ready: other members of that run may still be on their
-// workers.
-std::vector<ReadyStep> CollectReadySteps(
-    const JobLedger& ledger, WallTime now,
-    std::vector<StepRef>* broken_gangs = nullptr);
+// ledger. `blocked`, if not null, receives the steps that are not ready.
+std::vector<ReadyStep> CollectReadySteps(const JobLedger& ledger, WallTime now,
+                                         BlockedSteps* blocked = nullptr);
 
 }  // namespace thornplank
 
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -65,6 +65,9 @@
   Time began{};
   // When this leader placed it; Time{} if another one did. Set by the tracker.
   Time placed{};
+  // The start time of the incarnation that it ended with. Set by the tracker
+  // for a run that ended with its worker.
+  std::optional<WallTime> incarnation_start = std::nullopt;
   // The part of the time since `began` whose work a checkpoint preserves. Set
   // by the tracker.
   Duration saved_work{};
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -410,6 +410,7 @@
                                                 RunEnd end, Time now) const {
   RunEndReport lost =
       MakeRunEnd(run, MayHaveBegun(run) ? end : RunEnd::kLost, now);
+  lost.incarnation_start = incarnation_.start();
   if (run.began != Time{}) {
     lost.survived = silent_since_.value_or(now) - run.began;
   }
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -134,6 +134,10 @@
       return service != kUnknownService;
     };
     handlers.on_ticket_refused = [](const StepRef&, const std::string&) {};
+    handlers.on_alive = [this](const std::string& worker,
+                               const std::optional<WallTime>&) {
+      alive.push_back(worker);
+    };
     handlers.on_answer = [](const std::string&) {};
     handlers.on_no_answer = [](const std::string&) {};
     handlers.on_change = [] {};
@@ -161,6 +165,8 @@
   ScriptedWorkerCalls calls;
   FakeFormats formats;
   std::vector<RunEnd> ends;
+  // The workers that were said to be alive, once for each time.
+  std::vector<std::string> alive;
   int fenced = 0;
   bool may_renew = true;
   WorkerFleet fleet;
