--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -101,9 +101,6 @@
   // A snapshot of the directory contains entries that were read before.
   const bool is_newer = record.offset > state.entry_offset;
   state.entry_offset = std::max(state.entry_offset, record.offset);
-  if (is_newer && ProvesLife(state, now)) {
-    handlers_.on_alive(id, registration->incarnation_start.time);
-  }
   state.missing_since.reset();
   state.departure.OnEntry(*registration, last_directory_read_, now);
   if (tracker == nullptr) {
@@ -121,6 +118,9 @@
     Activate(id);
     return RequestFirstReport(id, now);
   }
+  if (is_newer && ProvesLife(state)) {
+    handlers_.on_alive(id, registration->incarnation_start.time);
+  }
   const bool starts_draining =
       registration->draining && !tracker->registration().draining;
   if (starts_draining) {
@@ -148,12 +148,12 @@
   if (!tracker->synchronized() || state.recheck) RequestReportIfDue(id, now);
 }
 
-// What a new leader reads first may be old, and its predecessors' workers were
-// lost before that.
-bool WorkerFleet::ProvesLife(const WorkerCallState& state, Time now) const {
+// An entry that is newer than the last whole read was stored after that. What
+// predecessors took for lost was lost before this leader's first read.
+bool WorkerFleet::ProvesLife(const WorkerCallState& state) const {
   if (first_directory_read_ == Time{}) return false;
   const Time lost_at = std::max(state.lost_at, first_directory_read_);
-  return now - lost_at > settings_.max_entry_delay;
+  return last_directory_read_ - lost_at > settings_.max_entry_delay;
 }
 
 void WorkerFleet::BeginSurvey() { survey_begun_ = true; }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -212,9 +212,9 @@
   void Activate(const std::string& id) { active_.insert(id); }
   void Forget(const std::string& id);
   bool IsClosed(const WorkerTracker& tracker) const;
-  // Whether an entry that is read now was certainly written after the worker
-  // was lost, if it was.
-  bool ProvesLife(const WorkerCallState& state, Time now) const;
+  // Whether an entry that is newer than all that were read was certainly
+  // written after the worker was lost, if it was.
+  bool ProvesLife(const WorkerCallState& state) const;
   // Whether the worker cannot be asked, so that its runs wait for the end of
   // their leases.
   bool WaitsForLeases(const WorkerTracker& worker, Time now) const;
