--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -302,6 +302,7 @@
   LogEvent(events::kLossCleared, {{"worker", worker},
                                   {"count", cleared.size()},
                                   {"tasks", std::move(tasks)}});
+  metrics_.OnLossesCleared(cleared.size());
   SchedulePlanning();
 }
 
--- a/src/libs/coordination/scheduling_metrics.cc
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -54,11 +54,19 @@
       .Observe(*lasted);
 }
 
+void SchedulingMetrics::OnLossesCleared(size_t tasks) {
+  metrics_
+      .counter("thornplank_losses_cleared_total",
+               "Tasks of which a worker that was taken for lost was seen alive "
+               "again.")
+      .Add(tasks);
+}
+
 void SchedulingMetrics::OnTaskGivenUp() {
   metrics_
       .counter("thornplank_tasks_given_up_total",
-               "Tasks that are not started again, since workers were lost "
-               "under them.")
+               "Tasks that are not started again, since workers crashed under "
+               "them.")
       .Add();
 }
 
