A worker that announced its departure ends no task's runs as a crash

What callers saw: a job shown as failed though no task of it failed (LOST), where a worker left as announced and another one answered at its address.

Cause: WorkerTracker took an end for a departure only from the announced time on, and computed that time as the read of the entry plus the remaining time in it. An entry that a new leader reads at its takeover may be old, so that the time is late; an end before it counted as a crash, or as silence.

Now the announcement alone decides. It is final for its incarnation, whose worker gets no starts, so whatever ends the incarnation later is no evidence of a crash. It is kept with the start of the incarnation: a late entry of the same one does not take it back (nor make the worker usable), and it does not cover the next one. What is given up: a task that crashes a worker which has announced its departure is not counted for that. Such a task was started before, so there is at most one such crash for each departure.

For the same reason an end with a leaving worker before the task's start was survived no longer clears the count of crashes at the start: it would let a task that crashes its workers begin more often.

--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -16,11 +16,18 @@
     {JobState::kCancelled, "cancelled"},
 }};
 
+// Whether the run ended with a worker that left, and its worker is not known to
+// have survived its start: that proves neither a crash nor that there was none.
+bool ShowsNoSurvival(RunEnd end, const LostRun& lost) {
+  return end == RunEnd::kWorkerLeft &&
+         (!lost.began || lost.survived < kStartPhase);
+}
+
 // Records what the end of a run shows about crashes of its task; a run that
 // never began shows nothing.
 void UpdateCrashRecord(RunEnd end, const LostRun& lost, const StepSpec& step,
                        CrashRecord* crashes) {
-  if (end == RunEnd::kLost) return;
+  if (end == RunEnd::kLost || ShowsNoSurvival(end, lost)) return;
   const bool with_worker =
       end == RunEnd::kWorkerCrashed || end == RunEnd::kWorkerSilent;
   if (!with_worker) return crashes->OnRunEnded();
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -108,7 +108,30 @@
   registration_ = std::move(registration);
   missing_since_.reset();
   departure_.reset();
-  if (registration_.draining) departure_ = now + registration_.drain_remaining;
+  if (registration_.draining) {
+    departure_ = now + registration_.drain_remaining;
+    announcement_ = {registration_.incarnation_start.time};
+    return;
+  }
+  // An entry of the same incarnation does not take the announcement back: it
+  // may have been stored late. One of the next incarnation says nothing of the
+  // runs of this one.
+  const bool is_known = announcement_ && announcement_->incarnation_start &&
+                        registration_.incarnation_start.time;
+  if (!is_known) announcement_.reset();
+}
+
+bool WorkerTracker::has_announced_departure() const {
+  if (!announcement_) return false;
+  const std::optional<WallTime>& leaving = announcement_->incarnation_start;
+  const std::optional<WallTime>& present = incarnation_.start();
+  return !leaving || !present || *leaving == *present;
+}
+
+void WorkerTracker::DropPastAnnouncement(const std::optional<WallTime>& start) {
+  if (!announcement_) return;
+  const std::optional<WallTime>& leaving = announcement_->incarnation_start;
+  if (!leaving || leaving != start) announcement_.reset();
 }
 
 void WorkerTracker::SetSpeed(double speed, Time now) {
@@ -250,7 +273,8 @@
 
 std::vector<RunEndReport> WorkerTracker::BeginIncarnation(
     const WorkerStatusReport& report, Time sent, Time now) {
-  const RunEnd end = RunEndFor(IncarnationEnd::kCrashed, now);
+  const RunEnd end = RunEndFor(IncarnationEnd::kCrashed);
+  DropPastAnnouncement(report.incarnation_start.time);
   std::vector<RunEndReport> ended;
   for (auto it = runs_.begin(); it != runs_.end();) {
     const auto run = it++;
@@ -386,15 +410,16 @@
   if (missing()) return WorkerAvailability::kNotListed;
   if (IsEntryOutdated(now)) return WorkerAvailability::kEntryOutdated;
   if (renewals_stopped_) return WorkerAvailability::kRenewalsStopped;
-  if (registration_.draining) return WorkerAvailability::kLeaving;
+  if (registration_.draining || has_announced_departure()) {
+    return WorkerAvailability::kLeaving;
+  }
   if (domain_closed_) return WorkerAvailability::kDomainClosed;
   return health_.IsExcluded(now) ? WorkerAvailability::kQuarantined
                                  : WorkerAvailability::kUsable;
 }
 
-RunEnd WorkerTracker::RunEndFor(IncarnationEnd end, Time now) const {
-  const bool left = departure_ && now >= *departure_;
-  return ToRunEnd(left ? IncarnationEnd::kLeft : end);
+RunEnd WorkerTracker::RunEndFor(IncarnationEnd end) const {
+  return ToRunEnd(has_announced_departure() ? IncarnationEnd::kLeft : end);
 }
 
 // An unanswered order was not accepted by a worker that was silent before it
@@ -419,7 +444,7 @@
 
 std::vector<RunEndReport> WorkerTracker::OnIncarnationEnded(IncarnationEnd end,
                                                             Time now) {
-  const RunEnd run_end = RunEndFor(end, now);
+  const RunEnd run_end = RunEndFor(end);
   std::vector<RunEndReport> ended;
   ended.reserve(runs_.size());
   for (const auto& [task, run] : runs_) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -187,8 +187,13 @@
   const WorkerRegistration& registration() const { return registration_; }
   const std::string& id() const { return registration_.id; }
   void Update(WorkerRegistration registration, Time now);
-  // The earliest time at which it leaves, if it has announced that.
+  // The earliest time at which it leaves, if its entry announces that. Later
+  // than announced by the age of the entry.
   std::optional<Time> earliest_departure() const { return departure_; }
+  // Whether the incarnation that holds its runs has announced its departure.
+  // An announcement is final: the worker gets no new runs, so whatever ends the
+  // incarnation is no evidence of a crash of its tasks.
+  bool has_announced_departure() const;
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
@@ -244,7 +249,7 @@
                                      std::vector<RunReport>* unexpected);
   void OnReportFailed(Time now);
   // Its incarnation is over: all runs on it have ended. A worker that had
-  // announced to leave by now has left, whatever answers at its address.
+  // announced its departure has left, whatever answers at its address.
   std::vector<RunEndReport> OnIncarnationEnded(IncarnationEnd end, Time now);
 
   // Number of the last end that was processed; the worker may forget ends up to
@@ -324,11 +329,13 @@
   // have ended.
   std::vector<RunEndReport> BeginIncarnation(const WorkerStatusReport& report,
                                              Time sent, Time now);
+  // Drops the announcement of the incarnation that ended before `start`.
+  void DropPastAnnouncement(const std::optional<WallTime>& start);
   bool OutlivesRestart(const TrackedRun& run, const WorkerStatusReport& report,
                        Time sent) const;
   // How a run ends when the incarnation ends, considering an announced
   // departure.
-  RunEnd RunEndFor(IncarnationEnd end, Time now) const;
+  RunEnd RunEndFor(IncarnationEnd end) const;
   // The end of a run that ends with the incarnation: `end` if it may have
   // begun.
   RunEndReport LostWithIncarnation(const TrackedRun& run, RunEnd end,
@@ -343,6 +350,11 @@
   int incarnation_number_ = 0;
   // The earliest time of an announced departure.
   std::optional<Time> departure_;
+  struct Announcement {
+    // Of the incarnation that leaves; nullopt if its entry does not say.
+    std::optional<WallTime> incarnation_start;
+  };
+  std::optional<Announcement> announcement_;
   std::optional<Time> missing_since_;
   // Nullopt if the entry was read after the last outage of the store.
   std::optional<Time> entry_outdated_until_;
--- a/tests/auto/workload/tst_crash_record.cc
+++ b/tests/auto/workload/tst_crash_record.cc
@@ -35,6 +35,7 @@
 constexpr RunCase kNeverBegan{RunEnd::kLost, false, 0};
 constexpr RunCase kStopped{RunEnd::kStopped, true, 900};
 constexpr RunCase kLeft{RunEnd::kWorkerLeft, true, 900};
+constexpr RunCase kLeftAtStart{RunEnd::kWorkerLeft, true, 20};
 constexpr RunCase kLong{RunEnd::kWorkerCrashed, true, 5000};
 
 LostRun ToLostRun(const RunCase& run, int number) {
@@ -93,6 +94,11 @@
        {kAtStart, kStopped, kAtStart},
        0},
       {"a worker leaves in between", false, {kAtStart, kLeft, kAtStart}, 0},
+      {"a worker that has announced its departure ends at the start between "
+       "two crashes",
+       false,
+       {kAtStart, kLeftAtStart, kAtStart},
+       3},
       {"a worker crashes later in between",
        false,
        {kAtStart, kAtWork, kAtStart},
