A job is reached by its own client account only

Cause: CallerService used the key to admit a call and to name the account of a submission, and looked up jobs by their id alone.

Change: MayAccess (job_access) compares the account of the job with the accounts that hold the key of the call, and the queues where no key is read. A call that may not reach the job takes the path of one on an unknown job: the same read of the board, then the same 410, or 503 without the store. A submission under another account's id is checked like any other and then answered as if the store had refused it, without an append. For that the body of such a 503 no longer repeats the store's error, which stays in the log. Event 966 names both accounts, thornplank_foreign_job_calls_total counts. The replica that answers decides, also for forwarded calls; the forwarding itself needed no change.

ServingConfiguration::FindAccount is now AccountsOf, since a key may belong to several accounts; the two checks of it in tst_wire_formats ask the same of the new function. The test cluster's configuration has a second account.

--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "coordination/job_access.h"
 #include "logging/events/coordination_events.h"
 #include "net/problem_response.h"
 
@@ -36,8 +37,13 @@
                                             "the body cannot be read"};
 constexpr CallerService::Refusal kStoreUnavailable{kUnavailable, "store_away",
                                                    "the store is away", true};
-constexpr CallerService::Refusal kNotStored{kUnavailable, "not_stored",
-                                            "the store took it not"};
+constexpr CallerService::Refusal kNotStored{
+    kUnavailable, "not_stored", "the store took it not",
+    /*only_here=*/false, /*detail_is_private=*/true};
+// The id is that of a job of another account. The response is that of
+// kNotStored, so that the caller does not learn why.
+constexpr CallerService::Refusal kForeignId{kUnavailable, "foreign_id",
+                                            kNotStored.text};
 // The only refusal after which the record may be stored; all others guarantee
 // that it is not, so that the job has not run.
 constexpr CallerService::Refusal kOutcomeUnknown{504, "undecided",
@@ -69,7 +75,7 @@
   int64_t min_configuration = 0;
   bool forwarded = false;
   QueueConfiguration queue;
-  std::string account;
+  CallerIdentity caller;
   std::string job;
   int64_t configuration_version = 0;
   Time received{};
@@ -159,7 +165,8 @@
   if (queue != nullptr) {
     call->queue = *queue;
     call->job = path.substr(queue->prefix.size());
-    refusal = FindAccount(call, configuration);
+    call->caller.queue = queue->policy.queue;
+    refusal = FindAccounts(call, configuration);
   }
   const bool is_old = NeedsConfirmation(*call, configuration);
   if (is_old && (refusal != nullptr || call->forwarded)) {
@@ -186,17 +193,15 @@
       });
 }
 
-const CallerService::Refusal* CallerService::FindAccount(
+const CallerService::Refusal* CallerService::FindAccounts(
     const std::shared_ptr<Call>& call,
     const ServingConfiguration& configuration) const {
+  call->caller.accounts.clear();
   if (call->queue.is_public) return nullptr;
   const auto age = BootClock::now() - dependencies_.configuration_as_of();
   if (age > settings_.max_configuration_age) return &kKeysUnconfirmed;
-  const AccountConfiguration* account =
-      configuration.FindAccount(call->headers.key);
-  if (account == nullptr) return &kUnknownKey;
-  call->account = account->name;
-  return nullptr;
+  call->caller.accounts = configuration.AccountsOf(call->headers.key);
+  return call->caller.accounts.empty() ? &kUnknownKey : nullptr;
 }
 
 void CallerService::Serve(const std::shared_ptr<Call>& call,
@@ -218,8 +223,36 @@
   Refuse(call, kWrongMethod);
 }
 
+const BoardJob* CallerService::FindJob(const Call& call) const {
+  const BoardJob* job = dependencies_.board->Find(call.job);
+  return job != nullptr && MayAccess(call.caller, *job->spec) ? job : nullptr;
+}
+
+bool CallerService::ReportForeignJob(const Call& call) {
+  const BoardJob* job = dependencies_.board->Find(call.job);
+  if (job == nullptr || MayAccess(call.caller, *job->spec)) return false;
+  LogEvent(events::kForeignJobCalled,
+           {{"job", call.job},
+            {"method", call.request.method},
+            {"queue", call.caller.queue},
+            {"account", call.caller.account()},
+            {"owner", job->spec->account},
+            {"configuration", call.configuration_version}});
+  metrics_
+      .counter("thornplank_foreign_job_calls_total",
+               "Calls on a job of another account.",
+               {{"method", call.request.method}})
+      .Add();
+  return true;
+}
+
+void CallerService::RefuseUnknownJob(const std::shared_ptr<Call>& call) {
+  ReportForeignJob(*call);
+  Refuse(call, kNoJob);
+}
+
 void CallerService::Submit(const std::shared_ptr<Call>& call) {
-  if (dependencies_.board->Find(call->job) != nullptr) {
+  if (FindJob(*call) != nullptr) {
     return Respond(call, HttpResponse());
   }
   Error error;
@@ -227,13 +260,14 @@
       formats_.ReadJob(call->request.body, &error);
   if (!job) return Refuse(call, kMalformed, error.reason);
   job->id = call->job;
-  job->account = call->account;
+  job->account = call->caller.account();
   job->policy = call->queue.policy;
   job->accepted = std::chrono::system_clock::now();
   std::string reason;
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
   if (!IsStoreFresh()) return Refuse(call, kStoreUnavailable);
   if (RefuseIfServedElsewhere(call)) return;
+  if (ReportForeignJob(*call)) return Refuse(call, kForeignId);
   // A scheduled job has an objective for each occurrence and a long-running job
   // has none, so only the objective of other jobs is logged.
   const bool ends_once = !job->scheduled() && !job->long_running();
@@ -249,7 +283,7 @@
                                          call->received);
            LogEvent(events::kJobAccepted,
                     {{"job", call->job},
-                     {"account", call->account},
+                     {"account", call->caller.account()},
                      {"queue", call->queue.policy.queue},
                      {"objective_ms", objective.count()},
                      {"configuration", call->configuration_version}});
@@ -259,11 +293,11 @@
 
 void CallerService::AnswerState(const std::shared_ptr<Call>& call,
                                 bool caught_up) {
-  const BoardJob* job = dependencies_.board->Find(call->job);
+  const BoardJob* job = FindJob(*call);
   if (job == nullptr && !caught_up) {
     return CatchUp(call, &CallerService::AnswerState);
   }
-  if (job == nullptr) return Refuse(call, kNoJob);
+  if (job == nullptr) return RefuseUnknownJob(call);
   if (!caught_up && !IsTerminal(job->state()) && IsStateStale()) {
     return RefreshState(call);
   }
@@ -275,11 +309,11 @@
 }
 
 void CallerService::Cancel(const std::shared_ptr<Call>& call, bool caught_up) {
-  const BoardJob* job = dependencies_.board->Find(call->job);
+  const BoardJob* job = FindJob(*call);
   if (job == nullptr && !caught_up) {
     return CatchUp(call, &CallerService::Cancel);
   }
-  if (job == nullptr) return Refuse(call, kNoJob);
+  if (job == nullptr) return RefuseUnknownJob(call);
   if (IsTerminal(job->state())) return Respond(call, HttpResponse());
   if (RefuseIfServedElsewhere(call)) return;
   Append(JobBoard::Cancellation(call->job), *call,
@@ -348,6 +382,7 @@
 void CallerService::Refuse(const std::shared_ptr<Call>& call,
                            const Refusal& refusal, const std::string& detail) {
   const std::string reason = detail.empty() ? refusal.text : detail;
+  const std::string told = refusal.detail_is_private ? refusal.text : reason;
   const Event& event = refusal.status == kOutcomeUnknown.status
                            ? events::kJobUndecided
                            : events::kJobRefused;
@@ -367,7 +402,7 @@
                {{"cause", refusal.cause}})
       .Add();
   HttpResponse response = ProblemResponse(
-      refusal.status, {"answer", call->request.remote_address, reason});
+      refusal.status, {"answer", call->request.remote_address, told});
   if (refusal.status == kUnavailable) {
     const auto wait = dependencies_.served_elsewhere() ? std::chrono::seconds(0)
                                                        : settings_.retry_after;
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -105,6 +105,8 @@
     const char* text = "";
     // It concerns this entry alone: another replica may serve the call.
     bool only_here = false;
+    // The detail is for the log alone; the caller is told `text`.
+    bool detail_is_private = false;
   };
 
   CallerService(boost::asio::io_context& io, RecordStore& store,
@@ -128,19 +130,26 @@
 
   bool IsStoreFresh() const;
   void Begin(const std::shared_ptr<Call>& call);
-  // Finds the queue and the account by the configuration. `confirmed`: the
+  // Finds the queue and the accounts by the configuration. `confirmed`: the
   // configuration was read for this call.
   void Route(const std::shared_ptr<Call>& call, bool confirmed);
   bool NeedsConfirmation(const Call& call,
                          const ServingConfiguration& configuration) const;
   void ConfirmConfiguration(const std::shared_ptr<Call>& call);
-  // Sets the account of a call whose key is valid; returns the reason to refuse
-  // any other call.
-  const Refusal* FindAccount(const std::shared_ptr<Call>& call,
-                             const ServingConfiguration& configuration) const;
+  // Sets the accounts of a call whose key is valid; returns the reason to
+  // refuse any other call.
+  const Refusal* FindAccounts(const std::shared_ptr<Call>& call,
+                              const ServingConfiguration& configuration) const;
   void Serve(const std::shared_ptr<Call>& call, size_t max_body_bytes);
   // Refuses the call and returns true if only another entry can serve it.
   bool RefuseIfServedElsewhere(const std::shared_ptr<Call>& call);
+  // The job that the call names. Null if it is unknown or of another account.
+  const BoardJob* FindJob(const Call& call) const;
+  // Returns whether the job is another account's; logs and counts the call
+  // then.
+  bool ReportForeignJob(const Call& call);
+  // The answer for an unknown job and for another account's.
+  void RefuseUnknownJob(const std::shared_ptr<Call>& call);
   void Submit(const std::shared_ptr<Call>& call);
   void AnswerState(const std::shared_ptr<Call>& call, bool caught_up);
   bool IsStateStale() const;
--- a/src/libs/coordination/serving_configuration.cc
+++ b/src/libs/coordination/serving_configuration.cc
@@ -17,16 +17,18 @@
   return best;
 }
 
-const AccountConfiguration* ServingConfiguration::FindAccount(
+std::vector<std::string> ServingConfiguration::AccountsOf(
     const std::string& key) const {
-  if (key.empty()) return nullptr;
+  std::vector<std::string> names;
+  if (key.empty()) return names;
   for (const AccountConfiguration& account : accounts) {
-    if (std::find(account.keys.begin(), account.keys.end(), key) !=
+    if (std::find(account.keys.begin(), account.keys.end(), key) ==
         account.keys.end()) {
-      return &account;
+      continue;
     }
+    names.push_back(account.name);
   }
-  return nullptr;
+  return names;
 }
 
 bool ServingConfiguration::KnowsService(const std::string& service) const {
--- a/src/libs/coordination/serving_configuration.h
+++ b/src/libs/coordination/serving_configuration.h
@@ -42,8 +42,8 @@
   // The queue of that host with the longest prefix of `path`, or null.
   const QueueConfiguration* FindQueue(const std::string& host,
                                       const std::string& path) const;
-  // The account that holds the key, or null.
-  const AccountConfiguration* FindAccount(const std::string& key) const;
+  // The names of the accounts that hold the key.
+  std::vector<std::string> AccountsOf(const std::string& key) const;
   // Whether the service is listed or has a queue.
   bool KnowsService(const std::string& service) const;
   Guarantees guarantees() const;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -85,6 +85,8 @@
                                         Severity::kInfo};
 
 inline constexpr Event kLossCleared{963, "loss-cleared", Severity::kInfo};
+inline constexpr Event kForeignJobCalled{966, "foreign-job-called",
+                                         Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -130,8 +130,8 @@
   const QueuePolicy& policy = configuration->queues[0].policy;
   CHECK(policy.max_attempts == 2);
   CHECK(policy.slack == Milliseconds(1000));
-  CHECK(configuration->FindAccount("k2")->name == "t1");
-  CHECK(configuration->FindAccount("") == nullptr);
+  CHECK(configuration->AccountsOf("k2") == std::vector<std::string>{"t1"});
+  CHECK(configuration->AccountsOf("").empty());
   CHECK(configuration->guarantees().at("t1") == 72);
 }
 
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -27,6 +27,7 @@
 constexpr Milliseconds kPollInterval{20};
 constexpr char kService[] = "claims";
 constexpr char kAccountKey[] = "key-of-north";
+constexpr char kOtherAccountKey[] = "key-of-south";
 
 std::string LoopbackAddress() {
   const int id = ::getpid();
@@ -97,6 +98,8 @@
 
 std::string HostedCluster::AccountKey() { return kAccountKey; }
 
+std::string HostedCluster::OtherAccountKey() { return kOtherAccountKey; }
+
 bool HostedCluster::Eventually(const std::function<bool()>& condition,
                                Duration limit) {
   const Time end = std::chrono::steady_clock::now() + limit;
@@ -167,9 +170,8 @@
       {"services", {{{"name", kService}, {"admission_check", false}}}},
       {"limits", {{"max_body_bytes", 65536}}},
       {"tenants",
-       {{{"name", "north"},
-         {"api_keys", keys},
-         {"guaranteed", {{"gpu", 16}}}}}}};
+       {{{"name", "north"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 16}}}},
+        {{"name", "south"}, {"api_keys", Json::array({kOtherAccountKey})}}}}};
   return ControlStore({{"put_operator", configuration.dump()}});
 }
 
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -134,7 +134,10 @@
   const HostedClusterSettings& settings() const { return settings_; }
   const std::string& folder() const { return folder_.path(); }
   static std::string QueuePrefix(int priority);
+  // Of the account "north", which submits all jobs.
   static std::string AccountKey();
+  // Of the account "south".
+  static std::string OtherAccountKey();
 
   static bool Eventually(const std::function<bool()>& condition,
                          Duration limit = std::chrono::seconds(20));
--- a/tests/integration/tst_hosted_gateways.cc
+++ b/tests/integration/tst_hosted_gateways.cc
@@ -4,10 +4,14 @@
 
 #include <csignal>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "base/json.h"
 #include "hosted_scenario.h"
+#include "logging/events/coordination_events.h"
 
 namespace thornplank {
 namespace {
@@ -80,6 +84,59 @@
   CHECK(cluster.Metric(gateway, newest) == calls_before);
 }
 
+// The status and the body of an answer without the address of the connection,
+// which differs between connections.
+std::string ToComparable(const std::optional<HttpResponse>& response) {
+  if (!response) return "";
+  Json body = ParseJson(response->body).value_or(Json::object());
+  body.erase("peer");
+  return std::to_string(response->status) + " " + body.dump();
+}
+
+// Guards against an account that reads, cancels or replaces another account's
+// job, at a replica or through a gateway.
+TEST_CASE("another account's job is answered like an unknown one") {
+  HostedScenario scenario(Settings());
+  HostedCluster& cluster = scenario.cluster();
+  REQUIRE(AwaitReplicas(&cluster));
+  TestJob job;
+  job.id = "00000000000000c1";
+  job.steps = {Step(1, 1)};
+  job.work_ms = 3000;
+  REQUIRE(cluster.Submit(AnyGateway(&cluster), job) == 200);
+  const std::string queue = HostedCluster::QueuePrefix(job.priority);
+  const std::string key = HostedCluster::OtherAccountKey();
+  for (int i = 0; i < kEntries; ++i) {
+    CAPTURE(i);
+    for (const std::string method : {"GET", "DELETE"}) {
+      CAPTURE(method);
+      const auto foreign = cluster.Call(i, method, queue + job.id, "", key);
+      const auto unknown =
+          cluster.Call(i, method, queue + "00000000000000c2", "", key);
+      CHECK(ToComparable(foreign).rfind("410 ", 0) == 0);
+      CHECK(ToComparable(foreign) == ToComparable(unknown));
+    }
+  }
+  const auto submission = cluster.Call(
+      AnyGateway(&cluster), "POST", queue + job.id,
+      R"({"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1}]})", key);
+  CHECK(ToComparable(submission).rfind("503 ", 0) == 0);
+  CHECK(HostedCluster::Eventually(
+      [&] { return cluster.State(AnyGateway(&cluster), job) == "completed"; }));
+  std::vector<Json> events;
+  for (int i = 0; i < kEntries; ++i) {
+    for (Json& event : cluster.Events(i, events::kForeignJobCalled.number)) {
+      events.push_back(std::move(event));
+    }
+  }
+  // A gateway may ask a second replica for the same call.
+  CHECK(events.size() >= 2 * kEntries + 1);
+  for (const Json& event : events) {
+    CHECK(StringField(event, "account") == "south");
+    CHECK(StringField(event, "owner") == "north");
+  }
+}
+
 TEST_CASE("a key that was taken away is refused by gateways in time") {
   HostedScenario scenario(Settings());
   HostedCluster& cluster = scenario.cluster();
