tst_caller_accounts: limits that a test process left unscheduled does not reach

The service under test ran with the product's limits (0.5 s for a read of the board, 1.5 s for its age, 3 s for a call). A process that is not scheduled for that long would have got 503 where the table expects 410. No check changed.

--- a/tests/auto/coordination/tst_caller_accounts.cc
+++ b/tests/auto/coordination/tst_caller_accounts.cc
@@ -34,6 +34,7 @@
 constexpr char kPublic[] = "/public/";
 constexpr char kOtherPublic[] = "/other-public/";
 constexpr char kNoKey[] = "";
+constexpr Milliseconds kLongTime{60000};
 constexpr char kLogPath[] = "caller-accounts.log";
 
 class CallerFormats : public FakeFormats {
@@ -100,6 +101,11 @@
     dependencies.served_elsewhere = [] { return false; };
     CallerServiceSettings settings;
     settings.board = kBoard;
+    // A test process that is not scheduled for a while gets the same answers.
+    settings.max_store_age = kLongTime;
+    settings.default_timeout = kLongTime;
+    settings.catch_up_timeout = kLongTime;
+    settings.refresh_timeout = kLongTime;
     service_ = std::make_unique<CallerService>(io_, store_, formats_, settings,
                                                dependencies, metrics_);
     tail_.Start();
@@ -121,7 +127,7 @@
     if (forwarded) {
       ForwardedCall call;
       call.request = std::move(request);
-      call.time_left = Milliseconds(3000);
+      call.time_left = kLongTime;
       service_->HandleForwarded(std::move(call), [&answer](CallAnswer given) {
         answer = std::move(given);
       });
