Announced departures are on the board: a worker that left is no loss under a later leader

What callers saw: a job shown as failed though no task of it failed; since silence ends no job, a task that waits for ever for workers which left as announced.

Cause: only the leader that read the announcement knew of it. The directory drops the entry of a worker that has left, so that its successor took the runs there for those of a silent worker when their leases were over.

The leader records the workers with runs that have announced their departure, each with the start of its incarnation (`departures`, event 964; 901 tells how many were read). It holds for every later leader: an announcement is final for an incarnation. A worker leaves it in the append that stores the last ends of its runs. The record ends no run by itself: a missing entry is no proof that the worker has ended.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -379,6 +379,7 @@
     SyncJobFromBoard(id);
   }
   LoadRenewalStops();
+  const size_t departures = LoadDepartures();
   const size_t restored_steps = RestoreProgress();
   RestoreHealth(Now());
   LogEvent(events::kLeadershipAcquired,
@@ -386,7 +387,8 @@
             {"board_next", dependencies_.board_next_offset()},
             {"jobs", ledger_.jobs().size()},
             {"steps", restored_steps},
-            {"renewal_stops", recorded_lease_ends_.size()}});
+            {"renewal_stops", recorded_lease_ends_.size()},
+            {"departures", departures}});
   WriteHeartbeat(/*released=*/false, nullptr);
 
   directory_->Attach(fleet_.get());
@@ -482,6 +484,23 @@
   }
 }
 
+// An announcement holds for every later leader, whichever of them wrote it.
+size_t ClusterCoordinator::LoadDepartures() {
+  std::vector<DepartingWorker> departures;
+  if (const auto& record = dependencies_.board->departures()) {
+    Error error;
+    auto decoded = DecodeDepartures(*record->value, &error);
+    if (!decoded) {
+      LogEvent(events::kRecordUnreadable, error, {{"key", record->key}});
+    }
+    departures = std::move(decoded).value_or(std::vector<DepartingWorker>());
+  }
+  fleet_->RestoreDepartures(departures);
+  const size_t count = departures.size();
+  departure_schedule_.Begin(std::move(departures));
+  return count;
+}
+
 Time ClusterCoordinator::InheritedLeaseBound(Time now) const {
   return predecessor_.LastRenewal(epoch_, now) +
          WorkerTracker::MaxLeaseDuration(settings_.bounds.lease_term());
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -26,6 +26,7 @@
 #include "base/boot_clock.h"
 #include "base/time.h"
 #include "coordination/advice_requester.h"
+#include "coordination/departure_schedule.h"
 #include "coordination/fenced_writer.h"
 #include "coordination/formats.h"
 #include "coordination/fragmentation_monitor.h"
@@ -197,6 +198,9 @@
   void InheritRuns(const StepRef& ref, Time now);
   // Reads what the previous leader recorded of workers that it could not ask.
   void LoadRenewalStops();
+  // Returns the number of workers whose announced departures are recorded.
+  size_t LoadDepartures();
+  void AddDeparturesIfDue(Time now, std::vector<KeyedRecord>* records);
   // When all leases that previous leaders may have given are over, on any
   // worker and on this one.
   Time InheritedLeaseBound(Time now) const;
@@ -297,6 +301,7 @@
   bool directory_unreadable_ = false;
   std::unique_ptr<AdviceRequester> advice_;
   HealthRecordSchedule health_schedule_;
+  DepartureSchedule departure_schedule_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
   // When the newest record of renewal stops was read; valid in every phase.
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -17,6 +17,7 @@
 
 // Bounds one line of the log.
 constexpr size_t kMaxLoggedTasks = 32;
+constexpr size_t kMaxLoggedWorkers = 32;
 
 Time Now() { return std::chrono::steady_clock::now(); }
 
@@ -40,6 +41,20 @@
   return rows;
 }
 
+Json ToJson(const std::vector<DepartingWorker>& departures) {
+  Json workers = Json::array();
+  for (const DepartingWorker& departure : departures) {
+    if (workers.size() == kMaxLoggedWorkers) break;
+    workers.push_back(departure.worker);
+  }
+  return workers;
+}
+
+KeyedRecord ToRecord(const std::vector<DepartingWorker>& departures) {
+  if (departures.empty()) return JobBoard::Departures(std::nullopt);
+  return JobBoard::Departures(EncodeDepartures(departures));
+}
+
 KeyedRecord ToRecord(const RenewalStopRecord& record) {
   if (record.stops.empty()) return JobBoard::RenewalStops(std::nullopt);
   return JobBoard::RenewalStops(EncodeRenewalStops(record));
@@ -390,6 +405,7 @@
       records.push_back(ToRecord({epoch_, std::move(*stops)}));
     }
   }
+  AddDeparturesIfDue(now, &records);
   if (records.empty()) return OnProgressStored(started, ends);
   progress_write_limiter_.OnRecorded(now);
   if (auto health =
@@ -405,12 +421,24 @@
                             if (*generation != current) return;
                             health_schedule_.OnStored();
                             fleet_->OnRenewalStopsStored();
+                            departure_schedule_.OnStored();
                             OnProgressStored(started, ends);
                             OnStartsRecorded(starts);
                             SchedulePlanning();
                           });
 }
 
+// In the same append as the ends of runs: a worker is dropped from the record
+// no sooner than the ends of its runs are stored.
+void ClusterCoordinator::AddDeparturesIfDue(Time now,
+                                            std::vector<KeyedRecord>* records) {
+  const auto due = departure_schedule_.TakeDue(fleet_->DepartingWorkers(), now);
+  if (!due) return;
+  LogEvent(events::kDeparturesRecorded,
+           {{"count", due->size()}, {"workers", ToJson(*due)}});
+  records->push_back(ToRecord(*due));
+}
+
 void ClusterCoordinator::OnStartsRecorded(std::vector<PendingStart> starts) {
   for (StartGate::Group& group : StartGate::GroupsOf(std::move(starts))) {
     const Time decided = group.front().decided;
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -19,6 +19,7 @@
 constexpr char kLeaderKey[] = "leader";
 constexpr char kHealthKey[] = "health";
 constexpr char kRenewalStopsKey[] = "renewals";
+constexpr char kDeparturesKey[] = "departures";
 constexpr char kProgressKey = 't';
 // Sorts after all other keys.
 constexpr char kRosterKey[] = "z-roster";
@@ -48,6 +49,10 @@
     return {};
   }
   if (record.key == kRenewalStopsKey) return ApplyRenewalStops(record);
+  if (record.key == kDeparturesKey) {
+    ApplyDepartures(record);
+    return {};
+  }
   if (record.key.size() < 2) return {};
   const std::string id = record.key.substr(1);
   switch (record.key[0]) {
@@ -177,9 +182,16 @@
   return {BoardChange::Kind::kRenewalStops, ""};
 }
 
+void JobBoard::ApplyDepartures(const KeyedRecord& record) {
+  if (departures_ && record.offset < departures_->offset) return;
+  departures_.reset();
+  if (record.value) departures_ = record;
+}
+
 void JobBoard::OnSnapshot(const std::set<std::string>& keys) {
   if (keys.count(kHealthKey) == 0) health_.reset();
   if (keys.count(kRenewalStopsKey) == 0) renewal_stops_.reset();
+  if (keys.count(kDeparturesKey) == 0) departures_.reset();
   for (auto it = progress_.begin(); it != progress_.end();) {
     const auto block = it++;
     if (keys.count(block->first) == 0) progress_.erase(block);
@@ -269,6 +281,10 @@
   return {kRenewalStopsKey, std::move(value), 0};
 }
 
+KeyedRecord JobBoard::Departures(std::optional<std::string> value) {
+  return {kDeparturesKey, std::move(value), 0};
+}
+
 std::optional<ProgressBlockRef> JobBoard::ParseProgressKey(
     const std::string& key) {
   if (key.empty() || key[0] != kProgressKey) return std::nullopt;
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -114,6 +114,9 @@
   const std::optional<KeyedRecord>& renewal_stops() const {
     return renewal_stops_;
   }
+  // The newest record of the workers that have announced their departure, as it
+  // was read; nullopt if there is none.
+  const std::optional<KeyedRecord>& departures() const { return departures_; }
   // Number of accepted jobs of the queue of which no task has started.
   int64_t WaitingJobs(const std::string& queue) const;
 
@@ -142,6 +145,9 @@
   // The workers on which a leader renews no leases; a tombstone if `value` is
   // nullopt.
   static KeyedRecord RenewalStops(std::optional<std::string> value);
+  // The workers that have announced their departure; a tombstone if `value` is
+  // nullopt.
+  static KeyedRecord Departures(std::optional<std::string> value);
   // The block of progress that the key names; nullopt if it is another key.
   static std::optional<ProgressBlockRef> ParseProgressKey(
       const std::string& key);
@@ -159,6 +165,7 @@
   void ApplyProgress(const KeyedRecord& record);
   void ApplyHealth(const KeyedRecord& record);
   BoardChange ApplyRenewalStops(const KeyedRecord& record);
+  void ApplyDepartures(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
   LeaderRecord leader_;
@@ -167,6 +174,7 @@
   std::unordered_map<std::string, KeyedRecord> progress_;
   std::optional<KeyedRecord> health_;
   std::optional<KeyedRecord> renewal_stops_;
+  std::optional<KeyedRecord> departures_;
 };
 
 }  // namespace thornplank
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -317,6 +317,10 @@
     call_states_[worker].missing_since = now;
     unheard_.insert(worker);
   }
+  const auto departure = recorded_departures_.find(worker);
+  if (departure != recorded_departures_.end()) {
+    tracker->RestoreDeparture(departure->second);
+  }
   tracker->Inherit(task, run, profile, now, lease_bound);
   health_monitor_.OnRunPlaced(worker, task, now);
   Activate(worker);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -152,6 +152,12 @@
     return health_monitor_.UnhealthyWorkers(now);
   }
 
+  // Announcements that a previous leader recorded; to be called before its runs
+  // are inherited.
+  void RestoreDepartures(const std::vector<DepartingWorker>& departures);
+  // The workers with runs that have announced their departure, by id.
+  std::vector<DepartingWorker> DepartingWorkers() const;
+
   // Whether the worker is on that rack; true if `rack` is empty.
   bool IsOnRack(const std::string& worker, const std::string& rack) const;
 
@@ -284,6 +290,8 @@
   std::map<std::string, std::optional<WallTime>> ended_incarnations_;
   FirstLookQueue first_looks_;
   bool survey_begun_ = false;
+  // As a previous leader recorded them, by id of the worker.
+  std::map<std::string, DepartingWorker> recorded_departures_;
   // When all leases of previous leaders are over.
   Time inherited_lease_bound_{};
   // When the directory was known completely.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -128,6 +128,11 @@
   return !leaving || !present || *leaving == *present;
 }
 
+std::optional<DepartingWorker> WorkerTracker::departure() const {
+  if (!has_announced_departure()) return std::nullopt;
+  return DepartingWorker{id(), announcement_->incarnation_start};
+}
+
 void WorkerTracker::DropPastAnnouncement(const std::optional<WallTime>& start) {
   if (!announcement_) return;
   const std::optional<WallTime>& leaving = announcement_->incarnation_start;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/departure_record.h"
 #include "workload/pace_control.h"
 #include "workload/worker_health.h"
 #include "workload/worker_incarnation.h"
@@ -194,6 +195,13 @@
   // An announcement is final: the worker gets no new runs, so whatever ends the
   // incarnation is no evidence of a crash of its tasks.
   bool has_announced_departure() const;
+  // The announcement as it is to be recorded; nullopt if there is none.
+  std::optional<DepartingWorker> departure() const;
+  // A previous leader recorded that the incarnation has announced its
+  // departure.
+  void RestoreDeparture(const DepartingWorker& departure) {
+    announcement_ = {departure.incarnation_start};
+  }
   // The directory no longer lists it.
   void MarkMissing(Time now) { missing_since_ = now; }
   bool missing() const { return missing_since_.has_value(); }
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -67,8 +67,15 @@
     if (dead.count(worker.id) > 0) {
       return CallLater([done = std::move(done)] { done(StatusAnswer()); });
     }
-    if (query.lease_until) ++renewals[worker.id];
+    if (query.lease_until && replaced.count(worker.id) == 0) {
+      ++renewals[worker.id];
+    }
     auto answer = std::make_shared<StatusAnswer>();
+    if (replaced.count(worker.id) > 0) {
+      answer->outcome = CallOutcome::kOtherIncarnation;
+      return boost::asio::post(
+          io_, [answer, done = std::move(done)] { done(*answer); });
+    }
     answer->outcome =
         models.at(worker.id).Status(query, ClockMs(), &answer->report);
     const auto birth = births.find(worker.id);
@@ -84,6 +91,8 @@
   std::map<std::string, standins::UsersExecutorModel> models;
   // Workers that answer no call any more.
   std::set<std::string> dead;
+  // Workers at whose address another incarnation, with another id, answers.
+  std::set<std::string> replaced;
   // Number of renewals that reached each worker.
   std::map<std::string, int> renewals;
   // Number of start orders that were sent to each worker.
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -19,6 +19,9 @@
 inline constexpr char kShrunk[] = "shrunk";
 // Followed by the start time of the worker in Unix milliseconds.
 inline constexpr char kBornAt[] = "born at ";
+// The same for a worker that leaves in kDrainRemaining.
+inline constexpr char kLeavingBornAt[] = "leaving, born at ";
+inline constexpr Milliseconds kDrainRemaining{800};
 
 class FakeFormats : public Formats {
  public:
@@ -35,12 +38,16 @@
     if (record.value == kUnreadable) return std::nullopt;
     WorkerRegistration worker = MakeWorker(record.key, "r1");
     if (record.value == kUnknownService) worker.service = kUnknownService;
-    worker.draining = record.value == kLeaving;
+    const std::optional<std::string> leaving =
+        TextAfter(kLeavingBornAt, *record.value);
+    worker.draining = record.value == kLeaving || leaving;
+    if (leaving) worker.drain_remaining = kDrainRemaining;
     worker.failure_domain = record.value == kInDomainB ? "b" : "a";
     if (record.value == kShrunk) worker.capacity.accelerators = 2;
-    if (record.value->rfind(kBornAt, 0) == 0) {
-      const std::string born = record.value->substr(sizeof(kBornAt) - 1);
-      worker.incarnation_start.time = FromUnixMilliseconds(std::stoll(born));
+    const std::optional<std::string> born =
+        leaving ? leaving : TextAfter(kBornAt, *record.value);
+    if (born) {
+      worker.incarnation_start.time = FromUnixMilliseconds(std::stoll(*born));
     }
     return worker;
   }
@@ -53,6 +60,14 @@
     return {};
   }
   HttpResponse QueueLengthResponse(int64_t) const override { return {}; }
+
+ private:
+  // Nullopt if the text does not begin with `prefix`.
+  static std::optional<std::string> TextAfter(const std::string& prefix,
+                                              const std::string& text) {
+    if (text.rfind(prefix, 0) != 0) return std::nullopt;
+    return text.substr(prefix.size());
+  }
 };
 
 }  // namespace thornplank::testing
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -304,5 +304,44 @@
   CHECK_FALSE(board.health().has_value());
 }
 
+// Guards against departures that a snapshot brings back after their workers'
+// runs were settled, or that are kept though the record is gone.
+TEST_CASE("the newest record of announced departures counts") {
+  KeyedRecord older = JobBoard::Departures("older");
+  older.offset = 5;
+  KeyedRecord newer = JobBoard::Departures("newer");
+  newer.offset = 6;
+  KeyedRecord removed = JobBoard::Departures(std::nullopt);
+  removed.offset = 7;
+  JobBoard board;
+  CHECK_FALSE(board.departures().has_value());
+  board.Apply(newer);
+  board.Apply(older);
+  REQUIRE(board.departures().has_value());
+  CHECK(board.departures()->value == "newer");
+  board.OnSnapshot({newer.key});
+  CHECK(board.departures().has_value());
+  board.Apply(removed);
+  CHECK_FALSE(board.departures().has_value());
+  board.Apply(newer);
+  board.OnSnapshot({});
+  CHECK_FALSE(board.departures().has_value());
+}
+
+// Guards against an entry of one version that takes a record of a later one for
+// something else.
+TEST_CASE("a key of a later version changes nothing") {
+  for (const char* key : {"departures2", "b", "n0123456789abcdef"}) {
+    CAPTURE(key);
+    JobBoard board;
+    const BoardChange change = board.Apply({key, "value", 3});
+    CHECK(change.kind == BoardChange::Kind::kNone);
+    board.OnSnapshot({key});
+    CHECK(board.jobs().empty());
+    CHECK(board.progress().empty());
+    CHECK(board.entries().empty());
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
