--- a/tests/auto/workload/tst_worker_tracker.cc
+++ b/tests/auto/workload/tst_worker_tracker.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -377,6 +378,39 @@
   }
 }
 
+// Guards against a recorded departure that covers the crashes of a later
+// incarnation under the same id, and is written on for it.
+TEST_CASE("a recorded departure holds for its incarnation only") {
+  struct Row {
+    const char* name;
+    std::optional<WallTime> recorded;
+    int64_t reported;
+    bool leaves;
+  };
+  const std::vector<Row> rows = {
+      {"the same", FromUnixMilliseconds(5000), 5000, true},
+      {"another one", FromUnixMilliseconds(5000), 9000, false},
+      {"its entry did not say", std::nullopt, 5000, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker(MakeWorker("w", "r1"));
+    const DepartingWorker recorded{"w", row.recorded};
+    tracker.RestoreDeparture(recorded);
+    tracker.Inherit(kTask, 1, Profile(), At(0), At(9000));
+    CHECK(tracker.departure() == recorded);
+    WorkerStatusReport report = Report(1, /*runs=*/true);
+    report.incarnation_start.time = FromUnixMilliseconds(row.reported);
+    HandleReport(&tracker, 10, 20, report);
+    CHECK(tracker.departure().has_value() == row.leaves);
+    const auto ends =
+        tracker.OnIncarnationEnded(IncarnationEnd::kSilent, At(9100));
+    REQUIRE(ends.size() == 1);
+    CHECK(ends[0].end ==
+          (row.leaves ? RunEnd::kWorkerLeft : RunEnd::kWorkerSilent));
+  }
+}
+
 // Guards against tasks that are given up because their workers lost power
 // before a report included the run: a report may be delayed for seconds, a
 // broken connection shows at once.
