Reclaiming counts what was already reclaimed: a burst of urgent jobs ends with the burst

Cause: each waiting step of an account was compared with what the account's runs used, not with what its other steps had reserved by reclaiming or had been given in the same round.

Now UrgentBalance counts reservations, starts of the round and stops of whole gangs, and says which accounts are owed their guarantee: those whose unfinished urgent jobs fit into it.

--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -98,6 +98,10 @@
       continue;
     }
     urgent_accelerators_[profile.account] += profile.need.accelerators;
+    if (run.stop_wanted) {
+      urgent_accelerators_stopping_[profile.account] +=
+          profile.need.accelerators;
+    }
     worker.urgent_share +=
         WorkerShare(profile.need, tracker.registration().capacity);
   }
@@ -187,6 +191,12 @@
   return use == urgent_accelerators_.end() ? 0 : use->second;
 }
 
+int64_t ClusterCapacity::UrgentAcceleratorsStopping(
+    const std::string& account) const {
+  const auto use = urgent_accelerators_stopping_.find(account);
+  return use == urgent_accelerators_stopping_.end() ? 0 : use->second;
+}
+
 const ClusterCapacity::ServiceSums& ClusterCapacity::SumsOf(
     const std::string& service) const {
   static const ServiceSums kNothing;
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -129,6 +129,8 @@
   int64_t usable_workers(const std::string& service) const;
   // Accelerators in use by urgent runs of the account.
   int64_t UrgentAccelerators(const std::string& account) const;
+  // Those of them whose runs are being stopped.
+  int64_t UrgentAcceleratorsStopping(const std::string& account) const;
   // The share of the service's accelerators that is in use.
   double UsedShare(const std::string& service) const;
   // The smaller of the used shares of the service's accelerators and cores.
@@ -229,6 +231,7 @@
   // Indexes into workers_ by number of the rack.
   std::vector<std::vector<size_t>> rack_members_;
   std::map<std::string, int64_t> urgent_accelerators_;
+  std::map<std::string, int64_t> urgent_accelerators_stopping_;
   int64_t usable_workers_ = 0;
   int64_t suspects_ = 0;
   // By number of the service; there are few.
--- a/src/libs/workload/eviction.cc
+++ b/src/libs/workload/eviction.cc
@@ -8,26 +8,10 @@
 #include <utility>
 
 namespace thornplank {
-namespace {
-
-// Takes the eviction's victims off the limits of their steps; changes nothing
-// and returns false if they exceed one.
-bool TakeStops(const Eviction& eviction, std::map<StepRef, int>* stops_left) {
-  if (stops_left->empty()) return true;
-  std::map<StepRef, int> left = *stops_left;
-  for (const TrackedRun* run : eviction.victims) {
-    const auto limit = left.find(run->task.step);
-    if (limit != left.end() && --limit->second < 0) return false;
-  }
-  *stops_left = std::move(left);
-  return true;
-}
-
-}  // namespace
 
 std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
                                         int64_t needed, EvictionCost* cost,
-                                        std::map<StepRef, int> stops_left) {
+                                        StopLimits limits) {
   // A later eviction on a worker depends on the earlier ones there, so their
   // order is preserved: prices are made to rise along it.
   struct Price {
@@ -58,7 +42,7 @@
   for (const auto& [price, i] : order) {
     if (needed <= 0) break;
     if (passed_over.count(evictions[i].worker) > 0) continue;
-    if (!TakeStops(evictions[i], &stops_left)) {
+    if (!limits.TakeAll(evictions[i].victims)) {
       passed_over.insert(evictions[i].worker);
       continue;
     }
--- a/src/libs/workload/eviction.h
+++ b/src/libs/workload/eviction.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <vector>
 
+#include "workload/stop_limits.h"
 #include "workload/task_ref.h"
 #include "workload/worker_tracker.h"
 
@@ -49,11 +50,10 @@
 
 // Returns the cheapest evictions that free room for `needed` tasks, those
 // of the lowest rank first, and their total cost; empty when all of them
-// together do not suffice. `stops_left` limits the victims of the steps that it
-// names.
+// together do not suffice, or not within `limits`.
 std::vector<Eviction> CheapestEvictions(std::vector<Eviction> evictions,
                                         int64_t needed, EvictionCost* cost,
-                                        std::map<StepRef, int> stops_left = {});
+                                        StopLimits limits);
 
 }  // namespace thornplank
 
--- a/src/libs/workload/planning_placement.cc
+++ b/src/libs/workload/planning_placement.cc
@@ -27,7 +27,10 @@
   if (!placed && plan_.starts.size() == starts) placed = PlaceOwed(step);
   if (own != reservations.end()) {
     if (placed) {
-      if (step.urgent()) plan_.starts.back().preempted_at = own->second.made;
+      if (step.urgent()) {
+        plan_.starts.back().preempted_at = own->second.made;
+        CountReserved(step.ref, own->second, -1);
+      }
       reservations.erase(own);
     } else {
       capacity_.Reserve(own->second);
@@ -136,6 +139,11 @@
   ChangeShares(step.service(), step.job->spec.account, step.priority(),
                ReservedFor(*step.spec), static_cast<int64_t>(chosen.size()));
   protected_tasks_.OnStarted(step, chosen.size());
+  if (step.urgent()) {
+    balance_.OnStarted(
+        step.job->spec.account,
+        step.spec->need.accelerators * static_cast<int64_t>(chosen.size()));
+  }
   plan_.starts.push_back(
       {step.ref, std::move(chosen), std::move(reason), std::nullopt});
 }
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -16,6 +16,7 @@
                 planner->held_state_.active()),
       budgets_(inputs.ledger, inputs.workers),
       protected_tasks_(&capacity_, inputs.ledger, inputs.guarantees),
+      balance_(&capacity_, inputs.ledger, inputs.guarantees),
       steps_(std::move(steps)),
       queue_(steps_, shares(),
              {shared_services_, planner->settings_.max_share_wait,
@@ -26,6 +27,7 @@
 Plan Planner::Round::Run() {
   for (const auto& [ref, reservation] : planner_.reservations_) {
     capacity_.Reserve(reservation);
+    CountReserved(ref, reservation, 1);
   }
   RecordUrgentSteps();
   ReleaseExpiredReservations();
@@ -92,6 +94,7 @@
         ready.count(current->first) > 0 && current->second.until > inputs_.now;
     if (still_valid) continue;
     capacity_.Release(current->second);
+    CountReserved(current->first, current->second, -1);
     reservations.erase(current);
   }
 }
@@ -124,6 +127,7 @@
       step.within_guarantee =
           capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
       step.guaranteed = step.within_guarantee && !expired;
+      step.owed = balance_.IsOwed(account);
     }
   }
 }
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -24,6 +24,7 @@
 #include "workload/protected_tasks.h"
 #include "workload/ready_step.h"
 #include "workload/step_queue.h"
+#include "workload/urgent_balance.h"
 #include "workload/victim_selection.h"
 #include "workload/waiting_demand.h"
 
@@ -137,6 +138,11 @@
   // stopped for it.
   bool HoldFor(const ReadyStep& step);
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions);
+  // Reservations for urgent steps count as used by their accounts.
+  void CountReserved(const StepRef& step,
+                     const CapacityReservation& reservation, int sign);
+  // Counts the run as stopped, with the rest of its gang, unless it is already.
+  void OnStopped(const std::string& worker, const TrackedRun& victim);
 
   Planner& planner_;
   const PlanInputs& inputs_;
@@ -147,6 +153,7 @@
   ClusterCapacity capacity_;
   DisruptionBudgets budgets_;
   ProtectedTasks protected_tasks_;
+  UrgentBalance balance_;
   std::vector<ReadyStep> steps_;
   StepQueue queue_;
   // Steps left waiting for capacity: their services, and their number by
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -71,7 +71,7 @@
   if (step.waiting.empty()) return false;
   const VictimSelection::Inputs inputs{&capacity_,
                                        inputs_.ledger,
-                                       inputs_.guarantees,
+                                       &balance_,
                                        &stopped_,
                                        &budgets_,
                                        SharesFor(step),
@@ -138,21 +138,18 @@
   reservation.until =
       inputs_.now + planner_.settings_.bounds.reservation_term();
   for (const Eviction& eviction : evictions) {
-    WorkerCapacity& worker = capacity_.worker(eviction.worker);
+    const WorkerCapacity& worker = capacity_.worker(eviction.worker);
     reservation.tasks_by_worker[worker.tracker->id()] +=
         static_cast<int>(eviction.gain);
     for (const TrackedRun* run : eviction.victims) {
-      worker.releasing += run->profile.need;
       plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
                              reason + step.ref.ToString(), !step.urgent()});
-      stopped_.insert(run->task);
-      if (run->profile.long_running) budgets_.OnStop(run->task.step);
-      ChangeShares(step.service(), run->profile.account, run->profile.priority,
-                   run->profile.need, -1);
+      OnStopped(worker.tracker->id(), *run);
     }
   }
   capacity_.Reserve(reservation);
   if (step.urgent()) {
+    CountReserved(step.ref, reservation, 1);
     planner_.reservations_[step.ref] = std::move(reservation);
     return;
   }
@@ -160,4 +157,44 @@
   planner_.gang_reservations_[step.ref] = std::move(reservation);
 }
 
+void Planner::Round::CountReserved(const StepRef& step,
+                                   const CapacityReservation& reservation,
+                                   int sign) {
+  const Job* job = inputs_.ledger->Find(step.job);
+  if (job == nullptr) return;
+  int64_t tasks = 0;
+  for (const auto& [worker, count] : reservation.tasks_by_worker) {
+    tasks += count;
+  }
+  balance_.Reserve(job->spec.account,
+                   sign * tasks * reservation.need.accelerators);
+}
+
+void Planner::Round::OnStopped(const std::string& worker,
+                               const TrackedRun& victim) {
+  const RunProfile& profile = victim.profile;
+  const auto count = [&](const TaskRef& task, const std::string& on) {
+    if (!stopped_.insert(task).second) return;
+    const auto index = capacity_.IndexOf(on);
+    if (!index) return;
+    capacity_.worker(*index).releasing += profile.need;
+    if (profile.long_running) budgets_.OnStop(task.step);
+    if (profile.priority == 0) {
+      balance_.OnStopped(profile.account, profile.need.accelerators);
+    }
+    ChangeShares(capacity_.worker(*index).entry().service, profile.account,
+                 profile.priority, profile.need, -1);
+  };
+  count(victim.task, worker);
+  const StepProgress* step = inputs_.ledger->FindStep(victim.task.step);
+  if (!profile.gang || step == nullptr) return;
+  for (size_t i = 0; i < step->tasks.size(); ++i) {
+    const TaskStatus& member = step->tasks[i];
+    if (member.phase != TaskPhase::kActive || member.run != victim.run) {
+      continue;
+    }
+    count({victim.task.step, static_cast<int>(i)}, member.worker);
+  }
+}
+
 }  // namespace thornplank
--- a/src/libs/workload/ready_step.h
+++ b/src/libs/workload/ready_step.h
@@ -41,6 +41,10 @@
   // The same, and not expired: no verdict on workers may delay it. Set by the
   // planner.
   bool guaranteed = false;
+  // Urgent, and all unfinished urgent jobs of its account fit into the
+  // account's guarantee: what others use beyond theirs is taken from them for
+  // it. Set by the planner.
+  bool owed = false;
   // Which preferences do not hold it back, since a start is owed to it. Set by
   // the planner.
   PreferenceSet passes;
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 VictimSelection::VictimSelection(const Inputs& inputs, const ReadyStep& step)
-    : inputs_(inputs), step_(step) {
+    : inputs_(inputs), step_(step), limits_(LimitsFor(inputs, step)) {
   if (inputs.shares == nullptr) return;
   const auto account =
       inputs.shares->Find(step.service(), step.job->spec.account);
@@ -48,7 +48,7 @@
     for (auto& [rack, evictions] : racks) {
       EvictionCost cost;
       std::vector<Eviction> chosen =
-          CheapestEvictions(evictions, needed, &cost, StopsLeft(evictions));
+          CheapestEvictions(evictions, needed, &cost, limits_);
       const std::pair<bool, double> rack_cost = {cost.rank >= kLongRunningRank,
                                                  cost.weighted()};
       if (chosen.empty() || rack_cost >= best_cost) continue;
@@ -59,24 +59,20 @@
   }
   if (!best.empty()) return best;
   EvictionCost cost;
-  std::map<StepRef, int> stops_left = StopsLeft(all);
-  return CheapestEvictions(std::move(all), needed, &cost,
-                           std::move(stops_left));
+  return CheapestEvictions(std::move(all), needed, &cost, limits_);
 }
 
-std::map<StepRef, int> VictimSelection::StopsLeft(
-    const std::vector<Eviction>& evictions) const {
-  std::map<StepRef, int> stops_left;
-  for (const Eviction& eviction : evictions) {
-    for (const TrackedRun* run : eviction.victims) {
-      if (!run->profile.long_running) continue;
-      const StepRef& step = run->task.step;
-      if (stops_left.count(step) > 0) continue;
-      const std::optional<int> left = inputs_.budgets->StopsLeft(step);
-      if (left) stops_left[step] = *left;
-    }
-  }
-  return stops_left;
+StopLimits VictimSelection::LimitsFor(const Inputs& inputs,
+                                      const ReadyStep& step) {
+  const int64_t wanted =
+      step.spec->need.accelerators * static_cast<int64_t>(step.waiting.size());
+  StopLimits::Sources sources;
+  sources.ledger = inputs.ledger;
+  sources.budgets = inputs.budgets;
+  sources.balance = inputs.balance;
+  sources.may_reclaim = inputs.balance->Left(step.job->spec.account) >= wanted;
+  sources.is_owed = step.owed;
+  return StopLimits(sources);
 }
 
 std::vector<Eviction> VictimSelection::EvictionsOnWorker(size_t index) const {
@@ -109,13 +105,9 @@
   if (held > 0) {
     evictions.push_back({index, held, {}, {}});
   }
-  std::map<StepRef, int> stops;
+  StopLimits limits = limits_;
   for (const auto& [cost, run] : victims) {
-    if (run->profile.long_running) {
-      const std::optional<int> left =
-          inputs_.budgets->StopsLeft(run->task.step);
-      if (left && ++stops[run->task.step] > *left) continue;
-    }
+    if (!limits.Take(*run)) continue;
     available += run->profile.need;
     next.cost += cost;
     next.victims.push_back(run);
@@ -131,25 +123,10 @@
 }
 
 bool VictimSelection::IsPreemptible(const TrackedRun& run) const {
-  if (run.profile.long_running) {
-    if (!step_.within_guarantee) return false;
-    if (inputs_.budgets->StopsLeft(run.task.step) == 0) return false;
-  }
-  if (run.profile.priority > 0) return true;
-  const std::string& account = step_.job->spec.account;
-  if (run.profile.account == account) return false;
-  const int64_t wanted = step_.spec->need.accelerators *
-                         static_cast<int64_t>(step_.waiting.size());
-  return IsWithinGuarantee(account, wanted) &&
-         !IsWithinGuarantee(run.profile.account, 0);
-}
-
-bool VictimSelection::IsWithinGuarantee(const std::string& account,
-                                        int64_t more) const {
-  const auto guarantee = inputs_.guarantees->find(account);
-  if (guarantee == inputs_.guarantees->end()) return false;
-  return inputs_.capacity->UrgentAccelerators(account) + more <=
-         guarantee->second;
+  if (run.profile.long_running && !step_.within_guarantee) return false;
+  const bool own = run.profile.account == step_.job->spec.account;
+  if (run.profile.priority == 0 && own) return false;
+  return limits_.MayTake(run);
 }
 
 bool VictimSelection::IsProtected(const TrackedRun& run) const {
@@ -174,6 +151,7 @@
   cost.total =
       seconds * members * static_cast<double>(Weight(run.profile.need));
   cost.rank = run.profile.long_running ? kLongRunningRank : 0;
+  if (limits_.IsLastResort(run)) ++cost.rank;
   if (inputs_.shares == nullptr) return cost;
   const bool is_protected = IsProtected(run);
   if (is_protected) cost.of_protected = cost.total;
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -14,6 +14,8 @@
 #include "workload/eviction.h"
 #include "workload/job_ledger.h"
 #include "workload/ready_step.h"
+#include "workload/stop_limits.h"
+#include "workload/urgent_balance.h"
 
 namespace thornplank {
 
@@ -23,7 +25,7 @@
   struct Inputs {
     const ClusterCapacity* capacity = nullptr;
     const JobLedger* ledger = nullptr;
-    const Guarantees* guarantees = nullptr;
+    const UrgentBalance* balance = nullptr;
     // Runs that this round has already decided to stop.
     const std::set<TaskRef>* stopped = nullptr;
     DisruptionBudgets* budgets = nullptr;
@@ -40,6 +42,10 @@
   // their share first and those of long-running tasks last; empty when no set
   // of them suffices. Long-running tasks are stopped only for a step within the
   // guarantee of its account, and no more of them than their steps may miss.
+  // Urgent runs of another account are stopped only while that account uses
+  // more than its guarantee, for a step that fits into the guarantee of its
+  // own account. Unless the step is owed its room, no stop brings the other
+  // account below its guarantee.
   // With `near_only` only on the rack of the step's data. With `one_rack` all
   // on one rack, or on several if no rack suffices and `may_spread` is set.
   std::vector<Eviction> ChooseEvictions(bool near_only, bool one_rack,
@@ -49,10 +55,7 @@
   // Evictions on one worker, each building on those before it.
   std::vector<Eviction> EvictionsOnWorker(size_t index) const;
   bool IsPreemptible(const TrackedRun& run) const;
-  // The limits on stops for the steps of the evictions' victims.
-  std::map<StepRef, int> StopsLeft(
-      const std::vector<Eviction>& evictions) const;
-  bool IsWithinGuarantee(const std::string& account, int64_t more) const;
+  static StopLimits LimitsFor(const Inputs& inputs, const ReadyStep& step);
   // Whether the run's account is not above its share. False where accounts have
   // no shares.
   bool IsProtected(const TrackedRun& run) const;
@@ -61,6 +64,8 @@
 
   const Inputs& inputs_;
   const ReadyStep& step_;
+  // Nothing is taken of them yet.
+  const StopLimits limits_;
   // The mean weighted share in the step's service.
   double mean_share_ = 0;
 };
