A reclaim that cannot be completed gives back its room and waits before the next

A reservation for an urgent step lasted for its full term (2.5 s by default) although a worker that it names could not be used any more, and the step reclaimed again in the round after it ended. A step of single tasks kept its whole reservation after some had started.

Now such a reservation is dropped at once, and the step reclaims again after the time of a stop and its report, doubled each time, unless it is owed its room: RECLAIM allows no wait there. What has started is taken off the reservation. Reservations of urgent steps may name withheld workers, which guaranteed tasks may use.

--- a/src/libs/workload/cluster_capacity.cc
+++ b/src/libs/workload/cluster_capacity.cc
@@ -258,7 +258,9 @@
   for (const auto& [id, tasks] : reservation.tasks_by_worker) {
     const std::optional<size_t> index = IndexOf(id);
     if (!index) return false;
-    if (!workers_[*index].usable || workers_[*index].withheld) return false;
+    const WorkerCapacity& worker = workers_[*index];
+    if (!worker.usable) return false;
+    if (worker.withheld && reservation.priority != 0) return false;
   }
   return true;
 }
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -146,7 +146,8 @@
 
   void Reserve(const CapacityReservation& reservation);
   void Release(const CapacityReservation& reservation);
-  // Whether all workers that it names may be given tasks.
+  // Whether all workers that it names may be given tasks. Urgent tasks may use
+  // withheld workers.
   bool AllUsable(const CapacityReservation& reservation) const;
   // Accounts for a task of the step that was placed on the worker.
   void Occupy(const std::string& id, const ReadyStep& step);
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -45,6 +45,7 @@
   const bool idle = steps.empty();
   if (idle) {
     reservations_.clear();
+    reclaim_retries_.clear();
     isolated_since_.clear();
     owed_starts_.Clear();
     scarce_services_.clear();
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -192,6 +192,12 @@
   // When urgent steps were last seen, by service.
   std::map<std::string, Time> last_urgent_;
   std::map<StepRef, CapacityReservation> reservations_;
+  // Of waiting urgent steps whose last reclaim could not be completed.
+  struct ReclaimRetry {
+    int failures = 0;
+    Time not_before{};
+  };
+  std::map<StepRef, ReclaimRetry> reclaim_retries_;
   // Of gangs for which borrowers are stopped. Unlike those above, they hold
   // back nothing from steps of higher priority.
   std::map<StepRef, CapacityReservation> gang_reservations_;
--- a/src/libs/workload/planning_placement.cc
+++ b/src/libs/workload/planning_placement.cc
@@ -26,14 +26,16 @@
   bool placed = PlaceWaiting(step, &reason);
   if (!placed && plan_.starts.size() == starts) placed = PlaceOwed(step);
   if (own != reservations.end()) {
+    if (step.urgent()) CountReserved(step.ref, own->second, -1);
     if (placed) {
       if (step.urgent()) {
         plan_.starts.back().preempted_at = own->second.made;
-        CountReserved(step.ref, own->second, -1);
       }
       reservations.erase(own);
     } else {
+      UseReservation(step, starts, &own->second);
       capacity_.Reserve(own->second);
+      if (step.urgent()) CountReserved(step.ref, own->second, 1);
       reason = WaitReason::kPreempting;
     }
   } else if (!placed && step.urgent() && !KnowsWorkersInPart() &&
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -1,6 +1,7 @@
 // The order in which a round places steps, and why some of them wait.
 #include "workload/planning_round.h"
 
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -87,14 +88,25 @@
   for (const ReadyStep& step : steps_) {
     ready.insert(step.ref);
   }
+  auto& retries = planner_.reclaim_retries_;
+  for (auto it = retries.begin(); it != retries.end();) {
+    it = ready.count(it->first) > 0 ? std::next(it) : retries.erase(it);
+  }
   auto& reservations = planner_.reservations_;
   for (auto it = reservations.begin(); it != reservations.end();) {
     const auto current = it++;
-    const bool still_valid =
-        ready.count(current->first) > 0 && current->second.until > inputs_.now;
-    if (still_valid) continue;
+    const bool is_ready = ready.count(current->first) > 0;
+    const bool can_complete = current->second.until > inputs_.now &&
+                              capacity_.AllUsable(current->second);
+    if (is_ready && can_complete) continue;
     capacity_.Release(current->second);
     CountReserved(current->first, current->second, -1);
+    if (is_ready) {
+      Planner::ReclaimRetry& retry = retries[current->first];
+      retry.not_before =
+          inputs_.now +
+          planner_.settings_.bounds.reclaim_retry_delay(++retry.failures);
+    }
     reservations.erase(current);
   }
 }
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -131,6 +131,9 @@
   // Evicts other runs for an urgent step; returns false when that cannot make
   // enough room.
   bool PreemptFor(const ReadyStep& waiting);
+  // False for some time after a reclaim for the step that could not be
+  // completed, unless the step is owed its room.
+  bool MayReclaimAgain(const ReadyStep& step) const;
   bool MayHold(const ReadyStep& step) const;
   // Also records that the gang still waits.
   Duration WaitedOf(const ReadyStep& step);
@@ -138,6 +141,10 @@
   // stopped for it.
   bool HoldFor(const ReadyStep& step);
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions);
+  // Takes the tasks of the step that have started, from `first_start` of the
+  // plan on, off its reservation.
+  void UseReservation(const ReadyStep& step, size_t first_start,
+                      CapacityReservation* reservation) const;
   // Reservations for urgent steps count as used by their accounts.
   void CountReserved(const StepRef& step,
                      const CapacityReservation& reservation, int sign);
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -68,7 +68,7 @@
 bool Planner::Round::PreemptFor(const ReadyStep& waiting) {
   ReadyStep step = waiting;
   step.waiting.resize(static_cast<size_t>(protected_tasks_.MayStart(waiting)));
-  if (step.waiting.empty()) return false;
+  if (step.waiting.empty() || !MayReclaimAgain(step)) return false;
   const VictimSelection::Inputs inputs{&capacity_,
                                        inputs_.ledger,
                                        &balance_,
@@ -87,6 +87,13 @@
   return true;
 }
 
+bool Planner::Round::MayReclaimAgain(const ReadyStep& step) const {
+  if (step.owed) return true;
+  const auto retry = planner_.reclaim_retries_.find(step.ref);
+  return retry == planner_.reclaim_retries_.end() ||
+         retry->second.not_before <= inputs_.now;
+}
+
 bool Planner::Round::MayHold(const ReadyStep& step) const {
   return step.spec->gang && !step.urgent() && !step.expired &&
          !KnowsWorkersInPart();
@@ -157,6 +164,18 @@
   planner_.gang_reservations_[step.ref] = std::move(reservation);
 }
 
+void Planner::Round::UseReservation(const ReadyStep& step, size_t first_start,
+                                    CapacityReservation* reservation) const {
+  for (size_t i = first_start; i < plan_.starts.size(); ++i) {
+    if (!(plan_.starts[i].step == step.ref)) continue;
+    for (const auto& assignment : plan_.starts[i].assignments) {
+      const auto tasks = reservation->tasks_by_worker.find(assignment.worker);
+      if (tasks == reservation->tasks_by_worker.end()) continue;
+      if (--tasks->second == 0) reservation->tasks_by_worker.erase(tasks);
+    }
+  }
+}
+
 void Planner::Round::CountReserved(const StepRef& step,
                                    const CapacityReservation& reservation,
                                    int sign) {
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -85,6 +85,12 @@
     return std::max(cancel_bound - start_order_term() + Milliseconds(200),
                     Milliseconds(500));
   }
+  // Delay before an urgent step whose reclaim could not be completed may
+  // reclaim again, after so many of them in a row.
+  Milliseconds reclaim_retry_delay(int failures) const {
+    constexpr int kMaxDoublings = 5;
+    return move_cost() * (1 << std::clamp(failures - 1, 0, kMaxDoublings));
+  }
   // What a run loses when it is stopped even if all its work is saved: the move
   // to another worker and the restore there.
   Milliseconds restart_cost() const { return restore_time + Milliseconds(200); }
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -244,6 +244,37 @@
   }
 }
 
+// Guards against capacity that stays reserved for a gang which can no longer
+// start there, and against the same reclaim in every round.
+TEST_CASE("a reclaim that cannot be completed is given up for a while") {
+  PlannerCluster cluster(1, 4);
+  cluster.guarantees = {{"north", 16}, {"south", 8}};
+  cluster.ledger.Add(MakeJob(Id(1), {MakeStep(3, 8)}, 0, "south"), cluster.now);
+  cluster.ledger.Add(MakeJob(Id(2), {MakeStep(1, 8)}, 0, "east"), cluster.now);
+  cluster.Round();
+  REQUIRE(cluster.free_accelerators() == 0);
+  cluster.ledger.Add(MakeJob(Id(3), {Gang(2, 8, false)}, 0, "north"),
+                     cluster.now);
+  // Brings the needs of the account beyond its guarantee.
+  StepSpec elsewhere = MakeStep(1, 8);
+  elsewhere.required_label = "none";
+  cluster.ledger.Add(MakeJob(Id(4), {elsewhere}, 0, "north"), cluster.now);
+  const Plan reclaim = cluster.Round();
+  REQUIRE(reclaim.stops.size() == 2);
+  cluster.CarryOutStops();
+  cluster.workers.at(reclaim.stops[0].worker).set_domain_closed(true);
+  cluster.ledger.Add(MakeJob(Id(5), {MakeStep(1, 8)}, 0, "west"), cluster.now);
+  cluster.now += Milliseconds(100);
+  const Plan given_up = cluster.Round();
+  CHECK(given_up.stops.empty());
+  CHECK(given_up.starts.size() == 1);
+  const Milliseconds delay = WorkerBounds().reclaim_retry_delay(1);
+  cluster.now += delay - Milliseconds(1);
+  CHECK(cluster.Round().stops.empty());
+  cluster.now += Milliseconds(1);
+  CHECK(cluster.Round().stops.size() == 2);
+}
+
 TEST_CASE(
     "jobs of lower priority leave workers empty while urgent ones arrive") {
   PlannerCluster cluster(2, 5);
