Stops between accounts of priority 0 are limited by the work that gets done

While recent stops between accounts exceed recent completions of urgent tasks, only steps that are owed their room stop urgent runs of others. Both counts halve in the time of a stop, a restart, the start of a gang and a reclaim, as the deployment states them (WorkerBounds). Nothing is stored: a new leader begins without counts.

Seen from outside: event 965 when a stop is first held back and when that is over, thornplank_equal_stops_limited, thornplank_preemptions_total by reason and priorities, and thornplank_preempted_age_seconds. `logs summary` names preemption between accounts of priority 0 as a cause of its own.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -162,6 +162,9 @@
   HeldCapacityUse held_use() const {
     return leading() ? planner_.held_use() : HeldCapacityUse();
   }
+  bool limits_equal_stops() const {
+    return leading() && planner_.limits_equal_stops();
+  }
 
  private:
   // The highest number of an end that an incarnation of a worker has reported.
@@ -216,6 +219,7 @@
   Json UnsettledMembers(const StepProgress& gang) const;
   void LogAccountWaits(const std::vector<AccountWait>& waits);
   void MeasureFragmentation(Time now);
+  void LogEqualStopLimit(const EqualStopLimitChange& change);
   void LogFeatureChanges(const std::vector<FeatureChange>& changes);
   void LogHoldChanges(const std::vector<HoldChange>& changes);
   // Requests advice on the candidate workers of waiting steps.
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -308,6 +308,15 @@
             current.coordinator.held_use().lent_accelerators);
       },
       metrics);
+  AddGauge(
+      view, "thornplank_equal_stops_limited",
+      "Whether stops between accounts of one priority are held back; known to "
+      "the leader.",
+      {},
+      [](const ClusterView& current) {
+        return current.coordinator.limits_equal_stops() ? 1.0 : 0.0;
+      },
+      metrics);
 }
 
 void AddTaskGauges(const ViewSource& view, MetricsRegistry& metrics) {
--- a/src/libs/coordination/cluster_log.cc
+++ b/src/libs/coordination/cluster_log.cc
@@ -69,6 +69,13 @@
   }
 }
 
+void ClusterCoordinator::LogEqualStopLimit(const EqualStopLimitChange& change) {
+  LogEvent(events::kEqualStopsLimited, {{"limited", change.limited},
+                                        {"stops", change.stops},
+                                        {"completions", change.completions},
+                                        {"epoch", epoch_}});
+}
+
 void ClusterCoordinator::LogFeatureChanges(
     const std::vector<FeatureChange>& changes) {
   for (const FeatureChange& change : changes) {
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -114,6 +114,10 @@
       fleet_->RequestStop(stop.worker, stop.task, stop.run, stop.reason);
       StopRestOfGang(stop);
       if (stop.returns_held) metrics_.OnBorrowerStopped();
+      metrics_.OnGaveWay(stop);
+    }
+    if (plan.equal_stop_limit_change) {
+      LogEqualStopLimit(*plan.equal_stop_limit_change);
     }
     LogFeatureChanges(plan.feature_changes);
     LogHoldChanges(plan.hold_changes);
--- a/src/libs/coordination/scheduling_metrics.cc
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -69,6 +69,26 @@
       .Add();
 }
 
+void SchedulingMetrics::OnGaveWay(const StopDecision& stop) {
+  const MetricLabels labels = {
+      {"reason", stop.returns_held ? "returns held capacity" : "gives way"},
+      {"priority", std::to_string(stop.priority)},
+      {"for_priority", std::to_string(stop.for_priority)}};
+  metrics_
+      .counter("thornplank_preemptions_total",
+               "Runs stopped for a step that needs their room; of a gang those "
+               "members whose room it needs.",
+               labels)
+      .Add();
+  if (!stop.age) return;
+  metrics_
+      .histogram("thornplank_preempted_age_seconds",
+                 "From the placement of a run to the order to stop it for "
+                 "another step.",
+                 labels)
+      .Observe(*stop.age);
+}
+
 void SchedulingMetrics::OnJobEnded(const JobDefinition& job, JobState state,
                                    Duration lasted) {
   metrics_
--- a/src/libs/coordination/scheduling_metrics.h
+++ b/src/libs/coordination/scheduling_metrics.h
@@ -8,6 +8,7 @@
 #include "base/time.h"
 #include "metrics/metrics_registry.h"
 #include "workload/job_ledger.h"
+#include "workload/planner.h"
 #include "workload/worker_report.h"
 
 namespace thornplank {
@@ -29,6 +30,8 @@
   void OnTaskGivenUp();
   // A run is stopped to return capacity that is held for a gang.
   void OnBorrowerStopped();
+  // A run is stopped for a step that needs its room.
+  void OnGaveWay(const StopDecision& stop);
   // A job has ended, `lasted` after it was accepted.
   void OnJobEnded(const JobDefinition& job, JobState state, Duration lasted);
 
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -85,6 +85,8 @@
                                         Severity::kInfo};
 
 inline constexpr Event kLossCleared{963, "loss-cleared", Severity::kInfo};
+inline constexpr Event kEqualStopsLimited{965, "equal-stops-limited",
+                                          Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -24,11 +24,14 @@
 constexpr char kNoLeader[] = "no leader";
 
 // The reason of a preemption ends with the step that gets the room; the cause
-// omits it, so that all preemptions are summed up.
-std::string CauseOf(const std::string& reason) {
+// omits it, so that all preemptions are summed up. Those of urgent runs, which
+// only steps of other accounts stop, are a cause of their own.
+std::string CauseOf(const std::string& reason, int64_t priority) {
   constexpr std::string_view kPreemption = "gives way to urgent";
+  constexpr std::string_view kOfEqual =
+      "gives way to urgent work of another account";
   if (reason.compare(0, kPreemption.size(), kPreemption) != 0) return reason;
-  return std::string(kPreemption);
+  return std::string(priority == 0 ? kOfEqual : kPreemption);
 }
 
 std::string TextField(const LogLine& line, const char* field) {
@@ -215,9 +218,13 @@
   }
 
   void OnStopOrdered(const LogLine& line) {
-    stop_causes_[{TextField(line, "task"),
-                  IntField(line.fields, "run").value_or(0)}] =
-        CauseOf(TextField(line, "reason"));
+    const std::string task = TextField(line, "task");
+    const auto demand = demands_.find(StepOf(task));
+    // Of a run that was placed before the log begins, the priority is unknown.
+    const int64_t priority =
+        demand == demands_.end() ? -1 : demand->second.priority;
+    stop_causes_[{task, IntField(line.fields, "run").value_or(0)}] =
+        CauseOf(TextField(line, "reason"), priority);
   }
 
   void OnRunEnded(const LogLine& line) {
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -342,6 +342,7 @@
 
 void JobLedger::OnTaskDone(Job* job, StepProgress* progress, TaskStatus* task) {
   SetPhase(progress, task, TaskPhase::kDone);
+  if (job->spec.policy.priority == 0) ++urgent_completions_;
   if (progress->done < static_cast<int>(progress->tasks.size())) return;
   --job->unfinished_steps;
   if (job->unfinished_steps == 0 && !IsTerminal(job->state)) {
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -114,6 +114,8 @@
   bool RecordRunEnd(const TaskRef& ref, int run, RunEnd end,
                     const std::string& checkpoint,
                     const LostRun& lost = LostRun());
+  // Tasks of urgent jobs recorded as done since this ledger was created.
+  int64_t urgent_completions() const { return urgent_completions_; }
   // The worker is alive, in the incarnation that began at `incarnation_start`:
   // it has not crashed. Returns the tasks that it was counted against.
   std::vector<TaskRef> OnWorkerAlive(
@@ -155,6 +157,7 @@
                     StepProgress* progress);
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
+  int64_t urgent_completions_ = 0;
   // Invariant: contains every task whose crash record has a silent worker, by
   // worker. May contain others.
   std::map<std::string, std::set<TaskRef>> silent_losses_;
--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -41,6 +41,9 @@
   std::vector<ReadyStep> steps =
       CollectReadySteps(*inputs.ledger, inputs.wall_now, &blocked);
   std::vector<FeatureChange> changes = UpdateFeatures(inputs);
+  const int64_t completions = inputs.ledger->urgent_completions();
+  equal_stops_.OnCompletions(completions - urgent_completions_, inputs.now);
+  urgent_completions_ = completions;
   Plan plan;
   const bool idle = steps.empty();
   if (idle) {
@@ -65,6 +68,7 @@
     plan.waits.push_back({std::move(step), WaitReason::kWorkersMissing, {}});
   }
   plan.feature_changes = std::move(changes);
+  plan.equal_stop_limit_change = equal_stops_.EndRound(inputs.now);
   return plan;
 }
 
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -28,6 +28,7 @@
 #include "workload/account_waits.h"
 #include "workload/advice_cache.h"
 #include "workload/cluster_capacity.h"
+#include "workload/equal_stop_limiter.h"
 #include "workload/feature_state.h"
 #include "workload/hold_history.h"
 #include "workload/job_ledger.h"
@@ -85,6 +86,11 @@
   std::string reason;
   // The run used capacity that was held for a gang, which needs it now.
   bool returns_held = false;
+  // Of the run, and of the step for which it is stopped.
+  int priority = 0;
+  int for_priority = 0;
+  // Since its placement; nullopt if a previous leader placed it.
+  std::optional<Duration> age;
 };
 
 // Why a ready step is not placed, or only in part.
@@ -131,6 +137,7 @@
   // For the log.
   std::vector<HoldChange> hold_changes;
   std::vector<FeatureChange> feature_changes;
+  std::optional<EqualStopLimitChange> equal_stop_limit_change;
 };
 
 // Held capacity after a round; zero while the feature is inactive.
@@ -166,12 +173,15 @@
  public:
   explicit Planner(PlannerSettings settings)
       : settings_(settings),
+        equal_stops_(settings.bounds.equal_stop_half_life()),
         held_state_("held_capacity", settings.features.held_capacity) {}
 
   Plan Decide(const PlanInputs& inputs);
 
   // Of the last round.
   const HeldCapacityUse& held_use() const { return held_use_; }
+  // Whether stops between accounts of one priority are held back.
+  bool limits_equal_stops() const { return equal_stops_.limited(); }
 
  private:
   class Round;
@@ -198,6 +208,9 @@
     Time not_before{};
   };
   std::map<StepRef, ReclaimRetry> reclaim_retries_;
+  EqualStopLimiter equal_stops_;
+  // Of the ledger in the last round.
+  int64_t urgent_completions_ = 0;
   // Of gangs for which borrowers are stopped. Unlike those above, they hold
   // back nothing from steps of higher priority.
   std::map<StepRef, CapacityReservation> gang_reservations_;
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -134,6 +134,7 @@
   // False for some time after a reclaim for the step that could not be
   // completed, unless the step is owed its room.
   bool MayReclaimAgain(const ReadyStep& step) const;
+  static bool HasUrgentVictim(const std::vector<Eviction>& evictions);
   bool MayHold(const ReadyStep& step) const;
   // Also records that the gang still waits.
   Duration WaitedOf(const ReadyStep& step);
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -69,24 +69,43 @@
   ReadyStep step = waiting;
   step.waiting.resize(static_cast<size_t>(protected_tasks_.MayStart(waiting)));
   if (step.waiting.empty() || !MayReclaimAgain(step)) return false;
-  const VictimSelection::Inputs inputs{&capacity_,
-                                       inputs_.ledger,
-                                       &balance_,
-                                       &stopped_,
-                                       &budgets_,
-                                       SharesFor(step),
-                                       planner_.settings_.bounds.restart_cost(),
-                                       inputs_.now};
+  VictimSelection::Inputs inputs;
+  inputs.capacity = &capacity_;
+  inputs.ledger = inputs_.ledger;
+  inputs.balance = &balance_;
+  inputs.stopped = &stopped_;
+  inputs.budgets = &budgets_;
+  inputs.shares = SharesFor(step);
+  inputs.restart_cost = planner_.settings_.bounds.restart_cost();
+  inputs.now = inputs_.now;
   const bool one_rack =
       step.spec->gang && step.spec->same_rack && capacity_.AnyRackCanHold(step);
-  const std::vector<Eviction> evictions =
-      VictimSelection(inputs, step)
-          .ChooseEvictions(IsBoundToData(step), one_rack, MayLeaveRack(step));
+  const auto choose = [&] {
+    return VictimSelection(inputs, step)
+        .ChooseEvictions(IsBoundToData(step), one_rack, MayLeaveRack(step));
+  };
+  std::vector<Eviction> evictions = choose();
+  const bool is_limited =
+      !step.owed && !planner_.equal_stops_.MayStop(inputs_.now);
+  if (is_limited && HasUrgentVictim(evictions)) {
+    planner_.equal_stops_.OnWithheld();
+    inputs.equal_stops_limited = true;
+    evictions = choose();
+  }
   if (evictions.empty()) return false;
   Evict(step, evictions);
   return true;
 }
 
+bool Planner::Round::HasUrgentVictim(const std::vector<Eviction>& evictions) {
+  for (const Eviction& eviction : evictions) {
+    for (const TrackedRun* run : eviction.victims) {
+      if (run->profile.priority == 0) return true;
+    }
+  }
+  return false;
+}
+
 bool Planner::Round::MayReclaimAgain(const ReadyStep& step) const {
   if (step.owed) return true;
   const auto retry = planner_.reclaim_retries_.find(step.ref);
@@ -149,8 +168,16 @@
     reservation.tasks_by_worker[worker.tracker->id()] +=
         static_cast<int>(eviction.gain);
     for (const TrackedRun* run : eviction.victims) {
-      plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
-                             reason + step.ref.ToString(), !step.urgent()});
+      StopDecision stop;
+      stop.worker = worker.tracker->id();
+      stop.task = run->task;
+      stop.run = run->run;
+      stop.reason = reason + step.ref.ToString();
+      stop.returns_held = !step.urgent();
+      stop.priority = run->profile.priority;
+      stop.for_priority = step.priority();
+      if (run->placed != Time{}) stop.age = inputs_.now - run->placed;
+      plan_.stops.push_back(std::move(stop));
       OnStopped(worker.tracker->id(), *run);
     }
   }
@@ -200,6 +227,7 @@
     if (profile.long_running) budgets_.OnStop(task.step);
     if (profile.priority == 0) {
       balance_.OnStopped(profile.account, profile.need.accelerators);
+      planner_.equal_stops_.OnStops(1, inputs_.now);
     }
     ChangeShares(capacity_.worker(*index).entry().service, profile.account,
                  profile.priority, profile.need, -1);
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -31,6 +31,8 @@
     DisruptionBudgets* budgets = nullptr;
     // Null where accounts have no shares.
     const AccountShares* shares = nullptr;
+    // Urgent runs are stopped only for a step that is owed its room.
+    bool equal_stops_limited = false;
     // The time a stopped run loses even where all its work is saved.
     Milliseconds restart_cost{0};
     Time now{};
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -85,6 +85,12 @@
     return std::max(cancel_bound - start_order_term() + Milliseconds(200),
                     Milliseconds(500));
   }
+  // Half-life of the counts that limit stops between accounts: the longest time
+  // from a stop until the run works again elsewhere, as part of a gang, and the
+  // room is reclaimed once more.
+  Milliseconds equal_stop_half_life() const {
+    return move_cost() + restart_cost() + gang_patience + reclaim_bound;
+  }
   // Delay before an urgent step whose reclaim could not be completed may
   // reclaim again, after so many of them in a row.
   Milliseconds reclaim_retry_delay(int failures) const {
--- a/tests/auto/logging/tst_log_summary.cc
+++ b/tests/auto/logging/tst_log_summary.cc
@@ -161,6 +161,20 @@
   }
 }
 
+// Accounts that take room from each other have to show as a cause of their own.
+TEST_CASE("preemption between accounts of one priority is told apart") {
+  const std::string placed =
+      Line(100, 915,
+           R"("job":"a","step":"a.0.0","run":1,"priority":0,"accelerators":2)");
+  const LogSummaryReport report =
+      ReportOf({placed, StopOrdered(300, "gives way to urgent b.0.0"),
+                RunEnded(500, "stopped")});
+  REQUIRE(report.discarded_runs.size() == 1);
+  CHECK(report.discarded_runs[0].cause ==
+        "gives way to urgent work of another account");
+  CHECK(report.discarded_runs[0].priority == 0);
+}
+
 TEST_CASE("work that a checkpoint preserved is not lost") {
   const std::string ended = Line(
       500, 917,
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -268,6 +268,13 @@
   const Plan given_up = cluster.Round();
   CHECK(given_up.stops.empty());
   CHECK(given_up.starts.size() == 1);
+  // Completions, so that these stops are not what holds back the next ones.
+  cluster.ledger.Add(MakeJob(Id(6), {MakeStep(2, 0)}, 0, "north"), cluster.now);
+  const StepRef other{Id(6), 0, 0};
+  const int run = cluster.ledger.RecordStart(other, {{0, "x"}, {1, "x"}});
+  for (const int task : {0, 1}) {
+    cluster.ledger.RecordRunEnd({other, task}, run, RunEnd::kDone, "");
+  }
   const Milliseconds delay = WorkerBounds().reclaim_retry_delay(1);
   cluster.now += delay - Milliseconds(1);
   CHECK(cluster.Round().stops.empty());
@@ -275,6 +282,45 @@
   CHECK(cluster.Round().stops.size() == 2);
 }
 
+// While stops exceed completions, accounts get back only what they are owed.
+TEST_CASE("stops between accounts wait for completions unless they are owed") {
+  for (const bool owed : {false, true}) {
+    CAPTURE(owed);
+    PlannerCluster cluster(1, 4);
+    cluster.guarantees = {{"north", 8}, {"south", 8}};
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(4, 8)}, 0, "east"),
+                       cluster.now);
+    cluster.Round();
+    cluster.ledger.Add(MakeJob(Id(2), {MakeStep(1, 8)}, 0, "north"),
+                       cluster.now);
+    REQUIRE(cluster.Round().stops.size() == 1);
+    cluster.CarryOutStops();
+    REQUIRE(cluster.Round().starts.size() == 1);
+    cluster.ledger.Add(MakeJob(Id(3), {MakeStep(1, 8)}, 0, "south"),
+                       cluster.now);
+    if (!owed) {
+      cluster.ledger.Add(MakeJob(Id(4), {MakeStep(1, 8)}, 0, "south"),
+                         cluster.now);
+    }
+    const Plan plan = cluster.Round();
+    CHECK(plan.stops.size() == (owed ? 1 : 0));
+    CHECK(plan.equal_stop_limit_change.has_value() == !owed);
+    if (owed) continue;
+    CHECK(cluster.planner.limits_equal_stops());
+    // Another run of the first account ends.
+    for (auto& [id, worker] : cluster.workers) {
+      if (worker.runs().empty()) continue;
+      const TaskRef task = worker.runs().begin()->first;
+      if (task.step.job != Id(2)) continue;
+      cluster.End(id, task, RunEnd::kDone);
+      break;
+    }
+    const Plan after = cluster.Round();
+    REQUIRE(after.equal_stop_limit_change);
+    CHECK_FALSE(after.equal_stop_limit_change->limited);
+  }
+}
+
 TEST_CASE(
     "jobs of lower priority leave workers empty while urgent ones arrive") {
   PlannerCluster cluster(2, 5);
