--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -86,6 +86,8 @@
 inline constexpr Event kLossCleared{963, "loss-cleared", Severity::kInfo};
 inline constexpr Event kDeparturesRecorded{964, "departures-recorded",
                                            Severity::kInfo};
+inline constexpr Event kEqualStopsLimited{965, "equal-stops-limited",
+                                          Severity::kWarning};
 inline constexpr Event kForeignJobCalled{966, "foreign-job-called",
                                          Severity::kWarning};
 
--- a/src/libs/workload/cluster_capacity.h
+++ b/src/libs/workload/cluster_capacity.h
@@ -129,6 +129,8 @@
   int64_t usable_workers(const std::string& service) const;
   // Accelerators in use by urgent runs of the account.
   int64_t UrgentAccelerators(const std::string& account) const;
+  // Those of them whose runs are being stopped.
+  int64_t UrgentAcceleratorsStopping(const std::string& account) const;
   // The share of the service's accelerators that is in use.
   double UsedShare(const std::string& service) const;
   // The smaller of the used shares of the service's accelerators and cores.
@@ -144,7 +146,8 @@
 
   void Reserve(const CapacityReservation& reservation);
   void Release(const CapacityReservation& reservation);
-  // Whether all workers that it names may be given tasks.
+  // Whether all workers that it names may be given tasks. Urgent tasks may use
+  // withheld workers.
   bool AllUsable(const CapacityReservation& reservation) const;
   // Accounts for a task of the step that was placed on the worker.
   void Occupy(const std::string& id, const ReadyStep& step);
@@ -229,6 +232,7 @@
   // Indexes into workers_ by number of the rack.
   std::vector<std::vector<size_t>> rack_members_;
   std::map<std::string, int64_t> urgent_accelerators_;
+  std::map<std::string, int64_t> urgent_accelerators_stopping_;
   int64_t usable_workers_ = 0;
   int64_t suspects_ = 0;
   // By number of the service; there are few.
--- a/src/libs/workload/planning_placement.cc
+++ b/src/libs/workload/planning_placement.cc
@@ -26,11 +26,16 @@
   bool placed = PlaceWaiting(step, &reason);
   if (!placed && plan_.starts.size() == starts) placed = PlaceOwed(step);
   if (own != reservations.end()) {
+    if (step.urgent()) CountReserved(step.ref, own->second, -1);
     if (placed) {
-      if (step.urgent()) plan_.starts.back().preempted_at = own->second.made;
+      if (step.urgent()) {
+        plan_.starts.back().preempted_at = own->second.made;
+      }
       reservations.erase(own);
     } else {
+      UseReservation(step, starts, &own->second);
       capacity_.Reserve(own->second);
+      if (step.urgent()) CountReserved(step.ref, own->second, 1);
       reason = WaitReason::kPreempting;
     }
   } else if (!placed && step.urgent() && !KnowsWorkersInPart() &&
@@ -136,6 +141,11 @@
   ChangeShares(step.service(), step.job->spec.account, step.priority(),
                ReservedFor(*step.spec), static_cast<int64_t>(chosen.size()));
   protected_tasks_.OnStarted(step, chosen.size());
+  if (step.urgent()) {
+    balance_.OnStarted(
+        step.job->spec.account,
+        step.spec->need.accelerators * static_cast<int64_t>(chosen.size()));
+  }
   plan_.starts.push_back(
       {step.ref, std::move(chosen), std::move(reason), std::nullopt});
 }
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -1,6 +1,7 @@
 // The order in which a round places steps, and why some of them wait.
 #include "workload/planning_round.h"
 
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -16,6 +17,7 @@
                 planner->held_state_.active()),
       budgets_(inputs.ledger, inputs.workers),
       protected_tasks_(&capacity_, inputs.ledger, inputs.guarantees),
+      balance_(&capacity_, inputs.ledger, inputs.guarantees),
       steps_(std::move(steps)),
       queue_(steps_, shares(),
              {shared_services_, planner->settings_.max_share_wait,
@@ -26,6 +28,7 @@
 Plan Planner::Round::Run() {
   for (const auto& [ref, reservation] : planner_.reservations_) {
     capacity_.Reserve(reservation);
+    CountReserved(ref, reservation, 1);
   }
   RecordUrgentSteps();
   ReleaseExpiredReservations();
@@ -85,13 +88,25 @@
   for (const ReadyStep& step : steps_) {
     ready.insert(step.ref);
   }
+  auto& retries = planner_.reclaim_retries_;
+  for (auto it = retries.begin(); it != retries.end();) {
+    it = ready.count(it->first) > 0 ? std::next(it) : retries.erase(it);
+  }
   auto& reservations = planner_.reservations_;
   for (auto it = reservations.begin(); it != reservations.end();) {
     const auto current = it++;
-    const bool still_valid =
-        ready.count(current->first) > 0 && current->second.until > inputs_.now;
-    if (still_valid) continue;
+    const bool is_ready = ready.count(current->first) > 0;
+    const bool can_complete = current->second.until > inputs_.now &&
+                              capacity_.AllUsable(current->second);
+    if (is_ready && can_complete) continue;
     capacity_.Release(current->second);
+    CountReserved(current->first, current->second, -1);
+    if (is_ready) {
+      Planner::ReclaimRetry& retry = retries[current->first];
+      retry.not_before =
+          inputs_.now +
+          planner_.settings_.bounds.reclaim_retry_delay(++retry.failures);
+    }
     reservations.erase(current);
   }
 }
@@ -124,6 +139,7 @@
       step.within_guarantee =
           capacity_.UrgentAccelerators(account) + sum <= guarantee->second;
       step.guaranteed = step.within_guarantee && !expired;
+      step.owed = balance_.IsOwed(account);
     }
   }
 }
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -24,6 +24,7 @@
 #include "workload/protected_tasks.h"
 #include "workload/ready_step.h"
 #include "workload/step_queue.h"
+#include "workload/urgent_balance.h"
 #include "workload/victim_selection.h"
 #include "workload/waiting_demand.h"
 
@@ -130,6 +131,10 @@
   // Evicts other runs for an urgent step; returns false when that cannot make
   // enough room.
   bool PreemptFor(const ReadyStep& waiting);
+  // False for some time after a reclaim for the step that could not be
+  // completed, unless the step is owed its room.
+  bool MayReclaimAgain(const ReadyStep& step) const;
+  static bool HasUrgentVictim(const std::vector<Eviction>& evictions);
   bool MayHold(const ReadyStep& step) const;
   // Also records that the gang still waits.
   Duration WaitedOf(const ReadyStep& step);
@@ -137,6 +142,15 @@
   // stopped for it.
   bool HoldFor(const ReadyStep& step);
   void Evict(const ReadyStep& step, const std::vector<Eviction>& evictions);
+  // Takes the tasks of the step that have started, from `first_start` of the
+  // plan on, off its reservation.
+  void UseReservation(const ReadyStep& step, size_t first_start,
+                      CapacityReservation* reservation) const;
+  // Reservations for urgent steps count as used by their accounts.
+  void CountReserved(const StepRef& step,
+                     const CapacityReservation& reservation, int sign);
+  // Counts the run as stopped, with the rest of its gang, unless it is already.
+  void OnStopped(const std::string& worker, const TrackedRun& victim);
 
   Planner& planner_;
   const PlanInputs& inputs_;
@@ -147,6 +161,7 @@
   ClusterCapacity capacity_;
   DisruptionBudgets budgets_;
   ProtectedTasks protected_tasks_;
+  UrgentBalance balance_;
   std::vector<ReadyStep> steps_;
   StepQueue queue_;
   // Steps left waiting for capacity: their services, and their number by
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -68,25 +68,51 @@
 bool Planner::Round::PreemptFor(const ReadyStep& waiting) {
   ReadyStep step = waiting;
   step.waiting.resize(static_cast<size_t>(protected_tasks_.MayStart(waiting)));
-  if (step.waiting.empty()) return false;
-  const VictimSelection::Inputs inputs{&capacity_,
-                                       inputs_.ledger,
-                                       inputs_.guarantees,
-                                       &stopped_,
-                                       &budgets_,
-                                       SharesFor(step),
-                                       planner_.settings_.bounds.restart_cost(),
-                                       inputs_.now};
+  if (step.waiting.empty() || !MayReclaimAgain(step)) return false;
+  VictimSelection::Inputs inputs;
+  inputs.capacity = &capacity_;
+  inputs.ledger = inputs_.ledger;
+  inputs.balance = &balance_;
+  inputs.stopped = &stopped_;
+  inputs.budgets = &budgets_;
+  inputs.shares = SharesFor(step);
+  inputs.restart_cost = planner_.settings_.bounds.restart_cost();
+  inputs.now = inputs_.now;
   const bool one_rack =
       step.spec->gang && step.spec->same_rack && capacity_.AnyRackCanHold(step);
-  const std::vector<Eviction> evictions =
-      VictimSelection(inputs, step)
-          .ChooseEvictions(IsBoundToData(step), one_rack, MayLeaveRack(step));
+  const auto choose = [&] {
+    return VictimSelection(inputs, step)
+        .ChooseEvictions(IsBoundToData(step), one_rack, MayLeaveRack(step));
+  };
+  std::vector<Eviction> evictions = choose();
+  const bool is_limited =
+      !step.owed && !planner_.equal_stops_.MayStop(inputs_.now);
+  if (is_limited && HasUrgentVictim(evictions)) {
+    planner_.equal_stops_.OnWithheld();
+    inputs.equal_stops_limited = true;
+    evictions = choose();
+  }
   if (evictions.empty()) return false;
   Evict(step, evictions);
   return true;
 }
 
+bool Planner::Round::HasUrgentVictim(const std::vector<Eviction>& evictions) {
+  for (const Eviction& eviction : evictions) {
+    for (const TrackedRun* run : eviction.victims) {
+      if (run->profile.priority == 0) return true;
+    }
+  }
+  return false;
+}
+
+bool Planner::Round::MayReclaimAgain(const ReadyStep& step) const {
+  if (step.owed) return true;
+  const auto retry = planner_.reclaim_retries_.find(step.ref);
+  return retry == planner_.reclaim_retries_.end() ||
+         retry->second.not_before <= inputs_.now;
+}
+
 bool Planner::Round::MayHold(const ReadyStep& step) const {
   return step.spec->gang && !step.urgent() && !step.expired &&
          !KnowsWorkersInPart();
@@ -138,21 +164,26 @@
   reservation.until =
       inputs_.now + planner_.settings_.bounds.reservation_term();
   for (const Eviction& eviction : evictions) {
-    WorkerCapacity& worker = capacity_.worker(eviction.worker);
+    const WorkerCapacity& worker = capacity_.worker(eviction.worker);
     reservation.tasks_by_worker[worker.tracker->id()] +=
         static_cast<int>(eviction.gain);
     for (const TrackedRun* run : eviction.victims) {
-      worker.releasing += run->profile.need;
-      plan_.stops.push_back({worker.tracker->id(), run->task, run->run,
-                             reason + step.ref.ToString(), !step.urgent()});
-      stopped_.insert(run->task);
-      if (run->profile.long_running) budgets_.OnStop(run->task.step);
-      ChangeShares(step.service(), run->profile.account, run->profile.priority,
-                   run->profile.need, -1);
+      StopDecision stop;
+      stop.worker = worker.tracker->id();
+      stop.task = run->task;
+      stop.run = run->run;
+      stop.reason = reason + step.ref.ToString();
+      stop.returns_held = !step.urgent();
+      stop.priority = run->profile.priority;
+      stop.for_priority = step.priority();
+      if (run->placed != Time{}) stop.age = inputs_.now - run->placed;
+      plan_.stops.push_back(std::move(stop));
+      OnStopped(worker.tracker->id(), *run);
     }
   }
   capacity_.Reserve(reservation);
   if (step.urgent()) {
+    CountReserved(step.ref, reservation, 1);
     planner_.reservations_[step.ref] = std::move(reservation);
     return;
   }
@@ -160,4 +191,57 @@
   planner_.gang_reservations_[step.ref] = std::move(reservation);
 }
 
+void Planner::Round::UseReservation(const ReadyStep& step, size_t first_start,
+                                    CapacityReservation* reservation) const {
+  for (size_t i = first_start; i < plan_.starts.size(); ++i) {
+    if (!(plan_.starts[i].step == step.ref)) continue;
+    for (const auto& assignment : plan_.starts[i].assignments) {
+      const auto tasks = reservation->tasks_by_worker.find(assignment.worker);
+      if (tasks == reservation->tasks_by_worker.end()) continue;
+      if (--tasks->second == 0) reservation->tasks_by_worker.erase(tasks);
+    }
+  }
+}
+
+void Planner::Round::CountReserved(const StepRef& step,
+                                   const CapacityReservation& reservation,
+                                   int sign) {
+  const Job* job = inputs_.ledger->Find(step.job);
+  if (job == nullptr) return;
+  int64_t tasks = 0;
+  for (const auto& [worker, count] : reservation.tasks_by_worker) {
+    tasks += count;
+  }
+  balance_.Reserve(job->spec.account,
+                   sign * tasks * reservation.need.accelerators);
+}
+
+void Planner::Round::OnStopped(const std::string& worker,
+                               const TrackedRun& victim) {
+  const RunProfile& profile = victim.profile;
+  const auto count = [&](const TaskRef& task, const std::string& on) {
+    if (!stopped_.insert(task).second) return;
+    const auto index = capacity_.IndexOf(on);
+    if (!index) return;
+    capacity_.worker(*index).releasing += profile.need;
+    if (profile.long_running) budgets_.OnStop(task.step);
+    if (profile.priority == 0) {
+      balance_.OnStopped(profile.account, profile.need.accelerators);
+      planner_.equal_stops_.OnStops(1, inputs_.now);
+    }
+    ChangeShares(capacity_.worker(*index).entry().service, profile.account,
+                 profile.priority, profile.need, -1);
+  };
+  count(victim.task, worker);
+  const StepProgress* step = inputs_.ledger->FindStep(victim.task.step);
+  if (!profile.gang || step == nullptr) return;
+  for (size_t i = 0; i < step->tasks.size(); ++i) {
+    const TaskStatus& member = step->tasks[i];
+    if (member.phase != TaskPhase::kActive || member.run != victim.run) {
+      continue;
+    }
+    count({victim.task.step, static_cast<int>(i)}, member.worker);
+  }
+}
+
 }  // namespace thornplank
