--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -361,6 +361,7 @@
           {"listen_entries", Address(kEntryPort + entry)},
           {"store_address", Address(kStoreProxyPort + entry)},
           {"min_replicas", settings_.min_replicas},
+          {"longest_lease_ms", settings_.longest_lease.count()},
           {"advisor_address", Address(kAdvisorPort)}};
 }
 
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -32,6 +32,8 @@
   bool requires_advice = false;
   // Least number of entries that are replicas; by default all are.
   int min_replicas = 8;
+  // Upper bound on the leases of executors.
+  Milliseconds longest_lease{10000};
   // Time-out of a caller's request.
   Milliseconds caller_timeout{4000};
 };
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -227,6 +227,11 @@
   return !unrecorded_ends_.empty() && unrecorded_ends_.back().number > recorded;
 }
 
+const std::vector<RunHistory>& UsersExecutorModel::HistoryAt(int64_t now) {
+  Advance(now);
+  return history_;
+}
+
 void UsersExecutorModel::set_stalled(bool on, int64_t now) {
   Advance(now);
   stalled_ = on;
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -90,6 +90,9 @@
   static std::optional<Milliseconds> CrashDelay(const StartOrder& order);
 
   const std::vector<RunHistory>& history() const { return history_; }
+  // Includes ends that are due by `now`, such as those of lapsed leases on an
+  // executor that nobody calls.
+  const std::vector<RunHistory>& HistoryAt(int64_t now);
   // One message per start that exceeded the capacity.
   const std::vector<std::string>& violations() const { return violations_; }
 
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -109,7 +109,7 @@
 }
 
 void UsersExecutorRole::Handle(ExchangePtr exchange) {
-  if (silent_) return;
+  if (silent_ || unreachable_) return;
   if (down_) return CloseOtherConnections();
   const std::string expected = exchange->Header("X-Expect-Instance");
   if (!expected.empty() && expected != model_.id()) {
@@ -233,14 +233,15 @@
   if (ready) return exchange->Answer(JsonReply(ReportBody(report, start_ms_)));
   RunAfter(executor(), kHoldPollInterval,
            [this, exchange, query, until, incarnation = model_.incarnation()] {
-             if (silent_ || incarnation != model_.incarnation()) return;
+             if (silent_ || unreachable_) return;
+             if (incarnation != model_.incarnation()) return;
              HandleStatusQuery(exchange, query, until);
            });
 }
 
 Json UsersExecutorRole::ControlState() {
   Json runs = Json::array();
-  for (const RunHistory& run : model_.history()) {
+  for (const RunHistory& run : model_.HistoryAt(ModelClock())) {
     runs.push_back({{"worker", run.worker},
                     {"task", run.task},
                     {"run", run.run},
@@ -255,14 +256,16 @@
 }
 
 bool UsersExecutorRole::ApplyControl(const Json& control, Error* error) {
-  if (!HasOnlyFields(control,
-                     {"silent", "draining", "late_percent", "lost_percent",
-                      "fail_all", "stalled", "slowdown", "reset", "crash",
-                      "capacity_percent", "restart", "restart_ms", "keeps_id"},
-                     error)) {
+  if (!HasOnlyFields(
+          control,
+          {"silent", "unreachable", "draining", "late_percent", "lost_percent",
+           "fail_all", "stalled", "slowdown", "reset", "crash",
+           "capacity_percent", "restart", "restart_ms", "keeps_id"},
+          error)) {
     return false;
   }
   ReadField(control, "silent", &silent_);
+  ReadField(control, "unreachable", &unreachable_);
   ReadField(control, "draining", &draining_);
   late_share_ =
       NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
--- a/tests/standins/users_executor_role.h
+++ b/tests/standins/users_executor_role.h
@@ -67,7 +67,10 @@
   boost::asio::steady_timer timer_;
   PublishFunction publish_;
   std::mt19937 random_;
+  // Answers no call and writes no entries.
   bool silent_ = false;
+  // Answers no call, but writes its entries.
+  bool unreachable_ = false;
   // Between two incarnations, when no call is answered.
   bool down_ = false;
   bool draining_ = false;
