Tests: a suspended process has stopped before its test goes on

tst_requests_at_most_once failed in one of four runs beside 8 busy processes (load 29 to 37 on 8 cores): "an entry suspended between claim and send does not send", while it checks that the connection is live, 0 of 6 keys held back.

Cause: ChildProcess::Suspend returned when SIGSTOP was sent. The logs of the failed run show entry 0 at work for some 35 ms after the proxies had been healed: its liveness checks came back, it sent the five keys it had claimed and answered the other entry; the sixth was claimed by that one. The threads of a process on a busy machine stop later: right after kill() one to five of five threads were not stopped in 27 of 30 tries (a trial, load 18; 4 ms in the median until all had stopped, 8 ms at most). The wait of 200 ms after the claim and the deadline of 4 s are not the cause: the keys were claimed 230 ms before.

Suspend now returns once waitid reports the stop. No wait of the scenario and no assertion changes. It is stricter: what an entry does after Suspend is never counted as done before the suspension, in every test that suspends.

--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -1,6 +1,9 @@
 // Implementation with Boost.Process.
 #include "child_process.h"
 
+#include <sys/wait.h>
+
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -56,7 +59,18 @@
   impl_->child.wait(error);
 }
 
-void ChildProcess::Suspend() { Signal(SIGSTOP); }
+// On a busy machine the threads of the process run on for a while after the
+// signal was sent. Neither a stop nor an end that is seen here is consumed.
+void ChildProcess::Suspend() {
+  if (!running()) return;
+  Signal(SIGSTOP);
+  siginfo_t info{};
+  const auto id = static_cast<id_t>(impl_->child.id());
+  while (::waitid(P_PID, id, &info, WSTOPPED | WEXITED | WNOWAIT) != 0 &&
+         errno == EINTR) {
+  }
+}
+
 void ChildProcess::Resume() { Signal(SIGCONT); }
 
 std::optional<int> ChildProcess::Wait(Duration limit) {
--- a/tests/integration/support/child_process.h
+++ b/tests/integration/support/child_process.h
@@ -27,7 +27,8 @@
   void Signal(int signal);
   // Sends SIGKILL and waits for the process to end.
   void Kill();
-  // Suspends the process with SIGSTOP, and resumes it with SIGCONT.
+  // Suspends the process with SIGSTOP, and returns once it has stopped; resumes
+  // it with SIGCONT.
   void Suspend();
   void Resume();
   // The exit code; nullopt if the process is still running after `limit`.
