Soak: executors are cut off for longer than their leases, again and again

Cause: the soak drew silent executors one at a time and seldom longer than their leases, so that four losses of one task by silence never came together.

With `cut_offs` leases are 1.5 s, and about a third of the executors is cut off for 2.8 s or more at a time, in turns, some of them still writing their entries.

Executors that crashed under a task, by its fault or by another's, and came back after their leases as another incarnation are never cleared nor proved to have crashed, so that the task waits for ever.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -10,6 +10,8 @@
 DEFINE_int32(seconds, 15, "duration of fault injection in a run");
 DEFINE_int32(entries, 4, "number of hosted entries");
 DEFINE_int32(executors, 8, "executors");
+DEFINE_bool(crashes, true, "tasks crash executors, which shrink and restart");
+DEFINE_bool(cut_offs, true, "executors are cut off, with short leases");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
@@ -25,6 +27,8 @@
     settings.fault_duration = std::chrono::seconds(FLAGS_seconds);
     settings.entries = FLAGS_entries;
     settings.executors = FLAGS_executors;
+    settings.crashes = FLAGS_crashes;
+    settings.cut_offs = FLAGS_cut_offs;
     const thornplank::SoakReport report = thornplank::RunSoak(settings);
     std::cout << "seed " << settings.seed << ": " << report.jobs << " jobs, "
               << report.accepted << " accepted, " << report.completed
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -29,6 +29,13 @@
 // On average one of this many jobs crashes its executors.
 constexpr int kJobsPerCrash = 25;
 constexpr int kCrashAfterMs = 10;
+// Separates the random sequence of the executors that are cut off.
+constexpr uint32_t kCutOffSeedOffset = 2000003;
+// Short, so that several cuts that are longer fit into a run.
+constexpr Milliseconds kLeaseWithCutOffs{1500};
+constexpr Milliseconds kCutOffTime{2800};
+// On average one of this many executors is cut off at a time.
+constexpr int kExecutorsPerCutOff = 3;
 // A task may be given up after this many executors crashed while running it.
 constexpr int kCrashesToGiveUp = 2;
 
@@ -48,7 +55,8 @@
       : settings_(settings),
         cluster_(ClusterSettings(settings)),
         random_(settings.seed),
-        crash_random_(settings.seed + kCrashSeedOffset) {}
+        crash_random_(settings.seed + kCrashSeedOffset),
+        cut_off_random_(settings.seed + kCutOffSeedOffset) {}
 
   SoakReport Run() {
     report_.folder = cluster_.folder();
@@ -84,6 +92,7 @@
     cluster.executors = settings.executors;
     cluster.executors_per_rack = 4;
     cluster.caller_timeout = kCallerTimeout;
+    if (settings.cut_offs) cluster.longest_lease = kLeaseWithCutOffs;
     return cluster;
   }
 
@@ -234,6 +243,7 @@
       }
       if (settings_.crashes) ShrinkExecutor();
       if (settings_.crashes) RestartExecutors();
+      if (settings_.cut_offs) ChangeCutOffs();
       std::this_thread::sleep_for(Milliseconds(200 + Draw(2500)));
       EndSomeFaults();
     }
@@ -322,6 +332,30 @@
     }
   }
 
+  // Once the present cuts have outlasted the leases, ends them and cuts other
+  // executors off. Some of these still write their entries.
+  void ChangeCutOffs() {
+    if (std::chrono::steady_clock::now() < cut_off_since_ + kCutOffTime) return;
+    EndCutOffs();
+    cut_off_since_ = std::chrono::steady_clock::now();
+    std::string names;
+    for (int i = 0; i < settings_.executors; ++i) {
+      const uint32_t draw = cut_off_random_();
+      if (draw % kExecutorsPerCutOff != 0) continue;
+      const bool writes_entries = draw / kExecutorsPerCutOff % 2 == 0;
+      cluster_.ControlExecutor(
+          i, {{writes_entries ? "unreachable" : "silent", true}});
+      names += " " + std::to_string(i) + (writes_entries ? "*" : "");
+    }
+    RecordFault("executors cut off (* writes its entry):" + names);
+  }
+
+  void EndCutOffs() {
+    for (int i = 0; i < settings_.executors; ++i) {
+      cluster_.ControlExecutor(i, {{"unreachable", false}, {"silent", false}});
+    }
+  }
+
   void ShrinkExecutor() {
     const uint32_t draw = crash_random_();
     if (draw % 2 == 0) return;
@@ -378,6 +412,7 @@
       end();
     }
     fault_ends_.clear();
+    EndCutOffs();
     for (int i = 0; i < settings_.entries; ++i) {
       cluster_.entry(i).Resume();
     }
@@ -449,6 +484,9 @@
   HostedCluster cluster_;
   std::mt19937 random_;
   std::mt19937 crash_random_;
+  std::mt19937 cut_off_random_;
+  // Start of the present cuts.
+  Time cut_off_since_{};
   Time begun_{};
   std::atomic<bool> done_{false};
   std::mutex mutex_;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -3,8 +3,8 @@
 // Caller threads submit, query and cancel jobs while series of faults overlap:
 // entries are killed, stopped, suspended, signalled or cut off from the store;
 // the store is silent, slow or refuses, or loses answers or its history;
-// executors are late, silent or restarted. Then all faults are ended, and the
-// invariants are checked against the records of executors and callers.
+// executors are late, silent, cut off or restarted. Then all faults are ended,
+// and the invariants are checked against the records of executors and callers.
 #ifndef THORNPLANK_TESTS_SOAK_SOAK_RUN_H_
 #define THORNPLANK_TESTS_SOAK_SOAK_RUN_H_
 
@@ -26,6 +26,9 @@
   // grows, and executors that restart under their ids. They are drawn from a
   // separate random sequence, so that the other faults of a seed do not change.
   bool crashes = true;
+  // Shortens the leases, and cuts some executors off from the entries for
+  // longer than that, again and again; also drawn from a separate sequence.
+  bool cut_offs = true;
 };
 
 struct SoakReport {
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -17,12 +17,15 @@
   const char* cause;
   // Whether tasks crash executors, as in SoakSettings.
   bool crashes = false;
+  // Whether executors are cut off, as in SoakSettings.
+  bool cut_offs = false;
 };
 
 TEST_CASE("the invariants hold under randomized faults") {
   const std::vector<Row> rows = {
       {20261202, 8, "never failed"},
       {20261203, 10, "never failed", true},
+      {20261204, 15, "never failed", false, true},
       {114, 12, "the stand-in kept a report across incarnations"},
       {127, 12, "work was sent to an incarnation known to have ended"},
       {128, 12, "the stand-in kept a report across incarnations"},
@@ -48,6 +51,7 @@
     settings.seed = row.seed;
     settings.fault_duration = std::chrono::seconds(row.seconds);
     settings.crashes = row.crashes;
+    settings.cut_offs = row.cut_offs;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
