A silent worker whose incarnation is known to be over counts as crashed

What callers would see: a job that runs for ever.

Now the leader uses what it hears: another incarnation that answers under the id or in its place, and another worker that is listed at the address. The lost one is over then; if the run had begun there and the worker had not announced its departure, the loss counts as a crash, as it does where the restart is seen within the lease. Decided so and not struck from the record: a task that crashes its workers a second after its start would have no bound. What is given up: a worker that was cut off, whose run lapsed, and that crashed behind the cut counts as a crash; two of those and two other losses of one task end its job.

Tests: 'silent workers that are known to have ended count as crashed', 'what shows that the incarnation of a lost worker is over' (neither compiles on the code before). Open: a loss that a predecessor recorded is not matched by the address of the worker.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -322,6 +322,10 @@
                              const std::optional<WallTime>& incarnation_start) {
     OnWorkerAlive(worker, incarnation_start);
   };
+  handlers.on_ended = [this](const std::string& worker,
+                             const std::optional<WallTime>& incarnation_start) {
+    OnWorkerEnded(worker, incarnation_start);
+  };
   handlers.on_progress = [this](const RunReport& run) {
     ledger_.RecordCheckpoint(run.task, run.run, run.checkpoint);
   };
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -233,6 +233,8 @@
   size_t WorkersLostRunning(const TaskRef& task) const;
   void OnWorkerAlive(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  void OnWorkerEnded(const std::string& worker,
+                     const std::optional<WallTime>& incarnation_start);
   // Logs the task if it will not be started again.
   void LogIfGivenUp(const TaskRef& task);
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -327,6 +327,15 @@
   SchedulePlanning();
 }
 
+void ClusterCoordinator::OnWorkerEnded(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  const std::vector<TaskRef> changed =
+      ledger_.OnWorkerEnded(worker, incarnation_start);
+  for (const TaskRef& task : changed) LogIfGivenUp(task);
+  if (!changed.empty()) SchedulePlanning();
+}
+
 // Stops the runs that are not current in the ledger: those of cancelled or
 // failed jobs, of gangs that lost a member, and of finished tasks.
 void ClusterCoordinator::StopOutdatedRuns() {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -104,6 +104,7 @@
   state.missing_since.reset();
   state.departure.OnEntry(*registration, last_directory_read_, now);
   if (tracker == nullptr) {
+    EndLostWorkerAt(registration->address, id);
     LogEvent(events::kWorkerSeen, {{"worker", id},
                                    {"address", registration->address},
                                    {"rack", registration->rack},
@@ -160,6 +161,14 @@
          last_directory_read_ - lost_at > settings_.max_entry_delay;
 }
 
+void WorkerFleet::EndLostWorkerAt(const std::string& address,
+                                  const std::string& id) {
+  const auto lost = lost_at_address_.find(address);
+  if (lost == lost_at_address_.end() || lost->second.id == id) return;
+  handlers_.on_ended(lost->second.id, lost->second.incarnation_start);
+  lost_at_address_.erase(lost);
+}
+
 Time WorkerFleet::LostAt(const std::string& id) const {
   const auto lost = lost_at_.find(id);
   return lost == lost_at_.end() ? Time{} : lost->second;
@@ -534,10 +543,15 @@
     tracker->ConfirmLease(state.leased_until);
   }
   const int life = tracker->incarnation();
+  const std::optional<WallTime> known_start = tracker->incarnation_start();
+  const bool leaves = tracker->has_announced_departure();
   std::vector<RunReport> unexpected;
   const std::vector<RunEndReport> ends =
       tracker->OnReport(answer.report, query.sent, now, &unexpected);
-  if (tracker->incarnation() != life) OnRestart(id, ends, now);
+  if (tracker->incarnation() != life) {
+    (leaves ? handlers_.on_alive : handlers_.on_ended)(id, known_start);
+    OnRestart(id, ends, now);
+  }
   if (first) health_monitor_.OnFirstReport(id, now);
   if (NeedsVisit(*tracker, state)) Activate(id);
   for (const RunReport& run : answer.report.running) {
@@ -649,6 +663,10 @@
   if (!ended_incarnations_.emplace(id, born).second) return;
   call_states_[id].missing_since = Now();
   Activate(id);
+  const WorkerTracker& tracker = *Find(id);
+  if (end == IncarnationEnd::kCrashed && !tracker.has_announced_departure()) {
+    handlers_.on_ended(id, tracker.incarnation_start());
+  }
   EndRunsOfLostWorker(id, end);
 }
 
@@ -661,6 +679,11 @@
   LogEvent(events::kWorkerGone,
            {{"worker", id}, {"reason", ToReason(end)}, {"runs", ends.size()}});
   lost_at_[id] = Now();
+  const std::string& address = tracker->registration().address;
+  if (end == IncarnationEnd::kSilent && !address.empty() &&
+      !tracker->has_announced_departure()) {
+    lost_at_address_[address] = {id, tracker->incarnation_start()};
+  }
   const bool forget = call_states_[id].missing_since.has_value();
   if (forget) Forget(id);
   DeliverEnds(id, ends);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -81,6 +81,10 @@
     std::function<void(const std::string& worker,
                        const std::optional<WallTime>& incarnation_start)>
         on_alive;
+    // That incarnation of a worker is over and has not left as announced.
+    std::function<void(const std::string& worker,
+                       const std::optional<WallTime>& incarnation_start)>
+        on_ended;
     std::function<void(const RunReport&)> on_progress;
     // Returns the profile of a run that this leader did not start.
     std::function<RunProfile(const TaskRef&)> profile_of;
@@ -225,6 +229,9 @@
   // When the worker's runs were last taken for lost with it; Time{} if never or
   // long ago.
   Time LostAt(const std::string& id) const;
+  // A worker is listed at the address for the first time: one that was lost
+  // there is over.
+  void EndLostWorkerAt(const std::string& address, const std::string& id);
   void DropOldLosses();
   // Whether the worker cannot be asked, so that its runs wait for the end of
   // their leases.
@@ -318,6 +325,12 @@
   Time directory_read_since_{};
   Time last_directory_read_{};
   Time first_directory_read_{};
+  // The last worker that was taken for lost at each address.
+  struct LostWorker {
+    std::string id;
+    std::optional<WallTime> incarnation_start;
+  };
+  std::map<std::string, LostWorker> lost_at_address_;
   // As LostAt. Kept for workers that are no longer known, too.
   std::map<std::string, Time> lost_at_;
   // When the directory was first read after the last outage of the store;
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -48,7 +48,7 @@
   const bool at_start = IsAtStart(run, step);
   const bool proved =
       run.crashed && run.began && (at_start || run.within_lease);
-  losses.push_back({run.worker, run.incarnation_start, proved});
+  losses.push_back({run.worker, run.incarnation_start, proved, run.began});
   // Without proof there may or may not have been a crash at the start.
   if (!proved) return;
   start_crashes = at_start ? start_crashes + 1 : 0;
@@ -67,6 +67,20 @@
   return changed;
 }
 
+bool CrashRecord::OnWorkerEnded(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  bool changed = false;
+  for (WorkerLoss& loss : losses) {
+    const bool is_it = !loss.crashed && loss.began && loss.worker == worker &&
+                       loss.incarnation_start == incarnation_start;
+    if (!is_it) continue;
+    loss.crashed = true;
+    changed = true;
+  }
+  return changed;
+}
+
 bool CrashRecord::HasUnproved(const std::string& worker) const {
   return std::any_of(losses.begin(), losses.end(),
                      [&worker](const WorkerLoss& loss) {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -7,9 +7,10 @@
 // because of that start.
 //
 // A worker that falls silent may have crashed, or it is cut off and works on.
-// Only proved crashes under the task end a job: the run is known to have begun
-// and cannot have ended before. Any other loss counts until the worker is seen
-// alive; as long as too many are unaccounted for, the task waits.
+// Only crashes end a job: the run is known to have begun and cannot have ended
+// before, or the worker, silent since it held the run, is known to have ended.
+// Any other loss counts until the worker is seen alive or its end is known; as
+// long as too many are unaccounted for, the task waits.
 #ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 #define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 
@@ -56,8 +57,11 @@
   std::string worker;
   // Nullopt if it is not known.
   std::optional<WallTime> incarnation_start = std::nullopt;
-  // Proved to have crashed while it ran the task.
+  // Proved to have crashed under the task, or known to have ended since it fell
+  // silent, without having left as announced.
   bool crashed = false;
+  // Whether the run is known to have begun there.
+  bool began = false;
 
   // Whether the incarnation of `id` that started at `start` is certainly this
   // one. Where no start times are reported, ids alone tell.
@@ -68,7 +72,7 @@
 
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
-         a.crashed == b.crashed;
+         a.crashed == b.crashed && a.began == b.began;
 }
 
 // Whether a task may be started again.
@@ -99,6 +103,10 @@
                      const std::optional<WallTime>& incarnation_start,
                      WallTime job_accepted);
   size_t proved_crashes() const;
+  // That incarnation is over and has not left as announced. Returns whether the
+  // record has changed.
+  bool OnWorkerEnded(const std::string& worker,
+                     const std::optional<WallTime>& incarnation_start);
   bool HasUnproved(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -298,6 +298,24 @@
   return cleared;
 }
 
+std::vector<TaskRef> JobLedger::OnWorkerEnded(
+    const std::string& worker,
+    const std::optional<WallTime>& incarnation_start) {
+  std::vector<TaskRef> changed;
+  const auto found = unproved_losses_.find(worker);
+  if (found == unproved_losses_.end()) return changed;
+  for (const TaskRef& ref : found->second) {
+    StepProgress* progress = FindStep(ref.step);
+    if (progress == nullptr) continue;
+    TaskStatus& task = progress->tasks[static_cast<size_t>(ref.index)];
+    if (!task.crashes.OnWorkerEnded(worker, incarnation_start)) continue;
+    MarkDirty(*FindStepSpec(ref.step), ref);
+    FailJobIfGivenUp(ref, Find(ref.step.job), task);
+    changed.push_back(ref);
+  }
+  return changed;
+}
+
 void JobLedger::Fail(Job* job, std::string reason) {
   if (IsTerminal(job->state)) return;
   job->failure = std::move(reason);
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -121,6 +121,11 @@
   std::vector<TaskRef> OnWorkerAlive(
       const std::string& worker,
       const std::optional<WallTime>& incarnation_start);
+  // That incarnation of the worker is over and has not left as announced. May
+  // end jobs. Returns the tasks of which the record has changed.
+  std::vector<TaskRef> OnWorkerEnded(
+      const std::string& worker,
+      const std::optional<WallTime>& incarnation_start);
   // Records a checkpoint reported by a run that continues.
   void RecordCheckpoint(const TaskRef& ref, int run,
                         const std::string& checkpoint);
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -13,8 +13,8 @@
 constexpr char kBlockMark = '#';
 
 // Two lists of the same length: the ids, which is all that older entries read,
-// and of each loss whether it is a proved crash and the start time of the
-// incarnation.
+// and of each loss whether it is a proved crash, the start time of the
+// incarnation, and whether the run had begun.
 void AppendLosses(const std::vector<WorkerLoss>& losses, Json* row) {
   Json workers = Json::array();
   Json details = Json::array();
@@ -24,7 +24,8 @@
     if (loss.incarnation_start) {
       start = ToUnixMilliseconds(*loss.incarnation_start);
     }
-    details.push_back(Json::array({loss.crashed, std::move(start)}));
+    details.push_back(
+        Json::array({loss.crashed, std::move(start), loss.began}));
   }
   row->push_back(std::move(workers));
   row->push_back(std::move(details));
@@ -41,6 +42,7 @@
   for (size_t i = 0; i < losses.size(); ++i) {
     const Json& detail = row.at(7).at(i);
     losses[i].crashed = detail.at(0).get<bool>();
+    losses[i].began = detail.at(2).get<bool>();
     if (detail.at(1).is_null()) continue;
     losses[i].incarnation_start =
         FromUnixMilliseconds(detail.at(1).get<int64_t>());
--- a/tests/auto/coordination/tst_worker_life.cc
+++ b/tests/auto/coordination/tst_worker_life.cc
@@ -97,6 +97,60 @@
   }
 }
 
+// Guards against a task that waits for ever: its workers crashed while nobody
+// heard them, and what shows that their incarnations are over is not used. And
+// against workers that left or are only silent and are taken for crashed.
+TEST_CASE("what shows that the incarnation of a lost worker is over") {
+  struct Row {
+    const char* name;
+    std::function<void(SilentWorker*)> happens;
+    bool over;
+  };
+  const std::vector<Row> rows = {
+      {"nothing", [](SilentWorker*) {}, false},
+      {"its entry is removed",
+       [](SilentWorker* w) {
+         w->fleet.OnDirectoryRecord({"w1", std::nullopt, 1}, w->later);
+       },
+       false},
+      {"another worker is listed at its address",
+       [](SilentWorker* w) {
+         w->fleet.OnDirectoryRecord({"w1", std::nullopt, 1}, w->later);
+         w->fleet.OnDirectoryRecord({"w2", "listed", 2}, w->later);
+       },
+       true},
+      {"another incarnation answers",
+       [](SilentWorker* w) {
+         w->calls.status_outcome = CallOutcome::kOtherIncarnation;
+         w->ReadEntry(1, w->later);
+         w->Tick(w->later);
+       },
+       true},
+      {"it is listed again after it was forgotten",
+       [](SilentWorker* w) {
+         w->fleet.OnDirectoryRecord({"w1", std::nullopt, 1}, w->later);
+         w->Tick(w->later);
+         w->ReadEntry(2, w->later);
+       },
+       false},
+      {"another incarnation answers after it has announced its departure",
+       [](SilentWorker* w) {
+         w->fleet.OnDirectoryRecord({"w1", kLeaving, 1}, w->later);
+         w->calls.status_outcome = CallOutcome::kOtherIncarnation;
+         w->Tick(w->later);
+       },
+       false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    SilentWorker worker;
+    worker.Lose();
+    CHECK(worker.ended.empty());
+    row.happens(&worker);
+    CHECK(worker.ended.empty() == !row.over);
+  }
+}
+
 // Guards against a new leader that takes the entries which it reads first, of
 // unknown age, for signs of life of the workers that its predecessors lost.
 TEST_CASE("a new leader takes only later entries for signs of life") {
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -138,6 +138,10 @@
                                const std::optional<WallTime>&) {
       alive.push_back(worker);
     };
+    handlers.on_ended = [this](const std::string& worker,
+                               const std::optional<WallTime>&) {
+      ended.push_back(worker);
+    };
     handlers.on_answer = [](const std::string&) {};
     handlers.on_no_answer = [](const std::string&) {};
     handlers.on_change = [] {};
@@ -167,6 +171,9 @@
   std::vector<RunEnd> ends;
   // The workers that were said to be alive, once for each time.
   std::vector<std::string> alive;
+  // The workers of which an incarnation was said to be over without having
+  // left.
+  std::vector<std::string> ended;
   int fenced = 0;
   bool may_renew = true;
   WorkerFleet fleet;
--- a/tests/auto/workload/tst_crash_record.cc
+++ b/tests/auto/workload/tst_crash_record.cc
@@ -288,6 +288,53 @@
   }
 }
 
+// Guards against a task that waits for ever for silent workers which have
+// crashed: their next incarnations are heard only after their leases.
+TEST_CASE("silent workers that are known to have ended count as crashed") {
+  struct Row {
+    const char* name;
+    // The runs whose workers are known to have ended.
+    std::vector<int> ended;
+    // Whether the runs are known to have begun.
+    bool began;
+    bool failed;
+  };
+  const std::vector<Row> rows = {
+      {"none", {}, true, false},
+      {"one of four", {3}, true, false},
+      {"two of four", {1, 4}, true, true},
+      {"of runs that may not have begun", {1, 4}, false, false},
+  };
+  const WallTime start = FromUnixMilliseconds(5000);
+  for (const Row& row : rows) {
+    for (const bool leaders_change : {false, true}) {
+      CAPTURE(row.name);
+      CAPTURE(leaders_change);
+      const StepSpec step = MakeStep(1, 1);
+      JobLedger ledger = LedgerWith(step);
+      for (int i = 0; i < 4; ++i) {
+        const int number = ledger.RecordStart(kStep, {{0, "w"}});
+        LostRun lost = ToLostRun(kSilent, number);
+        lost.incarnation_start = start;
+        lost.began = row.began;
+        ledger.RecordRunEnd(kTask, number, RunEnd::kWorkerSilent, "", lost);
+        if (leaders_change) ledger = Successor(ledger, step);
+      }
+      for (const int run : row.ended) {
+        const std::string worker = "w" + std::to_string(run);
+        CHECK(ledger.OnWorkerEnded(worker, std::nullopt).empty());
+        CHECK(ledger.OnWorkerEnded(worker, start).empty() == !row.began);
+        CHECK(ledger.OnWorkerEnded(worker, start).empty());
+        if (!row.began) continue;
+        // What is proved is not taken back.
+        CHECK(ledger.OnWorkerAlive(worker, start).empty());
+      }
+      CHECK(IsTerminal(ledger.Find(kStep.job)->state) == row.failed);
+      CHECK(ledger.FindTask(kTask)->crashes.losses.size() == 4);
+    }
+  }
+}
+
 // Guards against ends of other kinds that raise the attempts of a task: its job
 // would be failed although none of its runs has failed.
 TEST_CASE("only failed runs use up the attempts of a task") {
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -29,7 +29,8 @@
   return blocks;
 }
 
-const WorkerLoss kCrashed{"w1", FromUnixMilliseconds(1700000000123), true};
+const WorkerLoss kCrashed{"w1", FromUnixMilliseconds(1700000000123), true,
+                          true};
 const WorkerLoss kSilent{"w2", std::nullopt, false};
 
 bool Same(const TaskStatus& a, const TaskStatus& b) {
