A guarantee that is owed is not withheld for runs of jobs that have ended

Whether an urgent step fits into its account's guarantee was judged by the runs that are on workers. Those of cancelled or failed jobs count there until they are settled, which takes until their leases end on a silent worker; RECLAIM counts only jobs that have not ended. A step is owed its room by the needs of unfinished jobs, so that answers alone.

The test fails without it.

--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -70,8 +70,9 @@
   sources.ledger = inputs.ledger;
   sources.budgets = inputs.budgets;
   sources.balance = inputs.balance;
-  sources.may_reclaim = (step.owed || !inputs.equal_stops_limited) &&
-                        inputs.balance->Left(step.job->spec.account) >= wanted;
+  sources.may_reclaim =
+      step.owed || (!inputs.equal_stops_limited &&
+                    inputs.balance->Left(step.job->spec.account) >= wanted);
   sources.is_owed = step.owed;
   return StopLimits(sources);
 }
--- a/tests/auto/workload/tst_planner.cc
+++ b/tests/auto/workload/tst_planner.cc
@@ -282,6 +282,21 @@
   CHECK(cluster.Round().stops.size() == 2);
 }
 
+// Guards against a guarantee that is withheld while runs of cancelled jobs of
+// the account are still on a worker: they are no need of it any more.
+TEST_CASE("runs of ended jobs do not use up what an account is owed") {
+  PlannerCluster cluster(1, 2);
+  cluster.guarantees = {{"north", 8}};
+  cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 8)}, 0, "north"), cluster.now);
+  cluster.ledger.Add(MakeJob(Id(2), {MakeStep(1, 8)}, 0, "east"), cluster.now);
+  REQUIRE(cluster.Round().starts.size() == 2);
+  cluster.ledger.Cancel(Id(1));
+  cluster.ledger.Add(MakeJob(Id(3), {MakeStep(1, 8)}, 0, "north"), cluster.now);
+  const Plan plan = cluster.Round();
+  REQUIRE(plan.stops.size() == 1);
+  CHECK(plan.stops[0].task.step.job == Id(2));
+}
+
 // While stops exceed completions, accounts get back only what they are owed.
 TEST_CASE("stops between accounts wait for completions unless they are owed") {
   for (const bool owed : {false, true}) {
