--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -41,6 +41,8 @@
       {649, 15, "a job was given up for crashes it did not cause", true},
       {502, 15, "the checker counted run ends after their lease had lapsed"},
       {901, 12, "after an outage tasks were placed by an outdated directory"},
+      {80002, 15, "a task waited for ever for crashed workers", true, true},
+      {80021, 15, "a task waited for ever for crashed workers", true, true},
       {70007, 15, "after an outage tasks were placed by entries from before it",
        true},
   };
