--- a/src/libs/workload/urgent_balance.cc
+++ b/src/libs/workload/urgent_balance.cc
@@ -22,8 +22,8 @@
         const bool may_run =
             progress.active() > 0 ||
             JobLedger::IsReady(*job, static_cast<int>(k), static_cast<int>(i));
-        if (may_run)
-          needed += job->spec.steps[i].need.accelerators * unfinished;
+        if (!may_run) continue;
+        needed += job->spec.steps[i].need.accelerators * unfinished;
       }
     }
   }
--- a/tests/auto/workload/burst_cluster.h
+++ b/tests/auto/workload/burst_cluster.h
@@ -186,8 +186,9 @@
       const auto guarantee = cluster_.guarantees.find(job->spec.account);
       if (guarantee == cluster_.guarantees.end()) continue;
       const auto [it, is_new] = owed_.try_emplace(id, Owed{cluster_.now, true});
-      if (needed[job->spec.account] > guarantee->second)
+      if (needed[job->spec.account] > guarantee->second) {
         it->second.valid = false;
+      }
       if (!it->second.valid) continue;
       if (is_new) ++result_.owed;
       const Milliseconds bound = WorkerBounds().reclaim_bound;
@@ -198,8 +199,9 @@
   }
 
   void RecordStops(const Plan& plan) {
-    for (const StartDecision& start : plan.starts)
+    for (const StartDecision& start : plan.starts) {
       begun_.insert(start.step.job);
+    }
     for (const StopDecision& stop : plan.stops) {
       ++result_.total_equal_stops;
       result_.most_stops_of_a_task =
