Workers that ended out of sight prove no crash

Cause: a silent worker whose incarnation turned out to be over counted as a proved crash. Two of these among four losses gave the task up.

Ruled out: attempts (only `failed` raises them, tst_crash_record), crashes at the start (the losses came after cuts).

Change: such a loss is recorded as `ended` and not as `crashed`; it is accounted for and proves nothing by itself. Four losses of which three are accounted for allow the fifth start, which the platform's rule allows; with five, four accounted for, the job ends, so that a task that crashes workers which restart after their leases is not started a sixth time. Stored as a fourth element of a loss; entries before read the first three, and what they wrote is read.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -32,12 +32,16 @@
   return run;
 }
 
-// Rows of worker and "crashed" or "unproved".
+const char* ToWord(const WorkerLoss& loss) {
+  if (loss.crashed) return "crashed";
+  return loss.ended ? "ended" : "unproved";
+}
+
+// Rows of worker and "crashed", "ended" or "unproved".
 Json ToJson(const std::vector<WorkerLoss>& losses) {
   Json rows = Json::array();
   for (const WorkerLoss& loss : losses) {
-    rows.push_back(
-        Json::array({loss.worker, loss.crashed ? "crashed" : "unproved"}));
+    rows.push_back(Json::array({loss.worker, ToWord(loss)}));
   }
   return rows;
 }
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -15,6 +15,10 @@
 // allows at most five starts, and at most two after the third crash; one is
 // left for a crash that a change of leader has hidden.
 constexpr size_t kMaxWorkersLost = 4;
+// The fifth start is for a task whose workers have ended without proof that it
+// crashed them; if it loses that worker too, its job ends.
+constexpr size_t kMinAccountedForLastStart = 3;
+constexpr size_t kMinAccountedToGiveUp = 4;
 constexpr std::chrono::seconds kProvenRunTime{5};
 
 // Callers' estimates may be wrong by a factor of two.
@@ -59,7 +63,7 @@
     WallTime job_accepted) {
   const auto first =
       std::remove_if(losses.begin(), losses.end(), [&](const WorkerLoss& loss) {
-        return !loss.crashed &&
+        return !loss.is_accounted_for() &&
                loss.IsOfIncarnation(worker, incarnation_start, job_accepted);
       });
   const bool changed = first != losses.end();
@@ -72,19 +76,20 @@
     const std::optional<WallTime>& incarnation_start) {
   bool changed = false;
   for (WorkerLoss& loss : losses) {
-    const bool is_it = !loss.crashed && loss.began && loss.worker == worker &&
+    const bool is_it = !loss.is_accounted_for() && loss.began &&
+                       loss.worker == worker &&
                        loss.incarnation_start == incarnation_start;
     if (!is_it) continue;
-    loss.crashed = true;
+    loss.ended = true;
     changed = true;
   }
   return changed;
 }
 
-bool CrashRecord::HasUnproved(const std::string& worker) const {
+bool CrashRecord::HasUnaccounted(const std::string& worker) const {
   return std::any_of(losses.begin(), losses.end(),
                      [&worker](const WorkerLoss& loss) {
-                       return !loss.crashed && loss.worker == worker;
+                       return !loss.is_accounted_for() && loss.worker == worker;
                      });
 }
 
@@ -94,22 +99,37 @@
                     [](const WorkerLoss& loss) { return loss.crashed; }));
 }
 
+size_t CrashRecord::accounted_losses() const {
+  return static_cast<size_t>(std::count_if(
+      losses.begin(), losses.end(),
+      [](const WorkerLoss& loss) { return loss.is_accounted_for(); }));
+}
+
 CrashVerdict CrashRecord::verdict() const {
   if (start_crashes >= kMaxStartCrashes) return CrashVerdict::kGivenUp;
   if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
-  return proved_crashes() >= kMinProvedCrashes ? CrashVerdict::kGivenUp
-                                               : CrashVerdict::kMustWait;
+  if (proved_crashes() >= kMinProvedCrashes) return CrashVerdict::kGivenUp;
+  if (losses.size() == kMaxWorkersLost) {
+    return accounted_losses() >= kMinAccountedForLastStart
+               ? CrashVerdict::kMayStart
+               : CrashVerdict::kMustWait;
+  }
+  return accounted_losses() >= kMinAccountedToGiveUp ? CrashVerdict::kGivenUp
+                                                     : CrashVerdict::kMustWait;
 }
 
 std::string CrashRecord::ToText() const {
   std::string crashed;
-  std::string unproved;
+  std::string ended;
+  std::string silent;
   for (const WorkerLoss& loss : losses) {
-    (loss.crashed ? crashed : unproved) += " " + loss.worker;
+    std::string& list = loss.crashed ? crashed : loss.ended ? ended : silent;
+    list += " " + loss.worker;
   }
   std::string text =
       std::to_string(proved_crashes()) + " workers crashed under it:" + crashed;
-  if (!unproved.empty()) text += "; lost without proof:" + unproved;
+  if (!ended.empty()) text += "; ended out of sight:" + ended;
+  if (!silent.empty()) text += "; lost without proof:" + silent;
   return text;
 }
 
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -7,10 +7,12 @@
 // because of that start.
 //
 // A worker that falls silent may have crashed, or it is cut off and works on.
-// Only crashes end a job: the run is known to have begun and cannot have ended
-// before, or the worker, silent since it held the run, is known to have ended.
-// Any other loss counts until the worker is seen alive or its end is known; as
-// long as too many are unaccounted for, the task waits.
+// Two proved crashes end a job: the run is known to have begun and cannot have
+// ended before. A worker that is known to have ended after its leases may have
+// crashed under the run, or later behind a cut: that proves nothing by itself,
+// and only a longer series of such losses ends a job. Any other loss counts
+// until the worker is seen alive or its end is known; as long as too many are
+// unaccounted for, the task waits.
 #ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 #define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 
@@ -57,11 +59,15 @@
   std::string worker;
   // Nullopt if it is not known.
   std::optional<WallTime> incarnation_start = std::nullopt;
-  // Proved to have crashed under the task, or known to have ended since it fell
-  // silent, without having left as announced.
+  // Proved to have crashed under the task.
   bool crashed = false;
   // Whether the run is known to have begun there.
   bool began = false;
+  // Known to have ended since it fell silent, without having left as announced.
+  // The run may have ended before.
+  bool ended = false;
+
+  bool is_accounted_for() const { return crashed || ended; }
 
   // Whether the incarnation of `id` that started at `start` is certainly this
   // one. Where no start times are reported, ids alone tell.
@@ -72,7 +78,7 @@
 
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
-         a.crashed == b.crashed && a.began == b.began;
+         a.crashed == b.crashed && a.began == b.began && a.ended == b.ended;
 }
 
 // Whether a task may be started again.
@@ -103,11 +109,13 @@
                      const std::optional<WallTime>& incarnation_start,
                      WallTime job_accepted);
   size_t proved_crashes() const;
+  // Losses under runs that had begun, on workers that are known to be over.
+  size_t accounted_losses() const;
   // That incarnation is over and has not left as announced. Returns whether the
   // record has changed.
   bool OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
-  bool HasUnproved(const std::string& worker) const;
+  bool HasUnaccounted(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
   bool MustWait() const { return verdict() == CrashVerdict::kMustWait; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -136,7 +136,7 @@
   for (size_t i = 0; i < present->tasks.size(); ++i) {
     const TaskStatus& task = present->tasks[i];
     const TaskRef task_ref{ref, static_cast<int>(i)};
-    IndexUnprovedLosses(task_ref, task);
+    IndexUnaccountedLosses(task_ref, task);
     FailJobIfGivenUp(task_ref, job, task);
     if (!spec.long_running) failures = std::max(failures, task.failures);
   }
@@ -246,7 +246,7 @@
   }
   SetPhase(progress, task, TaskPhase::kWaiting);
   UpdateCrashRecord(end, lost, spec, &task->crashes);
-  IndexUnprovedLosses(ref, *task);
+  IndexUnaccountedLosses(ref, *task);
   FailJobIfGivenUp(ref, job, *task);
   if (end != RunEnd::kFailed || spec.long_running) return true;
   int failures = ++task->failures;
@@ -268,10 +268,10 @@
        "task " + ref.ToString() + " was given up: " + task.crashes.ToText());
 }
 
-void JobLedger::IndexUnprovedLosses(const TaskRef& ref,
-                                    const TaskStatus& task) {
+void JobLedger::IndexUnaccountedLosses(const TaskRef& ref,
+                                       const TaskStatus& task) {
   for (const WorkerLoss& loss : task.crashes.losses) {
-    if (!loss.crashed) unproved_losses_[loss.worker].insert(ref);
+    if (!loss.is_accounted_for()) unaccounted_losses_[loss.worker].insert(ref);
   }
 }
 
@@ -279,8 +279,8 @@
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
   std::vector<TaskRef> cleared;
-  const auto found = unproved_losses_.find(worker);
-  if (found == unproved_losses_.end()) return cleared;
+  const auto found = unaccounted_losses_.find(worker);
+  if (found == unaccounted_losses_.end()) return cleared;
   std::set<TaskRef> left;
   for (const TaskRef& ref : found->second) {
     StepProgress* progress = FindStep(ref.step);
@@ -291,10 +291,10 @@
       MarkDirty(*FindStepSpec(ref.step), ref);
       cleared.push_back(ref);
     }
-    if (task.crashes.HasUnproved(worker)) left.insert(ref);
+    if (task.crashes.HasUnaccounted(worker)) left.insert(ref);
   }
   found->second = std::move(left);
-  if (found->second.empty()) unproved_losses_.erase(found);
+  if (found->second.empty()) unaccounted_losses_.erase(found);
   return cleared;
 }
 
@@ -302,8 +302,8 @@
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
   std::vector<TaskRef> changed;
-  const auto found = unproved_losses_.find(worker);
-  if (found == unproved_losses_.end()) return changed;
+  const auto found = unaccounted_losses_.find(worker);
+  if (found == unaccounted_losses_.end()) return changed;
   for (const TaskRef& ref : found->second) {
     StepProgress* progress = FindStep(ref.step);
     if (progress == nullptr) continue;
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -155,17 +155,18 @@
   void Fail(Job* job, std::string reason);
   void SetState(Job* job, JobState state);
   void MarkDirty(const StepSpec& spec, const TaskRef& ref);
-  // Adds the unproved losses in the task's crash record to unproved_losses_.
-  void IndexUnprovedLosses(const TaskRef& ref, const TaskStatus& task);
+  // Adds the losses in the task's crash record that are not accounted for to
+  // unaccounted_losses_.
+  void IndexUnaccountedLosses(const TaskRef& ref, const TaskStatus& task);
   // Copies one stored block; returns false if its size differs.
   bool RestoreBlock(const ProgressBlockRef& ref, const ProgressBlock& block,
                     StepProgress* progress);
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   int64_t urgent_completions_ = 0;
-  // Invariant: contains every task whose crash record has an unproved loss, by
-  // worker. May contain others.
-  std::map<std::string, std::set<TaskRef>> unproved_losses_;
+  // Invariant: contains every task whose crash record has a loss that is not
+  // accounted for, by worker. May contain others.
+  std::map<std::string, std::set<TaskRef>> unaccounted_losses_;
   std::set<ProgressBlockRef> dirty_blocks_;
   std::set<std::string> changed_jobs_;
 };
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -14,7 +14,8 @@
 
 // Two lists of the same length: the ids, which is all that older entries read,
 // and of each loss whether it is a proved crash, the start time of the
-// incarnation, and whether the run had begun.
+// incarnation, whether the run had begun, and whether the incarnation is known
+// to be over.
 void AppendLosses(const std::vector<WorkerLoss>& losses, Json* row) {
   Json workers = Json::array();
   Json details = Json::array();
@@ -25,7 +26,7 @@
       start = ToUnixMilliseconds(*loss.incarnation_start);
     }
     details.push_back(
-        Json::array({loss.crashed, std::move(start), loss.began}));
+        Json::array({loss.crashed, std::move(start), loss.began, loss.ended}));
   }
   row->push_back(std::move(workers));
   row->push_back(std::move(details));
@@ -43,6 +44,7 @@
     const Json& detail = row.at(7).at(i);
     losses[i].crashed = detail.at(0).get<bool>();
     losses[i].began = detail.at(2).get<bool>();
+    losses[i].ended = detail.size() > 3 && detail.at(3).get<bool>();
     if (detail.at(1).is_null()) continue;
     losses[i].incarnation_start =
         FromUnixMilliseconds(detail.at(1).get<int64_t>());
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -32,6 +32,8 @@
 const WorkerLoss kCrashed{"w1", FromUnixMilliseconds(1700000000123), true,
                           true};
 const WorkerLoss kSilent{"w2", std::nullopt, false};
+const WorkerLoss kEnded{"w4", FromUnixMilliseconds(1700000000123), false, true,
+                        true};
 
 bool Same(const TaskStatus& a, const TaskStatus& b) {
   return a.phase == b.phase && a.run == b.run && a.failures == b.failures &&
@@ -87,6 +89,9 @@
       {"waiting again after a crash and a silence",
        {TaskPhase::kWaiting, 3, 0, "", "", {{kCrashed, kSilent}, 1}},
        {TaskPhase::kWaiting, 3, 0, "", "", {{kCrashed, kSilent}, 1}}},
+      {"waiting again after a loss that ended out of sight",
+       {TaskPhase::kWaiting, 3, 0, "", "", {{kEnded, kSilent}, 0}},
+       {TaskPhase::kWaiting, 3, 0, "", "", {{kEnded, kSilent}, 0}}},
       {"active again after a crash, without failures",
        {TaskPhase::kActive, 2, 0, "w3", "", {{kCrashed}, 0}},
        {TaskPhase::kActive, 2, 0, "w3", "", {{kCrashed}, 0}}},
