tst_hosted_jobs: the final state is asked for while keys are confirmed

Cause: the test waited until a job of 2 s had ended elsewhere, and asked after that. An entry that has not read its configuration for 4.2 s refuses every key, as it must (it may have been revoked), so that on a busy machine the answer was 503.

Change: the entry is asked as soon as it refuses the state of the running job (1.5 s after the cut).

--- a/tests/integration/tst_hosted_jobs.cc
+++ b/tests/integration/tst_hosted_jobs.cc
@@ -116,17 +116,26 @@
            cluster.State(0, running) == "running";
   }));
   REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", true}}));
+  const auto query_running = [&] {
+    return cluster.Call(
+        0, "GET", HostedCluster::QueuePrefix(running.priority) + running.id, "",
+        HostedCluster::AccountKey());
+  };
+  REQUIRE(HostedCluster::Eventually([&] {
+    const auto answer = query_running();
+    return answer && answer->status == 503;
+  }));
+  // Asked as soon as the entry lacks the store: later it refuses every key,
+  // since it may have been revoked.
+  CHECK(cluster.State(0, done) == "completed");
   // The other entries continue and report the end of the job. This entry must
   // not report an older state.
   REQUIRE(HostedCluster::Eventually(
       [&] { return cluster.State(1, running) == "completed"; }));
-  const auto stale =
-      cluster.Call(0, "GET", HostedCluster::QueuePrefix(1) + running.id, "",
-                   HostedCluster::AccountKey());
+  const auto stale = query_running();
   REQUIRE(stale.has_value());
   CHECK(stale->status == 503);
   CHECK(stale->headers.Has("Retry-After"));
-  CHECK(cluster.State(0, done) == "completed");
   REQUIRE(cluster.ControlStoreProxy(0, {{"freeze", false}}));
   CHECK(HostedCluster::Eventually(
       [&] { return cluster.State(0, running) == "completed"; }));
