A crash without proof accounts for the worker

Callers would see: a sound job that stays at `running` for ever.

Cause: a run whose worker turns out to have restarted after the certain end of its lease and before the bound with its slack (0.6 s and 2%), or under a leader that has not renewed the lease yet, ends as `worker-crashed` without a proof. The fleet reports the end of the incarnation before the ends of its runs, so that the loss is recorded after the only sign that would have marked it as ended.

Ruled out: that a later sign marks it. ended_incarnations_ lets each incarnation be reported once, and lost_at_address_ holds only workers that were lost in silence.

Change: a loss under a run that had begun, on a worker that is known to have crashed, is recorded as ended if it is not a proved crash.

Test: tst_crash_evidence, "a restart after the certain lease accounts for the worker". On the code before the task waits after four starts, 2 checks of 61 fail; now it gets the fifth, and its job ends after that. tst_crash_record, tst_progress_block, tst_life_evidence, tst_worker_life, tst_departures: passed.

--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -52,7 +52,11 @@
   const bool at_start = IsAtStart(run, step);
   const bool proved =
       run.crashed && run.began && (at_start || run.within_lease);
-  losses.push_back({run.worker, run.incarnation_start, proved, run.began});
+  // A crash without proof still shows that the incarnation is over, and nothing
+  // will show it again.
+  const bool ended = run.crashed && run.began && !proved;
+  losses.push_back(
+      {run.worker, run.incarnation_start, proved, run.began, ended});
   // Without proof there may or may not have been a crash at the start.
   if (!proved) return;
   start_crashes = at_start ? start_crashes + 1 : 0;
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -217,6 +217,36 @@
   }
 }
 
+// Guards against a sound task that waits for ever: each of its workers was cut
+// off and restarted at about the end of the run's lease. That proves no crash,
+// but the incarnation is over, and no later sign will account for it.
+TEST_CASE("a restart after the certain lease accounts for the worker") {
+  constexpr int64_t kLeaseEnd = 4500;
+  constexpr int64_t kRestartSeen = 5000;
+  JobLedger ledger = LedgerWith(MakeStep(1, 1));
+  int starts = 0;
+  while (starts <= kMaxStarts && MayStart(ledger)) {
+    ++starts;
+    const std::string id = "w" + std::to_string(starts);
+    WorkerTracker tracker = FirstIncarnation(id);
+    const int run = ledger.RecordStart(kStep, {{0, id}});
+    tracker.Add(kTask, run, Profile(), At(20));
+    const Milliseconds deadline =
+        tracker.IssueDeadline(Milliseconds(kLeaseEnd), At(20));
+    tracker.OnStartSent(kTask, run, deadline, At(20));
+    tracker.OnStartAnswer(kTask, run, StartOutcome::kAccepted, At(25));
+    tracker.OnReportFailed(At(300));
+    REQUIRE_FALSE(tracker.LeasesExpired(At(kRestartSeen)));
+    const auto ends = HandleReport(&tracker, kSecondStart, kRestartSeen);
+    REQUIRE(ends.size() == 1);
+    REQUIRE(ends[0].end == RunEnd::kWorkerCrashed);
+    ledger.RecordRunEnd(kTask, run, ends[0].end, "", ToLostRun(id, ends[0]));
+    CHECK(ledger.FindTask(kTask)->crashes.proved_crashes() == 0);
+  }
+  CHECK(starts == kMaxStarts);
+  CHECK(IsTerminal(ledger.Find(kStep.job)->state));
+}
+
 // Guards against a crash at the start that is none: a call without an answer
 // just before the order was accepted is taken for the time of the crash.
 TEST_CASE("a silence before the start is not the time of a later crash") {
