A later incarnation accounts for losses that predecessors recorded

Nothing marked the recorded loss as ended.

Cause: that an incarnation is over is reported only for the incarnation that this leader's own tracker knew. A successor, or a leader that has forgotten the worker since it was not listed, hears the next incarnation as a worker that is alive, which matched no loss.

Ruled out: an earlier incarnation that is heard late. Signs of life are younger than the loss (LostAt, the first read of the directory), and only a later start time counts.

Change: JobLedger::OnLaterIncarnation, called with each sign of life that names a start time, marks losses under earlier incarnations of the id as ended. OnWorkerEnded shares its loop.

--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -235,6 +235,7 @@
                      const std::optional<WallTime>& incarnation_start);
   void OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  void OnCrashRecordsChanged(const std::vector<TaskRef>& tasks);
   // Logs the task if it will not be started again.
   void LogIfGivenUp(const TaskRef& task);
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -312,10 +312,15 @@
 }
 
 // A silent worker that is seen again was cut off, or the way to it was: tasks
-// that it was counted against may start again.
+// that it was counted against may start again. A leader also learns in this way
+// of restarts after losses that its predecessors recorded.
 void ClusterCoordinator::OnWorkerAlive(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
+  if (incarnation_start) {
+    OnCrashRecordsChanged(
+        ledger_.OnLaterIncarnation(worker, *incarnation_start));
+  }
   const std::vector<TaskRef> cleared =
       ledger_.OnWorkerAlive(worker, incarnation_start);
   if (cleared.empty()) return;
@@ -334,10 +339,13 @@
 void ClusterCoordinator::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
-  const std::vector<TaskRef> changed =
-      ledger_.OnWorkerEnded(worker, incarnation_start);
-  for (const TaskRef& task : changed) LogIfGivenUp(task);
-  if (!changed.empty()) SchedulePlanning();
+  OnCrashRecordsChanged(ledger_.OnWorkerEnded(worker, incarnation_start));
+}
+
+void ClusterCoordinator::OnCrashRecordsChanged(
+    const std::vector<TaskRef>& tasks) {
+  for (const TaskRef& task : tasks) LogIfGivenUp(task);
+  if (!tasks.empty()) SchedulePlanning();
 }
 
 // Stops the runs that are not current in the ledger: those of cancelled or
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -34,6 +34,19 @@
   return run.crashed && run.began && run.survived < phase;
 }
 
+// Marks the losses that match, of runs that had begun, as ended. Returns
+// whether one was not accounted for before.
+template <typename Matches>
+bool MarkEnded(std::vector<WorkerLoss>* losses, const Matches& matches) {
+  bool changed = false;
+  for (WorkerLoss& loss : *losses) {
+    if (loss.is_accounted_for() || !loss.began || !matches(loss)) continue;
+    loss.ended = true;
+    changed = true;
+  }
+  return changed;
+}
+
 }  // namespace
 
 bool WorkerLoss::IsOfIncarnation(const std::string& id,
@@ -78,16 +91,17 @@
 bool CrashRecord::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
-  bool changed = false;
-  for (WorkerLoss& loss : losses) {
-    const bool is_it = !loss.is_accounted_for() && loss.began &&
-                       loss.worker == worker &&
-                       loss.incarnation_start == incarnation_start;
-    if (!is_it) continue;
-    loss.ended = true;
-    changed = true;
-  }
-  return changed;
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.worker == worker && loss.incarnation_start == incarnation_start;
+  });
+}
+
+bool CrashRecord::OnLaterIncarnation(const std::string& worker,
+                                     WallTime start) {
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.worker == worker && loss.incarnation_start &&
+           *loss.incarnation_start < start;
+  });
 }
 
 bool CrashRecord::HasUnaccounted(const std::string& worker) const {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -115,6 +115,9 @@
   // record has changed.
   bool OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  // An incarnation that started at that time is alive: those that started
+  // before are over. Returns whether the record has changed.
+  bool OnLaterIncarnation(const std::string& worker, WallTime start);
   bool HasUnaccounted(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -301,6 +301,21 @@
 std::vector<TaskRef> JobLedger::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
+    return crashes->OnWorkerEnded(worker, incarnation_start);
+  });
+}
+
+std::vector<TaskRef> JobLedger::OnLaterIncarnation(const std::string& worker,
+                                                   WallTime start) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
+    return crashes->OnLaterIncarnation(worker, start);
+  });
+}
+
+std::vector<TaskRef> JobLedger::UpdateCrashRecords(
+    const std::string& worker,
+    const std::function<bool(CrashRecord*)>& update) {
   std::vector<TaskRef> changed;
   const auto found = unaccounted_losses_.find(worker);
   if (found == unaccounted_losses_.end()) return changed;
@@ -308,7 +323,7 @@
     StepProgress* progress = FindStep(ref.step);
     if (progress == nullptr) continue;
     TaskStatus& task = progress->tasks[static_cast<size_t>(ref.index)];
-    if (!task.crashes.OnWorkerEnded(worker, incarnation_start)) continue;
+    if (!update(&task.crashes)) continue;
     MarkDirty(*FindStepSpec(ref.step), ref);
     FailJobIfGivenUp(ref, Find(ref.step.job), task);
     changed.push_back(ref);
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -8,6 +8,7 @@
 #define THORNPLANK_WORKLOAD_JOB_LEDGER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -126,6 +127,11 @@
   std::vector<TaskRef> OnWorkerEnded(
       const std::string& worker,
       const std::optional<WallTime>& incarnation_start);
+  // The incarnation of the worker that started at `start` is alive, so that the
+  // earlier ones are over. May end jobs. Returns the tasks of which the record
+  // has changed.
+  std::vector<TaskRef> OnLaterIncarnation(const std::string& worker,
+                                          WallTime start);
   // Records a checkpoint reported by a run that continues.
   void RecordCheckpoint(const TaskRef& ref, int run,
                         const std::string& checkpoint);
@@ -155,6 +161,11 @@
   void Fail(Job* job, std::string reason);
   void SetState(Job* job, JobState state);
   void MarkDirty(const StepSpec& spec, const TaskRef& ref);
+  // Applies `update` to the records of the tasks that have unaccounted losses
+  // on the worker, and returns the tasks for which it returns true.
+  std::vector<TaskRef> UpdateCrashRecords(
+      const std::string& worker,
+      const std::function<bool(CrashRecord*)>& update);
   // Adds the losses in the task's crash record that are not accounted for to
   // unaccounted_losses_.
   void IndexUnaccountedLosses(const TaskRef& ref, const TaskStatus& task);
