Workers known to be over allow the fifth start under any run

Cause: a worker that is known to be over counted as unaccounted for if its run was not known to have begun. A successor never knows that of a run that it inherits and that no report shows, so that each crash around a change of leader stayed on the record for good.

Ruled out: that a fifth start exceeds the platform's rule. Each start that may have begun is one of the losses, and five losses are never followed by a start.

Change: a worker that is known to be over is accounted for. Three of four allow the fifth start, as before. To end a job after five, four of them still have to be under runs that are known to have begun; otherwise the task waits.

--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -16,7 +16,8 @@
 // left for a crash that a change of leader has hidden.
 constexpr size_t kMaxWorkersLost = 4;
 // The fifth start is for a task whose workers have ended without proof that it
-// crashed them; if it loses that worker too, its job ends.
+// crashed them. If it loses that worker too, its job ends, unless its runs may
+// never have begun.
 constexpr size_t kMinAccountedForLastStart = 3;
 constexpr size_t kMinAccountedToGiveUp = 4;
 constexpr std::chrono::seconds kProvenRunTime{5};
@@ -34,13 +35,13 @@
   return run.crashed && run.began && run.survived < phase;
 }
 
-// Marks the losses that match, of runs that had begun, as ended. Returns
-// whether one was not accounted for before.
+// Marks the losses that match as ended. Returns whether one of them was not
+// accounted for before.
 template <typename Matches>
 bool MarkEnded(std::vector<WorkerLoss>* losses, const Matches& matches) {
   bool changed = false;
   for (WorkerLoss& loss : *losses) {
-    if (loss.is_accounted_for() || !loss.began || !matches(loss)) continue;
+    if (loss.is_accounted_for() || !matches(loss)) continue;
     loss.ended = true;
     changed = true;
   }
@@ -67,7 +68,7 @@
       run.crashed && run.began && (at_start || run.within_lease);
   // A crash without proof still shows that the incarnation is over, and nothing
   // will show it again.
-  const bool ended = run.crashed && run.began && !proved;
+  const bool ended = run.crashed && !proved;
   losses.push_back(
       {run.worker, run.incarnation_start, proved, run.began, ended});
   // Without proof there may or may not have been a crash at the start.
@@ -123,6 +124,13 @@
       [](const WorkerLoss& loss) { return loss.is_accounted_for(); }));
 }
 
+size_t CrashRecord::accounted_losses_of_runs() const {
+  return static_cast<size_t>(
+      std::count_if(losses.begin(), losses.end(), [](const WorkerLoss& loss) {
+        return loss.began && loss.is_accounted_for();
+      }));
+}
+
 CrashVerdict CrashRecord::verdict() const {
   if (start_crashes >= kMaxStartCrashes) return CrashVerdict::kGivenUp;
   if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
@@ -132,8 +140,9 @@
                ? CrashVerdict::kMayStart
                : CrashVerdict::kMustWait;
   }
-  return accounted_losses() >= kMinAccountedToGiveUp ? CrashVerdict::kGivenUp
-                                                     : CrashVerdict::kMustWait;
+  return accounted_losses_of_runs() >= kMinAccountedToGiveUp
+             ? CrashVerdict::kGivenUp
+             : CrashVerdict::kMustWait;
 }
 
 std::string CrashRecord::ToText() const {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -64,7 +64,7 @@
   // Whether the run is known to have begun there.
   bool began = false;
   // Known to have ended since it fell silent, without having left as announced.
-  // The run may have ended before.
+  // The run may have ended before, or never have begun.
   bool ended = false;
 
   bool is_accounted_for() const { return crashed || ended; }
@@ -109,8 +109,10 @@
                      const std::optional<WallTime>& incarnation_start,
                      WallTime job_accepted);
   size_t proved_crashes() const;
-  // Losses under runs that had begun, on workers that are known to be over.
+  // Losses of workers that are known to be over.
   size_t accounted_losses() const;
+  // Those of them under runs that are known to have begun.
+  size_t accounted_losses_of_runs() const;
   // That incarnation is over and has not left as announced. Returns whether the
   // record has changed.
   bool OnWorkerEnded(const std::string& worker,
