Orders under way at a restart may have begun their runs

Callers would see: a task that crashes its workers is started a sixth time (BUDGET).

Cause: a task crashes its worker by the order; before that order is known to have no answer (0.25 s between its copies), a request for a report or a stop finds the next incarnation, by its id (421) or by a later start time. The run is then at kSending on a worker that was never silent, ends as `lost`, and its crash is not counted.

Ruled out: an order that the next incarnation itself refuses. It has no unanswered copy and ends as `lost`, as before (tst_worker_fleet, tst_worker_tracker).

Change: when another call than the order's own answer shows that the incarnation is over, orders under way there count as unanswered, so that their runs may have begun.

Test: tst_life_evidence, "an order that is under way at a restart may have begun its run", two rows: both fail on the code before, now none. tst_worker_tracker, tst_worker_fleet, tst_worker_fleet_incarnations, tst_worker_fleet_outages, tst_worker_restart, tst_paged_ends, tst_worker_life, tst_crash_record, tst_crash_evidence, tst_recorded_losses, tst_departures, tst_cluster_coordinator: passed.

--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -106,10 +106,13 @@
     handlers_.on_ticket_refused(task.step, worker);
   }
   if (result.last_answer == StartOutcome::kFenced) handlers_.on_fenced();
-  if (is_other && result.has_unanswered_copy) {
-    tracker->OnStartAnswer(task, run, StartOutcome::kNoAnswer, now);
-  }
   if (is_other) {
+    // Without an unanswered copy, the next incarnation has refused the order.
+    const StartOutcome outcome = result.has_unanswered_copy
+                                     ? StartOutcome::kNoAnswer
+                                     : StartOutcome::kRefused;
+    DeliverEnds(worker, tracker->OnStartAnswer(task, run, outcome, now));
+    tracker->MarkOrdersUnanswered(now);
     return OnIncarnationOver(worker, IncarnationEnd::kCrashed);
   }
   DeliverEnds(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
@@ -168,6 +171,7 @@
           // incarnation.
           if (outcome == CallOutcome::kOtherIncarnation &&
               incarnation == tracker->incarnation()) {
+            tracker->MarkOrdersUnanswered(Now());
             return OnIncarnationOver(id, IncarnationEnd::kCrashed);
           }
           if (outcome != CallOutcome::kOk) {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -479,6 +479,7 @@
     case CallOutcome::kOtherIncarnation:
       // The call may have gone to an address of a previous incarnation.
       if (query.incarnation != tracker->incarnation()) return;
+      tracker->MarkOrdersUnanswered(now);
       OnIncarnationOver(id, IncarnationEnd::kCrashed);
       return handlers_.on_no_answer(id);
     case CallOutcome::kRefused:
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -248,6 +248,14 @@
   if (acknowledged) tracked->stop_acknowledged = now;
 }
 
+void WorkerTracker::MarkOrdersUnanswered(Time now) {
+  for (auto& [task, run] : runs_) {
+    if (run.stage != RunStage::kSending) continue;
+    run.stage = RunStage::kUnknown;
+    run.stage_since = now;
+  }
+}
+
 bool WorkerTracker::IsFromPastIncarnation(const WorkerStatusReport& report,
                                           Time sent) const {
   return incarnation_.Classify(report.incarnation_start.time, sent) ==
@@ -289,7 +297,8 @@
   for (auto it = runs_.begin(); it != runs_.end();) {
     const auto run = it++;
     if (OutlivesRestart(run->second, report, sent)) {
-      if (MayHaveBegun(run->second)) {
+      const bool is_under_way = run->second.stage == RunStage::kSending;
+      if (is_under_way || MayHaveBegun(run->second)) {
         run->second.may_have_crashed = true;
         run->second.crashed_incarnation = incarnation_.start();
       }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -249,6 +249,9 @@
   std::vector<RunEndReport> OnStartAnswer(const TaskRef& task, int run,
                                           StartOutcome outcome, Time now);
   void OnStopAnswer(const TaskRef& task, int run, bool acknowledged, Time now);
+  // The incarnation is known to be over by another call than the orders that
+  // are under way: it may have carried them out before.
+  void MarkOrdersUnanswered(Time now);
 
   // Whether the report is from an incarnation that is over; such a report must
   // be ignored.
--- a/tests/auto/coordination/tst_life_evidence.cc
+++ b/tests/auto/coordination/tst_life_evidence.cc
@@ -153,6 +153,46 @@
   CHECK(f.ends[0] != RunEnd::kLost);
 }
 
+// Guards against a crash that counts nowhere, so that its task is started a
+// sixth time: the task crashes the worker by its order, and another call finds
+// the next incarnation before the order is known to have no answer.
+TEST_CASE("an order that is under way at a restart may have begun its run") {
+  struct Row {
+    const char* name;
+    // What the other call gets.
+    CallOutcome outcome;
+    int64_t incarnation_start;
+  };
+  const std::vector<Row> rows = {
+      {"another id at its address", CallOutcome::kOtherIncarnation, 5000},
+      {"a report of the next incarnation", CallOutcome::kOk, 9000},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Fixture f;
+    f.calls.report.incarnation_start.time = FromUnixMilliseconds(5000);
+    f.fleet.OnDirectoryCaughtUp(Fixture::Now());
+    f.fleet.ProbeIfQuiet("w1", Fixture::Now() + std::chrono::seconds(1));
+    f.calls.start_answer = StartOutcome::kNoAnswer;
+    bool is_found = false;
+    f.calls.on_start = [&] {
+      if (std::exchange(is_found, true)) return;
+      f.calls.status_outcome = row.outcome;
+      f.calls.report.incarnation_start.time =
+          FromUnixMilliseconds(row.incarnation_start);
+      f.fleet.ProbeIfQuiet("w1", Fixture::Now() + std::chrono::seconds(1));
+    };
+    f.Start();
+    f.calls.answer_long_polls = true;
+    Time now = Fixture::Now();
+    for (int i = 0; i < 10 && f.ends.empty(); ++i) {
+      now += Milliseconds(300);
+      f.Tick(now);
+    }
+    CHECK(f.ends == std::vector<RunEnd>{RunEnd::kWorkerCrashed});
+  }
+}
+
 // Guards against a proved crash of a worker that lives: it has restarted under
 // its id at another address, and a call to the one that it had before is
 // answered by whoever is there now, after the new incarnation was heard.
