The reported end of a lost run takes its worker off the record

Callers would see: a sound job that stays at `running`.

Cause: a leader that inherits a run on a worker which is cut off never hears which incarnation that is, and records the loss without its start time. When the worker is back, it counts as another incarnation if it started later than 5 s before the job was accepted, so that neither its reports nor its entries ever account for the loss. But it lists the end of that very run (`lapsed`, `broken`, `stopped`), since nobody has acknowledged it, and the ledger ignored the end of a run that is no longer current.

Ruled out: to take the listed start time for that of the lost incarnation. The worker may have crashed and restarted before the new leader read the directory.

An end that the worker itself reports of that run strikes the loss, unless it is a proved crash.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -24,6 +24,7 @@
 LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
   LostRun run;
   run.worker = worker;
+  run.number = end.run;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -69,8 +69,8 @@
   // A crash without proof still shows that the incarnation is over, and nothing
   // will show it again.
   const bool ended = run.crashed && !proved;
-  losses.push_back(
-      {run.worker, run.incarnation_start, proved, run.began, ended});
+  losses.push_back({run.worker, run.incarnation_start, proved, run.began, ended,
+                    run.number});
   // Without proof there may or may not have been a crash at the start.
   if (!proved) return;
   start_crashes = at_start ? start_crashes + 1 : 0;
@@ -89,6 +89,16 @@
   return changed;
 }
 
+bool CrashRecord::OnRunEndReported(const std::string& worker, int run) {
+  const auto first =
+      std::remove_if(losses.begin(), losses.end(), [&](const WorkerLoss& loss) {
+        return !loss.crashed && loss.worker == worker && loss.run == run;
+      });
+  const bool changed = first != losses.end();
+  losses.erase(first, losses.end());
+  return changed;
+}
+
 bool CrashRecord::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -32,6 +32,7 @@
 // What is known of a run whose worker's incarnation ended.
 struct LostRun {
   std::string worker;
+  int number = 0;
   // When the worker's incarnation started, as it reports itself.
   std::optional<WallTime> incarnation_start = std::nullopt;
   // True if the worker is known to have crashed; false if it was only silent
@@ -66,6 +67,8 @@
   // Known to have ended since it fell silent, without having left as announced.
   // The run may have ended before, or never have begun.
   bool ended = false;
+  // Number of the run that was lost; 0 in records of earlier releases.
+  int run = 0;
 
   bool is_accounted_for() const { return crashed || ended; }
 
@@ -78,7 +81,8 @@
 
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
-         a.crashed == b.crashed && a.began == b.began && a.ended == b.ended;
+         a.crashed == b.crashed && a.began == b.began && a.ended == b.ended &&
+         a.run == b.run;
 }
 
 // Whether a task may be started again.
@@ -108,6 +112,9 @@
   bool OnWorkerAlive(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start,
                      WallTime job_accepted);
+  // The worker has reported how that run ended, so that the run was not lost
+  // with it. Returns whether the record has changed.
+  bool OnRunEndReported(const std::string& worker, int run);
   size_t proved_crashes() const;
   // Losses of workers that are known to be over.
   size_t accounted_losses() const;
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -23,6 +23,25 @@
          (!lost.began || lost.survived < kStartPhase);
 }
 
+// Whether such an end is listed by the worker itself.
+bool IsReportedByWorker(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+    case RunEnd::kFailed:
+    case RunEnd::kStopped:
+    case RunEnd::kLeaseLapsed:
+    case RunEnd::kGangBroken:
+    case RunEnd::kGangIncomplete:
+      return true;
+    case RunEnd::kLost:
+    case RunEnd::kWorkerLeft:
+    case RunEnd::kWorkerCrashed:
+    case RunEnd::kWorkerSilent:
+      return false;
+  }
+  return false;
+}
+
 // Records what the end of a run shows about crashes of its task; a run that
 // never began shows nothing.
 void UpdateCrashRecord(RunEnd end, const LostRun& lost, const StepSpec& step,
@@ -231,6 +250,9 @@
   const bool current = task->phase == TaskPhase::kActive && task->run == run;
   const bool late_done = end == RunEnd::kDone && !spec.long_running &&
                          task->phase != TaskPhase::kDone;
+  const bool is_cleared = IsReportedByWorker(end) &&
+                          task->crashes.OnRunEndReported(lost.worker, run);
+  if (is_cleared) MarkDirty(spec, ref);
   if (!current && !late_done) return false;
   if (!checkpoint.empty()) RecordCheckpoint(ref, run, checkpoint);
   MarkDirty(spec, ref);
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -61,6 +61,7 @@
 LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
   LostRun run;
   run.worker = worker;
+  run.number = end.run;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
@@ -309,6 +310,60 @@
   CHECK(starts <= kMaxStarts);
 }
 
+// Guards against a task that waits for ever: its worker was cut off at a change
+// of leader, the new leader never heard which incarnation it was, and the
+// worker comes back later with the end of that run. Its incarnation started
+// after the job was accepted, so that being alive alone proves nothing.
+TEST_CASE("the reported end of a lost run takes its worker off the record") {
+  struct Row {
+    const char* name;
+    std::string worker;
+    // Relative to the run that was lost.
+    int run_offset;
+    RunEnd end;
+    bool cleared;
+  };
+  const std::vector<Row> rows = {
+      {"it lapsed", "w1", 0, RunEnd::kLeaseLapsed, true},
+      {"its gang was broken", "w1", 0, RunEnd::kGangBroken, true},
+      {"it was stopped", "w1", 0, RunEnd::kStopped, true},
+      {"it failed", "w1", 0, RunEnd::kFailed, true},
+      {"an end that the worker has not reported", "w1", 0,
+       RunEnd::kWorkerSilent, false},
+      {"an earlier run", "w1", -1, RunEnd::kLeaseLapsed, false},
+      {"another worker", "w2", 0, RunEnd::kLeaseLapsed, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const StepSpec step = MakeStep(1, 1);
+    JobLedger ledger = LedgerWith(step);
+    ledger.RecordStart(kStep, {{0, "w1"}});
+    ledger.RecordRunEnd(kTask, 1, RunEnd::kStopped, "");
+    const int run = ledger.RecordStart(kStep, {{0, "w1"}});
+    WorkerTracker tracker(Entry("w1", kSecondStart));
+    tracker.Inherit(kTask, run, Profile(), At(20), At(11000));
+    tracker.OnReportFailed(At(900));
+    const auto lost =
+        tracker.OnIncarnationEnded(IncarnationEnd::kSilent, At(11100));
+    REQUIRE(lost.size() == 1);
+    ledger.RecordRunEnd(kTask, run, lost[0].end, "", ToLostRun("w1", lost[0]));
+    REQUIRE(ledger.FindTask(kTask)->crashes.losses.size() == 1);
+    const std::string stored = EncodeBlock(*ledger.FindBlock({kStep, 0}));
+    ledger = LedgerWith(step);
+    REQUIRE(ledger.Restore(kStep, {{0, *DecodeBlock(stored, nullptr)}}));
+    ledger.OnWorkerAlive("w1", FromUnixMilliseconds(kSecondStart));
+    ledger.TakeDirtyBlocks();
+    RunEndReport report;
+    report.run = run + row.run_offset;
+    report.end = row.end;
+    CHECK_FALSE(ledger.RecordRunEnd(kTask, report.run, row.end, "",
+                                    ToLostRun(row.worker, report)));
+    CHECK(ledger.FindTask(kTask)->crashes.empty() == row.cleared);
+    CHECK(ledger.TakeDirtyBlocks().empty() == !row.cleared);
+    CHECK(ledger.FindTask(kTask)->failures == 0);
+  }
+}
+
 // Guards against a task that waits for ever: a sign of another incarnation
 // drops the worker from the index of silent workers, though the loss remains.
 TEST_CASE("another incarnation does not hide a later sign of the lost one") {
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -32,8 +32,8 @@
 const WorkerLoss kCrashed{"w1", FromUnixMilliseconds(1700000000123), true,
                           true};
 const WorkerLoss kSilent{"w2", std::nullopt, false};
-const WorkerLoss kEnded{"w4", FromUnixMilliseconds(1700000000123), false, true,
-                        true};
+const WorkerLoss kEnded{
+    "w4", FromUnixMilliseconds(1700000000123), false, true, true, 7};
 
 bool Same(const TaskStatus& a, const TaskStatus& b) {
   return a.phase == b.phase && a.run == b.run && a.failures == b.failures &&
