A refusal by another id names the incarnation that the entry lists

Callers would see: a sound job that stays at `running`.

Cause: a new leader asks a worker that its predecessor has lost and that the directory still lists, and another id answers at its address (421). The end of the incarnation is reported with the start time that reports have told, and there was no report, so that it matches no loss that names one.

Ruled out: another incarnation than the listed one. The address comes from the same entry.

Change: where no report has told the start time, the end is reported with that of the entry.

Test: tst_recorded_losses, "another id at the address shows that the listed one is over": 2 of 28 checks fail on the code before, now none. tst_worker_life, tst_life_evidence, tst_worker_fleet, tst_worker_fleet_incarnations, tst_worker_fleet_outages, tst_departures: passed.

--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -630,7 +630,9 @@
   Activate(id);
   const WorkerTracker& tracker = *Find(id);
   if (end == IncarnationEnd::kCrashed && !tracker.has_announced_departure()) {
-    handlers_.on_ended(id, tracker.incarnation_start());
+    // A leader that has no report of it yet knows it from its entry only.
+    const std::optional<WallTime>& reported = tracker.incarnation_start();
+    handlers_.on_ended(id, reported ? reported : born);
   }
   EndRunsOfLostWorker(id, end);
 }
--- a/tests/auto/coordination/tst_recorded_losses.cc
+++ b/tests/auto/coordination/tst_recorded_losses.cc
@@ -83,5 +83,40 @@
   }
 }
 
+// Guards against a task that waits for ever: the directory still lists the
+// incarnations that were lost, and others answer at their addresses before this
+// leader has heard the lost ones.
+TEST_CASE("another id at the address shows that the listed one is over") {
+  struct Row {
+    const char* name;
+    int64_t listed_start;
+    size_t ended;
+  };
+  const std::vector<Row> rows = {
+      {"the incarnations that were lost", kLostStart, 4},
+      {"others", kEarlierStart, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Cluster cluster;
+    for (const char* id : {"w3", "w4", "w5"}) cluster.AddWorker(id);
+    for (const std::string& id : kLost) {
+      cluster.calls.replaced.insert(id);
+      cluster.Append(kWorkers,
+                     {id, kBornAt + std::to_string(row.listed_start), 0});
+    }
+    SubmitTaskWithLosses(&cluster);
+    Entry& leader = cluster.Add("a");
+    REQUIRE(RunUntil(cluster.io, [&] { return leader.Knows(1); }));
+    RunUntil(
+        cluster.io, [&] { return cluster.RunCounts().size() == 1; },
+        kManyRounds);
+    const TaskStatus* task = leader.coordinator().ledger().FindTask(kTask);
+    REQUIRE(task != nullptr);
+    CHECK(task->crashes.accounted_losses() == row.ended);
+    CHECK(cluster.RunCounts().size() == (row.ended > 0 ? 1U : 0U));
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
