Losses keep the address of the worker for later leaders

Callers would see: a sound job that stays at `running`.

Cause: which worker was lost at an address is known to the leader that saw it only. Where a crashed executor comes back under a new id, nothing else connects it with the lost one, so that a change of leader between the loss and the next worker leaves it unaccounted for.

Ruled out: a worker that is seen at the address and is older than the lost one. Signs of life come from calls that this leader sent, or from entries stored after its first read; the loss was recorded before.

Change: a loss in silence stores the address, the sixth element of its detail; earlier blocks are read. Each sign of life of another id at that address marks it as ended. A worker that is not listed any more when its runs are inherited has no address, and stays open.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -25,6 +25,7 @@
   LostRun run;
   run.worker = worker;
   run.number = end.run;
+  run.address = end.address;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
@@ -314,7 +315,7 @@
 
 // A silent worker that is seen again was cut off, or the way to it was: tasks
 // that it was counted against may start again. A leader also learns in this way
-// of restarts after losses that its predecessors recorded.
+// that workers are over whose loss its predecessors recorded.
 void ClusterCoordinator::OnWorkerAlive(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
@@ -322,6 +323,11 @@
     OnCrashRecordsChanged(
         ledger_.OnLaterIncarnation(worker, *incarnation_start));
   }
+  const auto tracker = fleet_->trackers().find(worker);
+  if (tracker != fleet_->trackers().end()) {
+    OnCrashRecordsChanged(
+        ledger_.OnWorkerAt(tracker->second.registration().address, worker));
+  }
   const std::vector<TaskRef> cleared =
       ledger_.OnWorkerAlive(worker, incarnation_start);
   if (cleared.empty()) return;
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -70,7 +70,7 @@
   // will show it again.
   const bool ended = run.crashed && !proved;
   losses.push_back({run.worker, run.incarnation_start, proved, run.began, ended,
-                    run.number});
+                    run.number, run.crashed ? "" : run.address});
   // Without proof there may or may not have been a crash at the start.
   if (!proved) return;
   start_crashes = at_start ? start_crashes + 1 : 0;
@@ -115,6 +115,13 @@
   });
 }
 
+bool CrashRecord::OnWorkerAt(const std::string& address,
+                             const std::string& worker) {
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.address == address && loss.worker != worker;
+  });
+}
+
 bool CrashRecord::HasUnaccounted(const std::string& worker) const {
   return std::any_of(losses.begin(), losses.end(),
                      [&worker](const WorkerLoss& loss) {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -32,6 +32,7 @@
 // What is known of a run whose worker's incarnation ended.
 struct LostRun {
   std::string worker;
+  std::string address = "";
   int number = 0;
   // When the worker's incarnation started, as it reports itself.
   std::optional<WallTime> incarnation_start = std::nullopt;
@@ -69,6 +70,9 @@
   bool ended = false;
   // Number of the run that was lost; 0 in records of earlier releases.
   int run = 0;
+  // Where the worker was, as long as it may be needed to account for it; empty
+  // if that is not known.
+  std::string address = "";
 
   bool is_accounted_for() const { return crashed || ended; }
 
@@ -82,7 +86,7 @@
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
          a.crashed == b.crashed && a.began == b.began && a.ended == b.ended &&
-         a.run == b.run;
+         a.run == b.run && a.address == b.address;
 }
 
 // Whether a task may be started again.
@@ -127,6 +131,9 @@
   // An incarnation that started at that time is alive: those that started
   // before are over. Returns whether the record has changed.
   bool OnLaterIncarnation(const std::string& worker, WallTime start);
+  // A worker with that id is alive at the address: others that were lost there
+  // are over. Returns whether the record has changed.
+  bool OnWorkerAt(const std::string& address, const std::string& worker);
   bool HasUnaccounted(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -293,7 +293,10 @@
 void JobLedger::IndexUnaccountedLosses(const TaskRef& ref,
                                        const TaskStatus& task) {
   for (const WorkerLoss& loss : task.crashes.losses) {
-    if (!loss.is_accounted_for()) unaccounted_losses_[loss.worker].insert(ref);
+    if (loss.is_accounted_for()) continue;
+    unaccounted_losses_[loss.worker].insert(ref);
+    if (loss.address.empty()) continue;
+    lost_workers_at_[loss.address].insert(loss.worker);
   }
 }
 
@@ -335,6 +338,28 @@
   });
 }
 
+std::vector<TaskRef> JobLedger::OnWorkerAt(const std::string& address,
+                                           const std::string& worker) {
+  std::vector<TaskRef> changed;
+  const auto found = lost_workers_at_.find(address);
+  if (found == lost_workers_at_.end()) return changed;
+  std::set<std::string> left;
+  for (const std::string& lost : found->second) {
+    if (lost == worker) {
+      left.insert(lost);
+      continue;
+    }
+    const std::vector<TaskRef> tasks =
+        UpdateCrashRecords(lost, [&](CrashRecord* crashes) {
+          return crashes->OnWorkerAt(address, worker);
+        });
+    changed.insert(changed.end(), tasks.begin(), tasks.end());
+  }
+  found->second = std::move(left);
+  if (found->second.empty()) lost_workers_at_.erase(found);
+  return changed;
+}
+
 std::vector<TaskRef> JobLedger::UpdateCrashRecords(
     const std::string& worker,
     const std::function<bool(CrashRecord*)>& update) {
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -132,6 +132,11 @@
   // has changed.
   std::vector<TaskRef> OnLaterIncarnation(const std::string& worker,
                                           WallTime start);
+  // A worker with that id is alive at the address, so that others which were
+  // lost there are over. May end jobs. Returns the tasks of which the record
+  // has changed.
+  std::vector<TaskRef> OnWorkerAt(const std::string& address,
+                                  const std::string& worker);
   // Records a checkpoint reported by a run that continues.
   void RecordCheckpoint(const TaskRef& ref, int run,
                         const std::string& checkpoint);
@@ -178,6 +183,9 @@
   // Invariant: contains every task whose crash record has a loss that is not
   // accounted for, by worker. May contain others.
   std::map<std::string, std::set<TaskRef>> unaccounted_losses_;
+  // Invariant: contains the worker of every such loss, by its address. May
+  // contain others.
+  std::map<std::string, std::set<std::string>> lost_workers_at_;
   std::set<ProgressBlockRef> dirty_blocks_;
   std::set<std::string> changed_jobs_;
 };
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -15,7 +15,7 @@
 // Two lists of the same length: the ids, which is all that older entries read,
 // and of each loss whether it is a proved crash, the start time of the
 // incarnation, whether the run had begun, whether the incarnation is known to
-// be over, and the number of the run.
+// be over, the number of the run, and the address of the worker.
 void AppendLosses(const std::vector<WorkerLoss>& losses, Json* row) {
   Json workers = Json::array();
   Json details = Json::array();
@@ -25,8 +25,8 @@
     if (loss.incarnation_start) {
       start = ToUnixMilliseconds(*loss.incarnation_start);
     }
-    details.push_back(Json::array(
-        {loss.crashed, std::move(start), loss.began, loss.ended, loss.run}));
+    details.push_back(Json::array({loss.crashed, std::move(start), loss.began,
+                                   loss.ended, loss.run, loss.address}));
   }
   row->push_back(std::move(workers));
   row->push_back(std::move(details));
@@ -46,6 +46,7 @@
     losses[i].began = detail.at(2).get<bool>();
     losses[i].ended = detail.size() > 3 && detail.at(3).get<bool>();
     if (detail.size() > 4) losses[i].run = detail.at(4).get<int>();
+    if (detail.size() > 5) losses[i].address = detail.at(5).get<std::string>();
     if (detail.at(1).is_null()) continue;
     losses[i].incarnation_start =
         FromUnixMilliseconds(detail.at(1).get<int64_t>());
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -68,6 +68,9 @@
   // The start time of the incarnation that it ended with. Set by the tracker
   // for a run that ended with its worker.
   std::optional<WallTime> incarnation_start = std::nullopt;
+  // The address of the worker. Set by the tracker for a run that ended with its
+  // worker.
+  std::string address = "";
   // The part of the time since `began` whose work a checkpoint preserves. Set
   // by the tracker.
   Duration saved_work{};
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -479,6 +479,7 @@
   RunEndReport lost =
       MakeRunEnd(run, MayHaveBegun(run) ? end : RunEnd::kLost, now);
   lost.incarnation_start = incarnation_.start();
+  lost.address = registration_.address;
   lost.within_lease = now <= lease_certain_;
   if (run.began != Time{}) {
     lost.survived = silent_since_.value_or(now) - run.began;
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "../workload/workload_fixtures.h"
 #include "coordination/formats.h"
@@ -22,6 +23,8 @@
 // The same for a worker that leaves in kDrainRemaining.
 inline constexpr char kLeavingBornAt[] = "leaving, born at ";
 inline constexpr Milliseconds kDrainRemaining{800};
+// Followed by the address of the worker.
+inline constexpr char kAtAddress[] = "at ";
 
 class FakeFormats : public Formats {
  public:
@@ -49,6 +52,9 @@
     if (born) {
       worker.incarnation_start.time = FromUnixMilliseconds(std::stoll(*born));
     }
+    if (auto address = TextAfter(kAtAddress, *record.value)) {
+      worker.address = *std::move(address);
+    }
     return worker;
   }
   CallerHeaders ReadHeaders(const HttpRequest&) const override { return {}; }
--- a/tests/auto/coordination/tst_recorded_losses.cc
+++ b/tests/auto/coordination/tst_recorded_losses.cc
@@ -20,6 +20,8 @@
 // For several planning rounds after the workers are known.
 constexpr Milliseconds kManyRounds{400};
 
+std::string AddressOf(const std::string& id) { return "10.0.0.1:" + id; }
+
 // A task with as many losses as make it wait.
 void SubmitTaskWithLosses(Cluster* cluster) {
   cluster->Submit({MakeStep(1, 8)}, 60000);
@@ -28,7 +30,8 @@
   block.tasks[0].run = static_cast<int>(kLost.size());
   for (const std::string& id : kLost) {
     block.tasks[0].crashes.losses.push_back(
-        {id, FromUnixMilliseconds(kLostStart), false, true});
+        {id, FromUnixMilliseconds(kLostStart), false, true, false, 0,
+         AddressOf(id)});
   }
   cluster->Append(kBoard,
                   JobBoard::Progress({kTask.step, 0}, EncodeBlock(block)));
@@ -118,5 +121,48 @@
   }
 }
 
+// Guards against a task that waits for ever: the workers that were lost under
+// an earlier leader crashed while nobody heard them, and others with new ids
+// are at their addresses.
+TEST_CASE("another worker at the address shows that the recorded one is over") {
+  struct Row {
+    const char* name;
+    // The lost workers whose addresses others have.
+    std::vector<std::string> replaced;
+  };
+  const std::vector<Row> rows = {
+      {"none", {}},
+      {"two of four", {"w1", "w2"}},
+      {"three of four", {"w1", "w2", "w4"}},
+      {"all", kLost},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Cluster cluster;
+    for (const char* id : {"w1", "w2"}) {
+      cluster.calls.models.erase(id);
+      cluster.Append(kWorkers, {id, std::nullopt, 0});
+    }
+    cluster.AddWorker("x");
+    for (const std::string& lost : row.replaced) {
+      const std::string id = "next-" + lost;
+      cluster.AddWorker(id);
+      cluster.Append(kWorkers, {id, kAtAddress + AddressOf(lost), 0});
+    }
+    SubmitTaskWithLosses(&cluster);
+    Entry& leader = cluster.Add("a");
+    REQUIRE(RunUntil(
+        cluster.io, [&] { return leader.Knows(cluster.calls.models.size()); }));
+    RunUntil(
+        cluster.io, [&] { return cluster.RunCounts().size() == 1; },
+        kManyRounds);
+    const TaskStatus* task = leader.coordinator().ledger().FindTask(kTask);
+    REQUIRE(task != nullptr);
+    CHECK(task->crashes.accounted_losses() == row.replaced.size());
+    const bool may_start = row.replaced.size() >= 3;
+    CHECK(cluster.RunCounts().size() == (may_start ? 1U : 0U));
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -62,6 +62,7 @@
   LostRun run;
   run.worker = worker;
   run.number = end.run;
+  run.address = end.address;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
@@ -364,6 +365,49 @@
   }
 }
 
+// Guards against a task that waits for ever under a new leader: nothing but the
+// address connects a worker that was lost in silence with the next one there.
+TEST_CASE("the next worker at the address accounts for a silent one") {
+  struct Row {
+    const char* name;
+    IncarnationEnd end;
+    const char* address;
+    const char* worker;
+    bool changed;
+  };
+  const std::string address = Entry("w", kFirstStart).address;
+  const std::vector<Row> rows = {
+      {"another id there", IncarnationEnd::kSilent, address.c_str(), "v", true},
+      {"the same id there", IncarnationEnd::kSilent, address.c_str(), "w",
+       false},
+      {"another id elsewhere", IncarnationEnd::kSilent, "10.0.0.1:1", "v",
+       false},
+      {"no address", IncarnationEnd::kSilent, "", "v", false},
+      {"a crash, which is accounted for", IncarnationEnd::kCrashed,
+       address.c_str(), "v", false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    JobLedger ledger = LedgerWith(MakeStep(1, 1));
+    const int run = ledger.RecordStart(kStep, {{0, "w"}});
+    WorkerTracker tracker = FirstIncarnation("w");
+    tracker.Add(kTask, run, Profile(), At(20));
+    tracker.OnStartSent(kTask, run, Milliseconds(1500), At(20));
+    tracker.OnStartAnswer(kTask, run, StartOutcome::kAccepted, At(25));
+    tracker.OnReportFailed(At(900));
+    const auto ends = tracker.OnIncarnationEnded(row.end, At(9000));
+    REQUIRE(ends.size() == 1);
+    ledger.RecordRunEnd(kTask, run, ends[0].end, "", ToLostRun("w", ends[0]));
+    ledger.TakeDirtyBlocks();
+    CHECK(ledger.OnWorkerAt(row.address, row.worker).empty() == !row.changed);
+    CHECK(ledger.OnWorkerAt(row.address, row.worker).empty());
+    CHECK(ledger.TakeDirtyBlocks().empty() == !row.changed);
+    const bool is_crash = row.end == IncarnationEnd::kCrashed;
+    CHECK(ledger.FindTask(kTask)->crashes.accounted_losses() ==
+          (row.changed || is_crash ? 1U : 0U));
+  }
+}
+
 // Guards against a task that waits for ever: a sign of another incarnation
 // drops the worker from the index of silent workers, though the loss remains.
 TEST_CASE("another incarnation does not hide a later sign of the lost one") {
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -31,7 +31,8 @@
 
 const WorkerLoss kCrashed{"w1", FromUnixMilliseconds(1700000000123), true,
                           true};
-const WorkerLoss kSilent{"w2", std::nullopt, false};
+const WorkerLoss kSilent{"w2", std::nullopt, false, false, false,
+                         8,    "10.0.0.1:1"};
 const WorkerLoss kEnded{
     "w4", FromUnixMilliseconds(1700000000123), false, true, true, 7};
 
