--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -24,6 +24,8 @@
 LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
   LostRun run;
   run.worker = worker;
+  run.number = end.run;
+  run.address = end.address;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
@@ -312,10 +314,20 @@
 }
 
 // A silent worker that is seen again was cut off, or the way to it was: tasks
-// that it was counted against may start again.
+// that it was counted against may start again. A leader also learns in this way
+// that workers are over whose loss its predecessors recorded.
 void ClusterCoordinator::OnWorkerAlive(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
+  if (incarnation_start) {
+    OnCrashRecordsChanged(
+        ledger_.OnLaterIncarnation(worker, *incarnation_start));
+  }
+  const auto tracker = fleet_->trackers().find(worker);
+  if (tracker != fleet_->trackers().end()) {
+    OnCrashRecordsChanged(
+        ledger_.OnWorkerAt(tracker->second.registration().address, worker));
+  }
   const std::vector<TaskRef> cleared =
       ledger_.OnWorkerAlive(worker, incarnation_start);
   if (cleared.empty()) return;
@@ -334,10 +346,13 @@
 void ClusterCoordinator::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
-  const std::vector<TaskRef> changed =
-      ledger_.OnWorkerEnded(worker, incarnation_start);
-  for (const TaskRef& task : changed) LogIfGivenUp(task);
-  if (!changed.empty()) SchedulePlanning();
+  OnCrashRecordsChanged(ledger_.OnWorkerEnded(worker, incarnation_start));
+}
+
+void ClusterCoordinator::OnCrashRecordsChanged(
+    const std::vector<TaskRef>& tasks) {
+  for (const TaskRef& task : tasks) LogIfGivenUp(task);
+  if (!tasks.empty()) SchedulePlanning();
 }
 
 // Stops the runs that are not current in the ledger: those of cancelled or
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -479,6 +479,7 @@
     case CallOutcome::kOtherIncarnation:
       // The call may have gone to an address of a previous incarnation.
       if (query.incarnation != tracker->incarnation()) return;
+      tracker->MarkOrdersUnanswered(now);
       OnIncarnationOver(id, IncarnationEnd::kCrashed);
       return handlers_.on_no_answer(id);
     case CallOutcome::kRefused:
@@ -629,7 +630,9 @@
   Activate(id);
   const WorkerTracker& tracker = *Find(id);
   if (end == IncarnationEnd::kCrashed && !tracker.has_announced_departure()) {
-    handlers_.on_ended(id, tracker.incarnation_start());
+    // A leader that has no report of it yet knows it from its entry only.
+    const std::optional<WallTime>& reported = tracker.incarnation_start();
+    handlers_.on_ended(id, reported ? reported : born);
   }
   EndRunsOfLostWorker(id, end);
 }
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -16,7 +16,8 @@
 // left for a crash that a change of leader has hidden.
 constexpr size_t kMaxWorkersLost = 4;
 // The fifth start is for a task whose workers have ended without proof that it
-// crashed them; if it loses that worker too, its job ends.
+// crashed them. If it loses that worker too, its job ends, unless its runs may
+// never have begun.
 constexpr size_t kMinAccountedForLastStart = 3;
 constexpr size_t kMinAccountedToGiveUp = 4;
 constexpr std::chrono::seconds kProvenRunTime{5};
@@ -34,6 +35,19 @@
   return run.crashed && run.began && run.survived < phase;
 }
 
+// Marks the losses that match as ended. Returns whether one of them was not
+// accounted for before.
+template <typename Matches>
+bool MarkEnded(std::vector<WorkerLoss>* losses, const Matches& matches) {
+  bool changed = false;
+  for (WorkerLoss& loss : *losses) {
+    if (loss.is_accounted_for() || !matches(loss)) continue;
+    loss.ended = true;
+    changed = true;
+  }
+  return changed;
+}
+
 }  // namespace
 
 bool WorkerLoss::IsOfIncarnation(const std::string& id,
@@ -52,7 +66,11 @@
   const bool at_start = IsAtStart(run, step);
   const bool proved =
       run.crashed && run.began && (at_start || run.within_lease);
-  losses.push_back({run.worker, run.incarnation_start, proved, run.began});
+  // A crash without proof still shows that the incarnation is over, and nothing
+  // will show it again.
+  const bool ended = run.crashed && !proved;
+  losses.push_back({run.worker, run.incarnation_start, proved, run.began, ended,
+                    run.number, run.crashed ? "" : run.address});
   // Without proof there may or may not have been a crash at the start.
   if (!proved) return;
   start_crashes = at_start ? start_crashes + 1 : 0;
@@ -71,19 +89,37 @@
   return changed;
 }
 
+bool CrashRecord::OnRunEndReported(const std::string& worker, int run) {
+  const auto first =
+      std::remove_if(losses.begin(), losses.end(), [&](const WorkerLoss& loss) {
+        return !loss.crashed && loss.worker == worker && loss.run == run;
+      });
+  const bool changed = first != losses.end();
+  losses.erase(first, losses.end());
+  return changed;
+}
+
 bool CrashRecord::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
-  bool changed = false;
-  for (WorkerLoss& loss : losses) {
-    const bool is_it = !loss.is_accounted_for() && loss.began &&
-                       loss.worker == worker &&
-                       loss.incarnation_start == incarnation_start;
-    if (!is_it) continue;
-    loss.ended = true;
-    changed = true;
-  }
-  return changed;
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.worker == worker && loss.incarnation_start == incarnation_start;
+  });
+}
+
+bool CrashRecord::OnLaterIncarnation(const std::string& worker,
+                                     WallTime start) {
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.worker == worker && loss.incarnation_start &&
+           *loss.incarnation_start < start;
+  });
+}
+
+bool CrashRecord::OnWorkerAt(const std::string& address,
+                             const std::string& worker) {
+  return MarkEnded(&losses, [&](const WorkerLoss& loss) {
+    return loss.address == address && loss.worker != worker;
+  });
 }
 
 bool CrashRecord::HasUnaccounted(const std::string& worker) const {
@@ -105,6 +141,13 @@
       [](const WorkerLoss& loss) { return loss.is_accounted_for(); }));
 }
 
+size_t CrashRecord::accounted_losses_of_runs() const {
+  return static_cast<size_t>(
+      std::count_if(losses.begin(), losses.end(), [](const WorkerLoss& loss) {
+        return loss.began && loss.is_accounted_for();
+      }));
+}
+
 CrashVerdict CrashRecord::verdict() const {
   if (start_crashes >= kMaxStartCrashes) return CrashVerdict::kGivenUp;
   if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
@@ -114,8 +157,9 @@
                ? CrashVerdict::kMayStart
                : CrashVerdict::kMustWait;
   }
-  return accounted_losses() >= kMinAccountedToGiveUp ? CrashVerdict::kGivenUp
-                                                     : CrashVerdict::kMustWait;
+  return accounted_losses_of_runs() >= kMinAccountedToGiveUp
+             ? CrashVerdict::kGivenUp
+             : CrashVerdict::kMustWait;
 }
 
 std::string CrashRecord::ToText() const {
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -32,6 +32,8 @@
 // What is known of a run whose worker's incarnation ended.
 struct LostRun {
   std::string worker;
+  std::string address = "";
+  int number = 0;
   // When the worker's incarnation started, as it reports itself.
   std::optional<WallTime> incarnation_start = std::nullopt;
   // True if the worker is known to have crashed; false if it was only silent
@@ -64,8 +66,13 @@
   // Whether the run is known to have begun there.
   bool began = false;
   // Known to have ended since it fell silent, without having left as announced.
-  // The run may have ended before.
+  // The run may have ended before, or never have begun.
   bool ended = false;
+  // Number of the run that was lost; 0 in records of earlier releases.
+  int run = 0;
+  // Where the worker was, as long as it may be needed to account for it; empty
+  // if that is not known.
+  std::string address = "";
 
   bool is_accounted_for() const { return crashed || ended; }
 
@@ -78,7 +85,8 @@
 
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
-         a.crashed == b.crashed && a.began == b.began && a.ended == b.ended;
+         a.crashed == b.crashed && a.began == b.began && a.ended == b.ended &&
+         a.run == b.run && a.address == b.address;
 }
 
 // Whether a task may be started again.
@@ -108,13 +116,24 @@
   bool OnWorkerAlive(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start,
                      WallTime job_accepted);
+  // The worker has reported how that run ended, so that the run was not lost
+  // with it. Returns whether the record has changed.
+  bool OnRunEndReported(const std::string& worker, int run);
   size_t proved_crashes() const;
-  // Losses under runs that had begun, on workers that are known to be over.
+  // Losses of workers that are known to be over.
   size_t accounted_losses() const;
+  // Those of them under runs that are known to have begun.
+  size_t accounted_losses_of_runs() const;
   // That incarnation is over and has not left as announced. Returns whether the
   // record has changed.
   bool OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  // An incarnation that started at that time is alive: those that started
+  // before are over. Returns whether the record has changed.
+  bool OnLaterIncarnation(const std::string& worker, WallTime start);
+  // A worker with that id is alive at the address: others that were lost there
+  // are over. Returns whether the record has changed.
+  bool OnWorkerAt(const std::string& address, const std::string& worker);
   bool HasUnaccounted(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -23,6 +23,25 @@
          (!lost.began || lost.survived < kStartPhase);
 }
 
+// Whether such an end is listed by the worker itself.
+bool IsReportedByWorker(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+    case RunEnd::kFailed:
+    case RunEnd::kStopped:
+    case RunEnd::kLeaseLapsed:
+    case RunEnd::kGangBroken:
+    case RunEnd::kGangIncomplete:
+      return true;
+    case RunEnd::kLost:
+    case RunEnd::kWorkerLeft:
+    case RunEnd::kWorkerCrashed:
+    case RunEnd::kWorkerSilent:
+      return false;
+  }
+  return false;
+}
+
 // Records what the end of a run shows about crashes of its task; a run that
 // never began shows nothing.
 void UpdateCrashRecord(RunEnd end, const LostRun& lost, const StepSpec& step,
@@ -231,6 +250,9 @@
   const bool current = task->phase == TaskPhase::kActive && task->run == run;
   const bool late_done = end == RunEnd::kDone && !spec.long_running &&
                          task->phase != TaskPhase::kDone;
+  const bool is_cleared = IsReportedByWorker(end) &&
+                          task->crashes.OnRunEndReported(lost.worker, run);
+  if (is_cleared) MarkDirty(spec, ref);
   if (!current && !late_done) return false;
   if (!checkpoint.empty()) RecordCheckpoint(ref, run, checkpoint);
   MarkDirty(spec, ref);
@@ -271,7 +293,10 @@
 void JobLedger::IndexUnaccountedLosses(const TaskRef& ref,
                                        const TaskStatus& task) {
   for (const WorkerLoss& loss : task.crashes.losses) {
-    if (!loss.is_accounted_for()) unaccounted_losses_[loss.worker].insert(ref);
+    if (loss.is_accounted_for()) continue;
+    unaccounted_losses_[loss.worker].insert(ref);
+    if (loss.address.empty()) continue;
+    lost_workers_at_[loss.address].insert(loss.worker);
   }
 }
 
@@ -301,6 +326,43 @@
 std::vector<TaskRef> JobLedger::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
+    return crashes->OnWorkerEnded(worker, incarnation_start);
+  });
+}
+
+std::vector<TaskRef> JobLedger::OnLaterIncarnation(const std::string& worker,
+                                                   WallTime start) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
+    return crashes->OnLaterIncarnation(worker, start);
+  });
+}
+
+std::vector<TaskRef> JobLedger::OnWorkerAt(const std::string& address,
+                                           const std::string& worker) {
+  std::vector<TaskRef> changed;
+  const auto found = lost_workers_at_.find(address);
+  if (found == lost_workers_at_.end()) return changed;
+  std::set<std::string> left;
+  for (const std::string& lost : found->second) {
+    if (lost == worker) {
+      left.insert(lost);
+      continue;
+    }
+    const std::vector<TaskRef> tasks =
+        UpdateCrashRecords(lost, [&](CrashRecord* crashes) {
+          return crashes->OnWorkerAt(address, worker);
+        });
+    changed.insert(changed.end(), tasks.begin(), tasks.end());
+  }
+  found->second = std::move(left);
+  if (found->second.empty()) lost_workers_at_.erase(found);
+  return changed;
+}
+
+std::vector<TaskRef> JobLedger::UpdateCrashRecords(
+    const std::string& worker,
+    const std::function<bool(CrashRecord*)>& update) {
   std::vector<TaskRef> changed;
   const auto found = unaccounted_losses_.find(worker);
   if (found == unaccounted_losses_.end()) return changed;
@@ -308,7 +370,7 @@
     StepProgress* progress = FindStep(ref.step);
     if (progress == nullptr) continue;
     TaskStatus& task = progress->tasks[static_cast<size_t>(ref.index)];
-    if (!task.crashes.OnWorkerEnded(worker, incarnation_start)) continue;
+    if (!update(&task.crashes)) continue;
     MarkDirty(*FindStepSpec(ref.step), ref);
     FailJobIfGivenUp(ref, Find(ref.step.job), task);
     changed.push_back(ref);
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -61,6 +61,8 @@
 LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
   LostRun run;
   run.worker = worker;
+  run.number = end.run;
+  run.address = end.address;
   run.incarnation_start = end.incarnation_start;
   run.crashed = end.end == RunEnd::kWorkerCrashed;
   run.began = end.began != Time{};
@@ -217,6 +219,36 @@
   }
 }
 
+// Guards against a sound task that waits for ever: each of its workers was cut
+// off and restarted at about the end of the run's lease. That proves no crash,
+// but the incarnation is over, and no later sign will account for it.
+TEST_CASE("a restart after the certain lease accounts for the worker") {
+  constexpr int64_t kLeaseEnd = 4500;
+  constexpr int64_t kRestartSeen = 5000;
+  JobLedger ledger = LedgerWith(MakeStep(1, 1));
+  int starts = 0;
+  while (starts <= kMaxStarts && MayStart(ledger)) {
+    ++starts;
+    const std::string id = "w" + std::to_string(starts);
+    WorkerTracker tracker = FirstIncarnation(id);
+    const int run = ledger.RecordStart(kStep, {{0, id}});
+    tracker.Add(kTask, run, Profile(), At(20));
+    const Milliseconds deadline =
+        tracker.IssueDeadline(Milliseconds(kLeaseEnd), At(20));
+    tracker.OnStartSent(kTask, run, deadline, At(20));
+    tracker.OnStartAnswer(kTask, run, StartOutcome::kAccepted, At(25));
+    tracker.OnReportFailed(At(300));
+    REQUIRE_FALSE(tracker.LeasesExpired(At(kRestartSeen)));
+    const auto ends = HandleReport(&tracker, kSecondStart, kRestartSeen);
+    REQUIRE(ends.size() == 1);
+    REQUIRE(ends[0].end == RunEnd::kWorkerCrashed);
+    ledger.RecordRunEnd(kTask, run, ends[0].end, "", ToLostRun(id, ends[0]));
+    CHECK(ledger.FindTask(kTask)->crashes.proved_crashes() == 0);
+  }
+  CHECK(starts == kMaxStarts);
+  CHECK(IsTerminal(ledger.Find(kStep.job)->state));
+}
+
 // Guards against a crash at the start that is none: a call without an answer
 // just before the order was accepted is taken for the time of the crash.
 TEST_CASE("a silence before the start is not the time of a later crash") {
@@ -279,6 +311,103 @@
   CHECK(starts <= kMaxStarts);
 }
 
+// Guards against a task that waits for ever: its worker was cut off at a change
+// of leader, the new leader never heard which incarnation it was, and the
+// worker comes back later with the end of that run. Its incarnation started
+// after the job was accepted, so that being alive alone proves nothing.
+TEST_CASE("the reported end of a lost run takes its worker off the record") {
+  struct Row {
+    const char* name;
+    std::string worker;
+    // Relative to the run that was lost.
+    int run_offset;
+    RunEnd end;
+    bool cleared;
+  };
+  const std::vector<Row> rows = {
+      {"it lapsed", "w1", 0, RunEnd::kLeaseLapsed, true},
+      {"its gang was broken", "w1", 0, RunEnd::kGangBroken, true},
+      {"it was stopped", "w1", 0, RunEnd::kStopped, true},
+      {"it failed", "w1", 0, RunEnd::kFailed, true},
+      {"an end that the worker has not reported", "w1", 0,
+       RunEnd::kWorkerSilent, false},
+      {"an earlier run", "w1", -1, RunEnd::kLeaseLapsed, false},
+      {"another worker", "w2", 0, RunEnd::kLeaseLapsed, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const StepSpec step = MakeStep(1, 1);
+    JobLedger ledger = LedgerWith(step);
+    ledger.RecordStart(kStep, {{0, "w1"}});
+    ledger.RecordRunEnd(kTask, 1, RunEnd::kStopped, "");
+    const int run = ledger.RecordStart(kStep, {{0, "w1"}});
+    WorkerTracker tracker(Entry("w1", kSecondStart));
+    tracker.Inherit(kTask, run, Profile(), At(20), At(11000));
+    tracker.OnReportFailed(At(900));
+    const auto lost =
+        tracker.OnIncarnationEnded(IncarnationEnd::kSilent, At(11100));
+    REQUIRE(lost.size() == 1);
+    ledger.RecordRunEnd(kTask, run, lost[0].end, "", ToLostRun("w1", lost[0]));
+    REQUIRE(ledger.FindTask(kTask)->crashes.losses.size() == 1);
+    const std::string stored = EncodeBlock(*ledger.FindBlock({kStep, 0}));
+    ledger = LedgerWith(step);
+    REQUIRE(ledger.Restore(kStep, {{0, *DecodeBlock(stored, nullptr)}}));
+    ledger.OnWorkerAlive("w1", FromUnixMilliseconds(kSecondStart));
+    ledger.TakeDirtyBlocks();
+    RunEndReport report;
+    report.run = run + row.run_offset;
+    report.end = row.end;
+    CHECK_FALSE(ledger.RecordRunEnd(kTask, report.run, row.end, "",
+                                    ToLostRun(row.worker, report)));
+    CHECK(ledger.FindTask(kTask)->crashes.empty() == row.cleared);
+    CHECK(ledger.TakeDirtyBlocks().empty() == !row.cleared);
+    CHECK(ledger.FindTask(kTask)->failures == 0);
+  }
+}
+
+// Guards against a task that waits for ever under a new leader: nothing but the
+// address connects a worker that was lost in silence with the next one there.
+TEST_CASE("the next worker at the address accounts for a silent one") {
+  struct Row {
+    const char* name;
+    IncarnationEnd end;
+    const char* address;
+    const char* worker;
+    bool changed;
+  };
+  const std::string address = Entry("w", kFirstStart).address;
+  const std::vector<Row> rows = {
+      {"another id there", IncarnationEnd::kSilent, address.c_str(), "v", true},
+      {"the same id there", IncarnationEnd::kSilent, address.c_str(), "w",
+       false},
+      {"another id elsewhere", IncarnationEnd::kSilent, "10.0.0.1:1", "v",
+       false},
+      {"no address", IncarnationEnd::kSilent, "", "v", false},
+      {"a crash, which is accounted for", IncarnationEnd::kCrashed,
+       address.c_str(), "v", false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    JobLedger ledger = LedgerWith(MakeStep(1, 1));
+    const int run = ledger.RecordStart(kStep, {{0, "w"}});
+    WorkerTracker tracker = FirstIncarnation("w");
+    tracker.Add(kTask, run, Profile(), At(20));
+    tracker.OnStartSent(kTask, run, Milliseconds(1500), At(20));
+    tracker.OnStartAnswer(kTask, run, StartOutcome::kAccepted, At(25));
+    tracker.OnReportFailed(At(900));
+    const auto ends = tracker.OnIncarnationEnded(row.end, At(9000));
+    REQUIRE(ends.size() == 1);
+    ledger.RecordRunEnd(kTask, run, ends[0].end, "", ToLostRun("w", ends[0]));
+    ledger.TakeDirtyBlocks();
+    CHECK(ledger.OnWorkerAt(row.address, row.worker).empty() == !row.changed);
+    CHECK(ledger.OnWorkerAt(row.address, row.worker).empty());
+    CHECK(ledger.TakeDirtyBlocks().empty() == !row.changed);
+    const bool is_crash = row.end == IncarnationEnd::kCrashed;
+    CHECK(ledger.FindTask(kTask)->crashes.accounted_losses() ==
+          (row.changed || is_crash ? 1U : 0U));
+  }
+}
+
 // Guards against a task that waits for ever: a sign of another incarnation
 // drops the worker from the index of silent workers, though the loss remains.
 TEST_CASE("another incarnation does not hide a later sign of the lost one") {
