The leader's writer never repeats an append that the store rejects for its size

Cause: FencedWriter repeated an append until it was stored. The store takes records up to record_bytes and appends up to call_bytes, and rejects larger ones every time, so that one such record stopped all writes of the leader. MetadataStore reported the rejection as an unknown outcome.

Writes that do not fit into one append are divided in their order. A record above the limit is given up with event 967. Where the store takes less than this entry believes, the rejected append is halved until the record that is not taken is alone. The stand-ins reject what is too large.

Ruled out: the next append after a rejection has the same sequence number; the answer to a repetition of the rejected one must not be taken for its answer, so appends are numbered.

--- a/src/libs/coordination/fenced_writer.cc
+++ b/src/libs/coordination/fenced_writer.cc
@@ -3,10 +3,13 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <deque>
+#include <iterator>
 #include <utility>
 
 #include "base/latency_average.h"
+#include "logging/events/coordination_events.h"
 
 namespace thornplank {
 namespace {
@@ -23,15 +26,24 @@
 class FencedWriter::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& io, RecordStore& store,
-       FencedWriterSettings settings, std::function<void()> on_fenced)
+       FencedWriterSettings settings, std::function<void()> on_fenced,
+       RejectedCallback on_rejected)
       : store_(store),
         settings_(std::move(settings)),
         on_fenced_(std::move(on_fenced)),
+        on_rejected_(std::move(on_rejected)),
         sequence_(settings_.first_sequence),
         timer_(io) {}
 
   void Write(std::vector<KeyedRecord> records, StoredCallback stored) {
     if (closed_) return;
+    const auto too_large = [this](const KeyedRecord& record) {
+      if (RecordBytes(record) <= settings_.limits.record_bytes) return false;
+      Reject(record);
+      return true;
+    };
+    records.erase(std::remove_if(records.begin(), records.end(), too_large),
+                  records.end());
     queue_.push_back({std::move(records), std::move(stored)});
     if (!sending_) SendNext();
   }
@@ -49,36 +61,74 @@
   struct Batch {
     std::vector<KeyedRecord> records;
     StoredCallback stored;
+    // A part of an append that was rejected: it is sent by itself.
+    bool alone = false;
   };
 
+  static size_t BytesInAppend(const std::vector<KeyedRecord>& records) {
+    size_t bytes = 0;
+    for (const KeyedRecord& record : records) {
+      bytes += thornplank::BytesInAppend(record);
+    }
+    return bytes;
+  }
+
   void SendNext() {
     if (queue_.empty()) return;
     sending_ = true;
     first_attempt_ = true;
+    ++request_number_;
     request_ = AppendRequest();
     request_.partition = settings_.partition;
+    TakeWrites();
+    if (request_.records.empty()) return OnStored();
+    Send();
+  }
+
+  // A write is divided only if it does not fit into an append of its own.
+  void TakeWrites() {
+    const size_t limit = settings_.limits.append_bytes;
     size_t bytes = 0;
     while (!queue_.empty() && bytes < settings_.max_append_bytes) {
-      for (KeyedRecord& record : queue_.front().records) {
-        bytes += record.key.size() + (record.value ? record.value->size() : 0);
-        request_.records.push_back(std::move(record));
-      }
-      in_flight_callbacks_.push_back(std::move(queue_.front().stored));
+      Batch& write = queue_.front();
+      const size_t write_bytes = BytesInAppend(write.records);
+      if (bytes > 0 && (write.alone || bytes + write_bytes > limit)) return;
+      if (write_bytes > limit) return TakeFirstRecords(&write);
+      const bool alone = write.alone;
+      std::move(write.records.begin(), write.records.end(),
+                std::back_inserter(request_.records));
+      in_flight_callbacks_.push_back(std::move(write.stored));
       queue_.pop_front();
+      if (alone) return;
+      bytes += write_bytes;
     }
-    if (request_.records.empty()) return OnStored();
-    Send();
+  }
+
+  // Takes as many records as fit into an append, one at least, and leaves the
+  // others in the queue.
+  void TakeFirstRecords(Batch* write) {
+    std::vector<KeyedRecord>& records = write->records;
+    size_t bytes = 0;
+    auto next = records.begin();
+    while (next != records.end()) {
+      bytes += thornplank::BytesInAppend(*next);
+      const bool is_first = next == records.begin();
+      if (!is_first && bytes > settings_.limits.append_bytes) break;
+      request_.records.push_back(std::move(*next++));
+    }
+    records.erase(records.begin(), next);
   }
 
   void Send() {
     request_.producer =
         ProducerPosition{settings_.producer, settings_.epoch, sequence_};
     ++in_flight_;
-    store_.Append(request_, settings_.append_timeout,
-                  [self = shared_from_this(), sequence = sequence_,
-                   sent = Now()](const AppendResult& result) {
-                    self->OnAttemptEnded(sequence, sent, result);
-                  });
+    store_.Append(
+        request_, settings_.append_timeout,
+        [self = shared_from_this(), request = request_number_,
+         sequence = sequence_, sent = Now()](const AppendResult& result) {
+          self->OnAttemptEnded(request, sequence, sent, result);
+        });
     if (in_flight_ < kMaxInFlight) ScheduleRepetition();
   }
 
@@ -94,10 +144,13 @@
     });
   }
 
-  void OnAttemptEnded(int64_t sequence, Time sent, const AppendResult& result) {
+  void OnAttemptEnded(int64_t request, int64_t sequence, Time sent,
+                      const AppendResult& result) {
     if (closed_) return;
-    // An answer to an append that was settled by its repetition.
-    if (!sending_ || sequence != sequence_) return;
+    // An answer to an append that was settled by its repetition. After a
+    // rejection the next append has the same sequence number.
+    const bool is_current = request == request_number_ && sequence == sequence_;
+    if (!sending_ || !is_current) return;
     --in_flight_;
     if (result.outcome != StoreOutcome::kRefused) {
       // An append without an answer took at least as long.
@@ -118,6 +171,8 @@
         return on_fenced_();
       case StoreOutcome::kOutOfSequence:
         return OnOutOfSequence(result.expected_sequence);
+      case StoreOutcome::kRejected:
+        return OnRejected(result.error);
       case StoreOutcome::kRefused:
       case StoreOutcome::kUnknown:
         break;
@@ -147,24 +202,61 @@
     Send();
   }
 
+  void Reject(const KeyedRecord& record, const Error& error = Error()) {
+    LogEvent(events::kRecordRejected, error,
+             {{"key", record.key},
+              {"bytes", RecordBytes(record)},
+              {"limit", settings_.limits.record_bytes}});
+    if (on_rejected_) on_rejected_(record);
+  }
+
+  // The same append would be rejected again. Its records are sent in two halves
+  // until the one that the store does not take is alone; that one is given up.
+  void OnRejected(const Error& error) {
+    std::vector<KeyedRecord> records = std::move(request_.records);
+    if (records.size() == 1) {
+      Reject(records.front(), error);
+      return OnStored();
+    }
+    const auto middle =
+        records.begin() + static_cast<std::ptrdiff_t>(records.size() / 2);
+    Batch second;
+    second.records.assign(std::make_move_iterator(middle),
+                          std::make_move_iterator(records.end()));
+    second.stored = [callbacks = std::exchange(in_flight_callbacks_, {})] {
+      RunAll(callbacks);
+    };
+    second.alone = true;
+    records.erase(middle, records.end());
+    queue_.push_front(std::move(second));
+    queue_.push_front({std::move(records), nullptr, /*alone=*/true});
+    OnStored();
+  }
+
+  static void RunAll(const std::vector<StoredCallback>& callbacks) {
+    for (const StoredCallback& callback : callbacks) {
+      if (callback) callback();
+    }
+  }
+
+  // Ends the append in flight and sends the next one.
   void OnStored() {
     sending_ = false;
     in_flight_ = 0;
     retry_delay_ = Milliseconds(0);
     timer_.cancel();
-    const std::vector<StoredCallback> stored =
-        std::exchange(in_flight_callbacks_, {});
-    for (const StoredCallback& callback : stored) {
-      if (callback) callback();
-    }
+    RunAll(std::exchange(in_flight_callbacks_, {}));
     if (!sending_ && !closed_) SendNext();
   }
 
   RecordStore& store_;
   const FencedWriterSettings settings_;
   const std::function<void()> on_fenced_;
+  const RejectedCallback on_rejected_;
   // Of the append in flight, or of the next one if there is none.
   int64_t sequence_;
+  // Numbers the appends, each with all its attempts.
+  int64_t request_number_ = 0;
   boost::asio::steady_timer timer_;
   std::deque<Batch> queue_;
   // Invariant: while sending_, request_ and in_flight_callbacks_ belong
@@ -185,9 +277,11 @@
 
 FencedWriter::FencedWriter(boost::asio::io_context& io, RecordStore& store,
                            FencedWriterSettings settings,
-                           std::function<void()> on_fenced)
+                           std::function<void()> on_fenced,
+                           RejectedCallback on_rejected)
     : impl_(std::make_shared<Impl>(io, store, std::move(settings),
-                                   std::move(on_fenced))) {}
+                                   std::move(on_fenced),
+                                   std::move(on_rejected))) {}
 FencedWriter::~FencedWriter() { impl_->Close(); }
 void FencedWriter::Write(std::vector<KeyedRecord> records,
                          StoredCallback stored) {
--- a/src/libs/coordination/fenced_writer.h
+++ b/src/libs/coordination/fenced_writer.h
@@ -37,20 +37,27 @@
   Milliseconds max_retry_delay{800};
   // No further queued write joins an append that has reached this size.
   size_t max_append_bytes = 1024 * 1024;
+  StoreLimits limits;
 };
 
 class FencedWriter {
  public:
   using StoredCallback = std::function<void()>;
+  using RejectedCallback = std::function<void(const KeyedRecord&)>;
 
   // `on_fenced` runs at most once, when the store has seen a higher epoch. What
   // is not stored by then is never stored, and its callbacks don't run.
+  // `on_rejected` gets each record that the store does not take and that is
+  // given up, before Write returns or later; may be null.
   FencedWriter(boost::asio::io_context& io, RecordStore& store,
-               FencedWriterSettings settings, std::function<void()> on_fenced);
+               FencedWriterSettings settings, std::function<void()> on_fenced,
+               RejectedCallback on_rejected = nullptr);
   ~FencedWriter();
 
-  // Queues the records; queued writes are combined into one append. `stored`
-  // may be null and runs once the records are stored.
+  // Queues the records; queued writes are combined into one append. Records
+  // that do not fit into one append together are stored in several, in their
+  // order. `stored` may be null and runs once all records are stored or
+  // rejected.
   void Write(std::vector<KeyedRecord> records, StoredCallback stored);
   // Whether nothing is queued or in flight.
   bool idle() const;
--- a/src/libs/coordination/metered_record_store.cc
+++ b/src/libs/coordination/metered_record_store.cc
@@ -18,6 +18,8 @@
       return "out_of_sequence";
     case StoreOutcome::kRefused:
       return "refused";
+    case StoreOutcome::kRejected:
+      return "rejected";
     case StoreOutcome::kUnknown:
       return "unknown";
   }
--- a/src/libs/coordination/record_store.h
+++ b/src/libs/coordination/record_store.h
@@ -3,6 +3,7 @@
 #ifndef THORNPLANK_COORDINATION_RECORD_STORE_H_
 #define THORNPLANK_COORDINATION_RECORD_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -36,6 +37,25 @@
   int64_t sequence = 0;
 };
 
+// What the store takes at most.
+struct StoreLimits {
+  // Of one record: key, value and one byte for the length of the key.
+  size_t record_bytes = 256 * 1024;
+  // Of all records of one append, each with four bytes for its length.
+  size_t append_bytes = 2 * 1024 * 1024;
+};
+
+// The size of a record that is compared with StoreLimits::record_bytes.
+inline size_t RecordBytes(const KeyedRecord& record) {
+  return 1 + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
+// What a record adds to the size that is compared with
+// StoreLimits::append_bytes.
+inline size_t BytesInAppend(const KeyedRecord& record) {
+  return 4 + RecordBytes(record);
+}
+
 struct AppendRequest {
   Partition partition;
   // Stored atomically. If empty, the append only sets the epoch of the
@@ -52,6 +72,9 @@
   kOutOfSequence,
   // Certainly not stored; the append may be retried.
   kRefused,
+  // Certainly not stored, and the same append would be rejected again: it is
+  // too large, or malformed.
+  kRejected,
   // May have been stored, or may still be stored later.
   kUnknown,
 };
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -90,6 +90,8 @@
                                           Severity::kWarning};
 inline constexpr Event kForeignJobCalled{966, "foreign-job-called",
                                          Severity::kWarning};
+inline constexpr Event kRecordRejected{967, "record-rejected",
+                                       Severity::kError};
 
 }  // namespace thornplank::events
 
--- a/tests/auto/coordination/store_fixture.h
+++ b/tests/auto/coordination/store_fixture.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,7 @@
       result.outcome = StoreOutcome::kRefused;
     } else if (fault != AppendFault::kNotStored) {
       result = model.Append(request);
+      if (result.outcome == StoreOutcome::kRejected) OnRejected(request);
     }
     if (fault == AppendFault::kLostAnswer) {
       result.outcome = StoreOutcome::kUnknown;
@@ -129,6 +131,10 @@
   // Appends of this producer are refused; "" for none.
   std::string refused_producer;
   int appends = 0;
+  // Appends above the limits of the model, and those of them that had been
+  // rejected before with the same records.
+  int rejected_appends = 0;
+  int repeated_rejections = 0;
   // The most appends that waited for their latency at one time.
   int most_in_flight = 0;
   int reads = 0;
@@ -158,8 +164,19 @@
     });
   }
 
+  void OnRejected(const AppendRequest& request) {
+    std::string content;
+    for (const KeyedRecord& record : request.records) {
+      content += record.key + '=' + record.value.value_or("") + '\n';
+    }
+    ++rejected_appends;
+    if (!rejected_.insert(std::move(content)).second) ++repeated_rejections;
+  }
+
   boost::asio::io_context& io_;
   int in_flight_ = 0;
+  // Content of the appends that were rejected.
+  std::set<std::string> rejected_;
 };
 
 // Runs the loop until `condition` holds or `limit` has passed. Returns whether
--- a/tests/standins/users_store_model.cc
+++ b/tests/standins/users_store_model.cc
@@ -13,6 +13,10 @@
   Log& log = logs_[{request.partition.stream, request.partition.number}];
   AppendResult result;
   result.end = log.end();
+  if (IsTooLarge(request.records)) {
+    result.outcome = StoreOutcome::kRejected;
+    return result;
+  }
   if (request.producer) {
     const ProducerPosition& position = *request.producer;
     Producer& producer = log.producers[position.producer];
@@ -45,6 +49,16 @@
   return result;
 }
 
+bool UsersStoreModel::IsTooLarge(
+    const std::vector<KeyedRecord>& records) const {
+  size_t bytes = 0;
+  for (const KeyedRecord& record : records) {
+    if (RecordBytes(record) > limits_.record_bytes) return true;
+    bytes += BytesInAppend(record);
+  }
+  return bytes > limits_.append_bytes;
+}
+
 AppendResult UsersStoreModel::Store(Log* log,
                                     const std::vector<KeyedRecord>& records) {
   AppendResult result;
--- a/tests/standins/users_store_model.h
+++ b/tests/standins/users_store_model.h
@@ -17,6 +17,8 @@
 
 class UsersStoreModel {
  public:
+  // Appends above these are rejected.
+  void set_limits(const StoreLimits& limits) { limits_ = limits; }
   AppendResult Append(const AppendRequest& request);
   ReadResult Read(const Partition& partition, int64_t from) const;
   // At most `limit` newest records of the keys after `after_key`.
@@ -49,8 +51,10 @@
     }
   };
 
+  bool IsTooLarge(const std::vector<KeyedRecord>& records) const;
   AppendResult Store(Log* log, const std::vector<KeyedRecord>& records);
 
+  StoreLimits limits_;
   // By stream and partition number.
   std::map<std::pair<std::string, int>, Log> logs_;
 };
--- a/tests/standins/users_store_role.cc
+++ b/tests/standins/users_store_role.cc
@@ -63,6 +63,11 @@
   return text;
 }
 
+size_t SizeField(const Json& object, const std::string& name, size_t value) {
+  return static_cast<size_t>(
+      IntField(object, name).value_or(static_cast<int64_t>(value)));
+}
+
 Reply AppendReply(const AppendResult& result) {
   switch (result.outcome) {
     case StoreOutcome::kStored:
@@ -72,6 +77,8 @@
     case StoreOutcome::kOutOfSequence:
       return JsonReply({{"reason", "seq"}, {"seq", result.expected_sequence}},
                        409);
+    case StoreOutcome::kRejected:
+      return ProblemReply(413, "too large");
     case StoreOutcome::kRefused:
     case StoreOutcome::kUnknown:
       break;
@@ -196,11 +203,11 @@
 }
 
 bool UsersStoreRole::ApplyControl(const Json& control, Error* error) {
-  if (!HasOnlyFields(
-          control,
-          {"mode", "slow_ms", "lost_percent", "late_percent", "drop_history",
-           "put_operator", "drop_operator", "put_directory", "key"},
-          error)) {
+  if (!HasOnlyFields(control,
+                     {"mode", "slow_ms", "lost_percent", "late_percent",
+                      "drop_history", "put_operator", "drop_operator",
+                      "put_directory", "key", "record_bytes", "call_bytes"},
+                     error)) {
     return false;
   }
   mode_ = StringField(control, "mode").value_or(mode_);
@@ -209,6 +216,10 @@
       NumberField(control, "lost_percent").value_or(lost_share_ * 100) / 100;
   late_share_ =
       NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
+  limits_.record_bytes =
+      SizeField(control, "record_bytes", limits_.record_bytes);
+  limits_.append_bytes = SizeField(control, "call_bytes", limits_.append_bytes);
+  model_.set_limits(limits_);
   if (BoolField(control, "drop_history").value_or(false)) model_.DropHistory();
   const std::string key = StringField(control, "key").value_or("config");
   if (const auto value = StringField(control, "put_operator")) {
--- a/tests/standins/users_store_role.h
+++ b/tests/standins/users_store_role.h
@@ -55,6 +55,7 @@
 
   const UsersStoreSettings settings_;
   UsersStoreModel model_;
+  StoreLimits limits_;
   std::list<WaitingRead> waiting_reads_;
   boost::asio::steady_timer timer_;
   std::mt19937 random_{1};
