Progress is divided so that each of its records fits into the store

Cause: the progress of a gang, or of four tasks, was one record with the checkpoint of each task, strings whose length workers decide. Four of 65,536 bytes make it larger than record_bytes.

A block is one record as before while that fits. Otherwise each checkpoint has a record of its own (key k and the task; of a gang only one, since its members have the same), and the block is stored without them. The checkpoints go first, so that whoever reads the block has them. A checkpoint that no record can hold is not taken into the ledger: the task resumes from the one before, for this leader as for a successor, and event 968 and a counter name the run. If the store rejects a block all the same, the job fails with that reason and none of its runs begins, since a successor would not know of it.

Ruled out: parts of a block under further block keys.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <utility>
 
+#include "coordination/progress_records.h"
 #include "logging/events/coordination_events.h"
 
 namespace thornplank {
@@ -251,11 +252,13 @@
   // The claim had the first sequence number.
   writer.first_sequence = first_sequence_ + 1;
   writer.partition = settings_.board;
+  writer.limits = settings_.store_limits;
   board_writer_ = std::make_unique<FencedWriter>(io_, store_, writer, fenced);
   writer.producer = kProgressProducer;
   writer.first_sequence = first_sequence_;
-  progress_writer_ =
-      std::make_unique<FencedWriter>(io_, store_, writer, fenced);
+  progress_writer_ = std::make_unique<FencedWriter>(
+      io_, store_, writer, fenced,
+      [this](const KeyedRecord& record) { OnRecordRejected(record); });
 }
 
 // Once a record is stored under the new epoch, the store rejects progress
@@ -328,6 +331,7 @@
   };
   handlers.on_progress = [this](const RunReport& run) {
     ledger_.RecordCheckpoint(run.task, run.run, run.checkpoint);
+    LogDroppedCheckpoints();
   };
   handlers.profile_of = [this](const TaskRef& task) { return ProfileOf(task); };
   handlers.is_known_service = [this](const std::string& service) {
@@ -373,9 +377,11 @@
                                               [this] { SchedulePlanning(); });
 
   phase_ = Phase::kLeading;
-  ledger_ = JobLedger();
+  ledger_ = JobLedger(MaxCheckpointBytes(settings_.store_limits));
   planner_ = Planner(PlannerSettingsFor(settings_));
   stored_blocks_.clear();
+  stored_checkpoints_.clear();
+  unstorable_jobs_.clear();
   started_jobs_.clear();
   published_ended_jobs_.clear();
   ended_jobs_.clear();
@@ -426,9 +432,22 @@
     if (job->cancelled) ledger_.Cancel(ref.job);
     if (IsTerminal(job->published_state)) published_ended_jobs_.insert(ref.job);
   }
+  RestoreCheckpoints();
   return loaded.size();
 }
 
+void ClusterCoordinator::RestoreCheckpoints() {
+  for (const auto& [key, record] : dependencies_.board->checkpoints()) {
+    const auto task = JobBoard::ParseCheckpointKey(key);
+    if (!task) continue;
+    stored_checkpoints_.insert(*task);
+    ledger_.RestoreCheckpoint(*task, *record.value);
+    const BoardJob* job = dependencies_.board->Find(task->step.job);
+    if (job == nullptr || !IsTerminal(job->published_state)) continue;
+    published_ended_jobs_.insert(task->step.job);
+  }
+}
+
 // Without a record that can be read, all workers count as healthy.
 void ClusterCoordinator::RestoreHealth(Time now) {
   std::vector<HealthEntry> entries;
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -90,6 +90,7 @@
   Milliseconds store_timeout{2500};
   // For the read of the board before a claim.
   Milliseconds claim_read_timeout{500};
+  StoreLimits store_limits;
   WorkerBounds bounds;
   SchedulingFeatures features;
 };
@@ -195,6 +196,7 @@
   void OnProgressLoaded();
   WorkerFleet::Handlers MakeFleetHandlers();
   size_t RestoreProgress();
+  void RestoreCheckpoints();
   // Passes the verdicts of the previous leader on workers to the fleet.
   void RestoreHealth(Time now);
   void SyncJobFromBoard(const std::string& id);
@@ -235,6 +237,9 @@
                      const std::optional<WallTime>& incarnation_start);
   void OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  void LogDroppedCheckpoints();
+  // The store does not take a record of the leader.
+  void OnRecordRejected(const KeyedRecord& record);
   // Logs the task if it will not be started again.
   void LogIfGivenUp(const TaskRef& task);
   void OnRunEnd(const std::string& worker, const RunEndReport& end);
@@ -310,6 +315,11 @@
   DepartureSchedule departure_schedule_;
   // Blocks of progress that have a record on the board.
   std::set<ProgressBlockRef> stored_blocks_;
+  // Tasks whose checkpoint has a record of its own on the board.
+  std::set<TaskRef> stored_checkpoints_;
+  // Jobs that have failed since their progress cannot be stored. None of their
+  // runs may begin: a successor would not know of it.
+  std::set<std::string> unstorable_jobs_;
   // When the newest record of renewal stops was read; valid in every phase.
   Time renewal_stops_read_{};
   // The ends of leases by the record of the previous leader, by worker.
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -1,12 +1,14 @@
 // Work of the leader: planning rounds, progress writes and the ends of runs and
 // jobs.
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "coordination/cluster_coordinator.h"
 #include "coordination/entry_registrar.h"
+#include "coordination/progress_records.h"
 #include "logging/events/coordination_events.h"
 
 namespace thornplank {
@@ -267,6 +269,7 @@
                                   const RunEndReport& end) {
   const bool in_force = ledger_.RecordRunEnd(
       end.task, end.run, end.end, end.checkpoint, ToLostRun(worker, end));
+  LogDroppedCheckpoints();
   std::optional<Duration> lasted;
   if (end.began != Time{}) lasted = Now() - end.began;
   // The ledger may have dropped the job already: the first end of a gang that
@@ -295,6 +298,28 @@
   SchedulePlanning();
 }
 
+void ClusterCoordinator::LogDroppedCheckpoints() {
+  for (const DroppedCheckpoint& dropped : ledger_.TakeDroppedCheckpoints()) {
+    LogEvent(events::kCheckpointDropped,
+             {{"task", dropped.task.ToString()},
+              {"run", dropped.run},
+              {"bytes", dropped.bytes},
+              {"limit", MaxCheckpointBytes(settings_.store_limits)}});
+    metrics_.OnCheckpointDropped();
+  }
+}
+
+// What the store does not know must not run: a successor would start it again.
+void ClusterCoordinator::OnRecordRejected(const KeyedRecord& record) {
+  const auto block = JobBoard::ParseProgressKey(record.key);
+  if (!block) return;
+  unstorable_jobs_.insert(block->step.job);
+  ledger_.FailJob(block->step.job, "the progress of step " +
+                                       block->step.ToString() +
+                                       " is too large for the store");
+  SchedulePlanning();
+}
+
 void ClusterCoordinator::LogIfGivenUp(const TaskRef& task) {
   const TaskStatus* status = ledger_.FindTask(task);
   if (status == nullptr || !status->crashes.ShouldGiveUp()) return;
@@ -407,8 +432,13 @@
   for (const ProgressBlockRef& ref : ledger_.TakeDirtyBlocks()) {
     const std::optional<ProgressBlock> block = ledger_.FindBlock(ref);
     if (!block) continue;
-    records.push_back(JobBoard::Progress(ref, EncodeBlock(*block)));
+    ProgressRecords progress = ToProgressRecords(
+        ref, *block, *ledger_.FindStepSpec(ref.step), settings_.store_limits);
+    std::move(progress.records.begin(), progress.records.end(),
+              std::back_inserter(records));
     stored_blocks_.insert(ref);
+    stored_checkpoints_.insert(progress.checkpoints.begin(),
+                               progress.checkpoints.end());
   }
   const std::set<std::string> published = published_ended_jobs_;
   for (const std::string& job : published) {
@@ -486,6 +516,11 @@
   for (const PendingStart& start : starts) {
     const Job* job = ledger_.Find(start.task.step.job);
     if (job == nullptr) continue;
+    if (unstorable_jobs_.count(start.task.step.job) > 0) {
+      fleet_->WithholdStart(start.worker, start.task, start.run,
+                            "its progress cannot be stored");
+      continue;
+    }
     fleet_->SendStart(start.worker, start.task, start.run,
                       {job->spec.payload, start.checkpoint, start.ticket});
   }
@@ -572,6 +607,12 @@
     records->push_back(JobBoard::Progress(*it, std::nullopt));
     it = stored_blocks_.erase(it);
   }
+  for (auto it = stored_checkpoints_.lower_bound({StepRef{id, 0, 0}, 0});
+       it != stored_checkpoints_.end() && it->step.job == id;) {
+    records->push_back(JobBoard::Checkpoint(*it, std::nullopt));
+    it = stored_checkpoints_.erase(it);
+  }
+  unstorable_jobs_.erase(id);
   published_ended_jobs_.erase(id);
   ledger_.Remove(id);
   ended_jobs_.insert(id);
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -21,6 +21,7 @@
 constexpr char kRenewalStopsKey[] = "renewals";
 constexpr char kDeparturesKey[] = "departures";
 constexpr char kProgressKey = 't';
+constexpr char kCheckpointKey = 'k';
 // Sorts after all other keys.
 constexpr char kRosterKey[] = "z-roster";
 constexpr char kRosterKeyPrefix[] = "z";
@@ -70,7 +71,10 @@
     case kEntryKey:
       return ApplyEntry(id, record);
     case kProgressKey:
-      ApplyProgress(record);
+      ApplyNewest(record, &progress_);
+      return {};
+    case kCheckpointKey:
+      ApplyNewest(record, &checkpoints_);
       return {};
     default:
       return {};
@@ -159,13 +163,15 @@
 
 // A snapshot may contain a record that is older than one that was read beside
 // it.
-void JobBoard::ApplyProgress(const KeyedRecord& record) {
-  const auto known = progress_.find(record.key);
-  if (known != progress_.end() && record.offset < known->second.offset) return;
+void JobBoard::ApplyNewest(
+    const KeyedRecord& record,
+    std::unordered_map<std::string, KeyedRecord>* records) {
+  const auto known = records->find(record.key);
+  if (known != records->end() && record.offset < known->second.offset) return;
   if (record.value) {
-    progress_[record.key] = record;
-  } else if (known != progress_.end()) {
-    progress_.erase(known);
+    (*records)[record.key] = record;
+  } else if (known != records->end()) {
+    records->erase(known);
   }
 }
 
@@ -192,9 +198,11 @@
   if (keys.count(kHealthKey) == 0) health_.reset();
   if (keys.count(kRenewalStopsKey) == 0) renewal_stops_.reset();
   if (keys.count(kDeparturesKey) == 0) departures_.reset();
-  for (auto it = progress_.begin(); it != progress_.end();) {
-    const auto block = it++;
-    if (keys.count(block->first) == 0) progress_.erase(block);
+  for (auto* records : {&progress_, &checkpoints_}) {
+    for (auto it = records->begin(); it != records->end();) {
+      const auto record = it++;
+      if (keys.count(record->first) == 0) records->erase(record);
+    }
   }
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const auto job = it++;
@@ -273,6 +281,11 @@
   return {MakeKey(kProgressKey, block.ToString()), std::move(value), 0};
 }
 
+KeyedRecord JobBoard::Checkpoint(const TaskRef& task,
+                                 std::optional<std::string> value) {
+  return {MakeKey(kCheckpointKey, task.ToString()), std::move(value), 0};
+}
+
 KeyedRecord JobBoard::Health(std::string value) {
   return {kHealthKey, std::move(value), 0};
 }
@@ -293,6 +306,13 @@
   return ParseProgressBlockRef(name);
 }
 
+std::optional<TaskRef> JobBoard::ParseCheckpointKey(const std::string& key) {
+  if (key.empty() || key[0] != kCheckpointKey) return std::nullopt;
+  std::string_view name = key;
+  name.remove_prefix(1);
+  return ParseTaskRef(name);
+}
+
 std::vector<KeyedRecord> JobBoard::Tombstones(const std::string& id,
                                               const BoardJob& job) {
   std::vector<KeyedRecord> records = {
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -106,6 +106,10 @@
   const std::unordered_map<std::string, KeyedRecord>& progress() const {
     return progress_;
   }
+  // The newest record of each checkpoint that has a record of its own, by key.
+  const std::unordered_map<std::string, KeyedRecord>& checkpoints() const {
+    return checkpoints_;
+  }
   // The newest record of the workers that are not healthy, as it was read;
   // nullopt if there is none.
   const std::optional<KeyedRecord>& health() const { return health_; }
@@ -140,6 +144,10 @@
   // The progress of some tasks of a step; a tombstone if `value` is nullopt.
   static KeyedRecord Progress(const ProgressBlockRef& block,
                               std::optional<std::string> value);
+  // The checkpoint of a task, or of a gang, whose block of progress would be
+  // too large with it; a tombstone if `value` is nullopt.
+  static KeyedRecord Checkpoint(const TaskRef& task,
+                                std::optional<std::string> value);
   // The workers that are not healthy.
   static KeyedRecord Health(std::string value);
   // The workers on which a leader renews no leases; a tombstone if `value` is
@@ -151,6 +159,8 @@
   // The block of progress that the key names; nullopt if it is another key.
   static std::optional<ProgressBlockRef> ParseProgressKey(
       const std::string& key);
+  // The task whose checkpoint the key names; nullopt if it is another key.
+  static std::optional<TaskRef> ParseCheckpointKey(const std::string& key);
   // Tombstones for all keys of a job except those of its progress.
   static std::vector<KeyedRecord> Tombstones(const std::string& id,
                                              const BoardJob& job);
@@ -162,7 +172,10 @@
   BoardChange ApplyEntry(const std::string& instance,
                          const KeyedRecord& record);
   BoardChange ApplyRoster(const KeyedRecord& record);
-  void ApplyProgress(const KeyedRecord& record);
+  // Keeps the newest record of each key in `records`.
+  static void ApplyNewest(
+      const KeyedRecord& record,
+      std::unordered_map<std::string, KeyedRecord>* records);
   void ApplyHealth(const KeyedRecord& record);
   BoardChange ApplyRenewalStops(const KeyedRecord& record);
   void ApplyDepartures(const KeyedRecord& record);
@@ -172,6 +185,7 @@
   std::map<std::string, EntryRecord> entries_;
   std::optional<ReplicaRoster> roster_;
   std::unordered_map<std::string, KeyedRecord> progress_;
+  std::unordered_map<std::string, KeyedRecord> checkpoints_;
   std::optional<KeyedRecord> health_;
   std::optional<KeyedRecord> renewal_stops_;
   std::optional<KeyedRecord> departures_;
--- a/src/libs/coordination/scheduling_metrics.cc
+++ b/src/libs/coordination/scheduling_metrics.cc
@@ -62,6 +62,13 @@
       .Add(tasks);
 }
 
+void SchedulingMetrics::OnCheckpointDropped() {
+  metrics_
+      .counter("thornplank_checkpoints_dropped_total",
+               "Runs of which a checkpoint was too long to be stored.")
+      .Add();
+}
+
 void SchedulingMetrics::OnTaskGivenUp() {
   metrics_
       .counter("thornplank_tasks_given_up_total",
--- a/src/libs/coordination/scheduling_metrics.h
+++ b/src/libs/coordination/scheduling_metrics.h
@@ -28,6 +28,8 @@
   void OnRunEnded(RunKind kind, RunEnd end, std::optional<Duration> lasted);
   // A task will not be started again, since workers were lost while running it.
   void OnTaskGivenUp();
+  // A checkpoint is too long to be stored.
+  void OnCheckpointDropped();
   void OnLossesCleared(size_t tasks);
   // A run is stopped to return capacity that is held for a gang.
   void OnBorrowerStopped();
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -92,6 +92,8 @@
                                          Severity::kWarning};
 inline constexpr Event kRecordRejected{967, "record-rejected",
                                        Severity::kError};
+inline constexpr Event kCheckpointDropped{968, "checkpoint-dropped",
+                                          Severity::kWarning};
 
 }  // namespace thornplank::events
 
--- a/src/libs/workload/job_definition.cc
+++ b/src/libs/workload/job_definition.cc
@@ -9,7 +9,6 @@
 namespace thornplank {
 namespace {
 
-constexpr size_t kJobIdDigits = 16;
 constexpr int64_t kMaxResource = int64_t{1} << 40;
 // Changes with every incompatible change of the stored form.
 constexpr int kFormat = 1;
--- a/src/libs/workload/job_definition.h
+++ b/src/libs/workload/job_definition.h
@@ -16,6 +16,7 @@
 namespace thornplank {
 
 // Limits for one job, so that no caller can make the scheduler's tables large.
+inline constexpr size_t kJobIdDigits = 16;
 inline constexpr int kMaxSteps = 64;
 inline constexpr int kMaxTasksPerStep = 4096;
 inline constexpr int kMaxTasksPerJob = 8192;
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -145,6 +145,21 @@
   return true;
 }
 
+void JobLedger::RestoreCheckpoint(const TaskRef& ref,
+                                  const std::string& checkpoint) {
+  if (FindTask(ref) == nullptr) return;
+  const auto restore = [&checkpoint](TaskStatus* task) {
+    const bool needed =
+        task->phase != TaskPhase::kDone && task->checkpoint.empty();
+    if (needed) task->checkpoint = checkpoint;
+  };
+  StepProgress* progress = FindStep(ref.step);
+  if (!FindStepSpec(ref.step)->gang) {
+    return restore(&progress->tasks[static_cast<size_t>(ref.index)]);
+  }
+  for (TaskStatus& member : progress->tasks) restore(&member);
+}
+
 bool JobLedger::RestoreBlock(const ProgressBlockRef& ref,
                              const ProgressBlock& block,
                              StepProgress* progress) {
@@ -191,6 +206,11 @@
   return true;
 }
 
+void JobLedger::FailJob(const std::string& id, const std::string& reason) {
+  Job* job = Find(id);
+  if (job != nullptr) Fail(job, reason);
+}
+
 void JobLedger::AdoptFinalState(const std::string& id, JobState state) {
   Job* job = Find(id);
   if (job != nullptr && !IsTerminal(job->state)) job->state = state;
@@ -330,6 +350,12 @@
   if (index >= progress->tasks.size()) return;
   TaskStatus& task = progress->tasks[index];
   if (task.run != run) return;
+  if (checkpoint.size() > max_checkpoint_bytes_) {
+    const bool is_first = task.dropped_checkpoint_run != run;
+    task.dropped_checkpoint_run = run;
+    if (is_first) dropped_checkpoints_.push_back({ref, run, checkpoint.size()});
+    return;
+  }
   task.checkpoint = checkpoint;
   const StepSpec* spec = FindStepSpec(ref.step);
   if (!spec->gang) return;
@@ -361,6 +387,10 @@
   return std::exchange(changed_jobs_, {});
 }
 
+std::vector<DroppedCheckpoint> JobLedger::TakeDroppedCheckpoints() {
+  return std::exchange(dropped_checkpoints_, {});
+}
+
 void JobLedger::SetPhase(StepProgress* progress, TaskStatus* task,
                          TaskPhase phase) {
   if (task->phase == TaskPhase::kWaiting) --progress->waiting;
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -7,7 +7,9 @@
 #ifndef THORNPLANK_WORKLOAD_JOB_LEDGER_H_
 #define THORNPLANK_WORKLOAD_JOB_LEDGER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -79,8 +81,21 @@
   Time added_at{};
 };
 
+// A checkpoint that is too long to be stored.
+struct DroppedCheckpoint {
+  TaskRef task;
+  int run = 0;
+  size_t bytes = 0;
+};
+
 class JobLedger {
  public:
+  JobLedger() = default;
+  // Longer checkpoints are not recorded: a task resumes from the one before, or
+  // from the beginning.
+  explicit JobLedger(size_t max_checkpoint_bytes)
+      : max_checkpoint_bytes_(max_checkpoint_bytes) {}
+
   // Adds a job, or returns the one that is already there.
   Job& Add(const JobDefinition& spec, Time now);
   void Remove(const std::string& job);
@@ -93,9 +108,14 @@
   // Restores the progress of a step from storage; returns false for unknown
   // steps and blocks of a different size.
   bool Restore(const StepRef& ref, const ProgressBlocks& blocks);
+  // Restores a checkpoint that is stored apart from its block. Does nothing for
+  // a task that is done or whose block has a checkpoint.
+  void RestoreCheckpoint(const TaskRef& ref, const std::string& checkpoint);
 
   // Cancels the job for its caller. Returns false if it had already ended.
   bool Cancel(const std::string& job);
+  // Ends the job as failed, for a reason that no run of it shows.
+  void FailJob(const std::string& job, const std::string& reason);
   // Adopts a final state that was published earlier.
   void AdoptFinalState(const std::string& job, JobState state);
 
@@ -146,6 +166,9 @@
   // the last call.
   std::set<ProgressBlockRef> TakeDirtyBlocks();
   std::set<std::string> TakeChangedJobs();
+  // The checkpoints that were not recorded since the last call, one of each run
+  // at most.
+  std::vector<DroppedCheckpoint> TakeDroppedCheckpoints();
 
  private:
   void SetPhase(StepProgress* progress, TaskStatus* task, TaskPhase phase);
@@ -162,6 +185,7 @@
   bool RestoreBlock(const ProgressBlockRef& ref, const ProgressBlock& block,
                     StepProgress* progress);
 
+  size_t max_checkpoint_bytes_ = std::numeric_limits<size_t>::max();
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   int64_t urgent_completions_ = 0;
   // Invariant: contains every task whose crash record has a loss that is not
@@ -169,6 +193,7 @@
   std::map<std::string, std::set<TaskRef>> unaccounted_losses_;
   std::set<ProgressBlockRef> dirty_blocks_;
   std::set<std::string> changed_jobs_;
+  std::vector<DroppedCheckpoint> dropped_checkpoints_;
 };
 
 // Short texts for logs and stored records.
--- a/src/libs/workload/task_status.h
+++ b/src/libs/workload/task_status.h
@@ -26,6 +26,9 @@
   // The next run resumes from here; empty if there is none.
   std::string checkpoint;
   CrashRecord crashes{};
+  // The last run of which a checkpoint was too long to be stored; 0 if there is
+  // none. Not stored itself.
+  int dropped_checkpoint_run = 0;
 };
 
 }  // namespace thornplank
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -237,9 +237,17 @@
   void Submit(std::vector<StepSpec> steps, int work_ms,
               const std::string& id = kJob, int priority = 1,
               const std::string& account = "north") {
+    SubmitWithPayload(std::move(steps), {{"work_ms", work_ms}}, id, priority,
+                      account);
+  }
+
+  // `payload` is what the models of workers read.
+  void SubmitWithPayload(std::vector<StepSpec> steps, const Json& payload,
+                         const std::string& id = kJob, int priority = 1,
+                         const std::string& account = "north") {
     JobDefinition job = MakeJob(id, std::move(steps), priority, account);
     job.accepted = std::chrono::system_clock::now();
-    job.payload = Json({{"work_ms", work_ms}}).dump();
+    job.payload = payload.dump();
     Append(kBoard, JobBoard::Submission(job));
   }
 
--- a/tests/auto/coordination/tst_job_board.cc
+++ b/tests/auto/coordination/tst_job_board.cc
@@ -199,6 +199,35 @@
   }
 }
 
+TEST_CASE("a checkpoint apart from its block is kept until it is removed") {
+  const TaskRef task{{kJob, 0, 2}, 17};
+  KeyedRecord record = JobBoard::Checkpoint(task, "saved");
+  CHECK(JobBoard::ParseCheckpointKey(record.key) == task);
+  CHECK_FALSE(JobBoard::ParseProgressKey(record.key).has_value());
+  const KeyedRecord progress = JobBoard::Progress({{kJob, 0, 2}, 0}, "block");
+  CHECK_FALSE(JobBoard::ParseCheckpointKey(progress.key).has_value());
+  JobBoard board;
+  record.offset = 5;
+  CHECK(board.Apply(record).kind == BoardChange::Kind::kNone);
+  // An older record that a snapshot contains changes nothing.
+  KeyedRecord older = JobBoard::Checkpoint(task, "before");
+  older.offset = 4;
+  board.Apply(older);
+  REQUIRE(board.checkpoints().size() == 1);
+  CHECK(board.checkpoints().begin()->second.value == "saved");
+  CHECK(board.progress().empty());
+  CHECK(board.jobs().empty());
+  board.OnSnapshot({record.key});
+  CHECK(board.checkpoints().size() == 1);
+  board.OnSnapshot({});
+  CHECK(board.checkpoints().empty());
+  board.Apply(record);
+  KeyedRecord tombstone = JobBoard::Checkpoint(task, std::nullopt);
+  tombstone.offset = 6;
+  board.Apply(tombstone);
+  CHECK(board.checkpoints().empty());
+}
+
 TEST_CASE("the newest progress is kept and changes no job") {
   const ProgressBlockRef block{{kJob, 0, 0}, 0};
   const auto record = [&block](const char* value, int64_t offset) {
--- a/tests/auto/coordination/tst_record_sizes.cc
+++ b/tests/auto/coordination/tst_record_sizes.cc
@@ -3,12 +3,14 @@
 // after the store has rejected it for its size.
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "coordination/fenced_writer.h"
 #include "coordination/job_board.h"
+#include "coordination/progress_records.h"
 #include "coordination/record_appender.h"
 #include "store_fixture.h"
 
@@ -133,7 +135,6 @@
 // answer to the next one, which has the same sequence number.
 TEST_CASE("a rejection that arrives twice rejects nothing else") {
   WriterTest test(StoreLimits{});
-  FencedWriterSettings settings;
   test.store.latency = Milliseconds(400);
   bool done = false;
   test.writer->Write({RecordOf("large", 5000)}, nullptr);
@@ -143,5 +144,100 @@
   CHECK(test.StoredKeys() == std::vector<std::string>{"next"});
 }
 
+const StepRef kStep{"0123456789abcdef", 0, 0};
+
+StepSpec Step(int count, bool gang) {
+  StepSpec spec;
+  spec.count = count;
+  spec.gang = gang;
+  return spec;
+}
+
+// Of tasks that have the same checkpoint and have lost four workers each, with
+// the longest names of workers.
+ProgressBlock BlockOf(int tasks, size_t checkpoint_bytes) {
+  const std::string worker(128, 'w');
+  TaskStatus task{TaskPhase::kActive, 7, 2, worker,
+                  std::string(checkpoint_bytes, 'c')};
+  const WorkerLoss loss{worker, FromUnixMilliseconds(1700000000123), true, true,
+                        true};
+  task.crashes = {{loss, loss, loss, loss, loss}, 1};
+  ProgressBlock block{2, 7, {}};
+  block.tasks.assign(static_cast<size_t>(tasks), task);
+  return block;
+}
+
+// Guards against progress that no record can hold: the leader cannot store it,
+// and whatever it does then, a successor does not know what runs.
+TEST_CASE("progress at the limits of a record") {
+  struct Row {
+    const char* name;
+    int count;
+    bool gang;
+    size_t checkpoint_bytes;
+    // Of the limit, relative to the size of the block in one record.
+    int slack;
+    size_t records;
+  };
+  const size_t most = MaxCheckpointBytes(StoreLimits());
+  const std::vector<Row> rows = {
+      {"tasks, one byte below", 4, false, 2000, 1, 1},
+      {"tasks, at the limit", 4, false, 2000, 0, 1},
+      {"tasks, one byte above", 4, false, 2000, -1, 5},
+      {"a gang, one byte below", 8, true, 2000, 1, 1},
+      {"a gang, at the limit", 8, true, 2000, 0, 1},
+      {"a gang, one byte above", 8, true, 2000, -1, 2},
+      {"tasks, the longest checkpoints", 4, false, most, 0, 5},
+      {"a gang, the longest checkpoints", 128, true, most, 0, 2},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    const StepSpec spec = Step(row.count, row.gang);
+    const ProgressBlockRef ref{kStep, 0};
+    const ProgressBlock block = BlockOf(row.count, row.checkpoint_bytes);
+    StoreLimits limits;
+    const KeyedRecord whole = JobBoard::Progress(ref, EncodeBlock(block));
+    if (row.checkpoint_bytes < most) {
+      limits.record_bytes =
+          static_cast<size_t>(static_cast<int>(RecordBytes(whole)) + row.slack);
+    }
+    const ProgressRecords stored = ToProgressRecords(ref, block, spec, limits);
+    REQUIRE(stored.records.size() == row.records);
+    CHECK(stored.checkpoints.size() == row.records - 1);
+    for (const KeyedRecord& record : stored.records) {
+      CHECK(RecordBytes(record) <= limits.record_bytes);
+    }
+    // Earlier releases read the block, which is the last record: as it was if
+    // it fits, else without the checkpoints, so that they start the tasks from
+    // the beginning, with the same number of the next run.
+    if (row.records == 1) CHECK(stored.records[0].value == whole.value);
+    const auto read = DecodeBlock(*stored.records.back().value, nullptr);
+    REQUIRE(read.has_value());
+    REQUIRE(read->tasks.size() == block.tasks.size());
+    const std::string checkpoint =
+        row.records == 1 ? block.tasks[0].checkpoint : "";
+    for (const TaskStatus& task : read->tasks) {
+      CHECK(task.run == 7);
+      CHECK(task.worker == block.tasks[0].worker);
+      CHECK(task.checkpoint == checkpoint);
+      CHECK(task.crashes.losses == block.tasks[0].crashes.losses);
+    }
+    for (size_t i = 0; i + 1 < row.records; ++i) {
+      CHECK(JobBoard::ParseCheckpointKey(stored.records[i].key) ==
+            stored.checkpoints[i]);
+      CHECK(stored.records[i].value == block.tasks[0].checkpoint);
+    }
+  }
+}
+
+TEST_CASE("the longest checkpoint fits beside the longest key") {
+  const StoreLimits limits;
+  const TaskRef task{{"0123456789abcdef", kMaxOccurrences, kMaxSteps},
+                     kMaxTasksPerStep};
+  const std::string longest(MaxCheckpointBytes(limits), 'c');
+  CHECK(RecordBytes(JobBoard::Checkpoint(task, longest)) ==
+        limits.record_bytes);
+}
+
 }  // namespace
 }  // namespace thornplank::testing
--- a/tests/auto/workload/tst_job_ledger.cc
+++ b/tests/auto/workload/tst_job_ledger.cc
@@ -96,6 +96,70 @@
   CHECK(ledger.Find(kJob)->state == JobState::kCompleted);
 }
 
+// Guards against a checkpoint of the store that replaces a newer one, or that a
+// task which is done would be started from.
+TEST_CASE("a checkpoint that is stored apart is restored where none is known") {
+  struct Row {
+    const char* name;
+    bool gang;
+    std::vector<TaskStatus> tasks;
+    std::vector<std::string> checkpoints;
+  };
+  const TaskStatus waiting{TaskPhase::kWaiting, 1, 1, "", ""};
+  const TaskStatus saved{TaskPhase::kWaiting, 1, 1, "", "block"};
+  const TaskStatus done{TaskPhase::kDone, 1, 0, "", ""};
+  const std::vector<Row> rows = {
+      {"a task", false, {waiting, waiting}, {"apart", ""}},
+      {"a task with a checkpoint", false, {saved, waiting}, {"block", ""}},
+      {"a task that is done", false, {done, waiting}, {"", ""}},
+      {"a gang", true, {waiting, waiting}, {"apart", "apart"}},
+      {"a gang with a checkpoint", true, {saved, saved}, {"block", "block"}},
+      {"a gang that is done", true, {done, done}, {"", ""}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    StepSpec step = MakeStep(2, 1);
+    step.gang = row.gang;
+    JobLedger ledger;
+    ledger.Add(MakeJob(kJob, {step}), At(0));
+    ProgressBlock block;
+    block.tasks = row.tasks;
+    REQUIRE(ledger.Restore(Ref(0), {{0, block}}));
+    ledger.RestoreCheckpoint(Task(0, 0), "apart");
+    for (int i = 0; i < 2; ++i) {
+      CHECK(ledger.FindTask(Task(0, i))->checkpoint ==
+            row.checkpoints[static_cast<size_t>(i)]);
+    }
+    ledger.RestoreCheckpoint({{"00000000000000ff", 0, 0}, 0}, "apart");
+    ledger.RestoreCheckpoint(Task(0, 2), "apart");
+    ledger.RestoreCheckpoint(Task(1, 0), "apart");
+  }
+}
+
+// Guards against a string that no record can hold: the task goes on from the
+// checkpoint before, for this leader as for the next one.
+TEST_CASE("a checkpoint that is too long is left out and told once a run") {
+  for (const size_t bytes : {9, 10, 11}) {
+    CAPTURE(bytes);
+    JobLedger ledger(10);
+    ledger.Add(MakeJob(kJob, {MakeStep(1, 1)}), At(0));
+    ledger.RecordStart(Ref(0), {{0, "w"}});
+    ledger.RecordCheckpoint(Task(0, 0), 1, "first");
+    const std::string text(bytes, 'c');
+    for (int i = 0; i < 3; ++i) ledger.RecordCheckpoint(Task(0, 0), 1, text);
+    const bool fits = bytes <= 10;
+    CHECK(ledger.FindTask(Task(0, 0))->checkpoint == (fits ? text : "first"));
+    const auto dropped = ledger.TakeDroppedCheckpoints();
+    REQUIRE(dropped.size() == (fits ? 0 : 1));
+    if (fits) continue;
+    CHECK(dropped[0].bytes == bytes);
+    CHECK(dropped[0].run == 1);
+    CHECK(ledger.RecordRunEnd(Task(0, 0), 1, RunEnd::kStopped, text));
+    CHECK(ledger.FindTask(Task(0, 0))->checkpoint == "first");
+    CHECK(ledger.TakeDroppedCheckpoints().empty());
+  }
+}
+
 TEST_CASE("a step is ready once all steps that it depends on are done") {
   JobLedger ledger;
   Job& job =
--- a/tests/standins/users_executor_model.cc
+++ b/tests/standins/users_executor_model.cc
@@ -95,6 +95,7 @@
   ended.task = run->second.task;
   ended.run = run->second.run;
   ended.end = end;
+  ended.checkpoint = run->second.checkpoint;
   ended.history_index = run->second.history_index;
   unrecorded_ends_.push_back(std::move(ended));
   runs_.erase(run);
@@ -128,7 +129,12 @@
   run.task = order.task;
   run.run = order.run;
   run.work_ms = IntField(payload, "work_ms").value_or(100);
-  run.fails = fail_all_ || BoolField(payload, "fail").value_or(false);
+  run.fails = fail_all_ || BoolField(payload, "fail").value_or(false) ||
+              order.run <= IntField(payload, "failing_runs").value_or(0);
+  // The same for all members of a gang, as the protocol asks for.
+  run.checkpoint.assign(
+      static_cast<size_t>(IntField(payload, "checkpoint_bytes").value_or(0)),
+      'c');
   run.required = RequiredResources(payload, order.task.step.step);
   run.tail_ms = IntField(payload, "tail_ms").value_or(0);
   run.disturbs_ms = IntField(payload, "disturbs_ms").value_or(0);
@@ -140,6 +146,7 @@
   history.task = name;
   history.run = order.run;
   history.began_ms = now;
+  history.resumed_bytes = static_cast<int64_t>(order.checkpoint.size());
   history_.push_back(std::move(history));
   Resources used = run.required;
   for (const auto& [other_name, other] : runs_) {
@@ -209,13 +216,14 @@
     const int64_t percent =
         run.work_ms > 0 ? Progress(run, now) * kFullPercent / run.work_ms : 0;
     report->running.push_back(
-        {run.task, run.run, "",
+        {run.task, run.run, run.checkpoint,
          static_cast<int>(std::min<int64_t>(percent, kFullPercent)),
          Load(run)});
   }
   for (const UnrecordedEnd& end : unrecorded_ends_) {
     if (report->ended.size() == kMaxListedEnds) break;
-    report->ended.push_back({end.number, end.task, end.run, end.end, ""});
+    report->ended.push_back(
+        {end.number, end.task, end.run, end.end, end.checkpoint});
   }
   // What a reader can tell of the list: one of that length may be continued.
   report->ends_complete = report->ended.size() < kMaxListedEnds;
--- a/tests/standins/users_executor_model.h
+++ b/tests/standins/users_executor_model.h
@@ -47,6 +47,8 @@
   // By the users' rule an end recorded later never counts, because after a
   // lapse the scheduler may have started the task again.
   bool recorded = false;
+  // Length of the checkpoint that the start carried; 0 without one.
+  int64_t resumed_bytes = 0;
   // As last reported.
   int64_t load = 0;
   // As last ordered, in percent.
@@ -103,6 +105,8 @@
     Resources required;
     int64_t work_ms = 0;
     bool fails = false;
+    // As reported from the start of the run on; empty if it has none.
+    std::string checkpoint;
     // Tail latency of a serving task while no other task disturbs it; 0 for
     // other tasks.
     int64_t tail_ms = 0;
@@ -130,6 +134,7 @@
     TaskRef task;
     int run = 0;
     RunEnd end = RunEnd::kLost;
+    std::string checkpoint;
     size_t history_index = 0;
   };
 
