A submission that is larger than the store takes is refused at once with 413

Cause: RecordAppender sent a record four times or until its caller's time-out when the store rejected it for its size, and refused the records of the other callers that shared the append with it.

A record above the limit is never sent. A rejected append is divided into its records, each sent by itself, and one that is rejected alone is given up. An append takes no more than the store's limit for all of them. CallerService answers 413 (cause job_too_large); nothing of the job is stored.

--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -27,6 +27,9 @@
 constexpr CallerService::Refusal kUnknownKey{401, "unknown_key", "unknown key"};
 constexpr CallerService::Refusal kTooLarge{413, "too_large",
                                            "the body is too large"};
+constexpr CallerService::Refusal kJobTooLarge{
+    413, "job_too_large", "the job is larger than the store takes",
+    /*only_here=*/false, /*detail_is_private=*/true};
 constexpr CallerService::Refusal kQueueIsReadOnly{405, "method",
                                                   "a queue can only be read"};
 constexpr CallerService::Refusal kWrongMethod{
@@ -54,9 +57,10 @@
 // store is not taken for one that does not answer.
 constexpr int kRefreshLatencyFactor = 2;
 
-RecordAppenderSettings AppenderSettings(const Partition& board) {
+RecordAppenderSettings AppenderSettings(const CallerServiceSettings& caller) {
   RecordAppenderSettings settings;
-  settings.partition = board;
+  settings.partition = caller.board;
+  settings.limits = caller.store_limits;
   return settings;
 }
 
@@ -91,7 +95,7 @@
     : formats_(formats),
       settings_(std::move(settings)),
       dependencies_(std::move(dependencies)),
-      appender_(io, store, AppenderSettings(settings_.board),
+      appender_(io, store, AppenderSettings(settings_),
                 [this](int64_t end) { dependencies_.board_tail->Expect(end); }),
       metrics_(metrics),
       accepted_(metrics.counter("thornplank_jobs_accepted_total",
@@ -375,6 +379,9 @@
 
 void CallerService::RefuseUnstored(const std::shared_ptr<Call>& call,
                                    StoreOutcome outcome, const Error& error) {
+  if (outcome == StoreOutcome::kRejected) {
+    return Refuse(call, kJobTooLarge, error.reason);
+  }
   const bool may_be_stored = outcome == StoreOutcome::kUnknown;
   Refuse(call, may_be_stored ? kOutcomeUnknown : kNotStored, error.ToString());
 }
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -29,6 +29,7 @@
 
 struct CallerServiceSettings {
   Partition board;
+  StoreLimits store_limits;
   // With an older configuration calls that need a key are refused, since keys
   // may have been revoked meanwhile. Below the bound on revocation (5 s).
   Milliseconds max_configuration_age{4200};
--- a/src/libs/coordination/record_appender.cc
+++ b/src/libs/coordination/record_appender.cc
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -36,6 +38,9 @@
     auto item = std::make_shared<Item>(io_);
     item->record = std::move(record);
     item->done = std::move(done);
+    if (RecordBytes(item->record) > settings_.limits.record_bytes) {
+      return RejectLater(item);
+    }
     ExpireAt(item, std::min(deadline, Now() + settings_.patience));
     queue_.push_back(std::move(item));
     SendQueue();
@@ -61,6 +66,8 @@
     // Appends that contained it and failed.
     int refused = 0;
     int unanswered = 0;
+    // An append that contained it was rejected: it is sent by itself.
+    bool alone = false;
     Error last_error;
     boost::asio::steady_timer timer;
   };
@@ -74,6 +81,18 @@
         });
   }
 
+  // Callbacks never run before Append returns.
+  void RejectLater(const std::shared_ptr<Item>& item) {
+    item->last_error = {"append", settings_.partition.stream,
+                        "the record has " +
+                            std::to_string(RecordBytes(item->record)) +
+                            " bytes, the store takes " +
+                            std::to_string(settings_.limits.record_bytes)};
+    boost::asio::post(io_, [self = shared_from_this(), item] {
+      if (!self->closed_) Finish(item, StoreOutcome::kRejected);
+    });
+  }
+
   static StoreOutcome OutcomeOf(const Item& item) {
     const bool may_be_stored = item.under_way > 0 || item.unanswered > 0;
     return may_be_stored ? StoreOutcome::kUnknown : StoreOutcome::kRefused;
@@ -118,20 +137,28 @@
     const auto take = [&](const std::shared_ptr<Item>& item) {
       // Its time has passed meanwhile.
       if (!item->done) return;
-      bytes += item->record.key.size();
-      if (item->record.value) bytes += item->record.value->size();
+      bytes += BytesInAppend(item->record);
       batch.push_back(item);
     };
     for (const std::shared_ptr<Item>& item : std::exchange(unanswered_, {})) {
       take(item);
     }
     while (!queue_.empty() && bytes < settings_.max_append_bytes) {
-      take(queue_.front());
+      const std::shared_ptr<Item>& next = queue_.front();
+      if (!batch.empty() && !MayJoin(*next, *batch.front(), bytes)) break;
+      take(next);
       queue_.pop_front();
     }
     return batch;
   }
 
+  // Whether the record may be appended with `first` and others, which have
+  // `bytes` together.
+  bool MayJoin(const Item& item, const Item& first, size_t bytes) const {
+    return !item.alone && !first.alone &&
+           bytes + BytesInAppend(item.record) <= settings_.limits.append_bytes;
+  }
+
   void Send(Batch batch, Time now) {
     AppendRequest request;
     request.partition = settings_.partition;
@@ -159,7 +186,7 @@
       on_stored_(result.end);
     }
     for (const std::shared_ptr<Item>& item : batch) {
-      OnItemResult(item, result);
+      OnItemResult(item, batch.size() == 1, result);
     }
     const auto answered = [](const std::shared_ptr<Item>& item) {
       return !item->done || item->under_way == 0;
@@ -183,7 +210,16 @@
     if (outcome == StoreOutcome::kStored) refusal_pause_ = Milliseconds(0);
   }
 
-  void OnItemResult(const std::shared_ptr<Item>& item,
+  // The same append would be rejected again; each record of it may still be
+  // taken by itself.
+  void OnItemRejected(const std::shared_ptr<Item>& item, bool is_alone) {
+    if (is_alone) return Finish(item, StoreOutcome::kRejected);
+    item->alone = true;
+    if (item->under_way == 0) queue_.push_back(item);
+  }
+
+  // `is_alone`: the append contained no other record.
+  void OnItemResult(const std::shared_ptr<Item>& item, bool is_alone,
                     const AppendResult& result) {
     --item->under_way;
     if (!item->done) return;
@@ -191,6 +227,9 @@
       return Finish(item, StoreOutcome::kStored);
     }
     item->last_error = result.error;
+    if (result.outcome == StoreOutcome::kRejected) {
+      return OnItemRejected(item, is_alone);
+    }
     const bool unanswered = result.outcome == StoreOutcome::kUnknown;
     ++(unanswered ? item->unanswered : item->refused);
     // Another append that contains it may still be answered.
--- a/src/libs/coordination/record_appender.h
+++ b/src/libs/coordination/record_appender.h
@@ -44,11 +44,13 @@
   Milliseconds patience{1700};
   // No further record joins an append that has reached this size.
   size_t max_append_bytes = 512 * 1024;
+  StoreLimits limits;
 };
 
 class RecordAppender {
  public:
-  // kStored, kRefused (certainly not stored) or kUnknown.
+  // kStored, kRefused (certainly not stored), kRejected (the store does not
+  // take this record) or kUnknown.
   using Done = std::function<void(StoreOutcome, const Error&)>;
 
   // `on_stored` gets the end of the partition after each stored append; may be
--- a/tests/auto/coordination/store_fixture.h
+++ b/tests/auto/coordination/store_fixture.h
@@ -55,7 +55,10 @@
       result.outcome = StoreOutcome::kRefused;
     } else if (fault != AppendFault::kNotStored) {
       result = model.Append(request);
-      if (result.outcome == StoreOutcome::kRejected) OnRejected(request);
+      if (result.outcome == StoreOutcome::kRejected) {
+        result.error = {"append", "store", "status 413"};
+        OnRejected(request);
+      }
     }
     if (fault == AppendFault::kLostAnswer) {
       result.outcome = StoreOutcome::kUnknown;
--- a/tests/auto/coordination/tst_record_sizes.cc
+++ b/tests/auto/coordination/tst_record_sizes.cc
@@ -144,6 +144,72 @@
   CHECK(test.StoredKeys() == std::vector<std::string>{"next"});
 }
 
+// Guards against a caller that waits until its time-out for a record that the
+// store never takes, and against other callers' records that are refused with
+// it.
+TEST_CASE("callers' records at the limits of the store") {
+  struct Row {
+    const char* name;
+    std::vector<size_t> sizes;
+    // Index of the record that is rejected; -1 for none.
+    int rejected;
+  };
+  const std::vector<Row> rows = {
+      {"one byte below", {4095, 100}, -1},
+      {"at the limit", {4096, 100}, -1},
+      {"one byte above", {4097, 100}, 0},
+      {"one byte above, the last of an append", {100, 100, 4097}, 2},
+      {"a total one byte below", {4096, 4096, 1795}, -1},
+      {"a total at the limit", {4096, 4096, 1796}, -1},
+      {"a total one byte above", {4096, 4096, 1797}, -1},
+      {"a total of several appends", {4096, 4096, 4096, 4097, 4096, 4096}, 3},
+  };
+  for (const Row& row : rows) {
+    // The second entry believes the limits to be larger than they are.
+    for (const StoreLimits& known : {kLimits, StoreLimits{}}) {
+      CAPTURE(std::string(row.name));
+      CAPTURE(known.record_bytes);
+      boost::asio::io_context io;
+      FakeRecordStore store(io);
+      store.model.set_limits(kLimits);
+      RecordAppenderSettings settings;
+      settings.partition = kBoardPartition;
+      settings.limits = known;
+      settings.min_refusal_pause = Milliseconds(5);
+      RecordAppender appender(io, store, settings);
+      std::vector<StoreOutcome> outcomes(row.sizes.size(),
+                                         StoreOutcome::kOutOfSequence);
+      size_t answered = 0;
+      // The first append makes the others wait, so that they are joined.
+      store.latency = Milliseconds(5);
+      const Time deadline =
+          std::chrono::steady_clock::now() + std::chrono::seconds(30);
+      appender.Append({"first", "v", 0}, deadline, nullptr);
+      for (size_t i = 0; i < row.sizes.size(); ++i) {
+        appender.Append(RecordOf("k" + std::to_string(i), row.sizes[i]),
+                        deadline,
+                        [&, i](StoreOutcome outcome, const Error& error) {
+                          outcomes[i] = outcome;
+                          ++answered;
+                          if (outcome != StoreOutcome::kRejected) return;
+                          CHECK(!error.reason.empty());
+                        });
+      }
+      CHECK(answered == 0);
+      REQUIRE(RunUntil(io, [&] { return answered == row.sizes.size(); }));
+      for (size_t i = 0; i < row.sizes.size(); ++i) {
+        CAPTURE(i);
+        const bool rejected = static_cast<int>(i) == row.rejected;
+        CHECK(outcomes[i] ==
+              (rejected ? StoreOutcome::kRejected : StoreOutcome::kStored));
+      }
+      CHECK(store.repeated_rejections == 0);
+      const bool knows_limits = known.record_bytes == kLimits.record_bytes;
+      if (knows_limits) CHECK(store.rejected_appends == 0);
+    }
+  }
+}
+
 const StepRef kStep{"0123456789abcdef", 0, 0};
 
 StepSpec Step(int count, bool gang) {
