--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -108,6 +108,13 @@
   return bounds;
 }
 
+StoreLimits ToStoreLimits(const HostedSettings& settings) {
+  StoreLimits limits;
+  limits.record_bytes = static_cast<size_t>(settings.store_record_bytes);
+  limits.append_bytes = static_cast<size_t>(settings.store_append_bytes);
+  return limits;
+}
+
 SchedulingFeatures ToSchedulingFeatures(const HostedSettings& settings) {
   SchedulingFeatures features;
   features.held_capacity = settings.held_capacity;
@@ -386,6 +393,7 @@
     settings.max_unconfirmed_age =
         settings_.configuration_bound - kConfigurationMargin;
     settings.state_kept = settings_.state_kept;
+    settings.store_limits = ToStoreLimits(settings_);
     settings.bounds = ToWorkerBounds(settings_);
     settings.features = ToSchedulingFeatures(settings_);
     settings.min_replicas = static_cast<size_t>(settings_.min_replicas);
--- a/src/libs/replicas/board_replica.cc
+++ b/src/libs/replicas/board_replica.cc
@@ -281,6 +281,7 @@
   CallerServiceSettings CallerSettings() const {
     CallerServiceSettings settings;
     settings.board = settings_.board;
+    settings.store_limits = settings_.store_limits;
     settings.max_configuration_age = settings_.max_configuration_age;
     settings.max_unconfirmed_age = settings_.max_unconfirmed_age;
     return settings;
@@ -311,6 +312,7 @@
     ClusterCoordinatorSettings settings;
     settings.holder = settings_.holder;
     settings.board = settings_.board;
+    settings.store_limits = settings_.store_limits;
     settings.job_retention = settings_.state_kept + kRetentionMargin;
     settings.bounds = settings_.bounds;
     settings.features = settings_.features;
--- a/src/libs/replicas/board_replica.h
+++ b/src/libs/replicas/board_replica.h
@@ -38,6 +38,7 @@
   // "instance/incarnation"; never used again by another process.
   std::string holder;
   Partition board;
+  StoreLimits store_limits;
   // Preference for leadership while there is no roster: 0 is first, 1 is last.
   double rank = 0;
   // Random choices of this entry.
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -13,6 +13,8 @@
 constexpr NumberRange kSlowdownRange{1, 1000};
 constexpr IntRange kReplicaRange{1, 1000};
 constexpr IntRange kDescriptorRange{0, 100000000};
+// Below the least value the records of the leader itself would not fit.
+constexpr IntRange kStoreBytesRange{4096, 1 << 30};
 
 void ReadFeature(SettingsReader& reader, const std::string& key,
                  FeatureMode* mode) {
@@ -40,6 +42,10 @@
               &settings->listen_entries);
   reader.Text("store_address", Presence::kRequired, AddressText(),
               &settings->store_address);
+  reader.Int("store_record_bytes", Presence::kOptional, kStoreBytesRange,
+             &settings->store_record_bytes);
+  reader.Int("store_append_bytes", Presence::kOptional, kStoreBytesRange,
+             &settings->store_append_bytes);
   reader.Text("advisor_address", Presence::kOptional, AddressText(),
               &settings->advisor_address);
   reader.Number("processor_share", Presence::kOptional, kShareRange,
@@ -112,6 +118,10 @@
           at_restart);
   compare("advisor_address", before.advisor_address, after.advisor_address,
           at_restart);
+  compare("store_record_bytes", before.store_record_bytes,
+          after.store_record_bytes, at_restart);
+  compare("store_append_bytes", before.store_append_bytes,
+          after.store_append_bytes, at_restart);
   compare("processor_share", before.processor_share, after.processor_share,
           at_restart);
   compare("max_descriptors", before.max_descriptors, after.max_descriptors,
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -3,6 +3,7 @@
 #ifndef THORNPLANK_SETTINGS_HOSTED_SETTINGS_H_
 #define THORNPLANK_SETTINGS_HOSTED_SETTINGS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   // Where other entries reach this one; empty: they are not told of it.
   std::string listen_entries;
   std::string store_address;
+  // The largest record, and the largest append, that the store takes.
+  int64_t store_record_bytes = 256 * 1024;
+  int64_t store_append_bytes = 2 * 1024 * 1024;
   // Address of the advice service, which approves workers; empty if no queue
   // needs it.
   std::string advisor_address;
--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -42,6 +42,8 @@
   CHECK(settings->longest_lease == HostedSettings().longest_lease);
   CHECK(settings->worker_heartbeat == HostedSettings().worker_heartbeat);
   CHECK(settings->restore_time == HostedSettings().restore_time);
+  CHECK(settings->store_record_bytes == HostedSettings().store_record_bytes);
+  CHECK(settings->store_append_bytes == HostedSettings().store_append_bytes);
   CHECK(settings->min_replicas == HostedSettings().min_replicas);
   CHECK(settings->max_descriptors == HostedSettings().max_descriptors);
   CHECK(settings->configuration_bound == HostedSettings().configuration_bound);
@@ -75,6 +77,9 @@
       {R"({"far_slowdown": 0.5})",
        "far_slowdown: found 0.5, allowed a number from 1"},
       {R"({"min_replicas": 0})", "min_replicas: found 0, allowed"},
+      {R"({"store_record_bytes": 100})",
+       "store_record_bytes: found 100, allowed"},
+      {R"({"store_append_bytes": 0})", "store_append_bytes: found 0, allowed"},
       {R"({"max_descriptors": -1})", "max_descriptors: found -1, allowed"},
       {R"({"reclaim_bound_ms": 0})", "reclaim_bound_ms: found 0, allowed"},
       {R"({"stop_bound_ms": -1})", "stop_bound_ms: found -1, allowed"},
@@ -110,6 +115,10 @@
        true},
       {[](HostedSettings& s) { s.store_address = "127.0.0.1:1"; },
        "store_address", true},
+      {[](HostedSettings& s) { s.store_record_bytes = 5000; },
+       "store_record_bytes", false},
+      {[](HostedSettings& s) { s.store_append_bytes = 5000; },
+       "store_append_bytes", false},
       {[](HostedSettings& s) { s.revocation_bound = Milliseconds(9000); },
        "revocation_bound_ms", true},
       {[](HostedSettings& s) { s.listen_callers = "127.0.0.1:1"; },
--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -59,6 +59,8 @@
   }
   Json payload = {{"work_ms", job.work_ms},
                   {"fail", job.fails},
+                  {"failing_runs", job.failing_runs},
+                  {"checkpoint_bytes", job.checkpoint_bytes},
                   {"needs", needs},
                   {"tail_ms", job.tail_latency_ms},
                   {"disturbs_ms", job.interference_ms},
@@ -362,6 +364,7 @@
           {"listen_metrics", Address(kMetricsPort + entry)},
           {"listen_entries", Address(kEntryPort + entry)},
           {"store_address", Address(kStoreProxyPort + entry)},
+          {"store_record_bytes", settings_.store_record_bytes},
           {"min_replicas", settings_.min_replicas},
           {"longest_lease_ms", settings_.longest_lease.count()},
           {"advisor_address", Address(kAdvisorPort)}};
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -32,6 +32,8 @@
   bool requires_advice = false;
   // Least number of entries that are replicas; by default all are.
   int min_replicas = 8;
+  // The largest record of the store, as the entries are told.
+  int store_record_bytes = 262144;
   // Upper bound on the leases of executors.
   Milliseconds longest_lease{10000};
   // Time-out of a caller's request.
@@ -61,6 +63,10 @@
   std::vector<TestStep> steps = {TestStep()};
   int work_ms = 200;
   bool fails = false;
+  // The number of first runs of each task that fail.
+  int failing_runs = 0;
+  // Length of the checkpoints that the tasks report; 0 for none.
+  int checkpoint_bytes = 0;
   // Time from the start of a task to the crash of its executor; -1 if the tasks
   // crash no executor.
   int crash_after_ms = -1;
