The reason of a failure and a failure domain have a bounded length

Cause: the record of a failed job's reason held text of any length, and the records of entries and the roster a failure domain of any length from the settings file.

A reason is cut to 2,048 bytes, between characters. A failure domain has at most 255 bytes, as the largest key of the store.

--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -36,6 +36,17 @@
   return bytes;
 }
 
+// The first `bytes` bytes at most, without a part of a UTF-8 character: the
+// text is shown to callers as JSON.
+std::string Shortened(const std::string& text, size_t bytes) {
+  if (text.size() <= bytes) return text;
+  const auto continues = [](char byte) {
+    return (static_cast<unsigned char>(byte) & 0xC0) == 0x80;
+  };
+  while (bytes > 0 && continues(text[bytes])) --bytes;
+  return text.substr(0, bytes);
+}
+
 Json DecodeCbor(const std::string& bytes) {
   return ParseCbor(bytes).value_or(Json());
 }
@@ -247,7 +258,7 @@
 
 KeyedRecord JobBoard::Failure(const std::string& job,
                               const std::string& reason) {
-  return {MakeKey(kFailureKey, job), reason, 0};
+  return {MakeKey(kFailureKey, job), Shortened(reason, kMaxFailureBytes), 0};
 }
 
 KeyedRecord JobBoard::Leader(const LeaderRecord& leader) {
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -11,6 +11,7 @@
 #ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
 #define THORNPLANK_COORDINATION_JOB_BOARD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -29,6 +30,10 @@
 
 namespace thornplank {
 
+// A longer reason of a failed job is shortened: its parts, such as names of
+// workers, come from others.
+inline constexpr size_t kMaxFailureBytes = 2048;
+
 struct BoardJob {
   // Null if a state or a cancellation was read before the submission.
   std::shared_ptr<const JobDefinition> spec;
@@ -129,7 +134,8 @@
   static KeyedRecord Cancellation(const std::string& job);
   static KeyedRecord State(const std::string& job, JobState state,
                            WallTime when);
-  // The reason of a failed job, stored in addition to its state.
+  // The reason of a failed job, stored in addition to its state; at most
+  // kMaxFailureBytes of it.
   static KeyedRecord Failure(const std::string& job, const std::string& reason);
   static KeyedRecord Leader(const LeaderRecord& leader);
   // A tombstone if `entry` is nullopt.
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -30,7 +30,8 @@
 
 void ReadHostedKeys(SettingsReader& reader, HostedSettings* settings) {
   reader.Text("name", Presence::kRequired, NameText(), &settings->name);
-  reader.Text("failure_domain", Presence::kRequired, NonEmptyText(),
+  // Part of the records of this entry and of the roster.
+  reader.Text("failure_domain", Presence::kRequired, ShortText(),
               &settings->failure_domain);
   reader.Text("listen_callers", Presence::kRequired, ListenAddressText(),
               &settings->listen_callers);
--- a/src/libs/settings/settings_reader.cc
+++ b/src/libs/settings/settings_reader.cc
@@ -15,6 +15,7 @@
 // Longer JSON texts are truncated in problems.
 constexpr size_t kMaxTextBytes = 60;
 constexpr size_t kMaxNameBytes = 64;
+constexpr size_t kMaxShortTextBytes = 255;
 constexpr int kNumberDigits = 15;
 
 // Suffixes that name a unit, by which a key with a wrong unit is recognised.
@@ -87,6 +88,13 @@
           [](const std::string& text) { return !text.empty(); }};
 }
 
+TextRule ShortText() {
+  return {"text that is not empty, of at most 255 bytes",
+          [](const std::string& text) {
+            return !text.empty() && text.size() <= kMaxShortTextBytes;
+          }};
+}
+
 TextRule NameText() {
   return {"a name of letters, digits, '.', '_' and '-', at most 64 bytes",
           IsValidName};
--- a/src/libs/settings/settings_reader.h
+++ b/src/libs/settings/settings_reader.h
@@ -62,6 +62,8 @@
 
 // Any text that is not empty.
 TextRule NonEmptyText();
+// Any text that is not empty, of at most 255 bytes.
+TextRule ShortText();
 // Letters, digits, '.', '_' and '-', beginning with a letter or digit; at most
 // 64 bytes.
 TextRule NameText();
--- a/tests/auto/coordination/tst_record_sizes.cc
+++ b/tests/auto/coordination/tst_record_sizes.cc
@@ -12,7 +12,11 @@
 #include "coordination/job_board.h"
 #include "coordination/progress_records.h"
 #include "coordination/record_appender.h"
+#include "coordination/replica_roster.h"
 #include "store_fixture.h"
+#include "workload/departure_record.h"
+#include "workload/health_record.h"
+#include "workload/renewal_stop.h"
 
 namespace thornplank::testing {
 namespace {
@@ -296,6 +300,61 @@
   }
 }
 
+// Guards against records with parts whose length others decide: names of
+// workers and entries, and the reason of a failure.
+TEST_CASE("the largest record of each other kind fits into the store") {
+  const std::string worker(255, 'w');
+  const std::string name(64, 'n');
+  const std::string address(64, 'a');
+  const std::string domain(255, 'd');
+  const std::string job = "0123456789abcdef";
+  const WallTime when = FromUnixMilliseconds(1764849600000);
+  ReplicaRoster roster;
+  roster.replicas.assign(64, {name, address, domain});
+  HealthEntry unhealthy;
+  unhealthy.worker = worker;
+  unhealthy.incarnation_start = when;
+  unhealthy.state.verdict = HealthVerdict::kExcluded;
+  const std::vector<HealthEntry> health(1200, unhealthy);
+  const std::vector<DepartingWorker> departures(kMaxDepartures, {worker, when});
+  const RenewalStopRecord stops{
+      1, std::vector<RenewalStop>(kMaxRenewalStops,
+                                  {worker, Milliseconds(13200)})};
+  struct Row {
+    const char* name;
+    KeyedRecord record;
+  };
+  const std::vector<Row> rows = {
+      {"leader", JobBoard::Leader({name + "/" + name, 1 << 30, false})},
+      {"state", JobBoard::State(job, JobState::kFailed, when)},
+      {"reason of a failure", JobBoard::Failure(job, std::string(300000, 'r'))},
+      {"cancellation", JobBoard::Cancellation(job)},
+      {"entry", JobBoard::Entry(name, EntryRecord{address, when, 1, domain})},
+      {"roster", JobBoard::Roster(roster)},
+      {"health", JobBoard::Health(EncodeHealth(health, Time{}, when))},
+      {"departures", JobBoard::Departures(EncodeDepartures(departures))},
+      {"renewal stops", JobBoard::RenewalStops(EncodeRenewalStops(stops))},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    CHECK(RecordBytes(row.record) <= StoreLimits().record_bytes);
+  }
+}
+
+// Guards against a part of a character at the end: the state of the job could
+// not be shown as JSON.
+TEST_CASE("the reason of a failure is cut between characters") {
+  for (const size_t before :
+       {kMaxFailureBytes - 1, kMaxFailureBytes, kMaxFailureBytes + 1}) {
+    CAPTURE(before);
+    const std::string plain(before, 'r');
+    const KeyedRecord record = JobBoard::Failure("j", plain + "\u00e9");
+    CHECK(*record.value == plain.substr(0, kMaxFailureBytes));
+  }
+  const std::string whole = std::string(kMaxFailureBytes - 2, 'r') + "\u00e9";
+  CHECK(JobBoard::Failure("j", whole).value == whole);
+}
+
 TEST_CASE("the longest checkpoint fits beside the longest key") {
   const StoreLimits limits;
   const TaskRef task{{"0123456789abcdef", kMaxOccurrences, kMaxSteps},
--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -70,7 +70,7 @@
     const char* patch;
     const char* line;
   };
-  const std::vector<Row> rows = {
+  std::vector<Row> rows = {
       {R"({"nmae": "x"})", "nmae: found an unknown key, allowed name, "},
       {R"({"store_address": null})",
        "store_address: found nothing, allowed a value"},
@@ -91,6 +91,10 @@
        "account_shares: found \"maybe\", allowed one of"},
   };
   const std::string path = "tst_hosted_settings_mistakes.json";
+  const std::string long_domain =
+      R"({"failure_domain": ")" + std::string(256, 'd') + R"("})";
+  rows.push_back(
+      {long_domain.c_str(), "allowed text that is not empty, of at"});
   for (const Row& row : rows) {
     CAPTURE(std::string(row.patch));
     Json file = ValidFile();
