--- a/tests/auto/settings/tst_hosted_settings.cc
+++ b/tests/auto/settings/tst_hosted_settings.cc
@@ -42,6 +42,8 @@
   CHECK(settings->longest_lease == HostedSettings().longest_lease);
   CHECK(settings->worker_heartbeat == HostedSettings().worker_heartbeat);
   CHECK(settings->restore_time == HostedSettings().restore_time);
+  CHECK(settings->store_record_bytes == HostedSettings().store_record_bytes);
+  CHECK(settings->store_append_bytes == HostedSettings().store_append_bytes);
   CHECK(settings->min_replicas == HostedSettings().min_replicas);
   CHECK(settings->max_descriptors == HostedSettings().max_descriptors);
   CHECK(settings->configuration_bound == HostedSettings().configuration_bound);
@@ -68,13 +70,16 @@
     const char* patch;
     const char* line;
   };
-  const std::vector<Row> rows = {
+  std::vector<Row> rows = {
       {R"({"nmae": "x"})", "nmae: found an unknown key, allowed name, "},
       {R"({"store_address": null})",
        "store_address: found nothing, allowed a value"},
       {R"({"far_slowdown": 0.5})",
        "far_slowdown: found 0.5, allowed a number from 1"},
       {R"({"min_replicas": 0})", "min_replicas: found 0, allowed"},
+      {R"({"store_record_bytes": 100})",
+       "store_record_bytes: found 100, allowed"},
+      {R"({"store_append_bytes": 0})", "store_append_bytes: found 0, allowed"},
       {R"({"max_descriptors": -1})", "max_descriptors: found -1, allowed"},
       {R"({"reclaim_bound_ms": 0})", "reclaim_bound_ms: found 0, allowed"},
       {R"({"stop_bound_ms": -1})", "stop_bound_ms: found -1, allowed"},
@@ -86,6 +91,10 @@
        "account_shares: found \"maybe\", allowed one of"},
   };
   const std::string path = "tst_hosted_settings_mistakes.json";
+  const std::string long_domain =
+      R"({"failure_domain": ")" + std::string(256, 'd') + R"("})";
+  rows.push_back(
+      {long_domain.c_str(), "allowed text that is not empty, of at"});
   for (const Row& row : rows) {
     CAPTURE(std::string(row.patch));
     Json file = ValidFile();
@@ -110,6 +119,10 @@
        true},
       {[](HostedSettings& s) { s.store_address = "127.0.0.1:1"; },
        "store_address", true},
+      {[](HostedSettings& s) { s.store_record_bytes = 5000; },
+       "store_record_bytes", false},
+      {[](HostedSettings& s) { s.store_append_bytes = 5000; },
+       "store_append_bytes", false},
       {[](HostedSettings& s) { s.revocation_bound = Milliseconds(9000); },
        "revocation_bound_ms", true},
       {[](HostedSettings& s) { s.listen_callers = "127.0.0.1:1"; },
