Runs of the last resort give way only if nothing else suffices, on any rack

A run whose stop brings its account below its guarantee, or whose task was stopped twice before, is stopped only for an owed step and only if nothing else suffices. Two comparisons did not keep to that:

- racks were compared by the lost work alone, and a run that has just begun again loses the least, so that the rack with such a run was chosen;
- on one rack, a run of the last resort of an account above its share had the rank of any run of an account below it.

Ruled out: the order on one rack alone.

All tests of tests/auto/workload pass.

--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -2,7 +2,6 @@
 #include "workload/victim_selection.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -10,9 +9,21 @@
 namespace thornplank {
 namespace {
 
+// Added to the rank of an urgent run that is a last resort (StopLimits): more
+// than the rank of any other run that is not long-running.
+constexpr int kLastResortRank = 3;
 // Added to the rank of a long-running task: more than the rank of any other
 // run.
-constexpr int kLongRunningRank = 4;
+constexpr int kLongRunningRank = 6;
+
+// What decides between racks before the work that is lost.
+enum class RackCost { kOrdinary, kLastResort, kLongRunning, kUnknown };
+
+RackCost RackCostOf(const EvictionCost& cost) {
+  if (cost.rank >= kLongRunningRank) return RackCost::kLongRunning;
+  if (cost.rank >= kLastResortRank) return RackCost::kLastResort;
+  return RackCost::kOrdinary;
+}
 
 }  // namespace
 
@@ -41,16 +52,14 @@
   }
   const auto needed = static_cast<int64_t>(step_.waiting.size());
   std::vector<Eviction> best;
-  // Whether long-running tasks are stopped, and the work that is lost.
-  std::pair<bool, double> best_cost = {true,
-                                       std::numeric_limits<double>::max()};
+  std::pair<RackCost, double> best_cost = {RackCost::kUnknown, 0};
   if (one_rack) {
     for (auto& [rack, evictions] : racks) {
       EvictionCost cost;
       std::vector<Eviction> chosen =
           CheapestEvictions(evictions, needed, &cost, limits_);
-      const std::pair<bool, double> rack_cost = {cost.rank >= kLongRunningRank,
-                                                 cost.weighted()};
+      const std::pair<RackCost, double> rack_cost = {RackCostOf(cost),
+                                                     cost.weighted()};
       if (chosen.empty() || rack_cost >= best_cost) continue;
       best = std::move(chosen);
       best_cost = rack_cost;
@@ -153,7 +162,7 @@
   cost.total =
       seconds * members * static_cast<double>(Weight(run.profile.need));
   cost.rank = run.profile.long_running ? kLongRunningRank : 0;
-  if (limits_.IsLastResort(run)) ++cost.rank;
+  if (limits_.IsLastResort(run)) cost.rank += kLastResortRank;
   if (inputs_.shares == nullptr) return cost;
   const bool is_protected = IsProtected(run);
   if (is_protected) cost.of_protected = cost.total;
--- a/tests/auto/workload/tst_planner_shares.cc
+++ b/tests/auto/workload/tst_planner_shares.cc
@@ -383,6 +383,37 @@
   }
 }
 
+// Guards against a task that is stopped for the third time although a rack has
+// runs that were not stopped before: racks were compared by the lost work only,
+// and a run that has just begun again loses the least.
+TEST_CASE("a rack is chosen where no run was stopped twice before") {
+  for (const FeatureMode mode : {FeatureMode::kOn, FeatureMode::kOff}) {
+    CAPTURE(static_cast<int>(mode));
+    PlannerCluster cluster(2, 1);
+    cluster.planner = Planner(SettingsWith(mode));
+    cluster.guarantees = {{"urgent", 8}, {"above", 0}};
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(2, 8)}, 0, "above"),
+                       cluster.now);
+    cluster.Round();
+    REQUIRE(cluster.free_accelerators() == 0);
+    TrackedRun* third = nullptr;
+    for (auto& [id, worker] : cluster.workers) {
+      for (auto& [task, run] : worker.runs()) {
+        run.began = cluster.now;
+        third = &run;
+      }
+    }
+    third->run = 3;
+    cluster.now += std::chrono::seconds(5);
+    third->began = cluster.now;
+    cluster.ledger.Add(MakeJob(Id(2), {Gang(1, 8, true)}, 0, "urgent"),
+                       cluster.now);
+    const Plan plan = cluster.Round();
+    REQUIRE(plan.stops.size() == 1);
+    CHECK(plan.stops[0].run == 1);
+  }
+}
+
 // Guards against urgent runs that give way although batch tasks would do.
 TEST_CASE("urgent runs above a share give way after other work above it") {
   PlannerCluster cluster(1, 4);
