Room is kept for urgent steps within their guarantees

Steps within the guarantee came first in a round, but nothing kept what they could not use yet: a gang needs several workers at one moment, and each gap was filled by a smaller step beyond its guarantee.

GuaranteeHolds keeps room for each urgent step that finds none, as much as is left of its account's guarantee, where it can start soonest by the forecast of the runs. It uses the search of GangHolds. The holds bind urgent steps beyond their guarantees, their evictions, and steps of lower priority; not steps that end before the room is needed, borrowers, or owed starts that pass held capacity. Steps within a guarantee come first also where accounts have no shares in a service.

tst_guarantee_order: without the holds the row "gang on one rack, against gangs" never reaches the guarantee (8 s watched); the other rows hold since the account takes from equals. With the holds all rows do within the run time of what runs, 2 s, and two rounds.

Ruled out: binding every worker that the step could use at some time, which would leave a large part idle; a reservation as for evictions, which would also hold back steps of other accounts within their guarantees.

tst_planner, "a reclaim that cannot be completed": the account that got the room was beyond its (missing) guarantee, which is what may not happen any more. It has a guarantee now, and its run ends before the second reclaim, which needs one stop in place of two. As strict as before: it fails without the check of the reservation's workers, and without the delay.

All tests of tests/auto/workload pass.

--- a/src/libs/workload/gang_holds.cc
+++ b/src/libs/workload/gang_holds.cc
@@ -63,6 +63,13 @@
                          std::vector<Eviction>* returns) {
   const ReadyStep& step = *request.step;
   ++services_[step.service()].considered;
+  if (inputs_.for_guarantees) {
+    // The room is due however far away it is.
+    Chosen soonest = FindSoonest(request, Source::kBoth, Duration::max());
+    if (!soonest.found) return false;
+    Hold(request, std::move(soonest), Source::kBoth);
+    return true;
+  }
   const Duration horizon = kHoldHorizon + request.waited / 2;
   const double max_loss = WorkOf(step) * kMaxLossShare;
   Source source = max_loss > 0 ? Source::kBoth : Source::kEndings;
@@ -120,7 +127,8 @@
     ending.need = profile.need;
     ending.priority = profile.priority;
     ending.borrows =
-        !profile.gang && profile.checkpointable && !profile.long_running;
+        !profile.long_running &&
+        (inputs_.for_guarantees || (!profile.gang && profile.checkpointable));
     ending.run = &run;
     endings_.push_back(ending);
   }
@@ -429,13 +437,21 @@
          inputs_.now + estimate <= hold.ready_at;
 }
 
+bool GangHolds::Binds(const GangHold& hold, const ReadyStep& step) const {
+  const ReadyStep& owner = *hold.step;
+  if (owner.priority() > step.priority()) return false;
+  if (owner.priority() == step.priority()) {
+    const bool own = owner.job->spec.account == step.job->spec.account;
+    if (own || !inputs_.for_guarantees) return false;
+  }
+  return !EndsBefore(step, hold);
+}
+
 Resources GangHolds::HeldFrom(const ReadyStep& step, size_t worker) const {
   Resources held;
   for (int i = FirstPortion(worker); i >= 0; i = PortionAt(i).next) {
     const Portion& portion = PortionAt(i);
-    const GangHold& hold = holds_[portion.hold];
-    if (hold.step->priority() >= step.priority()) continue;
-    if (EndsBefore(step, hold)) continue;
+    if (!Binds(holds_[portion.hold], step)) continue;
     held += portion.held_free;
   }
   return held;
@@ -443,8 +459,9 @@
 
 bool GangHolds::Restrict(const ReadyStep& step,
                          std::vector<Slot>* slots) const {
-  if (holds_.empty() || step.urgent()) return false;
-  const bool borrower = IsBorrower(step);
+  if (holds_.empty()) return false;
+  if (step.urgent() && !inputs_.for_guarantees) return false;
+  const bool borrower = IsBorrower(step) && !step.urgent();
   const bool single = !step.spec->gang;
   bool restricted = false;
   for (Slot& slot : *slots) {
@@ -468,8 +485,7 @@
   if (step.urgent() || IsBorrower(step)) return 0;
   std::set<size_t> empty;
   for (const GangHold& hold : holds_) {
-    if (hold.step->priority() >= step.priority()) continue;
-    if (EndsBefore(step, hold)) continue;
+    if (!Binds(hold, step)) continue;
     for (const GangHold::Place& place : hold.places) {
       if (place.held_free.IsZero()) continue;
       if (inputs_.capacity->IsHeadroom(
--- a/src/libs/workload/gang_holds.h
+++ b/src/libs/workload/gang_holds.h
@@ -90,6 +90,10 @@
     Milliseconds stop_time{700};
     // What a stopped run loses even where all its work is saved.
     Milliseconds restart_cost{800};
+    // The holds of urgent steps within their guarantees (GuaranteeHolds): they
+    // also bind steps of other accounts of the same priority, and runs of lower
+    // priority count as lent.
+    bool for_guarantees = false;
     Time now{};
   };
 
@@ -108,9 +112,12 @@
   // preferred by borrowers and avoided by other single tasks. Returns true if
   // a slot became smaller.
   bool Restrict(const ReadyStep& step, std::vector<Slot>* slots) const;
+  // What is held from the step on the worker, of that which is free there.
+  Resources HeldFrom(const ReadyStep& step, size_t worker) const;
   // Number of empty workers that are held from the step.
   int64_t EmptyWorkersHeldFrom(const ReadyStep& step) const;
 
+  const ClusterCapacity& capacity() const { return *inputs_.capacity; }
   const std::vector<GangHold>& holds() const { return holds_; }
   int64_t held_free_accelerators() const;
   // Visits of workers while it looked for places, as a measure of the cost.
@@ -228,8 +235,8 @@
   const Portion& PortionAt(int index) const {
     return portions_[static_cast<size_t>(index)];
   }
-  // What of the portions on a worker the step must not use.
-  Resources HeldFrom(const ReadyStep& step, size_t worker) const;
+  // Whether the step must not use what the hold keeps.
+  bool Binds(const GangHold& hold, const ReadyStep& step) const;
   bool EndsBefore(const ReadyStep& step, const GangHold& hold) const;
 
   const Inputs inputs_;
--- a/src/libs/workload/planning_placement.cc
+++ b/src/libs/workload/planning_placement.cc
@@ -46,6 +46,10 @@
     reason = WaitReason::kPreempting;
   }
   if (placed) return;
+  if (reason == WaitReason::kNoRoom || reason == WaitReason::kNoRoomNearData ||
+      reason == WaitReason::kNoRoomOnOneRack) {
+    HoldGuaranteed(step, starts);
+  }
   if (holds_ && MayHold(step)) WaitedOf(step);
   AddWait(step, reason);
   RecordWaitingDemand(step, reason);
--- a/src/libs/workload/planning_preferences.cc
+++ b/src/libs/workload/planning_preferences.cc
@@ -92,6 +92,9 @@
       all_workers ? static_cast<int64_t>(capacity_.workers().size())
                   : capacity_.EmptyWorkers(step.service()) - Headroom(step);
   AdmitReservedWorkers(step, &places);
+  if (!step.passes.Contains(Preference::kHeldCapacity)) {
+    guarantee_holds_.Restrict(step, &places.slots);
+  }
   places.near_only = IsBoundToData(step);
   places.compact =
       planner_.settings_.features.compact_gangs != FeatureMode::kOff;
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -1,6 +1,7 @@
 // The order in which a round places steps, and why some of them wait.
 #include "workload/planning_round.h"
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -18,7 +19,8 @@
       budgets_(inputs.ledger, inputs.workers),
       protected_tasks_(&capacity_, inputs.ledger, inputs.guarantees),
       balance_(&capacity_, inputs.ledger, inputs.guarantees),
-      steps_(std::move(steps)),
+      guarantee_holds_(GuaranteeHoldInputs(), &balance_),
+      steps_(MarkGuaranteedSteps(std::move(steps))),
       queue_(steps_, shares(),
              {shared_services_, planner->settings_.max_share_wait,
               inputs.wall_now}) {
@@ -34,7 +36,6 @@
   ReleaseExpiredReservations();
   if (holds_) PrepareHolds();
   IsolateSuspects();
-  MarkGuaranteedSteps();
   planner_.owed_starts_.Observe(steps_, inputs_.now);
   bool are_tests_placed = false;
   while (const ReadyStep* step = queue_.Next()) {
@@ -124,11 +125,12 @@
   planner_.isolated_since_ = std::move(since);
 }
 
-void Planner::Round::MarkGuaranteedSteps() {
+std::vector<ReadyStep> Planner::Round::MarkGuaranteedSteps(
+    std::vector<ReadyStep> steps) const {
   std::map<std::string, int64_t> needed;
   // An expired step must not use up what one that is in time needs.
   for (const bool expired : {false, true}) {
-    for (ReadyStep& step : steps_) {
+    for (ReadyStep& step : steps) {
       if (!step.urgent() || step.expired != expired) continue;
       const std::string& account = step.job->spec.account;
       const auto guarantee = inputs_.guarantees->find(account);
@@ -142,6 +144,10 @@
       step.owed = balance_.IsOwed(account);
     }
   }
+  std::stable_partition(steps.begin(), steps.end(), [](const ReadyStep& step) {
+    return step.within_guarantee;
+  });
+  return steps;
 }
 
 void Planner::Round::AddWait(const ReadyStep& step, WaitReason reason) {
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -19,6 +19,7 @@
 #include "workload/disruption_budgets.h"
 #include "workload/gang_holds.h"
 #include "workload/gang_placement.h"
+#include "workload/guarantee_holds.h"
 #include "workload/obligation.h"
 #include "workload/planner.h"
 #include "workload/protected_tasks.h"
@@ -58,9 +59,10 @@
   // A step whose last start crashed its worker starts alone, for as long as it
   // can wait for that.
   void IsolateSuspects();
-  // In the order in which steps are placed: the steps that fit into the
-  // guarantee of their account, even if its later ones exceed it.
-  void MarkGuaranteedSteps();
+  // Marks the steps that fit into the guarantee of their account, even if its
+  // later ones exceed it. They come before the other urgent ones.
+  std::vector<ReadyStep> MarkGuaranteedSteps(
+      std::vector<ReadyStep> steps) const;
   void AddWait(const ReadyStep& step, WaitReason reason);
   bool LacksCapacity(const ReadyStep& step, WaitReason reason) const;
   void RecordScarcity(const ReadyStep& step);
@@ -121,6 +123,7 @@
 
   // Victims: capacity that is taken from running tasks (planning_victims.cc).
   GangHolds::Inputs HoldInputs() const;
+  GangHolds::Inputs GuaranteeHoldInputs() const;
   void PrepareHolds();
   // A gang that has started or ended needs no reservation, and one that names a
   // worker which can no longer be used does not let the gang start.
@@ -149,6 +152,9 @@
   // Reservations for urgent steps count as used by their accounts.
   void CountReserved(const StepRef& step,
                      const CapacityReservation& reservation, int sign);
+  // Keeps room for an urgent step that waits for runs of others to end.
+  // `first_start` is the first start of the plan that may be its own.
+  void HoldGuaranteed(const ReadyStep& step, size_t first_start);
   // Counts the run as stopped, with the rest of its gang, unless it is already.
   void OnStopped(const std::string& worker, const TrackedRun& victim);
 
@@ -162,6 +168,9 @@
   DisruptionBudgets budgets_;
   ProtectedTasks protected_tasks_;
   UrgentBalance balance_;
+  // Runs that this round has already decided to stop.
+  std::set<TaskRef> stopped_;
+  GuaranteeHolds guarantee_holds_;
   std::vector<ReadyStep> steps_;
   StepQueue queue_;
   // Steps left waiting for capacity: their services, and their number by
@@ -172,8 +181,6 @@
   WaitingDemand waiting_demand_;
   // Accelerators needed by waiting urgent steps, by account.
   std::map<std::string, int64_t> urgent_demand_;
-  // Runs that this round has already decided to stop.
-  std::set<TaskRef> stopped_;
   // Set while held capacity is active.
   std::optional<GangHolds> holds_;
   // Workers to leave empty for urgent steps, by service.
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -17,6 +17,28 @@
   return inputs;
 }
 
+GangHolds::Inputs Planner::Round::GuaranteeHoldInputs() const {
+  GangHolds::Inputs inputs = HoldInputs();
+  inputs.for_guarantees = true;
+  // The guarantees themselves are the bound.
+  inputs.max_held_share = 1;
+  return inputs;
+}
+
+void Planner::Round::HoldGuaranteed(const ReadyStep& step, size_t first_start) {
+  if (!step.urgent() || step.expired || KnowsWorkersInPart()) return;
+  auto waiting = static_cast<int64_t>(step.waiting.size());
+  for (size_t i = first_start; i < plan_.starts.size(); ++i) {
+    waiting -= static_cast<int64_t>(plan_.starts[i].assignments.size());
+  }
+  GuaranteeHolds::Terms terms;
+  terms.waited = inputs_.now - step.job->added_at;
+  terms.near_only = IsBoundToData(step);
+  terms.one_rack = step.spec->gang && step.spec->same_rack &&
+                   !MayLeaveRack(step) && capacity_.AnyRackCanHold(step);
+  guarantee_holds_.Hold(step, waiting, terms);
+}
+
 void Planner::Round::PrepareHolds() {
   DropUselessGangReservations();
   for (const std::string& service : capacity_.Services()) {
@@ -76,6 +98,7 @@
   inputs.stopped = &stopped_;
   inputs.budgets = &budgets_;
   inputs.shares = SharesFor(step);
+  inputs.guarantee_holds = &guarantee_holds_;
   inputs.restart_cost = planner_.settings_.bounds.restart_cost();
   inputs.now = inputs_.now;
   const bool one_rack =
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -109,6 +109,9 @@
   }
   std::sort(victims.begin(), victims.end());
   Resources available = worker.free + worker.releasing;
+  if (inputs_.guarantee_holds != nullptr) {
+    available -= inputs_.guarantee_holds->HeldFrom(step_, index);
+  }
   std::vector<Eviction> evictions;
   Eviction next;
   next.worker = index;
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -12,6 +12,7 @@
 #include "workload/cluster_capacity.h"
 #include "workload/disruption_budgets.h"
 #include "workload/eviction.h"
+#include "workload/guarantee_holds.h"
 #include "workload/job_ledger.h"
 #include "workload/ready_step.h"
 #include "workload/stop_limits.h"
@@ -31,6 +32,8 @@
     DisruptionBudgets* budgets = nullptr;
     // Null where accounts have no shares.
     const AccountShares* shares = nullptr;
+    // Null if nothing is kept for others.
+    const GuaranteeHolds* guarantee_holds = nullptr;
     // Urgent runs are stopped only for a step that is owed its room.
     bool equal_stops_limited = false;
     // The time a stopped run loses even where all its work is saved.
