Equals give way at once to owed steps only, to others after a wait

- steps of accounts with a backlog took from others as soon as they fitted into the guarantee, although they are owed nothing and room is held for them now.
They take after max_share_wait (8 s), which bounds the wait where runs of others last, and within EqualStopLimiter as before.
An expired step that is owed its room has room held for it now, and takes only after reclaim_slack, which leaves time for two evictions within reclaim_bound, as for the rack of a gang.

tst_planner: the two tests in which a step that is owed nothing takes from others wait for max_share_wait first; the count of stops is larger, as it has decayed by then. The new rows of tst_guarantee_order fail without the wait of either kind, without its end, and without the room for an expired step. All tests of tests/auto/workload pass.

--- a/src/libs/workload/planner.cc
+++ b/src/libs/workload/planner.cc
@@ -50,6 +50,7 @@
     reservations_.clear();
     reclaim_retries_.clear();
     isolated_since_.clear();
+    guarantee_waits_.clear();
     owed_starts_.Clear();
     scarce_services_.clear();
     plan.account_waits = account_waits_.Observe({}, nullptr, inputs.now);
--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -222,6 +222,14 @@
   // Since when steps that crashed their worker at the start wait for an empty
   // one.
   std::map<StepRef, Time> isolated_since_;
+  // Of waiting urgent steps that are owed their room, or fit into what is left
+  // of the guarantee of their account.
+  struct GuaranteeWait {
+    bool owed = false;
+    // Since when that holds.
+    Time since{};
+  };
+  std::map<StepRef, GuaranteeWait> guarantee_waits_;
   OwedStarts owed_starts_;
 };
 
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -49,6 +49,7 @@
     }
     PlaceStep(*step);
   }
+  RecordGuaranteeWaits();
   planner_.scarce_services_ = std::move(scarce_services_);
   plan_.account_waits = planner_.account_waits_.Observe(waiting_for_capacity_,
                                                         shares(), inputs_.now);
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -134,6 +134,12 @@
   // Evicts other runs for an urgent step; returns false when that cannot make
   // enough room.
   bool PreemptFor(const ReadyStep& waiting);
+  // Whether urgent runs of other accounts may be stopped for the step. Also
+  // records that it waits.
+  bool MayReclaim(const ReadyStep& step);
+  // Keeps the waits of steps with a reservation and forgets other steps that
+  // did not wait in this round.
+  void RecordGuaranteeWaits();
   // False for some time after a reclaim for the step that could not be
   // completed, unless the step is owed its room.
   bool MayReclaimAgain(const ReadyStep& step) const;
@@ -179,6 +185,8 @@
   AccountWaits::WaitingSteps waiting_for_capacity_;
   // Demand of the steps that this round could not place.
   WaitingDemand waiting_demand_;
+  // Of the steps that this round could not place.
+  std::map<StepRef, GuaranteeWait> guarantee_waits_;
   // Accelerators needed by waiting urgent steps, by account.
   std::map<std::string, int64_t> urgent_demand_;
   // Set while held capacity is active.
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -26,7 +26,8 @@
 }
 
 void Planner::Round::HoldGuaranteed(const ReadyStep& step, size_t first_start) {
-  if (!step.urgent() || step.expired || KnowsWorkersInPart()) return;
+  if (!step.urgent() || KnowsWorkersInPart()) return;
+  if (step.expired && !step.owed) return;
   auto waiting = static_cast<int64_t>(step.waiting.size());
   for (size_t i = first_start; i < plan_.starts.size(); ++i) {
     waiting -= static_cast<int64_t>(plan_.starts[i].assignments.size());
@@ -90,8 +91,10 @@
 bool Planner::Round::PreemptFor(const ReadyStep& waiting) {
   ReadyStep step = waiting;
   step.waiting.resize(static_cast<size_t>(protected_tasks_.MayStart(waiting)));
-  if (step.waiting.empty() || !MayReclaimAgain(step)) return false;
+  if (step.waiting.empty()) return false;
   VictimSelection::Inputs inputs;
+  inputs.may_reclaim = MayReclaim(step);
+  if (!MayReclaimAgain(step)) return false;
   inputs.capacity = &capacity_;
   inputs.ledger = inputs_.ledger;
   inputs.balance = &balance_;
@@ -112,7 +115,7 @@
       !step.owed && !planner_.equal_stops_.MayStop(inputs_.now);
   if (is_limited && HasUrgentVictim(evictions)) {
     planner_.equal_stops_.OnWithheld();
-    inputs.equal_stops_limited = true;
+    inputs.may_reclaim = false;
     evictions = choose();
   }
   if (evictions.empty()) return false;
@@ -129,6 +132,35 @@
   return false;
 }
 
+// A step that is owed nothing waits for runs to end in the room that is held
+// for it, and takes from others only where they last. So does an expired step,
+// whose work earns nothing, as long as it can still be started in time.
+bool Planner::Round::MayReclaim(const ReadyStep& step) {
+  const int64_t wanted =
+      step.spec->need.accelerators * static_cast<int64_t>(step.waiting.size());
+  if (!step.owed && balance_.Left(step.job->spec.account) < wanted) {
+    return false;
+  }
+  Planner::GuaranteeWait wait{step.owed, inputs_.now};
+  const auto known = planner_.guarantee_waits_.find(step.ref);
+  if (known != planner_.guarantee_waits_.end() &&
+      known->second.owed == step.owed) {
+    wait = known->second;
+  }
+  guarantee_waits_[step.ref] = wait;
+  const Duration waited = inputs_.now - wait.since;
+  if (!step.owed) return waited >= planner_.settings_.max_share_wait;
+  return !step.expired || waited >= planner_.settings_.bounds.reclaim_slack();
+}
+
+void Planner::Round::RecordGuaranteeWaits() {
+  for (const auto& [step, wait] : planner_.guarantee_waits_) {
+    if (planner_.reservations_.count(step) == 0) continue;
+    guarantee_waits_.try_emplace(step, wait);
+  }
+  planner_.guarantee_waits_ = std::move(guarantee_waits_);
+}
+
 bool Planner::Round::MayReclaimAgain(const ReadyStep& step) const {
   if (step.owed) return true;
   const auto retry = planner_.reclaim_retries_.find(step.ref);
--- a/src/libs/workload/victim_selection.cc
+++ b/src/libs/workload/victim_selection.cc
@@ -73,15 +73,11 @@
 
 StopLimits VictimSelection::LimitsFor(const Inputs& inputs,
                                       const ReadyStep& step) {
-  const int64_t wanted =
-      step.spec->need.accelerators * static_cast<int64_t>(step.waiting.size());
   StopLimits::Sources sources;
   sources.ledger = inputs.ledger;
   sources.budgets = inputs.budgets;
   sources.balance = inputs.balance;
-  sources.may_reclaim =
-      step.owed || (!inputs.equal_stops_limited &&
-                    inputs.balance->Left(step.job->spec.account) >= wanted);
+  sources.may_reclaim = inputs.may_reclaim;
   sources.is_owed = step.owed;
   return StopLimits(sources);
 }
--- a/src/libs/workload/victim_selection.h
+++ b/src/libs/workload/victim_selection.h
@@ -34,8 +34,8 @@
     const AccountShares* shares = nullptr;
     // Null if nothing is kept for others.
     const GuaranteeHolds* guarantee_holds = nullptr;
-    // Urgent runs are stopped only for a step that is owed its room.
-    bool equal_stops_limited = false;
+    // Urgent runs of other accounts may be stopped for the step.
+    bool may_reclaim = false;
     // The time a stopped run loses even where all its work is saved.
     Milliseconds restart_cost{0};
     Time now{};
@@ -47,10 +47,9 @@
   // their share first and those of long-running tasks last; empty when no set
   // of them suffices. Long-running tasks are stopped only for a step within the
   // guarantee of its account, and no more of them than their steps may miss.
-  // Urgent runs of another account are stopped only while that account uses
-  // more than its guarantee, for a step that fits into the guarantee of its
-  // own account. Unless the step is owed its room, no stop brings the other
-  // account below its guarantee.
+  // Urgent runs of another account are stopped only with `may_reclaim`, while
+  // that account uses more than its guarantee. Unless the step is owed its
+  // room, no stop brings the other account below its guarantee.
   // With `near_only` only on the rack of the step's data. With `one_rack` all
   // on one rack, or on several if no rack suffices and `may_spread` is set.
   std::vector<Eviction> ChooseEvictions(bool near_only, bool one_rack,
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -65,12 +65,15 @@
   Milliseconds reservation_term() const {
     return stop_bound * 3 + Milliseconds(1300);
   }
-  // How long an urgent gang waits for a single rack before it spreads: it must
-  // leave time for two attempts, each an eviction with its report and records.
-  Milliseconds urgent_rack_wait() const {
+  // How long a start that must come within reclaim_bound may wait for runs to
+  // end by themselves: it must leave time for two attempts, each an eviction
+  // with its report and records.
+  Milliseconds reclaim_slack() const {
     const Milliseconds attempts = (stop_bound + Milliseconds(450)) * 2;
     return std::max(reclaim_bound - attempts, Milliseconds::zero());
   }
+  // How long an urgent gang waits for a single rack before it spreads.
+  Milliseconds urgent_rack_wait() const { return reclaim_slack(); }
   // After an outage of the store: the time in which living workers that reach
   // it have written their entries again.
   Milliseconds entry_rewrite_bound() const {
--- a/tests/auto/workload/tst_guarantee_order.cc
+++ b/tests/auto/workload/tst_guarantee_order.cc
@@ -174,5 +174,103 @@
   }
 }
 
+// Guards against an account with a backlog that waits for as long as the runs
+// of others last, however long that is.
+TEST_CASE("an account with a backlog does not wait for runs that last") {
+  struct Row {
+    const char* name;
+    int jobs;
+    Milliseconds stops_after;
+  };
+  const std::vector<Row> rows = {
+      {"owed its room", 1, Milliseconds(0)},
+      {"not owed its room", 2, PlannerSettings().max_share_wait},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    PlannerCluster cluster(1, 2);
+    cluster.guarantees = {{"owner", 8}, {"other", 4}};
+    StepSpec lasting = MakeStep(4, 4);
+    lasting.estimate = std::chrono::minutes(10);
+    cluster.ledger.Add(MakeJob(Id(1), {lasting}, 0, "other"), cluster.now);
+    cluster.Round();
+    REQUIRE(cluster.free_accelerators() == 0);
+    for (int job = 0; job < row.jobs; ++job) {
+      JobDefinition waiting =
+          MakeJob(Id(2 + job), {MakeStep(1, 8)}, 0, "owner");
+      waiting.policy.slack = std::chrono::hours(1);
+      cluster.ledger.Add(waiting, cluster.now);
+    }
+    Milliseconds waited{0};
+    while (cluster.Round().stops.empty() && waited < kRunTime * 10) {
+      waited += kRound;
+      cluster.now += kRound;
+      cluster.wall_now += kRound;
+    }
+    CHECK(waited == row.stops_after);
+  }
+}
+
+// Guards against work that is stopped at once for a step that is too late to
+// earn anything: at the end of a burst the oldest steps of a backlog become
+// owed their room together. They must start within the bound all the same.
+TEST_CASE("an expired step takes from others only when time is short") {
+  struct Row {
+    const char* name;
+    Milliseconds age;
+    Milliseconds stops_after;
+  };
+  const WorkerBounds bounds;
+  const std::vector<Row> rows = {
+      {"new", Milliseconds(0), Milliseconds(0)},
+      // Its objective is 3 s.
+      {"late", Milliseconds(8000), Milliseconds(0)},
+      {"expired", Milliseconds(10000), bounds.reclaim_slack()},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    PlannerCluster cluster(1, 1, bounds);
+    cluster.guarantees = {{"owner", 8}};
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(1, 8)}, 0, "other"),
+                       cluster.now);
+    cluster.Round();
+    JobDefinition job = MakeJob(Id(2), {MakeStep(1, 8)}, 0, "owner");
+    job.accepted = cluster.wall_now - row.age;
+    cluster.ledger.Add(job, cluster.now);
+    Milliseconds waited{0};
+    while (cluster.Round().stops.empty() && waited < bounds.reclaim_bound) {
+      waited += kRound;
+      cluster.now += kRound;
+    }
+    CHECK(waited == row.stops_after);
+  }
+}
+
+// Guards against room that is not kept for an expired step while it waits: it
+// would have to take what was free a moment before.
+TEST_CASE("an expired step that is owed its room gets what becomes free") {
+  PlannerCluster cluster(1, 2);
+  cluster.guarantees = {{"owner", 8}};
+  cluster.ledger.Add(MakeJob(Id(1), {MakeStep(4, 4)}, 0, "other"), cluster.now);
+  cluster.Round();
+  REQUIRE(cluster.free_accelerators() == 0);
+  JobDefinition job = MakeJob(Id(2), {MakeStep(1, 8)}, 0, "owner");
+  job.accepted = cluster.wall_now - std::chrono::seconds(60);
+  cluster.ledger.Add(job, cluster.now);
+  cluster.ledger.Add(MakeJob(Id(3), {MakeStep(8, 4)}, 0, "other"), cluster.now);
+  std::vector<std::string> order;
+  for (int task = 0; task < 2; ++task) {
+    cluster.now += kRound;
+    WorkerTracker& worker = cluster.workers.at("w0-0");
+    cluster.End("w0-0", worker.runs().begin()->first, RunEnd::kDone);
+    const Plan plan = cluster.Round();
+    CHECK(plan.stops.empty());
+    for (const StartDecision& start : plan.starts) {
+      order.push_back(start.step.job);
+    }
+  }
+  CHECK(order == std::vector<std::string>{Id(2)});
+}
+
 }  // namespace
 }  // namespace thornplank::testing
