The cost of the loops of reclaim and of lost workers at the target size

bench_workload gets a second table: 1,100 workers and 11,000 running tasks in 110, 1,100 or 11,000 jobs, 27 accounts with guarantees.

Ruled out: comparing rounds with and without the call by time, since rounds scatter up to six times between runs on this machine. DropOldLosses was not measured; it visits what was lost in the last 6 s.

A deployment with ten times as many jobs in its ledger would need sums that are kept up to date.

--- a/benchmarks/bench_workload.cc
+++ b/benchmarks/bench_workload.cc
@@ -5,6 +5,10 @@
 // waiting steps are gangs that find no rack with room for all of their members,
 // so that no round changes the cluster. With a guarantee, held capacity is
 // active.
+//
+// Then the target size with all running tasks in the ledger: rounds without and
+// with guarantees, the part of them that counts what urgent jobs need, and the
+// cost of finding the tasks of workers that are alive again.
 #include <ctime>
 
 #include <cstdio>
@@ -14,6 +18,7 @@
 
 #include "../tests/auto/workload/workload_fixtures.h"
 #include "workload/planner.h"
+#include "workload/urgent_balance.h"
 
 namespace thornplank {
 namespace {
@@ -29,6 +34,14 @@
 // Between two rounds.
 constexpr Milliseconds kRoundInterval{50};
 
+// The target size.
+constexpr int kTargetWorkers = 1100;
+constexpr int kTargetTasksPerWorker = 10;
+constexpr int kTargetAccounts = 27;
+constexpr int64_t kTargetGuarantee = 16;
+// One job of so many is urgent.
+constexpr int kJobsPerUrgent = 4;
+
 double ProcessorMilliseconds() {
   timespec time{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
@@ -85,6 +98,127 @@
               guaranteed ? "yes" : "no", each);
 }
 
+// The target size: workers, and a ledger that contains the jobs of all runs.
+struct TargetCluster {
+  std::map<std::string, WorkerTracker> workers;
+  JobLedger ledger;
+};
+
+std::string AccountName(int job) {
+  return "account-" + std::to_string(job % kTargetAccounts);
+}
+
+// The tasks of each job are on consecutive workers.
+void FillTarget(int tasks_per_job, int waiting_steps, TargetCluster* cluster) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < kTargetWorkers; ++i) {
+    ids.push_back("i-" + JobId(i * 7919).substr(8));
+    const std::string rack = "rack-" + std::to_string(i / kWorkersPerRack);
+    cluster->workers.emplace(
+        ids.back(),
+        testing::MakeTracker(testing::MakeWorker(ids.back(), rack)));
+  }
+  const int tasks = kTargetWorkers * kTargetTasksPerWorker;
+  for (int job = 0; job * tasks_per_job < tasks; ++job) {
+    // One accelerator in eight tasks, so that there is room for small ones.
+    const StepSpec step =
+        testing::MakeStep(tasks_per_job, job % 8 == 0 ? 1 : 0);
+    const int priority = job % kJobsPerUrgent == 0 ? 0 : 1;
+    const JobDefinition definition =
+        testing::MakeJob(JobId(job), {step}, priority, AccountName(job));
+    cluster->ledger.Add(definition, testing::At(0));
+    std::vector<JobLedger::Assignment> assignments;
+    RunProfile profile;
+    profile.need = step.need;
+    profile.priority = priority;
+    profile.account = definition.account;
+    profile.estimate = kEstimates[job % 4];
+    for (int t = 0; t < tasks_per_job; ++t) {
+      const int number = job * tasks_per_job + t;
+      const std::string& worker =
+          ids[static_cast<size_t>(number % kTargetWorkers)];
+      assignments.push_back({t, worker});
+      cluster->workers.at(worker).Add({{definition.id, 0, 0}, t}, 1, profile,
+                                      testing::At(0));
+    }
+    cluster->ledger.RecordStart({definition.id, 0, 0}, assignments);
+  }
+  for (int i = 0; i < waiting_steps; ++i) {
+    StepSpec step = testing::MakeStep(kWorkersPerRack, 8);
+    step.gang = true;
+    step.same_rack = true;
+    cluster->ledger.Add(testing::MakeJob(JobId(1 << 30 | i), {step}, 1 + i % 2),
+                        testing::At(0));
+  }
+}
+
+// Processor time of one call of `function`, over kRounds calls.
+template <typename Function>
+double MeanMilliseconds(const Function& function) {
+  const double begin = ProcessorMilliseconds();
+  for (int round = 0; round < kRounds; ++round) {
+    function();
+  }
+  return (ProcessorMilliseconds() - begin) / kRounds;
+}
+
+double MeasureRounds(const TargetCluster& cluster,
+                     const Guarantees& guarantees) {
+  Planner planner((PlannerSettings()));
+  PlanInputs inputs;
+  inputs.ledger = &cluster.ledger;
+  inputs.workers = &cluster.workers;
+  inputs.guarantees = &guarantees;
+  inputs.now = testing::At(100);
+  inputs.wall_now = FromUnixMilliseconds(1000100);
+  return MeanMilliseconds([&] {
+    planner.Decide(inputs);
+    inputs.now += kRoundInterval;
+  });
+}
+
+// Milliseconds to tell the ledger that every worker is alive.
+double MeasureWorkersAlive(
+    JobLedger* ledger, const std::map<std::string, WorkerTracker>& workers) {
+  const double begin = ProcessorMilliseconds();
+  for (const auto& [id, worker] : workers) {
+    ledger->OnWorkerAlive(id, std::nullopt);
+  }
+  return ProcessorMilliseconds() - begin;
+}
+
+void LoseAllWorkers(TargetCluster* cluster) {
+  for (const auto& [id, worker] : cluster->workers) {
+    LostRun lost;
+    lost.worker = id;
+    lost.began = true;
+    for (const auto& [task, run] : worker.runs()) {
+      cluster->ledger.RecordRunEnd(task, run.run, RunEnd::kWorkerSilent, "",
+                                   lost);
+    }
+  }
+}
+
+void MeasureTarget(int tasks_per_job, int waiting_steps) {
+  TargetCluster cluster;
+  FillTarget(tasks_per_job, waiting_steps, &cluster);
+  Guarantees guarantees;
+  for (int i = 0; i < kTargetAccounts; ++i) {
+    guarantees[AccountName(i)] = kTargetGuarantee;
+  }
+  const double without = MeasureRounds(cluster, Guarantees());
+  const double with = MeasureRounds(cluster, guarantees);
+  const ClusterCapacity capacity(cluster.workers, nullptr, testing::At(100));
+  const double needs = MeanMilliseconds(
+      [&] { UrgentBalance(&capacity, &cluster.ledger, &guarantees); });
+  const double none_lost =
+      MeasureWorkersAlive(&cluster.ledger, cluster.workers);
+  LoseAllWorkers(&cluster);
+  const double all_lost = MeasureWorkersAlive(&cluster.ledger, cluster.workers);
+  std::printf("%8d %8d %10.3f %10.3f %10.3f %10.3f %10.3f\n", tasks_per_job,
+              waiting_steps, without, with, needs, none_lost, all_lost);
+}
+
 }  // namespace
 }  // namespace thornplank
 
@@ -96,5 +230,15 @@
       thornplank::Measure(workers, waiting, /*guaranteed=*/true);
     }
   }
+  std::printf("\n%d workers, %d tasks, ms of processor time\n",
+              thornplank::kTargetWorkers,
+              thornplank::kTargetWorkers * thornplank::kTargetTasksPerWorker);
+  std::printf("%8s %8s %10s %10s %10s %10s %10s\n", "per job", "waiting",
+              "round", "guaranteed", "needs", "alive", "were lost");
+  for (const int tasks_per_job : {1, 10, 100}) {
+    for (const int waiting : {1, 10}) {
+      thornplank::MeasureTarget(tasks_per_job, waiting);
+    }
+  }
   return 0;
 }
