The soak runs bursts of urgent gangs of several accounts

The cluster form of the burst was missing: the ring in which accounts stop each other's urgent gangs was tested on the planner alone (tst_planner_burst).

SoakSettings::burst adds five accounts with a guarantee of six accelerators each, of 64. They submit urgent gangs of one to eight members: four times what there is room for from 2 to 6 s, 0.3 times before and after. The load has a random sequence of its own, so that the other seeds keep their faults. Checked, beside the invariants and the end of every job: no task is stopped more than twice for jobs of the load; runs stopped for them are at most 0.35 of the tasks done, in all and from 5 s after the burst on. One row of tst_soak.

Stops for the account "north" are not counted.

Ruled out as a check: no stop at all after the burst, since accounts below their guarantee may still take room from others while the backlog lasts.

--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -68,6 +68,10 @@
   return {{"spec", payload.dump()}, {"steps", std::move(steps)}};
 }
 
+std::string KeyFor(const TestJob& job) {
+  return job.account_key.empty() ? kAccountKey : job.account_key;
+}
+
 }  // namespace
 
 HostedCluster::HostedCluster(HostedClusterSettings settings)
@@ -100,6 +104,10 @@
 
 std::string HostedCluster::OtherAccountKey() { return kOtherAccountKey; }
 
+std::string HostedCluster::FurtherAccountKey(int account) {
+  return "key-of-further-" + std::to_string(account);
+}
+
 bool HostedCluster::Eventually(const std::function<bool()>& condition,
                                Duration limit) {
   const Time end = std::chrono::steady_clock::now() + limit;
@@ -164,14 +172,22 @@
   version_ += 3;
   Json keys = Json::array({"another-key"});
   if (with_account_key) keys.push_back(kAccountKey);
+  Json accounts = Json::array(
+      {{{"name", "north"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 16}}}},
+       {{"name", "south"}, {"api_keys", Json::array({kOtherAccountKey})}}});
+  int number = 0;
+  for (const int guaranteed : settings_.further_guarantees) {
+    accounts.push_back({{"name", "further-" + std::to_string(number)},
+                        {"api_keys", Json::array({FurtherAccountKey(number)})},
+                        {"guaranteed", {{"gpu", guaranteed}}}});
+    ++number;
+  }
   const Json configuration = {
       {"version", version_},
       {"routes", {Route(0), Route(1), Route(2)}},
       {"services", {{{"name", kService}, {"admission_check", false}}}},
       {"limits", {{"max_body_bytes", 65536}}},
-      {"tenants",
-       {{{"name", "north"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 16}}}},
-        {{"name", "south"}, {"api_keys", Json::array({kOtherAccountKey})}}}}};
+      {"tenants", std::move(accounts)}};
   return ControlStore({{"put_operator", configuration.dump()}});
 }
 
@@ -190,19 +206,19 @@
 int HostedCluster::Submit(int entry, const TestJob& job) {
   const auto response =
       Call(entry, "POST", QueuePrefix(job.priority) + job.id,
-           JobBody(job, settings_.requires_advice).dump(), kAccountKey);
+           JobBody(job, settings_.requires_advice).dump(), KeyFor(job));
   return response ? response->status : 0;
 }
 
 int HostedCluster::Cancel(int entry, const TestJob& job) {
   const auto response = Call(
-      entry, "DELETE", QueuePrefix(job.priority) + job.id, "", kAccountKey);
+      entry, "DELETE", QueuePrefix(job.priority) + job.id, "", KeyFor(job));
   return response ? response->status : 0;
 }
 
 std::string HostedCluster::State(int entry, const TestJob& job) {
   const auto response =
-      Call(entry, "GET", QueuePrefix(job.priority) + job.id, "", kAccountKey);
+      Call(entry, "GET", QueuePrefix(job.priority) + job.id, "", KeyFor(job));
   if (!response) return "";
   if (response->status == 410) return "gone";
   if (response->status != 200) return "";
--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -36,6 +36,8 @@
   Milliseconds longest_lease{10000};
   // Time-out of a caller's request.
   Milliseconds caller_timeout{4000};
+  // Guaranteed accelerators of further accounts, beside "north" and "south".
+  std::vector<int> further_guarantees;
 };
 
 // One step of a TestJob.
@@ -74,6 +76,8 @@
   int interference_ms = 0;
   // Number of the queue; 0 is the urgent one.
   int priority = 1;
+  // API key of the account that submits the job; empty for "north".
+  std::string account_key;
 
   bool crashes() const { return crash_after_ms >= 0; }
 };
@@ -136,10 +140,12 @@
   const HostedClusterSettings& settings() const { return settings_; }
   const std::string& folder() const { return folder_.path(); }
   static std::string QueuePrefix(int priority);
-  // Of the account "north", which submits all jobs.
+  // Of the account "north", which submits all jobs that name no other key.
   static std::string AccountKey();
   // Of the account "south".
   static std::string OtherAccountKey();
+  // Of one of the accounts with `further_guarantees`.
+  static std::string FurtherAccountKey(int account);
 
   static bool Eventually(const std::function<bool()>& condition,
                          Duration limit = std::chrono::seconds(20));
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -12,6 +12,7 @@
 DEFINE_int32(executors, 8, "executors");
 DEFINE_bool(crashes, true, "tasks crash executors, which shrink and restart");
 DEFINE_bool(cut_offs, true, "executors are cut off, with short leases");
+DEFINE_bool(burst, false, "several accounts submit a burst of urgent gangs");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
@@ -29,12 +30,21 @@
     settings.executors = FLAGS_executors;
     settings.crashes = FLAGS_crashes;
     settings.cut_offs = FLAGS_cut_offs;
+    settings.burst = FLAGS_burst;
     const thornplank::SoakReport report = thornplank::RunSoak(settings);
     std::cout << "seed " << settings.seed << ": " << report.jobs << " jobs, "
               << report.accepted << " accepted, " << report.completed
               << " completed, " << report.runs << " runs, "
               << report.faults.size() << " faults, " << report.violations.size()
               << " violations" << std::endl;
+    if (settings.burst) {
+      const thornplank::EqualStops& stops = report.equal_stops;
+      std::cout << "  urgent runs stopped for others: " << stops.total
+                << ", one task at most " << stops.most_of_a_task
+                << " times; urgent tasks done: " << stops.done
+                << "; after the burst " << stops.late << " and "
+                << stops.late_done << std::endl;
+    }
     if (report.violations.empty()) continue;
     ++failed_seeds;
     for (const std::string& fault : report.faults) {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "hosted_cluster.h"
+#include "logging/events/coordination_events.h"
 #include "run_checker.h"
 
 namespace thornplank {
@@ -36,6 +37,10 @@
 constexpr Milliseconds kCutOffTime{2800};
 // On average one of this many executors is cut off at a time.
 constexpr int kExecutorsPerCutOff = 3;
+// Accounts of the urgent load. Together they are guaranteed nearly half of the
+// accelerators of eight executors, beside the quarter of the account "north".
+constexpr int kUrgentAccounts = 5;
+constexpr int kUrgentGuarantee = 6;
 // A task may be given up after this many executors crashed while running it.
 constexpr int kCrashesToGiveUp = 2;
 
@@ -66,9 +71,15 @@
     }
     std::vector<std::thread> callers;
     callers.reserve(static_cast<size_t>(settings_.callers));
+    load_begun_ = std::chrono::steady_clock::now();
+    load_start_.unix_ms = ToUnixMilliseconds(std::chrono::system_clock::now());
+    load_start_.steady_ms = ClockMs();
     for (int i = 0; i < settings_.callers; ++i) {
       callers.emplace_back([this, i] { RunCaller(i); });
     }
+    for (int i = 0; settings_.burst && i < kUrgentAccounts; ++i) {
+      callers.emplace_back([this, i] { RunUrgentCaller(i); });
+    }
     if (settings_.crashes) {
       for (int i = 0; i < settings_.executors; ++i) {
         cluster_.ControlExecutor(i, {{"keeps_id", i % 2 == 0}});
@@ -93,6 +104,9 @@
     cluster.executors_per_rack = 4;
     cluster.caller_timeout = kCallerTimeout;
     if (settings.cut_offs) cluster.longest_lease = kLeaseWithCutOffs;
+    if (settings.burst) {
+      cluster.further_guarantees.assign(kUrgentAccounts, kUrgentGuarantee);
+    }
     return cluster;
   }
 
@@ -166,6 +180,22 @@
     }
   }
 
+  void RunUrgentCaller(int account) {
+    UrgentLoad load;
+    load.seed = settings_.seed;
+    load.accounts = kUrgentAccounts;
+    load.accelerators = settings_.executors * cluster_.settings().accelerators;
+    load.length = settings_.fault_duration;
+    char id_prefix[9];
+    std::snprintf(id_prefix, sizeof(id_prefix), "%08x",
+                  settings_.callers + account + 1);
+    for (TimedJob& timed : DrawUrgentJobs(load, account, id_prefix)) {
+      std::this_thread::sleep_until(load_begun_ + timed.submit_time);
+      timed.job.account_key = HostedCluster::FurtherAccountKey(account);
+      Submit(timed.job, account % settings_.entries);
+    }
+  }
+
   SubmittedJob FindJob(const std::string& id) {
     std::lock_guard lock(mutex_);
     return jobs_[id];
@@ -448,6 +478,7 @@
     for (std::string& violation : cluster_.CapacityViolations()) {
       report_.violations.push_back(std::move(violation));
     }
+    if (settings_.burst) CheckStops(runs);
     report_.runs = static_cast<int>(runs.size());
     for (const auto& [id, submitted] : jobs_) {
       ++report_.jobs;
@@ -466,6 +497,19 @@
     }
   }
 
+  void CheckStops(const std::vector<Json>& runs) {
+    std::vector<Json> orders;
+    for (int i = 0; i < settings_.entries; ++i) {
+      for (Json& order : cluster_.Events(i, events::kStopOrdered.number)) {
+        orders.push_back(std::move(order));
+      }
+    }
+    report_.equal_stops = CountEqualStops(orders, runs, jobs_, load_start_);
+    for (std::string& violation : CheckEqualStops(report_.equal_stops)) {
+      report_.violations.push_back(std::move(violation));
+    }
+  }
+
   // Whether the job may fail: because its tasks fail, or because several
   // executors crashed while running one of them.
   static bool MayFail(const TestJob& job, const std::vector<Json>& runs) {
@@ -488,6 +532,9 @@
   // Start of the present cuts.
   Time cut_off_since_{};
   Time begun_{};
+  // When the callers began.
+  Time load_begun_{};
+  LoadStart load_start_;
   std::atomic<bool> done_{false};
   std::mutex mutex_;
   // Guarded by mutex_ while callers run.
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "urgent_load.h"
 
 namespace thornplank {
 
@@ -29,6 +30,9 @@
   // Shortens the leases, and cuts some executors off from the entries for
   // longer than that, again and again; also drawn from a separate sequence.
   bool cut_offs = true;
+  // Adds accounts with guarantees that submit urgent gangs, as in UrgentLoad;
+  // also drawn from a separate sequence.
+  bool burst = false;
 };
 
 struct SoakReport {
@@ -36,6 +40,7 @@
   int accepted = 0;
   int completed = 0;
   int runs = 0;
+  EqualStops equal_stops;
   // The injected faults in order, with their times, to analyse a failed run.
   std::vector<std::string> faults;
   // Descriptions of the violated invariants.
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -19,6 +19,8 @@
   bool crashes = false;
   // Whether executors are cut off, as in SoakSettings.
   bool cut_offs = false;
+  // Whether there is a burst of urgent gangs, as in SoakSettings.
+  bool burst = false;
 };
 
 TEST_CASE("the invariants hold under randomized faults") {
@@ -26,6 +28,11 @@
       {20261202, 8, "never failed"},
       {20261203, 10, "never failed", true},
       {20261204, 15, "never failed", false, true},
+      // Guards against accounts that stop each other's urgent gangs in a ring,
+      // which goes on after the burst: steps were compared with what the
+      // account's runs used, not with what its other steps had reserved.
+      {20261206, 15, "urgent gangs were stopped for each other without end",
+       false, false, true},
       {114, 12, "the stand-in kept a report across incarnations"},
       {127, 12, "work was sent to an incarnation known to have ended"},
       {128, 12, "the stand-in kept a report across incarnations"},
@@ -54,6 +61,7 @@
     settings.fault_duration = std::chrono::seconds(row.seconds);
     settings.crashes = row.crashes;
     settings.cut_offs = row.cut_offs;
+    settings.burst = row.burst;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
@@ -64,6 +72,8 @@
       FAIL_CHECK(violation);
     }
     CHECK(report.accepted > 0);
+    // Without urgent work that is done, its stops show nothing.
+    if (row.burst) CHECK(report.equal_stops.done > 0);
   }
 }
 
