--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -40,6 +40,7 @@
   int accepted = 0;
   int completed = 0;
   int runs = 0;
+  // Only of a run with a burst.
   EqualStops equal_stops;
   // The injected faults in order, with their times, to analyse a failed run.
   std::vector<std::string> faults;
