--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -12,6 +12,8 @@
 DEFINE_int32(executors, 8, "executors");
 DEFINE_bool(crashes, true, "tasks crash executors, which shrink and restart");
 DEFINE_bool(cut_offs, true, "executors are cut off, with short leases");
+DEFINE_bool(long_checkpoints, true,
+            "some tasks report checkpoints around the size of a record");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
@@ -29,6 +31,7 @@
     settings.executors = FLAGS_executors;
     settings.crashes = FLAGS_crashes;
     settings.cut_offs = FLAGS_cut_offs;
+    settings.long_checkpoints = FLAGS_long_checkpoints;
     const thornplank::SoakReport report = thornplank::RunSoak(settings);
     std::cout << "seed " << settings.seed << ": " << report.jobs << " jobs, "
               << report.accepted << " accepted, " << report.completed
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <random>
@@ -31,6 +32,12 @@
 constexpr int kCrashAfterMs = 10;
 // Separates the random sequence of the executors that are cut off.
 constexpr uint32_t kCutOffSeedOffset = 2000003;
+// Separates the random sequence of the long checkpoints.
+constexpr uint32_t kCheckpointSeedOffset = 3000003;
+// On average one of this many jobs reports long checkpoints.
+constexpr int kJobsPerLongCheckpoint = 4;
+// Several in one record, about a record each, and more than any record holds.
+constexpr int kCheckpointBytes[] = {20000, 70000, 262113, 262114, 400000};
 // Short, so that several cuts that are longer fit into a run.
 constexpr Milliseconds kLeaseWithCutOffs{1500};
 constexpr Milliseconds kCutOffTime{2800};
@@ -141,6 +148,8 @@
     std::mt19937 random(settings_.seed * 31 + static_cast<uint32_t>(caller));
     std::mt19937 crash_random(kCrashSeedOffset + settings_.seed * 31 +
                               static_cast<uint32_t>(caller));
+    std::mt19937 checkpoint_random(kCheckpointSeedOffset + settings_.seed * 31 +
+                                   static_cast<uint32_t>(caller));
     std::vector<std::string> own_job_ids;
     for (int number = 0; !done_; ++number) {
       const int entry =
@@ -151,6 +160,9 @@
         if (settings_.crashes && crash_random() % kJobsPerCrash == 0) {
           job.crash_after_ms = kCrashAfterMs;
         }
+        if (settings_.long_checkpoints) {
+          DrawLongCheckpoints(&checkpoint_random, &job);
+        }
         own_job_ids.push_back(job.id);
         Submit(job, entry);
       } else {
@@ -166,6 +178,13 @@
     }
   }
 
+  static void DrawLongCheckpoints(std::mt19937* random, TestJob* job) {
+    if ((*random)() % kJobsPerLongCheckpoint != 0) return;
+    job->checkpoint_bytes =
+        kCheckpointBytes[(*random)() % std::size(kCheckpointBytes)];
+    job->failing_runs = 1;
+  }
+
   SubmittedJob FindJob(const std::string& id) {
     std::lock_guard lock(mutex_);
     return jobs_[id];
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -29,6 +29,9 @@
   // Shortens the leases, and cuts some executors off from the entries for
   // longer than that, again and again; also drawn from a separate sequence.
   bool cut_offs = true;
+  // Some tasks report checkpoints around and above the size of a record, and
+  // their first runs fail; also drawn from a separate sequence.
+  bool long_checkpoints = true;
 };
 
 struct SoakReport {
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -19,6 +19,8 @@
   bool crashes = false;
   // Whether executors are cut off, as in SoakSettings.
   bool cut_offs = false;
+  // Whether tasks report long checkpoints, as in SoakSettings.
+  bool long_checkpoints = false;
 };
 
 TEST_CASE("the invariants hold under randomized faults") {
@@ -26,6 +28,7 @@
       {20261202, 8, "never failed"},
       {20261203, 10, "never failed", true},
       {20261204, 15, "never failed", false, true},
+      {20261205, 10, "never failed", false, false, true},
       {114, 12, "the stand-in kept a report across incarnations"},
       {127, 12, "work was sent to an incarnation known to have ended"},
       {128, 12, "the stand-in kept a report across incarnations"},
@@ -54,6 +57,7 @@
     settings.fault_duration = std::chrono::seconds(row.seconds);
     settings.crashes = row.crashes;
     settings.cut_offs = row.cut_offs;
+    settings.long_checkpoints = row.long_checkpoints;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
