--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -430,10 +430,11 @@
   if (!progress_write_limiter_.IsDue(!pending_starts_.empty(), Now())) return;
   std::vector<KeyedRecord> records;
   for (const ProgressBlockRef& ref : ledger_.TakeDirtyBlocks()) {
-    const std::optional<ProgressBlock> block = ledger_.FindBlock(ref);
+    std::optional<ProgressBlock> block = ledger_.FindBlock(ref);
     if (!block) continue;
     ProgressRecords progress = ToProgressRecords(
-        ref, *block, *ledger_.FindStepSpec(ref.step), settings_.store_limits);
+        ref, *std::move(block), *ledger_.FindStepSpec(ref.step),
+        settings_.store_limits);
     std::move(progress.records.begin(), progress.records.end(),
               std::back_inserter(records));
     stored_blocks_.insert(ref);
--- a/tests/auto/coordination/tst_large_checkpoints.cc
+++ b/tests/auto/coordination/tst_large_checkpoints.cc
@@ -90,9 +90,9 @@
     CHECK(resumed.size() == static_cast<size_t>(row.count));
     for (const int64_t bytes : resumed) CHECK(bytes == row.resumed_bytes);
     CHECK(cluster.store.rejected_appends == 0);
-    for (const auto& [task, runs] : cluster.CompletedRunCounts()) {
-      CAPTURE(task);
-      CHECK(runs <= 1);
+    for (const auto& task : cluster.CompletedRunCounts()) {
+      CAPTURE(task.first);
+      CHECK(task.second <= 1);
     }
   }
 }
@@ -130,9 +130,9 @@
         cluster.io,
         [&] { return successor.state(kJob) == JobState::kCompleted; },
         std::chrono::seconds(10)));
-    for (const auto& [task, runs] : cluster.RunCounts()) {
-      CAPTURE(task);
-      CHECK(runs == 2);
+    for (const auto& task : cluster.RunCounts()) {
+      CAPTURE(task.first);
+      CHECK(task.second == 2);
     }
   }
 }
--- a/tests/auto/coordination/tst_record_sizes.cc
+++ b/tests/auto/coordination/tst_record_sizes.cc
@@ -3,6 +3,7 @@
 // after the store has rejected it for its size.
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <utility>
@@ -116,7 +117,7 @@
     for (const bool in_one_write : {true, false}) {
       // The second entry believes the limits to be larger than they are.
       for (const StoreLimits& known : {kLimits, StoreLimits{}}) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         CAPTURE(in_one_write);
         CAPTURE(known.record_bytes);
         WriterTest test(known);
@@ -246,7 +247,7 @@
     bool gang;
     size_t checkpoint_bytes;
     // Of the limit, relative to the size of the block in one record.
-    int slack;
+    std::ptrdiff_t slack;
     size_t records;
   };
   const size_t most = MaxCheckpointBytes(StoreLimits());
@@ -268,8 +269,8 @@
     StoreLimits limits;
     const KeyedRecord whole = JobBoard::Progress(ref, EncodeBlock(block));
     if (row.checkpoint_bytes < most) {
-      limits.record_bytes =
-          static_cast<size_t>(static_cast<int>(RecordBytes(whole)) + row.slack);
+      limits.record_bytes = static_cast<size_t>(
+          static_cast<std::ptrdiff_t>(RecordBytes(whole)) + row.slack);
     }
     const ProgressRecords stored = ToProgressRecords(ref, block, spec, limits);
     REQUIRE(stored.records.size() == row.records);
--- a/tests/integration/tst_hosted_large_records.cc
+++ b/tests/integration/tst_hosted_large_records.cc
@@ -39,7 +39,7 @@
   scenario.Submit(JobWithCheckpoints(1, 4, true, 70000));
   scenario.Submit(JobWithCheckpoints(2, 8, false, 100000));
   scenario.Submit(JobWithCheckpoints(3, 4, true, 262114));
-  scenario.Submit(2 * 2, {Step(4, 1)}, 100);
+  scenario.Submit(4, {Step(4, 1)}, 100);
   HostedCluster& cluster = scenario.cluster();
   REQUIRE(HostedCluster::Eventually([&cluster] {
     return CountEvents(cluster, kCheckpointDroppedEvent) > 0;
