No fifth start after an unclear one on a leaving worker

Callers would see: a task that crashes its workers is started a sixth time (BUDGET).

Cause: a run that ends at its start with a worker that has announced its departure is no loss, though the task may have crashed that worker. Until no task got more than four counted starts, so that one such crash stayed within the five that the platform allows. The fifth start for workers that ended out of sight has used up that reserve.

Ruled out: to count it as a loss. A worker that leaves as announced counts against no task (tst_departures). Departures that the run survived for 0.2 s, or under which it is not known to have begun, change nothing: orders go to no worker that has announced its departure, so that a sound run hardly ever ends with one within 0.2 s.

Change: the record counts such unclear starts (a ninth element of a stored task that has losses or such starts; earlier rows are read), and gives the fifth start only without one.

--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -153,9 +153,10 @@
   if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
   if (proved_crashes() >= kMinProvedCrashes) return CrashVerdict::kGivenUp;
   if (losses.size() == kMaxWorkersLost) {
-    return accounted_losses() >= kMinAccountedForLastStart
-               ? CrashVerdict::kMayStart
-               : CrashVerdict::kMustWait;
+    // An unclear start may have been the fifth already.
+    const bool may_start =
+        accounted_losses() >= kMinAccountedForLastStart && unclear_starts == 0;
+    return may_start ? CrashVerdict::kMayStart : CrashVerdict::kMustWait;
   }
   return accounted_losses_of_runs() >= kMinAccountedToGiveUp
              ? CrashVerdict::kGivenUp
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -104,11 +104,16 @@
   std::vector<WorkerLoss> losses;
   // Consecutive proved crashes of workers that had just accepted the order.
   int start_crashes = 0;
+  // Runs that had begun and ended at their start with a worker that had
+  // announced its departure: they may have crashed it, and are no losses.
+  int unclear_starts = 0;
 
   bool empty() const { return losses.empty(); }
   // A long-running task loses many workers over time, so a worker that ran it
   // for a while before it was lost resets the record.
   void OnWorkerLost(const LostRun& run, const StepSpec& step);
+  // A run of the task ended at its start with a worker that left.
+  void OnWorkerLeftAtStart() { ++unclear_starts; }
   // A run of the task ended while its worker lived on.
   void OnRunEnded() { start_crashes = 0; }
   // That incarnation is alive, so it did not crash. Returns whether the record
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -46,7 +46,11 @@
 // never began shows nothing.
 void UpdateCrashRecord(RunEnd end, const LostRun& lost, const StepSpec& step,
                        CrashRecord* crashes) {
-  if (end == RunEnd::kLost || ShowsNoSurvival(end, lost)) return;
+  if (end == RunEnd::kLost) return;
+  if (ShowsNoSurvival(end, lost)) {
+    if (lost.began) crashes->OnWorkerLeftAtStart();
+    return;
+  }
   const bool with_worker =
       end == RunEnd::kWorkerCrashed || end == RunEnd::kWorkerSilent;
   if (!with_worker) return crashes->OnRunEnded();
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -62,9 +62,10 @@
   if (plain) return task.run;
   Json row = Json::array({static_cast<int>(task.phase), task.run, task.failures,
                           task.worker, task.checkpoint});
-  if (!task.crashes.empty()) {
+  if (!task.crashes.empty() || task.crashes.unclear_starts > 0) {
     row.push_back(task.crashes.start_crashes);
     AppendLosses(task.crashes.losses, &row);
+    row.push_back(task.crashes.unclear_starts);
   }
   return row;
 }
@@ -81,6 +82,7 @@
     if (row.size() > 5) {
       task.crashes.start_crashes = row.at(5).get<int>();
       task.crashes.losses = LossesFromRow(row);
+      if (row.size() > 8) task.crashes.unclear_starts = row.at(8).get<int>();
     }
     return task;
   }
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -122,6 +122,52 @@
   CHECK(starts <= kMaxStarts);
 }
 
+// Guards against a sixth start: one of the workers that the task crashes had
+// announced its departure, so that its crash counts as one of no worker, and
+// the others restart only after their leases.
+TEST_CASE("a crash of a worker that was leaving leaves no start beyond five") {
+  struct Row {
+    const char* name;
+    // The start on a worker that is leaving; 0: none.
+    int on_leaving;
+    // From that start until the worker ends.
+    Milliseconds survived;
+    int starts;
+  };
+  const std::vector<Row> rows = {
+      {"no worker was leaving", 0, Milliseconds(0), 5},
+      {"the first one", 1, Milliseconds(20), 5},
+      {"the fourth one", 4, Milliseconds(20), 5},
+      {"one that survived the start, which the task did not crash", 1,
+       Milliseconds(900), 6},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const StepSpec step = MakeStep(1, 1);
+    JobLedger ledger = LedgerWith(step);
+    int starts = 0;
+    while (starts <= kMaxStarts && MayStart(ledger)) {
+      ++starts;
+      const std::string id = "w" + std::to_string(starts);
+      const int run = ledger.RecordStart(kStep, {{0, id}});
+      LostRun lost;
+      lost.worker = id;
+      lost.incarnation_start = FromUnixMilliseconds(kFirstStart);
+      lost.began = true;
+      const bool leaves = starts == row.on_leaving;
+      lost.survived = leaves ? row.survived : Milliseconds(20);
+      const RunEnd end = leaves ? RunEnd::kWorkerLeft : RunEnd::kWorkerSilent;
+      ledger.RecordRunEnd(kTask, run, end, "", lost);
+      ledger.OnWorkerEnded(id, lost.incarnation_start);
+      const std::string stored = EncodeBlock(*ledger.FindBlock({kStep, 0}));
+      if (IsTerminal(ledger.Find(kStep.job)->state)) break;
+      ledger = LedgerWith(step);
+      REQUIRE(ledger.Restore(kStep, {{0, *DecodeBlock(stored, nullptr)}}));
+    }
+    CHECK(starts == row.starts);
+  }
+}
+
 // Guards against a sixth start under leaders that change: each start is
 // recorded and sent by one leader, the task crashes its worker, that restarts
 // under its id, and the next leader finds the run gone. The incident page of
--- a/tests/auto/workload/tst_progress_block.cc
+++ b/tests/auto/workload/tst_progress_block.cc
@@ -40,7 +40,8 @@
   return a.phase == b.phase && a.run == b.run && a.failures == b.failures &&
          a.worker == b.worker && a.checkpoint == b.checkpoint &&
          a.crashes.losses == b.crashes.losses &&
-         a.crashes.start_crashes == b.crashes.start_crashes;
+         a.crashes.start_crashes == b.crashes.start_crashes &&
+         a.crashes.unclear_starts == b.crashes.unclear_starts;
 }
 
 TEST_CASE("which tasks a block holds") {
@@ -93,6 +94,9 @@
       {"waiting again after a loss that ended out of sight",
        {TaskPhase::kWaiting, 3, 0, "", "", {{kEnded, kSilent}, 0}},
        {TaskPhase::kWaiting, 3, 0, "", "", {{kEnded, kSilent}, 0}}},
+      {"waiting again after an unclear start",
+       {TaskPhase::kWaiting, 3, 0, "", "", {{}, 0, 1}},
+       {TaskPhase::kWaiting, 3, 0, "", "", {{}, 0, 1}}},
       {"active again after a crash, without failures",
        {TaskPhase::kActive, 2, 0, "w3", "", {{kCrashed}, 0}},
        {TaskPhase::kActive, 2, 0, "w3", "", {{kCrashed}, 0}}},
