A crash proves nothing once its run may have completed unheard

Callers would see: a sound job shown as `failed` (LOST).

Cause: that another incarnation answers while the lease of a run lasts proves that the run had not lapsed, and was taken for proof that it had not ended at all. Behind a cut a run of a second is done long before a lease of 6.5 s is over; if the worker then crashes and is back within that time, the crash counted as one under the task, and two of these among four losses end its job.

Ruled out: crashes at the start, which are told by kStartPhase and half of the estimate.

Change: the proof also needs that the run cannot have completed since its last report: by half of the estimate for what was left then, as at the start.

--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -13,6 +13,8 @@
 // Covers a late timer on the worker and the time to kill a run there.
 constexpr Milliseconds kLeaseSlack{600};
 constexpr int kDonePercent = 100;
+// Callers' estimates may be wrong by a factor of two.
+constexpr int kEstimateError = 2;
 // With less progress, a rate is too coarse to use.
 constexpr int kMinPercentForRate = 3;
 
@@ -55,6 +57,17 @@
   return now - began;
 }
 
+bool TrackedRun::may_have_completed(Time now) const {
+  // Without an estimate nothing is known of its end.
+  if (profile.estimate <= Milliseconds::zero()) return false;
+  // What a run had done before it resumed is not known before its first report.
+  const bool is_unknown = resumed && !baseline;
+  const Duration left = profile.estimate *
+                        (is_unknown ? 0 : kDonePercent - percent) /
+                        (kDonePercent * kEstimateError);
+  return now - std::max(last_report, began) > left;
+}
+
 bool TrackedRun::has_proven_start(Time now) const {
   return stage == RunStage::kRunning && now - began >= kStartPhase;
 }
@@ -480,7 +493,7 @@
       MakeRunEnd(run, MayHaveBegun(run) ? end : RunEnd::kLost, now);
   lost.incarnation_start = incarnation_.start();
   lost.address = registration_.address;
-  lost.within_lease = now <= lease_certain_;
+  lost.within_lease = now <= lease_certain_ && !run.may_have_completed(now);
   if (run.began != Time{}) {
     lost.survived = silent_since_.value_or(now) - run.began;
   }
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -128,6 +128,8 @@
 
   // Work that is lost when it is stopped: none if the stop itself saves it.
   Duration unsaved_work(Time now) const;
+  // Whether it may have completed its work since it was last seen at work.
+  bool may_have_completed(Time now) const;
   // Whether its worker is alive and has survived its start.
   bool has_proven_start(Time now) const;
   // The part of its run time whose work is preserved when it ends now;
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -265,6 +265,52 @@
   }
 }
 
+// Guards against a sound job that is failed because of runs that were done: the
+// worker was cut off, the run ended there unheard, and the worker crashed
+// behind the cut and restarted while the lease still lasted. Two such losses
+// among four end the job.
+TEST_CASE("a crash proves nothing once the run may have ended unheard") {
+  struct Row {
+    const char* name;
+    int64_t estimate_ms;
+    // In the last report, 250 ms after the start.
+    int percent;
+    bool proved;
+  };
+  const std::vector<Row> rows = {
+      {"most of the work was left", 60000, 1, true},
+      {"it may have been done since", 1000, 25, false},
+      {"a long run that was nearly done", 60000, 97, false},
+      {"how long it takes is not known", 0, 25, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkerTracker tracker = FirstIncarnation("w");
+    RunProfile profile = Profile();
+    profile.estimate = Milliseconds(row.estimate_ms);
+    tracker.Add(kTask, 1, profile, At(20));
+    const Milliseconds deadline =
+        tracker.IssueDeadline(Milliseconds(6500), At(20));
+    tracker.OnStartSent(kTask, 1, deadline, At(20));
+    tracker.OnStartAnswer(kTask, 1, StartOutcome::kAccepted, At(25));
+    WorkerStatusReport report;
+    report.incarnation_start.time = FromUnixMilliseconds(kFirstStart);
+    report.clock = Milliseconds(265);
+    report.running = {{kTask, 1, "", row.percent, 0}};
+    std::vector<RunReport> unexpected;
+    REQUIRE(tracker.OnReport(report, At(265), At(275), &unexpected).empty());
+    tracker.OnReportFailed(At(900));
+    const auto ends = HandleReport(&tracker, kSecondStart, 5000);
+    REQUIRE(ends.size() == 1);
+    JobLedger ledger = LedgerWith(MakeStep(1, 1));
+    ledger.RecordStart(kStep, {{0, "w"}});
+    ledger.RecordRunEnd(kTask, 1, ends[0].end, "", ToLostRun("w", ends[0]));
+    const CrashRecord& crashes = ledger.FindTask(kTask)->crashes;
+    CHECK(crashes.losses.size() == 1);
+    CHECK(crashes.proved_crashes() == static_cast<size_t>(row.proved));
+  }
+}
+
 // Guards against a sound task that waits for ever: each of its workers was cut
 // off and restarted at about the end of the run's lease. That proves no crash,
 // but the incarnation is over, and no later sign will account for it.
