A task whose workers are all known to be over ends with its fifth loss

Cause: two of its five runs were lost around changes of leader and are not known to have begun, so that only three losses counted towards the end of the job; all five workers were known to be over. No start is left, and no sign of any of these workers can follow: the wait has no end.

Ruled out: losses that nobody accounted for (that was so on the code before; here the record names all five as ended).

Change: with five losses the job also ends if all of them are accounted for. As long as one worker may still be heard of, the task waits as before.

--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -158,7 +158,9 @@
         accounted_losses() >= kMinAccountedForLastStart && unclear_starts == 0;
     return may_start ? CrashVerdict::kMayStart : CrashVerdict::kMustWait;
   }
-  return accounted_losses_of_runs() >= kMinAccountedToGiveUp
+  // If all workers are known to be over, no later sign can end the wait.
+  const bool is_over = accounted_losses() == losses.size();
+  return is_over || accounted_losses_of_runs() >= kMinAccountedToGiveUp
              ? CrashVerdict::kGivenUp
              : CrashVerdict::kMustWait;
 }
--- a/tests/soak/tst_soak_executors.cc
+++ b/tests/soak/tst_soak_executors.cc
@@ -19,6 +19,8 @@
       {649, 15, "a job was given up for crashes it did not cause", true},
       {80002, 15, "a task waited for ever for crashed workers", true, true},
       {80021, 15, "a task waited for ever for crashed workers", true, true},
+      {81012, 15, "losses that predecessors recorded stayed unaccounted for",
+       true, true},
       {70007, 15, "after an outage tasks were placed by entries from before it",
        true},
   });
