--- a/src/libs/workload/guarantee_holds.cc
+++ b/src/libs/workload/guarantee_holds.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 namespace thornplank {
+
 GuaranteeHolds::GuaranteeHolds(const GangHolds::Inputs& inputs,
                                const UrgentBalance* balance)
     : balance_(*balance), holds_(inputs) {}
--- a/src/libs/workload/planning_victims.cc
+++ b/src/libs/workload/planning_victims.cc
@@ -134,7 +134,8 @@
 
 // A step that is owed nothing waits for runs to end in the room that is held
 // for it, and takes from others only where they last. So does an expired step,
-// whose work earns nothing, as long as it can still be started in time.
+// whose result comes too late anyway, as long as it can still begin within the
+// bound on reclaiming.
 bool Planner::Round::MayReclaim(const ReadyStep& step) {
   const int64_t wanted =
       step.spec->need.accelerators * static_cast<int64_t>(step.waiting.size());
