Stand-in: an executor that crashes while it is down comes back

Cause: the control "crash" begins a new incarnation, but an executor whose restart is pending stayed down: the pending restart is for the incarnation before and does nothing then. The soak draws both for one executor.

Ruled out: an entry that overlooks the worker; no entry of it was written after the crash.

Change: the control brings the executor up, as its name says. tst_hosted_restarts, "one crashes while it is down": a gang that needs all executors did not end before (2 of 30 checks), it does now. No check is eased: workers that never return stay in tst_hosted_silent_workers and tst_crash_record.

--- a/tests/integration/tst_hosted_restarts.cc
+++ b/tests/integration/tst_hosted_restarts.cc
@@ -54,6 +54,13 @@
        }},
       {"some stay down for longer than their leases", 8000,
        [](HostedCluster* cluster) { Restart(cluster, 0, 3); }},
+      // Guards against a stand-in that never returns: a crash replaced the
+      // incarnation that the pending restart would have brought up.
+      {"one crashes while it is down", 1500,
+       [](HostedCluster* cluster) {
+         Restart(cluster, 0, 1);
+         CHECK(cluster->ControlExecutor(0, {{"crash", true}}));
+       }},
       {"orders are carried out late, then all restart", 300,
        [](HostedCluster* cluster) {
          for (int i = 0; i < kExecutors; ++i) {
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -290,6 +290,8 @@
   if (BoolField(control, "crash").value_or(false)) {
     const std::string old_id = model_.id();
     model_.Crash(ModelClock());
+    // A restart that is pending would bring up the incarnation before.
+    down_ = false;
     BeginIncarnation();
     CloseOtherConnections();
     if (publish_) publish_(old_id, std::nullopt);
