tst_admin: the test of a lost record no longer counts the records of the log

Seen: tst_settings_manager.cc:311, next_offset() 4 in place of 3, in 3 of 15 plays by hand and once beside another ctest.

Cause: traced by printing the log's records at the failure.

--- a/tests/auto/admin/tst_settings_manager.cc
+++ b/tests/auto/admin/tst_settings_manager.cc
@@ -308,7 +308,13 @@
     return result.outcome == WriteOutcome::kInvalid &&
            result.reasons.at(0).find("holds no state") != std::string::npos;
   }));
-  CHECK(fixture.log().next_offset() == 3);
+  // Neither entry has passed over the record that is lost, at offset 2. The
+  // first one may still have appended a snapshot of what it had read before.
+  for (const Json& record : fixture.log().records()) {
+    CAPTURE(record.dump());
+    CHECK(StringField(record, "type") == "snapshot");
+    CHECK(IntField(record, "covers") == 2);
+  }
   CHECK(recover(*entry).outcome == WriteOutcome::kApplied);
   REQUIRE(WaitUntil(
       [&] { return entry->manager().ready() && empty->manager().ready(); }));
