--- a/src/libs/coordination/cluster_run_ends.cc
+++ b/src/libs/coordination/cluster_run_ends.cc
@@ -16,19 +16,6 @@
 
 Time Now() { return std::chrono::steady_clock::now(); }
 
-LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
-  LostRun run;
-  run.worker = worker;
-  run.number = end.run;
-  run.address = end.address;
-  run.incarnation_start = end.incarnation_start;
-  run.crashed = end.end == RunEnd::kWorkerCrashed;
-  run.began = end.began != Time{};
-  run.survived = end.survived;
-  run.within_lease = end.within_lease;
-  return run;
-}
-
 const char* ToWord(const WorkerLoss& loss) {
   if (loss.crashed) return "crashed";
   return loss.ended ? "ended" : "unproved";
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -43,7 +43,8 @@
   bool began = false;
   // From the start of the run until the worker fell silent.
   Duration survived{};
-  // Whether the crash is known to have come before the run's lease could end.
+  // Whether the crash is known to have come before the run's lease could end
+  // and before the run could complete.
   bool within_lease = false;
 };
 
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "workload/crash_record.h"
 #include "workload/job_ledger.h"
 #include "workload/resources.h"
 #include "workload/task_ref.h"
@@ -78,7 +79,8 @@
   // a run that ended with its worker.
   Duration survived{};
   // Whether the end of the incarnation was seen while the run's lease certainly
-  // lasted. Set by the tracker for a run that ended with its worker.
+  // lasted, and before the run can have completed. Set by the tracker for a run
+  // that ended with its worker.
   bool within_lease = false;
   // Number of the worker's incarnation, counted by the tracker and set by it.
   int incarnation = 0;
@@ -86,6 +88,9 @@
   std::optional<RunKind> kind = std::nullopt;
 };
 
+// What the end says of a run that was lost with `worker`.
+LostRun ToLostRun(const std::string& worker, const RunEndReport& end);
+
 struct WorkerStatusReport {
   // The worker's steady clock; restarts with each incarnation.
   Milliseconds clock{0};
--- a/tests/auto/workload/tst_crash_evidence.cc
+++ b/tests/auto/workload/tst_crash_evidence.cc
@@ -57,20 +57,6 @@
   return tracker;
 }
 
-// As the coordinator does it.
-LostRun ToLostRun(const std::string& worker, const RunEndReport& end) {
-  LostRun run;
-  run.worker = worker;
-  run.number = end.run;
-  run.address = end.address;
-  run.incarnation_start = end.incarnation_start;
-  run.crashed = end.end == RunEnd::kWorkerCrashed;
-  run.began = end.began != Time{};
-  run.survived = end.survived;
-  run.within_lease = end.within_lease;
-  return run;
-}
-
 bool MayStart(const JobLedger& ledger) {
   return !IsTerminal(ledger.Find(kStep.job)->state) &&
          ledger.FindTask(kTask)->crashes.verdict() == CrashVerdict::kMayStart;
