The cost of room held for guaranteed steps, at the target size and twice that

Conclusion: each such step searches all workers in each round; that is the cost, and it wants the cap that the searches of other gangs have.

--- a/benchmarks/bench_workload.cc
+++ b/benchmarks/bench_workload.cc
@@ -4,7 +4,8 @@
 // A third of the workers is full, the others have room for small tasks. The
 // waiting steps are gangs that find no rack with room for all of their members,
 // so that no round changes the cluster. With a guarantee, held capacity is
-// active.
+// active. The same with urgent gangs, none of which may take from others: with
+// guarantees, room is kept for each of them (GuaranteeHolds).
 //
 // Then the target size with all running tasks in the ledger: rounds without and
 // with guarantees, the part of them that counts what urgent jobs need, and the
@@ -31,6 +32,12 @@
 // Some runs end within the horizon of a hold, others do not.
 constexpr Milliseconds kEstimates[] = {Milliseconds(1000), Milliseconds(2500),
                                        Milliseconds(7000), Milliseconds(9000)};
+constexpr int kWorkerAccelerators = 8;
+// Gangs that fit into the guarantee of an account.
+constexpr int kGuaranteedGangs = 2;
+// The account of the runs beside which urgent gangs wait; it is within its
+// guarantee.
+constexpr char kHolder[] = "holder";
 // Between two rounds.
 constexpr Milliseconds kRoundInterval{50};
 
@@ -55,7 +62,15 @@
   return id;
 }
 
-void Measure(int workers, int waiting_steps, bool guaranteed) {
+// The gangs that wait in Measure.
+enum class Waiting { kOrdinary, kUrgent };
+
+std::string AccountName(int job) {
+  return "account-" + std::to_string(job % kTargetAccounts);
+}
+
+void Measure(int workers, int waiting_steps, bool guaranteed, Waiting waiting) {
+  const bool urgent = waiting == Waiting::kUrgent;
   std::map<std::string, WorkerTracker> trackers;
   JobLedger ledger;
   for (int i = 0; i < workers; ++i) {
@@ -66,7 +81,8 @@
         trackers.emplace(id, testing::MakeTracker(registration)).first->second;
     RunProfile profile;
     profile.need = {1000, 1000, i % 3 == 0 ? 2 : 1};
-    profile.priority = 1;
+    profile.priority = urgent ? 0 : 1;
+    profile.account = urgent ? kHolder : "";
     profile.estimate = kEstimates[i % 4];
     for (int t = 0; t < kTasksPerWorker; ++t) {
       tracker.Add({{JobId(i), 0, 0}, t}, 1, profile, testing::At(0));
@@ -76,12 +92,18 @@
     StepSpec step = testing::MakeStep(kWorkersPerRack, 4);
     step.gang = true;
     step.same_rack = true;
-    ledger.Add(testing::MakeJob(JobId(1 << 30 | i), {step}, 1 + i % 2),
-               testing::At(0));
+    ledger.Add(
+        testing::MakeJob(JobId(1 << 30 | i), {step}, urgent ? 0 : 1 + i % 2,
+                         urgent ? AccountName(i) : "north"),
+        testing::At(0));
   }
   Planner planner((PlannerSettings()));
   Guarantees guarantees;
   if (guaranteed) guarantees["north"] = 16;
+  if (urgent) guarantees[kHolder] = workers * kWorkerAccelerators;
+  for (int i = 0; urgent && guaranteed && i < kTargetAccounts; ++i) {
+    guarantees[AccountName(i)] = kGuaranteedGangs * kWorkersPerRack * 4;
+  }
   PlanInputs inputs;
   inputs.ledger = &ledger;
   inputs.workers = &trackers;
@@ -104,10 +126,6 @@
   JobLedger ledger;
 };
 
-std::string AccountName(int job) {
-  return "account-" + std::to_string(job % kTargetAccounts);
-}
-
 // The tasks of each job are on consecutive workers.
 void FillTarget(int tasks_per_job, int waiting_steps, TargetCluster* cluster) {
   std::vector<std::string> ids;
@@ -226,8 +244,20 @@
   std::printf("%8s %8s %10s %10s\n", "workers", "waiting", "guarantee", "ms");
   for (const int workers : {100, 350, 1000, 6000, 12000}) {
     for (const int waiting : {0, 1, 10, 50}) {
-      thornplank::Measure(workers, waiting, /*guaranteed=*/false);
-      thornplank::Measure(workers, waiting, /*guaranteed=*/true);
+      thornplank::Measure(workers, waiting, /*guaranteed=*/false,
+                          thornplank::Waiting::kOrdinary);
+      thornplank::Measure(workers, waiting, /*guaranteed=*/true,
+                          thornplank::Waiting::kOrdinary);
+    }
+  }
+  std::printf("\nurgent gangs\n%8s %8s %10s %10s\n", "workers", "waiting",
+              "guarantee", "ms");
+  for (const int workers : {350, 1100, 2200}) {
+    for (const int waiting : {1, 10, 50}) {
+      thornplank::Measure(workers, waiting, /*guaranteed=*/false,
+                          thornplank::Waiting::kUrgent);
+      thornplank::Measure(workers, waiting, /*guaranteed=*/true,
+                          thornplank::Waiting::kUrgent);
     }
   }
   std::printf("\n%d workers, %d tasks, ms of processor time\n",
