The log of a start tells how old the entry is that it relies on, and the room left

An entry holds the worker's clock at its writing, which a report shows too: the difference is the age of the entry, also for a new leader and for an entry that was stored late.

--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -1,5 +1,7 @@
 // Planning rounds of the leader.
 #include <algorithm>
+#include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -10,6 +12,9 @@
 namespace thornplank {
 namespace {
 
+// As it is logged.
+constexpr Milliseconds kUnknownEntryAge{-1};
+
 Time Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -118,6 +123,8 @@
   const StepSpec* spec = ledger_.FindStepSpec(decision.step);
   Json workers = Json::array();
   int away_from_data = 0;
+  std::optional<Milliseconds> oldest_entry;
+  int64_t least_accelerators = std::numeric_limits<int64_t>::max();
   for (const JobLedger::Assignment& assignment : decision.assignments) {
     const TaskRef task{decision.step, assignment.index};
     fleet_->Add(assignment.worker, task, run, ProfileOf(task), now);
@@ -129,22 +136,29 @@
                                ticket.value_or(""), spec->gang, now});
     workers.push_back(Json::array({assignment.index, assignment.worker}));
     if (!fleet_->IsOnRack(assignment.worker, spec->data_rack)) ++away_from_data;
+    const WorkerTracker& worker = fleet_->trackers().at(assignment.worker);
+    oldest_entry = std::max(oldest_entry, worker.entry_age(now));
+    least_accelerators =
+        std::min(least_accelerators, worker.room().accelerators);
   }
-  LogEvent(events::kTasksPlaced,
-           {{"job", decision.step.job},
-            {"step", decision.step.ToString()},
-            {"run", run},
-            {"tasks", std::move(workers)},
-            {"reason", decision.reason},
-            {"priority", job->spec.policy.priority},
-            {"data_rack", spec->data_rack},
-            {"away_from_data", away_from_data},
-            {"same_rack", spec->same_rack},
-            {"accelerators", spec->need.accelerators},
-            {"estimate_ms", spec->estimate.count()},
-            {"epoch", epoch_},
-            {"board_next", dependencies_.board_next_offset()},
-            {"configuration", dependencies_.configuration().version}});
+  LogEvent(
+      events::kTasksPlaced,
+      {{"job", decision.step.job},
+       {"step", decision.step.ToString()},
+       {"run", run},
+       {"tasks", std::move(workers)},
+       {"reason", decision.reason},
+       {"priority", job->spec.policy.priority},
+       {"data_rack", spec->data_rack},
+       {"away_from_data", away_from_data},
+       {"same_rack", spec->same_rack},
+       {"accelerators", spec->need.accelerators},
+       {"estimate_ms", spec->estimate.count()},
+       {"oldest_entry_ms", oldest_entry.value_or(kUnknownEntryAge).count()},
+       {"accelerators_left", least_accelerators},
+       {"epoch", epoch_},
+       {"board_next", dependencies_.board_next_offset()},
+       {"configuration", dependencies_.configuration().version}});
 }
 
 void ClusterCoordinator::MeasureFragmentation(Time now) {
--- a/src/libs/workload/worker_report.h
+++ b/src/libs/workload/worker_report.h
@@ -37,6 +37,9 @@
   bool draining = false;
   // While draining: the minimum time until it leaves.
   Milliseconds drain_remaining{0};
+  // The worker's steady clock when it wrote the entry; nullopt if the entry
+  // does not say.
+  std::optional<Milliseconds> written = std::nullopt;
 };
 
 // A run that is on a worker.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -154,6 +154,17 @@
   if (!leaving || leaving != start) announcement_.reset();
 }
 
+// By the slowest clock that the worker may have: the time since its last report
+// may be long.
+std::optional<Milliseconds> WorkerTracker::entry_age(Time now) const {
+  if (!synchronized_ || !registration_.written) return std::nullopt;
+  const Milliseconds since_report =
+      std::chrono::duration_cast<Milliseconds>(now - clock_read_at_);
+  const auto elapsed = static_cast<int64_t>(
+      static_cast<double>(since_report.count()) * kMinClockRate);
+  return clock_ + Milliseconds(elapsed) - *registration_.written;
+}
+
 void WorkerTracker::SetSpeed(double speed, Time now) {
   speed_ = speed;
   if (!IsSlowed()) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -221,6 +221,8 @@
   bool IsEntryOutdated(Time now) const {
     return entry_outdated_until_ && now < *entry_outdated_until_;
   }
+  // For how long the entry has existed, at least; nullopt if that is not known.
+  std::optional<Milliseconds> entry_age(Time now) const;
   // Whether its failure domain accepts no new work.
   void set_domain_closed(bool closed) { domain_closed_ = closed; }
   bool domain_closed() const { return domain_closed_; }
--- a/tests/auto/users_platform/tst_wire_formats.cc
+++ b/tests/auto/users_platform/tst_wire_formats.cc
@@ -151,6 +151,7 @@
   CHECK(worker->drain_remaining == Milliseconds(1500));
   CHECK(worker->rack == "r1-3");
   CHECK(worker->capacity.accelerators == 8);
+  CHECK(worker->written == Milliseconds(482113));
 }
 
 // A valid registration with `field` replaced by `value`, or left out when
