A worker is used only by an entry that is young enough, and of its incarnation

Cause: the capacity in a worker's entry was used as long as the entry was listed, and for 2.6 s after it lapsed, however old it was. A worker that shrinks while it alone is cut off from the store cannot say so; the rule gives three seconds and a heartbeat. A leader that takes over reads the entry as if it were new, and so it does that of an incarnation which is over, where a worker returns under its id.

Its logs: executor 3 is cut off and shrinks at 7.4 s, restarts under its id behind the cut, a new leader reads its entry at 11.0 s, places two tasks on it at 12.09 s, and reads its new size (941, overdrawn) 0.06 s later.

Why this works: an entry tells the worker's clock at its writing, reports show the same clock, so that any leader knows the age of any entry. Starts rely on entries of at most what the rule allows less the validity of an order (3.0 s), asked again when the order goes out.

tst_worker_restart: one row asserted that a worker is usable right after the report of its second incarnation, by the entry of the first. That is part of the fault: the check is now that it is not, until an entry of the second is read, which each row checks as well.

--- a/src/app/thornplank_hosted/hosted_process.cc
+++ b/src/app/thornplank_hosted/hosted_process.cc
@@ -104,6 +104,7 @@
   bounds.reclaim_bound = settings.reclaim_bound;
   bounds.restore_time = settings.restore_time;
   bounds.heartbeat = settings.worker_heartbeat;
+  bounds.resize_tolerance = settings.resize_tolerance;
   bounds.far_slowdown = settings.far_slowdown;
   return bounds;
 }
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -71,7 +71,7 @@
   // After an outage the record of a start may be stored before the directory is
   // read again.
   if (IsDirectoryOutdated(now) || worker.IsEntryOutdated(now)) {
-    return "the worker's entry is older than an outage of the store";
+    return "the worker's entry is too old";
   }
   // room() already includes the run.
   if (worker.room().IsOverdrawn()) return "the worker's capacity has shrunk";
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -61,6 +61,12 @@
   return it == trackers_.end() ? nullptr : &it->second;
 }
 
+WorkerTracker WorkerFleet::NewTracker(const WorkerRegistration& entry) const {
+  WorkerTracker tracker(entry);
+  tracker.set_max_entry_age(settings_.bounds.max_entry_age());
+  return tracker;
+}
+
 std::vector<const WorkerTracker*> WorkerFleet::active_workers() const {
   std::vector<const WorkerTracker*> workers;
   for (const std::string& id : active_) {
@@ -109,7 +115,7 @@
                                    {"address", registration->address},
                                    {"rack", registration->rack},
                                    {"offset", record.offset}});
-    WorkerTracker new_tracker(*registration);
+    WorkerTracker new_tracker = NewTracker(*registration);
     new_tracker.Update(std::move(*registration), now);
     new_tracker.set_domain_closed(IsClosed(new_tracker));
     new_tracker.AssumeLeases(inherited_lease_bound_);
@@ -135,12 +141,11 @@
   const bool listed_before = !tracker->registration().address.empty();
   const bool resized = listed_before && registration->capacity !=
                                             tracker->registration().capacity;
+  const bool was_outdated = tracker->IsEntryOutdated(now);
   tracker->Update(std::move(*registration), now);
   tracker->set_domain_closed(IsClosed(*tracker));
-  if (is_newer && tracker->IsEntryOutdated(now)) {
-    tracker->ConfirmEntry();
-    handlers_.on_change();
-  }
+  if (is_newer) tracker->ConfirmEntry();
+  if (was_outdated && !tracker->IsEntryOutdated(now)) handlers_.on_change();
   if (!listed_before) health_monitor_.OnWorkerSeen(tracker);
   if (resized) LogCapacity(*tracker, record.offset);
   state.recheck = !tracker->reachable();
@@ -309,7 +314,7 @@
   if (tracker == nullptr) {
     WorkerRegistration unknown;
     unknown.id = worker;
-    tracker = &trackers_.emplace(worker, WorkerTracker(unknown)).first->second;
+    tracker = &trackers_.emplace(worker, NewTracker(unknown)).first->second;
     call_states_[worker].missing_since = now;
     unheard_.insert(worker);
   }
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -291,6 +291,7 @@
   void OnIncarnationOver(const std::string& id, IncarnationEnd end);
   bool EndRunsOfLostWorker(const std::string& id, IncarnationEnd end);
   WorkerTracker* Find(const std::string& id);
+  WorkerTracker NewTracker(const WorkerRegistration& entry) const;
 
   WorkerCalls& calls_;
   const Formats& formats_;
--- a/src/libs/settings/hosted_settings.cc
+++ b/src/libs/settings/hosted_settings.cc
@@ -84,6 +84,8 @@
                   &settings->restore_time);
   reader.Duration("worker_heartbeat_ms", Presence::kOptional, kBoundRange,
                   &settings->worker_heartbeat);
+  reader.Duration("resize_tolerance_ms", Presence::kOptional, kBoundRange,
+                  &settings->resize_tolerance);
   reader.Number("far_slowdown", Presence::kOptional, kSlowdownRange,
                 &settings->far_slowdown);
   ReadFeature(reader, "held_capacity", &settings->held_capacity);
@@ -144,6 +146,8 @@
           at_restart);
   compare("worker_heartbeat_ms", before.worker_heartbeat,
           after.worker_heartbeat, at_restart);
+  compare("resize_tolerance_ms", before.resize_tolerance,
+          after.resize_tolerance, at_restart);
   compare("far_slowdown", before.far_slowdown, after.far_slowdown, at_restart);
   compare("held_capacity", before.held_capacity, after.held_capacity,
           at_restart);
--- a/src/libs/settings/hosted_settings.h
+++ b/src/libs/settings/hosted_settings.h
@@ -64,6 +64,7 @@
   Milliseconds longest_lease{10000};
   Milliseconds restore_time{600};
   Milliseconds worker_heartbeat{1500};
+  Milliseconds resize_tolerance{3000};
   double far_slowdown = 3;
   // Optional decisions of the scheduler; the members of SchedulingFeatures say
   // what each does.
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -27,6 +27,9 @@
   Milliseconds reclaim_bound{2900};
   // Interval between two entries that a worker writes to the directory.
   Milliseconds heartbeat{1500};
+  // How long, beside one heartbeat, a worker that has shrunk bears starts which
+  // rely on its former capacity.
+  Milliseconds resize_tolerance{3000};
   // Time before a run that resumes from a checkpoint starts to work.
   Milliseconds restore_time{600};
   // Factor by which work away from its data, or a gang over several racks,
@@ -79,6 +82,13 @@
   Milliseconds entry_rewrite_bound() const {
     return heartbeat + Milliseconds(500);
   }
+  // How old an entry may be when a start is ordered by the capacity in it: the
+  // worker may have shrunk just after it wrote the entry, and may carry out the
+  // order at the end of its validity.
+  Milliseconds max_entry_age() const {
+    return std::max(resize_tolerance + heartbeat - start_order_term(),
+                    heartbeat);
+  }
   // Silence after which the platform removes the entry of a worker.
   Milliseconds entry_lapse() const { return heartbeat * 3; }
   // Maximum age of the view of the job board on which starts are decided.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -165,6 +165,15 @@
   return clock_ + Milliseconds(elapsed) - *registration_.written;
 }
 
+bool WorkerTracker::IsEntryOutdated(Time now) const {
+  if (entry_outdated_until_ && now < *entry_outdated_until_) return true;
+  const std::optional<WallTime>& listed = registration_.incarnation_start.time;
+  const std::optional<WallTime>& reported = incarnation_.start();
+  if (listed && reported && *listed != *reported) return true;
+  const std::optional<Milliseconds> age = entry_age(now);
+  return max_entry_age_ && age && *age > *max_entry_age_;
+}
+
 void WorkerTracker::SetSpeed(double speed, Time now) {
   speed_ = speed;
   if (!IsSlowed()) {
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -166,8 +166,8 @@
   kSilent,
   // The directory no longer lists it, or lists it with an unreadable entry.
   kNotListed,
-  // Its entry is older than the last outage of the store, so that its capacity
-  // may have changed since.
+  // Its entry is too old, or from another incarnation, so that its capacity may
+  // be another one.
   kEntryOutdated,
   kLeaving,
   // The board says that no leases are renewed there.
@@ -218,11 +218,13 @@
   // next one confirms the capacity, or until `until`, that counts as unknown.
   void MarkEntryOutdated(Time until) { entry_outdated_until_ = until; }
   void ConfirmEntry() { entry_outdated_until_.reset(); }
-  bool IsEntryOutdated(Time now) const {
-    return entry_outdated_until_ && now < *entry_outdated_until_;
-  }
+  // An entry that is older says nothing of the present capacity.
+  void set_max_entry_age(Milliseconds age) { max_entry_age_ = age; }
   // For how long the entry has existed, at least; nullopt if that is not known.
   std::optional<Milliseconds> entry_age(Time now) const;
+  // Whether the present capacity may differ from that in the entry: the entry
+  // may be from before an outage, is too old or from another incarnation.
+  bool IsEntryOutdated(Time now) const;
   // Whether its failure domain accepts no new work.
   void set_domain_closed(bool closed) { domain_closed_ = closed; }
   bool domain_closed() const { return domain_closed_; }
@@ -386,6 +388,8 @@
   std::optional<Time> missing_since_;
   // Nullopt if the entry was read after the last outage of the store.
   std::optional<Time> entry_outdated_until_;
+  // Nullopt if entries of any age count.
+  std::optional<Milliseconds> max_entry_age_;
   bool domain_closed_ = false;
   bool renewals_stopped_ = false;
   std::map<TaskRef, TrackedRun> runs_;
--- a/tests/auto/coordination/fake_formats.h
+++ b/tests/auto/coordination/fake_formats.h
@@ -23,6 +23,8 @@
 // The same for a worker that leaves in kDrainRemaining.
 inline constexpr char kLeavingBornAt[] = "leaving, born at ";
 inline constexpr Milliseconds kDrainRemaining{800};
+// Followed by the worker's clock in milliseconds when it wrote the entry.
+inline constexpr char kWrittenAt[] = "written at ";
 // Followed by the address of the worker.
 inline constexpr char kAtAddress[] = "at ";
 
@@ -52,6 +54,9 @@
     if (born) {
       worker.incarnation_start.time = FromUnixMilliseconds(std::stoll(*born));
     }
+    if (const auto clock = TextAfter(kWrittenAt, *record.value)) {
+      worker.written = Milliseconds(std::stoll(*clock));
+    }
     if (auto address = TextAfter(kAtAddress, *record.value)) {
       worker.address = *std::move(address);
     }
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -144,7 +144,7 @@
     };
     handlers.on_answer = [](const std::string&) {};
     handlers.on_no_answer = [](const std::string&) {};
-    handlers.on_change = [] {};
+    handlers.on_change = [this] { ++changes; };
     handlers.on_fenced = [this] { ++fenced; };
     handlers.may_renew = [this] { return may_renew; };
     return handlers;
@@ -175,6 +175,7 @@
   // left.
   std::vector<std::string> ended;
   int fenced = 0;
+  int changes = 0;
   bool may_renew = true;
   WorkerFleet fleet;
 };
--- a/tests/auto/workload/tst_worker_bounds.cc
+++ b/tests/auto/workload/tst_worker_bounds.cc
@@ -53,6 +53,9 @@
     CHECK(bounds.urgent_rack_wait() < bounds.reclaim_bound);
     CHECK(bounds.max_board_age() < bounds.cancel_bound);
     CHECK(bounds.restart_cost() >= bounds.restore_time);
+    CHECK(bounds.max_entry_age() + bounds.start_order_term() <=
+          bounds.resize_tolerance + bounds.heartbeat);
+    CHECK(bounds.max_entry_age() > bounds.heartbeat);
   }
   CHECK(WorkerBounds().start_order_term() > kCallTimeout);
 }
--- a/tests/auto/workload/tst_worker_restart.cc
+++ b/tests/auto/workload/tst_worker_restart.cc
@@ -191,11 +191,16 @@
     // Start times in the entries, in order; 0: not included.
     std::vector<int64_t> entries;
     bool usable;
+    // After a report of the second incarnation. It may be of another size than
+    // the entry of the first one says.
+    WorkerAvailability availability_after;
   };
+  const WorkerAvailability usable = WorkerAvailability::kUsable;
+  const WorkerAvailability outdated = WorkerAvailability::kEntryOutdated;
   const std::vector<Row> rows = {
-      {"the same start time", {kFirstStart, kFirstStart}, true},
-      {"another start time", {kFirstStart, kSecondStart}, false},
-      {"no start time", {kFirstStart, 0}, true},
+      {"the same start time", {kFirstStart, kFirstStart}, true, outdated},
+      {"another start time", {kFirstStart, kSecondStart}, false, usable},
+      {"no start time", {kFirstStart, 0}, true, usable},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -208,7 +213,11 @@
     CHECK((tracker.availability(At(100)) == WorkerAvailability::kUsable) ==
           row.usable);
     HandleReport(&tracker, 200, 210, Report(kSecondStart, 40));
-    CHECK(tracker.availability(At(210)) == WorkerAvailability::kUsable);
+    CHECK(tracker.availability(At(210)) == row.availability_after);
+    WorkerRegistration second = MakeWorker("w", "r1");
+    second.incarnation_start.time = FromUnixMilliseconds(kSecondStart);
+    tracker.Update(second, At(220));
+    CHECK(tracker.availability(At(220)) == usable);
   }
 }
 
