--- a/tests/integration/support/hosted_cluster.h
+++ b/tests/integration/support/hosted_cluster.h
@@ -145,6 +145,8 @@
 
   const HostedClusterSettings& settings() const { return settings_; }
   const std::string& folder() const { return folder_.path(); }
+  // Keeps the settings and logs beyond this object.
+  void KeepFolder() { folder_.Keep(); }
   static std::string QueuePrefix(int priority);
   // Of the account "north", which submits all jobs that name no other key.
   static std::string AccountKey();
--- a/tests/integration/support/run_folder.cc
+++ b/tests/integration/support/run_folder.cc
@@ -20,10 +20,9 @@
 }
 
 RunFolder::~RunFolder() {
+  if (kept_ || std::getenv("THORNPLANK_KEEP_LOGS") != nullptr) return;
   std::error_code ignored;
-  if (std::getenv("THORNPLANK_KEEP_LOGS") == nullptr) {
-    std::filesystem::remove_all(path_, ignored);
-  }
+  std::filesystem::remove_all(path_, ignored);
 }
 
 }  // namespace thornplank
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -20,7 +20,8 @@
   gflags::SetUsageMessage(
       "randomized runs of hosted entries under faults\nexample: "
       "thornplank_soak --first_seed=100 --seeds=50 --seconds=15\n"
-      "THORNPLANK_KEEP_LOGS=1 keeps the logs\nexit codes: 0 no violations, "
+      "the logs of seeds with violations are kept; THORNPLANK_KEEP_LOGS=1 "
+      "keeps all\nexit codes: 0 no violations, "
       "1 at least one seed with violations");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
   int failed_seeds = 0;
--- a/tests/soak/soak_rows.cc
+++ b/tests/soak/soak_rows.cc
@@ -27,6 +27,7 @@
       faults += fault + "\n";
     }
     CAPTURE(faults);
+    CAPTURE(report.folder);
     for (const std::string& violation : report.violations) {
       FAIL_CHECK(violation);
     }
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -74,6 +74,7 @@
     report_.folder = cluster_.folder();
     if (!cluster_.Start()) {
       report_.violations.push_back("the cluster did not start");
+      cluster_.KeepFolder();
       return report_;
     }
     std::vector<std::thread> callers;
@@ -100,6 +101,7 @@
     EndAllFaults();
     AwaitJobEnds();
     Check();
+    if (!report_.violations.empty()) cluster_.KeepFolder();
     return report_;
   }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -49,7 +49,7 @@
   std::vector<std::string> faults;
   // Descriptions of the violated invariants.
   std::vector<std::string> violations;
-  // The folder of the logs, if they are kept.
+  // The folder of the logs; kept if an invariant was violated.
   std::string folder;
 };
 
