A worker that is back accounts for a lost run whose incarnation is not known

Cause: a leader that never had a report of a worker records its loss without an incarnation. The worker returned under its id in an incarnation that began after the job was accepted. That neither strikes the loss (it may be a later one) nor accounts for it (it may be the lost one), and no later sign could: with five losses, one of them such, the task waits without end (928, "workers that were lost under it are not accounted for").

Why this works: whichever incarnation it was, one that is alive and does not report how the run ended has not run it, so that the run ended with an earlier one or never began: that is what "ended" says of a loss. Ends in a report are processed before the worker counts as alive, so that a reported end still strikes the loss. One that started before the job still strikes it. No sixth start follows: five losses end in a wait or in giving up, as before.

Ruled out: losses whose incarnations are known (later ones are seen, and account for them).

Test: a row of tst_crash_record failed before (accounted 0, not 1).

--- a/src/libs/coordination/cluster_run_ends.cc
+++ b/src/libs/coordination/cluster_run_ends.cc
@@ -135,7 +135,7 @@
     const std::optional<WallTime>& incarnation_start) {
   if (incarnation_start) {
     OnCrashRecordsChanged(
-        ledger_.OnLaterIncarnation(worker, *incarnation_start));
+        ledger_.OnIncarnationSeen(worker, *incarnation_start));
   }
   const auto tracker = fleet_->trackers().find(worker);
   if (tracker != fleet_->trackers().end()) {
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -544,13 +544,14 @@
     tracker->Find(run.task)->stage = RunStage::kRunning;
     RequestStop(id, run.task, run.run, "not in force");
   }
-  // An answer to an earlier call may be from before the worker was lost.
-  if (query.sent > LostAt(id)) {
-    handlers_.on_alive(id, tracker->incarnation_start());
-  }
   run_review_.Observe(tracker, now);
   pace_controller_.OnReport(tracker, now);
   DeliverEnds(id, ends);
+  // After the ends: what an incarnation does not list has not run in it. An
+  // answer to an earlier call may be from before the worker was lost.
+  if (query.sent > LostAt(id)) {
+    handlers_.on_alive(id, tracker->incarnation_start());
+  }
   // While many workers answer for the first time, the owner plans at each tick.
   const bool first_of_many = first && surveying(now);
   if ((first && !first_of_many) || !ends.empty()) handlers_.on_change();
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -107,11 +107,12 @@
   });
 }
 
-bool CrashRecord::OnLaterIncarnation(const std::string& worker,
-                                     WallTime start) {
+bool CrashRecord::OnIncarnationSeen(const std::string& worker, WallTime start,
+                                    WallTime job_accepted) {
   return MarkEnded(&losses, [&](const WorkerLoss& loss) {
-    return loss.worker == worker && loss.incarnation_start &&
-           *loss.incarnation_start < start;
+    if (loss.worker != worker) return false;
+    if (loss.incarnation_start) return *loss.incarnation_start < start;
+    return !PredatesJob(start, job_accepted);
   });
 }
 
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -135,8 +135,11 @@
   bool OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
   // An incarnation that started at that time is alive: those that started
-  // before are over. Returns whether the record has changed.
-  bool OnLaterIncarnation(const std::string& worker, WallTime start);
+  // before are over. A run whose incarnation is not known was on one of them,
+  // or never began, if this one does not report how it ended. Returns whether
+  // the record has changed.
+  bool OnIncarnationSeen(const std::string& worker, WallTime start,
+                         WallTime job_accepted);
   // A worker with that id is alive at the address: others that were lost there
   // are over. Returns whether the record has changed.
   bool OnWorkerAt(const std::string& address, const std::string& worker);
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -350,16 +350,17 @@
 std::vector<TaskRef> JobLedger::OnWorkerEnded(
     const std::string& worker,
     const std::optional<WallTime>& incarnation_start) {
-  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes, WallTime) {
     return crashes->OnWorkerEnded(worker, incarnation_start);
   });
 }
 
-std::vector<TaskRef> JobLedger::OnLaterIncarnation(const std::string& worker,
-                                                   WallTime start) {
-  return UpdateCrashRecords(worker, [&](CrashRecord* crashes) {
-    return crashes->OnLaterIncarnation(worker, start);
-  });
+std::vector<TaskRef> JobLedger::OnIncarnationSeen(const std::string& worker,
+                                                  WallTime start) {
+  return UpdateCrashRecords(
+      worker, [&](CrashRecord* crashes, WallTime job_accepted) {
+        return crashes->OnIncarnationSeen(worker, start, job_accepted);
+      });
 }
 
 std::vector<TaskRef> JobLedger::OnWorkerAt(const std::string& address,
@@ -374,7 +375,7 @@
       continue;
     }
     const std::vector<TaskRef> tasks =
-        UpdateCrashRecords(lost, [&](CrashRecord* crashes) {
+        UpdateCrashRecords(lost, [&](CrashRecord* crashes, WallTime) {
           return crashes->OnWorkerAt(address, worker);
         });
     changed.insert(changed.end(), tasks.begin(), tasks.end());
@@ -386,7 +387,7 @@
 
 std::vector<TaskRef> JobLedger::UpdateCrashRecords(
     const std::string& worker,
-    const std::function<bool(CrashRecord*)>& update) {
+    const std::function<bool(CrashRecord*, WallTime)>& update) {
   std::vector<TaskRef> changed;
   const auto found = unaccounted_losses_.find(worker);
   if (found == unaccounted_losses_.end()) return changed;
@@ -394,9 +395,10 @@
     StepProgress* progress = FindStep(ref.step);
     if (progress == nullptr) continue;
     TaskStatus& task = progress->tasks[static_cast<size_t>(ref.index)];
-    if (!update(&task.crashes)) continue;
+    Job* job = Find(ref.step.job);
+    if (!update(&task.crashes, job->spec.accepted)) continue;
     MarkDirty(*FindStepSpec(ref.step), ref);
-    FailJobIfGivenUp(ref, Find(ref.step.job), task);
+    FailJobIfGivenUp(ref, job, task);
     changed.push_back(ref);
   }
   return changed;
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -150,8 +150,8 @@
   // The incarnation of the worker that started at `start` is alive, so that the
   // earlier ones are over. May end jobs. Returns the tasks of which the record
   // has changed.
-  std::vector<TaskRef> OnLaterIncarnation(const std::string& worker,
-                                          WallTime start);
+  std::vector<TaskRef> OnIncarnationSeen(const std::string& worker,
+                                         WallTime start);
   // A worker with that id is alive at the address, so that others which were
   // lost there are over. May end jobs. Returns the tasks of which the record
   // has changed.
@@ -193,7 +193,7 @@
   // on the worker, and returns the tasks for which it returns true.
   std::vector<TaskRef> UpdateCrashRecords(
       const std::string& worker,
-      const std::function<bool(CrashRecord*)>& update);
+      const std::function<bool(CrashRecord*, WallTime job_accepted)>& update);
   // Adds the losses in the task's crash record that are not accounted for to
   // unaccounted_losses_.
   void IndexUnaccountedLosses(const TaskRef& ref, const TaskStatus& task);
--- a/tests/auto/workload/tst_crash_record.cc
+++ b/tests/auto/workload/tst_crash_record.cc
@@ -400,6 +400,55 @@
 
 // Guards against ends of other kinds that raise the attempts of a task: its job
 // would be failed although none of its runs has failed.
+// Guards against a task that waits for ever: a leader that never had a report
+// of its worker recorded the loss without an incarnation, and the worker is
+// back in one that began since the job was accepted, so that no later sign can
+// tell which of them was lost.
+TEST_CASE("a worker that is back accounts for a loss of unknown incarnation") {
+  const WallTime accepted = MakeJob(kStep.job, {}).accepted;
+  const WallTime before = accepted - std::chrono::minutes(1);
+  const WallTime since = accepted + std::chrono::minutes(1);
+  struct Row {
+    const char* name;
+    std::optional<WallTime> lost;
+    WallTime seen;
+    // Whether that incarnation reports how the run ended.
+    bool reported;
+    size_t losses;
+    size_t accounted;
+  };
+  const std::vector<Row> rows = {
+      {"began since the job", std::nullopt, since, false, 1, 1},
+      {"began since the job, and lists the end", std::nullopt, since, true, 0,
+       0},
+      {"from before the job", std::nullopt, before, false, 0, 0},
+      {"a later one than the lost one", before, since, false, 1, 1},
+      {"the lost one", since, since, false, 0, 0},
+      {"one from before the lost one", since, before, false, 1, 0},
+  };
+  for (const Row& row : rows) {
+    const std::string name = row.name;
+    CAPTURE(name);
+    JobLedger ledger = LedgerWith(MakeStep(1, 1));
+    const int run = ledger.RecordStart(kStep, {{0, "w1"}});
+    LostRun silent = ToLostRun(kSilent, run);
+    silent.number = run;
+    silent.incarnation_start = row.lost;
+    ledger.RecordRunEnd(kTask, run, RunEnd::kWorkerSilent, "", silent);
+    if (row.reported) {
+      LostRun reported;
+      reported.worker = "w1";
+      reported.number = run;
+      ledger.RecordRunEnd(kTask, run, RunEnd::kLeaseLapsed, "", reported);
+    }
+    ledger.OnIncarnationSeen("w1", row.seen);
+    ledger.OnWorkerAlive("w1", row.seen);
+    const CrashRecord& crashes = ledger.FindTask(kTask)->crashes;
+    CHECK(crashes.losses.size() == row.losses);
+    CHECK(crashes.accounted_losses() == row.accounted);
+  }
+}
+
 TEST_CASE("only failed runs use up the attempts of a task") {
   for (const bool is_gang : {false, true}) {
     for (const RunCase& run :
