Settings of hosted test clusters state the heartbeats of their executors

The stand-ins write an entry each 0.3 s, and the entries were told nothing, so that they took 1.5 s for it and allowed entries of 3.0 s where the stand-in's rule gives 3.3 s to the end of a start (now 1.8 s).

--- a/tests/integration/support/hosted_cluster.cc
+++ b/tests/integration/support/hosted_cluster.cc
@@ -25,6 +25,8 @@
 constexpr int kEntryPort = 8300;
 constexpr int kExecutorPort = 10000;
 constexpr Milliseconds kPollInterval{20};
+// Of the stand-in executors.
+constexpr Milliseconds kWorkerHeartbeat{300};
 constexpr char kService[] = "claims";
 constexpr char kAccountKey[] = "key-of-north";
 constexpr char kOtherAccountKey[] = "key-of-south";
@@ -383,6 +385,7 @@
           {"store_record_bytes", settings_.store_record_bytes},
           {"min_replicas", settings_.min_replicas},
           {"longest_lease_ms", settings_.longest_lease.count()},
+          {"worker_heartbeat_ms", kWorkerHeartbeat.count()},
           {"advisor_address", Address(kAdvisorPort)}};
 }
 
