An entry of another clock shows no capacity, and the next one does

Why this works: an entry that was read before a report was requested cannot have been written later than the report by the same clock. Ages are taken from the report that was requested last; the clock of deadlines stays as it is.

The new case of tst_worker_entry_age fails in 2 checks on the code before.

--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -118,6 +118,10 @@
   if (is_new && incarnation_.start() && start != incarnation_.start()) {
     synchronized_ = false;
   }
+  if (registration.written != registration_.written) {
+    entry_read_at_ = now;
+    is_entry_of_other_clock_ = false;
+  }
   registration_ = std::move(registration);
   missing_since_.reset();
   departure_.reset();
@@ -159,10 +163,22 @@
 std::optional<Milliseconds> WorkerTracker::entry_age(Time now) const {
   if (!synchronized_ || !registration_.written) return std::nullopt;
   const Milliseconds since_report =
-      std::chrono::duration_cast<Milliseconds>(now - clock_read_at_);
+      std::chrono::duration_cast<Milliseconds>(now - last_report_at_);
   const auto elapsed = static_cast<int64_t>(
       static_cast<double>(since_report.count()) * kMinClockRate);
-  return clock_ + Milliseconds(elapsed) - *registration_.written;
+  return last_report_clock_ + Milliseconds(elapsed) - *registration_.written;
+}
+
+// An entry that was read before the report was requested cannot have been
+// written later than the report, unless by another incarnation.
+void WorkerTracker::CompareClocks(Milliseconds clock, Time sent, Time now) {
+  if (sent >= last_report_at_ || clock >= last_report_clock_) {
+    last_report_clock_ = clock;
+    last_report_at_ = now;
+  }
+  if (registration_.written && entry_read_at_ <= sent) {
+    is_entry_of_other_clock_ = *registration_.written > clock;
+  }
 }
 
 bool WorkerTracker::IsEntryOutdated(Time now) const {
@@ -170,6 +186,7 @@
   const std::optional<WallTime>& listed = registration_.incarnation_start.time;
   const std::optional<WallTime>& reported = incarnation_.start();
   if (listed && reported && *listed != *reported) return true;
+  if (is_entry_of_other_clock_) return true;
   const std::optional<Milliseconds> age = entry_age(now);
   return max_entry_age_ && age && *age > *max_entry_age_;
 }
@@ -368,6 +385,7 @@
     ended = BeginIncarnation(report, sent, now);
   }
   incarnation_.Record(report.incarnation_start.time, now);
+  CompareClocks(report.clock, sent, now);
   const bool is_latest = report.clock >= clock_;
   if (is_latest) {
     clock_ = report.clock;
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -361,6 +361,8 @@
   // The worker's clock by now, as far as that is known.
   Milliseconds ClockAt(Time now) const;
   void Erase(std::map<TaskRef, TrackedRun>::iterator run);
+  // Takes the worker's clock from a report whose call was sent at `sent`.
+  void CompareClocks(Milliseconds clock, Time sent, Time now);
   // A report shows that the previous incarnation is over. Returns its runs that
   // have ended.
   std::vector<RunEndReport> BeginIncarnation(const WorkerStatusReport& report,
@@ -398,6 +400,13 @@
   std::optional<Time> entry_outdated_until_;
   // Nullopt if entries of any age count.
   std::optional<Milliseconds> max_entry_age_;
+  Time entry_read_at_{};
+  bool is_entry_of_other_clock_ = false;
+  // The worker's clock in the report that was requested last, and when that
+  // arrived. Unlike clock_, it may be set back, by a restart that shows in
+  // nothing else.
+  Milliseconds last_report_clock_{0};
+  Time last_report_at_{};
   bool domain_closed_ = false;
   bool renewals_stopped_ = false;
   std::map<TaskRef, TrackedRun> runs_;
--- a/tests/auto/coordination/tst_worker_entry_age.cc
+++ b/tests/auto/coordination/tst_worker_entry_age.cc
@@ -36,6 +36,8 @@
     // From the report to the decision.
     Milliseconds later;
     WorkerAvailability availability;
+    // Read after the report; "" if there is none.
+    std::string entry_since = "";
   };
   const std::vector<Row> rows = {
       {"written just now", WrittenAt(kReported), Milliseconds(0), kUsable},
@@ -51,9 +53,8 @@
       {"too old since", WrittenAt(kReported), limit * 11 / 10, kOutdated},
       {"of unknown age", "listed", limit * 2, kUsable},
       // A clock that is 2% slow shows less than the time since the report.
-      {"young by a slow clock",
-       WrittenAt(kReported + Milliseconds(58800) - limit), Milliseconds(60000),
-       kUsable},
+      {"young by a slow clock", WrittenAt(kReported), Milliseconds(60000),
+       kUsable, WrittenAt(kReported + Milliseconds(58800) - limit)},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -61,6 +62,10 @@
     f.calls.report.clock = kReported;
     const Time read = Fixture::Now();
     f.fleet.OnDirectoryRecord({kWorker, row.entry, 1}, read);
+    if (!row.entry_since.empty()) {
+      f.fleet.OnDirectoryRecord({kWorker, row.entry_since, 2},
+                                read + row.later);
+    }
     const WorkerTracker& worker = f.fleet.trackers().at(kWorker);
     CHECK(worker.availability(read + row.later) == row.availability);
   }
@@ -89,6 +94,22 @@
   }
 }
 
+// Guards against the same where no start times are told, and against a worker
+// that stays unused after it, since its clock has restarted.
+TEST_CASE("an entry of another clock shows no capacity") {
+  Fixture f;
+  f.calls.report.clock = kReported;
+  f.fleet.OnDirectoryRecord({kWorker, WrittenAt(kReported), 1}, Fixture::Now());
+  const WorkerTracker& worker = f.fleet.trackers().at(kWorker);
+  REQUIRE(worker.availability(Fixture::Now()) == kUsable);
+  f.calls.report.clock = Milliseconds(50);
+  f.fleet.ProbeIfQuiet(kWorker, Fixture::Now() + std::chrono::seconds(1));
+  CHECK(worker.availability(Fixture::Now()) == kOutdated);
+  f.fleet.OnDirectoryRecord({kWorker, WrittenAt(Milliseconds(40)), 2},
+                            Fixture::Now());
+  CHECK(worker.availability(Fixture::Now()) == kUsable);
+}
+
 // Guards against an order that goes out by an entry which grew too old between
 // the decision and the order.
 TEST_CASE("no start is sent by an entry that is too old") {
