--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -247,6 +247,8 @@
   // `incarnation`: the one that was known when the order was sent.
   void OnStartResult(const std::string& worker, const TaskRef& task, int run,
                      int incarnation, const StartResult& result);
+  // The directory lists a worker that is not tracked.
+  void AddListedWorker(WorkerRegistration entry, int64_t offset, Time now);
   void OnEntryRemoved(const std::string& id, Time now);
   void OnEntryUnreadable(const std::string& id, Time now);
   void RequestFirstReport(const std::string& id, Time now);
@@ -277,6 +279,10 @@
   void OnStatus(const std::string& id, const StatusAnswer& answer,
                 const SentQuery& query);
   void OnNoStatus(const std::string& id, const StatusAnswer& answer, Time now);
+  // Runs that this leader did not expect on the worker: they count there, and
+  // are stopped.
+  void TakeUpUnexpected(WorkerTracker* worker,
+                        const std::vector<RunReport>& runs, Time now);
   // The worker has restarted under its id; `ends` are those of the previous
   // incarnation.
   void OnRestart(const std::string& id, const std::vector<RunEndReport>& ends,
