--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -402,7 +402,8 @@
                    {"configuration_age_ms",
                     AgeInMilliseconds(dependencies_.configuration_as_of())},
                    {"board_age_ms",
-                    AgeInMilliseconds(dependencies_.board_tail->as_of())}});
+                    AgeInMilliseconds(dependencies_.board_tail->as_of())},
+                   {"board_next", dependencies_.board_tail->next_offset()}});
   metrics_
       .counter("thornplank_refusals_total",
                "Calls that were not served, by cause.",
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -145,6 +145,7 @@
     case BoardChange::Kind::kSubmitted:
     case BoardChange::Kind::kCancelled:
       if (phase_ != Phase::kLeading) return;
+      if (change.kind == BoardChange::Kind::kSubmitted) LogSubmission(change);
       SyncJobFromBoard(change.job);
       if (change.kind == BoardChange::Kind::kCancelled) StopOutdatedRuns();
       return SchedulePlanning();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -183,6 +183,7 @@
   void OnTick();
   // Logs the leader if it has changed.
   void LogLeader(const LeaderRecord& leader);
+  void LogSubmission(const BoardChange& change) const;
   void BeginClaim();
   void SendClaim();
   void OnClaimResult(int64_t epoch, const AppendResult& result);
--- a/src/libs/coordination/cluster_log.cc
+++ b/src/libs/coordination/cluster_log.cc
@@ -8,6 +8,19 @@
 
 namespace thornplank {
 
+// A submission may be stored long after its caller was answered.
+void ClusterCoordinator::LogSubmission(const BoardChange& change) const {
+  const BoardJob* job = dependencies_.board->Find(change.job);
+  if (job == nullptr) return;
+  const auto age = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::system_clock::now() - job->spec->accepted);
+  LogEvent(events::kSubmissionRead, {{"job", change.job},
+                                     {"offset", change.offset},
+                                     {"age_ms", age.count()},
+                                     {"cancelled", job->cancelled},
+                                     {"epoch", epoch_}});
+}
+
 void ClusterCoordinator::LogWaits(const std::vector<WaitDecision>& waits) {
   std::map<StepRef, WaitReason> logged;
   for (const WaitDecision& wait : waits) {
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -104,7 +104,7 @@
   std::optional<JobDefinition> spec = DecodeJob(*record.value, nullptr);
   if (!spec) return {};
   job.spec = std::make_shared<const JobDefinition>(std::move(*spec));
-  return {BoardChange::Kind::kSubmitted, id};
+  return {BoardChange::Kind::kSubmitted, id, record.offset};
 }
 
 BoardChange JobBoard::ApplyState(const std::string& id,
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -86,6 +86,8 @@
   Kind kind = Kind::kNone;
   // Id of the job; "" for the kinds that concern no job.
   std::string job;
+  // Of the record.
+  int64_t offset = 0;
 };
 
 class JobBoard {
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -94,6 +94,7 @@
                                        Severity::kError};
 inline constexpr Event kCheckpointDropped{968, "checkpoint-dropped",
                                           Severity::kWarning};
+inline constexpr Event kSubmissionRead{969, "submission-read", Severity::kInfo};
 
 }  // namespace thornplank::events
 
