A cancellation that is answered with 410 binds a submission that is stored later

Cause: CallerService::Cancel answered 410 when the board, read to its end, held no submission, and left no record.

The cancellation of an unknown job is now stored before it is answered, for its caller's accounts, and binds each submission on which that caller may act, whichever is stored first (EarlyCancellations). Another account's binds nothing of the owner's job. An id that was cancelled first is refused (503) until the cancellation has expired; so that this holds for an entry that has not read it yet, a submission is answered once the board was read up to its own record, which is read anyway.

tst_caller_accounts asserted that a DELETE of another account's job stores nothing. It must take as long as one of an unknown job, which now stores a record: the test asserts the same number of records for both, exactly one, and that the state of the job stays.

--- a/src/libs/coordination/caller_service.cc
+++ b/src/libs/coordination/caller_service.cc
@@ -47,6 +47,12 @@
 // kNotStored, so that the caller does not learn why.
 constexpr CallerService::Refusal kForeignId{kUnavailable, "foreign_id",
                                             kNotStored.text};
+// The job was cancelled before its submission was stored.
+constexpr CallerService::Refusal kCancelledEarly{
+    kUnavailable, "cancelled_early", "the job was cancelled before it came"};
+constexpr CallerService::Refusal kTooManyCancellations{
+    kUnavailable, "too_many_cancellations",
+    "too many cancellations of unknown jobs"};
 // The only refusal after which the record may be stored; all others guarantee
 // that it is not, so that the job has not run.
 constexpr CallerService::Refusal kOutcomeUnknown{504, "undecided",
@@ -95,13 +101,20 @@
     : formats_(formats),
       settings_(std::move(settings)),
       dependencies_(std::move(dependencies)),
-      appender_(io, store, AppenderSettings(settings_),
-                [this](int64_t end) { dependencies_.board_tail->Expect(end); }),
+      submissions_(
+          io, store, AppenderSettings(settings_),
+          [this](int64_t end) { dependencies_.board_tail->Expect(end); }),
+      cancellations_(
+          io, store, AppenderSettings(settings_),
+          [this](int64_t end) { dependencies_.board_tail->Expect(end); }),
       metrics_(metrics),
       accepted_(metrics.counter("thornplank_jobs_accepted_total",
                                 "Submissions that were stored.")),
       cancelled_(metrics.counter("thornplank_jobs_cancelled_total",
                                  "Cancellations that were stored.")),
+      unknown_cancelled_(metrics.counter(
+          "thornplank_unknown_jobs_cancelled_total",
+          "Cancellations that were stored of jobs without a submission.")),
       acknowledgement_time_(
           metrics.histogram("thornplank_acknowledgement_seconds",
                             "From a whole submission to its answer.")) {}
@@ -256,7 +269,8 @@
 }
 
 void CallerService::Submit(const std::shared_ptr<Call>& call) {
-  if (FindJob(*call) != nullptr) {
+  if (const BoardJob* known = FindJob(*call)) {
+    if (known->cancelled_early) return RefuseCancelled(call);
     return Respond(call, HttpResponse());
   }
   Error error;
@@ -271,28 +285,56 @@
   if (!IsValidJob(*job, &reason)) return Refuse(call, kMalformed, reason);
   if (!IsStoreFresh()) return Refuse(call, kStoreUnavailable);
   if (RefuseIfServedElsewhere(call)) return;
-  if (ReportForeignJob(*call)) return Refuse(call, kForeignId);
+  const bool is_foreign = ReportForeignJob(*call);
+  if (dependencies_.board->early_cancellations().FindFor(*job) != nullptr) {
+    return RefuseCancelled(call);
+  }
+  if (is_foreign) return Refuse(call, kForeignId);
   // A scheduled job has an objective for each occurrence and a long-running job
   // has none, so only the objective of other jobs is logged.
   const bool ends_once = !job->scheduled() && !job->long_running();
   const Milliseconds objective =
       ends_once ? job->objective() : Milliseconds::zero();
-  Append(JobBoard::Submission(*job), *call,
-         [this, call, objective](StoreOutcome outcome, const Error& error) {
-           if (outcome != StoreOutcome::kStored) {
-             return RefuseUnstored(call, outcome, error);
-           }
-           accepted_.Add();
-           acknowledgement_time_.Observe(std::chrono::steady_clock::now() -
-                                         call->received);
-           LogEvent(events::kJobAccepted,
-                    {{"job", call->job},
-                     {"account", call->caller.account()},
-                     {"queue", call->queue.policy.queue},
-                     {"objective_ms", objective.count()},
-                     {"configuration", call->configuration_version}});
-           Respond(call, HttpResponse());
-         });
+  submissions_.Append(
+      JobBoard::Submission(*job), ResponseDeadline(*call),
+      [this, call, objective](StoreOutcome outcome, const Error& error) {
+        if (outcome != StoreOutcome::kStored) {
+          return RefuseUnstored(call, outcome, error);
+        }
+        ConfirmSubmission(call, objective);
+      });
+}
+
+// The records before the submission show whether it was cancelled early; others
+// may have stored them since this entry last read the board.
+void CallerService::ConfirmSubmission(const std::shared_ptr<Call>& call,
+                                      Milliseconds objective) {
+  const auto time_left = std::chrono::duration_cast<Milliseconds>(
+      ResponseDeadline(*call) - std::chrono::steady_clock::now());
+  dependencies_.board_tail->AwaitExpected(
+      std::min(settings_.confirm_timeout, time_left),
+      [this, alive = alive_, call, objective](bool) {
+        if (!*alive) return;
+        const BoardJob* job = FindJob(*call);
+        if (job != nullptr && job->cancelled_early) {
+          return RefuseCancelled(call);
+        }
+        accepted_.Add();
+        acknowledgement_time_.Observe(std::chrono::steady_clock::now() -
+                                      call->received);
+        LogEvent(events::kJobAccepted,
+                 {{"job", call->job},
+                  {"account", call->caller.account()},
+                  {"queue", call->queue.policy.queue},
+                  {"objective_ms", objective.count()},
+                  {"configuration", call->configuration_version}});
+        Respond(call, HttpResponse());
+      });
+}
+
+// The id can be used again once the cancellation has expired.
+void CallerService::RefuseCancelled(const std::shared_ptr<Call>& call) {
+  Refuse(call, kCancelledEarly, "", kEarlyCancellationTtl);
 }
 
 void CallerService::AnswerState(const std::shared_ptr<Call>& call,
@@ -317,18 +359,47 @@
   if (job == nullptr && !caught_up) {
     return CatchUp(call, &CallerService::Cancel);
   }
-  if (job == nullptr) return RefuseUnknownJob(call);
+  if (job == nullptr) return CancelUnknown(call);
   if (IsTerminal(job->state())) return Respond(call, HttpResponse());
   if (RefuseIfServedElsewhere(call)) return;
-  Append(JobBoard::Cancellation(call->job), *call,
-         [this, call](StoreOutcome outcome, const Error& error) {
-           if (outcome != StoreOutcome::kStored) {
-             return RefuseUnstored(call, outcome, error);
-           }
-           cancelled_.Add();
-           LogEvent(events::kJobCancelled, {{"job", call->job}});
-           Respond(call, HttpResponse());
-         });
+  cancellations_.Append(JobBoard::Cancellation(call->job),
+                        ResponseDeadline(*call),
+                        [this, call](StoreOutcome outcome, const Error& error) {
+                          if (outcome != StoreOutcome::kStored) {
+                            return RefuseUnstored(call, outcome, error);
+                          }
+                          cancelled_.Add();
+                          LogEvent(events::kJobCancelled, {{"job", call->job}});
+                          Respond(call, HttpResponse());
+                        });
+}
+
+// A submission of the job may be on its way to the store, and none of its tasks
+// may start once the caller was told that there is no such job. A job of
+// another account is treated alike, so that the caller does not learn of it;
+// the cancellation does not bind it.
+void CallerService::CancelUnknown(const std::shared_ptr<Call>& call) {
+  const EarlyCancellations& known = dependencies_.board->early_cancellations();
+  const WallTime now = std::chrono::system_clock::now();
+  if (known.IsRepeated(call->job, call->caller, now)) {
+    return RefuseUnknownJob(call);
+  }
+  if (RefuseIfServedElsewhere(call)) return;
+  if (known.IsFull(call->caller)) return Refuse(call, kTooManyCancellations);
+  cancellations_.Append(
+      EarlyCancellations::ToRecord({call->job, call->caller, now}),
+      ResponseDeadline(*call),
+      [this, call](StoreOutcome outcome, const Error& error) {
+        if (outcome != StoreOutcome::kStored) {
+          return RefuseUnstored(call, outcome, error);
+        }
+        unknown_cancelled_.Add();
+        LogEvent(events::kUnknownJobCancelled,
+                 {{"job", call->job},
+                  {"account", call->caller.account()},
+                  {"queue", call->caller.queue}});
+        RefuseUnknownJob(call);
+      });
 }
 
 void CallerService::CatchUp(
@@ -371,10 +442,8 @@
                     call->queue.policy.queue)));
 }
 
-void CallerService::Append(KeyedRecord record, const Call& call,
-                           AppendDone done) {
-  appender_.Append(std::move(record), call.deadline - settings_.response_margin,
-                   std::move(done));
+Time CallerService::ResponseDeadline(const Call& call) const {
+  return call.deadline - settings_.response_margin;
 }
 
 void CallerService::RefuseUnstored(const std::shared_ptr<Call>& call,
@@ -387,7 +456,8 @@
 }
 
 void CallerService::Refuse(const std::shared_ptr<Call>& call,
-                           const Refusal& refusal, const std::string& detail) {
+                           const Refusal& refusal, const std::string& detail,
+                           std::optional<std::chrono::seconds> retry_after) {
   const std::string reason = detail.empty() ? refusal.text : detail;
   const std::string told = refusal.detail_is_private ? refusal.text : reason;
   const Event& event = refusal.status == kOutcomeUnknown.status
@@ -412,8 +482,10 @@
   HttpResponse response = ProblemResponse(
       refusal.status, {"answer", call->request.remote_address, told});
   if (refusal.status == kUnavailable) {
-    const auto wait = dependencies_.served_elsewhere() ? std::chrono::seconds(0)
-                                                       : settings_.retry_after;
+    const auto usual = dependencies_.served_elsewhere()
+                           ? std::chrono::seconds(0)
+                           : settings_.retry_after;
+    const auto wait = retry_after.value_or(usual);
     response.headers.Set("Retry-After", std::to_string(wait.count()));
   }
   Respond(call, std::move(response), &refusal);
--- a/src/libs/coordination/caller_service.h
+++ b/src/libs/coordination/caller_service.h
@@ -3,7 +3,9 @@
 //
 // A submission is accepted once it is stored on the board, whichever entry
 // leads. A submission or cancellation is refused only if it was certainly not
-// stored; otherwise the answer says that the outcome is unknown (504).
+// stored; otherwise the answer says that the outcome is unknown (504). A
+// cancellation of an unknown job is stored too, so that its answer also holds
+// for a submission that is stored later: that is refused and never runs.
 //
 // Used on one loop only.
 #ifndef THORNPLANK_COORDINATION_CALLER_SERVICE_H_
@@ -53,6 +55,10 @@
   Milliseconds max_state_age{60};
   // For that read, in addition to a multiple of the latency of the store.
   Milliseconds refresh_timeout{300};
+  // For the read of the board up to a submission that was stored, to see
+  // whether it was cancelled before. Without it the submission counts as
+  // accepted; its state then tells that it is cancelled.
+  Milliseconds confirm_timeout{300};
   // Value of Retry-After. It is 0 when other entries can reach the store, since
   // the next attempt may go to one of them.
   std::chrono::seconds retry_after{1};
@@ -127,7 +133,6 @@
 
  private:
   struct Call;
-  using AppendDone = RecordAppender::Done;
 
   bool IsStoreFresh() const;
   void Begin(const std::shared_ptr<Call>& call);
@@ -152,19 +157,27 @@
   // The answer for an unknown job and for another account's.
   void RefuseUnknownJob(const std::shared_ptr<Call>& call);
   void Submit(const std::shared_ptr<Call>& call);
+  // The submission is stored: answers once the board was read up to it.
+  void ConfirmSubmission(const std::shared_ptr<Call>& call,
+                         Milliseconds objective);
+  void RefuseCancelled(const std::shared_ptr<Call>& call);
   void AnswerState(const std::shared_ptr<Call>& call, bool caught_up);
   bool IsStateStale() const;
   void RefreshState(const std::shared_ptr<Call>& call);
   void Cancel(const std::shared_ptr<Call>& call, bool caught_up);
+  void CancelUnknown(const std::shared_ptr<Call>& call);
   void AnswerQueueLength(const std::shared_ptr<Call>& call);
   void CatchUp(const std::shared_ptr<Call>& call,
                void (CallerService::*then)(const std::shared_ptr<Call>&, bool));
-  void Append(KeyedRecord record, const Call& call, AppendDone done);
+  // When the response must be sent.
+  Time ResponseDeadline(const Call& call) const;
   void RefuseUnstored(const std::shared_ptr<Call>& call, StoreOutcome outcome,
                       const Error& error);
-  // `detail` replaces the text of the refusal unless it is empty.
+  // `detail` replaces the text of the refusal unless it is empty, and
+  // `retry_after` the usual value.
   void Refuse(const std::shared_ptr<Call>& call, const Refusal& refusal,
-              const std::string& detail = "");
+              const std::string& detail = "",
+              std::optional<std::chrono::seconds> retry_after = std::nullopt);
   // `refusal` is null for a call that was served.
   void Respond(const std::shared_ptr<Call>& call, HttpResponse response,
                const Refusal* refusal = nullptr);
@@ -172,10 +185,14 @@
   const Formats& formats_;
   CallerServiceSettings settings_;
   const Dependencies dependencies_;
-  RecordAppender appender_;
+  RecordAppender submissions_;
+  // Apart from the submissions, so that a cancellation does not wait for an
+  // append of a submission that the store does not answer.
+  RecordAppender cancellations_;
   MetricsRegistry& metrics_;
   Counter& accepted_;
   Counter& cancelled_;
+  Counter& unknown_cancelled_;
   Histogram& acknowledgement_time_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -108,6 +108,7 @@
   if (!is_first && has_gap) store_returned_ = now;
   last_board_read_ = now;
   election_.OnBoardCaughtUp(latency, now);
+  if (phase_ == Phase::kLeading) AddSubmittedJobs();
 }
 
 void ClusterCoordinator::OnBoardSnapshot() { predecessor_.OnSnapshot(Now()); }
@@ -143,11 +144,13 @@
       return;
     }
     case BoardChange::Kind::kSubmitted:
+      if (phase_ != Phase::kLeading) return;
+      unordered_submissions_.insert(change.job);
+      return AddSubmittedJobs();
     case BoardChange::Kind::kCancelled:
       if (phase_ != Phase::kLeading) return;
-      if (change.kind == BoardChange::Kind::kSubmitted) LogSubmission(change);
       SyncJobFromBoard(change.job);
-      if (change.kind == BoardChange::Kind::kCancelled) StopOutdatedRuns();
+      StopOutdatedRuns();
       return SchedulePlanning();
     case BoardChange::Kind::kRenewalStops:
       renewal_stops_read_ = Now();
@@ -161,6 +164,25 @@
   }
 }
 
+// The pages of a snapshot are not in the order in which records were stored: a
+// job that they contain may have been cancelled by a record that is stored
+// before its submission and read after it.
+void ClusterCoordinator::AddSubmittedJobs() {
+  for (auto it = unordered_submissions_.begin();
+       it != unordered_submissions_.end();) {
+    const auto id = it++;
+    const BoardJob* job = dependencies_.board->Find(*id);
+    const bool is_ordered =
+        job == nullptr ||
+        job->submission_offset < dependencies_.board_next_offset();
+    if (!is_ordered) continue;
+    LogSubmission(*id);
+    SyncJobFromBoard(*id);
+    unordered_submissions_.erase(id);
+    SchedulePlanning();
+  }
+}
+
 void ClusterCoordinator::LogLeader(const LeaderRecord& leader) {
   const bool known = leader.epoch == logged_leader_.epoch &&
                      leader.released == logged_leader_.released;
@@ -386,6 +408,7 @@
   started_jobs_.clear();
   published_ended_jobs_.clear();
   ended_jobs_.clear();
+  unordered_submissions_.clear();
   for (const auto& [id, job] : dependencies_.board->jobs()) {
     SyncJobFromBoard(id);
   }
@@ -558,6 +581,7 @@
   board_writer_.reset();
   progress_writer_.reset();
   ledger_ = JobLedger();
+  unordered_submissions_.clear();
   pending_starts_.clear();
   start_gate_.Clear();
   logged_waits_.clear();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -183,7 +183,10 @@
   void OnTick();
   // Logs the leader if it has changed.
   void LogLeader(const LeaderRecord& leader);
-  void LogSubmission(const BoardChange& change) const;
+  // Adds the jobs whose submissions were read together with all records that
+  // were stored before them.
+  void AddSubmittedJobs();
+  void LogSubmission(const std::string& id) const;
   void BeginClaim();
   void SendClaim();
   void OnClaimResult(int64_t epoch, const AppendResult& result);
@@ -332,6 +335,8 @@
   // Jobs whose end is published, so that the records of their steps may be
   // dropped.
   std::set<std::string> published_ended_jobs_;
+  // Jobs that were read and not yet added to the ledger.
+  std::set<std::string> unordered_submissions_;
   // Jobs that ended in this epoch and were removed from the ledger. The board
   // may still show them as unfinished and must not bring them back.
   std::set<std::string> ended_jobs_;
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -354,6 +354,13 @@
         return static_cast<double>(current.board.jobs().size());
       },
       metrics);
+  AddGauge(
+      view, "thornplank_early_cancellations",
+      "Cancellations on the board of jobs that had no submission.", {},
+      [](const ClusterView& current) {
+        return static_cast<double>(current.board.early_cancellations().size());
+      },
+      metrics);
   AddGauge(
       view, "thornplank_entries_known",
       "Entries on the board, this one included.", {},
--- a/src/libs/coordination/cluster_log.cc
+++ b/src/libs/coordination/cluster_log.cc
@@ -9,13 +9,13 @@
 namespace thornplank {
 
 // A submission may be stored long after its caller was answered.
-void ClusterCoordinator::LogSubmission(const BoardChange& change) const {
-  const BoardJob* job = dependencies_.board->Find(change.job);
+void ClusterCoordinator::LogSubmission(const std::string& id) const {
+  const BoardJob* job = dependencies_.board->Find(id);
   if (job == nullptr) return;
   const auto age = std::chrono::duration_cast<Milliseconds>(
       std::chrono::system_clock::now() - job->spec->accepted);
-  LogEvent(events::kSubmissionRead, {{"job", change.job},
-                                     {"offset", change.offset},
+  LogEvent(events::kSubmissionRead, {{"job", id},
+                                     {"offset", job->submission_offset},
                                      {"age_ms", age.count()},
                                      {"cancelled", job->cancelled},
                                      {"epoch", epoch_}});
--- a/src/libs/coordination/cluster_progress.cc
+++ b/src/libs/coordination/cluster_progress.cc
@@ -266,7 +266,8 @@
   if (now - last_cleanup_ < kCleanupInterval) return;
   last_cleanup_ = now;
   const WallTime wall_now = std::chrono::system_clock::now();
-  std::vector<KeyedRecord> records;
+  std::vector<KeyedRecord> records =
+      dependencies_.board->TombstonesOfEarlyCancellations(wall_now);
   for (const auto& [id, job] : dependencies_.board->jobs()) {
     if (!IsTerminal(job.published_state)) continue;
     if (wall_now - job.published_at < settings_.job_retention) continue;
--- a/src/libs/coordination/job_board.cc
+++ b/src/libs/coordination/job_board.cc
@@ -65,6 +65,9 @@
     ApplyDepartures(record);
     return {};
   }
+  if (EarlyCancellations::IsKey(record.key)) {
+    return ApplyEarlyCancellation(record);
+  }
   if (record.key.size() < 2) return {};
   const std::string id = record.key.substr(1);
   switch (record.key[0]) {
@@ -104,7 +107,28 @@
   std::optional<JobDefinition> spec = DecodeJob(*record.value, nullptr);
   if (!spec) return {};
   job.spec = std::make_shared<const JobDefinition>(std::move(*spec));
-  return {BoardChange::Kind::kSubmitted, id, record.offset};
+  job.submission_offset = record.offset;
+  const EarlyCancellation* cancellation =
+      early_cancellations_.FindFor(*job.spec);
+  if (cancellation != nullptr) CancelEarly(*cancellation, &job);
+  return {BoardChange::Kind::kSubmitted, id};
+}
+
+BoardChange JobBoard::ApplyEarlyCancellation(const KeyedRecord& record) {
+  const auto cancellation = early_cancellations_.Apply(record);
+  if (!cancellation) return {};
+  const auto job = jobs_.find(cancellation->job);
+  if (job == jobs_.end() || job->second.spec == nullptr) return {};
+  if (!MayAccess(cancellation->caller, *job->second.spec)) return {};
+  CancelEarly(*cancellation, &job->second);
+  return {BoardChange::Kind::kCancelled, cancellation->job};
+}
+
+void JobBoard::CancelEarly(const EarlyCancellation& cancellation,
+                           BoardJob* job) {
+  job->cancelled = true;
+  job->cancelled_early =
+      job->cancelled_early || cancellation.offset < job->submission_offset;
 }
 
 BoardChange JobBoard::ApplyState(const std::string& id,
@@ -206,6 +230,7 @@
 }
 
 void JobBoard::OnSnapshot(const std::set<std::string>& keys) {
+  early_cancellations_.OnSnapshot(keys);
   if (keys.count(kHealthKey) == 0) health_.reset();
   if (keys.count(kRenewalStopsKey) == 0) renewal_stops_.reset();
   if (keys.count(kDeparturesKey) == 0) departures_.reset();
@@ -233,6 +258,15 @@
                                                          : &it->second;
 }
 
+std::vector<KeyedRecord> JobBoard::TombstonesOfEarlyCancellations(
+    WallTime now) const {
+  const auto is_needed = [this](const EarlyCancellation& cancellation) {
+    const BoardJob* job = Find(cancellation.job);
+    return job != nullptr && !IsTerminal(job->published_state);
+  };
+  return early_cancellations_.TombstonesOfExpired(now, is_needed);
+}
+
 int64_t JobBoard::WaitingJobs(const std::string& queue) const {
   return std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto& entry) {
     const BoardJob& job = entry.second;
--- a/src/libs/coordination/job_board.h
+++ b/src/libs/coordination/job_board.h
@@ -2,12 +2,12 @@
 // of one shared partition.
 //
 // The partition holds, by key: the submission, the cancellation, the state and
-// the reason of failure of each job; the leader; the entries; the roster of
-// replicas; and the progress of steps, the health of workers and the workers on
-// which no leases are renewed, which only a leader reads. Repeated
-// records and records that come in another order give the same result: a job
-// that was cancelled before its end was published stays cancelled, and a
-// published end is final.
+// the reason of failure of each job; cancellations of jobs without a
+// submission; the leader; the entries; the roster of replicas; and the progress
+// of steps, the health of workers and the workers on which no leases are
+// renewed, which only a leader reads. Repeated records and records that come in
+// another order give the same result: a job that was cancelled before its end
+// was published stays cancelled, and a published end is final.
 #ifndef THORNPLANK_COORDINATION_JOB_BOARD_H_
 #define THORNPLANK_COORDINATION_JOB_BOARD_H_
 
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "coordination/early_cancellations.h"
 #include "coordination/record_store.h"
 #include "coordination/replica_roster.h"
 #include "workload/job_definition.h"
@@ -37,7 +38,12 @@
 struct BoardJob {
   // Null if a state or a cancellation was read before the submission.
   std::shared_ptr<const JobDefinition> spec;
+  // Of the submission as it was first read.
+  int64_t submission_offset = 0;
   bool cancelled = false;
+  // It was cancelled before its submission was stored: it was never accepted,
+  // and no task of it may start. Implies `cancelled`.
+  bool cancelled_early = false;
   JobState published_state = JobState::kQueued;
   // When `published_state` was published.
   WallTime published_at{};
@@ -86,8 +92,6 @@
   Kind kind = Kind::kNone;
   // Id of the job; "" for the kinds that concern no job.
   std::string job;
-  // Of the record.
-  int64_t offset = 0;
 };
 
 class JobBoard {
@@ -100,6 +104,12 @@
 
   // Null if no submission with this id was read.
   const BoardJob* Find(const std::string& job) const;
+  const EarlyCancellations& early_cancellations() const {
+    return early_cancellations_;
+  }
+  // Tombstones of the early cancellations that have expired, but for those of
+  // jobs that are shown as unfinished.
+  std::vector<KeyedRecord> TombstonesOfEarlyCancellations(WallTime now) const;
   const std::unordered_map<std::string, BoardJob>& jobs() const {
     return jobs_;
   }
@@ -175,6 +185,9 @@
 
  private:
   BoardChange ApplySubmission(const std::string& id, const KeyedRecord& record);
+  BoardChange ApplyEarlyCancellation(const KeyedRecord& record);
+  // `cancellation` binds the job.
+  static void CancelEarly(const EarlyCancellation& cancellation, BoardJob* job);
   BoardChange ApplyState(const std::string& id, const KeyedRecord& record);
   BoardChange ApplyLeader(const KeyedRecord& record);
   BoardChange ApplyEntry(const std::string& instance,
@@ -189,6 +202,7 @@
   void ApplyDepartures(const KeyedRecord& record);
 
   std::unordered_map<std::string, BoardJob> jobs_;
+  EarlyCancellations early_cancellations_;
   LeaderRecord leader_;
   std::map<std::string, EntryRecord> entries_;
   std::optional<ReplicaRoster> roster_;
--- a/src/libs/coordination/record_tail.cc
+++ b/src/libs/coordination/record_tail.cc
@@ -30,6 +30,9 @@
     catch_up_timer_.cancel();
     delivery_timer_.cancel();
     Answer(std::exchange(waiting_, {}), false);
+    for (const auto& awaited : std::exchange(awaited_, {})) {
+      Finish(awaited, false);
+    }
   }
 
   void CatchUp(Milliseconds timeout, std::function<void(bool)> done) {
@@ -53,6 +56,19 @@
         });
   }
 
+  void AwaitExpected(Milliseconds timeout, std::function<void(bool)> done) {
+    if (stopped_) return done(false);
+    if (next_offset_ >= expected_end_) return done(true);
+    auto awaited = std::make_shared<AwaitedEnd>(timer_.get_executor());
+    awaited->end = expected_end_;
+    awaited->done = std::move(done);
+    awaited->timer.expires_after(timeout);
+    awaited->timer.async_wait([awaited](const boost::system::error_code& code) {
+      if (!code) Finish(awaited, false);
+    });
+    awaited_.push_back(std::move(awaited));
+  }
+
   void RetryIfLost(Milliseconds timeout) {
     if (last_read_failed_) CatchUp(timeout, [](bool) {});
   }
@@ -75,6 +91,33 @@
     std::function<void(bool)> done;
   };
 
+  // A call of AwaitExpected.
+  struct AwaitedEnd {
+    explicit AwaitedEnd(const boost::asio::any_io_executor& executor)
+        : timer(executor) {}
+
+    int64_t end = 0;
+    // Null once it has run.
+    std::function<void(bool)> done;
+    boost::asio::steady_timer timer;
+  };
+
+  static void Finish(const std::shared_ptr<AwaitedEnd>& awaited, bool reached) {
+    awaited->timer.cancel();
+    const auto done = std::exchange(awaited->done, nullptr);
+    if (done) done(reached);
+  }
+
+  void FinishAwaited() {
+    for (const auto& awaited : std::exchange(awaited_, {})) {
+      if (next_offset_ >= awaited->end) {
+        Finish(awaited, true);
+      } else if (awaited->done) {
+        awaited_.push_back(awaited);
+      }
+    }
+  }
+
   static void Answer(const std::vector<Waiter>& waiters, bool reached_end) {
     for (const Waiter& waiter : waiters) waiter.done(reached_end);
   }
@@ -166,6 +209,7 @@
     last_read_failed_ = false;
     handlers_.on_snapshot(snapshot_keys_);
     handlers_.on_caught_up();
+    FinishAwaited();
     Poll();
   }
 
@@ -226,9 +270,11 @@
       handlers_.on_record(record);
     }
     last_read_failed_ = false;
-    if (next_offset_ < result.end) return;
-    as_of_ = std::max(as_of_, started);
-    handlers_.on_caught_up();
+    if (next_offset_ >= result.end) {
+      as_of_ = std::max(as_of_, started);
+      handlers_.on_caught_up();
+    }
+    FinishAwaited();
   }
 
   // Returns the delay before the next read, after a read has failed.
@@ -262,6 +308,7 @@
   int64_t expected_end_ = 0;
   bool delivery_check_scheduled_ = false;
   std::vector<Waiter> waiting_;
+  std::vector<std::shared_ptr<AwaitedEnd>> awaited_;
   // Reads for waiters that are under way, and the start of the last one.
   int catch_ups_ = 0;
   Time last_catch_up_{};
@@ -294,6 +341,10 @@
   impl_->CatchUp(timeout, std::move(done));
 }
 void RecordTail::Expect(int64_t end) { impl_->Expect(end); }
+void RecordTail::AwaitExpected(Milliseconds timeout,
+                               std::function<void(bool)> done) {
+  impl_->AwaitExpected(timeout, std::move(done));
+}
 void RecordTail::RetryIfLost(Milliseconds timeout) {
   impl_->RetryIfLost(timeout);
 }
--- a/src/libs/coordination/record_tail.h
+++ b/src/libs/coordination/record_tail.h
@@ -69,6 +69,9 @@
   // this process has stored. If the long poll does not deliver them soon, they
   // are read: a store that answers other calls may leave long polls unanswered.
   void Expect(int64_t end);
+  // `done` gets whether all records that Expect() has announced so far were
+  // read within `timeout`. Does not read anything itself.
+  void AwaitExpected(Milliseconds timeout, std::function<void(bool)> done);
 
   // Reads at once if the last read failed, in parallel to a read that may still
   // be pending. To be called when another stream of the store can be read
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -22,7 +22,7 @@
 
 namespace thornplank::testing {
 
-inline const Partition kBoard{"keyed.thornplank", 0};
+inline const Partition kBoard = kBoardPartition;
 inline const Partition kWorkers{"keyed.servers", 0};
 inline constexpr char kJob[] = "0123456789abcdef";
 
--- a/tests/auto/coordination/store_fixture.h
+++ b/tests/auto/coordination/store_fixture.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/record_store.h"
@@ -21,6 +22,7 @@
 namespace thornplank::testing {
 
 inline constexpr char kBoardStream[] = "keyed.thornplank";
+inline const Partition kBoardPartition{kBoardStream, 0};
 
 // How an append fails.
 enum class AppendFault { kNone, kRefused, kLostAnswer, kNotStored };
@@ -29,8 +31,9 @@
  public:
   explicit FakeRecordStore(boost::asio::io_context& io) : io_(io) {}
 
-  void Append(const AppendRequest& request, Milliseconds,
+  void Append(const AppendRequest& request, Milliseconds timeout,
               std::function<void(const AppendResult&)> done) override {
+    if (IsLate(request)) return Delay(request, timeout, std::move(done));
     if (latency.count() == 0) return CarryOut(request, done);
     most_in_flight = std::max(most_in_flight, ++in_flight_);
     RunLater(latency, [this, request, done] {
@@ -66,6 +69,15 @@
     boost::asio::post(io_, [done, result] { done(result); });
   }
 
+  // The appends with a record of `late_key`. Those that have not timed out are
+  // answered.
+  void CarryOutLateAppends() {
+    for (const auto& append : std::exchange(late_appends_, {})) {
+      const AppendResult result = model.Append(append->request);
+      boost::asio::post(io_, [append, result] { Answer(append, result); });
+    }
+  }
+
   void Read(const Partition& partition, int64_t from, Milliseconds wait,
             Milliseconds,
             std::function<void(const ReadResult&)> done) override {
@@ -105,6 +117,11 @@
         reachable && !IsUnavailable(partition)
             ? model.ReadNewest(partition, after_key, page_size)
             : NewestPage();
+    if (after_page && partition.stream == kBoardStream) after_page(page);
+    if (page_latency.count() > 0) {
+      return RunLater(page_latency,
+                      [done = std::move(done), page] { done(page); });
+    }
     boost::asio::post(io_, [done = std::move(done), page] { done(page); });
   }
 
@@ -112,6 +129,10 @@
   // Faults of the next appends, in order.
   std::vector<AppendFault> faults;
   size_t page_size = 500;
+  // Before a page of newest records is answered.
+  Milliseconds page_latency{0};
+  // Runs when a page of the board was read; may write to `model`.
+  std::function<void(const NewestPage&)> after_page;
   // Before an append is carried out.
   Milliseconds latency{0};
   // Before a read that has something to return is answered.
@@ -131,6 +152,9 @@
   // Long polls are answered only once this is false again; other reads are
   // answered.
   bool long_polls_hang = false;
+  // Appends with a record of this key are carried out only by
+  // CarryOutLateAppends(); "" for none.
+  std::string late_key;
   // Appends of this producer are refused; "" for none.
   std::string refused_producer;
   int appends = 0;
@@ -148,6 +172,33 @@
   int immediate_reads = 0;
 
  private:
+  struct LateAppend {
+    AppendRequest request;
+    // Null once it has run.
+    std::function<void(const AppendResult&)> done;
+  };
+
+  static void Answer(const std::shared_ptr<LateAppend>& append,
+                     const AppendResult& result) {
+    const auto done = std::exchange(append->done, nullptr);
+    if (done) done(result);
+  }
+
+  bool IsLate(const AppendRequest& request) const {
+    return std::any_of(
+        request.records.begin(), request.records.end(),
+        [this](const KeyedRecord& record) { return record.key == late_key; });
+  }
+
+  void Delay(const AppendRequest& request, Milliseconds timeout,
+             std::function<void(const AppendResult&)> done) {
+    late_appends_.push_back(
+        std::make_shared<LateAppend>(LateAppend{request, std::move(done)}));
+    RunLater(timeout, [append = late_appends_.back()] {
+      Answer(append, AppendResult());
+    });
+  }
+
   bool IsRefused(const AppendRequest& request) const {
     return request.producer && !refused_producer.empty() &&
            request.producer->producer == refused_producer;
@@ -177,6 +228,7 @@
   }
 
   boost::asio::io_context& io_;
+  std::vector<std::shared_ptr<LateAppend>> late_appends_;
   int in_flight_ = 0;
   // Content of the appends that were rejected.
   std::set<std::string> rejected_;
--- a/tests/auto/coordination/tst_caller_accounts.cc
+++ b/tests/auto/coordination/tst_caller_accounts.cc
@@ -13,184 +13,51 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/caller_service.h"
-#include "coordination/job_board.h"
-#include "coordination/record_tail.h"
-#include "fake_formats.h"
+#include "caller_entry.h"
 #include "logging/event_log.h"
-#include "store_fixture.h"
 
 namespace thornplank::testing {
 namespace {
 
-const Partition kBoard{kBoardStream, 0};
-constexpr char kKeyHeader[] = "Key";
-constexpr char kMalformedBody[] = "malformed";
-constexpr char kBody[] = "a job";
 constexpr char kJob[] = "00000000000000a1";
 constexpr char kUnknownJob[] = "00000000000000a2";
-constexpr char kKeyed[] = "/keyed/";
-constexpr char kOtherKeyed[] = "/other-keyed/";
-constexpr char kPublic[] = "/public/";
-constexpr char kOtherPublic[] = "/other-public/";
-constexpr char kNoKey[] = "";
-constexpr Milliseconds kLongTime{60000};
 constexpr char kLogPath[] = "caller-accounts.log";
 
-class CallerFormats : public FakeFormats {
- public:
-  CallerHeaders ReadHeaders(const HttpRequest& request) const override {
-    CallerHeaders headers;
-    headers.key = request.headers.Value(kKeyHeader);
-    return headers;
-  }
-  std::optional<JobDefinition> ReadJob(const std::string& body,
-                                       Error* error) const override {
-    if (body == kMalformedBody) {
-      SetError(error, "read job", "caller", "malformed");
-      return std::nullopt;
-    }
-    return MakeJob("", {MakeStep(1, 1)});
-  }
-  HttpResponse JobStateResponse(JobState state,
-                                const std::string&) const override {
-    HttpResponse response;
-    response.body = ToText(state);
-    return response;
-  }
-  HttpResponse QueueLengthResponse(int64_t waiting_jobs) const override {
-    HttpResponse response;
-    response.body = std::to_string(waiting_jobs);
-    return response;
-  }
-};
-
-QueueConfiguration MakeQueue(const std::string& prefix, bool is_public) {
-  QueueConfiguration queue;
-  queue.prefix = prefix;
-  queue.is_public = is_public;
-  queue.policy.queue = "queue of " + prefix;
-  queue.policy.service = "claims";
-  return queue;
-}
-
-ServingConfiguration MakeConfiguration() {
-  ServingConfiguration configuration;
-  configuration.version = 1;
-  configuration.queues = {
-      MakeQueue(kKeyed, false), MakeQueue(kOtherKeyed, false),
-      MakeQueue(kPublic, true), MakeQueue(kOtherPublic, true)};
-  configuration.accounts = {{"north", {"north-1", "north-2"}, 0},
-                            {"south", {"south-1"}, 0}};
-  return configuration;
-}
-
 using ConfigurationChange = std::function<void(ServingConfiguration*)>;
 
 // One entry that answers callers, and the store.
 class Service {
  public:
-  Service() : store_(io_), tail_(io_, store_, TailSettings(), Handlers()) {
-    CallerService::Dependencies dependencies;
-    dependencies.configuration = [this] { return &configuration; };
-    dependencies.configuration_as_of = [] { return BootClock::now(); };
-    dependencies.refresh_configuration =
-        [](const std::function<void(bool)>& done) { done(true); };
-    dependencies.board = &board_;
-    dependencies.board_tail = &tail_;
-    dependencies.served_elsewhere = [] { return false; };
-    CallerServiceSettings settings;
-    settings.board = kBoard;
-    // A test process that is not scheduled for a while gets the same answers.
-    settings.max_store_age = kLongTime;
-    settings.default_timeout = kLongTime;
-    settings.catch_up_timeout = kLongTime;
-    settings.refresh_timeout = kLongTime;
-    service_ = std::make_unique<CallerService>(io_, store_, formats_, settings,
-                                               dependencies, metrics_);
-    tail_.Start();
-    REQUIRE(RunUntil(io_, [this] { return service_->ready(); }));
-  }
-
-  ~Service() { tail_.Stop(); }
+  Service() : store_(io_), entry_(io_, store_) {}
 
   // `forwarded`: the call comes from a gateway.
   CallAnswer Call(const std::string& method, const std::string& target,
                   const std::string& key, const std::string& body,
                   bool forwarded) {
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.headers.Set(kKeyHeader, key);
-    request.body = body;
-    std::optional<CallAnswer> answer;
-    if (forwarded) {
-      ForwardedCall call;
-      call.request = std::move(request);
-      call.time_left = kLongTime;
-      service_->HandleForwarded(std::move(call), [&answer](CallAnswer given) {
-        answer = std::move(given);
-      });
-    } else {
-      service_->Handle(std::move(request), [&answer](HttpResponse response) {
-        answer.emplace();
-        answer->response = std::move(response);
-      });
-    }
-    REQUIRE(RunUntil(io_, [&answer] { return answer.has_value(); }));
-    return *answer;
+    return entry_.Call(method, target, key, body, forwarded);
   }
 
-  // Returns once the entry has read all of the board.
-  void AwaitBoard() {
-    REQUIRE(RunUntil(io_, [this] {
-      return tail_.next_offset() == store_.model.end(kBoard);
-    }));
-  }
+  void AwaitBoard() { entry_.AwaitBoard(); }
 
   void Publish(JobState state) {
     AppendRequest request;
-    request.partition = kBoard;
+    request.partition = kBoardPartition;
     request.records = {
         JobBoard::State(kJob, state, FromUnixMilliseconds(1000000))};
     store_.model.Append(request);
     AwaitBoard();
   }
 
-  int64_t board_end() const { return store_.model.end(kBoard); }
+  JobState state() const { return entry_.board().Find(kJob)->state(); }
+  int64_t board_end() const { return store_.model.end(kBoardPartition); }
   FakeRecordStore& store() { return store_; }
-  std::string metrics() const { return metrics_.ToText(); }
-
-  ServingConfiguration configuration = MakeConfiguration();
+  std::string metrics() const { return entry_.metrics(); }
+  ServingConfiguration& configuration() { return entry_.configuration; }
 
  private:
-  static RecordTailSettings TailSettings() {
-    RecordTailSettings settings;
-    settings.partition = kBoard;
-    settings.long_poll_wait = Milliseconds(50);
-    return settings;
-  }
-
-  RecordTail::Handlers Handlers() {
-    RecordTail::Handlers handlers;
-    handlers.on_record = [this](const KeyedRecord& record) {
-      board_.Apply(record);
-    };
-    handlers.on_snapshot = [this](const std::set<std::string>& keys) {
-      board_.OnSnapshot(keys);
-    };
-    handlers.on_caught_up = [] {};
-    handlers.on_failure = [](const Error&) {};
-    return handlers;
-  }
-
   boost::asio::io_context io_;
   FakeRecordStore store_;
-  JobBoard board_;
-  RecordTail tail_;
-  MetricsRegistry metrics_;
-  const CallerFormats formats_;
-  std::unique_ptr<CallerService> service_;
+  CallerEntry entry_;
 };
 
 // How a call relates to the job that it names.
@@ -300,7 +167,7 @@
       service->Call("POST", std::string(relation.queue) + kJob, relation.key,
                     kBody, /*forwarded=*/false);
   REQUIRE(answer.response.status == 200);
-  relation.change(&service->configuration);
+  relation.change(&service->configuration());
   service->AwaitBoard();
   return service;
 }
@@ -375,10 +242,15 @@
         const int reads_before = service->store().immediate_reads;
         const CallAnswer unknown = make(kUnknownJob);
         const int reads = service->store().immediate_reads - reads_before;
+        // The cancellation of a job that may still come is stored.
+        const int64_t stored = service->board_end() - end;
+        CHECK(stored == (call.method == std::string("DELETE") ? 1 : 0));
         const CallAnswer foreign = make(kJob);
         CHECK(IsSame(foreign, unknown));
         CHECK(service->store().immediate_reads == reads_before + 2 * reads);
-        CHECK(service->board_end() == end);
+        CHECK(service->board_end() == end + 2 * stored);
+        service->AwaitBoard();
+        CHECK(service->state() == state);
         // Only calls that look for the job are logged and counted.
         const bool looks = foreign.response.status == 410;
         CHECK(looks == (call.method == std::string("GET") ||
@@ -418,6 +290,30 @@
   });
 }
 
+// Guards against an account that learns of another one's job by cancelling its
+// id first.
+TEST_CASE("after its own cancellation a submission is told the same") {
+  ForEachRelation(false, [](const Relation& relation, bool forwarded) {
+    const std::unique_ptr<Service> service = MakeService(relation);
+    const std::string queue = relation.call_queue;
+    const auto call = [&](const char* method, const char* job) {
+      return service->Call(method, queue + job, relation.call_key, kBody,
+                           forwarded);
+    };
+    for (const char* job : {kJob, kUnknownJob}) {
+      CHECK(call("DELETE", job).response.status == 410);
+    }
+    service->AwaitBoard();
+    const int64_t end = service->board_end();
+    const CallAnswer foreign = call("POST", kJob);
+    CHECK(foreign.response.status == 503);
+    CHECK(CountsForeignCall(*service, "POST"));
+    CHECK(IsSame(foreign, call("POST", kUnknownJob)));
+    CHECK(service->board_end() == end);
+    CHECK(service->state() == JobState::kQueued);
+  });
+}
+
 // Guards against an answer that differs between an unknown job and another
 // account's while the store is away.
 TEST_CASE("without the store another account's job is like an unknown one") {
--- a/tests/auto/coordination/tst_record_tail.cc
+++ b/tests/auto/coordination/tst_record_tail.cc
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "coordination/record_tail.h"
 #include "store_fixture.h"
@@ -245,6 +247,63 @@
   CHECK(store.immediate_reads == reads_before);
 }
 
+// Guards against a wait that ends before the records are read, or never.
+TEST_CASE("records that are known to be stored are awaited") {
+  struct Row {
+    const char* name;
+    bool long_polls_hang;
+    bool reachable;
+    Milliseconds timeout;
+    bool reached;
+  };
+  const std::vector<Row> rows = {
+      {"delivered by the long poll", false, true, Milliseconds(5000), true},
+      {"read since the long poll hangs", true, true, Milliseconds(5000), true},
+      {"the store is away", false, false, Milliseconds(40), false},
+      {"no time is left", true, true, Milliseconds(-5), false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    boost::asio::io_context io;
+    FakeRecordStore store(io);
+    Follower follower(io, store, Milliseconds(5000));
+    REQUIRE(RunUntil(io, [&] { return follower.tail().has_snapshot(); }));
+    // Nothing is announced yet.
+    std::optional<bool> nothing;
+    follower.tail().AwaitExpected(Milliseconds(0),
+                                  [&](bool reached) { nothing = reached; });
+    CHECK(nothing == true);
+    store.long_polls_hang = row.long_polls_hang;
+    store.reachable = row.reachable;
+    std::optional<bool> result;
+    bool was_read = false;
+    // The long poll that is under way does not see it at once.
+    Put(&store, "key", "value");
+    follower.tail().Expect(store.model.end(kPartition));
+    follower.tail().AwaitExpected(row.timeout, [&](bool reached) {
+      result = reached;
+      was_read = follower.values.count("key") > 0;
+    });
+    CHECK_FALSE(result.has_value());
+    REQUIRE(RunUntil(io, [&] { return result.has_value(); }));
+    CHECK(result == row.reached);
+    CHECK(was_read == row.reached);
+  }
+}
+
+TEST_CASE("a wait for announced records ends when the tail is stopped") {
+  boost::asio::io_context io;
+  FakeRecordStore store(io);
+  Follower follower(io, store);
+  REQUIRE(RunUntil(io, [&] { return follower.tail().has_snapshot(); }));
+  follower.tail().Expect(store.model.end(kPartition) + 1);
+  std::optional<bool> result;
+  follower.tail().AwaitExpected(Milliseconds(60000),
+                                [&](bool reached) { result = reached; });
+  follower.tail().Stop();
+  CHECK(result == false);
+}
+
 // Guards against one read for each caller: a store that is slow would get more
 // reads the longer it takes.
 TEST_CASE("callers that need the newest records share one read") {
--- a/tests/standins/users_store_role.cc
+++ b/tests/standins/users_store_role.cc
@@ -124,6 +124,12 @@
            });
 }
 
+bool UsersStoreRole::HasLateKey(const AppendRequest& request) const {
+  return std::any_of(
+      request.records.begin(), request.records.end(),
+      [this](const KeyedRecord& record) { return record.key == late_key_; });
+}
+
 void UsersStoreRole::Append(const ExchangePtr& exchange) {
   AppendRequest request;
   request.partition = PartitionOf(*exchange);
@@ -134,7 +140,7 @@
         ProducerPosition{producer, exchange->QueryNumber("epoch", 0),
                          exchange->QueryNumber("seq", 0)};
   }
-  if (IsSelected(late_share_)) {
+  if (IsSelected(late_share_) || HasLateKey(request)) {
     return RunAfter(executor(), late_delay_,
                     [this, request] { model_.Append(request); });
   }
@@ -203,11 +209,12 @@
 }
 
 bool UsersStoreRole::ApplyControl(const Json& control, Error* error) {
-  if (!HasOnlyFields(control,
-                     {"mode", "slow_ms", "lost_percent", "late_percent",
-                      "drop_history", "put_operator", "drop_operator",
-                      "put_directory", "key", "record_bytes", "call_bytes"},
-                     error)) {
+  if (!HasOnlyFields(
+          control,
+          {"mode", "slow_ms", "lost_percent", "late_percent", "late_ms",
+           "late_key", "drop_history", "put_operator", "drop_operator",
+           "put_directory", "key", "record_bytes", "call_bytes"},
+          error)) {
     return false;
   }
   mode_ = StringField(control, "mode").value_or(mode_);
@@ -216,6 +223,8 @@
       NumberField(control, "lost_percent").value_or(lost_share_ * 100) / 100;
   late_share_ =
       NumberField(control, "late_percent").value_or(late_share_ * 100) / 100;
+  ReadField(control, "late_ms", &late_delay_);
+  late_key_ = StringField(control, "late_key").value_or(late_key_);
   limits_.record_bytes =
       SizeField(control, "record_bytes", limits_.record_bytes);
   limits_.append_bytes = SizeField(control, "call_bytes", limits_.append_bytes);
--- a/tests/standins/users_store_role.h
+++ b/tests/standins/users_store_role.h
@@ -50,6 +50,8 @@
                   int64_t from);
   // Answers the waiting reads that are due, and schedules the next check.
   void AnswerDueReads();
+  // Whether it has a record of late_key_.
+  bool HasLateKey(const AppendRequest& request) const;
   // True with the probability `share`.
   bool IsSelected(double share);
 
@@ -67,6 +69,8 @@
   double lost_share_ = 0;
   double late_share_ = 0;
   Milliseconds late_delay_{1500};
+  // Appends with a record of this key are late as well; "" for none.
+  std::string late_key_;
   int64_t calls_ = 0;
 };
 
