An id can be used again once the records of its job were dropped

What callers saw: none reported it. A submission under the id of a job that ended 150 s before, is answered with 200 and its job stays queued for as long as the leader leads that saw the earlier one end. GET had answered 410 before, so that the id was free.

Cause: ClusterCoordinator::ended_jobs_ keeps the ids of jobs that ended under this leader, so that a board that is behind does not bring them back, and forgot none: the new job was taken for the old one, and the set grew with every job. Found while looking at what an id gets that is submitted anew after its 410.

tst_cluster_coordinator: an id can be used again once the records of its job are dropped. Seen to fail before, in both rows (4 of 12 checks: no second run in 5 s).

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -111,7 +111,17 @@
   if (phase_ == Phase::kLeading) AddSubmittedJobs();
 }
 
-void ClusterCoordinator::OnBoardSnapshot() { predecessor_.OnSnapshot(Now()); }
+void ClusterCoordinator::OnBoardSnapshot() {
+  predecessor_.OnSnapshot(Now());
+  ForgetDroppedJobs();
+}
+
+void ClusterCoordinator::ForgetDroppedJobs() {
+  for (auto it = ended_jobs_.begin(); it != ended_jobs_.end();) {
+    const auto id = it++;
+    if (dependencies_.board->Find(*id) == nullptr) ended_jobs_.erase(id);
+  }
+}
 
 void ClusterCoordinator::OnClosedDomainsChanged() {
   if (!fleet_) return;
@@ -155,8 +165,10 @@
     case BoardChange::Kind::kRenewalStops:
       renewal_stops_read_ = Now();
       return;
-    case BoardChange::Kind::kState:
     case BoardChange::Kind::kDropped:
+      ended_jobs_.erase(change.job);
+      return;
+    case BoardChange::Kind::kState:
     case BoardChange::Kind::kEntry:
     case BoardChange::Kind::kRoster:
     case BoardChange::Kind::kNone:
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -183,6 +183,7 @@
   void OnTick();
   // Logs the leader if it has changed.
   void LogLeader(const LeaderRecord& leader);
+  void ForgetDroppedJobs();
   // Adds the jobs whose submissions were read together with all records that
   // were stored before them.
   void AddSubmittedJobs();
@@ -337,8 +338,9 @@
   std::set<std::string> published_ended_jobs_;
   // Jobs that were read and not yet added to the ledger.
   std::set<std::string> unordered_submissions_;
-  // Jobs that ended in this epoch and were removed from the ledger. The board
-  // may still show them as unfinished and must not bring them back.
+  // Jobs on the board that ended in this epoch and were removed from the
+  // ledger. The board may still show them as unfinished and must not bring them
+  // back.
   std::set<std::string> ended_jobs_;
   // Ends that the next flush will record, by worker.
   std::map<std::string, LatestEnd> unrecorded_ends_;
--- a/tests/auto/coordination/tst_cluster_coordinator.cc
+++ b/tests/auto/coordination/tst_cluster_coordinator.cc
@@ -127,6 +127,36 @@
   }
 }
 
+// Guards against an accepted job that never runs: its id was that of a job
+// whose records had been dropped, and the leader took it for that one.
+TEST_CASE("an id can be used again once the records of its job are dropped") {
+  for (const bool by_snapshot : {false, true}) {
+    CAPTURE(by_snapshot);
+    Cluster cluster;
+    Entry& entry = cluster.Add("a");
+    REQUIRE(RunUntil(cluster.io, [&] { return entry.Knows(2); }));
+    const auto has_ended = [&] {
+      return entry.state(kJob) == JobState::kCompleted;
+    };
+    cluster.Submit({MakeStep(1, 1)}, 50);
+    REQUIRE(RunUntil(cluster.io, has_ended));
+    const auto is_forgotten = [&] {
+      return entry.coordinator().ledger().Find(kJob) == nullptr;
+    };
+    REQUIRE(RunUntil(cluster.io, is_forgotten));
+    for (const KeyedRecord& record :
+         JobBoard::Tombstones(kJob, *entry.board().Find(kJob))) {
+      cluster.Append(kBoard, record);
+    }
+    if (by_snapshot) cluster.store.model.DropHistory();
+    REQUIRE(RunUntil(cluster.io,
+                     [&] { return entry.board().Find(kJob) == nullptr; }));
+    cluster.Submit({MakeStep(1, 1)}, 50);
+    CHECK(RunUntil(cluster.io, has_ended, std::chrono::seconds(5)));
+    CHECK(cluster.CompletedRunCounts().begin()->second == 2);
+  }
+}
+
 // Guards against a gauge that nothing updates: shapes are known from accepted
 // jobs, and a new leader knows those of the jobs that it takes over.
 TEST_CASE("the leader measures fragmentation, also after a takeover") {
