The soak gives up jobs whose submission got no answer

Its callers cancelled accepted jobs only, so that no seed could show that a job runs after its DELETE was answered with 410. An impatient caller submits each job once, at an entry that is drawn; the store carries two thirds of these submissions out 1.8, 4 or 6 s late; what gets no answer is cancelled at another entry, and half of what that calls unknown is submitted again at a third one. The check is the one of all cancelled jobs: no task of them starts 3 s after the answer.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -15,6 +15,8 @@
 DEFINE_bool(burst, false, "several accounts submit a burst of urgent gangs");
 DEFINE_bool(long_checkpoints, true,
             "some tasks report checkpoints around the size of a record");
+DEFINE_bool(give_ups, true,
+            "a caller cancels the jobs whose submission gets no answer");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
@@ -35,10 +37,12 @@
     settings.cut_offs = FLAGS_cut_offs;
     settings.burst = FLAGS_burst;
     settings.long_checkpoints = FLAGS_long_checkpoints;
+    settings.give_ups = FLAGS_give_ups;
     const thornplank::SoakReport report = thornplank::RunSoak(settings);
     std::cout << "seed " << settings.seed << ": " << report.jobs << " jobs, "
               << report.accepted << " accepted, " << report.completed
               << " completed, " << report.runs << " runs, "
+              << report.unknown_cancelled << " given up, "
               << report.faults.size() << " faults, " << report.violations.size()
               << " violations" << std::endl;
     if (settings.burst) {
--- a/tests/soak/soak_rows.cc
+++ b/tests/soak/soak_rows.cc
@@ -21,6 +21,7 @@
     settings.cut_offs = row.cut_offs;
     settings.burst = row.burst;
     settings.long_checkpoints = row.long_checkpoints;
+    settings.give_ups = row.give_ups;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
@@ -34,6 +35,7 @@
     CHECK(report.accepted > 0);
     // Without urgent work that is done, its stops show nothing.
     if (row.burst) CHECK(report.equal_stops.done > 0);
+    if (row.give_ups) CHECK(report.unknown_cancelled > 0);
   }
 }
 
--- a/tests/soak/soak_rows.h
+++ b/tests/soak/soak_rows.h
@@ -13,12 +13,13 @@
   // The fault that made the seed fail.
   const char* cause;
   // As in SoakSettings: whether tasks crash executors, whether executors are
-  // cut off, whether there is a burst of urgent gangs, and whether tasks report
-  // long checkpoints.
+  // cut off, whether there is a burst of urgent gangs, whether tasks report
+  // long checkpoints, and whether jobs without an answer are given up.
   bool crashes = false;
   bool cut_offs = false;
   bool burst = false;
   bool long_checkpoints = false;
+  bool give_ups = false;
 };
 
 // Runs the rows one after the other and fails for each violated invariant.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "hosted_cluster.h"
+#include "impatient_caller.h"
 #include "logging/events/coordination_events.h"
 #include "run_checker.h"
 
@@ -42,6 +43,10 @@
 constexpr int kJobsPerLongCheckpoint = 4;
 // Several in one record, about a record each, and more than any record holds.
 constexpr int kCheckpointBytes[] = {20000, 70000, 262113, 262114, 400000};
+// Separates the random sequence of the jobs that are given up.
+constexpr uint32_t kGiveUpSeedOffset = 4000003;
+// Of their ids; other callers have numbers from 1.
+constexpr char kImpatientIdPrefix[] = "f0000000";
 // Short, so that several cuts that are longer fit into a run.
 constexpr Milliseconds kLeaseWithCutOffs{1500};
 constexpr Milliseconds kCutOffTime{2800};
@@ -71,7 +76,9 @@
         cluster_(ClusterSettings(settings)),
         random_(settings.seed),
         crash_random_(settings.seed + kCrashSeedOffset),
-        cut_off_random_(settings.seed + kCutOffSeedOffset) {}
+        cut_off_random_(settings.seed + kCutOffSeedOffset),
+        impatient_caller_(&cluster_, settings.seed + kGiveUpSeedOffset,
+                          kImpatientIdPrefix) {}
 
   SoakReport Run() {
     report_.folder = cluster_.folder();
@@ -91,6 +98,9 @@
     for (int i = 0; settings_.burst && i < kUrgentAccounts; ++i) {
       callers.emplace_back([this, i] { RunUrgentCaller(i); });
     }
+    if (settings_.give_ups) {
+      callers.emplace_back([this] { impatient_caller_.Run(done_); });
+    }
     if (settings_.crashes) {
       for (int i = 0; i < settings_.executors; ++i) {
         cluster_.ControlExecutor(i, {{"keeps_id", i % 2 == 0}});
@@ -101,6 +111,11 @@
     for (std::thread& caller : callers) {
       caller.join();
     }
+    jobs_.insert(impatient_caller_.jobs().begin(),
+                 impatient_caller_.jobs().end());
+    cancel_requested_.insert(impatient_caller_.cancelled().begin(),
+                             impatient_caller_.cancelled().end());
+    report_.unknown_cancelled = impatient_caller_.unknown();
     EndAllFaults();
     AwaitJobEnds();
     Check();
@@ -556,6 +571,7 @@
   std::mt19937 random_;
   std::mt19937 crash_random_;
   std::mt19937 cut_off_random_;
+  ImpatientCaller impatient_caller_;
   // Start of the present cuts.
   Time cut_off_since_{};
   Time begun_{};
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,6 +1,7 @@
 // A randomized run of hosted entries under faults, all drawn from one seed.
 //
-// Caller threads submit, query and cancel jobs while series of faults overlap:
+// Caller threads submit, query and cancel jobs, also some whose submission got
+// no answer, while series of faults overlap:
 // entries are killed, stopped, suspended, signalled or cut off from the store;
 // the store is silent, slow or refuses, or loses answers or its history;
 // executors are late, silent, cut off or restarted. Then all faults are ended,
@@ -36,6 +37,8 @@
   // Some tasks report checkpoints around and above the size of a record, and
   // their first runs fail; also drawn from a separate sequence.
   bool long_checkpoints = true;
+  // Adds an ImpatientCaller, also with a sequence of its own.
+  bool give_ups = true;
 };
 
 struct SoakReport {
@@ -45,6 +48,8 @@
   int runs = 0;
   // Only of a run with a burst.
   EqualStops equal_stops;
+  // Cancellations of jobs without a submission; only of a run with give_ups.
+  int unknown_cancelled = 0;
   // The injected faults in order, with their times, to analyse a failed run.
   std::vector<std::string> faults;
   // Descriptions of the violated invariants.
--- a/tests/soak/tst_soak.cc
+++ b/tests/soak/tst_soak.cc
@@ -16,6 +16,10 @@
       {20261206, 15, "urgent gangs were stopped for each other without end",
        false, false, true},
       {20261205, 10, "never failed", false, false, false, true},
+      // Guards against a job that runs after its cancellation was answered with
+      // 410: its submission was stored only then.
+      {20261207, 12, "jobs that were given up ran", false, false, false, false,
+       true},
       {114, 12, "the stand-in kept a report across incarnations"},
       {127, 12, "work was sent to an incarnation known to have ended"},
       {128, 12, "the stand-in kept a report across incarnations"},
