A task whose executors are lost goes on, or fails, in bounded time

Cause: four losses of which fewer than three are accounted for make a task wait, since it may be one that crashes its workers. Workers that are lost for good account for nothing, so that the wait has no end. That the runs had been seen at work, seconds after the start by which such a task crashes its workers, was not used.

- A run that a report lists 0.2 s after its start or later has survived it; if its worker falls silent then, that is no loss.
Recorded with the task's progress where a worker was lost under it before, so that a takeover keeps it and other tasks cost no write.
- A lost worker that is not seen for the longest lease after its loss is gone, and waited for no more (971).
The fifth start is allowed then, and with it lost the job fails with its reason.
So does one with four losses and a start on a worker that was leaving, which waited for ever too.

A worker that is seen to have crashed counts as before, also late: of a task that crashes its workers no more than five starts remain.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -84,6 +84,7 @@
     fleet_->Tick(now);
     RefuseStarts(start_gate_.TakeExpired(now));
     StopOutdatedRuns();
+    ReviewLostWorkers(now);
     DropExpiredRecords();
     MeasureFragmentation(now);
     SchedulePlanning();
@@ -368,6 +369,9 @@
     ledger_.RecordCheckpoint(run.task, run.run, run.checkpoint);
     LogDroppedCheckpoints();
   };
+  handlers.on_start_survived = [this](const TaskRef& task, int run) {
+    ledger_.RecordSurvivedStart(task, run);
+  };
   handlers.profile_of = [this](const TaskRef& task) { return ProfileOf(task); };
   handlers.is_known_service = [this](const std::string& service) {
     // Before the first configuration every service counts as known.
@@ -414,6 +418,7 @@
   phase_ = Phase::kLeading;
   ledger_ = JobLedger(MaxCheckpointBytes(settings_.store_limits));
   planner_ = Planner(PlannerSettingsFor(settings_));
+  gone_workers_ = GoneWorkers();
   stored_blocks_.clear();
   stored_checkpoints_.clear();
   unstorable_jobs_.clear();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -41,6 +41,7 @@
 #include "coordination/worker_directory.h"
 #include "coordination/worker_fleet.h"
 #include "metrics/metrics_registry.h"
+#include "workload/gone_workers.h"
 #include "workload/job_ledger.h"
 #include "workload/planner.h"
 #include "workload/scheduling_features.h"
@@ -242,6 +243,8 @@
                      const std::optional<WallTime>& incarnation_start);
   void OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  // Ends the wait for lost workers that are not heard of again.
+  void ReviewLostWorkers(Time now);
   void OnCrashRecordsChanged(const std::vector<TaskRef>& tasks);
   void LogDroppedCheckpoints();
   // The store does not take a record of the leader.
@@ -317,6 +320,8 @@
   // the store has recovered.
   bool directory_unreadable_ = false;
   std::unique_ptr<AdviceRequester> advice_;
+  GoneWorkers gone_workers_;
+  Time last_loss_review_{};
   HealthRecordSchedule health_schedule_;
   DepartureSchedule departure_schedule_;
   // Blocks of progress that have a record on the board.
--- a/src/libs/coordination/cluster_run_ends.cc
+++ b/src/libs/coordination/cluster_run_ends.cc
@@ -14,14 +14,18 @@
 // Bounds one line of the log.
 constexpr size_t kMaxLoggedTasks = 32;
 
+// Between two checks for lost workers that are gone.
+constexpr std::chrono::seconds kLossReviewInterval{1};
+
 Time Now() { return std::chrono::steady_clock::now(); }
 
 const char* ToWord(const WorkerLoss& loss) {
   if (loss.crashed) return "crashed";
-  return loss.ended ? "ended" : "unproved";
+  if (loss.ended) return "ended";
+  return loss.gone ? "gone" : "unproved";
 }
 
-// Rows of worker and "crashed", "ended" or "unproved".
+// Rows of worker and the word for it.
 Json ToJson(const std::vector<WorkerLoss>& losses) {
   Json rows = Json::array();
   for (const WorkerLoss& loss : losses) {
@@ -163,6 +167,24 @@
   OnCrashRecordsChanged(ledger_.OnWorkerEnded(worker, incarnation_start));
 }
 
+void ClusterCoordinator::ReviewLostWorkers(Time now) {
+  if (now - last_loss_review_ < kLossReviewInterval) return;
+  last_loss_review_ = now;
+  const auto is_seen = [this](const std::string& worker) {
+    const auto tracker = fleet_->trackers().find(worker);
+    return tracker != fleet_->trackers().end() && !tracker->second.missing() &&
+           tracker->second.reachable();
+  };
+  for (const std::string& worker :
+       gone_workers_.TakeGone(ledger_.UnsettledWorkers(), is_seen, now,
+                              settings_.bounds.gone_after())) {
+    const std::vector<TaskRef> tasks = ledger_.OnWorkerGone(worker);
+    LogEvent(events::kLostWorkerGone,
+             {{"worker", worker}, {"count", tasks.size()}, {"epoch", epoch_}});
+    OnCrashRecordsChanged(tasks);
+  }
+}
+
 void ClusterCoordinator::OnCrashRecordsChanged(
     const std::vector<TaskRef>& tasks) {
   for (const TaskRef& task : tasks) LogIfGivenUp(task);
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -350,6 +350,9 @@
   if (NeedsVisit(*tracker, state)) Activate(id);
   for (const RunReport& run : answer.report.running) {
     handlers_.on_progress(run);
+    if (tracker->ConfirmStart(run.task, run.run, query.sent)) {
+      handlers_.on_start_survived(run.task, run.run);
+    }
   }
   TakeUpUnexpected(tracker, unexpected, now);
   run_review_.Observe(tracker, now);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -86,6 +86,8 @@
                        const std::optional<WallTime>& incarnation_start)>
         on_ended;
     std::function<void(const RunReport&)> on_progress;
+    // A run was seen alive after its start.
+    std::function<void(const TaskRef&, int run)> on_start_survived;
     // Returns the profile of a run that this leader did not start.
     std::function<RunProfile(const TaskRef&)> profile_of;
     // Whether the configuration knows the service. Workers of other services
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -95,6 +95,8 @@
 inline constexpr Event kCheckpointDropped{968, "checkpoint-dropped",
                                           Severity::kWarning};
 inline constexpr Event kSubmissionRead{969, "submission-read", Severity::kInfo};
+inline constexpr Event kLostWorkerGone{971, "lost-worker-gone",
+                                       Severity::kInfo};
 inline constexpr Event kUnknownJobCancelled{970, "unknown-job-cancelled",
                                             Severity::kInfo};
 
--- a/src/libs/workload/crash_record.cc
+++ b/src/libs/workload/crash_record.cc
@@ -15,10 +15,9 @@
 // allows at most five starts, and at most two after the third crash; one is
 // left for a crash that a change of leader has hidden.
 constexpr size_t kMaxWorkersLost = 4;
-// The fifth start is for a task whose workers have ended without proof that it
-// crashed them. If it loses that worker too, its job ends, unless its runs may
-// never have begun.
-constexpr size_t kMinAccountedForLastStart = 3;
+// The fifth start is for a task whose workers have ended, or are gone, without
+// proof that it crashed them. If it loses that worker too, its job ends.
+constexpr size_t kMinSettledForLastStart = 3;
 constexpr size_t kMinAccountedToGiveUp = 4;
 constexpr std::chrono::seconds kProvenRunTime{5};
 
@@ -66,6 +65,10 @@
   const bool at_start = IsAtStart(run, step);
   const bool proved =
       run.crashed && run.began && (at_start || run.within_lease);
+  if (run.survived_start && !run.crashed) {
+    start_crashes = 0;
+    return;
+  }
   // A crash without proof still shows that the incarnation is over, and nothing
   // will show it again.
   const bool ended = run.crashed && !proved;
@@ -123,6 +126,23 @@
   });
 }
 
+bool CrashRecord::OnWorkerGone(const std::string& worker) {
+  bool changed = false;
+  for (WorkerLoss& loss : losses) {
+    if (loss.worker != worker || loss.is_settled()) continue;
+    loss.gone = true;
+    changed = true;
+  }
+  return changed;
+}
+
+bool CrashRecord::HasUnsettled(const std::string& worker) const {
+  return std::any_of(losses.begin(), losses.end(),
+                     [&worker](const WorkerLoss& loss) {
+                       return !loss.is_settled() && loss.worker == worker;
+                     });
+}
+
 bool CrashRecord::HasUnaccounted(const std::string& worker) const {
   return std::any_of(losses.begin(), losses.end(),
                      [&worker](const WorkerLoss& loss) {
@@ -142,6 +162,12 @@
       [](const WorkerLoss& loss) { return loss.is_accounted_for(); }));
 }
 
+size_t CrashRecord::settled_losses() const {
+  return static_cast<size_t>(
+      std::count_if(losses.begin(), losses.end(),
+                    [](const WorkerLoss& loss) { return loss.is_settled(); }));
+}
+
 size_t CrashRecord::accounted_losses_of_runs() const {
   return static_cast<size_t>(
       std::count_if(losses.begin(), losses.end(), [](const WorkerLoss& loss) {
@@ -153,14 +179,14 @@
   if (start_crashes >= kMaxStartCrashes) return CrashVerdict::kGivenUp;
   if (losses.size() < kMaxWorkersLost) return CrashVerdict::kMayStart;
   if (proved_crashes() >= kMinProvedCrashes) return CrashVerdict::kGivenUp;
-  if (losses.size() == kMaxWorkersLost) {
-    // An unclear start may have been the fifth already.
-    const bool may_start =
-        accounted_losses() >= kMinAccountedForLastStart && unclear_starts == 0;
-    return may_start ? CrashVerdict::kMayStart : CrashVerdict::kMustWait;
+  const size_t settled = settled_losses();
+  if (losses.size() == kMaxWorkersLost && unclear_starts == 0) {
+    return settled >= kMinSettledForLastStart ? CrashVerdict::kMayStart
+                                              : CrashVerdict::kMustWait;
   }
-  // If all workers are known to be over, no later sign can end the wait.
-  const bool is_over = accounted_losses() == losses.size();
+  // It has had its last start; with four losses an unclear start may have been
+  // the fifth. Nothing can end the wait once all workers are settled.
+  const bool is_over = settled == losses.size();
   return is_over || accounted_losses_of_runs() >= kMinAccountedToGiveUp
              ? CrashVerdict::kGivenUp
              : CrashVerdict::kMustWait;
@@ -169,14 +195,19 @@
 std::string CrashRecord::ToText() const {
   std::string crashed;
   std::string ended;
+  std::string gone;
   std::string silent;
   for (const WorkerLoss& loss : losses) {
-    std::string& list = loss.crashed ? crashed : loss.ended ? ended : silent;
+    std::string& list = loss.crashed ? crashed
+                        : loss.ended ? ended
+                        : loss.gone  ? gone
+                                     : silent;
     list += " " + loss.worker;
   }
   std::string text =
       std::to_string(proved_crashes()) + " workers crashed under it:" + crashed;
   if (!ended.empty()) text += "; ended out of sight:" + ended;
+  if (!gone.empty()) text += "; not heard of again:" + gone;
   if (!silent.empty()) text += "; lost without proof:" + silent;
   return text;
 }
--- a/src/libs/workload/crash_record.h
+++ b/src/libs/workload/crash_record.h
@@ -12,7 +12,10 @@
 // crashed under the run, or later behind a cut: that proves nothing by itself,
 // and only a longer series of such losses ends a job. Any other loss counts
 // until the worker is seen alive or its end is known; as long as too many are
-// unaccounted for, the task waits.
+// unaccounted for, the task waits. A worker that shows neither for long is
+// gone: the task waits for it no more. A run that was seen alive after its
+// start has not crashed its worker by that: if the worker falls silent later,
+// that counts nothing.
 #ifndef THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 #define THORNPLANK_WORKLOAD_CRASH_RECORD_H_
 
@@ -46,6 +49,8 @@
   // Whether the crash is known to have come before the run's lease could end
   // and before the run could complete.
   bool within_lease = false;
+  // Whether the worker has reported it kStartPhase after its start or later.
+  bool survived_start = false;
 };
 
 // Clocks of workers and entries may differ by this much.
@@ -74,8 +79,12 @@
   // Where the worker was, as long as it may be needed to account for it; empty
   // if that is not known.
   std::string address = "";
+  // Neither it nor a later incarnation was seen for long. It may still be.
+  bool gone = false;
 
   bool is_accounted_for() const { return crashed || ended; }
+  // Whether the task waits no longer to hear of it.
+  bool is_settled() const { return is_accounted_for() || gone; }
 
   // Whether the incarnation of `id` that started at `start` is certainly this
   // one. Where no start times are reported, ids alone tell.
@@ -87,7 +96,7 @@
 inline bool operator==(const WorkerLoss& a, const WorkerLoss& b) {
   return a.worker == b.worker && a.incarnation_start == b.incarnation_start &&
          a.crashed == b.crashed && a.began == b.began && a.ended == b.ended &&
-         a.run == b.run && a.address == b.address;
+         a.run == b.run && a.address == b.address && a.gone == b.gone;
 }
 
 // Whether a task may be started again.
@@ -128,12 +137,16 @@
   size_t proved_crashes() const;
   // Losses of workers that are known to be over.
   size_t accounted_losses() const;
+  size_t settled_losses() const;
   // Those of them under runs that are known to have begun.
   size_t accounted_losses_of_runs() const;
   // That incarnation is over and has not left as announced. Returns whether the
   // record has changed.
   bool OnWorkerEnded(const std::string& worker,
                      const std::optional<WallTime>& incarnation_start);
+  // The worker is not listed and not heard of any more. Returns whether the
+  // record has changed.
+  bool OnWorkerGone(const std::string& worker);
   // An incarnation that started at that time is alive: those that started
   // before are over. A run whose incarnation is not known was on one of them,
   // or never began, if this one does not report how it ended. Returns whether
@@ -144,6 +157,7 @@
   // are over. Returns whether the record has changed.
   bool OnWorkerAt(const std::string& address, const std::string& worker);
   bool HasUnaccounted(const std::string& worker) const;
+  bool HasUnsettled(const std::string& worker) const;
   CrashVerdict verdict() const;
   bool ShouldGiveUp() const { return verdict() == CrashVerdict::kGivenUp; }
   bool MustWait() const { return verdict() == CrashVerdict::kMustWait; }
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -291,7 +291,9 @@
     return true;
   }
   SetPhase(progress, task, TaskPhase::kWaiting);
-  UpdateCrashRecord(end, lost, spec, &task->crashes);
+  LostRun known = lost;
+  known.survived_start = lost.survived_start || task->survived_run == run;
+  UpdateCrashRecord(end, known, spec, &task->crashes);
   IndexUnaccountedLosses(ref, *task);
   FailJobIfGivenUp(ref, job, *task);
   if (end != RunEnd::kFailed || spec.long_running) return true;
@@ -385,6 +387,39 @@
   return changed;
 }
 
+std::vector<TaskRef> JobLedger::OnWorkerGone(const std::string& worker) {
+  return UpdateCrashRecords(worker, [&](CrashRecord* crashes, WallTime) {
+    return crashes->OnWorkerGone(worker);
+  });
+}
+
+std::vector<std::string> JobLedger::UnsettledWorkers() const {
+  std::vector<std::string> workers;
+  for (const auto& [worker, tasks] : unaccounted_losses_) {
+    const std::string& id = worker;
+    const bool is_unsettled =
+        std::any_of(tasks.begin(), tasks.end(), [&](const TaskRef& ref) {
+          const TaskStatus* task = FindTask(ref);
+          return task != nullptr && task->crashes.HasUnsettled(id);
+        });
+    if (is_unsettled) workers.push_back(worker);
+  }
+  return workers;
+}
+
+void JobLedger::RecordSurvivedStart(const TaskRef& ref, int run) {
+  StepProgress* progress = FindStep(ref.step);
+  if (progress == nullptr) return;
+  const auto index = static_cast<size_t>(ref.index);
+  if (index >= progress->tasks.size()) return;
+  TaskStatus& task = progress->tasks[index];
+  if (task.run != run || task.survived_run == run) return;
+  task.survived_run = run;
+  // Of a task under which no worker was lost so far, one loss more or less
+  // makes no difference.
+  if (!task.crashes.empty()) MarkDirty(*FindStepSpec(ref.step), ref);
+}
+
 std::vector<TaskRef> JobLedger::UpdateCrashRecords(
     const std::string& worker,
     const std::function<bool(CrashRecord*, WallTime)>& update) {
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -157,6 +157,15 @@
   // has changed.
   std::vector<TaskRef> OnWorkerAt(const std::string& address,
                                   const std::string& worker);
+  // The worker has not been listed or heard of for so long that its tasks wait
+  // for it no longer. May end jobs. Returns the tasks of which the record has
+  // changed.
+  std::vector<TaskRef> OnWorkerGone(const std::string& worker);
+  // Workers that were lost under tasks and of which is not known whether they
+  // are alive, over or gone.
+  std::vector<std::string> UnsettledWorkers() const;
+  // The run was seen alive after its start.
+  void RecordSurvivedStart(const TaskRef& ref, int run);
   // Records a checkpoint reported by a run that continues.
   void RecordCheckpoint(const TaskRef& ref, int run,
                         const std::string& checkpoint);
--- a/src/libs/workload/progress_block.cc
+++ b/src/libs/workload/progress_block.cc
@@ -15,7 +15,8 @@
 // Two lists of the same length: the ids, which is all that older entries read,
 // and of each loss whether it is a proved crash, the start time of the
 // incarnation, whether the run had begun, whether the incarnation is known to
-// be over, the number of the run, and the address of the worker.
+// be over, the number of the run, the address of the worker, and whether it is
+// gone.
 void AppendLosses(const std::vector<WorkerLoss>& losses, Json* row) {
   Json workers = Json::array();
   Json details = Json::array();
@@ -25,8 +26,9 @@
     if (loss.incarnation_start) {
       start = ToUnixMilliseconds(*loss.incarnation_start);
     }
-    details.push_back(Json::array({loss.crashed, std::move(start), loss.began,
-                                   loss.ended, loss.run, loss.address}));
+    details.push_back(
+        Json::array({loss.crashed, std::move(start), loss.began, loss.ended,
+                     loss.run, loss.address, loss.gone}));
   }
   row->push_back(std::move(workers));
   row->push_back(std::move(details));
@@ -47,6 +49,7 @@
     losses[i].ended = detail.size() > 3 && detail.at(3).get<bool>();
     if (detail.size() > 4) losses[i].run = detail.at(4).get<int>();
     if (detail.size() > 5) losses[i].address = detail.at(5).get<std::string>();
+    losses[i].gone = detail.size() > 6 && detail.at(6).get<bool>();
     if (detail.at(1).is_null()) continue;
     losses[i].incarnation_start =
         FromUnixMilliseconds(detail.at(1).get<int64_t>());
@@ -66,6 +69,7 @@
     row.push_back(task.crashes.start_crashes);
     AppendLosses(task.crashes.losses, &row);
     row.push_back(task.crashes.unclear_starts);
+    row.push_back(task.survived_run);
   }
   return row;
 }
@@ -83,6 +87,7 @@
       task.crashes.start_crashes = row.at(5).get<int>();
       task.crashes.losses = LossesFromRow(row);
       if (row.size() > 8) task.crashes.unclear_starts = row.at(8).get<int>();
+      if (row.size() > 9) task.survived_run = row.at(9).get<int>();
     }
     return task;
   }
--- a/src/libs/workload/task_status.h
+++ b/src/libs/workload/task_status.h
@@ -26,6 +26,9 @@
   // The next run resumes from here; empty if there is none.
   std::string checkpoint;
   CrashRecord crashes{};
+  // The last run that was seen alive after its start; 0 if there is none.
+  // Stored only beside a crash record that is not empty.
+  int survived_run = 0;
   // The last run of which a checkpoint was too long to be stored; 0 if there is
   // none. Not stored itself.
   int dropped_checkpoint_run = 0;
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -91,6 +91,9 @@
   }
   // Silence after which the platform removes the entry of a worker.
   Milliseconds entry_lapse() const { return heartbeat * 3; }
+  // How long a lost worker, whose leases are over, is waited for to be seen
+  // again, alive or as another incarnation.
+  Milliseconds gone_after() const { return longest_lease; }
   // Maximum age of the view of the job board on which starts are decided.
   // Leaves time for a start order that is still under way when the view has
   // reached this age.
--- a/src/libs/workload/worker_tracker.cc
+++ b/src/libs/workload/worker_tracker.cc
@@ -500,6 +500,14 @@
   return false;
 }
 
+bool WorkerTracker::ConfirmStart(const TaskRef& task, int run, Time sent) {
+  TrackedRun* tracked = Find(task);
+  if (tracked == nullptr || tracked->run != run) return false;
+  if (tracked->survived_start || tracked->began == Time{}) return false;
+  tracked->survived_start = sent - tracked->began >= kStartPhase;
+  return tracked->survived_start;
+}
+
 void WorkerTracker::OnReportFailed(Time now) {
   ++failed_reports_;
   health_.OnSilence(now);
--- a/src/libs/workload/worker_tracker.h
+++ b/src/libs/workload/worker_tracker.h
@@ -127,6 +127,8 @@
   bool may_have_crashed = false;
   // The start time of that incarnation, if it is known.
   std::optional<WallTime> crashed_incarnation;
+  // As in LostRun.
+  bool survived_start = false;
 
   // Work that is lost when it is stopped: none if the stop itself saves it.
   Duration unsaved_work(Time now) const;
@@ -277,6 +279,9 @@
   std::vector<RunEndReport> OnReport(const WorkerStatusReport& report,
                                      Time sent, Time now,
                                      std::vector<RunReport>* unexpected);
+  // A report that was requested at `sent` has listed the run. Returns true if
+  // it is the first one that shows that the run has survived its start.
+  bool ConfirmStart(const TaskRef& task, int run, Time sent);
   void OnReportFailed(Time now);
   // Its incarnation is over: all runs on it have ended. A worker that had
   // announced its departure has left, whatever answers at its address.
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -129,6 +129,7 @@
       ends.push_back(end.end);
     };
     handlers.on_progress = [](const RunReport&) {};
+    handlers.on_start_survived = [](const TaskRef&, int) {};
     handlers.profile_of = [](const TaskRef&) { return RunProfile(); };
     handlers.is_known_service = [](const std::string& service) {
       return service != kUnknownService;
--- a/tests/standins/tst_room_accounting.cc
+++ b/tests/standins/tst_room_accounting.cc
@@ -147,6 +147,7 @@
       unrecorded_.push_back(end);
     };
     handlers.on_progress = [](const RunReport&) {};
+    handlers.on_start_survived = [](const TaskRef&, int) {};
     handlers.profile_of = [](const TaskRef& task) {
       return task.step.job == kTask.step.job ? Profile() : UnknownProfile();
     };
