Lasting tasks that lose their workers run again beside guarantees that nobody asks for

Cause: ProtectedTasks::MayStart keeps the whole guarantees of all other accounts free from tasks that must not be stopped. The loss makes what is outside of them smaller than what the step uses already, so that none of its tasks may start, and nothing ends that.

A task that has run and lost its worker may now use guaranteed accelerators as far as they are unlikely to be asked for: each other account keeps the most that it has needed within 60 s (GuaranteeDemand), and the largest rest of a guarantee stays free beside that, so that any one account gets all of its guarantee at once. New tasks start as before.

--- a/src/libs/workload/planner.h
+++ b/src/libs/workload/planner.h
@@ -30,6 +30,7 @@
 #include "workload/cluster_capacity.h"
 #include "workload/equal_stop_limiter.h"
 #include "workload/feature_state.h"
+#include "workload/guarantee_demand.h"
 #include "workload/hold_history.h"
 #include "workload/job_ledger.h"
 #include "workload/obligation.h"
@@ -231,6 +232,7 @@
   };
   std::map<StepRef, GuaranteeWait> guarantee_waits_;
   OwedStarts owed_starts_;
+  GuaranteeDemand guarantee_demand_;
 };
 
 }  // namespace thornplank
--- a/src/libs/workload/planning_round.cc
+++ b/src/libs/workload/planning_round.cc
@@ -17,8 +17,9 @@
       capacity_(*inputs.workers, inputs.advice, inputs.now, shares(),
                 planner->held_state_.active()),
       budgets_(inputs.ledger, inputs.workers),
-      protected_tasks_(&capacity_, inputs.ledger, inputs.guarantees),
       balance_(&capacity_, inputs.ledger, inputs.guarantees),
+      protected_tasks_(&capacity_, inputs.ledger, inputs.guarantees,
+                       &planner->guarantee_demand_),
       guarantee_holds_(GuaranteeHoldInputs(), &balance_),
       steps_(MarkGuaranteedSteps(std::move(steps))),
       queue_(steps_, shares(),
@@ -36,6 +37,7 @@
   ReleaseExpiredReservations();
   if (holds_) PrepareHolds();
   IsolateSuspects();
+  planner_.guarantee_demand_.Observe(balance_.needed(), inputs_.now);
   planner_.owed_starts_.Observe(steps_, inputs_.now);
   bool are_tests_placed = false;
   while (const ReadyStep* step = queue_.Next()) {
--- a/src/libs/workload/planning_round.h
+++ b/src/libs/workload/planning_round.h
@@ -172,8 +172,8 @@
   std::optional<AccountShares> shares_;
   ClusterCapacity capacity_;
   DisruptionBudgets budgets_;
-  ProtectedTasks protected_tasks_;
   UrgentBalance balance_;
+  ProtectedTasks protected_tasks_;
   // Runs that this round has already decided to stop.
   std::set<TaskRef> stopped_;
   GuaranteeHolds guarantee_holds_;
--- a/src/libs/workload/protected_tasks.cc
+++ b/src/libs/workload/protected_tasks.cc
@@ -9,8 +9,12 @@
 
 ProtectedTasks::ProtectedTasks(const ClusterCapacity* capacity,
                                const JobLedger* ledger,
-                               const Guarantees* guarantees)
-    : capacity_(*capacity), ledger_(*ledger), guarantees_(*guarantees) {}
+                               const Guarantees* guarantees,
+                               const GuaranteeDemand* demand)
+    : capacity_(*capacity),
+      ledger_(*ledger),
+      guarantees_(*guarantees),
+      demand_(*demand) {}
 
 int64_t ProtectedTasks::MayStart(const ReadyStep& step) {
   const auto waiting = static_cast<int64_t>(step.waiting.size());
@@ -19,13 +23,31 @@
       spec.need.accelerators <= 0) {
     return waiting;
   }
+  const int64_t tasks = TasksWithin(AcceleratorsOutsideGuarantees(step), step);
+  if (tasks >= waiting) return waiting;
+  const StepProgress& progress = *ledger_.FindStep(step.ref);
+  const int64_t lost =
+      std::count_if(step.waiting.begin(), step.waiting.end(), [&](int index) {
+        return progress.tasks[static_cast<size_t>(index)].run > 0;
+      });
+  if (lost == 0) return tasks;
+  const int64_t again =
+      std::min(TasksWithin(AcceleratorsForRestarts(step), step), lost);
+  // A gang starts whole or not at all.
+  if (spec.gang && again < waiting) return tasks;
+  return std::max(tasks, again);
+}
+
+int64_t ProtectedTasks::TasksWithin(int64_t accelerators,
+                                    const ReadyStep& step) {
+  const auto waiting = static_cast<int64_t>(step.waiting.size());
+  const StepSpec& spec = *step.spec;
   const StepProgress& progress = *ledger_.FindStep(step.ref);
   int64_t of_others = UsedInService(step.service());
   if (!UsesOwnGuarantee(step.job->spec)) {
     of_others -= UsedByStep(step.ref, spec, progress);
   }
-  const int64_t tasks = (AcceleratorsOutsideGuarantees(step) - of_others) /
-                        spec.need.accelerators;
+  const int64_t tasks = (accelerators - of_others) / spec.need.accelerators;
   if (tasks >= DisruptionBudgets::MustStay(spec)) return waiting;
   if (spec.gang) return 0;
   return std::clamp<int64_t>(tasks - ActiveTasks(step.ref, progress), 0,
@@ -47,13 +69,32 @@
   const std::string& account = step.job->spec.account;
   int64_t left = capacity_.TotalCapacity(step.service()).accelerators;
   for (const auto& [owner, guaranteed] : guarantees_) {
-    left -= owner == account
-                ? std::min(guaranteed, capacity_.UrgentAccelerators(owner))
-                : guaranteed;
+    left -= owner == account ? OwnUse(owner, guaranteed) : guaranteed;
   }
   return left;
 }
 
+int64_t ProtectedTasks::AcceleratorsForRestarts(const ReadyStep& step) const {
+  const std::string& account = step.job->spec.account;
+  int64_t left = capacity_.TotalCapacity(step.service()).accelerators;
+  int64_t largest_rest = 0;
+  for (const auto& [owner, guaranteed] : guarantees_) {
+    if (owner == account) {
+      left -= OwnUse(owner, guaranteed);
+      continue;
+    }
+    const int64_t expected = std::min(guaranteed, demand_.Recent(owner));
+    left -= expected;
+    largest_rest = std::max(largest_rest, guaranteed - expected);
+  }
+  return left - largest_rest;
+}
+
+int64_t ProtectedTasks::OwnUse(const std::string& account,
+                               int64_t guaranteed) const {
+  return std::min(guaranteed, capacity_.UrgentAccelerators(account));
+}
+
 int64_t ProtectedTasks::ActiveTasks(const StepRef& ref,
                                     const StepProgress& progress) const {
   const auto started = started_.find(ref);
--- a/src/libs/workload/urgent_balance.h
+++ b/src/libs/workload/urgent_balance.h
@@ -45,6 +45,9 @@
   // Accelerators that it uses beyond its guarantee. Runs that are being stopped
   // do not count: what they free was taken from the account already.
   int64_t Excess(const std::string& account) const;
+  // Accelerators of the tasks that run or may start, of urgent jobs that have
+  // not ended, by account. Empty if nothing is guaranteed.
+  const std::map<std::string, int64_t>& needed() const { return needed_; }
   // Whether all unfinished urgent jobs of the account need no more than it is
   // guaranteed.
   bool IsOwed(const std::string& account) const;
@@ -65,8 +68,7 @@
   const ClusterCapacity& capacity_;
   const Guarantees& guarantees_;
   std::map<std::string, Changes> changes_;
-  // Accelerators of the tasks that run or may start, of urgent jobs that have
-  // not ended.
+  // See needed().
   std::map<std::string, int64_t> needed_;
 };
 
--- a/tests/auto/workload/tst_planner_long_running.cc
+++ b/tests/auto/workload/tst_planner_long_running.cc
@@ -65,19 +65,22 @@
   for (const auto& [id, job] : before.ledger.jobs()) {
     cluster.ledger.Add(job->spec, cluster.now);
     const StepRef ref{id, 0, 0};
-    std::vector<JobLedger::Assignment> assignments;
+    const StepSpec& spec = job->spec.steps[0];
+    ProgressBlocks blocks;
+    for (int block = 0; block < BlockCount(spec); ++block) {
+      blocks[block] = *DecodeBlock(
+          EncodeBlock(*before.ledger.FindBlock({ref, block})), nullptr);
+    }
+    REQUIRE(cluster.ledger.Restore(ref, blocks));
     const StepProgress& progress = job->occurrences[0][0];
     for (size_t i = 0; i < progress.tasks.size(); ++i) {
-      if (progress.tasks[i].phase != TaskPhase::kActive) continue;
-      assignments.push_back({static_cast<int>(i), progress.tasks[i].worker});
-    }
-    const int run = cluster.ledger.RecordStart(ref, assignments);
-    for (const JobLedger::Assignment& assignment : assignments) {
-      const TaskRef task{ref, assignment.index};
+      const TaskStatus& status = progress.tasks[i];
+      if (status.phase != TaskPhase::kActive) continue;
+      const TaskRef task{ref, static_cast<int>(i)};
       const RunProfile& profile =
-          before.workers.at(assignment.worker).runs().at(task).profile;
-      cluster.workers.at(assignment.worker)
-          .Inherit(task, run, profile, cluster.now,
+          before.workers.at(status.worker).runs().at(task).profile;
+      cluster.workers.at(status.worker)
+          .Inherit(task, status.run, profile, cluster.now,
                    cluster.now + std::chrono::seconds(10));
     }
   }
@@ -406,5 +409,127 @@
   }
 }
 
+// The first `count` workers are lost for good, with all that runs there.
+void LoseWorkers(PlannerCluster* cluster, int count) {
+  for (int i = 0; i < count; ++i) {
+    const auto worker = cluster->workers.begin();
+    for (const auto& [task, run] : worker->second.runs()) {
+      LostRun lost;
+      lost.worker = worker->first;
+      lost.began = true;
+      lost.survived = std::chrono::seconds(10);
+      cluster->ledger.RecordRunEnd(task, run.run, RunEnd::kWorkerSilent, "",
+                                   lost);
+    }
+    cluster->workers.erase(worker);
+  }
+}
+
+// Guards against long-running tasks that wait beside idle workers for ever:
+// workers were lost, and the guarantees of others exceed what is left, though
+// nobody asks for them. And against a guarantee that cannot be met then without
+// stopping more of these tasks than may be away.
+TEST_CASE("long-running tasks that lose their room run beside guarantees") {
+  constexpr int kCount = 22;
+  constexpr int kGuaranteed = 10;
+  struct Row {
+    const char* name;
+    int lost;
+    // Of them, that run in the end.
+    int running;
+    // Seconds from the restart until an account asks for its guarantee.
+    int asked_after_s;
+    bool new_leader = false;
+    // To what its guarantee is raised before.
+    int raised_to = kGuaranteed;
+  };
+  const std::vector<Row> rows = {
+      {"none lost", 0, kCount, 0},
+      {"an eighth lost", 1, kCount, 0},
+      {"an eighth lost, asked later", 1, kCount, 2},
+      {"an eighth lost, asked much later", 1, kCount, 10},
+      {"a quarter lost", 2, kCount, 0},
+      {"a quarter lost, another leader", 2, kCount, 2, true},
+      {"three eighths lost", 3, kCount, 0},
+      {"three eighths lost, another leader", 3, kCount, 10, true},
+      {"half lost", 4, kCount, 0},
+      {"half lost, asked later", 4, kCount, 2},
+      {"half lost, another leader", 4, kCount, 10, true},
+      {"more than half lost", 5, 14, 2},
+      {"a quarter lost, the guarantee raised", 2, kCount, 2, false, 14},
+      {"three eighths lost, the guarantee raised, another leader", 3, kCount, 2,
+       true, 14},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    PlannerCluster before(kRacks, kWorkersPerRack);
+    for (const char* account : {"east", "south", "urgent", "west"}) {
+      before.guarantees[account] = kGuaranteed;
+    }
+    Fill(&before, 1, kCount, 1);
+    REQUIRE(Active(before, Id(100)) == kCount);
+    LoseWorkers(&before, row.lost);
+    PlannerCluster after = TakeOver(before);
+    for (auto it = after.workers.begin(); it != after.workers.end();) {
+      const auto worker = it++;
+      const bool is_lost = before.workers.count(worker->first) == 0;
+      if (is_lost) after.workers.erase(worker);
+    }
+    PlannerCluster& cluster = row.new_leader ? after : before;
+    ReportAtWork(&cluster);
+    CHECK(cluster.Round().stops.empty());
+    CHECK(Active(cluster, Id(100)) == row.running);
+    cluster.guarantees["urgent"] = row.raised_to;
+    if (row.asked_after_s > 0) ReportAtWork(&cluster);
+    cluster.now += std::chrono::seconds(row.asked_after_s);
+    JobDefinition job =
+        MakeJob(Id(1), {MakeStep(row.raised_to, 1)}, 0, "urgent");
+    cluster.ledger.Add(job, cluster.now);
+    CHECK(PlanUntilSettled(&cluster) <= 1);
+    CHECK(Active(cluster, Id(1)) == row.raised_to);
+    CHECK(Active(cluster, Id(100)) >= row.running - 1);
+  }
+}
+
+// Guards against tasks that take the room of accounts which have asked for
+// their guarantees a moment ago and will do so again.
+TEST_CASE("tasks that lost their room leave what was recently asked for") {
+  struct Row {
+    const char* name;
+    // From the end of the urgent work until the workers are lost.
+    std::chrono::seconds since;
+    int running;
+  };
+  // 40 accelerators are left. "west" has asked for its ten, and "south" may ask
+  // for its 20 at any time.
+  const std::vector<Row> rows = {
+      {"a moment ago", std::chrono::seconds(1), 10},
+      {"a while ago", std::chrono::seconds(50), 10},
+      {"long ago", kDemandMemory + std::chrono::seconds(1), 20},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    PlannerCluster cluster(kRacks, kWorkersPerRack);
+    cluster.guarantees = {{"south", 20}, {"urgent", 10}, {"west", 10}};
+    Fill(&cluster, 1, 22, 1);
+    cluster.ledger.Add(MakeJob(Id(1), {MakeStep(10, 1)}, 0, "west"),
+                       cluster.now);
+    cluster.Round();
+    REQUIRE(Active(cluster, Id(1)) == 10);
+    for (auto& [id, worker] : cluster.workers) {
+      const std::map<TaskRef, TrackedRun> runs = worker.runs();
+      for (const auto& [task, run] : runs) {
+        if (task.step.job == Id(1)) cluster.End(id, task, RunEnd::kDone);
+      }
+    }
+    cluster.now += row.since;
+    LoseWorkers(&cluster, 3);
+    REQUIRE(Active(cluster, Id(100)) == 0);
+    ReportAtWork(&cluster);
+    cluster.Round();
+    CHECK(Active(cluster, Id(100)) == row.running);
+  }
+}
+
 }  // namespace
 }  // namespace thornplank::testing
