A job is queued until a run of it has begun

Nothing of the job begins, every entry shows it as running, and the length of its queue is 0 for as long as it waits.

Cause: the ledger set the job to running when a start was decided, before the order went out, and nothing put it back when the start was withheld, refused or lost.

The state now follows what workers have confirmed: an accepted order, a report that lists the run, or an end of it that is more than "known not to run". It is published when it changes; the next leader adopts what was published, so that no job is shown as queued again after a run began. Weighed: to put the job back when a start comes to nothing (a leader that is replaced in between does not know that it has to).

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -365,6 +365,9 @@
                              const std::optional<WallTime>& incarnation_start) {
     OnWorkerEnded(worker, incarnation_start);
   };
+  handlers.on_began = [this](const TaskRef& task) {
+    ledger_.RecordBegan(task.step.job);
+  };
   handlers.on_progress = [this](const RunReport& run) {
     ledger_.RecordCheckpoint(run.task, run.run, run.checkpoint);
     LogDroppedCheckpoints();
@@ -469,7 +472,7 @@
   for (const auto& [ref, blocks] : loaded) {
     const BoardJob* job = dependencies_.board->Find(ref.job);
     if (job == nullptr) continue;
-    ledger_.AdoptFinalState(ref.job, job->published_state);
+    ledger_.AdoptState(ref.job, job->published_state);
     if (job->cancelled) ledger_.Cancel(ref.job);
     if (IsTerminal(job->published_state)) published_ended_jobs_.insert(ref.job);
   }
@@ -514,6 +517,7 @@
     if (IsTerminal(job->published_state) || ended_jobs_.count(id) > 0) return;
     const Time now = Now();
     ledger_.Add(*job->spec, now);
+    ledger_.AdoptState(id, job->published_state);
     fragmentation_.OnJob(*job->spec, now);
   }
   if (job->cancelled) ledger_.Cancel(id);
--- a/src/libs/coordination/fleet_orders.cc
+++ b/src/libs/coordination/fleet_orders.cc
@@ -116,6 +116,7 @@
     tracker->MarkOrdersUnanswered(now);
     return OnIncarnationOver(worker, IncarnationEnd::kCrashed);
   }
+  if (result.outcome == StartOutcome::kAccepted) handlers_.on_began(task);
   DeliverEnds(worker, tracker->OnStartAnswer(task, run, result.outcome, now));
   WorkerCallState& state = call_states_[worker];
   // A pending report shows at once if the worker crashes by what it started.
--- a/src/libs/coordination/worker_fleet.cc
+++ b/src/libs/coordination/worker_fleet.cc
@@ -349,6 +349,7 @@
   if (first) health_monitor_.OnFirstReport(id, now);
   if (NeedsVisit(*tracker, state)) Activate(id);
   for (const RunReport& run : answer.report.running) {
+    handlers_.on_began(run.task);
     handlers_.on_progress(run);
     if (tracker->ConfirmStart(run.task, run.run, query.sent)) {
       handlers_.on_start_survived(run.task, run.run);
--- a/src/libs/coordination/worker_fleet.h
+++ b/src/libs/coordination/worker_fleet.h
@@ -85,6 +85,8 @@
     std::function<void(const std::string& worker,
                        const std::optional<WallTime>& incarnation_start)>
         on_ended;
+    // A run is known to have begun; told again with each report that lists it.
+    std::function<void(const TaskRef&)> on_began;
     std::function<void(const RunReport&)> on_progress;
     // A run was seen alive after its start.
     std::function<void(const TaskRef&, int run)> on_start_survived;
--- a/src/libs/workload/job_ledger.cc
+++ b/src/libs/workload/job_ledger.cc
@@ -148,8 +148,7 @@
   if (present->done == static_cast<int>(present->tasks.size())) {
     --job->unfinished_steps;
   }
-  if (present->active() + present->done > 0 &&
-      job->state == JobState::kQueued) {
+  if (present->done > 0 && job->state == JobState::kQueued) {
     job->state = JobState::kRunning;
   }
   const StepSpec& spec = job->spec.steps[static_cast<size_t>(ref.step)];
@@ -234,14 +233,14 @@
   if (job != nullptr) Fail(job, reason);
 }
 
-void JobLedger::AdoptFinalState(const std::string& id, JobState state) {
+void JobLedger::AdoptState(const std::string& id, JobState state) {
   Job* job = Find(id);
-  if (job != nullptr && !IsTerminal(job->state)) job->state = state;
+  if (job == nullptr || IsTerminal(job->state)) return;
+  if (state != JobState::kQueued) job->state = state;
 }
 
 int JobLedger::RecordStart(const StepRef& ref,
                            const std::vector<Assignment>& assignments) {
-  Job* job = Find(ref.job);
   StepProgress* progress = FindStep(ref);
   const StepSpec& spec = *FindStepSpec(ref);
   int run = 0;
@@ -257,10 +256,15 @@
     SetPhase(progress, task, TaskPhase::kActive);
     MarkDirty(spec, {ref, assignment.index});
   }
-  if (job->state == JobState::kQueued) SetState(job, JobState::kRunning);
   return run;
 }
 
+void JobLedger::RecordBegan(const std::string& id) {
+  Job* job = Find(id);
+  if (job == nullptr || job->state != JobState::kQueued) return;
+  SetState(job, JobState::kRunning);
+}
+
 bool JobLedger::RecordRunEnd(const TaskRef& ref, int run, RunEnd end,
                              const std::string& checkpoint,
                              const LostRun& lost) {
@@ -278,6 +282,8 @@
                           task->crashes.OnRunEndReported(lost.worker, run);
   if (is_cleared) MarkDirty(spec, ref);
   if (!current && !late_done) return false;
+  // It never began if it is only known not to run.
+  if (end != RunEnd::kLost) RecordBegan(ref.step.job);
   if (!checkpoint.empty()) RecordCheckpoint(ref, run, checkpoint);
   MarkDirty(spec, ref);
   if (end == RunEnd::kDone && !spec.long_running) {
--- a/src/libs/workload/job_ledger.h
+++ b/src/libs/workload/job_ledger.h
@@ -71,6 +71,7 @@
 
 struct Job {
   JobDefinition spec;
+  // Queued until a run of it has begun, as far as is known.
   JobState state = JobState::kQueued;
   // Where it has failed: the reason, for callers and operators.
   std::string failure;
@@ -117,8 +118,9 @@
   bool Cancel(const std::string& job);
   // Ends the job as failed, for a reason that no run of it shows.
   void FailJob(const std::string& job, const std::string& reason);
-  // Adopts a final state that was published earlier.
-  void AdoptFinalState(const std::string& job, JobState state);
+  // Adopts a state that was published earlier. It is not lost that a run of the
+  // job has begun, nor that it has ended.
+  void AdoptState(const std::string& job, JobState state);
 
   // Marks the tasks of one start as active on their workers. All get the same
   // run number, which is returned.
@@ -128,6 +130,8 @@
   };
   int RecordStart(const StepRef& ref,
                   const std::vector<Assignment>& assignments);
+  // A run of the job has begun.
+  void RecordBegan(const std::string& job);
 
   // Records the end of `run`. Ends of other runs are ignored, except that a
   // completed run counts whenever its end arrives. `lost` describes a run that
--- a/tests/auto/coordination/coordinator_cluster.h
+++ b/tests/auto/coordination/coordinator_cluster.h
@@ -41,9 +41,13 @@
              std::function<void(const StartAnswer&)> done) override {
     StartAnswer answer;
     ++starts[worker.id];
-    if (dead.count(worker.id) > 0) {
+    if (dead.count(worker.id) > 0 || losing_starts.count(worker.id) > 0) {
       return CallLater([done] { done({StartOutcome::kNoAnswer, {}}); });
     }
+    if (refusing.count(worker.id) > 0) {
+      answer.outcome = StartOutcome::kRefused;
+      return boost::asio::post(io_, [done, answer] { done(answer); });
+    }
     answer.outcome = models.at(worker.id).Start(order, ClockMs());
     boost::asio::post(io_, [done = std::move(done), answer] { done(answer); });
   }
@@ -91,6 +95,9 @@
   std::map<std::string, standins::UsersExecutorModel> models;
   // Workers that answer no call any more.
   std::set<std::string> dead;
+  // Workers that refuse all start orders, and that get none of them.
+  std::set<std::string> refusing;
+  std::set<std::string> losing_starts;
   // Workers at whose address another incarnation, with another id, answers.
   std::set<std::string> replaced;
   // Number of renewals that reached each worker.
--- a/tests/auto/coordination/worker_fleet_fixture.h
+++ b/tests/auto/coordination/worker_fleet_fixture.h
@@ -128,6 +128,7 @@
     handlers.on_end = [this](const std::string&, const RunEndReport& end) {
       ends.push_back(end.end);
     };
+    handlers.on_began = [](const TaskRef&) {};
     handlers.on_progress = [](const RunReport&) {};
     handlers.on_start_survived = [](const TaskRef&, int) {};
     handlers.profile_of = [](const TaskRef&) { return RunProfile(); };
--- a/tests/auto/workload/tst_job_ledger.cc
+++ b/tests/auto/workload/tst_job_ledger.cc
@@ -35,7 +35,7 @@
       {"stopped", RunEnd::kStopped, TaskPhase::kWaiting, 0, JobState::kRunning},
       {"lapsed", RunEnd::kLeaseLapsed, TaskPhase::kWaiting, 0,
        JobState::kRunning},
-      {"lost", RunEnd::kLost, TaskPhase::kWaiting, 0, JobState::kRunning},
+      {"never began", RunEnd::kLost, TaskPhase::kWaiting, 0, JobState::kQueued},
       {"its worker left", RunEnd::kWorkerLeft, TaskPhase::kWaiting, 0,
        JobState::kRunning},
       {"its worker crashed", RunEnd::kWorkerCrashed, TaskPhase::kWaiting, 0,
@@ -48,6 +48,7 @@
     JobLedger ledger;
     ledger.Add(MakeJob(kJob, {MakeStep(1, 1)}), At(0));
     CHECK(ledger.RecordStart(Ref(0), {{0, "w"}}) == 1);
+    CHECK(ledger.Find(kJob)->state == JobState::kQueued);
     CHECK(ledger.RecordRunEnd(Task(0, 0), 1, row.end, "saved"));
     const TaskStatus* task = ledger.FindTask(Task(0, 0));
     CHECK(task->phase == row.phase);
--- a/tests/standins/tst_room_accounting.cc
+++ b/tests/standins/tst_room_accounting.cc
@@ -146,6 +146,7 @@
     handlers.on_end = [this](const std::string&, const RunEndReport& end) {
       unrecorded_.push_back(end);
     };
+    handlers.on_began = [](const TaskRef&) {};
     handlers.on_progress = [](const RunReport&) {};
     handlers.on_start_survived = [](const TaskRef&, int) {};
     handlers.profile_of = [](const TaskRef& task) {
