A watchdog for work that waits beside idle room, and the same check in the soak

Three faults in a row were states that nothing ended (a task that waits for workers that are gone, lasting tasks behind guarantees that nobody asks for, a queue length that counted decisions). The leader now judges from the workers' room alone, and not by the planner's rules: a step that has waited for longer than any wait with a bound (the longest lease, the age of an entry and a heartbeat; 14.5 s by default) and has fit into idle room for 3 s on end is told once a reason (972, warning, with the reason that holds it), counted by a gauge (thornplank_overdue_starts), and a cause of its own in logs summary ("beside idle room: ..."). 16 steps are checked a second, in turn, each against all workers.

The soak asks for it from outside: 14 s after all faults have ended, no completed job may have had nothing running for 3 s on end while under half of the accelerators were in use.

--- a/src/libs/coordination/cluster_coordinator.cc
+++ b/src/libs/coordination/cluster_coordinator.cc
@@ -422,6 +422,7 @@
   ledger_ = JobLedger(MaxCheckpointBytes(settings_.store_limits));
   planner_ = Planner(PlannerSettingsFor(settings_));
   gone_workers_ = GoneWorkers();
+  overdue_starts_ = OverdueStarts();
   stored_blocks_.clear();
   stored_checkpoints_.clear();
   unstorable_jobs_.clear();
--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -43,6 +43,7 @@
 #include "metrics/metrics_registry.h"
 #include "workload/gone_workers.h"
 #include "workload/job_ledger.h"
+#include "workload/overdue_starts.h"
 #include "workload/planner.h"
 #include "workload/scheduling_features.h"
 
@@ -165,6 +166,11 @@
   HeldCapacityUse held_use() const {
     return leading() ? planner_.held_use() : HeldCapacityUse();
   }
+  // Steps that have waited for too long beside idle room; zero unless this
+  // entry leads.
+  size_t overdue_starts() const {
+    return leading() ? overdue_starts_.count() : 0;
+  }
   bool limits_equal_stops() const {
     return leading() && planner_.limits_equal_stops();
   }
@@ -230,6 +236,7 @@
   void LogWaits(const std::vector<WaitDecision>& waits);
   Json UnsettledMembers(const StepProgress& gang) const;
   void LogAccountWaits(const std::vector<AccountWait>& waits);
+  void ReviewOverdueStarts(Time now);
   void MeasureFragmentation(Time now);
   void LogEqualStopLimit(const EqualStopLimitChange& change);
   void LogFeatureChanges(const std::vector<FeatureChange>& changes);
@@ -322,6 +329,8 @@
   std::unique_ptr<AdviceRequester> advice_;
   GoneWorkers gone_workers_;
   Time last_loss_review_{};
+  OverdueStarts overdue_starts_;
+  Time last_overdue_review_{};
   HealthRecordSchedule health_schedule_;
   DepartureSchedule departure_schedule_;
   // Blocks of progress that have a record on the board.
--- a/src/libs/coordination/cluster_gauges.cc
+++ b/src/libs/coordination/cluster_gauges.cc
@@ -354,6 +354,14 @@
         return static_cast<double>(current.board.jobs().size());
       },
       metrics);
+  AddGauge(
+      view, "thornplank_overdue_starts",
+      "Steps that have waited for too long although they fit into idle room.",
+      {},
+      [](const ClusterView& current) {
+        return static_cast<double>(current.coordinator.overdue_starts());
+      },
+      metrics);
   AddGauge(
       view, "thornplank_early_cancellations",
       "Cancellations on the board of jobs that had no submission.", {},
--- a/src/libs/coordination/cluster_log.cc
+++ b/src/libs/coordination/cluster_log.cc
@@ -7,6 +7,12 @@
 #include "logging/events/coordination_events.h"
 
 namespace thornplank {
+namespace {
+
+// Between two checks for steps that wait beside idle room.
+constexpr std::chrono::seconds kOverdueReviewInterval{1};
+
+}  // namespace
 
 // A submission may be stored long after its caller was answered.
 void ClusterCoordinator::LogSubmission(const std::string& id) const {
@@ -82,6 +88,22 @@
   }
 }
 
+void ClusterCoordinator::ReviewOverdueStarts(Time now) {
+  if (now - last_overdue_review_ < kOverdueReviewInterval) return;
+  last_overdue_review_ = now;
+  for (const OverdueStart& overdue :
+       overdue_starts_.Review(ledger_, fleet_->trackers(), now,
+                              settings_.bounds.start_overdue_after())) {
+    LogEvent(events::kStartOverdue,
+             {{"job", overdue.step.job},
+              {"step", overdue.step.ToString()},
+              {"reason", std::string(ToText(overdue.reason))},
+              {"tasks", overdue.tasks},
+              {"waited_ms", overdue.waited.count()},
+              {"epoch", epoch_}});
+  }
+}
+
 void ClusterCoordinator::LogEqualStopLimit(const EqualStopLimitChange& change) {
   LogEvent(events::kEqualStopsLimited, {{"limited", change.limited},
                                         {"stops", change.stops},
--- a/src/libs/coordination/cluster_rounds.cc
+++ b/src/libs/coordination/cluster_rounds.cc
@@ -94,6 +94,8 @@
     LogFeatureChanges(plan.feature_changes);
     LogHoldChanges(plan.hold_changes);
     LogWaits(plan.waits);
+    overdue_starts_.Observe(plan, now);
+    ReviewOverdueStarts(now);
     LogAccountWaits(plan.account_waits);
     RequestAdvice(plan.waits);
     placement_time_ = Now() - now;
--- a/src/libs/logging/events/coordination_events.h
+++ b/src/libs/logging/events/coordination_events.h
@@ -97,6 +97,7 @@
 inline constexpr Event kSubmissionRead{969, "submission-read", Severity::kInfo};
 inline constexpr Event kLostWorkerGone{971, "lost-worker-gone",
                                        Severity::kInfo};
+inline constexpr Event kStartOverdue{972, "start-overdue", Severity::kWarning};
 inline constexpr Event kUnknownJobCancelled{970, "unknown-job-cancelled",
                                             Severity::kInfo};
 
--- a/src/libs/logging/log_summary.cc
+++ b/src/libs/logging/log_summary.cc
@@ -10,18 +10,20 @@
 namespace thornplank {
 namespace {
 
-constexpr std::array<const Event*, 13> kRelevantEvents = {
+constexpr std::array<const Event*, 14> kRelevantEvents = {
     &events::kLeadershipAcquired, &events::kLeadershipLost,
     &events::kLeadershipReleased, &events::kJobAccepted,
     &events::kJobCancelled,       &events::kJobState,
     &events::kTasksPlaced,        &events::kStopOrdered,
     &events::kRunEnded,           &events::kStepWaits,
     &events::kJobRefused,         &events::kJobUndecided,
-    &events::kFragmentation};
+    &events::kFragmentation,      &events::kStartOverdue};
 
 // Causes of waits that no line states.
 constexpr char kNotYetDecided[] = "not yet decided";
 constexpr char kNoLeader[] = "no leader";
+// Followed by the reason that a line states.
+constexpr char kBesideIdleRoom[] = "beside idle room: ";
 
 // The reason of a preemption ends with the step that gets the room; the cause
 // omits it, so that all preemptions are summed up. Those of urgent runs, which
@@ -59,6 +61,7 @@
     }
     if (event == events::kFragmentation.number) return fragmentation_.Add(line);
     if (event == events::kStepWaits.number) return OnStepWaits(line);
+    if (event == events::kStartOverdue.number) return OnStartOverdue(line);
     if (event == events::kTasksPlaced.number) return OnTasksPlaced(line);
     if (event == events::kStopOrdered.number) return OnStopOrdered(line);
     if (event == events::kRunEnded.number) return OnRunEnded(line);
@@ -207,6 +210,18 @@
     job->open_waits[step] = {line.time, TextField(line, "reason")};
   }
 
+  // The step has waited for that long; what was logged before was no reason for
+  // a wait without end.
+  void OnStartOverdue(const LogLine& line) {
+    const std::string step = TextField(line, "step");
+    JobState* job = FindOrAddJob(JobOf(step), line.time);
+    if (job == nullptr) return;
+    const Milliseconds waited(IntField(line.fields, "waited_ms").value_or(0));
+    Wait& wait = job->open_waits[step];
+    if (wait.since == WallTime{}) wait.since = line.time - waited;
+    wait.cause = kBesideIdleRoom + TextField(line, "reason");
+  }
+
   void OnTasksPlaced(const LogLine& line) {
     const std::string step = TextField(line, "step");
     demands_[step] = {IntField(line.fields, "priority").value_or(0),
--- a/src/libs/workload/worker_bounds.h
+++ b/src/libs/workload/worker_bounds.h
@@ -94,6 +94,11 @@
   // How long a lost worker, whose leases are over, is waited for to be seen
   // again, alive or as another incarnation.
   Milliseconds gone_after() const { return longest_lease; }
+  // After which a step that fits into idle room should have started, whatever
+  // it waited for: the longest of the other waits, with the age of an entry.
+  Milliseconds start_overdue_after() const {
+    return gone_after() + max_entry_age() + heartbeat;
+  }
   // Maximum age of the view of the job board on which starts are decided.
   // Leaves time for a start order that is still under way when the view has
   // reached this age.
--- a/tests/auto/logging/tst_log_summary.cc
+++ b/tests/auto/logging/tst_log_summary.cc
@@ -124,6 +124,19 @@
   }
 }
 
+// Guards against a wait without end that is summed up as want of room.
+TEST_CASE("a wait beside idle room is a cause of its own") {
+  const std::string overdue =
+      Line(9000, 972,
+           R"("step":"a.0.0","reason":"no room","waited_ms":8000,"tasks":1)");
+  const LogSummaryReport report =
+      ReportOf({Accepted(0), Waiting(1000, "no room"), overdue, Placed(9500)});
+  REQUIRE(report.jobs.size() == 1);
+  const WaitMilliseconds expected = {{"not yet decided", 1000},
+                                     {"beside idle room: no room", 8500}};
+  CHECK(ToMilliseconds(report.jobs[0].waits) == expected);
+}
+
 TEST_CASE("work without a result is counted by cause and priority") {
   struct Row {
     const char* name;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -17,6 +17,7 @@
             "some tasks report checkpoints around the size of a record");
 DEFINE_bool(give_ups, true,
             "a caller cancels the jobs whose submission gets no answer");
+DEFINE_bool(losses, true, "executors are lost for good");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
@@ -38,6 +39,7 @@
     settings.burst = FLAGS_burst;
     settings.long_checkpoints = FLAGS_long_checkpoints;
     settings.give_ups = FLAGS_give_ups;
+    settings.losses = FLAGS_losses;
     const thornplank::SoakReport report = thornplank::RunSoak(settings);
     std::cout << "seed " << settings.seed << ": " << report.jobs << " jobs, "
               << report.accepted << " accepted, " << report.completed
--- a/tests/soak/soak_rows.cc
+++ b/tests/soak/soak_rows.cc
@@ -22,6 +22,7 @@
     settings.burst = row.burst;
     settings.long_checkpoints = row.long_checkpoints;
     settings.give_ups = row.give_ups;
+    settings.losses = row.losses;
     const SoakReport report = RunSoak(settings);
     std::string faults;
     for (const std::string& fault : report.faults) {
--- a/tests/soak/soak_rows.h
+++ b/tests/soak/soak_rows.h
@@ -14,12 +14,14 @@
   const char* cause;
   // As in SoakSettings: whether tasks crash executors, whether executors are
   // cut off, whether there is a burst of urgent gangs, whether tasks report
-  // long checkpoints, and whether jobs without an answer are given up.
+  // long checkpoints, whether jobs without an answer are given up, and whether
+  // executors are lost for good.
   bool crashes = false;
   bool cut_offs = false;
   bool burst = false;
   bool long_checkpoints = false;
   bool give_ups = false;
+  bool losses = false;
 };
 
 // Runs the rows one after the other and fails for each violated invariant.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "hosted_cluster.h"
+#include "idle_waits.h"
 #include "impatient_caller.h"
 #include "logging/events/coordination_events.h"
 #include "run_checker.h"
@@ -27,6 +28,8 @@
 constexpr int64_t kVisibilityLimitMs = 3000;
 constexpr std::chrono::seconds kJobEndTimeout{60};
 constexpr int kSubmitAttempts = 4;
+// From the end of all faults until every job must be at work (the users' rule).
+constexpr int64_t kSettleMs = 14000;
 // Separates the random sequence of the crashes from that of the other faults.
 constexpr uint32_t kCrashSeedOffset = 1000003;
 // On average one of this many jobs crashes its executors.
@@ -45,7 +48,13 @@
 constexpr int kCheckpointBytes[] = {20000, 70000, 262113, 262114, 400000};
 // Separates the random sequence of the jobs that are given up.
 constexpr uint32_t kGiveUpSeedOffset = 4000003;
-// Of their ids; other callers have numbers from 1.
+// Separates the random sequence of the executors that are lost for good.
+constexpr uint32_t kLossSeedOffset = 5000003;
+// At most one of this many executors is lost by itself.
+constexpr int kExecutorsPerLoss = 4;
+// That many are lost at once where twice as many remain.
+constexpr int kLostAtOnce = 6;
+// Of the ids of jobs that are given up; other callers have numbers from 1.
 constexpr char kImpatientIdPrefix[] = "f0000000";
 // Short, so that several cuts that are longer fit into a run.
 constexpr Milliseconds kLeaseWithCutOffs{1500};
@@ -77,6 +86,7 @@
         random_(settings.seed),
         crash_random_(settings.seed + kCrashSeedOffset),
         cut_off_random_(settings.seed + kCutOffSeedOffset),
+        loss_random_(settings.seed + kLossSeedOffset),
         impatient_caller_(&cluster_, settings.seed + kGiveUpSeedOffset,
                           kImpatientIdPrefix) {}
 
@@ -313,6 +323,7 @@
       if (settings_.crashes) ShrinkExecutor();
       if (settings_.crashes) RestartExecutors();
       if (settings_.cut_offs) ChangeCutOffs();
+      if (settings_.losses) LoseExecutors();
       std::this_thread::sleep_for(Milliseconds(200 + Draw(2500)));
       EndSomeFaults();
     }
@@ -425,6 +436,23 @@
     }
   }
 
+  // Executors are lost from the last one on, so that others stay as they are.
+  void LoseExecutors() {
+    const uint32_t draw = loss_random_();
+    if (draw % 3 != 0) return;
+    const int left = settings_.executors - lost_;
+    const bool together =
+        draw / 3 % 3 == 0 && left >= 3 * kLostAtOnce && lost_ < kLostAtOnce;
+    const bool one = lost_ < settings_.executors / kExecutorsPerLoss;
+    const int count = together ? kLostAtOnce : one ? 1 : 0;
+    if (count == 0) return;
+    RecordFault(std::to_string(count) + " executors lost for good");
+    for (int i = 0; i < count; ++i) {
+      cluster_.ControlExecutor(settings_.executors - 1 - lost_++,
+                               {{"gone", true}});
+    }
+  }
+
   void ShrinkExecutor() {
     const uint32_t draw = crash_random_();
     if (draw % 2 == 0) return;
@@ -477,6 +505,7 @@
 
   void EndAllFaults() {
     RecordFault("all faults end");
+    faults_ended_ms_ = ClockMs();
     for (const std::function<void()>& end : fault_ends_) {
       end();
     }
@@ -520,6 +549,12 @@
     for (std::string& violation : cluster_.CapacityViolations()) {
       report_.violations.push_back(std::move(violation));
     }
+    const int accelerators =
+        (settings_.executors - lost_) * cluster_.settings().accelerators;
+    for (std::string& violation : FindIdleWaits(
+             runs, jobs_, faults_ended_ms_ + kSettleMs, accelerators)) {
+      report_.violations.push_back(std::move(violation));
+    }
     if (settings_.burst) CheckStops(runs);
     report_.runs = static_cast<int>(runs.size());
     for (const auto& [id, submitted] : jobs_) {
@@ -571,13 +606,18 @@
   std::mt19937 random_;
   std::mt19937 crash_random_;
   std::mt19937 cut_off_random_;
+  std::mt19937 loss_random_;
   ImpatientCaller impatient_caller_;
+  // Executors that are lost for good.
+  int lost_ = 0;
   // Start of the present cuts.
   Time cut_off_since_{};
   Time begun_{};
   // When the callers began.
   Time load_begun_{};
   LoadStart load_start_;
+  // On the executors' clock.
+  int64_t faults_ended_ms_ = 0;
   std::atomic<bool> done_{false};
   std::mutex mutex_;
   // Guarded by mutex_ while callers run.
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -37,6 +37,9 @@
   // Some tasks report checkpoints around and above the size of a record, and
   // their first runs fail; also drawn from a separate sequence.
   bool long_checkpoints = true;
+  // Some executors are lost for good, one after the other, and six at once
+  // where there are many; also with a sequence of its own.
+  bool losses = true;
   // Adds an ImpatientCaller, also with a sequence of its own.
   bool give_ups = true;
 };
--- a/tests/soak/tst_soak_executors.cc
+++ b/tests/soak/tst_soak_executors.cc
@@ -11,6 +11,9 @@
   CheckSoakRows({
       {20261203, 10, "never failed", true},
       {20261204, 15, "never failed", false, true},
+      // Guards against work that waits beside idle executors since others are
+      // lost for good.
+      {20261208, 15, "never failed", true, true, false, false, false, true},
       {623, 15, "a job was given up for crashes it did not cause", true},
       {645, 15, "a job was given up for crashes it did not cause", true},
       {650, 15,
--- a/tests/standins/users_executor_role.cc
+++ b/tests/standins/users_executor_role.cc
@@ -218,6 +218,18 @@
            });
 }
 
+void UsersExecutorRole::LeaveForGood() {
+  const std::string id = model_.id();
+  model_.Crash(ModelClock());
+  gone_ = true;
+  down_ = true;
+  CloseOtherConnections();
+  RunAfter(executor(), settings_.heartbeat_interval * kMissedHeartbeats,
+           [this, id] {
+             if (publish_) publish_(id, std::nullopt);
+           });
+}
+
 void UsersExecutorRole::HandleStatusQuery(const ExchangePtr& exchange,
                                           const StatusQuery& query,
                                           Time until) {
@@ -260,10 +272,11 @@
           control,
           {"silent", "unreachable", "draining", "late_percent", "lost_percent",
            "fail_all", "stalled", "slowdown", "reset", "crash",
-           "capacity_percent", "restart", "restart_ms", "keeps_id"},
+           "capacity_percent", "restart", "restart_ms", "keeps_id", "gone"},
           error)) {
     return false;
   }
+  if (gone_) return true;
   ReadField(control, "silent", &silent_);
   ReadField(control, "unreachable", &unreachable_);
   ReadField(control, "draining", &draining_);
@@ -287,6 +300,7 @@
   if (const auto on = BoolField(control, "stalled")) {
     model_.set_stalled(*on, ModelClock());
   }
+  if (BoolField(control, "gone").value_or(false)) LeaveForGood();
   if (BoolField(control, "crash").value_or(false)) {
     const std::string old_id = model_.id();
     model_.Crash(ModelClock());
--- a/tests/standins/users_executor_role.h
+++ b/tests/standins/users_executor_role.h
@@ -60,6 +60,8 @@
   // Ends all runs. The next incarnation answers after restart_time_, with the
   // same id, or with a new one; then the entry of the present one expires.
   void CrashAndRestart(bool keep_id);
+  // Ends all runs; nothing answers here any more, and the entry lapses.
+  void LeaveForGood();
   void BeginIncarnation();
 
   const UsersExecutorSettings settings_;
@@ -73,6 +75,8 @@
   bool unreachable_ = false;
   // Between two incarnations, when no call is answered.
   bool down_ = false;
+  // Down for good: controls have no effect any more.
+  bool gone_ = false;
   bool draining_ = false;
   // Share of the orders that get no answer and are carried out after
   // late_delay_.
