--- a/src/libs/coordination/cluster_coordinator.h
+++ b/src/libs/coordination/cluster_coordinator.h
@@ -187,6 +187,7 @@
   // kFollowing; other failures are retried.
   enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kLeading };
 
+  static Planner MakePlanner(const ClusterCoordinatorSettings& settings);
   void OnTick();
   // Logs the leader if it has changed.
   void LogLeader(const LeaderRecord& leader);
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <utility>
 
+#include "executor_faults.h"
 #include "hosted_cluster.h"
 #include "idle_waits.h"
 #include "impatient_caller.h"
@@ -30,16 +31,11 @@
 constexpr int kSubmitAttempts = 4;
 // From the end of all faults until every job must be at work (the users' rule).
 constexpr int64_t kSettleMs = 14000;
-// Separates the random sequence of the crashes from that of the other faults.
-constexpr uint32_t kCrashSeedOffset = 1000003;
 // On average one of this many jobs crashes its executors.
 constexpr int kJobsPerCrash = 25;
 constexpr int kCrashAfterMs = 10;
-// From the crash of an executor until it is back; the slow ones outlast leases.
-constexpr int kRestartMs = 300;
-constexpr int kSlowRestartMs = 8000;
-// Separates the random sequence of the executors that are cut off.
-constexpr uint32_t kCutOffSeedOffset = 2000003;
+// Separates the random sequence of the jobs that crash their executors.
+constexpr uint32_t kCrashSeedOffset = 1000003;
 // Separates the random sequence of the long checkpoints.
 constexpr uint32_t kCheckpointSeedOffset = 3000003;
 // On average one of this many jobs reports long checkpoints.
@@ -48,19 +44,8 @@
 constexpr int kCheckpointBytes[] = {20000, 70000, 262113, 262114, 400000};
 // Separates the random sequence of the jobs that are given up.
 constexpr uint32_t kGiveUpSeedOffset = 4000003;
-// Separates the random sequence of the executors that are lost for good.
-constexpr uint32_t kLossSeedOffset = 5000003;
-// At most one of this many executors is lost by itself.
-constexpr int kExecutorsPerLoss = 4;
-// That many are lost at once where twice as many remain.
-constexpr int kLostAtOnce = 6;
 // Of the ids of jobs that are given up; other callers have numbers from 1.
 constexpr char kImpatientIdPrefix[] = "f0000000";
-// Short, so that several cuts that are longer fit into a run.
-constexpr Milliseconds kLeaseWithCutOffs{1500};
-constexpr Milliseconds kCutOffTime{2800};
-// On average one of this many executors is cut off at a time.
-constexpr int kExecutorsPerCutOff = 3;
 // Accounts of the urgent load. Together they are guaranteed nearly half of the
 // accelerators of eight executors, beside the quarter of the account "north".
 constexpr int kUrgentAccounts = 5;
@@ -84,9 +69,9 @@
       : settings_(settings),
         cluster_(ClusterSettings(settings)),
         random_(settings.seed),
-        crash_random_(settings.seed + kCrashSeedOffset),
-        cut_off_random_(settings.seed + kCutOffSeedOffset),
-        loss_random_(settings.seed + kLossSeedOffset),
+        executor_faults_(
+            &cluster_, settings.seed,
+            [this](const std::string& fault) { RecordFault(fault); }),
         impatient_caller_(&cluster_, settings.seed + kGiveUpSeedOffset,
                           kImpatientIdPrefix) {}
 
@@ -111,11 +96,7 @@
     if (settings_.give_ups) {
       callers.emplace_back([this] { impatient_caller_.Run(done_); });
     }
-    if (settings_.crashes) {
-      for (int i = 0; i < settings_.executors; ++i) {
-        cluster_.ControlExecutor(i, {{"keeps_id", i % 2 == 0}});
-      }
-    }
+    if (settings_.crashes) executor_faults_.Prepare();
     InjectFaults();
     done_ = true;
     for (std::thread& caller : callers) {
@@ -321,9 +302,9 @@
         InjectFault();
       }
       if (settings_.crashes) ShrinkExecutor();
-      if (settings_.crashes) RestartExecutors();
-      if (settings_.cut_offs) ChangeCutOffs();
-      if (settings_.losses) LoseExecutors();
+      if (settings_.crashes) executor_faults_.Restart();
+      if (settings_.cut_offs) executor_faults_.ChangeCutOffs();
+      if (settings_.losses) executor_faults_.Lose();
       std::this_thread::sleep_for(Milliseconds(200 + Draw(2500)));
       EndSomeFaults();
     }
@@ -396,68 +377,9 @@
     }
   }
 
-  // Restarts some or all executors. Some draws keep them down for longer than
-  // their leases.
-  void RestartExecutors() {
-    const uint32_t draw = crash_random_();
-    if (draw % 2 == 0) return;
-    const int restart_ms = draw % 5 == 0 ? kSlowRestartMs : kRestartMs;
-    const uint32_t share = draw % 3 + 1;
-    RecordFault("a share of the executors restarts, within " +
-                std::to_string(restart_ms) + " ms");
-    for (int i = 0; i < settings_.executors; ++i) {
-      if (crash_random_() % share != 0) continue;
-      cluster_.ControlExecutor(i,
-                               {{"restart_ms", restart_ms}, {"restart", true}});
-    }
-  }
-
-  // Once the present cuts have outlasted the leases, ends them and cuts other
-  // executors off. Some of these still write their entries.
-  void ChangeCutOffs() {
-    if (std::chrono::steady_clock::now() < cut_off_since_ + kCutOffTime) return;
-    EndCutOffs();
-    cut_off_since_ = std::chrono::steady_clock::now();
-    std::string names;
-    for (int i = 0; i < settings_.executors; ++i) {
-      const uint32_t draw = cut_off_random_();
-      if (draw % kExecutorsPerCutOff != 0) continue;
-      const bool writes_entries = draw / kExecutorsPerCutOff % 2 == 0;
-      cluster_.ControlExecutor(
-          i, {{writes_entries ? "unreachable" : "silent", true}});
-      names += " " + std::to_string(i) + (writes_entries ? "*" : "");
-    }
-    RecordFault("executors cut off (* writes its entry):" + names);
-  }
-
-  void EndCutOffs() {
-    for (int i = 0; i < settings_.executors; ++i) {
-      cluster_.ControlExecutor(i, {{"unreachable", false}, {"silent", false}});
-    }
-  }
-
-  // Executors are lost from the last one on, so that others stay as they are.
-  void LoseExecutors() {
-    const uint32_t draw = loss_random_();
-    if (draw % 3 != 0) return;
-    const int left = settings_.executors - lost_;
-    const bool together =
-        draw / 3 % 3 == 0 && left >= 3 * kLostAtOnce && lost_ < kLostAtOnce;
-    const bool one = lost_ < settings_.executors / kExecutorsPerLoss;
-    const int count = together ? kLostAtOnce : one ? 1 : 0;
-    if (count == 0) return;
-    RecordFault(std::to_string(count) + " executors lost for good");
-    for (int i = 0; i < count; ++i) {
-      cluster_.ControlExecutor(settings_.executors - 1 - lost_++,
-                               {{"gone", true}});
-    }
-  }
-
   void ShrinkExecutor() {
-    const uint32_t draw = crash_random_();
-    if (draw % 2 == 0) return;
-    const int executor =
-        static_cast<int>(draw / 2 % static_cast<uint32_t>(settings_.executors));
+    const int executor = executor_faults_.DrawShrinking();
+    if (executor < 0) return;
     RecordFault("executor " + std::to_string(executor) + " shrinks");
     FaultExecutor(executor, {{"capacity_percent", 40}},
                   {{"capacity_percent", 100}});
@@ -510,10 +432,7 @@
       end();
     }
     fault_ends_.clear();
-    EndCutOffs();
-    for (int i = 0; i < settings_.executors; ++i) {
-      cluster_.ControlExecutor(i, {{"restart_ms", kRestartMs}});
-    }
+    executor_faults_.End();
     for (int i = 0; i < settings_.entries; ++i) {
       cluster_.entry(i).Resume();
     }
@@ -550,7 +469,7 @@
       report_.violations.push_back(std::move(violation));
     }
     const int accelerators =
-        (settings_.executors - lost_) * cluster_.settings().accelerators;
+        executor_faults_.left() * cluster_.settings().accelerators;
     for (std::string& violation : FindIdleWaits(
              runs, jobs_, faults_ended_ms_ + kSettleMs, accelerators)) {
       report_.violations.push_back(std::move(violation));
@@ -604,14 +523,8 @@
   const SoakSettings settings_;
   HostedCluster cluster_;
   std::mt19937 random_;
-  std::mt19937 crash_random_;
-  std::mt19937 cut_off_random_;
-  std::mt19937 loss_random_;
+  ExecutorFaults executor_faults_;
   ImpatientCaller impatient_caller_;
-  // Executors that are lost for good.
-  int lost_ = 0;
-  // Start of the present cuts.
-  Time cut_off_since_{};
   Time begun_{};
   // When the callers began.
   Time load_begun_{};
