At most a third of a small fleet is in quarantine

Where fewer than 20 workers serve a service, a worker on which runs of two jobs failed gets nothing for 6 s, and nothing bounded how many: two jobs that fail everywhere took all eight out of use, one after the other. Now a worker is put into quarantine only while fewer than a third of those that answer are in it; the others stay suspect and are used last, as where workers are compared.

--- a/src/libs/coordination/health_monitor.cc
+++ b/src/libs/coordination/health_monitor.cc
@@ -72,6 +72,24 @@
 }
 
 bool HealthMonitor::MayExclude(const std::string& service, Time now) const {
+  return IsCompared(service) ? MayExcludeCompared(service, now)
+                             : MayQuarantine(service, now);
+}
+
+bool HealthMonitor::MayQuarantine(const std::string& service, Time now) const {
+  int workers = 0;
+  int excluded = 0;
+  for (const auto& [id, tracker] : trackers_) {
+    if (tracker.registration().service != service) continue;
+    if (!tracker.reachable() || tracker.missing()) continue;
+    ++workers;
+    excluded += tracker.health().IsExcluded(now) ? 1 : 0;
+  }
+  return excluded < workers / kExcludedPart;
+}
+
+bool HealthMonitor::MayExcludeCompared(const std::string& service,
+                                       Time now) const {
   int excluded = 0;
   for (const auto& [worker, verdict] : verdicts_) {
     const auto tracker = trackers_.find(worker);
--- a/src/libs/coordination/health_monitor.h
+++ b/src/libs/coordination/health_monitor.h
@@ -53,6 +53,9 @@
   void ChooseCompared(Time now);
   // Whether another worker of the service may be excluded.
   bool MayExclude(const std::string& service, Time now) const;
+  // For services whose workers are not compared: they have no verdicts.
+  bool MayQuarantine(const std::string& service, Time now) const;
+  bool MayExcludeCompared(const std::string& service, Time now) const;
   void SetCompared(const std::string& service, bool compared, int workers,
                    Time now);
   RunEvidence EvidenceOf(const std::string& worker, const TaskRef& task);
--- a/src/libs/workload/worker_health.h
+++ b/src/libs/workload/worker_health.h
@@ -67,8 +67,11 @@
   }
 
   // Whether so few workers are excluded that this one may be as well; otherwise
-  // it is put on probation at most.
-  void set_may_be_excluded(bool may) { may_be_excluded_ = may; }
+  // it is put on probation at most, or used last.
+  void set_may_be_excluded(bool may) {
+    may_be_excluded_ = may;
+    trust_.set_may_be_quarantined(may);
+  }
 
   void OnRunFailed(const RunEvidence& run, Time now);
   // A run made no progress there.
--- a/src/libs/workload/worker_trust.cc
+++ b/src/libs/workload/worker_trust.cc
@@ -23,9 +23,7 @@
   if (job == last_failed_job_) return;
   last_failed_job_ = job;
   ++failures_;
-  if (failures_ >= kQuarantineFailures) {
-    quarantined_until_ = now + kQuarantine;
-  }
+  if (failures_ >= kQuarantineFailures) Quarantine(now);
 }
 
 void WorkerTrust::OnRunDone(Time began) {
@@ -37,7 +35,11 @@
 void WorkerTrust::OnRunStalled(Time now) {
   failures_ = std::max(failures_ + 1, kQuarantineFailures);
   last_failure_ = now;
-  quarantined_until_ = now + kQuarantine;
+  Quarantine(now);
+}
+
+void WorkerTrust::Quarantine(Time now) {
+  if (may_be_quarantined_) quarantined_until_ = now + kQuarantine;
 }
 
 void WorkerTrust::OnRestart() {
--- a/src/libs/workload/worker_trust.h
+++ b/src/libs/workload/worker_trust.h
@@ -12,6 +12,9 @@
 
 class WorkerTrust {
  public:
+  // Whether so few workers are in quarantine that this one may be as well.
+  void set_may_be_quarantined(bool may) { may_be_quarantined_ = may; }
+
   // A run of the job failed there. The worker or the job may be the cause, so
   // only failures of distinct jobs are counted.
   void OnRunFailed(const std::string& job, Time now);
@@ -33,11 +36,14 @@
   bool WasSilentRecently(Time now) const;
 
  private:
+  void Quarantine(Time now);
+
   // Failed runs since the last successful one, by distinct jobs.
   int failures_ = 0;
   std::string last_failed_job_;
   Time last_failure_{};
   Time quarantined_until_{};
+  bool may_be_quarantined_ = true;
   std::optional<Time> last_silence_;
 };
 
--- a/tests/auto/coordination/tst_health_monitor.cc
+++ b/tests/auto/coordination/tst_health_monitor.cc
@@ -58,6 +58,13 @@
     }
     return count;
   }
+  int CountExcluded() const {
+    int count = 0;
+    for (const auto& [id, tracker] : trackers) {
+      count += tracker.health().IsExcluded(At(now)) ? 1 : 0;
+    }
+    return count;
+  }
   HealthVerdict VerdictOn(int worker) const {
     return trackers.at(WorkerId(worker)).health().verdict(At(now));
   }
@@ -218,6 +225,62 @@
   CHECK(fleet.Count(HealthVerdict::kProbation) >= kWorkers / 2);
 }
 
+// Guards against a small fleet that gets no work for seconds, since jobs that
+// fail everywhere have put all of its workers into quarantine.
+TEST_CASE("at most a third of a small fleet is in quarantine") {
+  struct Row {
+    const char* name;
+    int workers;
+    // The first of them fail or stall every run.
+    int faulty;
+    Fate fate;
+    int max_excluded;
+    bool any_excluded;
+  };
+  const std::vector<Row> rows = {
+      {"the only one fails", 1, 1, Fate::kFailed, 0, false},
+      {"both fail", 2, 2, Fate::kFailed, 0, false},
+      {"one of three fails", 3, 1, Fate::kFailed, 1, true},
+      {"all of three fail", 3, 3, Fate::kFailed, 1, true},
+      {"one of eight fails", 8, 1, Fate::kFailed, 1, true},
+      {"all of eight fail", 8, 8, Fate::kFailed, 2, true},
+      {"all of eight stall", 8, 8, Fate::kStalled, 2, true},
+      {"all of nineteen fail", 19, 19, Fate::kFailed, 6, true},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    LoadedFleet fleet(FeatureMode::kAuto, row.workers);
+    fleet.tasks_per_job = 1;
+    bool any_excluded = false;
+    for (int64_t until = kTick; until <= 20000; until += kTick) {
+      fleet.Run(until, [&row](int worker, int) {
+        return worker < row.faulty ? row.fate : Fate::kDone;
+      });
+      CAPTURE(until);
+      CHECK(fleet.CountExcluded() <= row.max_excluded);
+      any_excluded = any_excluded || fleet.CountExcluded() > 0;
+    }
+    CHECK(any_excluded == row.any_excluded);
+  }
+}
+
+// Guards against workers that are lost and still count as such that others may
+// be excluded beside.
+TEST_CASE("lost workers make no room for quarantine") {
+  LoadedFleet fleet(FeatureMode::kAuto, 9);
+  for (int i = 2; i < 9; ++i) {
+    fleet.trackers.at(WorkerId(i)).OnReportFailed(At(0));
+  }
+  for (const char* job : {"a", "b"}) {
+    RunEndReport end;
+    end.task = {{job, 0, 0}, 0};
+    end.placed = At(0);
+    end.end = RunEnd::kFailed;
+    fleet.monitor.OnRunEnded(WorkerId(0), end, At(0));
+  }
+  CHECK(fleet.CountExcluded() == 0);
+}
+
 // Guards against a job that fails everywhere and takes the workers with it,
 // while they run other jobs.
 TEST_CASE("a job that fails everywhere condemns no worker") {
