The watchdog checks each of many steps that fit

What operators saw: of more than 16 steps that wait beside idle room only 16 were told (972) and counted (thornplank_overdue_starts), as long as these did not start: the steps that had fit at their last check came first, always from the first one on, and took all 16 checks. That is the case that the watchdog is for. Now the steps that fit and the others get half of the checks each, both in turn.

Found by reading. tst_overdue_starts: the case of many steps is a table; three of four rows fail before (16 of 17, of 50 and of 100 found).

--- a/src/libs/workload/overdue_starts.cc
+++ b/src/libs/workload/overdue_starts.cc
@@ -20,6 +20,18 @@
          labels.end();
 }
 
+// Up to `most` of the steps, which are sorted, from `next` on, which is moved
+// behind them.
+std::vector<StepRef> TakeInTurn(std::vector<StepRef> steps, size_t most,
+                                StepRef* next) {
+  const auto first = std::lower_bound(steps.begin(), steps.end(), *next);
+  std::rotate(steps.begin(), first, steps.end());
+  if (steps.size() <= most) return steps;
+  *next = steps[most];
+  steps.resize(most);
+  return steps;
+}
+
 }  // namespace
 
 bool FitsIdleRoom(const Job& job, const StepRef& step,
@@ -80,21 +92,22 @@
   return found;
 }
 
-// Those that have fit at the last check come first, then the others in turn.
+// Both those that have fit at the last check and the others get half of the
+// checks at least, if there are as many.
 std::vector<StepRef> OverdueStarts::StepsToCheck(Time now, Milliseconds bound) {
-  std::vector<StepRef> steps;
+  std::vector<StepRef> fitting;
   std::vector<StepRef> others;
   for (const auto& [step, wait] : waits_) {
     if (now - wait.since <= bound) continue;
-    (wait.fits_since ? steps : others).push_back(step);
-  }
-  const auto first = std::lower_bound(others.begin(), others.end(), next_);
-  std::rotate(others.begin(), first, others.end());
-  steps.insert(steps.end(), others.begin(), others.end());
-  if (steps.size() > kMaxChecks) {
-    next_ = steps[kMaxChecks];
-    steps.resize(kMaxChecks);
+    (wait.fits_since ? fitting : others).push_back(step);
   }
+  const size_t for_others = std::min(others.size(), kMaxChecks / 2);
+  const size_t for_fitting = std::min(fitting.size(), kMaxChecks - for_others);
+  std::vector<StepRef> steps =
+      TakeInTurn(std::move(fitting), for_fitting, &next_fitting_);
+  const std::vector<StepRef> further =
+      TakeInTurn(std::move(others), kMaxChecks - for_fitting, &next_other_);
+  steps.insert(steps.end(), further.begin(), further.end());
   return steps;
 }
 
--- a/src/libs/workload/overdue_starts.h
+++ b/src/libs/workload/overdue_starts.h
@@ -69,8 +69,10 @@
 
   // Of the last round.
   std::map<StepRef, Wait> waits_;
-  // Where the next check of steps that did not fit begins.
-  StepRef next_;
+  // Where the next check of steps that fit at their last one begins, and that
+  // of the others.
+  StepRef next_fitting_;
+  StepRef next_other_;
 };
 
 }  // namespace thornplank
--- a/tests/auto/workload/tst_overdue_starts.cc
+++ b/tests/auto/workload/tst_overdue_starts.cc
@@ -153,26 +153,43 @@
   }
 }
 
-// Guards against one step that is never checked since others wait longer.
+// Guards against a step that is never checked since others wait longer, or
+// since others fit.
 TEST_CASE("of many waiting steps each is checked in turn") {
   constexpr int kSteps = 100;
-  JobLedger ledger;
-  Plan plan;
-  for (int i = 0; i < kSteps; ++i) {
-    char id[17];
-    std::snprintf(id, sizeof(id), "%016x", i);
-    // Only the last one fits.
-    ledger.Add(MakeJob(id, {MakeStep(1, i + 1 == kSteps ? 1 : 9)}), At(0));
-    plan.waits.push_back({{id, 0, 0}, WaitReason::kNoRoom, {}});
-  }
-  const auto workers = MakeWorkers(1);
-  OverdueStarts starts;
-  size_t found = 0;
-  for (int second = 0; second < 20; ++second) {
-    starts.Observe(plan, At(second * 1000));
-    found += starts.Review(ledger, workers, At(second * 1000), kBound).size();
+  struct Row {
+    const char* name;
+    // The first and the last ones fit.
+    int first_fitting;
+    int last_fitting;
+  };
+  const std::vector<Row> rows = {
+      {"only the last one fits", 0, 1},
+      {"as many as are checked at a time, and the last", 16, 1},
+      {"half of them fit", 50, 0},
+      {"all fit", kSteps, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    JobLedger ledger;
+    Plan plan;
+    for (int i = 0; i < kSteps; ++i) {
+      char id[17];
+      std::snprintf(id, sizeof(id), "%016x", i);
+      const bool fits = i < row.first_fitting || i >= kSteps - row.last_fitting;
+      ledger.Add(MakeJob(id, {MakeStep(1, fits ? 1 : 9)}), At(0));
+      plan.waits.push_back({{id, 0, 0}, WaitReason::kNoRoom, {}});
+    }
+    const auto workers = MakeWorkers(1);
+    OverdueStarts starts;
+    size_t found = 0;
+    for (int second = 0; second < 40; ++second) {
+      starts.Observe(plan, At(second * 1000));
+      found += starts.Review(ledger, workers, At(second * 1000), kBound).size();
+    }
+    CHECK(found == static_cast<size_t>(row.first_fitting + row.last_fitting));
+    CHECK(starts.count() == found);
   }
-  CHECK(found == 1);
 }
 
 }  // namespace
