--- a/benchmarks/bench_workload.cc
+++ b/benchmarks/bench_workload.cc
@@ -8,8 +8,9 @@
 // guarantees, room is kept for each of them (GuaranteeHolds).
 //
 // Then the target size with all running tasks in the ledger: rounds without and
-// with guarantees, the part of them that counts what urgent jobs need, and the
-// cost of finding the tasks of workers that are alive again.
+// with guarantees, the part of them that counts what urgent jobs need, the cost
+// of finding the tasks of workers that are alive again, and the check for
+// starts that are overdue (OverdueStarts), once a second.
 #include <ctime>
 
 #include <cstdio>
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include "../tests/auto/workload/workload_fixtures.h"
+#include "workload/overdue_starts.h"
 #include "workload/planner.h"
 #include "workload/urgent_balance.h"
 
@@ -41,6 +43,9 @@
 // Between two rounds.
 constexpr Milliseconds kRoundInterval{50};
 
+// Between two checks for overdue starts.
+constexpr std::chrono::seconds kReviewInterval{1};
+
 // The target size.
 constexpr int kTargetWorkers = 1100;
 constexpr int kTargetTasksPerWorker = 10;
@@ -195,6 +200,21 @@
   });
 }
 
+// One check for overdue starts, after the plan of a round.
+double MeasureOverdueStarts(const TargetCluster& cluster, int waiting_steps) {
+  Plan plan;
+  for (int i = 0; i < waiting_steps; ++i) {
+    plan.waits.push_back({{JobId(1 << 30 | i), 0, 0}, WaitReason::kNoRoom, {}});
+  }
+  OverdueStarts starts;
+  Time now = testing::At(0);
+  return MeanMilliseconds([&] {
+    now += kReviewInterval;
+    starts.Observe(plan, now);
+    starts.Review(cluster.ledger, cluster.workers, now, kReviewInterval);
+  });
+}
+
 // Milliseconds to tell the ledger that every worker is alive.
 double MeasureWorkersAlive(
     JobLedger* ledger, const std::map<std::string, WorkerTracker>& workers) {
@@ -229,12 +249,14 @@
   const ClusterCapacity capacity(cluster.workers, nullptr, testing::At(100));
   const double needs = MeanMilliseconds(
       [&] { UrgentBalance(&capacity, &cluster.ledger, &guarantees); });
+  const double overdue = MeasureOverdueStarts(cluster, waiting_steps);
   const double none_lost =
       MeasureWorkersAlive(&cluster.ledger, cluster.workers);
   LoseAllWorkers(&cluster);
   const double all_lost = MeasureWorkersAlive(&cluster.ledger, cluster.workers);
-  std::printf("%8d %8d %10.3f %10.3f %10.3f %10.3f %10.3f\n", tasks_per_job,
-              waiting_steps, without, with, needs, none_lost, all_lost);
+  std::printf("%8d %8d %10.3f %10.3f %10.3f %10.3f %10.3f %10.3f\n",
+              tasks_per_job, waiting_steps, without, with, needs, overdue,
+              none_lost, all_lost);
 }
 
 }  // namespace
@@ -263,10 +285,10 @@
   std::printf("\n%d workers, %d tasks, ms of processor time\n",
               thornplank::kTargetWorkers,
               thornplank::kTargetWorkers * thornplank::kTargetTasksPerWorker);
-  std::printf("%8s %8s %10s %10s %10s %10s %10s\n", "per job", "waiting",
-              "round", "guaranteed", "needs", "alive", "were lost");
+  std::printf("%8s %8s %10s %10s %10s %10s %10s %10s\n", "per job", "waiting",
+              "round", "guaranteed", "needs", "overdue", "alive", "were lost");
   for (const int tasks_per_job : {1, 10, 100}) {
-    for (const int waiting : {1, 10}) {
+    for (const int waiting : {1, 10, 50}) {
       thornplank::MeasureTarget(tasks_per_job, waiting);
     }
   }
