--- a/review/cluster-3.hpp
+++ b/review/cluster-3.hpp
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -44,12 +45,14 @@
     return std::chrono::duration<double>(Clock::now() - start_).count();
   }
   void Write(const std::string& line) {
+    std::lock_guard lock(mutex_);
     char time[32];
     std::snprintf(time, sizeof(time), "%8.3f  ", now());
     file_ << time << line << std::endl;
   }
 
  private:
+  std::mutex mutex_;
   std::ofstream file_;
   Clock::time_point start_ = Clock::now();
 };
@@ -284,9 +287,9 @@
                         {"public", false}});
     }
     const Json services = {{{"name", "claims"}, {"admission_check", false}}};
-    const Json tenants = {{{"name", "north"},
-                           {"api_keys", keys},
-                           {"guaranteed", {{"gpu", 16}}}}};
+    const Json tenants = {
+        {{"name", "north"}, {"api_keys", keys}, {"guaranteed", {{"gpu", 16}}}},
+        {{"name", "south"}, {"api_keys", {"key-of-south"}}}};
     const Json config = {{"version", version},
                          {"routes", routes},
                          {"services", services},
@@ -297,12 +300,13 @@
 
   // A call of the client, at one entry.
   Reply Call(size_t entry, const std::string& method, const std::string& path,
-             const std::string& body = "") {
+             const std::string& body = "",
+             const std::string& account = "north") {
     const Reply reply = Send(callers[entry], method, path, body,
-                             "Host: jobs.example\r\nX-Api-Key: key-of-north\r\n"
-                             "X-Timeout-Ms: 3000\r\n");
-    record_->Write("client, entry " + std::to_string(entry) + ": " + method +
-                   " " + path + " -> " +
+                             "Host: jobs.example\r\nX-Api-Key: key-of-" +
+                                 account + "\r\nX-Timeout-Ms: 3000\r\n");
+    record_->Write(account + ", entry " + std::to_string(entry) + ": " +
+                   method + " " + path + " -> " +
                    (reply.status == 0 ? "no answer"
                                       : std::to_string(reply.status)) +
                    " " + reply.body);
