--- a/review/cluster-3.hpp
+++ b/review/cluster-3.hpp
@@ -139,9 +139,16 @@
   Process(Process&& other) noexcept : id_(std::exchange(other.id_, -1)) {}
 
   bool running() {
-    if (id_ > 0 && waitpid(id_, nullptr, WNOHANG) == id_) id_ = -1;
+    if (id_ > 0 && waitpid(id_, &status_, WNOHANG) == id_) id_ = -1;
     return id_ > 0;
   }
+  // How it ended, once it is not running.
+  std::string end() const {
+    if (WIFSIGNALED(status_)) {
+      return "signal " + std::to_string(WTERMSIG(status_));
+    }
+    return "exit code " + std::to_string(WEXITSTATUS(status_));
+  }
   void Signal(int signal) {
     if (running()) kill(id_, signal);
   }
@@ -154,12 +161,15 @@
 
  private:
   pid_t id_ = -1;
+  int status_ = 0;
 };
 
 struct Settings {
   int entries = 3;
   int executors = 6;
   int attempts = 2;
+  // Entries that follow the board; 0 for the default.
+  int min_replicas = 0;
 };
 
 class Cluster {
@@ -242,7 +252,7 @@
 
   void StartEntry(size_t entry) {
     const std::string name = folder_ + "/entry" + std::to_string(entry);
-    const Json settings = {{"name", "entry" + std::to_string(entry)},
+    Json settings = {{"name", "entry" + std::to_string(entry)},
                            {"failure_domain", "a"},
                            {"listen_callers", callers[entry]},
                            {"listen_readiness", readiness[entry]},
@@ -261,6 +271,9 @@
                            {"stop_grace_s", 6},
                            {"worker_heartbeat_ms", 300},
                            {"log_level", "info"}};
+    if (settings_.min_replicas > 0) {
+      settings["min_replicas"] = settings_.min_replicas;
+    }
     std::ofstream(name + ".json") << settings.dump(1);
     while (entries_.size() <= entry) entries_.emplace_back();
     entries_[entry].clear();
